Lay the workspace and the domain of the serving system

Cause: the repository is empty, and every part needs the same words. Conclusion: packages can now be built side by side.

--- /dev/null
+++ b/cmd/garnetctl/main.go
@@ -0,0 +1,4 @@
+// Command garnetctl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/garnetd/main.go
@@ -0,0 +1,4 @@
+// Command garnetd is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/garnetdemo/main.go
@@ -0,0 +1,4 @@
+// Command garnetdemo is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/garnetload/main.go
@@ -0,0 +1,4 @@
+// Command garnetload is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/event.go
@@ -0,0 +1,81 @@
+package garnetworks
+
+import "time"
+
+// Timestamp is a hybrid logical clock reading: it never goes back at a node
+// and is above every timestamp that the node has seen.
+type Timestamp struct {
+	// Wall is milliseconds since the Unix epoch, the highest seen anywhere.
+	Wall int64 `json:"wall"`
+	// Logical orders timestamps with equal Wall.
+	Logical uint32 `json:"logical"`
+}
+
+// Before reports whether t comes before u.
+func (t Timestamp) Before(u Timestamp) bool {
+	if t.Wall != u.Wall {
+		return t.Wall < u.Wall
+	}
+	return t.Logical < u.Logical
+}
+
+// Time returns the wall part as a time.
+func (t Timestamp) Time() time.Time { return time.UnixMilli(t.Wall) }
+
+// EventKind is a kind of event on the time line.
+type EventKind string
+
+// The kinds of events.
+const (
+	EventNodeStarted      EventKind = "node-started"
+	EventNodeStopping     EventKind = "node-stopping"
+	EventNodeJoined       EventKind = "node-joined"
+	EventNodeLost         EventKind = "node-lost"
+	EventLeaseTaken       EventKind = "lease-taken"
+	EventLeaseLost        EventKind = "lease-lost"
+	EventGroupFormed      EventKind = "group-formed"
+	EventGroupServing     EventKind = "group-serving"
+	EventGroupDraining    EventKind = "group-draining"
+	EventGroupBroken      EventKind = "group-broken"
+	EventGroupReleased    EventKind = "group-released"
+	EventMemberLost       EventKind = "member-lost"
+	EventMemberReturned   EventKind = "member-returned"
+	EventOrderSent        EventKind = "order-sent"
+	EventOrderRefused     EventKind = "order-refused"
+	EventPowerOn          EventKind = "power-on"
+	EventPowerOff         EventKind = "power-off"
+	EventGrantMoved       EventKind = "grant-moved"
+	EventManifestStaged   EventKind = "manifest-staged"
+	EventManifestAccepted EventKind = "manifest-accepted"
+	EventManifestInForce  EventKind = "manifest-in-force"
+	EventManifestRefused  EventKind = "manifest-refused"
+	EventCallRefused      EventKind = "call-refused"
+	EventCallUnknown      EventKind = "call-unknown"
+	EventSilentConnection EventKind = "silent-connection"
+	EventServerLeaving    EventKind = "server-leaving"
+	EventObjectAPIDown    EventKind = "object-api-down"
+	EventObjectAPIBack    EventKind = "object-api-back"
+)
+
+// Event is an entry of the time line. Fields that do not apply are empty.
+type Event struct {
+	At   Timestamp `json:"at"`
+	Node NodeID    `json:"node"`
+	// Sequence counts the node's events from 1 without gaps, so that a reader
+	// sees an overrun.
+	Sequence   uint64     `json:"sequence"`
+	Kind       EventKind  `json:"kind"`
+	Zone       ZoneID     `json:"zone,omitempty"`
+	Group      GroupID    `json:"group,omitempty"`
+	Instance   InstanceID `json:"instance,omitempty"`
+	Call       CallID     `json:"call,omitempty"`
+	Generation Generation `json:"generation,omitempty"`
+	Error      Kind       `json:"error,omitempty"`
+	Detail     string     `json:"detail,omitempty"`
+}
+
+// Recorder takes events for the time line; it never blocks. Node, Sequence and
+// At are filled in by the recorder.
+type Recorder interface {
+	Record(event Event)
+}
--- /dev/null
+++ b/peer.go
@@ -0,0 +1,246 @@
+package garnetworks
+
+import (
+	"context"
+	"time"
+)
+
+// NodeInfo describes an entry node.
+type NodeInfo struct {
+	ID NodeID `json:"id"`
+	// Incarnation grows with each start of the node's process.
+	Incarnation uint64 `json:"incarnation"`
+	// Address is where the node's peers reach it.
+	Address string   `json:"address"`
+	Zone    ZoneID   `json:"zone"`
+	Region  RegionID `json:"region"`
+	// Ready says that the node takes calls.
+	Ready bool `json:"ready"`
+	// Program is the node's program version.
+	Program string `json:"program"`
+}
+
+// Roster is the list of a zone's entry nodes, an object of its own.
+type Roster struct {
+	Zone ZoneID `json:"zone"`
+	// Nodes are sorted by ID.
+	Nodes []NodeInfo `json:"nodes"`
+	// Version grows with each change.
+	Version uint64 `json:"version"`
+	WriteID string `json:"write-id"`
+}
+
+// Topic names a value that is distributed to all nodes; the newest version
+// wins.
+type Topic string
+
+// Topics; those of a zone have the zone's name behind them.
+const (
+	TopicManifest  Topic = "manifest"
+	TopicProposal  Topic = "proposal"
+	TopicZoneView  Topic = "zone-view/"
+	TopicShares    Topic = "shares/"
+	TopicRoster    Topic = "roster/"
+	TopicStaged    Topic = "staged/"
+	TopicZoneState Topic = "zone-state/"
+)
+
+// UpdateVersion orders the values of a topic.
+type UpdateVersion struct {
+	// Term is the writer's lease term, or 0 where the object API orders writes.
+	Term uint32 `json:"term"`
+	// Sequence counts within the term.
+	Sequence uint64 `json:"sequence"`
+}
+
+// Less reports whether v comes before w.
+func (v UpdateVersion) Less(w UpdateVersion) bool {
+	if v.Term != w.Term {
+		return v.Term < w.Term
+	}
+	return v.Sequence < w.Sequence
+}
+
+// Update is one version of a topic's value.
+type Update struct {
+	Topic   Topic         `json:"topic"`
+	Version UpdateVersion `json:"version"`
+	Body    []byte        `json:"body"`
+}
+
+// GroupView is what routers know of a group.
+type GroupView struct {
+	ID       GroupID       `json:"id"`
+	Zone     ZoneID        `json:"zone"`
+	Domain   DomainID      `json:"domain"`
+	Model    ModelName     `json:"model"`
+	Version  VersionName   `json:"version"`
+	Adapters []AdapterName `json:"adapters,omitempty"`
+	Token    FencingToken  `json:"token"`
+	// Address is the first member's.
+	Address string       `json:"address"`
+	State   GroupState   `json:"state"`
+	Members []InstanceID `json:"members"`
+	// Confirmed is false as soon as a member's confirmation is missing.
+	Confirmed bool       `json:"confirmed"`
+	Load      EngineLoad `json:"load"`
+	// Slow marks a straggler by latency.
+	Slow bool `json:"slow,omitempty"`
+}
+
+// ServerView is what routers know of a plain service's backend server.
+type ServerView struct {
+	Instance InstanceID  `json:"instance"`
+	Service  ServiceName `json:"service"`
+	Zone     ZoneID      `json:"zone"`
+	Address  string      `json:"address"`
+	Leaving  bool        `json:"leaving,omitempty"`
+}
+
+// ZoneView is what a zone's controller tells all nodes of the zone's backend
+// servers.
+type ZoneView struct {
+	Zone    ZoneID       `json:"zone"`
+	Groups  []GroupView  `json:"groups"`
+	Servers []ServerView `json:"servers"`
+	// Measures are the zone's counters of the two measures.
+	Measures Measures `json:"measures"`
+}
+
+// Measures are the users' two measures, counted since the controller's start.
+type Measures struct {
+	// GroupDowntime sums the time that wanted groups did not serve.
+	GroupDowntime time.Duration `json:"group-downtime"`
+	// Stranded sums the time that powered instances did not serve.
+	Stranded time.Duration `json:"stranded"`
+	// GroupsDown and InstancesStranded are the numbers now.
+	GroupsDown        int `json:"groups-down"`
+	InstancesStranded int `json:"instances-stranded"`
+	// Drawn is the pessimistic draw now, Limit the zone's grant.
+	Drawn Watts `json:"drawn"`
+	Limit Watts `json:"limit"`
+}
+
+// Demand is a node's demand for one workspace, averaged over some seconds.
+type Demand struct {
+	Workspace         WorkspaceName `json:"workspace"`
+	RequestsPerSecond float64       `json:"requests-per-second"`
+	TokensPerSecond   float64       `json:"tokens-per-second"`
+	InFlight          int           `json:"in-flight"`
+}
+
+// HeartbeatRequest is sent between peers.
+type HeartbeatRequest struct {
+	From NodeInfo  `json:"from"`
+	At   Timestamp `json:"at"`
+	// Versions are the newest versions that the sender holds, so that the other
+	// side can send what is missing.
+	Versions map[Topic]UpdateVersion `json:"versions,omitempty"`
+	Demands  []Demand                `json:"demands,omitempty"`
+	// Confirmations are the changes that the sender's probes brought, with ages
+	// in place of times.
+	Confirmations []ProbeResult `json:"confirmations,omitempty"`
+}
+
+// ProbeResult is the result of a probe of an engine, as sent between nodes.
+type ProbeResult struct {
+	Status EngineStatus `json:"status"`
+	// Age is the time since the probe was sent.
+	Age time.Duration `json:"age"`
+	// Failed says that the engine did not answer; Status then holds only the
+	// instance.
+	Failed bool `json:"failed,omitempty"`
+}
+
+// HeartbeatResponse answers a heartbeat.
+type HeartbeatResponse struct {
+	From    NodeInfo  `json:"from"`
+	At      Timestamp `json:"at"`
+	Updates []Update  `json:"updates,omitempty"`
+	// Versions tells the sender what to send.
+	Versions map[Topic]UpdateVersion `json:"versions,omitempty"`
+}
+
+// DistributeRequest hands updates down the distribution tree.
+type DistributeRequest struct {
+	From    NodeID    `json:"from"`
+	At      Timestamp `json:"at"`
+	Updates []Update  `json:"updates"`
+	// Targets are the addresses that the receiver passes the updates on to.
+	Targets []string `json:"targets,omitempty"`
+	// Hops counts the steps from the origin.
+	Hops int `json:"hops"`
+}
+
+// DistributeResponse acknowledges receipt by the receiver alone.
+type DistributeResponse struct {
+	At       Timestamp `json:"at"`
+	Accepted int       `json:"accepted"`
+}
+
+// FetchRequest asks for the newest versions of topics; none asks for all.
+type FetchRequest struct {
+	At     Timestamp `json:"at"`
+	Topics []Topic   `json:"topics,omitempty"`
+}
+
+// FetchResponse holds the topics that the peer knows.
+type FetchResponse struct {
+	At      Timestamp `json:"at"`
+	Updates []Update  `json:"updates"`
+}
+
+// EventsRequest asks a node for its events.
+type EventsRequest struct {
+	At Timestamp `json:"at"`
+	// After is the last sequence number that the reader has.
+	After uint64 `json:"after"`
+	Limit int    `json:"limit"`
+}
+
+// EventsResponse holds events in sequence order.
+type EventsResponse struct {
+	At     Timestamp `json:"at"`
+	Node   NodeID    `json:"node"`
+	Events []Event   `json:"events"`
+	// Lost is the number of events after EventsRequest.After that the ring had
+	// already overwritten.
+	Lost uint64 `json:"lost"`
+}
+
+// StatusRequest asks a node for its view.
+type StatusRequest struct {
+	At Timestamp `json:"at"`
+}
+
+// StatusResponse is a node's view of the site.
+type StatusResponse struct {
+	At         Timestamp  `json:"at"`
+	Node       NodeInfo   `json:"node"`
+	Generation Generation `json:"generation"`
+	Staged     Generation `json:"staged"`
+	Leases     []string   `json:"leases"`
+	Views      []ZoneView `json:"views"`
+	Rosters    []Roster   `json:"rosters"`
+	// ObjectAPIDown says that the node can't reach the object API now.
+	ObjectAPIDown bool `json:"object-api-down"`
+}
+
+// PeerHandler answers other nodes.
+type PeerHandler interface {
+	Heartbeat(ctx context.Context, request *HeartbeatRequest) (*HeartbeatResponse, error)
+	Distribute(ctx context.Context, request *DistributeRequest) (*DistributeResponse, error)
+	Fetch(ctx context.Context, request *FetchRequest) (*FetchResponse, error)
+	Events(ctx context.Context, request *EventsRequest) (*EventsResponse, error)
+	Status(ctx context.Context, request *StatusRequest) (*StatusResponse, error)
+}
+
+// PeerCaller calls other nodes by address. Errors are of kind KindUnreachable
+// or KindAnswerLost, or the handler's own kind.
+type PeerCaller interface {
+	Heartbeat(ctx context.Context, address string, request *HeartbeatRequest) (*HeartbeatResponse, error)
+	Distribute(ctx context.Context, address string, request *DistributeRequest) (*DistributeResponse, error)
+	Fetch(ctx context.Context, address string, request *FetchRequest) (*FetchResponse, error)
+	Events(ctx context.Context, address string, request *EventsRequest) (*EventsResponse, error)
+	Status(ctx context.Context, address string, request *StatusRequest) (*StatusResponse, error)
+}
--- /dev/null
+++ b/values.go
@@ -0,0 +1,56 @@
+package garnetworks
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is an unordered collection of distinct values.
+type Set[T cmp.Ordered] map[T]struct{}
+
+// NewSet returns a set of the given values.
+func NewSet[T cmp.Ordered](values ...T) Set[T] {
+	s := make(Set[T], len(values))
+	for _, v := range values {
+		s[v] = struct{}{}
+	}
+	return s
+}
+
+// Add puts v into the set.
+func (s Set[T]) Add(v T) { s[v] = struct{}{} }
+
+// Remove takes v out of the set.
+func (s Set[T]) Remove(v T) { delete(s, v) }
+
+// Has reports whether v is in the set. It is safe on a nil set.
+func (s Set[T]) Has(v T) bool {
+	_, ok := s[v]
+	return ok
+}
+
+// Sorted returns the values in ascending order.
+func (s Set[T]) Sorted() []T { return slices.Sorted(maps.Keys(s)) }
+
+// Option is a value that may be absent.
+type Option[T any] struct {
+	// Value is meaningful only if Present.
+	Value T
+	// Present is false for the zero Option.
+	Present bool
+}
+
+// Some returns a present option.
+func Some[T any](v T) Option[T] { return Option[T]{Value: v, Present: true} }
+
+// Get returns the value and whether it is present.
+func (o Option[T]) Get() (T, bool) { return o.Value, o.Present }
+
+// Or returns the value if it is present and other if it is not.
+func (o Option[T]) Or(other T) T {
+	if o.Present {
+		return o.Value
+	}
+	return other
+}
