Let nodes take proposals, report on them and tell their progress

Cause: operators drive the system only by committing a manifest, and nodes must confirm it without each of them writing to the object API. Change: PeerHandler and PeerCaller get Propose, Progress and Report with their messages; an accepted manifest carries its recent commits.

--- a/manifest.go
+++ b/manifest.go
@@ -164,4 +164,15 @@
 	Operator string    `json:"operator"`
 	At       time.Time `json:"at"`
 	Manifest Manifest  `json:"manifest"`
+	// Recent are the last accepted commits, this one included, oldest first, so
+	// that an operator whose answer was lost learns what became of a commit.
+	Recent []CommitRecord `json:"recent,omitempty"`
+}
+
+// CommitRecord names an accepted commit.
+type CommitRecord struct {
+	Generation Generation `json:"generation"`
+	CommitID   string     `json:"commit-id"`
+	Operator   string     `json:"operator"`
+	At         time.Time  `json:"at"`
 }
--- a/peer.go
+++ b/peer.go
@@ -226,6 +226,145 @@
 	ObjectAPIDown bool `json:"object-api-down"`
 }
 
+// ProposeRequest hands a manifest to a node. Repeating it with the same commit
+// identifier never commits twice; the answer then tells how the first one went.
+type ProposeRequest struct {
+	At Timestamp `json:"at"`
+	// CommitID is made by the operator's program and unique to the commit.
+	CommitID string `json:"commit-id"`
+	// Operator is who commits, for others to read.
+	Operator string `json:"operator"`
+	// Base is the generation that the manifest was made from; the manifest
+	// becomes Base+1 or nothing.
+	Base Generation `json:"base"`
+	// Supersedes names the pending commit that this one takes the place of;
+	// empty if there is none.
+	Supersedes string `json:"supersedes,omitempty"`
+	// Text is the manifest's YAML text, at most MaxObjectBytes long.
+	Text []byte `json:"text"`
+}
+
+// ProposeResponse tells how the commit stands.
+type ProposeResponse struct {
+	At       Timestamp      `json:"at"`
+	Progress CommitProgress `json:"progress"`
+}
+
+// ProgressRequest asks how a commit stands; an empty CommitID asks for the
+// newest one.
+type ProgressRequest struct {
+	At       Timestamp `json:"at"`
+	CommitID string    `json:"commit-id,omitempty"`
+}
+
+// ProgressResponse tells how the commit stands, as the node knows it.
+type ProgressResponse struct {
+	At       Timestamp      `json:"at"`
+	Progress CommitProgress `json:"progress"`
+}
+
+// ReportRequest brings a node's report to the node that gathers the reports of
+// its zone.
+type ReportRequest struct {
+	At     Timestamp  `json:"at"`
+	Zone   ZoneID     `json:"zone"`
+	Report NodeReport `json:"report"`
+}
+
+// ReportResponse acknowledges a report.
+type ReportResponse struct {
+	At Timestamp `json:"at"`
+	// Manifest and Proposal are the newest that the receiver knows, so that the
+	// sender sees what it lacks.
+	Manifest Generation `json:"manifest"`
+	Proposal uint64     `json:"proposal"`
+}
+
+// NodeReport is a node's word on the manifest. Of two reports of one node the
+// one with the higher incarnation, then Proposal, then Applied is the newer.
+type NodeReport struct {
+	Node        NodeID `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	// Proposal is the number of the newest proposal that the node has judged.
+	Proposal uint64 `json:"proposal"`
+	// Refusal says why the node can't serve by the proposal; empty if it has
+	// staged it.
+	Refusal string `json:"refusal,omitempty"`
+	// Applied is the generation that the node decides by; it never decreases
+	// within an incarnation (rule G10).
+	Applied Generation `json:"applied"`
+	// StagedAt and AppliedAt are by the node's own clock.
+	StagedAt  time.Time `json:"staged-at,omitzero"`
+	AppliedAt time.Time `json:"applied-at,omitzero"`
+}
+
+// ZoneReport joins the reports of a zone's nodes; it is the body of TopicStaged.
+type ZoneReport struct {
+	Zone ZoneID `json:"zone"`
+	// Roster is the version of the roster that Live was taken from.
+	Roster uint64 `json:"roster"`
+	// Live are the nodes of the roster, sorted.
+	Live []NodeID `json:"live"`
+	// Nodes are sorted by node.
+	Nodes []NodeReport `json:"nodes"`
+}
+
+// CommitState says how far a commit has come.
+type CommitState string
+
+const (
+	// CommitStaging commits wait for nodes to stage them.
+	CommitStaging CommitState = "staging"
+	// CommitHeld commits wait for a zone that does not answer.
+	CommitHeld CommitState = "held"
+	// CommitAccepted commits are the manifest; some nodes have yet to confirm.
+	CommitAccepted CommitState = "accepted"
+	// CommitInForce commits were confirmed by every live node of every zone that
+	// is not left out.
+	CommitInForce CommitState = "in-force"
+	// CommitRefused commits were refused and change nothing.
+	CommitRefused CommitState = "refused"
+	// CommitSuperseded commits gave way to another commit on the same base and
+	// change nothing.
+	CommitSuperseded CommitState = "superseded"
+	// CommitUnknown commits are not in the history that is kept.
+	CommitUnknown CommitState = "unknown"
+)
+
+// CommitProgress tells how a commit stands.
+type CommitProgress struct {
+	CommitID string     `json:"commit-id"`
+	Operator string     `json:"operator"`
+	Base     Generation `json:"base"`
+	// Proposal is the commit's number among the proposals.
+	Proposal uint64      `json:"proposal"`
+	State    CommitState `json:"state"`
+	// Generation is what the commit became; 0 if it was not accepted.
+	Generation Generation `json:"generation,omitempty"`
+	ProposedAt time.Time  `json:"proposed-at,omitzero"`
+	AcceptedAt time.Time  `json:"accepted-at,omitzero"`
+	InForceAt  time.Time  `json:"in-force-at,omitzero"`
+	// Reason explains held, refused, superseded and unknown.
+	Reason string `json:"reason,omitempty"`
+	// Winner is the commit that was accepted in place of this one.
+	Winner CommitRecord `json:"winner,omitzero"`
+	// Zones are sorted by zone.
+	Zones []ZoneProgress `json:"zones,omitempty"`
+}
+
+// ZoneProgress is a zone's part of a commit's progress.
+type ZoneProgress struct {
+	Zone    ZoneID `json:"zone"`
+	LeftOut bool   `json:"left-out,omitempty"`
+	// Live is the number of nodes that must confirm.
+	Live int `json:"live"`
+	// Unstaged and Unapplied are the live nodes that have yet to confirm.
+	Unstaged  []NodeID `json:"unstaged,omitempty"`
+	Unapplied []NodeID `json:"unapplied,omitempty"`
+	// Nodes are the reports of the live nodes.
+	Nodes []NodeReport `json:"nodes,omitempty"`
+}
+
 // PeerHandler answers other nodes.
 type PeerHandler interface {
 	Heartbeat(ctx context.Context, request *HeartbeatRequest) (*HeartbeatResponse, error)
@@ -233,6 +372,9 @@
 	Fetch(ctx context.Context, request *FetchRequest) (*FetchResponse, error)
 	Events(ctx context.Context, request *EventsRequest) (*EventsResponse, error)
 	Status(ctx context.Context, request *StatusRequest) (*StatusResponse, error)
+	Propose(ctx context.Context, request *ProposeRequest) (*ProposeResponse, error)
+	Progress(ctx context.Context, request *ProgressRequest) (*ProgressResponse, error)
+	Report(ctx context.Context, request *ReportRequest) (*ReportResponse, error)
 }
 
 // PeerCaller calls other nodes by address. Errors are of kind KindUnreachable
@@ -243,4 +385,7 @@
 	Fetch(ctx context.Context, address string, request *FetchRequest) (*FetchResponse, error)
 	Events(ctx context.Context, address string, request *EventsRequest) (*EventsResponse, error)
 	Status(ctx context.Context, address string, request *StatusRequest) (*StatusResponse, error)
+	Propose(ctx context.Context, address string, request *ProposeRequest) (*ProposeResponse, error)
+	Progress(ctx context.Context, address string, request *ProgressRequest) (*ProgressResponse, error)
+	Report(ctx context.Context, address string, request *ReportRequest) (*ReportResponse, error)
 }
