Name the model of an admission and the capacity behind it

Cause: one pool of slots for all models would let a model without groups block the others. Change: AdmitRequest.Model and ModelCapacity. Conclusion: additive; callers that leave Model empty are treated as plain services.

--- a/path.go
+++ b/path.go
@@ -68,6 +68,9 @@
 // AdmitRequest asks for a call to be admitted under its workspace's limits.
 type AdmitRequest struct {
 	Workspace WorkspaceName
+	// Model is the model that the call needs; empty for calls to plain services,
+	// which use no model capacity.
+	Model ModelName
 	// Priority is the workspace's; a higher one is shed later.
 	Priority int
 	// Tokens estimates prompt and answer; 0 for calls to plain services.
@@ -79,6 +82,19 @@
 	FirstTokenBy time.Time
 }
 
+// ModelCapacity is what a node sees of the groups that may serve a model now.
+type ModelCapacity struct {
+	Model ModelName
+	// Slots is the number of calls that the model's eligible groups batch
+	// together, over the whole site as far as the node sees it.
+	Slots int
+	// InUse is the estimated number of calls in those groups, from all nodes.
+	InUse float64
+	// FirstToken is the usual time from the start of an attempt to its first
+	// token, by the node's own measurements; 0 if it has none.
+	FirstToken time.Duration
+}
+
 // Admitter holds workspaces to their limits and the node to its capacity.
 type Admitter interface {
 	// Admit returns a ticket, at once or after a wait in a bounded queue, or an
