--- /dev/null
+++ b/measurer/measurer.go
@@ -0,0 +1,2 @@
+// Package measurer keeps account of the users' two measures.
+package measurer
--- /dev/null
+++ b/placer/share.go
@@ -0,0 +1,57 @@
+package placer
+
+import (
+	"slices"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// ZoneModels returns the manifest's models with MinGroups and MaxGroups
+// reduced to one zone's share, so that a zone that is cut off knows its part
+// from the manifest alone. Groups are dealt out evenly over the zones that are
+// not left out; what doesn't divide goes round from another zone for each
+// model, so that no zone gets all remainders. A zone that is left out keeps the
+// share it had with all zones counted: it may be cut off and serving.
+func ZoneModels(manifest *garnetworks.Manifest, zone garnetworks.ZoneID) []garnetworks.ModelSpec {
+	zones := sharingZones(manifest, zone)
+	position, ok := slices.BinarySearch(zones, zone)
+	models := slices.Clone(manifest.Models)
+	first := 0
+	for i := range models {
+		m := &models[i]
+		if !ok {
+			m.MinGroups, m.MaxGroups = 0, 0
+			continue
+		}
+		turn := (position - first%len(zones) + len(zones)) % len(zones)
+		first += m.MaxGroups
+		m.MinGroups = dealt(m.MinGroups, turn, len(zones))
+		m.MaxGroups = dealt(m.MaxGroups, turn, len(zones))
+	}
+	return models
+}
+
+func sharingZones(manifest *garnetworks.Manifest, zone garnetworks.ZoneID) []garnetworks.ZoneID {
+	var all, in []garnetworks.ZoneID
+	for _, z := range manifest.Site.Zones {
+		all = append(all, z.Name)
+		if !z.LeftOut {
+			in = append(in, z.Name)
+		}
+	}
+	slices.Sort(all)
+	slices.Sort(in)
+	if _, ok := slices.BinarySearch(in, zone); ok {
+		return in
+	}
+	return all
+}
+
+// dealt returns how many of groups go to the zone whose turn it is.
+func dealt(groups, turn, zones int) int {
+	share := groups / zones
+	if turn < groups%zones {
+		share++
+	}
+	return share
+}
