Let heartbeats carry digests and questions about lost nodes

Cause: peers had to send all versions with each heartbeat, and had no way to ask each other about a node that one of them can't reach. Conclusion: additive; no reader changes.

--- a/peer.go
+++ b/peer.go
@@ -140,6 +140,23 @@
 	// Confirmations are the changes that the sender's probes brought, with ages
 	// in place of times.
 	Confirmations []ProbeResult `json:"confirmations,omitempty"`
+	// Digest sums up the versions that the sender holds; peers with equal
+	// digests have nothing to send each other, so Versions stays empty.
+	Digest uint64 `json:"digest,omitempty"`
+	// Ask names nodes that the sender can't reach. The receiver answers in Heard
+	// and tries them itself.
+	Ask []NodeInfo `json:"ask,omitempty"`
+	// Leaving says that the sender's process is stopping, so that its loss needs
+	// no suspicion.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// HeardNode is a node's word that another one lives.
+type HeardNode struct {
+	ID          NodeID `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	// Age is the time since the node was last heard.
+	Age time.Duration `json:"age"`
 }
 
 // ProbeResult is the result of a probe of an engine, as sent between nodes.
@@ -159,6 +176,10 @@
 	Updates []Update  `json:"updates,omitempty"`
 	// Versions tells the sender what to send.
 	Versions map[Topic]UpdateVersion `json:"versions,omitempty"`
+	// Digest sums up the versions that the answering node holds.
+	Digest uint64 `json:"digest,omitempty"`
+	// Heard answers HeartbeatRequest.Ask: the asked nodes that were heard.
+	Heard []HeardNode `json:"heard,omitempty"`
 }
 
 // DistributeRequest hands updates down the distribution tree.
