Share the probing of engines and judge confirmations

Cause: rule G1 needs every member's word within 3 s at every node, and 330 nodes can't each probe 600 engines.

--- /dev/null
+++ b/prober/prober.go
@@ -0,0 +1,230 @@
+package prober
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Defaults of Options.
+const (
+	// DefaultTimeout ends a probe before the next one begins, so that one
+	// instance has one probe in flight from a node at most.
+	DefaultTimeout = 800 * time.Millisecond
+	// resultsKept bounds the channel of results: two rounds over 300 targets.
+	resultsKept = 600
+)
+
+// Options configure a Prober.
+type Options struct {
+	// Node is the node that probes.
+	Node garnetworks.NodeID
+	// Orders reads engines' status.
+	Orders garnetworks.EngineOrders
+	// Recorder may be nil.
+	Recorder garnetworks.Recorder
+	// Table takes the results; nil makes a new one.
+	Table *Table
+	// Interval is the time between two probes of a target; 0 takes
+	// garnetworks.ProbeInterval.
+	Interval time.Duration
+	// Timeout bounds one probe; 0 takes DefaultTimeout.
+	Timeout time.Duration
+	// Random returns values in [0, 1); nil takes the runtime's generator.
+	Random func() float64
+}
+
+// Prober probes the instances that are assigned to its node. It probes all of
+// them at one moment of the interval, chosen at random for each round, so that
+// what it then tells its peers is young; the moments of different nodes differ.
+type Prober struct {
+	options Options
+	results chan garnetworks.ProbeResult
+	dropped atomic.Uint64
+
+	mu       sync.Mutex
+	nodes    []garnetworks.NodeInfo
+	targets  []Target
+	assigned []Target
+	failing  garnetworks.Set[garnetworks.InstanceID]
+	changed  map[garnetworks.InstanceID]struct{}
+}
+
+// New returns a prober that probes nothing before SetRoster and SetTargets.
+func New(options Options) *Prober {
+	if options.Interval <= 0 {
+		options.Interval = garnetworks.ProbeInterval
+	}
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
+	if options.Table == nil {
+		options.Table = NewTable()
+	}
+	return &Prober{
+		options: options,
+		results: make(chan garnetworks.ProbeResult, resultsKept),
+		failing: garnetworks.NewSet[garnetworks.InstanceID](),
+		changed: make(map[garnetworks.InstanceID]struct{}),
+	}
+}
+
+// Table returns the table that the results go to.
+func (p *Prober) Table() *Table { return p.options.Table }
+
+// SetRoster takes the entry nodes of all zones.
+func (p *Prober) SetRoster(nodes []garnetworks.NodeInfo) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nodes = slices.Clone(nodes)
+	p.assigned = Assigned(p.options.Node, p.nodes, p.targets)
+}
+
+// SetTargets takes the engine instances of all zones.
+func (p *Prober) SetTargets(targets []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets = slices.Clone(targets)
+	p.assigned = Assigned(p.options.Node, p.nodes, p.targets)
+	known := garnetworks.NewSet[garnetworks.InstanceID]()
+	for _, t := range targets {
+		known.Add(t.Instance)
+	}
+	p.options.Table.Keep(known)
+}
+
+// Assigned returns the targets that this node probes now.
+func (p *Prober) Assigned() []Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.assigned)
+}
+
+// Results returns the channel of the node's own results. A reader that falls
+// behind loses results, which Dropped counts; the table has them all.
+func (p *Prober) Results() <-chan garnetworks.ProbeResult { return p.results }
+
+// Dropped returns the number of results that found the channel full.
+func (p *Prober) Dropped() uint64 { return p.dropped.Load() }
+
+// Take returns the results whose word has changed since the last Take, in order
+// of instance, with their ages at now.
+func (p *Prober) Take(now time.Time) []garnetworks.ProbeResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := make([]garnetworks.ProbeResult, 0, len(p.changed))
+	for id := range p.changed {
+		if s, at, ok := p.options.Table.Status(id); ok {
+			taken = append(taken, garnetworks.ProbeResult{Status: s, Age: now.Sub(at)})
+		}
+	}
+	clear(p.changed)
+	slices.SortFunc(taken, func(a, b garnetworks.ProbeResult) int {
+		return cmp.Compare(a.Status.Instance, b.Status.Instance)
+	})
+	return taken
+}
+
+// Run probes until ctx ends and returns its error.
+func (p *Prober) Run(ctx context.Context) error {
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	wait := time.Duration(p.options.Random() * float64(p.options.Interval))
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+		for _, t := range p.Assigned() {
+			probes.Go(func() { p.probe(ctx, t) })
+		}
+		wait = p.pause()
+	}
+}
+
+// pause returns the time to the next round: the interval with a tenth of
+// jitter downwards, so that rounds of different nodes do not stay in step and
+// no two probes lie further apart than the interval.
+func (p *Prober) pause() time.Duration {
+	const jitter = 0.1
+	return time.Duration(float64(p.options.Interval) * (1 - jitter*p.options.Random()))
+}
+
+// probe asks one target and files the result.
+func (p *Prober) probe(ctx context.Context, t Target) {
+	sent := time.Now() // rule P2: before the probe, not after its answer
+	call, cancel := context.WithTimeout(ctx, p.options.Timeout)
+	defer cancel()
+	status, err := p.options.Orders.Status(call, t.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil && status.Instance != t.Instance {
+		// An address is given to another instance after a replacement; its answer
+		// says nothing of the target.
+		err = garnetworks.Errorf(garnetworks.KindUnreachable, "%s answered at %s in place of %s", status.Instance, t.Address, t.Instance)
+	}
+	result := garnetworks.ProbeResult{Status: status}
+	if err != nil {
+		result = garnetworks.ProbeResult{Status: garnetworks.EngineStatus{Instance: t.Instance}, Failed: true}
+	}
+	p.file(sent, t, result, err)
+}
+
+// file merges a result, notes its change, and passes it on.
+func (p *Prober) file(sent time.Time, t Target, result garnetworks.ProbeResult, err error) {
+	result.Age = time.Since(sent)
+	changed := p.options.Table.Merge(sent.Add(result.Age), []garnetworks.ProbeResult{result})
+	p.mu.Lock()
+	for _, id := range changed {
+		p.changed[id] = struct{}{}
+	}
+	failedBefore := p.failing.Has(t.Instance)
+	p.failing.Remove(t.Instance)
+	if err != nil {
+		p.failing.Add(t.Instance)
+	}
+	p.mu.Unlock()
+	p.record(t, failedBefore, err)
+	select {
+	case p.results <- result:
+	default:
+		p.dropped.Add(1)
+	}
+}
+
+// record puts the edges between answering and failing on the time line.
+func (p *Prober) record(t Target, failedBefore bool, err error) {
+	if p.options.Recorder == nil || failedBefore == (err != nil) {
+		return
+	}
+	event := garnetworks.Event{Kind: garnetworks.EventMemberReturned, Zone: t.Zone, Instance: t.Instance, Detail: "probe answered"}
+	if err != nil {
+		event.Kind = garnetworks.EventMemberLost
+		event.Error = garnetworks.KindOf(err)
+		event.Detail = "probe failed"
+	}
+	p.options.Recorder.Record(event)
+}
+
+// Check probes one address now, on a connection of its own if the EngineOrders
+// that the prober was given opens one for each status call. It tells a silent
+// connection from a slow engine: if the engine answers here while a call on an
+// open connection makes no progress, the connection is dead.
+func (p *Prober) Check(ctx context.Context, address string) (garnetworks.EngineStatus, error) {
+	call, cancel := context.WithTimeout(ctx, p.options.Timeout)
+	defer cancel()
+	return p.options.Orders.Status(call, address)
+}
--- /dev/null
+++ b/prober/table.go
@@ -0,0 +1,184 @@
+package prober
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// entry is what is known of one instance.
+type entry struct {
+	status garnetworks.EngineStatus
+	// at is when the newest probe that brought this status was sent, or a moment
+	// before it (rule P2).
+	at time.Time
+	// first is the incarnation that was first seen under the status's token.
+	first uint64
+}
+
+// Table holds the newest word of each instance. It is safe for concurrent use.
+type Table struct {
+	mu      sync.RWMutex
+	entries map[garnetworks.InstanceID]entry
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: make(map[garnetworks.InstanceID]entry)}
+}
+
+// Merge takes results. Base is a moment, by this process's clock, at which the
+// results' ages had not yet been taken: for the node's own results the time at
+// which it takes them, for an answer from a peer the time at which it was asked,
+// for a message pushed by a peer the time that Exchange works out. The receive
+// time of a message is no such moment, since the message may have been held up
+// on the way. Merge returns the instances whose confirmation has changed.
+func (t *Table) Merge(base time.Time, results []garnetworks.ProbeResult) []garnetworks.InstanceID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed []garnetworks.InstanceID
+	for i := range results {
+		if t.merge(base, &results[i]) {
+			changed = append(changed, results[i].Status.Instance)
+		}
+	}
+	return changed
+}
+
+// merge takes one result.
+func (t *Table) merge(base time.Time, r *garnetworks.ProbeResult) bool {
+	if r.Failed {
+		return false // rule P4
+	}
+	at := base.Add(-max(r.Age, 0))
+	known, ok := t.entries[r.Status.Instance]
+	if ok && !supersedes(&r.Status, at, &known) {
+		return false
+	}
+	first := r.Status.Incarnation
+	if ok && known.status.Token == r.Status.Token {
+		first = known.first
+	}
+	t.entries[r.Status.Instance] = entry{r.Status, at, first}
+	return !ok || !SameWord(&known.status, &r.Status)
+}
+
+// supersedes reports whether a status replaces the known one (rule P3).
+func supersedes(s *garnetworks.EngineStatus, at time.Time, known *entry) bool {
+	if s.Incarnation != known.status.Incarnation {
+		return s.Incarnation > known.status.Incarnation
+	}
+	if s.Token != known.status.Token {
+		return s.Token > known.status.Token
+	}
+	return at.After(known.at)
+}
+
+// SameWord reports whether two statuses say the same of group, token, model,
+// version and readiness; loads and counters are not compared.
+func SameWord(a, b *garnetworks.EngineStatus) bool {
+	return a.Instance == b.Instance && a.Incarnation == b.Incarnation &&
+		a.Phase == b.Phase && a.Group == b.Group && a.Token == b.Token &&
+		a.Model == b.Model && a.Version == b.Version && a.Leaving == b.Leaving &&
+		slices.Equal(a.Adapters, b.Adapters)
+}
+
+// Confirmed reports whether all members of the group confirm it now (rule P5).
+func (t *Table) Confirmed(now time.Time, g garnetworks.Group) bool {
+	return t.confirmed(now, &word{g.ID, g.Token, g.Model, g.Version}, g.Members)
+}
+
+// ConfirmedView is Confirmed for a router's view of a group.
+func (t *Table) ConfirmedView(now time.Time, g *garnetworks.GroupView) bool {
+	return t.confirmed(now, &word{g.ID, g.Token, g.Model, g.Version}, g.Members)
+}
+
+// Missing returns the members that do not confirm the group now, in the
+// group's order.
+func (t *Table) Missing(now time.Time, g garnetworks.Group) []garnetworks.InstanceID {
+	w := word{g.ID, g.Token, g.Model, g.Version}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var missing []garnetworks.InstanceID
+	for _, m := range g.Members {
+		if !t.confirms(now, m, &w) {
+			missing = append(missing, m)
+		}
+	}
+	return missing
+}
+
+// word is what a member must say to confirm its group.
+type word struct {
+	group   garnetworks.GroupID
+	token   garnetworks.FencingToken
+	model   garnetworks.ModelName
+	version garnetworks.VersionName
+}
+
+// confirmed reports whether all members say w. A group without members is
+// never confirmed.
+func (t *Table) confirmed(now time.Time, w *word, members []garnetworks.InstanceID) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, m := range members {
+		if !t.confirms(now, m, w) {
+			return false
+		}
+	}
+	return len(members) > 0
+}
+
+// confirms reports whether the member's newest word is w.
+func (t *Table) confirms(now time.Time, m garnetworks.InstanceID, w *word) bool {
+	e, ok := t.entries[m]
+	if !ok || now.Sub(e.at) > garnetworks.ConfirmationBound {
+		return false
+	}
+	s := &e.status
+	// A member that was restarted under its token and claims its old place has
+	// lost its state and the other members' connections; it shows as a new
+	// incarnation under a known token, and counts again with a new token.
+	if s.Incarnation != e.first {
+		return false
+	}
+	return s.Phase == garnetworks.EngineReady && !s.Leaving &&
+		*w == word{s.Group, s.Token, s.Model, s.Version}
+}
+
+// Confirmation returns the instance's newest word and when it was asked for.
+func (t *Table) Confirmation(instance garnetworks.InstanceID) (garnetworks.Confirmation, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[instance]
+	if !ok {
+		return garnetworks.Confirmation{}, false
+	}
+	s := &e.status
+	return garnetworks.Confirmation{
+		Instance: s.Instance, Incarnation: s.Incarnation, Group: s.Group, Token: s.Token,
+		Model: s.Model, Version: s.Version, Ready: s.Phase == garnetworks.EngineReady && !s.Leaving, At: e.at,
+	}, true
+}
+
+// Status returns the instance's newest status and when it was asked for.
+func (t *Table) Status(instance garnetworks.InstanceID) (garnetworks.EngineStatus, time.Time, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.entries[instance]
+	return e.status, e.at, ok
+}
+
+// Keep forgets all instances that are not in the set: they are no longer part
+// of the site.
+func (t *Table) Keep(instances garnetworks.Set[garnetworks.InstanceID]) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.entries {
+		if !instances.Has(id) {
+			delete(t.entries, id)
+		}
+	}
+}
