Route calls by prefix hash, load and confirmation

Cause: nodes share nothing on the path of a call, and each must pick the group that holds a prompt's prefix. Change: package router with its rules, the decision core and a thin adapter.

--- /dev/null
+++ b/router/capacity.go
@@ -0,0 +1,42 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// capacities sums the eligible groups of each model.
+func (t *table) capacities(now int64) []garnetworks.ModelCapacity {
+	var all []garnetworks.ModelCapacity
+	for key, p := range t.pools {
+		if key.adapter == "" {
+			all = append(all, t.capacity(now, key.model, p))
+		}
+	}
+	slices.SortFunc(all, func(a, b garnetworks.ModelCapacity) int { return compareIDs(a.Model, b.Model) })
+	return all
+}
+
+func (t *table) capacity(now int64, model garnetworks.ModelName, p *pool) garnetworks.ModelCapacity {
+	p.site.refresh(now)
+	sum := garnetworks.ModelCapacity{Model: model}
+	t.scratch = t.scratch[:0]
+	for _, e := range p.site.entries {
+		g := e.group
+		if g.until < now {
+			continue
+		}
+		sum.Slots += int(g.load.capacity)
+		sum.InUse += g.load.inUse()
+		if g.pace.judged(now) {
+			t.scratch = append(t.scratch, g.pace.first)
+		}
+	}
+	if len(t.scratch) > 0 {
+		slices.Sort(t.scratch)
+		sum.FirstToken = time.Duration(t.scratch[len(t.scratch)/2] * float64(time.Second))
+	}
+	return sum
+}
--- /dev/null
+++ b/router/choose.go
@@ -0,0 +1,292 @@
+package router
+
+import (
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// ranks is the number of groups that a prefix's ranking keeps; a prefix that
+	// needs more than these is spread over all.
+	ranks = 16
+	// spread is how much wider than its share of the calls a prefix is spread
+	// (R5).
+	spread = 1.0
+	// spillRanks is the number of ranks that a call is spilled to (R6).
+	spillRanks = 4
+	// spillGain is the use, as a share of a group's capacity, that the next
+	// ranks must lie below the home to be worth a lost cache (R6).
+	spillGain = 0.25
+	// fullUse is the mean use from which other regions help out (R8).
+	fullUse = 0.95
+)
+
+// ranking is the best groups by rendezvous hashing, the best first.
+type ranking struct {
+	groups [ranks]*group
+	scores [ranks]uint64
+	n      int
+}
+
+// scan ranks the eligible groups of a scope (R1, R4).
+func (r *ranking) scan(now int64, s *scope, hash uint64, tried []garnetworks.GroupID) {
+	r.n = 0
+	for i := range s.entries {
+		e := &s.entries[i]
+		score := mix(hash ^ e.seed)
+		if r.n == ranks && score <= r.scores[ranks-1] {
+			continue
+		}
+		if e.group.until < now || isTried(e.group, tried) {
+			continue
+		}
+		r.insert(e.group, score)
+	}
+}
+
+func isTried(g *group, tried []garnetworks.GroupID) bool {
+	for _, id := range tried {
+		if id == g.view.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *ranking) insert(g *group, score uint64) {
+	i := r.n
+	if i == ranks {
+		i--
+	} else {
+		r.n++
+	}
+	for i > 0 && r.scores[i-1] < score {
+		r.scores[i], r.groups[i] = r.scores[i-1], r.groups[i-1]
+		i--
+	}
+	r.scores[i], r.groups[i] = score, g
+}
+
+// narrow ranks the first m groups anew by a longer prefix's hash (R5).
+func (r *ranking) narrow(m int, hash uint64) {
+	m = min(m, r.n)
+	for i := range m {
+		g := r.groups[i]
+		score := mix(hash ^ g.seed)
+		j := i
+		for j > 0 && r.scores[j-1] < score {
+			r.scores[j], r.groups[j] = r.scores[j-1], r.groups[j-1]
+			j--
+		}
+		r.scores[j], r.groups[j] = score, g
+	}
+}
+
+// width returns the number of groups that a prefix is spread over: a power of
+// two, or 0 for all groups of the scope (R5).
+func (t *table) width(hash uint64, eligible int) int {
+	want := t.sketch.share(hash) * float64(eligible) * spread
+	for m := 1; m <= ranks; m *= 2 {
+		if want <= float64(m) {
+			return m
+		}
+	}
+	return 0
+}
+
+// choose decides on a group for a call, or returns nil.
+func (t *table) choose(now int64, call *garnetworks.CallRequest, tried []garnetworks.GroupID) *group {
+	p := t.pools[poolKey{call.Model, call.Adapter}]
+	if p == nil {
+		return nil
+	}
+	t.judge(now)
+	s := t.scope(now, p)
+	prefix := newPrefix(call)
+	if !prefix.next() {
+		return t.chooseLoose(now, p, s, tried)
+	}
+	var r ranking
+	m := t.width(prefix.hash, s.eligible)
+	more := true
+	for m == 0 && more {
+		if more = prefix.next(); more {
+			m = t.width(prefix.hash, s.eligible)
+		}
+	}
+	if m == 0 {
+		return t.chooseLoose(now, p, s, tried)
+	}
+	r.scan(now, s, prefix.hash, tried)
+	for m > 1 && prefix.next() {
+		r.narrow(m, prefix.hash)
+		m = min(m, max(1, t.width(prefix.hash, s.eligible)))
+	}
+	if r.n == 0 {
+		return t.chooseLoose(now, p, s, tried)
+	}
+	return t.settleRank(now, &r, m)
+}
+
+// settleRank picks the home or a group of the next ranks (R6).
+func (t *table) settleRank(now int64, r *ranking, m int) *group {
+	if m > 1 {
+		// The whole prompt is popular: any of the first m holds it.
+		i := int(t.next() % uint64(min(m, r.n)))
+		r.groups[0], r.groups[i] = r.groups[i], r.groups[0]
+	}
+	best, cost := r.groups[0], r.groups[0].cost(now)
+	for i := 1; i < min(spillRanks, r.n); i++ {
+		c := r.groups[i].cost(now)
+		if i >= m {
+			c += spillGain
+		}
+		if c < cost {
+			best, cost = r.groups[i], c
+		}
+	}
+	return best
+}
+
+// cost is the group's use, with groups that could not be reached far behind.
+func (g *group) cost(now int64) float64 {
+	if g.cooldown.until > now {
+		return g.use() + 100
+	}
+	return g.use()
+}
+
+// scope returns the part of the pool that the call is chosen from (R8).
+func (t *table) scope(now int64, p *pool) *scope {
+	p.region.refresh(now)
+	if p.region.eligible > 0 && p.region.mean < fullUse {
+		return &p.region
+	}
+	p.site.refresh(now)
+	if p.region.eligible > 0 && p.site.mean > p.region.mean-spillGain {
+		return &p.region
+	}
+	return &p.site
+}
+
+// chooseLoose takes the less busy of two random groups, of the own zone if it
+// has room (R8).
+func (t *table) chooseLoose(now int64, p *pool, s *scope, tried []garnetworks.GroupID) *group {
+	p.zone.refresh(now)
+	if p.zone.eligible > 0 && p.zone.mean < s.mean+spillGain {
+		if g := t.chooseTwo(now, &p.zone, tried); g != nil {
+			return g
+		}
+	}
+	if g := t.chooseTwo(now, s, tried); g != nil {
+		return g
+	}
+	p.site.refresh(now)
+	return t.chooseTwo(now, &p.site, tried)
+}
+
+// chooseTwo takes the less busy of two random eligible groups.
+func (t *table) chooseTwo(now int64, s *scope, tried []garnetworks.GroupID) *group {
+	a := t.chooseOne(now, s, nil, tried)
+	if a == nil {
+		return nil
+	}
+	b := t.chooseOne(now, s, a, tried)
+	if b != nil && b.cost(now) < a.cost(now) {
+		return b
+	}
+	return a
+}
+
+// chooseOne takes a random eligible group other than one.
+func (t *table) chooseOne(now int64, s *scope, other *group, tried []garnetworks.GroupID) *group {
+	n := len(s.entries)
+	if n == 0 {
+		return nil
+	}
+	const draws = 8
+	for range draws {
+		g := s.entries[t.next()%uint64(n)].group
+		if g != other && g.until >= now && !isTried(g, tried) {
+			return g
+		}
+	}
+	// Few groups are eligible: look at all, from a random one on.
+	first := int(t.next() % uint64(n))
+	for i := range n {
+		g := s.entries[(first+i)%n].group
+		if g != other && g.until >= now && !isTried(g, tried) {
+			return g
+		}
+	}
+	return nil
+}
+
+// judge compares the paces of each model's groups now and then.
+func (t *table) judge(now int64) {
+	if t.judged != 0 && now-t.judged < int64(time.Second) {
+		return
+	}
+	t.judged = now
+	for key, p := range t.pools {
+		if key.adapter == "" {
+			t.judgePool(now, p)
+		}
+	}
+}
+
+func (t *table) judgePool(now int64, p *pool) {
+	t.scratch = t.scratch[:0]
+	for _, e := range p.site.entries {
+		if e.group.pace.judged(now) {
+			t.scratch = append(t.scratch, e.group.pace.token)
+		}
+	}
+	median := medianOf(t.scratch)
+	for _, e := range p.site.entries {
+		e.group.judge(now, median)
+	}
+}
+
+// started counts the call's prefixes as far as a decision looks at them, and
+// the attempt as in flight.
+func (t *table) started(now int64, call *garnetworks.CallRequest, id garnetworks.GroupID) {
+	if g := t.groups[id]; g != nil {
+		g.load.own++
+	}
+	t.sketch.call()
+	eligible := 0
+	if p := t.pools[poolKey{call.Model, call.Adapter}]; p != nil {
+		eligible = p.region.eligible
+	}
+	prefix := newPrefix(call)
+	for prefix.next() {
+		t.sketch.add(prefix.hash)
+		if t.width(prefix.hash, eligible) == 1 {
+			return
+		}
+	}
+}
+
+// finished ends an attempt and takes what it tells of the group.
+func (t *table) finished(now int64, id garnetworks.GroupID, result garnetworks.AttemptResult) {
+	g := t.groups[id]
+	if g == nil {
+		return
+	}
+	g.load.own = max(0, g.load.own-1)
+	if result.Cancelled {
+		return
+	}
+	if result.StaleToken || result.Leaving {
+		t.deny(now, id)
+	}
+	switch result.Phase {
+	case garnetworks.PhaseConnect:
+		g.cooldown.fail(now)
+	case garnetworks.PhaseDone:
+		g.cooldown.succeed()
+		g.pace.add(now, result)
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,173 @@
+package router
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Options describe the node that routes.
+type Options struct {
+	Node garnetworks.NodeID
+	// Zone is the node's own availability zone.
+	Zone garnetworks.ZoneID
+	// Zones give the regions; SetZones replaces them.
+	Zones []garnetworks.ZoneSpec
+	// Seed varies the node's random choices; 0 is as good as any other.
+	Seed uint64
+}
+
+// Router chooses groups and servers. It is safe for concurrent use: one mutex
+// guards the table, since a decision takes about a microsecond and a node makes
+// some thousand a second at most.
+type Router struct {
+	mu    sync.Mutex
+	table *table
+}
+
+var (
+	_ garnetworks.GroupChooser  = (*Router)(nil)
+	_ garnetworks.ServerChooser = (*Router)(nil)
+)
+
+// New returns a router without views: it refuses all calls until SetView.
+func New(options Options) *Router {
+	return &Router{table: newTable(options)}
+}
+
+// SetZones takes the zones and regions of the manifest in force.
+func (r *Router) SetZones(zones []garnetworks.ZoneSpec) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.setZones(zones)
+}
+
+// SetView takes a zone's newest view. at is when the node received it, less
+// the age that the view is known to have.
+func (r *Router) SetView(at time.Time, view garnetworks.ZoneView) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.setView(at.UnixNano(), view)
+}
+
+// RefreshView takes the word of a zone's controller, directly or by way of
+// peers, that the view held here was still its newest at the given time.
+func (r *Router) RefreshView(at time.Time, zone garnetworks.ZoneID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.refreshZone(at.UnixNano(), zone)
+}
+
+// ConfirmGroup takes the node's own finding that all members of the group
+// confirmed group, token, model and version at the given time (R2). A token
+// other than the view's is ignored.
+func (r *Router) ConfirmGroup(at time.Time, id garnetworks.GroupID, token garnetworks.FencingToken) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.confirm(at.UnixNano(), id, token)
+}
+
+// DenyGroup takes a sign that the group does not serve (R3).
+func (r *Router) DenyGroup(now time.Time, id garnetworks.GroupID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.deny(now.UnixNano(), id)
+}
+
+// CacheEvents takes a group's cache events as hints (R9).
+func (r *Router) CacheEvents(id garnetworks.GroupID, events []garnetworks.CacheEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.table.groups[id]; g != nil {
+		r.table.hints.events(g, events)
+	}
+}
+
+// Choose returns the group for an attempt; see garnetworks.GroupChooser.
+func (r *Router) Choose(now time.Time, call *garnetworks.CallRequest, tried []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g := r.table.choose(now.UnixNano(), call, tried)
+	if g == nil {
+		return garnetworks.GroupView{}, garnetworks.Errorf(garnetworks.KindNoGroup,
+			"no confirmed group serves model %s with adapter %q", call.Model, call.Adapter)
+	}
+	return g.view, nil
+}
+
+// Started counts an attempt; see garnetworks.GroupChooser.
+func (r *Router) Started(now time.Time, call *garnetworks.CallRequest, group garnetworks.GroupID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.started(now.UnixNano(), call, group)
+}
+
+// Finished ends an attempt; see garnetworks.GroupChooser.
+func (r *Router) Finished(now time.Time, _ *garnetworks.CallRequest, group garnetworks.GroupID, result garnetworks.AttemptResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.finished(now.UnixNano(), group, result)
+}
+
+// Loaded takes a load from an answer; see garnetworks.GroupChooser.
+func (r *Router) Loaded(now time.Time, group garnetworks.GroupID, load garnetworks.EngineLoad) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.table.groups[group]; g != nil {
+		g.load.report(now.UnixNano(), load)
+	}
+}
+
+// ChooseServer returns the server for a call; see garnetworks.ServerChooser.
+func (r *Router) ChooseServer(now time.Time, service garnetworks.ServiceName, tried []garnetworks.InstanceID) (garnetworks.ServerView, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.table.chooseServer(now.UnixNano(), service, tried)
+	if s == nil {
+		return garnetworks.ServerView{}, garnetworks.Errorf(garnetworks.KindNoBackend,
+			"no backend server of service %s takes new work", service)
+	}
+	return s.view, nil
+}
+
+// ServerStarted counts a call; see garnetworks.ServerChooser.
+func (r *Router) ServerStarted(_ time.Time, service garnetworks.ServiceName, instance garnetworks.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.serverStarted(service, instance)
+}
+
+// ServerFinished ends a call; see garnetworks.ServerChooser.
+func (r *Router) ServerFinished(now time.Time, service garnetworks.ServiceName, instance garnetworks.InstanceID, result garnetworks.AttemptResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.serverFinished(now.UnixNano(), service, instance, result)
+}
+
+// Stragglers returns the groups that are slow by this node's measurements,
+// sorted by ID.
+func (r *Router) Stragglers(now time.Time) []Straggler {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.judge(now.UnixNano())
+	var stragglers []Straggler
+	for id, g := range r.table.groups {
+		if g.pace.ratio > slowRatio {
+			stragglers = append(stragglers, Straggler{
+				Group: id, Zone: g.view.Zone, Ratio: g.pace.ratio, Samples: g.pace.samples,
+			})
+		}
+	}
+	slices.SortFunc(stragglers, func(a, b Straggler) int { return compareIDs(a.Group, b.Group) })
+	return stragglers
+}
+
+// Capacities returns what the eligible groups of each model can take, sorted
+// by model.
+func (r *Router) Capacities(now time.Time) []garnetworks.ModelCapacity {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.capacities(now.UnixNano())
+}
--- /dev/null
+++ b/router/servers.go
@@ -0,0 +1,156 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// server is a backend server of a plain service.
+type server struct {
+	view     garnetworks.ServerView
+	inFlight int
+	// refused is set by the server's own word that it leaves. It stays set for
+	// as long as the views name the instance: they lag behind the server.
+	refused  bool
+	cooldown cooldown
+}
+
+// service is a plain service's servers, sorted by instance.
+type service struct {
+	servers []*server
+}
+
+func (s *service) find(id garnetworks.InstanceID) *server {
+	for _, v := range s.servers {
+		if v.view.Instance == id {
+			return v
+		}
+	}
+	return nil
+}
+
+// setServers sorts the servers of all views by service and keeps what is known
+// of each.
+func (t *table) setServers() {
+	services := map[garnetworks.ServiceName]*service{}
+	for _, z := range t.zones {
+		for _, view := range z.servers {
+			s := services[view.Service]
+			if s == nil {
+				s = &service{}
+				services[view.Service] = s
+			}
+			s.servers = append(s.servers, t.known(view))
+		}
+	}
+	for _, s := range services {
+		slices.SortFunc(s.servers, func(a, b *server) int {
+			return compareIDs(a.view.Instance, b.view.Instance)
+		})
+	}
+	t.services = services
+}
+
+// known returns the server's state with the new view; a new address is a new
+// process, whose predecessor's word no longer counts.
+func (t *table) known(view garnetworks.ServerView) *server {
+	if s := t.services[view.Service]; s != nil {
+		if v := s.find(view.Instance); v != nil {
+			if v.view.Address != view.Address {
+				v.refused = false
+				v.cooldown.succeed()
+			}
+			v.view = view
+			return v
+		}
+	}
+	return &server{view: view}
+}
+
+// takes reports whether the server may get new work (R11).
+func (v *server) takes(tried []garnetworks.InstanceID) bool {
+	return !v.view.Leaving && !v.refused && !slices.Contains(tried, v.view.Instance)
+}
+
+// chooseServer takes the less busy of two random servers of the best class:
+// own zone and reachable, other zones and reachable, the rest.
+func (t *table) chooseServer(now int64, name garnetworks.ServiceName, tried []garnetworks.InstanceID) *server {
+	s := t.services[name]
+	if s == nil {
+		return nil
+	}
+	class := 3
+	var a, b *server
+	count := uint64(0)
+	for _, v := range s.servers {
+		c := t.class(now, v)
+		if !v.takes(tried) || c > class {
+			continue
+		}
+		if c < class {
+			class, a, b, count = c, nil, nil, 0
+		}
+		count++
+		// Reservoir sampling keeps two random servers of the class.
+		switch {
+		case a == nil:
+			a = v
+		case b == nil:
+			b = v
+		default:
+			if i := t.next() % count; i == 0 {
+				a = v
+			} else if i == 1 {
+				b = v
+			}
+		}
+	}
+	if b != nil && b.inFlight < a.inFlight {
+		return b
+	}
+	if b != nil && b.inFlight == a.inFlight && t.next()%2 == 0 {
+		return b
+	}
+	return a
+}
+
+// class orders servers: 0 is best.
+func (t *table) class(now int64, v *server) int {
+	switch {
+	case v.cooldown.until > now:
+		return 2
+	case v.view.Zone == t.options.Zone:
+		return 0
+	}
+	return 1
+}
+
+func (t *table) serverStarted(name garnetworks.ServiceName, id garnetworks.InstanceID) {
+	if s := t.services[name]; s != nil {
+		if v := s.find(id); v != nil {
+			v.inFlight++
+		}
+	}
+}
+
+func (t *table) serverFinished(now int64, name garnetworks.ServiceName, id garnetworks.InstanceID, result garnetworks.AttemptResult) {
+	s := t.services[name]
+	if s == nil {
+		return
+	}
+	v := s.find(id)
+	if v == nil {
+		return
+	}
+	v.inFlight = max(0, v.inFlight-1)
+	if result.Leaving {
+		v.refused = true
+	}
+	switch result.Phase {
+	case garnetworks.PhaseConnect:
+		v.cooldown.fail(now)
+	case garnetworks.PhaseDone:
+		v.cooldown.succeed()
+	}
+}
--- /dev/null
+++ b/router/table.go
@@ -0,0 +1,344 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// DenialTime is the longest time that a sign against a group lasts (R3). A
+// wrong sign costs the group this time; a right one is renewed by the next
+// refusal, which is proven not run.
+const DenialTime = 5 * time.Second
+
+const (
+	// cooldownStart and cooldownMost bound the time for which a group or a
+	// server that could not be reached is tried last.
+	cooldownStart = 250 * time.Millisecond
+	cooldownMost  = 4 * time.Second
+)
+
+// group is what the node knows of a replica group.
+type group struct {
+	view garnetworks.GroupView
+	// seed is the hash of the group's ID.
+	seed uint64
+	load load
+	pace pace
+	// viewed and probed are when the newest confirmations by the zone's view and
+	// by the node's own probes were received, in nanoseconds; 0 if the newest
+	// word of that source was against the group.
+	viewed, probed int64
+	// denied is the time up to which a sign against the group counts.
+	denied int64
+	// until is the time up to which the group is eligible; 0 if it is not.
+	until    int64
+	cooldown cooldown
+	// gone is set once the group is no longer in any view.
+	gone      bool
+	epoch     uint32
+	lastEvent uint64
+	gaps      uint64
+}
+
+// cooldown lets a backend server rest that could not be reached.
+type cooldown struct {
+	failures int
+	until    int64
+}
+
+func (c *cooldown) fail(now int64) {
+	rest := min(cooldownMost, cooldownStart<<min(c.failures, 8))
+	c.failures++
+	c.until = now + int64(rest)
+}
+
+func (c *cooldown) succeed() { *c = cooldown{} }
+
+// settle recomputes until after any change (R1, R3).
+func (g *group) settle(now int64) {
+	g.until = 0
+	if g.gone || g.view.State != garnetworks.GroupServing || g.denied > now {
+		return
+	}
+	if newest := max(g.viewed, g.probed); newest > 0 {
+		g.until = newest + int64(garnetworks.ConfirmationBound)
+	}
+}
+
+// use returns the used share of what the group can take.
+func (g *group) use() float64 { return g.load.inUse() / (g.load.capacity * g.pace.weight) }
+
+// poolKey names what a call needs of a group.
+type poolKey struct {
+	model   garnetworks.ModelName
+	adapter garnetworks.AdapterName
+}
+
+// entry is a group in a pool, laid out for the scan of all groups.
+type entry struct {
+	seed  uint64
+	group *group
+}
+
+// pool holds the groups that a call may go to by model and adapter; whether
+// they are eligible now is checked in the scan.
+type pool struct {
+	// zone, region and site hold the groups of the node's zone, of its region,
+	// and all, each sorted by ID.
+	zone, region, site scope
+}
+
+// scope is a part of a pool.
+type scope struct {
+	entries []entry
+	// mean is the mean use of the eligible groups at the last refresh, and
+	// eligible their number.
+	mean      float64
+	eligible  int
+	refreshed int64
+}
+
+// zone is what the node knows of an availability zone.
+type zone struct {
+	groups  map[garnetworks.GroupID]*group
+	servers []garnetworks.ServerView
+}
+
+// table is the state behind decisions; it does no I/O and no locking.
+type table struct {
+	options Options
+	regions map[garnetworks.ZoneID]garnetworks.RegionID
+	zones   map[garnetworks.ZoneID]*zone
+	groups  map[garnetworks.GroupID]*group
+	pools   map[poolKey]*pool
+	// services holds the servers of each service by instance.
+	services map[garnetworks.ServiceName]*service
+	sketch   sketch
+	hints    hints
+	random   uint64
+	judged   int64
+	scratch  []float64
+}
+
+func newTable(options Options) *table {
+	t := &table{
+		options:  options,
+		regions:  map[garnetworks.ZoneID]garnetworks.RegionID{},
+		zones:    map[garnetworks.ZoneID]*zone{},
+		groups:   map[garnetworks.GroupID]*group{},
+		pools:    map[poolKey]*pool{},
+		services: map[garnetworks.ServiceName]*service{},
+		random:   mix(xxhash.Sum64String(string(options.Node)) ^ options.Seed),
+	}
+	t.setZones(options.Zones)
+	return t
+}
+
+// next returns the next pseudo-random number of the node's own sequence.
+func (t *table) next() uint64 {
+	t.random += 0x9e3779b97f4a7c15
+	return mix(t.random)
+}
+
+func (t *table) setZones(zones []garnetworks.ZoneSpec) {
+	clear(t.regions)
+	for _, z := range zones {
+		t.regions[z.Name] = z.Region
+	}
+	t.rebuild()
+}
+
+// setView replaces what is known of a zone's groups and servers.
+func (t *table) setView(now int64, view garnetworks.ZoneView) {
+	z := t.zones[view.Zone]
+	if z == nil {
+		z = &zone{groups: map[garnetworks.GroupID]*group{}}
+		t.zones[view.Zone] = z
+	}
+	seen := make(map[garnetworks.GroupID]*group, len(view.Groups))
+	for _, v := range view.Groups {
+		if v.Zone == "" {
+			v.Zone = view.Zone
+		}
+		seen[v.ID] = t.setGroup(now, v)
+	}
+	for id, g := range z.groups {
+		if seen[id] == nil {
+			t.dropGroup(now, id, g)
+		}
+	}
+	z.groups = seen
+	z.servers = slices.Clone(view.Servers)
+	t.setServers()
+	t.rebuild()
+}
+
+// setGroup takes a group's row; the caller rebuilds the pools.
+func (t *table) setGroup(now int64, view garnetworks.GroupView) *group {
+	g := t.groups[view.ID]
+	if g == nil {
+		g = &group{seed: mix(xxhash.Sum64String(string(view.ID)))}
+		g.load.capacity = defaultCapacity
+		g.pace.weight = 1
+		t.groups[view.ID] = g
+	}
+	if view.Token > g.view.Token {
+		// Signs and probes were about the earlier token.
+		g.denied = 0
+		g.probed = 0
+	}
+	if view.Token < g.view.Token {
+		// A row from before the newest token: a delayed view must not bring back
+		// members that have since been given away (rule G3).
+		return g
+	}
+	g.view = view
+	g.gone = false
+	if view.Confirmed {
+		g.viewed = max(g.viewed, now)
+	} else {
+		g.viewed = 0
+		g.probed = 0
+	}
+	g.load.report(now, view.Load)
+	g.settle(now)
+	return g
+}
+
+func (t *table) dropGroup(now int64, id garnetworks.GroupID, g *group) {
+	g.gone = true
+	g.settle(now)
+	delete(t.groups, id)
+}
+
+// refreshZone renews the confirmations of a zone's groups: its controller said
+// that the view held here is still the newest.
+func (t *table) refreshZone(now int64, id garnetworks.ZoneID) {
+	z := t.zones[id]
+	if z == nil {
+		return
+	}
+	for _, g := range z.groups {
+		if g.viewed > 0 {
+			g.viewed = max(g.viewed, now)
+			g.settle(now)
+		}
+	}
+}
+
+// confirm takes the node's own probe of all members of a group (R2).
+func (t *table) confirm(now int64, id garnetworks.GroupID, token garnetworks.FencingToken) {
+	g := t.groups[id]
+	if g == nil || g.view.Token != token {
+		return
+	}
+	g.denied = 0
+	g.probed = max(g.probed, now)
+	g.settle(now)
+}
+
+// deny takes a sign against a group (R3).
+func (t *table) deny(now int64, id garnetworks.GroupID) {
+	g := t.groups[id]
+	if g == nil {
+		return
+	}
+	g.denied = now + int64(DenialTime)
+	g.settle(now)
+}
+
+// rebuild sorts the groups into pools.
+func (t *table) rebuild() {
+	clear(t.pools)
+	for _, g := range t.groups {
+		t.enter(g, "")
+		for _, a := range g.view.Adapters {
+			t.enter(g, a)
+		}
+	}
+	for _, p := range t.pools {
+		for _, s := range []*scope{&p.zone, &p.region, &p.site} {
+			slices.SortFunc(s.entries, func(a, b entry) int {
+				return compareIDs(a.group.view.ID, b.group.view.ID)
+			})
+		}
+	}
+	t.scratch = make([]float64, 0, len(t.groups))
+	t.judged = 0
+}
+
+func compareIDs[T ~string](a, b T) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+func (t *table) enter(g *group, adapter garnetworks.AdapterName) {
+	key := poolKey{g.view.Model, adapter}
+	p := t.pools[key]
+	if p == nil {
+		p = &pool{}
+		t.pools[key] = p
+	}
+	e := entry{g.seed, g}
+	p.site.entries = append(p.site.entries, e)
+	if t.near(g.view.Zone) {
+		p.region.entries = append(p.region.entries, e)
+	}
+	if g.view.Zone == t.options.Zone {
+		p.zone.entries = append(p.zone.entries, e)
+	}
+}
+
+// near reports whether a zone is in the node's region; zones of unknown region
+// count as near only if the node's own region is unknown too.
+func (t *table) near(id garnetworks.ZoneID) bool {
+	return id == t.options.Zone || t.regions[id] == t.regions[t.options.Zone]
+}
+
+// refresh recomputes a scope's mean and the expected loads now and then (R7).
+// The mean is that of fresh reports; the own calls count besides.
+func (s *scope) refresh(now int64) {
+	if s.refreshed != 0 && now-s.refreshed < int64(refreshInterval) {
+		return
+	}
+	s.refreshed = now
+	reported, weight := 0.0, 0.0
+	for _, e := range s.entries {
+		if e.group.until < now {
+			continue
+		}
+		l := &e.group.load
+		f := l.fresh(now)
+		reported += f * l.others
+		weight += f * l.capacity
+	}
+	mean := 0.0
+	if weight > 0 {
+		mean = reported / weight
+	}
+	used, capacity := 0.0, 0.0
+	s.eligible = 0
+	for _, e := range s.entries {
+		g := e.group
+		if g.until < now {
+			continue
+		}
+		g.load.refresh(now, mean)
+		s.eligible++
+		used += g.load.inUse()
+		capacity += g.load.capacity * g.pace.weight
+	}
+	s.mean = 0
+	if capacity > 0 {
+		s.mean = used / capacity
+	}
+}
