Parse manifests strictly and tell what a new one changes

Cause: operators drive the system only by manifests; a bad one must be refused with every problem named before it is proposed. Change: parser reads YAML against the schema of the root structs, tells all problems with line and column, checks references, ranges and what can never work, wants the end marker that a cut-off text lacks, and lists the differences of two manifests with their effect on running work.

--- /dev/null
+++ b/parser/decoder.go
@@ -0,0 +1,249 @@
+package parser
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// field is a key of the schema (rule P2).
+type field struct {
+	name     string
+	index    int
+	optional bool
+}
+
+// fieldsOf returns the schema of a struct, in its order.
+func fieldsOf(t reflect.Type) []field {
+	fields := make([]field, 0, t.NumField())
+	for i := range t.NumField() {
+		name, options, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		fields = append(fields, field{name: name, index: i, optional: options == "omitempty"})
+	}
+	return fields
+}
+
+// decodeManifest fills in the manifest from the root node. The format comes
+// first: it decides whether this program can judge the rest (rule P4).
+func decodeManifest(p *places, root ast.Node, manifest *garnetworks.Manifest) {
+	for _, entry := range entriesOf(root) {
+		if keyOf(entry) != "format" {
+			continue
+		}
+		p.at["format"] = place(entry.Value)
+		if n, ok := entry.Value.(*ast.IntegerNode); ok {
+			if format, ok := integer(n); ok && format > garnetworks.ManifestFormat && format < math.MaxInt32 {
+				p.refuseNewer(int(format))
+				return
+			}
+		}
+	}
+	decode(p, root, reflect.ValueOf(manifest).Elem(), "")
+}
+
+// decode fills in v from the node and records what does not fit.
+func decode(p *places, n ast.Node, v reflect.Value, path string) {
+	at := place(n)
+	p.at[path] = at
+	if n == nil || n.Type() == ast.NullType {
+		p.reject(at, path, "the value is missing")
+		return
+	}
+	switch {
+	case v.Type() == durationType:
+		decodeDuration(p, n, v, path)
+	case v.Kind() == reflect.Struct:
+		decodeStruct(p, n, v, path)
+	case v.Kind() == reflect.Slice:
+		decodeSlice(p, n, v, path)
+	default:
+		decodeScalar(p, n, v, path)
+	}
+}
+
+func decodeStruct(p *places, n ast.Node, v reflect.Value, path string) {
+	at := place(n)
+	entries := entriesOf(n)
+	if entries == nil {
+		p.reject(at, path, "must be a mapping, not %s", describe(n))
+		return
+	}
+	fields := fieldsOf(v.Type())
+	seen := map[string]position{}
+	for _, entry := range entries {
+		decodeEntry(p, entry, v, path, fields, seen)
+	}
+	for _, f := range fields {
+		if _, given := seen[f.name]; !given && !f.optional {
+			p.reject(at, join(path, f.name), "is missing")
+		}
+	}
+}
+
+func decodeEntry(p *places, entry *ast.MappingValueNode, v reflect.Value, path string, fields []field, seen map[string]position) {
+	key := keyOf(entry)
+	at := place(entry)
+	if first, twice := seen[key]; twice {
+		p.add(at, join(path, key), "the key stands twice; first on line %d", first.line)
+		return
+	}
+	seen[key] = at
+	for _, f := range fields {
+		if f.name == key {
+			decode(p, entry.Value, v.Field(f.index), join(path, key))
+			return
+		}
+	}
+	p.add(at, join(path, key), "unknown key; known here: %s", names(fields))
+}
+
+func decodeSlice(p *places, n ast.Node, v reflect.Value, path string) {
+	sequence, ok := n.(*ast.SequenceNode)
+	if !ok {
+		p.reject(place(n), path, "must be a list, not %s", describe(n))
+		return
+	}
+	list := reflect.MakeSlice(v.Type(), len(sequence.Values), len(sequence.Values))
+	for i, value := range sequence.Values {
+		decode(p, value, list.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+	v.Set(list)
+}
+
+func decodeDuration(p *places, n ast.Node, v reflect.Value, path string) {
+	s, ok := n.(*ast.StringNode)
+	if !ok {
+		p.reject(place(n), path, "must be a duration with its unit, such as 30s, not %s", describe(n))
+		return
+	}
+	d, err := time.ParseDuration(s.Value)
+	if err != nil {
+		p.reject(place(n), path, "must be a duration with its unit, such as 30s, not %q", shorten(s.Value))
+		return
+	}
+	v.SetInt(int64(d))
+}
+
+func decodeScalar(p *places, n ast.Node, v reflect.Value, path string) {
+	switch v.Kind() {
+	case reflect.String:
+		if s, ok := n.(*ast.StringNode); ok {
+			v.SetString(s.Value)
+			return
+		}
+		p.reject(place(n), path, "must be text, not %s; put it in quotes", describe(n))
+	case reflect.Bool:
+		if b, ok := n.(*ast.BoolNode); ok {
+			v.SetBool(b.Value)
+			return
+		}
+		p.reject(place(n), path, "must be true or false, not %s", describe(n))
+	case reflect.Float64:
+		if f, ok := float(n); ok {
+			v.SetFloat(f)
+			return
+		}
+		p.reject(place(n), path, "must be a number, not %s", describe(n))
+	default:
+		i, ok := integer(n)
+		if !ok || v.OverflowInt(i) {
+			p.reject(place(n), path, "must be a whole number, not %s", describe(n))
+			return
+		}
+		v.SetInt(i)
+	}
+}
+
+// integer returns the value of a whole number that fits 64 bits.
+func integer(n ast.Node) (int64, bool) {
+	i, ok := n.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch value := i.Value.(type) {
+	case int64:
+		return value, true
+	case uint64:
+		return int64(value), value <= math.MaxInt64
+	}
+	return 0, false
+}
+
+// float returns the value of a finite number.
+func float(n ast.Node) (float64, bool) {
+	if f, ok := n.(*ast.FloatNode); ok {
+		return f.Value, !math.IsInf(f.Value, 0) && !math.IsNaN(f.Value)
+	}
+	i, ok := integer(n)
+	return float64(i), ok
+}
+
+// entriesOf returns the entries of a mapping, or nil if n is none.
+func entriesOf(n ast.Node) []*ast.MappingValueNode {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		if m.Values == nil {
+			return []*ast.MappingValueNode{}
+		}
+		return m.Values
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}
+	}
+	return nil
+}
+
+func keyOf(entry *ast.MappingValueNode) string {
+	if entry.Key == nil || entry.Key.GetToken() == nil {
+		return ""
+	}
+	return entry.Key.GetToken().Value
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func names(fields []field) string {
+	list := make([]string, len(fields))
+	for i, f := range fields {
+		list[i] = f.name
+	}
+	return strings.Join(list, ", ")
+}
+
+// describe names the kind of a node for a reader.
+func describe(n ast.Node) string {
+	switch s := n.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode:
+		return fmt.Sprintf("the text %q", shorten(s.Value))
+	}
+	if t := n.GetToken(); t != nil {
+		return shorten(t.Value)
+	}
+	return "something else"
+}
+
+// shorten bounds what a problem repeats of the text.
+func shorten(s string) string {
+	const most = 40
+	runes := []rune(s)
+	if len(runes) <= most {
+		return s
+	}
+	return string(runes[:most]) + "…"
+}
--- /dev/null
+++ b/parser/diff.go
@@ -0,0 +1,309 @@
+package parser
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// ChangeKind says what happens to a value.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	ChangeAdded   ChangeKind = "added"
+	ChangeRemoved ChangeKind = "removed"
+	ChangeChanged ChangeKind = "changed"
+)
+
+// Effect is what a change does to running work.
+type Effect string
+
+// The effects of changes.
+const (
+	// EffectNone changes touch no running work.
+	EffectNone Effect = ""
+	// EffectLoads changes load weights or adapters.
+	EffectLoads Effect = "loads"
+	// EffectDrains changes drain groups or stop taking calls.
+	EffectDrains Effect = "drains"
+	// EffectPower changes turn instances on or off.
+	EffectPower Effect = "power"
+	// EffectRefuses changes refuse calls that are accepted today.
+	EffectRefuses Effect = "refuses"
+	// EffectRepeats changes alter which calls may be sent twice.
+	EffectRepeats Effect = "repeats"
+	// EffectTrust changes alter what is relied on to keep the rules.
+	EffectTrust Effect = "trust"
+)
+
+// Change is one difference between two manifests.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// Path names the value by the names of what it belongs to, such as
+	// models/field-brief/version.
+	Path string `json:"path"`
+	// Old and New are empty where there is no value.
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+	// Effect and Note say what the change does to running work; empty if it
+	// touches none.
+	Effect Effect `json:"effect,omitempty"`
+	Note   string `json:"note,omitempty"`
+}
+
+// Diff returns what a new manifest changes, in the order of the manifest's
+// parts and, within a part, by name. Nil stands for no manifest.
+func Diff(before, after *garnetworks.Manifest) []Change {
+	if before == nil {
+		before = &garnetworks.Manifest{}
+	}
+	if after == nil {
+		after = &garnetworks.Manifest{}
+	}
+	d := &differ{before: before, after: after}
+	d.site()
+	named(d, "models", before.Models, after.Models, modelName, d.model)
+	named(d, "workspaces", before.Workspaces, after.Workspaces, workspaceName, d.workspace)
+	named(d, "services", before.Services, after.Services, serviceName, d.service)
+	return d.changes
+}
+
+func modelName(m garnetworks.ModelSpec) string         { return string(m.Name) }
+func workspaceName(w garnetworks.WorkspaceSpec) string { return string(w.Name) }
+func serviceName(s garnetworks.ServiceSpec) string     { return string(s.Name) }
+func zoneName(z garnetworks.ZoneSpec) string           { return string(z.Name) }
+func className(k garnetworks.InstanceClass) string     { return k.Name }
+
+// differ collects the changes between two manifests.
+type differ struct {
+	before, after *garnetworks.Manifest
+	changes       []Change
+}
+
+// note is what a change does to running work.
+type note struct {
+	effect Effect
+	text   string
+}
+
+func (d *differ) add(kind ChangeKind, path, before, after string, n note) {
+	d.changes = append(d.changes, Change{Kind: kind, Path: path, Old: before, New: after, Effect: n.effect, Note: n.text})
+}
+
+// value records a change of one value.
+func (d *differ) value(path string, before, after any, n note) {
+	if !reflect.DeepEqual(before, after) {
+		d.add(ChangeChanged, path, fmt.Sprint(before), fmt.Sprint(after), n)
+	}
+}
+
+// list records the entries of a list that come and go.
+func list[T cmp.Ordered](d *differ, path string, before, after []T, added, removed note) {
+	old, fresh := garnetworks.NewSet(before...), garnetworks.NewSet(after...)
+	for _, v := range old.Sorted() {
+		if !fresh.Has(v) {
+			d.add(ChangeRemoved, path, fmt.Sprint(v), "", removed)
+		}
+	}
+	for _, v := range fresh.Sorted() {
+		if !old.Has(v) {
+			d.add(ChangeAdded, path, "", fmt.Sprint(v), added)
+		}
+	}
+}
+
+// named compares two lists by name and hands each entry with its counterparts
+// to compare; nil stands for an absent one.
+func named[T any](d *differ, part string, before, after []T, name func(T) string, compare func(path string, before, after *T)) {
+	old, fresh := map[string]*T{}, map[string]*T{}
+	for i := range before {
+		old[name(before[i])] = &before[i]
+	}
+	for i := range after {
+		fresh[name(after[i])] = &after[i]
+	}
+	all := maps.Clone(old)
+	maps.Copy(all, fresh)
+	for _, n := range slices.Sorted(maps.Keys(all)) {
+		compare(part+"/"+n, old[n], fresh[n])
+	}
+}
+
+func (d *differ) site() {
+	old, fresh := d.before.Site, d.after.Site
+	d.value("format", d.before.Format, d.after.Format, note{})
+	d.value("site/name", old.Name, fresh.Name, note{})
+	d.value("site/power-cap-watts", old.PowerCap, fresh.PowerCap, capNote(old.PowerCap, fresh.PowerCap))
+	named(d, "site/zones", old.Zones, fresh.Zones, zoneName, d.zone)
+	named(d, "site/instance-classes", old.Classes, fresh.Classes, className, d.class)
+	d.value("site/weights/group-downtime", old.Weights.GroupDowntime, fresh.Weights.GroupDowntime, note{})
+	d.value("site/weights/stranded", old.Weights.Stranded, fresh.Weights.Stranded, note{})
+	d.value("site/grace/drain", old.Grace.Drain, fresh.Grace.Drain, note{})
+	d.value("site/grace/shed", old.Grace.Shed, fresh.Grace.Shed, note{})
+}
+
+func capNote(before, after garnetworks.Watts) note {
+	if before == 0 || after >= before {
+		return note{EffectPower, "more instances may be powered"}
+	}
+	return note{EffectDrains, fmt.Sprintf("groups of low priority drain until the draw is %d W lower or under the cap", before-after)}
+}
+
+func (d *differ) zone(path string, before, after *garnetworks.ZoneSpec) {
+	switch {
+	case before == nil:
+		d.add(ChangeAdded, path, "", string(after.Region), note{EffectTrust, "every commit now waits for the zone's nodes"})
+	case after == nil:
+		d.add(ChangeRemoved, path, string(before.Region), "", note{EffectDrains, "the zone's groups drain and its nodes are no longer waited for"})
+	default:
+		d.value(path+"/region", before.Region, after.Region, note{})
+		d.value(path+"/left-out", before.LeftOut, after.LeftOut, leftOutNote(after.LeftOut))
+	}
+}
+
+func leftOutNote(leftOut bool) note {
+	if leftOut {
+		return note{EffectTrust, "commits no longer wait for the zone; it serves on by its last manifest until it is back"}
+	}
+	return note{EffectTrust, "commits wait for the zone again"}
+}
+
+func (d *differ) class(path string, before, after *garnetworks.InstanceClass) {
+	switch {
+	case before == nil:
+		d.add(ChangeAdded, path, "", fmt.Sprintf("%d W, %d accelerators", after.Watts, after.Accelerators), note{})
+	case after == nil:
+		d.add(ChangeRemoved, path, fmt.Sprintf("%d W, %d accelerators", before.Watts, before.Accelerators), "",
+			note{EffectDrains, "instances of the class are no longer used"})
+	default:
+		d.value(path+"/watts", before.Watts, after.Watts, note{EffectPower, "every powered instance of the class is counted anew"})
+		d.value(path+"/accelerators", before.Accelerators, after.Accelerators, note{})
+		d.value(path+"/checks-fencing", before.ChecksFencing, after.ChecksFencing, fencingNote(after.ChecksFencing))
+		d.value(path+"/boot-time", before.BootTime, after.BootTime, note{})
+		d.value(path+"/failures-per-day", before.FailuresPerDay, after.FailuresPerDay, note{})
+	}
+}
+
+func fencingNote(checks bool) note {
+	if checks {
+		return note{EffectTrust, "the instances are relied on to refuse old fencing tokens; make sure that they do"}
+	}
+	return note{EffectTrust, "the system waits out old orders itself, which makes re-forming groups slower"}
+}
+
+func (d *differ) model(path string, before, after *garnetworks.ModelSpec) {
+	switch {
+	case before == nil:
+		d.add(ChangeAdded, path, "", describeModel(after), note{EffectLoads, loadText(after)})
+	case after == nil:
+		d.add(ChangeRemoved, path, describeModel(before), "", note{EffectDrains, fmt.Sprintf("up to %d groups drain", before.MaxGroups)})
+	default:
+		d.modelValues(path, before, after)
+	}
+}
+
+func describeModel(m *garnetworks.ModelSpec) string {
+	return fmt.Sprintf("version %s, %d to %d groups of %d", m.Version, m.MinGroups, m.MaxGroups, m.GroupSize)
+}
+
+func loadText(m *garnetworks.ModelSpec) string {
+	return fmt.Sprintf("up to %d groups load %d bytes on each of %d instances", m.MaxGroups, m.WeightBytes, m.GroupSize)
+}
+
+func (d *differ) modelValues(path string, before, after *garnetworks.ModelSpec) {
+	replaced := note{EffectDrains, loadText(after) + "; each old group drains once its successor serves"}
+	d.value(path+"/version", before.Version, after.Version, replaced)
+	d.value(path+"/weight-bytes", before.WeightBytes, after.WeightBytes, note{})
+	list(d, path+"/adapters", before.Adapters, after.Adapters,
+		note{EffectLoads, "the groups load the adapter while they serve"}, note{EffectRefuses, "calls for the adapter are refused"})
+	d.value(path+"/group-size", before.GroupSize, after.GroupSize, replaced)
+	d.value(path+"/instance-class", before.Class, after.Class, replaced)
+	d.value(path+"/min-groups", before.MinGroups, after.MinGroups, groupsNote(before.MinGroups, after.MinGroups, after, note{}))
+	d.value(path+"/max-groups", before.MaxGroups, after.MaxGroups, groupsNote(before.MaxGroups, after.MaxGroups, after,
+		note{EffectDrains, fmt.Sprintf("up to %d groups drain", before.MaxGroups-after.MaxGroups)}))
+	d.value(path+"/priority", before.Priority, after.Priority, note{EffectPower, "under a tight cap other models' groups may give way, or this one's"})
+}
+
+func groupsNote(before, after int, m *garnetworks.ModelSpec, fewer note) note {
+	if after <= before {
+		return fewer
+	}
+	return note{EffectLoads, fmt.Sprintf("up to %d more groups load %d bytes on each of %d instances", after-before, m.WeightBytes, m.GroupSize)}
+}
+
+func (d *differ) workspace(path string, before, after *garnetworks.WorkspaceSpec) {
+	switch {
+	case before == nil:
+		d.add(ChangeAdded, path, "", fmt.Sprintf("%d keys, priority %d", len(after.KeyHashes), after.Priority), note{})
+	case after == nil:
+		d.add(ChangeRemoved, path, fmt.Sprintf("%d keys, priority %d", len(before.KeyHashes), before.Priority), "",
+			note{EffectRefuses, "all its calls are refused"})
+	default:
+		d.workspaceValues(path, before, after)
+	}
+}
+
+func (d *differ) workspaceValues(path string, before, after *garnetworks.WorkspaceSpec) {
+	list(d, path+"/key-hashes", before.KeyHashes, after.KeyHashes, note{}, note{EffectRefuses, "calls with the old key are refused"})
+	list(d, path+"/models", before.Models, after.Models, note{}, note{EffectRefuses, "its calls to the model are refused"})
+	list(d, path+"/services", before.Services, after.Services, note{}, note{EffectRefuses, "its calls to the service are refused"})
+	d.value(path+"/priority", before.Priority, after.Priority, note{})
+	old, fresh := before.Limits, after.Limits
+	d.value(path+"/limits/requests-per-second", old.RequestsPerSecond, fresh.RequestsPerSecond, limitNote(old.RequestsPerSecond, fresh.RequestsPerSecond))
+	d.value(path+"/limits/tokens-per-second", old.TokensPerSecond, fresh.TokensPerSecond, limitNote(old.TokensPerSecond, fresh.TokensPerSecond))
+	d.value(path+"/limits/concurrency", old.Concurrency, fresh.Concurrency, limitNote(float64(old.Concurrency), float64(fresh.Concurrency)))
+	d.value(path+"/deadline/first-token", before.Deadline.FirstToken, after.Deadline.FirstToken, note{})
+	d.value(path+"/deadline/total", before.Deadline.Total, after.Deadline.Total, note{})
+}
+
+// limitNote warns of a lower limit; 0 means none.
+func limitNote(before, after float64) note {
+	if after > 0 && (before == 0 || after < before) {
+		return note{EffectRefuses, "calls above the new limit are refused"}
+	}
+	return note{}
+}
+
+func (d *differ) service(path string, before, after *garnetworks.ServiceSpec) {
+	switch {
+	case before == nil:
+		d.add(ChangeAdded, path, "", fmt.Sprintf("%d call rules", len(after.Calls)), note{})
+	case after == nil:
+		d.add(ChangeRemoved, path, fmt.Sprintf("%d call rules", len(before.Calls)), "", note{EffectRefuses, "all calls to it are refused"})
+	default:
+		d.value(path+"/instance-class", before.Class, after.Class, note{EffectDrains, "its backend servers change"})
+		d.value(path+"/timeout", before.Timeout, after.Timeout, note{})
+		if !reflect.DeepEqual(before.Calls, after.Calls) {
+			d.add(ChangeChanged, path+"/calls", describeCalls(before.Calls), describeCalls(after.Calls),
+				note{EffectRepeats, "check that every call that may not be repeated is still marked so"})
+		}
+	}
+}
+
+// describeCalls writes the rules one after the other.
+func describeCalls(calls []garnetworks.ServiceCallSpec) string {
+	text := ""
+	for i, c := range calls {
+		if i > 0 {
+			text += "; "
+		}
+		method := "any method"
+		if len(c.Methods) > 0 {
+			method = fmt.Sprint(c.Methods)
+		}
+		word := "once"
+		if c.Repeatable {
+			word = "repeatable"
+		}
+		if c.KeyRequired {
+			word += " with key"
+		}
+		text += fmt.Sprintf("%s %s %s", method, c.PathPrefix, word)
+	}
+	return text
+}
--- /dev/null
+++ b/parser/example.go
@@ -0,0 +1,9 @@
+package parser
+
+import _ "embed"
+
+//go:embed example.yaml
+var example string
+
+// Example returns the text of a whole, commented manifest that Parse accepts.
+func Example() string { return example }
--- /dev/null
+++ b/parser/scan.go
@@ -0,0 +1,183 @@
+package parser
+
+import (
+	"bytes"
+	"unicode/utf8"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	yamlparser "github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+	"github.com/pkg/errors"
+)
+
+const (
+	// endMarker is the last line of a whole text (rule P3).
+	endMarker = "..."
+	// maxNesting bounds the nesting of flow collections and of sequences on one
+	// line; the schema needs six levels.
+	maxNesting = 16
+	// maxIndent bounds a line's indentation, and so the nesting of blocks.
+	maxIndent = 64
+)
+
+// forbiddenTokens are YAML features that manifests do without (rule P5).
+var forbiddenTokens = map[token.Type]string{
+	token.AnchorType:         "anchors are not allowed in a manifest",
+	token.AliasType:          "aliases are not allowed in a manifest",
+	token.TagType:            "tags are not allowed in a manifest",
+	token.MergeKeyType:       "merge keys are not allowed in a manifest",
+	token.MappingKeyType:     "explicit keys (?) are not allowed in a manifest",
+	token.DirectiveType:      "directives are not allowed in a manifest",
+	token.LiteralType:        "text blocks are not allowed in a manifest",
+	token.FoldedType:         "text blocks are not allowed in a manifest",
+	token.DocumentHeaderType: "the document start marker is not allowed in a manifest",
+}
+
+// scan returns the root node of the text if its structure is sound.
+func scan(p *places, data []byte) (ast.Node, bool) {
+	body, ok := frame(p, data)
+	if !ok {
+		p.bad[""] = true
+		return nil, false
+	}
+	root, ok := structure(p, body)
+	if !ok {
+		p.bad[""] = true
+	}
+	return root, ok
+}
+
+// frame checks size, encoding and end marker, and returns the text before the
+// marker.
+func frame(p *places, data []byte) ([]byte, bool) {
+	start := position{1, 1}
+	if len(data) > MaxTextBytes {
+		p.add(start, "", "the text has %d bytes; at most %d are allowed", len(data), MaxTextBytes)
+		return nil, false
+	}
+	if !utf8.Valid(data) || bytes.IndexByte(data, 0) >= 0 {
+		p.add(start, "", "the text is not UTF-8 or holds a zero byte")
+		return nil, false
+	}
+	data = bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n"))
+	lines := bytes.Split(data, []byte("\n"))
+	for i, line := range lines {
+		if indent := len(line) - len(bytes.TrimLeft(line, " \t")); indent > maxIndent && indent < len(line) {
+			p.add(position{i + 1, maxIndent + 1}, "", "the line is indented by more than %d", maxIndent)
+			return nil, false
+		}
+	}
+	last := len(lines) - 1
+	for last > 0 && len(bytes.TrimSpace(lines[last])) == 0 {
+		last--
+	}
+	if string(bytes.TrimRight(lines[last], " \t")) != endMarker {
+		// Rule P3.
+		p.add(position{last + 1, len(lines[last]) + 1}, "",
+			"the text does not end with the line %q; it may have been cut off while it was written", endMarker)
+		return nil, false
+	}
+	return bytes.Join(lines[:last], []byte("\n")), true
+}
+
+// structure parses the text into nodes.
+func structure(p *places, body []byte) (root ast.Node, ok bool) {
+	// The YAML library has panicked on malformed texts before; a text from an
+	// operator must not end the node that judges it, so it counts as malformed.
+	defer func() {
+		if r := recover(); r != nil {
+			p.add(position{1, 1}, "", "the text is not YAML")
+			root, ok = nil, false
+		}
+	}()
+	if !allowed(p, lexer.Tokenize(string(body))) {
+		return nil, false
+	}
+	file, err := yamlparser.ParseBytes(body, 0, yamlparser.AllowDuplicateMapKey())
+	if err != nil {
+		addSyntax(p, err)
+		return nil, false
+	}
+	var roots []ast.Node
+	for _, d := range file.Docs {
+		if d.Body != nil {
+			roots = append(roots, d.Body)
+		}
+	}
+	switch len(roots) {
+	case 0:
+		p.add(position{1, 1}, "", "the text holds no manifest")
+		return nil, false
+	case 1:
+		return roots[0], true
+	}
+	p.add(place(roots[1]), "", "the text holds more than one document")
+	return nil, false
+}
+
+// allowed refuses the tokens that rule P5 names before anything is built from
+// them.
+func allowed(p *places, tokens token.Tokens) bool {
+	ok := true
+	flow, entries, line := 0, 0, 0
+	for _, t := range tokens {
+		at := position{t.Position.Line, t.Position.Column}
+		if text, forbidden := forbiddenTokens[t.Type]; forbidden {
+			p.add(at, "", "%s", text)
+			ok = false
+		}
+		if t.Position.Line != line {
+			line, entries = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.SequenceEntryType:
+			entries++
+		case token.SequenceStartType, token.MappingStartType:
+			flow++
+		case token.SequenceEndType, token.MappingEndType:
+			flow--
+		case token.DocumentEndType:
+			p.add(at, "", "the end marker %q stands before the end of the text", endMarker)
+			return false
+		}
+		if flow > maxNesting || entries > maxNesting {
+			p.add(at, "", "the text is nested more than %d deep", maxNesting)
+			return false
+		}
+	}
+	return ok
+}
+
+// addSyntax records the YAML library's error at its token.
+func addSyntax(p *places, err error) {
+	var e yaml.Error
+	if !errors.As(err, &e) {
+		p.add(position{1, 1}, "", "the text is not YAML: %v", err)
+		return
+	}
+	at := position{1, 1}
+	if t := e.GetToken(); t != nil {
+		at = position{t.Position.Line, t.Position.Column}
+	}
+	p.add(at, "", "the text is not YAML: %s", e.GetMessage())
+}
+
+// place returns a node's position.
+func place(n ast.Node) position {
+	if n == nil {
+		return position{1, 1}
+	}
+	if s, ok := n.(*ast.MappingNode); ok && len(s.Values) > 0 && !s.IsFlowStyle {
+		n = s.Values[0].Key
+	}
+	if s, ok := n.(*ast.MappingValueNode); ok {
+		n = s.Key
+	}
+	t := n.GetToken()
+	if t == nil {
+		return position{1, 1}
+	}
+	return position{t.Position.Line, t.Position.Column}
+}
