--- /dev/null
+++ b/leaser/lease.go
@@ -0,0 +1,260 @@
+package leaser
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/garnetworks/garnetworks"
+	"github.com/oklog/ulid/v2"
+)
+
+// DefaultCandidates is how many nodes read a lease often (L7).
+const DefaultCandidates = 3
+
+// Options describe a lease and the node that contends for it.
+type Options struct {
+	// Self is the node's name; unique among the contenders.
+	Self garnetworks.NodeID
+	// Key is the record's key in the object API.
+	Key     string
+	Objects garnetworks.ObjectAPI
+	// Settings are Defaults if Duration is 0.
+	Settings Settings
+	// Candidates is DefaultCandidates if 0.
+	Candidates int
+	// Recorder may be nil.
+	Recorder garnetworks.Recorder
+	// Zone is recorded with the lease's events.
+	Zone garnetworks.ZoneID
+}
+
+// Lease contends for a lease in the object API. It is safe for concurrent use.
+type Lease struct {
+	options Options
+	// changed has room for one signal: the holding may have changed.
+	changed chan struct{}
+	wake    chan struct{}
+
+	mu    sync.Mutex
+	state *State
+	held  bool
+}
+
+// New returns a lease that contends once Run runs.
+func New(options Options) (*Lease, error) {
+	if options.Settings.Duration == 0 {
+		options.Settings = Defaults()
+	}
+	if err := options.Settings.Check(); err != nil {
+		return nil, err
+	}
+	if options.Self == "" || options.Key == "" || options.Objects == nil {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidSettings, "a lease needs a node name, a key and an object API")
+	}
+	if options.Candidates <= 0 {
+		options.Candidates = DefaultCandidates
+	}
+	state := NewState(options.Self, options.Settings)
+	state.Candidates = options.Candidates
+	return &Lease{
+		options: options,
+		state:   state,
+		changed: make(chan struct{}, 1),
+		wake:    make(chan struct{}, 1),
+	}, nil
+}
+
+// SetContenders tells the lease which nodes contend, from the zone's roster, so
+// that only the first few in rendezvous order read the record often (L7). A
+// node that is missing from its own roster counts itself in.
+func (l *Lease) SetContenders(nodes []garnetworks.NodeID) {
+	rank := Rank(l.options.Key, l.options.Self, nodes)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state.Rank >= l.state.Candidates && rank < l.state.Candidates {
+		// The nodes before this one are gone: read soon in place of at the end of
+		// the long interval.
+		l.state.nextRead = time.Time{}
+		signal(l.wake)
+	}
+	l.state.Rank = rank
+}
+
+// Rank returns the number of nodes that come before self in the rendezvous
+// order of key.
+func Rank(key string, self garnetworks.NodeID, nodes []garnetworks.NodeID) int {
+	own := weight(key, self)
+	rank := 0
+	for _, n := range nodes {
+		if n == self {
+			continue
+		}
+		w := weight(key, n)
+		if w > own || (w == own && n < self) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(key string, node garnetworks.NodeID) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(node))
+}
+
+// Run contends for the lease until ctx ends; it then steps down if it holds the
+// lease. The caller's orders must have ended before it cancels ctx (L6).
+func (l *Lease) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		action := l.next()
+		switch action.Kind {
+		case ActionRead:
+			l.read(ctx)
+		case ActionWrite:
+			l.write(ctx, action)
+		case ActionWait:
+			l.wait(ctx, action.At)
+		}
+	}
+	l.stepDown()
+	return nil
+}
+
+func (l *Lease) next() Action {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Next(time.Now(), ulid.Make().String())
+}
+
+func (l *Lease) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Settings.RenewEvery)
+	defer cancel()
+	object, err := l.options.Objects.Get(ctx, l.options.Key)
+	record := garnetworks.LeaseRecord{}
+	if err == nil {
+		err = json.Unmarshal(object.Value, &record)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.OnRead(time.Now(), record, object.Revision, err, rand.Float64())
+	l.noteLocked()
+}
+
+func (l *Lease) write(ctx context.Context, action Action) {
+	value, err := json.Marshal(action.Record)
+	if err != nil {
+		panic("leaser: a lease record does not marshal: " + err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.options.Settings.RenewEvery)
+	defer cancel()
+	revision, err := l.options.Objects.Put(ctx, l.options.Key, value, action.After)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.OnWrite(time.Now(), revision, err)
+	l.noteLocked()
+}
+
+func (l *Lease) wait(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(max(time.Until(until), time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-l.wake:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noteLocked()
+}
+
+// stepDown frees the record, so that the successor need not wait it out. It
+// tries once: a lost answer only makes the successor wait.
+func (l *Lease) stepDown() {
+	l.mu.Lock()
+	holding := l.state.Holding
+	l.state.Closing = true
+	action := l.state.Next(time.Now(), ulid.Make().String())
+	l.mu.Unlock()
+	if holding && action.Kind == ActionWrite {
+		l.write(context.Background(), action)
+	}
+}
+
+// noteLocked records and signals a change of the holding.
+func (l *Lease) noteLocked() {
+	held := l.state.Term(time.Now()) != 0
+	if held == l.held {
+		return
+	}
+	l.held = held
+	signal(l.changed)
+	if l.options.Recorder == nil {
+		return
+	}
+	kind := garnetworks.EventLeaseLost
+	if held {
+		kind = garnetworks.EventLeaseTaken
+	}
+	l.options.Recorder.Record(garnetworks.Event{Kind: kind, Zone: l.options.Zone, Detail: l.options.Key})
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Changed delivers a signal when the holding may have changed.
+func (l *Lease) Changed() <-chan struct{} { return l.changed }
+
+// Term returns the term under which this node holds the lease now, or 0.
+func (l *Lease) Term(now time.Time) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Term(now)
+}
+
+// Contested reports whether another node has held the lease since this process
+// last held it, as far as it has seen. A holder that is cut off from the object
+// API has lapsed but is not contested.
+func (l *Lease) Contested() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.state.Holding
+}
+
+// Snapshot returns a copy of the state, for status pages.
+func (l *Lease) Snapshot() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return *l.state
+}
+
+// RaiseFloor makes the holder's next term lie above floor (L5).
+func (l *Lease) RaiseFloor(floor uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.RaiseFloor(floor)
+	l.noteLocked()
+	signal(l.wake)
+}
+
+// OrderContext returns a context for one order, which ends within the order
+// bound and before the lease does, or KindLeaseLost. It must be called right
+// before the order (L3): a holder that was paused finds out here.
+func (l *Lease) OrderContext(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	l.mu.Lock()
+	bound := l.options.Settings.OrderBound
+	now := time.Now()
+	left, ok := l.state.MayAct(now, bound)
+	l.mu.Unlock()
+	if !ok {
+		return nil, nil, garnetworks.Errorf(garnetworks.KindLeaseLost, "the lease %s ends in %s, before the order could", l.options.Key, left)
+	}
+	orderCtx, cancel := context.WithDeadline(ctx, now.Add(bound))
+	return orderCtx, cancel, nil
+}
