Let a class state its planned restarts

Cause: restarts come fifteen times as often as failures and decide the worth of spares. Change: InstanceClass.RestartsPerDay, optional.

--- a/manifest.go
+++ b/manifest.go
@@ -60,6 +60,9 @@
 	BootTime time.Duration `yaml:"boot-time" json:"boot-time"`
 	// FailuresPerDay is the expected number of failures of one instance a day.
 	FailuresPerDay float64 `yaml:"failures-per-day" json:"failures-per-day"`
+	// RestartsPerDay is the expected number of planned restarts of one instance
+	// a day that come without notice; 0 or above.
+	RestartsPerDay float64 `yaml:"restarts-per-day,omitempty" json:"restarts-per-day,omitempty"`
 }
 
 // MeasureWeights balance group downtime against stranded accelerators. Only
