--- /dev/null
+++ b/faker/batch.go
@@ -0,0 +1,382 @@
+package faker
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// batch holds an engine's calls; fleet.mu guards it.
+type batch struct {
+	running []*sequence
+	waiting []*sequence
+	// stepping says that the goroutine that makes tokens runs.
+	stepping bool
+}
+
+// sequence is one answer in the making.
+type sequence struct {
+	call    garnetworks.EngineCall
+	next    int
+	readyAt time.Time
+	// out is closed after the last chunk; broken then says what went wrong.
+	out       chan garnetworks.Chunk
+	broken    error
+	cancelled bool
+}
+
+// outDepth is how far an answer runs ahead of its reader before the engine
+// holds it back.
+const outDepth = 64
+
+// refusal says that the engine did not begin a call.
+type refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+func (r *refusal) Error() string { return r.reason }
+
+const refusalDelay = 200 * time.Millisecond
+
+// submit takes a call into the engine's queue or refuses it.
+func (e *Engine) submit(call *garnetworks.EngineCall) (*sequence, error) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	reason, missing := e.refuses(call)
+	e.fleet.record(Attempt{
+		ID:         call.Attempt,
+		Call:       call.ID,
+		Instance:   e.spec.ID,
+		Group:      call.Group,
+		Token:      call.Token,
+		At:         time.Now(),
+		Refused:    reason,
+		MissingFor: missing,
+	})
+	if reason != "" {
+		return nil, &refusal{reason: reason, retryAfter: refusalDelay}
+	}
+	s := &sequence{
+		call: *call,
+		next: call.ResumeFrom,
+		out:  make(chan garnetworks.Chunk, outDepth),
+	}
+	e.batch.waiting = append(e.batch.waiting, s)
+	slices.SortStableFunc(e.batch.waiting, func(a, b *sequence) int {
+		return cmp.Compare(b.call.Priority, a.call.Priority)
+	})
+	if !e.batch.stepping {
+		e.batch.stepping = true
+		go e.steps()
+	}
+	return s, nil
+}
+
+// refuses returns why the call can't be begun, or "".
+func (e *Engine) refuses(call *garnetworks.EngineCall) (string, time.Duration) {
+	switch {
+	case e.power != garnetworks.PowerOn:
+		return "the instance is off", 0
+	case e.group == "" || call.Group != e.group || call.Token != e.token:
+		return "the engine is not a member of the group with this token", 0
+	case e.phase != garnetworks.EngineReady:
+		return "the engine is " + string(e.phase), 0
+	case e.members[0] != e.spec.ID:
+		return "the engine is not the group's first member", 0
+	case call.Model != e.model:
+		return "the group serves another model", 0
+	case call.Adapter != "" && !slices.Contains(e.adapters, call.Adapter):
+		return "the adapter is not loaded", 0
+	case len(e.batch.waiting) >= e.spec.Queue:
+		return "the queue is full", 0
+	}
+	if m, since := e.missingMember(); m != "" {
+		return "member " + string(m) + " is missing", max(time.Since(since), 1)
+	}
+	return "", 0
+}
+
+// missingMember returns a member that does not take part in the group (rule
+// F2) and since when.
+func (e *Engine) missingMember() (garnetworks.InstanceID, time.Time) {
+	for _, id := range e.members {
+		m := e.fleet.engines[id]
+		if m == nil {
+			return id, time.Time{}
+		}
+		ready := m.phase == garnetworks.EngineReady || m.phase == garnetworks.EngineDraining
+		if !m.up() || m.group != e.group || m.token != e.token || !ready {
+			return id, m.downSince
+		}
+	}
+	return "", time.Time{}
+}
+
+// steps makes tokens until the engine has no calls.
+func (e *Engine) steps() {
+	for {
+		if sleep(e.fleet.ctx, e.stepTime()) != nil {
+			return
+		}
+		if e.thaw(e.fleet.ctx) != nil {
+			return
+		}
+		if !e.step() {
+			return
+		}
+	}
+}
+
+func (e *Engine) stepTime() time.Duration {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.slowed(e.spec.PerToken)
+}
+
+func (e *Engine) slowed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * e.slowdown)
+}
+
+// step makes one token for each answer in the batch and reports whether there
+// is more to do.
+func (e *Engine) step() bool {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if !e.up() {
+		e.breakAll("the engine died")
+	}
+	e.admit()
+	if m, _ := e.missingMember(); m != "" && len(e.batch.running) > 0 {
+		e.breakAll("member " + string(m) + " is missing")
+	}
+	now := time.Now()
+	e.batch.running = slices.DeleteFunc(e.batch.running, func(s *sequence) bool {
+		return s.cancelled || (!now.Before(s.readyAt) && e.emit(s))
+	})
+	e.batch.stepping = len(e.batch.running)+len(e.batch.waiting) > 0
+	return e.batch.stepping
+}
+
+func (e *Engine) admit() {
+	e.batch.waiting = slices.DeleteFunc(e.batch.waiting, func(s *sequence) bool { return s.cancelled })
+	for len(e.batch.waiting) > 0 && len(e.batch.running) < e.spec.Slots {
+		s := e.batch.waiting[0]
+		e.batch.waiting = e.batch.waiting[1:]
+		s.readyAt = time.Now().Add(e.prefill(s) - e.spec.PerToken)
+		e.batch.running = append(e.batch.running, s)
+	}
+}
+
+// prefill returns the time to the sequence's first token and enters its prompt
+// into the cache.
+func (e *Engine) prefill(s *sequence) time.Duration {
+	blocks := garnetworks.PrefixBlocks(s.call.Model, s.call.Adapter, s.call.Prompt, maxPromptBlocks)
+	missing := len(blocks) - e.cache.hits(blocks)
+	e.cache.add(blocks)
+	return e.slowed(e.spec.FirstToken + time.Duration(missing)*e.spec.PerBlock)
+}
+
+// emit sends the sequence's next token and reports whether the answer is whole.
+// It sends nothing while the reader is far behind.
+func (e *Engine) emit(s *sequence) bool {
+	if len(s.out) >= outDepth-1 {
+		return false
+	}
+	if s.next >= s.call.MaxTokens {
+		e.finish(s, "length")
+		return true
+	}
+	text := Token(&s.call.CallRequest, s.next)
+	for _, stop := range s.call.Stop {
+		if stop != "" && strings.Contains(text, stop) {
+			e.finish(s, "stop")
+			return true
+		}
+	}
+	s.out <- garnetworks.Chunk{Attempt: s.call.Attempt, Index: s.next, Text: text, Tokens: 1}
+	s.next++
+	if s.next < s.call.MaxTokens {
+		return false
+	}
+	e.finish(s, "length")
+	return true
+}
+
+func (e *Engine) finish(s *sequence, reason string) {
+	s.out <- garnetworks.Chunk{
+		Attempt:      s.call.Attempt,
+		Index:        s.next,
+		End:          true,
+		FinishReason: reason,
+		Load:         garnetworks.Some(e.measure()),
+	}
+	close(s.out)
+}
+
+// breakAll ends all calls without their end markers.
+func (e *Engine) breakAll(reason string) {
+	for _, s := range slices.Concat(e.batch.running, e.batch.waiting) {
+		if !s.cancelled {
+			s.broken = garnetworks.Errorf(garnetworks.KindStreamBroken, "%s", reason)
+			close(s.out)
+		}
+	}
+	e.batch.running, e.batch.waiting = nil, nil
+}
+
+func (e *Engine) cancel(s *sequence) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	s.cancelled = true
+}
+
+func (e *Engine) brokenBy(s *sequence) error {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return s.broken
+}
+
+// Generate starts an attempt in process, with the failures that an adapter
+// would report.
+func (e *Engine) Generate(ctx context.Context, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	if !e.on() {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: errNoEngine(e.Spec().Address)}
+	}
+	bounded, cancel := context.WithTimeout(ctx, e.fleet.Silence)
+	defer cancel()
+	t, err := e.begin(bounded, MethodGenerate)
+	if err != nil {
+		return nil, beforeBegin(err, ctx.Err() == nil)
+	}
+	s, err := e.submit(call)
+	if err != nil {
+		r := err.(*refusal)
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: r.retryAfter, Cause: err}
+	}
+	if e.take(MethodGenerate, lostAnswers) {
+		e.cancel(s)
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: errLost}
+	}
+	if e.take(MethodGenerate, lateAnswers) {
+		if err := sleep(ctx, e.FaultsNow().LateBy); err != nil {
+			e.cancel(s)
+			return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: err}
+		}
+	}
+	st := &stream{ctx: ctx, engine: e, sequence: s, silenced: t.silenced}
+	st.plan(&e.Faults)
+	return st, nil
+}
+
+// beforeBegin maps a fault that came before the call's effect to how far an
+// adapter would have come.
+func beforeBegin(err error, silent bool) error {
+	switch err {
+	case errDown:
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	case errUnavailable:
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, Cause: err}
+	}
+	return &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Silent: silent, Cause: err}
+}
+
+// stream is an attempt's answer in process.
+type stream struct {
+	ctx      context.Context
+	engine   *Engine
+	sequence *sequence
+	silenced <-chan struct{}
+	// truncate and cross are the number of chunks before the fault; -1 is never.
+	truncate int
+	cross    int
+	sent     int
+	ended    bool
+}
+
+func (st *stream) plan(f *Faults) {
+	st.truncate, st.cross = -1, -1
+	after := f.FaultsNow().BreakAfter
+	if f.take(MethodGenerate, truncatedAnswers) {
+		st.truncate = after
+	}
+	if f.take(MethodGenerate, crossedAnswers) {
+		st.cross = after
+	}
+}
+
+// Next implements garnetworks.EngineStream.
+func (st *stream) Next(chunk *garnetworks.Chunk) error {
+	if st.ended {
+		return io.EOF
+	}
+	if st.sent == st.truncate {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: io.ErrUnexpectedEOF}
+	}
+	if st.sent == st.cross {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseCrossed}
+	}
+	for {
+		plan, changed, _ := st.engine.snapshot()
+		if plan.Frozen || isClosed(st.silenced) {
+			return st.hang(chunk, changed)
+		}
+		select {
+		case <-st.ctx.Done():
+			return st.givenUp()
+		case <-st.silenced:
+		case <-changed:
+		case c, ok := <-st.sequence.out:
+			return st.deliver(chunk, c, ok)
+		}
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (st *stream) givenUp() error {
+	return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: st.ctx.Err()}
+}
+
+func (st *stream) deliver(chunk *garnetworks.Chunk, c garnetworks.Chunk, ok bool) error {
+	if !ok {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: st.engine.brokenBy(st.sequence)}
+	}
+	st.sent++
+	st.ended = c.End
+	*chunk = c
+	return nil
+}
+
+// hang waits for the silence bound, as an adapter would on a connection that
+// makes no progress, or until a frozen engine goes on.
+func (st *stream) hang(chunk *garnetworks.Chunk, changed <-chan struct{}) error {
+	timer := time.NewTimer(st.engine.fleet.Silence)
+	defer timer.Stop()
+	select {
+	case <-st.ctx.Done():
+		return st.givenUp()
+	case <-changed:
+		return st.Next(chunk)
+	case <-timer.C:
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Silent: true}
+	}
+}
+
+// Close implements garnetworks.EngineStream.
+func (st *stream) Close() error {
+	st.engine.cancel(st.sequence)
+	return nil
+}
--- /dev/null
+++ b/faker/objects.go
@@ -0,0 +1,356 @@
+package faker
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Methods of the object API, as counted and as named in FaultPlan.Methods.
+const (
+	MethodGet    = "get"
+	MethodPut    = "put"
+	MethodDelete = "delete"
+	MethodList   = "list"
+	MethodWatch  = "watch"
+)
+
+// ObjectsOptions bound an object API; zero fields mean the defaults.
+type ObjectsOptions struct {
+	// WritesPerSecond and ReadsPerSecond are the rates beyond which calls are
+	// throttled; 0 means no limit. A burst of one second's worth is let through.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// History is the number of changes kept for watches; 4096 by default.
+	History int
+	// MaxBytes is the largest value; garnetworks.MaxObjectBytes by default.
+	MaxBytes int
+}
+
+const defaultHistory = 4096
+
+// Objects is an object API in memory.
+type Objects struct {
+	Faults
+	options ObjectsOptions
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+
+	mu       sync.Mutex
+	objects  map[string]garnetworks.Object
+	revision garnetworks.Revision
+	// history holds the last changes in order; what is older is compacted.
+	history   []garnetworks.Object
+	compacted garnetworks.Revision
+	changed   chan struct{}
+	counts    map[string]uint64
+	throttled uint64
+}
+
+// NewObjects returns an empty object API.
+func NewObjects(options ObjectsOptions) *Objects {
+	if options.History == 0 {
+		options.History = defaultHistory
+	}
+	if options.MaxBytes == 0 {
+		options.MaxBytes = garnetworks.MaxObjectBytes
+	}
+	return &Objects{
+		options: options,
+		writes:  limiter(options.WritesPerSecond),
+		reads:   limiter(options.ReadsPerSecond),
+		objects: make(map[string]garnetworks.Object),
+		changed: make(chan struct{}),
+		counts:  make(map[string]uint64),
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Counts returns the number of calls by method, throttled ones included.
+func (o *Objects) Counts() map[string]uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.counts)
+}
+
+// Throttled returns the number of throttled calls.
+func (o *Objects) Throttled() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.throttled
+}
+
+// Compact forgets the history up to now, so that older watches must list.
+func (o *Objects) Compact() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history = nil
+	o.compacted = o.revision
+}
+
+// Get implements garnetworks.ObjectAPI.
+func (o *Objects) Get(ctx context.Context, key string) (garnetworks.Object, error) {
+	return o.get(ctx, &o.Faults, key)
+}
+
+// Put implements garnetworks.ObjectAPI.
+func (o *Objects) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	return o.put(ctx, &o.Faults, key, value, after)
+}
+
+// Delete implements garnetworks.ObjectAPI.
+func (o *Objects) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
+	return o.delete(ctx, &o.Faults, key, after)
+}
+
+// List implements garnetworks.ObjectAPI.
+func (o *Objects) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	return o.list(ctx, &o.Faults, prefix)
+}
+
+// Watch implements garnetworks.ObjectAPI.
+func (o *Objects) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	return o.watch(ctx, &o.Faults, prefix, after, wait)
+}
+
+var (
+	failedObjectRead  = failedRead(garnetworks.KindObjectAPIDown)
+	failedObjectWrite = failedWrite(garnetworks.KindObjectAPIDown)
+)
+
+func (o *Objects) get(ctx context.Context, f *Faults, key string) (garnetworks.Object, error) {
+	return apply(ctx, f, MethodGet, failedObjectRead, func() (garnetworks.Object, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if err := o.count(MethodGet, o.reads); err != nil {
+			return garnetworks.Object{}, err
+		}
+		object, ok := o.objects[key]
+		if !ok {
+			return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
+		}
+		object.Value = bytes.Clone(object.Value)
+		return object, nil
+	})
+}
+
+func (o *Objects) put(ctx context.Context, f *Faults, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	return apply(ctx, f, MethodPut, failedObjectWrite, func() (garnetworks.Revision, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if err := o.count(MethodPut, o.writes); err != nil {
+			return 0, err
+		}
+		if key == "" {
+			return 0, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the key is empty")
+		}
+		if len(value) > o.options.MaxBytes {
+			return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "object %q has %d bytes; %d are allowed", key, len(value), o.options.MaxBytes)
+		}
+		if now := o.objects[key].Revision; now != after {
+			return 0, garnetworks.Errorf(garnetworks.KindConflict, "object %q is at revision %d, not %d", key, now, after)
+		}
+		o.change(garnetworks.Object{Key: key, Value: append([]byte{}, value...)})
+		return o.revision, nil
+	})
+}
+
+func (o *Objects) delete(ctx context.Context, f *Faults, key string, after garnetworks.Revision) error {
+	_, err := apply(ctx, f, MethodDelete, failedObjectWrite, func() (struct{}, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if err := o.count(MethodDelete, o.writes); err != nil {
+			return struct{}{}, err
+		}
+		object, ok := o.objects[key]
+		if !ok {
+			return struct{}{}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
+		}
+		if object.Revision != after {
+			return struct{}{}, garnetworks.Errorf(garnetworks.KindConflict, "object %q is at revision %d, not %d", key, object.Revision, after)
+		}
+		o.change(garnetworks.Object{Key: key, Deleted: true})
+		return struct{}{}, nil
+	})
+	return err
+}
+
+func (o *Objects) list(ctx context.Context, f *Faults, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	type page struct {
+		objects  []garnetworks.Object
+		revision garnetworks.Revision
+	}
+	p, err := apply(ctx, f, MethodList, failedObjectRead, func() (page, error) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if err := o.count(MethodList, o.reads); err != nil {
+			return page{}, err
+		}
+		var objects []garnetworks.Object
+		for _, key := range slices.Sorted(maps.Keys(o.objects)) {
+			if strings.HasPrefix(key, prefix) {
+				object := o.objects[key]
+				object.Value = bytes.Clone(object.Value)
+				objects = append(objects, object)
+			}
+		}
+		return page{objects, o.revision}, nil
+	})
+	return p.objects, p.revision, err
+}
+
+func (o *Objects) watch(ctx context.Context, f *Faults, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	t, err := f.begin(ctx, MethodWatch)
+	if err != nil {
+		return nil, 0, failedObjectRead(err, false)
+	}
+	o.mu.Lock()
+	err = o.count(MethodWatch, o.reads)
+	o.mu.Unlock()
+	if err != nil {
+		return nil, 0, err
+	}
+	changes, revision, err := o.await(ctx, f, prefix, after, wait)
+	if faultErr := f.end(ctx, t); faultErr != nil {
+		return nil, 0, failedObjectRead(faultErr, true)
+	}
+	return changes, revision, err
+}
+
+// await waits for a change under prefix. It ends early if the stand-in goes
+// down, as a connection would.
+func (o *Objects) await(ctx context.Context, f *Faults, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, revision, changed, err := o.changesAfter(prefix, after)
+		if err != nil || len(changes) > 0 {
+			return changes, revision, err
+		}
+		plan, planChanged, _ := f.snapshot()
+		if plan.Down {
+			return nil, 0, garnetworks.WrapError(garnetworks.KindObjectAPIDown, errDown, "the watch broke off")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, garnetworks.WrapError(garnetworks.KindObjectAPIDown, ctx.Err(), "the watch was given up")
+		case <-timer.C:
+			return nil, revision, nil
+		case <-changed:
+		case <-planChanged:
+		}
+	}
+}
+
+func (o *Objects) changesAfter(prefix string, after garnetworks.Revision) ([]garnetworks.Object, garnetworks.Revision, <-chan struct{}, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if after < o.compacted {
+		return nil, 0, nil, garnetworks.Errorf(garnetworks.KindCompacted, "changes up to revision %d are forgotten", o.compacted)
+	}
+	var changes []garnetworks.Object
+	for _, c := range o.history {
+		if c.Revision > after && strings.HasPrefix(c.Key, prefix) {
+			c.Value = bytes.Clone(c.Value)
+			changes = append(changes, c)
+		}
+	}
+	return changes, o.revision, o.changed, nil
+}
+
+// change stores a change under the next revision and wakes the watches.
+func (o *Objects) change(object garnetworks.Object) {
+	o.revision++
+	object.Revision = o.revision
+	if object.Deleted {
+		delete(o.objects, object.Key)
+	} else {
+		o.objects[object.Key] = object
+	}
+	o.history = append(o.history, object)
+	if excess := len(o.history) - o.options.History; excess > 0 {
+		o.compacted = o.history[excess-1].Revision
+		o.history = slices.Clone(o.history[excess:])
+	}
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+func (o *Objects) count(method string, l *rate.Limiter) error {
+	o.counts[method]++
+	if l.Allow() {
+		return nil
+	}
+	o.throttled++
+	return &garnetworks.Error{Kind: garnetworks.KindThrottled, Detail: "too many calls", RetryAfter: throttleDelay}
+}
+
+// throttleDelay is what a throttled caller is told to wait.
+const throttleDelay = 100 * time.Millisecond
+
+// View returns the object API as seen from one place, with faults of its own:
+// a cut-off availability zone is a view that is down.
+func (o *Objects) View() *ObjectsView { return &ObjectsView{objects: o} }
+
+// ObjectsView is an object API over another one's objects. The faults of both
+// apply.
+type ObjectsView struct {
+	Faults
+	objects *Objects
+}
+
+// Get implements garnetworks.ObjectAPI.
+func (v *ObjectsView) Get(ctx context.Context, key string) (garnetworks.Object, error) {
+	return apply(ctx, &v.Faults, MethodGet, failedObjectRead, func() (garnetworks.Object, error) {
+		return v.objects.Get(ctx, key)
+	})
+}
+
+// Put implements garnetworks.ObjectAPI.
+func (v *ObjectsView) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	return apply(ctx, &v.Faults, MethodPut, failedObjectWrite, func() (garnetworks.Revision, error) {
+		return v.objects.Put(ctx, key, value, after)
+	})
+}
+
+// Delete implements garnetworks.ObjectAPI.
+func (v *ObjectsView) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
+	_, err := apply(ctx, &v.Faults, MethodDelete, failedObjectWrite, func() (struct{}, error) {
+		return struct{}{}, v.objects.Delete(ctx, key, after)
+	})
+	return err
+}
+
+// List implements garnetworks.ObjectAPI.
+func (v *ObjectsView) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	return v.objects.list(ctx, v.through(), prefix)
+}
+
+// Watch implements garnetworks.ObjectAPI.
+func (v *ObjectsView) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	return v.objects.watch(ctx, v.through(), prefix, after, wait)
+}
+
+// through picks the faults that a read or watch meets: the view's own, unless
+// the object API itself is at fault.
+func (v *ObjectsView) through() *Faults {
+	plan := v.objects.FaultsNow()
+	if plan.Down || plan.Unavailable || plan.Frozen {
+		return &v.objects.Faults
+	}
+	return &v.Faults
+}
--- /dev/null
+++ b/faker/platform.go
@@ -0,0 +1,294 @@
+package faker
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Methods of the instance list, the power switch and the weight store.
+const (
+	MethodInstances = "instances"
+	MethodSetPower  = "set-power"
+	MethodPower     = "power"
+	MethodRate      = "rate"
+	MethodSize      = "size"
+)
+
+// InstanceList is an instance list that lags behind what is reported to it.
+type InstanceList struct {
+	Faults
+	mu  sync.Mutex
+	lag time.Duration
+	// changes are in the order of their times; shown holds those already seen.
+	changes []listChange
+	shown   map[garnetworks.InstanceID]garnetworks.ListedInstance
+}
+
+type listChange struct {
+	at      time.Time
+	row     garnetworks.ListedInstance
+	removed bool
+}
+
+// NewInstanceList returns an empty list that shows changes after lag.
+func NewInstanceList(lag time.Duration) *InstanceList {
+	return &InstanceList{
+		lag:   lag,
+		shown: make(map[garnetworks.InstanceID]garnetworks.ListedInstance),
+	}
+}
+
+// Report enters or changes a row.
+func (l *InstanceList) Report(row garnetworks.ListedInstance) { l.enter(listChange{row: row}) }
+
+// Remove takes a row away.
+func (l *InstanceList) Remove(id garnetworks.InstanceID) {
+	l.enter(listChange{row: garnetworks.ListedInstance{ID: id}, removed: true})
+}
+
+func (l *InstanceList) enter(change listChange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change.at = time.Now()
+	l.changes = append(l.changes, change)
+}
+
+// Instances implements garnetworks.InstanceList.
+func (l *InstanceList) Instances(ctx context.Context, zone garnetworks.ZoneID) ([]garnetworks.ListedInstance, error) {
+	return apply(ctx, &l.Faults, MethodInstances, failedRead(garnetworks.KindUnreachable), func() ([]garnetworks.ListedInstance, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.show(time.Now().Add(-l.lag))
+		var rows []garnetworks.ListedInstance
+		for _, row := range l.shown {
+			if row.Zone == zone {
+				rows = append(rows, row)
+			}
+		}
+		slices.SortFunc(rows, func(a, b garnetworks.ListedInstance) int { return cmp.Compare(a.ID, b.ID) })
+		return rows, nil
+	})
+}
+
+func (l *InstanceList) show(until time.Time) {
+	for len(l.changes) > 0 && !l.changes[0].at.After(until) {
+		c := l.changes[0]
+		l.changes = l.changes[1:]
+		if c.removed {
+			delete(l.shown, c.row.ID)
+		} else {
+			l.shown[c.row.ID] = c.row
+		}
+	}
+}
+
+// Power is the platform's power switch over a fleet.
+type Power struct {
+	Faults
+	fleet *Fleet
+	mu    sync.Mutex
+	// tokens are the highest seen for each instance.
+	tokens map[garnetworks.InstanceID]garnetworks.FencingToken
+	done   map[garnetworks.InstanceID]string
+	orders int
+}
+
+// NewPower returns a power switch for the fleet's engines.
+func NewPower(fleet *Fleet) *Power {
+	return &Power{
+		fleet:  fleet,
+		tokens: make(map[garnetworks.InstanceID]garnetworks.FencingToken),
+		done:   make(map[garnetworks.InstanceID]string),
+	}
+}
+
+// Orders returns the number of orders that were carried out; repeated ones
+// count once.
+func (p *Power) Orders() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.orders
+}
+
+// SetPower implements garnetworks.PowerSwitch.
+func (p *Power) SetPower(ctx context.Context, order garnetworks.PowerOrder) error {
+	_, err := apply(ctx, &p.Faults, MethodSetPower, failedWrite(garnetworks.KindUnreachable), func() (struct{}, error) {
+		return struct{}{}, p.set(order)
+	})
+	return err
+}
+
+func (p *Power) set(order garnetworks.PowerOrder) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.fleet.Engine(order.Instance)
+	if e == nil {
+		return garnetworks.Errorf(garnetworks.KindNotFound, "no instance %q", order.Instance)
+	}
+	if seen := p.tokens[order.Instance]; order.Token < seen {
+		return garnetworks.Errorf(garnetworks.KindStaleToken, "token %v is lower than %v", order.Token, seen)
+	}
+	p.tokens[order.Instance] = order.Token
+	if p.done[order.Instance] == order.ID {
+		return nil
+	}
+	p.done[order.Instance] = order.ID
+	p.orders++
+	if order.On {
+		e.PowerOn()
+	} else {
+		e.PowerOff()
+	}
+	return nil
+}
+
+// Power implements garnetworks.PowerSwitch.
+func (p *Power) Power(ctx context.Context, instance garnetworks.InstanceID) (garnetworks.PowerState, error) {
+	return apply(ctx, &p.Faults, MethodPower, failedRead(garnetworks.KindUnreachable), func() (garnetworks.PowerState, error) {
+		e := p.fleet.Engine(instance)
+		if e == nil {
+			return garnetworks.PowerUnknown, garnetworks.Errorf(garnetworks.KindNotFound, "no instance %q", instance)
+		}
+		return e.PowerState(), nil
+	})
+}
+
+// WeightStore is a weight store whose rate all loads share.
+type WeightStore struct {
+	Faults
+	mu    sync.Mutex
+	rate  int64
+	sizes map[garnetworks.WeightID]int64
+	// loads holds the rate that each running load asked for; 0 asks for a fair
+	// share.
+	loads map[*load]struct{}
+	peak  int64
+}
+
+// load is one running load.
+type load struct{ asked int64 }
+
+// NewWeightStore returns a store of the given rate in bytes a second.
+func NewWeightStore(rate int64, sizes map[garnetworks.WeightID]int64) *WeightStore {
+	return &WeightStore{
+		rate:  rate,
+		sizes: maps.Clone(sizes),
+		loads: make(map[*load]struct{}),
+	}
+}
+
+// SetSize adds weights or changes their size.
+func (w *WeightStore) SetSize(id garnetworks.WeightID, size int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sizes == nil {
+		w.sizes = make(map[garnetworks.WeightID]int64)
+	}
+	w.sizes[id] = size
+}
+
+// PeakAsked returns the highest sum of rates that loads asked for at once.
+func (w *WeightStore) PeakAsked() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peak
+}
+
+// Rate implements garnetworks.WeightStore.
+func (w *WeightStore) Rate(ctx context.Context) (int64, error) {
+	return apply(ctx, &w.Faults, MethodRate, failedRead(garnetworks.KindUnreachable), func() (int64, error) {
+		return w.rate, nil
+	})
+}
+
+// Size implements garnetworks.WeightStore.
+func (w *WeightStore) Size(ctx context.Context, id garnetworks.WeightID) (int64, error) {
+	return apply(ctx, &w.Faults, MethodSize, failedRead(garnetworks.KindUnreachable), func() (int64, error) {
+		return w.size(id)
+	})
+}
+
+func (w *WeightStore) size(id garnetworks.WeightID) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	size, ok := w.sizes[id]
+	if !ok {
+		return 0, garnetworks.Errorf(garnetworks.KindNotFound, "no weights %v", id)
+	}
+	return size, nil
+}
+
+// loadStep is how often a running load looks at its share again.
+const loadStep = 50 * time.Millisecond
+
+// read takes as long as loading the weights takes among the other loads. While
+// the store is down or frozen no byte comes.
+func (w *WeightStore) read(ctx context.Context, id garnetworks.WeightID, asked int64) error {
+	size, err := w.size(id)
+	if err != nil {
+		return err
+	}
+	l := w.enter(asked)
+	defer w.leave(l)
+	for left := float64(size); left > 0; {
+		if err := w.thaw(ctx); err != nil {
+			return err
+		}
+		rate := w.share(l)
+		step := loadStep
+		if need := time.Duration(left / rate * float64(time.Second)); need < step {
+			step = max(need, time.Microsecond)
+		}
+		if err := sleep(ctx, step); err != nil {
+			return err
+		}
+		if !w.FaultsNow().Down {
+			left -= rate * step.Seconds()
+		}
+	}
+	return nil
+}
+
+func (w *WeightStore) enter(asked int64) *load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := &load{asked: asked}
+	w.loads[l] = struct{}{}
+	var sum int64
+	for other := range w.loads {
+		sum += other.asked
+	}
+	w.peak = max(w.peak, sum)
+	return l
+}
+
+func (w *WeightStore) leave(l *load) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.loads, l)
+}
+
+// share returns the bytes a second that l gets now: what it asked for, scaled
+// down if the store is asked for more than it has.
+func (w *WeightStore) share(l *load) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fair := float64(w.rate) / float64(len(w.loads))
+	want := func(l *load) float64 {
+		if l.asked == 0 {
+			return fair
+		}
+		return float64(l.asked)
+	}
+	var sum float64
+	for other := range w.loads {
+		sum += want(other)
+	}
+	return max(1, want(l)*min(1, float64(w.rate)/sum))
+}
--- /dev/null
+++ b/faker/service.go
@@ -0,0 +1,195 @@
+package faker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// MethodCall is the method of plain services.
+const MethodCall = "call"
+
+// Service is one backend server of a plain service. It runs each call it gets,
+// as often as it gets it, and counts.
+type Service struct {
+	Faults
+	name garnetworks.ServiceName
+
+	mu      sync.Mutex
+	took    time.Duration
+	leaving bool
+	byCall  map[garnetworks.CallID]int
+	byKey   map[string]int
+	byBody  map[string]int
+	total   int
+	last    garnetworks.CallID
+}
+
+// ServiceResult is the body of a plain service's answer.
+type ServiceResult struct {
+	Service garnetworks.ServiceName `json:"service"`
+	Path    string                  `json:"path"`
+	Key     string                  `json:"key,omitempty"`
+	// Execution counts the executions of the server from 1.
+	Execution int `json:"execution"`
+}
+
+// NewService returns a server of the service whose executions take some time.
+func NewService(name garnetworks.ServiceName, took time.Duration) *Service {
+	return &Service{
+		name:   name,
+		took:   took,
+		byCall: make(map[garnetworks.CallID]int),
+		byKey:  make(map[string]int),
+		byBody: make(map[string]int),
+	}
+}
+
+// SetLeaving makes the server refuse new calls, or take them again.
+func (s *Service) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// Executions returns the number of executions in all.
+func (s *Service) Executions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+// ExecutionsOf returns the number of executions of one call identifier.
+func (s *Service) ExecutionsOf(id garnetworks.CallID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byCall[id]
+}
+
+// ExecutionsByKey returns the number of executions with one idempotency key.
+func (s *Service) ExecutionsByKey(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byKey[key]
+}
+
+// ExecutionsByBody returns the number of executions of each body.
+func (s *Service) ExecutionsByBody(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byBody[body]
+}
+
+// execute runs the call and counts it before anything is answered (rule F4).
+func (s *Service) execute(ctx context.Context, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	if s.refusing() {
+		return garnetworks.ServiceAnswer{}, &refusal{reason: "the server is leaving", retryAfter: refusalDelay}
+	}
+	execution := s.note(call)
+	// The execution counts although its caller may go away now.
+	_ = sleep(ctx, s.took)
+	result := ServiceResult{Service: s.name, Path: call.Path, Key: call.Key, Execution: execution}
+	body, err := json.Marshal(result)
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, err
+	}
+	return garnetworks.ServiceAnswer{
+		ID:          call.ID,
+		Status:      http.StatusOK,
+		ContentType: "application/json",
+		Body:        body,
+	}, nil
+}
+
+func (s *Service) refusing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+func (s *Service) note(call *garnetworks.ServiceCall) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total++
+	s.byCall[call.ID]++
+	s.byBody[string(call.Body)]++
+	if call.Key != "" {
+		s.byKey[call.Key]++
+	}
+	return s.total
+}
+
+// previous returns the identifier of the call answered before, for crossed
+// answers, and remembers id.
+func (s *Service) previous(id garnetworks.CallID) garnetworks.CallID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.last
+	s.last = id
+	if last == "" {
+		return "crossed-" + id
+	}
+	return last
+}
+
+// Call answers a call in process, with the failures that an adapter would
+// report.
+func (s *Service) Call(ctx context.Context, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	t, err := s.begin(ctx, MethodCall)
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, beforeBegin(err, false)
+	}
+	answer, err := s.execute(ctx, call)
+	if r, ok := err.(*refusal); ok {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: r.retryAfter, Cause: err}
+	}
+	previous := s.previous(call.ID)
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err == nil {
+		err = s.end(ctx, t)
+	}
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: err}
+	}
+	if s.take(MethodCall, truncatedAnswers) {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseBody}
+	}
+	if s.take(MethodCall, crossedAnswers) && previous != call.ID {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseCrossed}
+	}
+	return answer, nil
+}
+
+// Services is a set of plain-service servers by address. It implements
+// garnetworks.ServiceCaller in process.
+type Services struct {
+	mu        sync.Mutex
+	addresses map[string]*Service
+}
+
+// Add enters a server at an address.
+func (s *Services) Add(address string, server *Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.addresses == nil {
+		s.addresses = make(map[string]*Service)
+	}
+	s.addresses[address] = server
+}
+
+// Call implements garnetworks.ServiceCaller.
+func (s *Services) Call(ctx context.Context, address string, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	s.mu.Lock()
+	server := s.addresses[address]
+	s.mu.Unlock()
+	if server == nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: errNoEngine(address)}
+	}
+	return server.Call(ctx, call)
+}
