Decide retries by a table and forward calls

Cause: a call has to end whole, once, or truthfully refused, whatever its attempts meet. Change: package retrier holds the failure table and the retry budget, package forwarder runs calls to models and plain services by it.

--- /dev/null
+++ b/forwarder/model.go
@@ -0,0 +1,442 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/retrier"
+	"github.com/pkg/errors"
+)
+
+// Sink takes the answer of a call to a model. Its methods are called by the
+// goroutine that called Generate; an error ends the call as cancelled.
+type Sink interface {
+	// Write takes the next part.
+	Write(part Part) error
+	// Flush is called after the parts that are there now were written.
+	Flush() error
+	// Idle is called when no part came for a while, for a sign of life to the
+	// caller.
+	Idle() error
+}
+
+// Summary describes a call to a model that ended, whole or not.
+type Summary struct {
+	// Tokens is the number of tokens that the sink took or that wait for it.
+	Tokens int
+	// FinishReason is the engine's: stop or length. It is empty unless the
+	// answer is whole.
+	FinishReason string
+	// Attempts counts attempts, Resumed those that went on after delivered
+	// tokens.
+	Attempts int
+	Resumed  int
+	// FirstToken is the time from CallRequest.Received to the first token.
+	FirstToken time.Duration
+	// Group is the group of the last attempt.
+	Group garnetworks.GroupID
+}
+
+// backoff is the pause before a broken stream asks for a retry again.
+const backoff = 50 * time.Millisecond
+
+// modelCall is one call to a model. Its fields belong to the goroutine that
+// runs the attempts.
+type modelCall struct {
+	*Forwarder
+	call       *garnetworks.CallRequest
+	ring       *ring
+	transcript transcript
+	history    retrier.History
+	summary    Summary
+	// tried are the groups that failed and are not asked again while there is
+	// another one.
+	tried []garnetworks.GroupID
+	// last is the last attempt's failure.
+	last *failure
+}
+
+// failure is how an attempt failed.
+type failure struct {
+	phase      garnetworks.CallPhase
+	cause      error
+	retryAfter time.Duration
+	// timedOut says that the watchdog ended the attempt.
+	timedOut bool
+	// connectionOnly says that the group itself is fit for another attempt.
+	connectionOnly bool
+	stale          bool
+	leaving        bool
+}
+
+// Generate runs the call and writes its answer to sink until it is whole. An
+// error means that the answer is not whole, whatever the sink has taken; its
+// kind says what is known of the call.
+func (f *Forwarder) Generate(ctx context.Context, call *garnetworks.CallRequest, sink Sink) (Summary, error) {
+	f.countCall()
+	ctx, cancelDeadline := context.WithDeadline(ctx, call.Deadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	m := &modelCall{
+		Forwarder:  f,
+		call:       call,
+		ring:       newRing(),
+		transcript: transcript{maxTokens: call.MaxTokens},
+		history:    retrier.History{Repeatability: retrier.Repeatable, MaxAttempts: f.options.MaxAttempts},
+	}
+	result := make(chan error, 1)
+	f.tasks.run(func() {
+		err := m.run(ctx)
+		m.ring.close()
+		result <- err
+	})
+	gone := m.deliver(sink)
+	if gone != nil {
+		cancel(gone)
+	}
+	err := <-result
+	if gone != nil {
+		err = garnetworks.WrapError(garnetworks.KindCancelled, gone, "the caller went away")
+	}
+	m.summary.Tokens = m.transcript.tokens
+	f.ended(call.ID, m.summary.Group, "", err)
+	return m.summary, err
+}
+
+// deliver writes parts to the sink until the ring is closed. It returns the
+// sink's error.
+func (m *modelCall) deliver(sink Sink) error {
+	parts := make([]Part, 0, BufferParts)
+	idle := time.NewTimer(m.options.Timeouts.Idle)
+	defer idle.Stop()
+	lastIdle := time.Now()
+	for {
+		select {
+		case <-m.ring.ready:
+		case <-idle.C:
+			if time.Since(lastIdle) >= m.options.Timeouts.Idle {
+				if err := sink.Idle(); err != nil {
+					return err
+				}
+				lastIdle = time.Now()
+			}
+			idle.Reset(m.options.Timeouts.Idle - time.Since(lastIdle))
+			continue
+		}
+		var open bool
+		parts, open = m.ring.drain(parts[:0])
+		if err := writeAll(sink, parts); err != nil {
+			return err
+		}
+		if !open {
+			return nil
+		}
+		lastIdle = time.Now()
+	}
+}
+
+func writeAll(sink Sink, parts []Part) error {
+	if len(parts) == 0 {
+		return nil
+	}
+	for _, p := range parts {
+		if err := sink.Write(p); err != nil {
+			return err
+		}
+	}
+	return sink.Flush()
+}
+
+// run makes attempts until the answer is whole or the call is given up.
+func (m *modelCall) run(ctx context.Context) error {
+	for {
+		group, err := m.choose(ctx)
+		if err != nil {
+			return m.giveUp(ctx, err)
+		}
+		m.last = m.attempt(ctx, &group)
+		if m.last == nil {
+			return nil
+		}
+		delivered := m.transcript.tokens > 0
+		verdict := m.history.Failed(m.last.phase, delivered)
+		if ctx.Err() != nil || m.last.cause == errSlowCaller || !verdict.Retry || !m.mayRetry(ctx, verdict.Resume) {
+			return m.giveUp(ctx, m.last.cause)
+		}
+		if !m.last.connectionOnly {
+			m.tried = append(m.tried, group.ID)
+		}
+	}
+}
+
+// mayRetry takes a retry from the budget (rule F8).
+//
+// Failure: the loss of a zone breaks a share of all streams at one moment. They
+// must not all be resumed at once, and need not be given up either: each waits
+// for its turn in the budget, within a bound.
+func (m *modelCall) mayRetry(ctx context.Context, resume bool) bool {
+	until := time.Now().Add(m.options.Timeouts.ResumeWait)
+	for !m.takeRetry() {
+		if !resume || time.Now().After(until) {
+			return false
+		}
+		select {
+		case <-time.After(backoff + rand.N(backoff)):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// choose returns the group of the next attempt. If no untried one is left, a
+// broken stream is resumed on one that was tried.
+func (m *modelCall) choose(ctx context.Context) (garnetworks.GroupView, error) {
+	now := time.Now()
+	if ctx.Err() != nil {
+		return garnetworks.GroupView{}, context.Cause(ctx)
+	}
+	// A call that can't make its first token any more is refused while that is
+	// still the whole truth: nothing was sent.
+	if m.history.Attempts == 0 && now.After(m.call.FirstTokenBy) {
+		return garnetworks.GroupView{}, garnetworks.Errorf(garnetworks.KindDeadline, "the first token's deadline has passed")
+	}
+	group, err := m.options.Groups.Choose(now, m.call, m.tried)
+	if err == nil || len(m.tried) == 0 || m.transcript.tokens == 0 {
+		return group, err
+	}
+	return m.options.Groups.Choose(now, m.call, nil)
+}
+
+// attempt runs one attempt and returns nil if the answer is whole.
+func (m *modelCall) attempt(ctx context.Context, group *garnetworks.GroupView) *failure {
+	started := time.Now()
+	before := m.transcript.tokens
+	m.summary.Attempts++
+	m.summary.Group = group.ID
+	if before > 0 {
+		m.summary.Resumed++
+	}
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	call := &garnetworks.EngineCall{
+		CallRequest: *m.call,
+		Attempt:     attemptID(m.call.ID, m.summary.Attempts),
+		Group:       group.ID,
+		Token:       group.Token,
+		ResumeFrom:  before,
+		Delivered:   string(m.transcript.text),
+	}
+	m.options.Groups.Started(started, m.call, group.ID)
+	dog := m.watch(attemptCtx, cancel, group, m.call.ID)
+	result := garnetworks.AttemptResult{Phase: garnetworks.PhaseDone}
+	err := m.stream(attemptCtx, group, call, dog, &result)
+	dog.stop()
+	result.Tokens = m.transcript.tokens - before
+	var fail *failure
+	if err != nil {
+		fail = classify(attemptCtx, err)
+		result.Phase = fail.phase
+		result.Silent = fail.connectionOnly
+		result.StaleToken = fail.stale
+		result.Leaving = fail.leaving
+		result.Cancelled = cancelled(ctx) || errors.Is(err, errSlowCaller)
+	}
+	now := time.Now()
+	result.Elapsed = now.Sub(started)
+	m.options.Groups.Finished(now, m.call, group.ID, result)
+	return fail
+}
+
+// stream reads one attempt's answer into the ring.
+func (m *modelCall) stream(ctx context.Context, group *garnetworks.GroupView, call *garnetworks.EngineCall, dog *watchdog, result *garnetworks.AttemptResult) error {
+	stream, err := m.options.Engines.Generate(ctx, group.Address, call)
+	if err != nil {
+		return err
+	}
+	// Closing an attempt that is not whole cancels it at the engine (rule F6).
+	defer stream.Close()
+	m.transcript.begin()
+	var chunk garnetworks.Chunk
+	for {
+		chunk = garnetworks.Chunk{}
+		if err := stream.Next(&chunk); err != nil {
+			return err
+		}
+		if chunk.Attempt != call.Attempt {
+			// F1: also where the adapter has checked; a crossed answer is the one
+			// failure that nobody downstream can see.
+			return &garnetworks.AttemptError{
+				Phase: garnetworks.PhaseCrossed,
+				Cause: errors.Errorf("the answer echoes attempt %q", chunk.Attempt),
+			}
+		}
+		dog.progress(chunk.Tokens)
+		m.note(group, &chunk, dog, result)
+		if err := m.pass(ctx, &chunk, dog); err != nil {
+			return err
+		}
+		if chunk.End {
+			return m.end(&chunk)
+		}
+	}
+}
+
+// note takes the load and the time of the first token.
+func (m *modelCall) note(group *garnetworks.GroupView, chunk *garnetworks.Chunk, dog *watchdog, result *garnetworks.AttemptResult) {
+	if load, ok := chunk.Load.Get(); ok {
+		m.options.Groups.Loaded(time.Now(), group.ID, load)
+	}
+	if chunk.Tokens == 0 {
+		return
+	}
+	if result.FirstToken == 0 {
+		result.FirstToken = time.Since(dog.base)
+	}
+	if m.summary.FirstToken == 0 {
+		m.summary.FirstToken = time.Since(m.call.Received)
+	}
+}
+
+// pass puts what is new of the chunk into the ring.
+func (m *modelCall) pass(ctx context.Context, chunk *garnetworks.Chunk, dog *watchdog) error {
+	part, err := m.transcript.take(chunk)
+	if err != nil {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err}
+	}
+	if part.Tokens == 0 && part.Text == "" {
+		return nil
+	}
+	if m.ring.offer(part) {
+		return nil
+	}
+	dog.pause()
+	defer dog.resume()
+	return m.ring.push(ctx, part, m.options.Timeouts.SlowCaller)
+}
+
+// end checks the end marker (rule F2).
+func (m *modelCall) end(chunk *garnetworks.Chunk) error {
+	if chunk.FinishReason == finishError {
+		return &garnetworks.AttemptError{
+			Phase: garnetworks.PhaseBody,
+			Cause: errors.New("the engine ended the answer with an error"),
+		}
+	}
+	// Failure: a resumed attempt ends before it has come to the point where the
+	// first one broke off. Its end marker is another text's.
+	if chunk.Index+chunk.Tokens < m.transcript.tokens {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: errContradiction}
+	}
+	m.summary.FinishReason = chunk.FinishReason
+	return nil
+}
+
+// finishError is the finish reason of an engine that failed.
+const finishError = "error"
+
+// attemptID returns the identifier of a call's nth attempt.
+func attemptID(call garnetworks.CallID, n int) garnetworks.CallID {
+	return call + "." + garnetworks.CallID(strconv.Itoa(n))
+}
+
+// classify turns an attempt's error into a failure.
+func classify(ctx context.Context, err error) *failure {
+	fail := &failure{phase: garnetworks.PhaseWait, cause: err}
+	var attempt *garnetworks.AttemptError
+	if errors.As(err, &attempt) {
+		fail.phase = attempt.Phase
+		fail.retryAfter = attempt.RetryAfter
+		fail.timedOut = attempt.Silent
+		fail.connectionOnly = attempt.Silent
+	}
+	// Failure: an adapter reports the end of an answer that had no end marker as
+	// done. No error is PhaseDone.
+	if fail.phase == garnetworks.PhaseDone {
+		fail.phase = garnetworks.PhaseBody
+	}
+	if cause := endedByWatchdog(ctx); cause != nil {
+		fail.cause = cause
+		fail.timedOut = true
+		fail.connectionOnly = cause == errSilent
+	}
+	fail.stale = garnetworks.IsKind(err, garnetworks.KindStaleToken)
+	fail.leaving = garnetworks.IsKind(err, garnetworks.KindShuttingDown)
+	return fail
+}
+
+// cancelled reports whether the call was ended from outside by something else
+// than its deadline, so that the attempt tells nothing about the server.
+func cancelled(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
+// giveUp returns the call's error. It is of a kind whose outcome is no stronger
+// than what the attempts have shown (rule R3).
+func (m *modelCall) giveUp(ctx context.Context, cause error) error {
+	if errors.Is(cause, errSlowCaller) {
+		return garnetworks.WrapError(garnetworks.KindCancelled, cause, "the call was ended")
+	}
+	if ctx.Err() != nil {
+		return m.stopped(context.Cause(ctx))
+	}
+	if m.transcript.tokens > 0 {
+		return garnetworks.WrapError(garnetworks.KindStreamBroken, cause, "the answer broke off and could not be resumed")
+	}
+	return endError(&m.history, m.last, cause)
+}
+
+// stopped returns the error of a call that was ended from outside.
+func (m *modelCall) stopped(cause error) error {
+	switch {
+	case errors.Is(cause, context.Canceled):
+		return garnetworks.WrapError(garnetworks.KindCancelled, cause, "the caller cancelled the call")
+	case m.transcript.tokens > 0:
+		return garnetworks.WrapError(garnetworks.KindStreamBroken, cause, "the answer was cut off")
+	}
+	return stoppedError(&m.history, cause)
+}
+
+// stoppedError returns the error of a call without an answer that was ended from
+// outside: by its deadline or by the end of the node's grace period.
+func stoppedError(history *retrier.History, cause error) error {
+	ran := history.Outcome() != garnetworks.OutcomeNotRun
+	graceEnded := errors.Is(cause, ErrGraceEnded)
+	switch {
+	case graceEnded && ran:
+		return garnetworks.WrapError(garnetworks.KindBackendLost, cause, "the node stopped before the answer came")
+	case graceEnded:
+		return garnetworks.WrapError(garnetworks.KindShuttingDown, cause, "the node stopped before the call was sent")
+	case ran:
+		return garnetworks.WrapError(garnetworks.KindBackendTimeout, cause, "the deadline passed before the answer came")
+	}
+	return garnetworks.WrapError(garnetworks.KindDeadline, cause, "the deadline passed before the call was sent")
+}
+
+// endError returns the error of a call without an answer whose attempts failed,
+// or that found nobody to send it to.
+func endError(history *retrier.History, last *failure, cause error) error {
+	if history.Outcome() == garnetworks.OutcomeUnknown {
+		if last != nil && last.timedOut {
+			return garnetworks.WrapError(garnetworks.KindBackendTimeout, cause, "the backend server made no progress")
+		}
+		return garnetworks.WrapError(garnetworks.KindBackendLost, cause, "the call may have run")
+	}
+	if last == nil {
+		return cause
+	}
+	kind := garnetworks.KindNoBackend
+	if last.phase == garnetworks.PhaseRefused {
+		kind = garnetworks.KindBackendRefused
+	}
+	return &garnetworks.Error{
+		Kind:       kind,
+		Detail:     "no backend server began the call",
+		RetryAfter: last.retryAfter,
+		Cause:      cause,
+	}
+}
--- /dev/null
+++ b/forwarder/service.go
@@ -0,0 +1,336 @@
+package forwarder
+
+import (
+	"context"
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/retrier"
+	"github.com/pkg/errors"
+)
+
+// claimMargin is added to the time at which a claim ends, for the pauses of a
+// node between claiming and forwarding.
+const claimMargin = time.Second
+
+// recordBackoff is the pause between two tries to record an answer.
+const recordBackoff = 250 * time.Millisecond
+
+// serviceCall is one call to a plain service.
+type serviceCall struct {
+	*Forwarder
+	call    *garnetworks.ServiceCall
+	spec    *garnetworks.ServiceSpec
+	history retrier.History
+	tried   []garnetworks.InstanceID
+	last    *failure
+	// instance is the server of the last attempt.
+	instance garnetworks.InstanceID
+}
+
+// CallService runs the call and returns the service's whole answer, or an error
+// whose kind says what is known of the call.
+func (f *Forwarder) CallService(ctx context.Context, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	f.countCall()
+	s, err := f.newServiceCall(call)
+	if err != nil {
+		f.ended(call.ID, "", "", err)
+		return garnetworks.ServiceAnswer{}, err
+	}
+	if s.history.Repeatability == retrier.Keyed {
+		return s.detached(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.spec.Timeout)
+	defer cancel()
+	answer, err := s.run(ctx)
+	f.ended(call.ID, "", s.instance, err)
+	return answer, err
+}
+
+func (f *Forwarder) newServiceCall(call *garnetworks.ServiceCall) (*serviceCall, error) {
+	manifest, ok := f.options.Manifest.Manifest()
+	if !ok {
+		return nil, garnetworks.Errorf(garnetworks.KindNotReady, "no manifest is in force yet")
+	}
+	spec := FindService(&manifest.Manifest, call.Service)
+	if spec == nil {
+		return nil, garnetworks.Errorf(garnetworks.KindUnknownService, "no service %q", call.Service)
+	}
+	rule := MatchCall(spec, call.Method, call.Path)
+	repeatability := retrier.NotRepeatable
+	switch {
+	case rule.Repeatable:
+		repeatability = retrier.Repeatable
+	case call.Key != "":
+		repeatability = retrier.Keyed
+	case rule.KeyRequired:
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "this call needs an Idempotency-Key header")
+	}
+	return &serviceCall{
+		Forwarder: f,
+		call:      call,
+		spec:      spec,
+		history:   retrier.History{Repeatability: repeatability, MaxAttempts: f.options.MaxAttempts},
+	}, nil
+}
+
+// FindService returns the service's spec, or nil.
+func FindService(manifest *garnetworks.Manifest, name garnetworks.ServiceName) *garnetworks.ServiceSpec {
+	for i := range manifest.Services {
+		if manifest.Services[i].Name == name {
+			return &manifest.Services[i]
+		}
+	}
+	return nil
+}
+
+// MatchCall returns the first rule of the service that matches the call; a call
+// that matches none is not repeatable. The query of path does not count.
+func MatchCall(spec *garnetworks.ServiceSpec, method, path string) garnetworks.ServiceCallSpec {
+	path, _, _ = strings.Cut(path, "?")
+	for _, c := range spec.Calls {
+		if len(c.Methods) > 0 && !slices.Contains(c.Methods, method) {
+			continue
+		}
+		if strings.HasPrefix(path, c.PathPrefix) {
+			return c
+		}
+	}
+	return garnetworks.ServiceCallSpec{}
+}
+
+// detached runs a keyed call on a goroutine of its own, which outlives the
+// caller (rule F6).
+//
+// Failure: a caller loses its connection while its call runs, and repeats it
+// with the same key. Had the first call been cut off, nobody could say whether
+// it ran. So it is finished and recorded, and the repetition gets the answer.
+func (s *serviceCall) detached(ctx context.Context) (garnetworks.ServiceAnswer, error) {
+	type result struct {
+		answer garnetworks.ServiceAnswer
+		err    error
+	}
+	results := make(chan result, 1)
+	detachedCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if cause := context.Cause(ctx); errors.Is(cause, ErrGraceEnded) {
+			cancel(cause)
+		}
+	})
+	s.tasks.run(func() {
+		defer cancel(nil)
+		defer stop()
+		answer, err := s.claimed(detachedCtx)
+		s.ended(s.call.ID, "", s.instance, err)
+		results <- result{answer, err}
+	})
+	select {
+	case r := <-results:
+		return r.answer, r.err
+	case <-ctx.Done():
+	}
+	if cause := context.Cause(ctx); errors.Is(cause, ErrGraceEnded) {
+		r := <-results
+		return r.answer, r.err
+	}
+	return garnetworks.ServiceAnswer{}, garnetworks.WrapError(garnetworks.KindCancelled, ctx.Err(),
+		"the caller went away; the call goes on and its answer is recorded under its key")
+}
+
+// claimed runs a keyed call under its claim (rule F7).
+func (s *serviceCall) claimed(ctx context.Context) (garnetworks.ServiceAnswer, error) {
+	claimed, err := s.claim(ctx)
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, err
+	}
+	if recorded, ok := claimed.Recorded.Get(); ok {
+		return recorded, nil
+	}
+	answer, err := s.underClaim(ctx, claimed.Claim)
+	if err != nil {
+		s.abandon(ctx, claimed.Claim, s.history.Outcome())
+		return garnetworks.ServiceAnswer{}, err
+	}
+	s.record(ctx, claimed.Claim, &answer)
+	return answer, nil
+}
+
+// claim asks for the claim. Whatever fails, the call is not forwarded, so each
+// error may say "not run" of this call; those that speak of an earlier call with
+// the key come from the claimer as they are.
+func (s *serviceCall) claim(ctx context.Context) (garnetworks.ClaimResult, error) {
+	if s.options.Claims == nil {
+		return garnetworks.ClaimResult{}, garnetworks.Errorf(garnetworks.KindClaimsUnavailable, "this node has no claims")
+	}
+	timeouts := &s.options.Timeouts
+	request := garnetworks.ClaimRequest{
+		Workspace: s.call.Workspace,
+		Service:   s.call.Service,
+		Key:       s.call.Key,
+		BodyHash:  hashCall(s.call),
+		Call:      s.call.ID,
+		Until:     time.Now().Add(timeouts.Claim + s.spec.Timeout + claimMargin),
+	}
+	claimCtx, cancel := context.WithTimeout(ctx, timeouts.Claim)
+	defer cancel()
+	result, err := s.options.Claims.Claim(claimCtx, request)
+	if err == nil {
+		return result, nil
+	}
+	if garnetworks.IsKind(err, garnetworks.KindKeyReused, garnetworks.KindInProgress, garnetworks.KindOutcomeUnknown) {
+		return result, err
+	}
+	return result, &garnetworks.Error{
+		Kind:   garnetworks.KindClaimsUnavailable,
+		Detail: "the call can't be claimed now and was not sent",
+		Cause:  err,
+	}
+}
+
+func (s *serviceCall) underClaim(ctx context.Context, claim garnetworks.Claim) (garnetworks.ServiceAnswer, error) {
+	// Failure: the node is paused between claiming and forwarding, until after
+	// others have begun to answer "unknown" for the key. Running the call now
+	// would still be the first time, but nobody would wait for it any more.
+	if !time.Now().Before(claim.Until) {
+		return garnetworks.ServiceAnswer{}, garnetworks.Errorf(garnetworks.KindDeadline, "the claim ended before the call was sent")
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.spec.Timeout)
+	defer cancel()
+	return s.run(ctx)
+}
+
+// hashCall covers all that tells one call from another with the same key.
+func hashCall(call *garnetworks.ServiceCall) [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{call.Method, call.Path, call.ContentType} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(call.Body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// record records the answer. It returns when that is done, or after RecordWait,
+// while the recording goes on: the answer is true, and a store that is down must
+// not hold it back.
+func (s *serviceCall) record(ctx context.Context, claim garnetworks.Claim, answer *garnetworks.ServiceAnswer) {
+	recorded := make(chan struct{})
+	kept := *answer
+	s.tasks.run(func() {
+		defer close(recorded)
+		s.keepRecording(context.WithoutCancel(ctx), claim, &kept)
+	})
+	wait := time.NewTimer(s.options.Timeouts.RecordWait)
+	defer wait.Stop()
+	select {
+	case <-recorded:
+	case <-wait.C:
+	}
+}
+
+func (s *serviceCall) keepRecording(ctx context.Context, claim garnetworks.Claim, answer *garnetworks.ServiceAnswer) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.Timeouts.Record)
+	defer cancel()
+	err := s.persist(ctx, func() error { return s.options.Claims.Complete(ctx, claim, answer) })
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	// An answer that can't be recorded, for instance because it is too large,
+	// leaves a key whose call ran: later calls must not run.
+	s.abandon(ctx, claim, garnetworks.OutcomeUnknown)
+}
+
+// abandon ends the claim without an answer, in the background.
+func (s *serviceCall) abandon(ctx context.Context, claim garnetworks.Claim, outcome garnetworks.Outcome) {
+	ctx = context.WithoutCancel(ctx)
+	s.tasks.run(func() {
+		ctx, cancel := context.WithTimeout(ctx, s.options.Timeouts.Record)
+		defer cancel()
+		// If this never succeeds, the claim ends at Until as unknown, which is
+		// weaker than "not run" and as true.
+		_ = s.persist(ctx, func() error { return s.options.Claims.Abandon(ctx, claim, outcome) })
+	})
+}
+
+// persist repeats write while the store is away.
+func (s *serviceCall) persist(ctx context.Context, write func() error) error {
+	for {
+		err := write()
+		if !garnetworks.IsKind(err, garnetworks.KindClaimsUnavailable, garnetworks.KindObjectAPIDown,
+			garnetworks.KindAnswerLost, garnetworks.KindThrottled) {
+			return err
+		}
+		select {
+		case <-time.After(recordBackoff):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// run makes attempts until the answer is whole or the call is given up.
+func (s *serviceCall) run(ctx context.Context) (garnetworks.ServiceAnswer, error) {
+	for {
+		if ctx.Err() != nil {
+			return garnetworks.ServiceAnswer{}, s.stopped(ctx)
+		}
+		server, err := s.options.Servers.ChooseServer(time.Now(), s.call.Service, s.tried)
+		if err != nil {
+			return garnetworks.ServiceAnswer{}, endError(&s.history, s.last, err)
+		}
+		var answer garnetworks.ServiceAnswer
+		answer, s.last = s.attempt(ctx, &server)
+		if s.last == nil {
+			return answer, nil
+		}
+		verdict := s.history.Failed(s.last.phase, false)
+		if ctx.Err() != nil {
+			return garnetworks.ServiceAnswer{}, s.stopped(ctx)
+		}
+		if !verdict.Retry || !s.takeRetry() {
+			return garnetworks.ServiceAnswer{}, endError(&s.history, s.last, s.last.cause)
+		}
+		s.tried = append(s.tried, server.Instance)
+	}
+}
+
+// attempt sends the call to one server.
+func (s *serviceCall) attempt(ctx context.Context, server *garnetworks.ServerView) (garnetworks.ServiceAnswer, *failure) {
+	started := time.Now()
+	s.instance = server.Instance
+	call := *s.call
+	call.ID = attemptID(s.call.ID, s.history.Attempts+1)
+	s.options.Servers.ServerStarted(started, s.call.Service, server.Instance)
+	answer, err := s.options.Services.Call(ctx, server.Address, &call)
+	if err == nil && answer.ID != call.ID {
+		err = &garnetworks.AttemptError{
+			Phase: garnetworks.PhaseCrossed,
+			Cause: errors.Errorf("the answer echoes call %q", answer.ID),
+		}
+	}
+	result := garnetworks.AttemptResult{Phase: garnetworks.PhaseDone}
+	var fail *failure
+	if err != nil {
+		fail = classify(ctx, err)
+		result.Phase = fail.phase
+		result.Silent = fail.timedOut || errors.Is(ctx.Err(), context.DeadlineExceeded)
+		result.Leaving = fail.leaving
+		result.Cancelled = cancelled(ctx)
+	}
+	now := time.Now()
+	result.Elapsed = now.Sub(started)
+	s.options.Servers.ServerFinished(now, s.call.Service, server.Instance, result)
+	answer.ID = s.call.ID
+	return answer, fail
+}
+
+func (s *serviceCall) stopped(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.Canceled) {
+		return garnetworks.WrapError(garnetworks.KindCancelled, cause, "the caller cancelled the call")
+	}
+	return stoppedError(&s.history, cause)
+}
--- /dev/null
+++ b/forwarder/silence.go
@@ -0,0 +1,273 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/pkg/errors"
+)
+
+// Causes with which the watchdog ends an attempt.
+var (
+	// errEngineLost: a new connection does not reach the engine either.
+	errEngineLost = errors.New("the engine does not answer on a new connection")
+	// errEngineChanged: the engine answers, but is no longer the attempt's.
+	errEngineChanged = errors.New("the engine is no longer in the group of the attempt")
+	// errSilent: the engine works, but nothing comes on the attempt's connection.
+	errSilent = errors.New("the connection went silent while the engine works")
+	// errTooSlow: the slow bound is over.
+	errTooSlow = errors.New("the engine made no progress within the slow bound")
+)
+
+// evidence is what is known of an attempt without progress.
+type evidence struct {
+	// begun says that the attempt has brought tokens.
+	begun bool
+	// started is when the attempt began.
+	started time.Time
+	group   garnetworks.GroupID
+	// othersProgressed says that other streams of the group brought tokens in
+	// the second half of the silence.
+	othersProgressed bool
+	// probed says that there is a Prober; probeError and status are its result.
+	probed     bool
+	probeError error
+	status     garnetworks.EngineStatus
+}
+
+// judge says whether a silent attempt is ended, and with which cause; nil keeps
+// it until the slow bound. It is pure.
+//
+//	S1  An engine that a new connection does not reach is lost.
+//	S2  An engine that now is in another group has dropped the attempt. Names of
+//	    groups are not used again, so the name is enough.
+//	S3  Engines batch continuously: one step brings a token to every running
+//	    request. If other streams of the group go on while this one stands
+//	    still, its connection is dead.
+//	S4  An engine that measured, since the attempt began, neither running nor
+//	    waiting requests does not have the attempt: its connection is dead.
+//	S5  Everything else can be a slow engine and gets the slow bound.
+func judge(e evidence) error {
+	if e.probed && e.probeError != nil {
+		return errEngineLost // S1
+	}
+	if e.probed && e.status.Group != e.group {
+		return errEngineChanged // S2
+	}
+	if e.begun && e.othersProgressed {
+		return errSilent // S3
+	}
+	load := e.status.Load
+	if e.probed && load.At.After(e.started) && load.Running == 0 && load.Waiting == 0 {
+		return errSilent // S4
+	}
+	return nil // S5
+}
+
+// pulses know when each group's streams at this node last brought a token, for
+// rule S3.
+type pulses struct {
+	mu     sync.Mutex
+	groups map[garnetworks.GroupID]*pulse
+}
+
+// pulse is one group's. It exists while an attempt uses it.
+type pulse struct {
+	users int
+	// last is the time of the newest token, in nanoseconds.
+	last atomic.Int64
+}
+
+func (p *pulses) join(group garnetworks.GroupID) *pulse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.groups == nil {
+		p.groups = map[garnetworks.GroupID]*pulse{}
+	}
+	u := p.groups[group]
+	if u == nil {
+		u = &pulse{}
+		p.groups[group] = u
+	}
+	u.users++
+	return u
+}
+
+func (p *pulses) leave(group garnetworks.GroupID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.groups[group]
+	u.users--
+	if u.users == 0 {
+		delete(p.groups, group)
+	}
+}
+
+// watchdog ends one attempt that makes no progress (rule F4).
+//
+// Failure: something between node and engine loses track of an open connection.
+// Reads on it wait for good, and nothing fails. Only the absence of progress
+// shows it, and only a new connection tells it from a slow engine.
+type watchdog struct {
+	f     *Forwarder
+	group *garnetworks.GroupView
+	call  garnetworks.CallID
+	// ctx is the attempt's; cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	pulse  *pulse
+	base   time.Time
+
+	// sign and token are the times of the last sign of life and of the last
+	// token, in nanoseconds since base.
+	sign  atomic.Int64
+	token atomic.Int64
+	begun atomic.Bool
+	// paused says that the attempt waits for the caller, not for the engine.
+	paused atomic.Bool
+
+	// The fields below belong to the timer's goroutine.
+	timer *time.Timer
+	// judged is the sign up to which the silence was probed and found slow; -1
+	// before the first probe.
+	judged int64
+}
+
+func (f *Forwarder) watch(ctx context.Context, cancel context.CancelCauseFunc, group *garnetworks.GroupView, call garnetworks.CallID) *watchdog {
+	w := &watchdog{
+		f:      f,
+		group:  group,
+		call:   call,
+		ctx:    ctx,
+		cancel: cancel,
+		pulse:  f.pulses.join(group.ID),
+		base:   time.Now(),
+		judged: -1,
+	}
+	// The timer's goroutine reads w.timer, so it is set before the timer runs.
+	ready := make(chan struct{})
+	w.timer = time.AfterFunc(f.options.Timeouts.FirstToken, func() {
+		<-ready
+		w.check()
+	})
+	close(ready)
+	return w
+}
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.f.pulses.leave(w.group.ID)
+}
+
+// progress notes a chunk with the given number of tokens.
+func (w *watchdog) progress(tokens int) {
+	elapsed := int64(time.Since(w.base))
+	w.sign.Store(elapsed)
+	if tokens == 0 {
+		return
+	}
+	w.token.Store(elapsed)
+	w.begun.Store(true)
+	w.pulse.last.Store(w.base.UnixNano() + elapsed)
+}
+
+// pause and resume frame the time in which the caller holds the attempt up.
+func (w *watchdog) pause() { w.paused.Store(true) }
+
+func (w *watchdog) resume() {
+	elapsed := int64(time.Since(w.base))
+	w.sign.Store(elapsed)
+	w.token.Store(elapsed)
+	w.paused.Store(false)
+}
+
+// limits returns the bounds that hold now.
+func (w *watchdog) limits() (quiet, slow time.Duration) {
+	t := &w.f.options.Timeouts
+	if w.begun.Load() {
+		return t.BetweenTokens, t.SlowBetweenTokens
+	}
+	return t.FirstToken, t.SlowFirstToken
+}
+
+// check runs on the timer's goroutine. It looks at the clock in place of a timer
+// that is set anew for each token.
+func (w *watchdog) check() {
+	if w.ctx.Err() != nil {
+		return
+	}
+	quietLimit, slowLimit := w.limits()
+	if w.paused.Load() {
+		w.timer.Reset(quietLimit)
+		return
+	}
+	elapsed := time.Since(w.base)
+	sign := w.sign.Load()
+	slow := elapsed - time.Duration(w.token.Load())
+	if slow >= slowLimit {
+		w.end(errTooSlow)
+		return
+	}
+	quiet := elapsed - time.Duration(sign)
+	if quiet < quietLimit {
+		w.timer.Reset(min(quietLimit-quiet, slowLimit-slow))
+		return
+	}
+	if sign != w.judged {
+		w.probe(sign)
+		return
+	}
+	w.timer.Reset(slowLimit - slow)
+}
+
+// probe asks the engine on a new connection and acts on the judgement.
+func (w *watchdog) probe(sign int64) {
+	e := evidence{
+		begun:   w.begun.Load(),
+		started: w.base,
+		group:   w.group.ID,
+	}
+	half := (int64(time.Since(w.base)) - sign) / 2
+	e.othersProgressed = w.pulse.last.Load() > w.base.UnixNano()+sign+half
+	if w.f.options.Prober != nil {
+		ctx, cancel := context.WithTimeout(w.ctx, w.f.options.Timeouts.Probe)
+		e.status, e.probeError = w.f.options.Prober.Status(ctx, w.group.Address)
+		e.probed = true
+		cancel()
+	}
+	if w.ctx.Err() != nil {
+		return
+	}
+	if w.sign.Load() == sign {
+		if cause := judge(e); cause != nil {
+			w.end(cause)
+			return
+		}
+		w.judged = sign
+	}
+	w.timer.Reset(time.Nanosecond)
+}
+
+func (w *watchdog) end(cause error) {
+	w.cancel(cause)
+	w.f.events.record(garnetworks.Event{
+		Kind:   garnetworks.EventSilentConnection,
+		Zone:   w.group.Zone,
+		Group:  w.group.ID,
+		Call:   w.call,
+		Detail: cause.Error(),
+	})
+}
+
+// endedByWatchdog returns the watchdog's cause, or nil.
+func endedByWatchdog(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	switch cause {
+	case errEngineLost, errEngineChanged, errSilent, errTooSlow:
+		return cause
+	}
+	return nil
+}
--- /dev/null
+++ b/retrier/budget.go
@@ -0,0 +1,71 @@
+package retrier
+
+import "time"
+
+// BudgetLimits are the bounds of a node's retries (rule R5).
+type BudgetLimits struct {
+	// Fraction is the number of retries that each call adds; 0 to 1.
+	Fraction float64
+	// Floor is the number of retries that each second adds, so that a node with
+	// few calls can retry at all.
+	Floor float64
+	// Burst is the most that can be saved up; at least 1.
+	Burst float64
+}
+
+// DefaultBudgetLimits suit a node of the design size, which sees about 15 calls
+// a second and 200 streams in flight: the loss of one zone of eight breaks
+// about 25 streams at once, which Burst and two seconds of refill carry.
+func DefaultBudgetLimits() BudgetLimits {
+	return BudgetLimits{Fraction: 0.2, Floor: 1, Burst: 16}
+}
+
+// Budget counts what is left of a node's retries. It is a value for one
+// goroutine or for use under a lock.
+type Budget struct {
+	limits  BudgetLimits
+	balance float64
+	at      time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(limits BudgetLimits, now time.Time) *Budget {
+	return &Budget{limits: limits, balance: limits.Burst, at: now}
+}
+
+// Called counts one call, not an attempt.
+func (b *Budget) Called(now time.Time) {
+	b.refill(now)
+	b.add(b.limits.Fraction)
+}
+
+// Take takes one retry, or reports that the budget is spent.
+func (b *Budget) Take(now time.Time) bool {
+	b.refill(now)
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
+
+// Left returns the number of retries that could be taken at once.
+func (b *Budget) Left(now time.Time) int {
+	b.refill(now)
+	return int(b.balance)
+}
+
+func (b *Budget) refill(now time.Time) {
+	elapsed := now.Sub(b.at)
+	// Callers on several goroutines read the clock before they take the lock, so
+	// times come slightly out of order; an older one must not add time twice.
+	if elapsed <= 0 {
+		return
+	}
+	b.add(elapsed.Seconds() * b.limits.Floor)
+	b.at = now
+}
+
+func (b *Budget) add(retries float64) {
+	b.balance = min(b.balance+retries, b.limits.Burst)
+}
--- /dev/null
+++ b/retrier/retrier.go
@@ -0,0 +1,193 @@
+// Package retrier decides what becomes of a call whose attempt failed: whether
+// another attempt may be made, what may be said of the call if none is made,
+// and whether the node can afford another attempt. It is pure: it does no I/O
+// and takes the time as an argument.
+//
+//	R1  The table of phase and repeatability decides; it has a row for each
+//	    cell and no default that permits anything.
+//	R2  A call that may not be repeated is sent again only if it is proven that
+//	    no backend server began it (rule G6): no byte was sent, or the server
+//	    refused it by contract.
+//	R3  What is said of a call covers all of its attempts: one attempt that may
+//	    have run makes the whole call "unknown", whatever the last attempt
+//	    proves (rule G5).
+//	R4  A stream of which tokens were delivered is resumed after the last
+//	    delivered token, never begun again.
+//	R5  Retries of a node never exceed Fraction of its calls, plus Floor a
+//	    second, plus Burst; so the loss of a zone can't multiply the load of the
+//	    zones that are left.
+package retrier
+
+import "github.com/garnetworks/garnetworks"
+
+// Repeatability says what a second execution of a call would do.
+type Repeatability string
+
+const (
+	// Repeatable calls do no harm when they run twice: calls to models, and the
+	// calls of plain services that the manifest marks so.
+	Repeatable Repeatability = "repeatable"
+	// NotRepeatable calls may run once at most for each receipt.
+	NotRepeatable Repeatability = "not-repeatable"
+	// Keyed calls may not be repeated and carry an idempotency key, under which
+	// they are claimed; they may run once at most over all receipts.
+	Keyed Repeatability = "keyed"
+)
+
+// Repeatabilities lists all values in the table's order.
+func Repeatabilities() []Repeatability {
+	return []Repeatability{Repeatable, NotRepeatable, Keyed}
+}
+
+// Phases lists all phases in the order in which an attempt passes them.
+func Phases() []garnetworks.CallPhase {
+	return []garnetworks.CallPhase{
+		garnetworks.PhaseConnect,
+		garnetworks.PhaseWrite,
+		garnetworks.PhaseWait,
+		garnetworks.PhaseRefused,
+		garnetworks.PhaseHeaders,
+		garnetworks.PhaseBody,
+		garnetworks.PhaseCrossed,
+		garnetworks.PhaseDone,
+	}
+}
+
+// Cell is one cell of the failure table.
+type Cell struct {
+	Phase         garnetworks.CallPhase
+	Repeatability Repeatability
+	// Retry says that the call may be sent to another backend server.
+	Retry bool
+	// Outcome is what this attempt allows to be said of the call if no other
+	// attempt is made.
+	Outcome garnetworks.Outcome
+	// Reason is one sentence for logs and for the operators' page.
+	Reason string
+}
+
+const (
+	reasonConnect      = "no byte of the call was sent, so no server can have begun it"
+	reasonRefused      = "the server answered, by contract, that it did not begin the call"
+	reasonWriteAgain   = "the server may have begun the call; running it twice does no harm"
+	reasonWriteOnce    = "some bytes were sent, so the server may have begun the call"
+	reasonWriteKeyed   = "some bytes were sent under the claim; the claim ends as unknown"
+	reasonWaitAgain    = "the server may be running the call; running it twice does no harm"
+	reasonWaitOnce     = "the call was sent whole, so the server may have run it"
+	reasonWaitKeyed    = "the call was sent whole under the claim; the claim ends as unknown"
+	reasonHeadersAgain = "the server ran the call, wholly or in part; running it twice does no harm"
+	reasonHeadersOnce  = "the server began its answer, so it ran the call, wholly or in part"
+	reasonHeadersKeyed = "the server began its answer under the claim; the claim ends as unknown"
+	reasonBodyAgain    = "the answer is not whole and is dropped; running the call twice does no harm"
+	reasonBodyOnce     = "the server ran the call, but its answer is not whole"
+	reasonBodyKeyed    = "the server ran the call, but there is no whole answer to record"
+	reasonCrossedAgain = "the answer was another call's and is dropped; what became of this call is not known"
+	reasonCrossedOnce  = "the answer was another call's; this call may have run all the same"
+	reasonCrossedKeyed = "the answer was another call's and must not be recorded; this call may have run"
+	reasonDone         = "the whole answer came"
+)
+
+// table is rule R1.
+var table = []Cell{
+	{garnetworks.PhaseConnect, Repeatable, true, garnetworks.OutcomeNotRun, reasonConnect},
+	{garnetworks.PhaseConnect, NotRepeatable, true, garnetworks.OutcomeNotRun, reasonConnect},
+	{garnetworks.PhaseConnect, Keyed, true, garnetworks.OutcomeNotRun, reasonConnect},
+
+	{garnetworks.PhaseWrite, Repeatable, true, garnetworks.OutcomeUnknown, reasonWriteAgain},
+	{garnetworks.PhaseWrite, NotRepeatable, false, garnetworks.OutcomeUnknown, reasonWriteOnce},
+	{garnetworks.PhaseWrite, Keyed, false, garnetworks.OutcomeUnknown, reasonWriteKeyed},
+
+	{garnetworks.PhaseWait, Repeatable, true, garnetworks.OutcomeUnknown, reasonWaitAgain},
+	{garnetworks.PhaseWait, NotRepeatable, false, garnetworks.OutcomeUnknown, reasonWaitOnce},
+	{garnetworks.PhaseWait, Keyed, false, garnetworks.OutcomeUnknown, reasonWaitKeyed},
+
+	{garnetworks.PhaseRefused, Repeatable, true, garnetworks.OutcomeNotRun, reasonRefused},
+	{garnetworks.PhaseRefused, NotRepeatable, true, garnetworks.OutcomeNotRun, reasonRefused},
+	{garnetworks.PhaseRefused, Keyed, true, garnetworks.OutcomeNotRun, reasonRefused},
+
+	{garnetworks.PhaseHeaders, Repeatable, true, garnetworks.OutcomeUnknown, reasonHeadersAgain},
+	{garnetworks.PhaseHeaders, NotRepeatable, false, garnetworks.OutcomeUnknown, reasonHeadersOnce},
+	{garnetworks.PhaseHeaders, Keyed, false, garnetworks.OutcomeUnknown, reasonHeadersKeyed},
+
+	{garnetworks.PhaseBody, Repeatable, true, garnetworks.OutcomeUnknown, reasonBodyAgain},
+	{garnetworks.PhaseBody, NotRepeatable, false, garnetworks.OutcomeUnknown, reasonBodyOnce},
+	{garnetworks.PhaseBody, Keyed, false, garnetworks.OutcomeUnknown, reasonBodyKeyed},
+
+	{garnetworks.PhaseCrossed, Repeatable, true, garnetworks.OutcomeUnknown, reasonCrossedAgain},
+	{garnetworks.PhaseCrossed, NotRepeatable, false, garnetworks.OutcomeUnknown, reasonCrossedOnce},
+	{garnetworks.PhaseCrossed, Keyed, false, garnetworks.OutcomeUnknown, reasonCrossedKeyed},
+
+	{garnetworks.PhaseDone, Repeatable, false, garnetworks.OutcomeCompleted, reasonDone},
+	{garnetworks.PhaseDone, NotRepeatable, false, garnetworks.OutcomeCompleted, reasonDone},
+	{garnetworks.PhaseDone, Keyed, false, garnetworks.OutcomeCompleted, reasonDone},
+}
+
+// Table returns the failure table, one cell for each phase and repeatability.
+func Table() []Cell { return append([]Cell(nil), table...) }
+
+// Lookup returns the table's cell. A pair that the table does not know is never
+// retried and never called "not run".
+func Lookup(phase garnetworks.CallPhase, repeatability Repeatability) Cell {
+	for _, c := range table {
+		if c.Phase == phase && c.Repeatability == repeatability {
+			return c
+		}
+	}
+	return Cell{
+		Phase:         phase,
+		Repeatability: repeatability,
+		Outcome:       garnetworks.OutcomeUnknown,
+		Reason:        "the attempt ended in a way that the table does not know",
+	}
+}
+
+// Verdict is the decision after an attempt.
+type Verdict struct {
+	// Retry permits another attempt, if deadline and budget allow one.
+	Retry bool
+	// Resume says that the next attempt goes on after the delivered tokens.
+	Resume bool
+	// Outcome is what may be said of the whole call if no attempt follows.
+	Outcome garnetworks.Outcome
+	Reason  string
+}
+
+// History is what the attempts of one call have shown so far. The zero value
+// with Repeatability set is a call without attempts.
+type History struct {
+	Repeatability Repeatability
+	// Attempts counts the attempts that ended.
+	Attempts int
+	// MaxAttempts bounds Attempts; above 0.
+	MaxAttempts int
+	// MayHaveRun says that an attempt ended without proof that the call was not
+	// begun. It never goes back to false.
+	MayHaveRun bool
+}
+
+// Failed takes the phase in which an attempt failed, and whether tokens of the
+// call were delivered to the caller before or during it.
+func (h *History) Failed(phase garnetworks.CallPhase, delivered bool) Verdict {
+	cell := Lookup(phase, h.Repeatability)
+	h.Attempts++
+	// Failure: the first attempt breaks off while waiting and may be running,
+	// the second one finds no server. The last attempt alone would say "not run"
+	// of a call that ran. The history keeps the doubt (rule R3).
+	if cell.Outcome != garnetworks.OutcomeNotRun || delivered {
+		h.MayHaveRun = true
+	}
+	return Verdict{
+		Retry:   cell.Retry && h.Attempts < h.MaxAttempts,
+		Resume:  delivered,
+		Outcome: h.Outcome(),
+		Reason:  cell.Reason,
+	}
+}
+
+// Outcome is what may be said of the call if it ends now without an answer.
+func (h *History) Outcome() garnetworks.Outcome {
+	if h.MayHaveRun {
+		return garnetworks.OutcomeUnknown
+	}
+	return garnetworks.OutcomeNotRun
+}
