Let zone reports name the roster's version alone

Cause: rosters already reach every node, so a list of live nodes in each zone report would stand twice. Change: ZoneReport holds no list of live nodes. Conclusion: readers compare versions and wait for the newer roster.

--- a/peer.go
+++ b/peer.go
@@ -322,10 +322,9 @@
 // ZoneReport joins the reports of a zone's nodes; it is the body of TopicStaged.
 type ZoneReport struct {
 	Zone ZoneID `json:"zone"`
-	// Roster is the version of the roster that Live was taken from.
+	// Roster is the version of the zone's roster that the writer knew; a reader
+	// with an older one does not know all nodes that must confirm.
 	Roster uint64 `json:"roster"`
-	// Live are the nodes of the roster, sorted.
-	Live []NodeID `json:"live"`
 	// Nodes are sorted by node.
 	Nodes []NodeReport `json:"nodes"`
 }
