Let zones confirm power grants by ledger version and state their needs by priority

Cause: a confirmation written in ignorance of a lowered grant would let a zone raise its limit after the site had already given the power away. Change: additive fields Since, Sequence, Seen and Needs.

--- a/fleet.go
+++ b/fleet.go
@@ -157,6 +157,10 @@
 	// Wanted is the target; below Granted while the zone has yet to confirm that
 	// it has shrunk.
 	Wanted Watts `json:"wanted"`
+	// Since is the ledger's Sequence that last changed Wanted. A zone's
+	// confirmation counts only if it has seen that version: one that was written
+	// in ignorance of it promises nothing.
+	Since uint64 `json:"since"`
 }
 
 // PowerLedger is the object that holds the grants of all zones.
@@ -166,6 +170,8 @@
 	Cap    Watts       `json:"cap"`
 	Grants []ZoneGrant `json:"grants"`
 	Term   uint32      `json:"term"`
+	// Sequence grows with each write.
+	Sequence uint64 `json:"sequence"`
 	// Generation is the manifest generation the targets were computed from.
 	Generation Generation `json:"generation"`
 	WriteID    string     `json:"write-id"`
@@ -180,7 +186,24 @@
 	// Drawn is the pessimistic draw: every instance not proven off.
 	Drawn Watts `json:"drawn"`
 	// Need is the draw of the groups the manifest wants in the zone.
-	Need    Watts  `json:"need"`
+	Need Watts `json:"need"`
+	// Needs breaks Need down into whole groups, the most important first.
+	Needs []PowerNeed `json:"needs,omitempty"`
+	// Seen is the Sequence of the newest ledger that the zone obeys.
+	Seen    uint64 `json:"seen"`
 	Term    uint32 `json:"term"`
 	WriteID string `json:"write-id"`
 }
+
+// PowerNeed is the power that some equal groups of a zone need.
+type PowerNeed struct {
+	// Minimum says that the groups are among the models' MinGroups; all of them
+	// go before any other need.
+	Minimum bool `json:"minimum,omitempty"`
+	// Priority is the model's.
+	Priority int `json:"priority"`
+	// Watts is the draw of one group; above 0.
+	Watts Watts `json:"watts"`
+	// Groups is the number of groups.
+	Groups int `json:"groups"`
+}
