Admit calls by shares of limits, slots and deadlines

Cause: limits hold for the site, and nodes can't ask anybody on the path of a call; under overload the wrong calls would fail, and late.

--- /dev/null
+++ b/admitter/bucket.go
@@ -0,0 +1,81 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// bucket is a token bucket that may be in debt: a call is let in while there is
+// something left, and pays in full.
+type bucket struct {
+	// rate is the refill for each second, depth the most that gathers.
+	rate, depth float64
+	level       float64
+	at          time.Time
+}
+
+// set changes rate and depth. The first time, the bucket starts with depth for
+// one BurstTime only; a node that restarts gains nothing by it.
+func (b *bucket) set(now time.Time, rate, depth float64) {
+	if b.at.IsZero() {
+		b.level = min(depth, rate*BurstTime.Seconds())
+		b.at = now
+	}
+	b.fill(now)
+	b.rate = rate
+	b.depth = depth
+	b.level = min(b.level, depth)
+}
+
+func (b *bucket) fill(now time.Time) {
+	if passed := now.Sub(b.at).Seconds(); passed > 0 {
+		b.level = min(b.depth, b.level+passed*b.rate)
+		b.at = now
+	}
+}
+
+// wait returns how long until the level reaches need; 0 if it has.
+func (b *bucket) wait(now time.Time, need float64) time.Duration {
+	b.fill(now)
+	if b.level >= need {
+		return 0
+	}
+	if b.rate <= 0 {
+		return longestRetry
+	}
+	return seconds((need - b.level) / b.rate)
+}
+
+// take pays n, or gives it back if n is below 0.
+func (b *bucket) take(now time.Time, n float64) {
+	b.fill(now)
+	b.level = min(b.depth, b.level-n)
+}
+
+// meter is a rate that forgets over window.
+type meter struct {
+	window time.Duration
+	value  float64
+	at     time.Time
+}
+
+func (m *meter) add(now time.Time, n float64) {
+	m.value = m.rate(now) + n/m.window.Seconds()
+	m.at = now
+}
+
+func (m *meter) rate(now time.Time) float64 {
+	passed := now.Sub(m.at)
+	if passed <= 0 || m.value == 0 {
+		return m.value
+	}
+	return m.value * math.Exp(-passed.Seconds()/m.window.Seconds())
+}
+
+// seconds converts with an upper bound, so that no division runs over.
+func seconds(s float64) time.Duration {
+	if s > longestRetry.Seconds() {
+		return longestRetry
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/admitter/gate.go
@@ -0,0 +1,370 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Options describe the node that admits.
+type Options struct {
+	Node garnetworks.NodeID
+	// MaxWaiting bounds the waiting calls of one model; 0 means 256.
+	MaxWaiting int
+}
+
+// gate is the state behind decisions. It does no I/O and no locking; verdicts
+// on waiting calls are left in decided.
+type gate struct {
+	options    Options
+	workspaces map[garnetworks.WorkspaceName]*workspace
+	pools      map[garnetworks.ModelName]*pool
+	// nodes is the number of nodes on the rosters, this one included.
+	nodes int
+	// slots is the node's part of the serving capacity.
+	slots float64
+	// tableAt is when the table in force was received; zero if none is.
+	tableAt time.Time
+	stopped bool
+	decided []*waiter
+	counts  Counts
+}
+
+// Counts are the verdicts since the start.
+type Counts struct {
+	Admitted   uint64
+	OverLimit  uint64
+	Overloaded uint64
+	Deadline   uint64
+	Cancelled  uint64
+	// Waiting and Running are the numbers now.
+	Waiting, Running int
+}
+
+func newGate(options Options) *gate {
+	if options.MaxWaiting <= 0 {
+		options.MaxWaiting = defaultMaxWaiting
+	}
+	return &gate{
+		options:    options,
+		workspaces: map[garnetworks.WorkspaceName]*workspace{},
+		pools:      map[garnetworks.ModelName]*pool{},
+		nodes:      1,
+		slots:      1,
+	}
+}
+
+// setManifest takes workspaces, limits and models. Calls in flight keep the
+// state that they were charged to.
+func (g *gate) setManifest(now time.Time, m *garnetworks.Manifest) {
+	kept := make(map[garnetworks.WorkspaceName]*workspace, len(m.Workspaces))
+	for _, spec := range m.Workspaces {
+		w := g.workspaces[spec.Name]
+		if w == nil {
+			w = newWorkspace()
+			w.share = g.equal()
+		}
+		w.spec = spec
+		w.settle(now)
+		w.apply(now)
+		kept[spec.Name] = w
+	}
+	g.workspaces = kept
+	pools := make(map[garnetworks.ModelName]*pool, len(m.Models))
+	for _, spec := range m.Models {
+		p := g.pools[spec.Name]
+		if p == nil {
+			p = newPool(now, spec.Name)
+		}
+		p.prune()
+		pools[spec.Name] = p
+	}
+	for name, p := range g.pools {
+		if pools[name] == nil {
+			g.refuseAll(now, p)
+		}
+	}
+	g.pools = pools
+}
+
+// refuseAll ends the calls that wait for a model that is no longer served.
+func (g *gate) refuseAll(now time.Time, p *pool) {
+	for _, w := range p.ordered() {
+		g.shed(now, w, garnetworks.Errorf(garnetworks.KindOverloaded, "the model is no longer served"))
+	}
+}
+
+func (g *gate) equal() float64 { return 1 / float64(max(1, g.nodes)) }
+
+func (g *gate) setNodes(now time.Time, nodes int) {
+	g.nodes = max(1, nodes)
+	if g.tableAt.IsZero() {
+		g.useEqual(now)
+	}
+}
+
+// useEqual falls back to equal shares (A3).
+func (g *gate) useEqual(now time.Time) {
+	for _, w := range g.workspaces {
+		w.forceShare(now, g.equal())
+	}
+	g.setSlots(now, g.equal())
+}
+
+// setShares takes the node's row of a table (A2).
+func (g *gate) setShares(now time.Time, row NodeShare) {
+	g.tableAt = now
+	for _, s := range row.Workspaces {
+		if w := g.workspaces[s.Workspace]; w != nil {
+			w.setShare(now, s.Share)
+		}
+	}
+	g.setSlots(now, row.Slots)
+}
+
+func (g *gate) setSlots(now time.Time, part float64) {
+	g.slots = part
+	for _, p := range g.pools {
+		p.setCapacity(now, p.capacity, part)
+		g.dispatch(now, p)
+	}
+}
+
+// expire ends a table that is too old (A3).
+func (g *gate) expire(now time.Time) {
+	if g.tableAt.IsZero() || now.Sub(g.tableAt) <= ShareBound {
+		return
+	}
+	g.tableAt = time.Time{}
+	g.useEqual(now)
+}
+
+// setCapacity takes the capacity of all models; models that are left out have
+// none.
+func (g *gate) setCapacity(now time.Time, capacities []garnetworks.ModelCapacity) {
+	for name, p := range g.pools {
+		c := garnetworks.ModelCapacity{Model: name}
+		for i := range capacities {
+			if capacities[i].Model == name {
+				c = capacities[i]
+			}
+		}
+		p.setCapacity(now, c, g.slots)
+		g.dispatch(now, p)
+	}
+}
+
+// arrive decides on a call: it is let in, waits, or is refused.
+func (g *gate) arrive(now time.Time, request garnetworks.AdmitRequest) *waiter {
+	g.expire(now)
+	w := &waiter{request: request}
+	if err := g.admissible(now, w); err != nil {
+		return g.refuse(w, err)
+	}
+	w.workspace.enter(now, request.Tokens)
+	if w.pool == nil {
+		w.state = admitted
+		g.counts.Admitted++
+		return w
+	}
+	g.place(now, w)
+	return w
+}
+
+// admissible checks everything but the model's slots.
+func (g *gate) admissible(now time.Time, w *waiter) error {
+	if g.stopped {
+		return garnetworks.Errorf(garnetworks.KindShuttingDown, "the node takes no new calls")
+	}
+	r := &w.request
+	if !r.FirstTokenBy.IsZero() && !now.Before(r.FirstTokenBy) {
+		return late(shortestOverload)
+	}
+	w.workspace = g.workspaces[r.Workspace]
+	if w.workspace == nil {
+		return garnetworks.Errorf(garnetworks.KindForbidden, "workspace %s is not in the manifest", r.Workspace)
+	}
+	w.workspace.askedRequests.add(now, 1)
+	w.workspace.askedTokens.add(now, float64(r.Tokens))
+	if r.Model != "" {
+		w.pool = g.pools[r.Model]
+		if w.pool == nil {
+			return garnetworks.Errorf(garnetworks.KindUnknownModel, "model %s is not in the manifest", r.Model)
+		}
+	}
+	if wait := w.workspace.refusal(now, r.Tokens); wait > 0 {
+		return retry(garnetworks.KindOverLimit, wait, "workspace %s is over its limit at this node", r.Workspace)
+	}
+	return nil
+}
+
+// place gives the call a slot or a place in the queue, or refuses it.
+func (g *gate) place(now time.Time, w *waiter) {
+	p := w.pool
+	w.class = p.class(w.request.Priority)
+	w.flow = w.class.flow(w.request.Workspace)
+	w.class.tag(w)
+	if p.waiting == 0 && p.free() {
+		w.class.virtual = max(w.class.virtual, w.start)
+		p.enter(now, w)
+		w.state = admitted
+		g.counts.Admitted++
+		return
+	}
+	wait := p.wait(now, w.class, p.ahead(w))
+	if p.late(now, w, wait) {
+		g.reject(now, w, late(wait))
+		return
+	}
+	if p.waiting >= g.options.MaxWaiting {
+		v := p.victim(w)
+		if v == nil {
+			g.reject(now, w, full(wait))
+			return
+		}
+		g.shed(now, v, full(p.wait(now, v.class, p.ahead(v))))
+	}
+	w.decided = make(chan struct{})
+	w.class.push(w)
+	p.waiting++
+	g.review(now, p, true)
+}
+
+func late(wait time.Duration) error {
+	return retry(garnetworks.KindDeadline, max(wait, shortestOverload), "the first token can't come in time")
+}
+
+func full(wait time.Duration) error {
+	return retry(garnetworks.KindOverloaded, max(wait, shortestOverload), "the queue is full")
+}
+
+func retry(kind garnetworks.Kind, after time.Duration, format string, args ...any) error {
+	err := garnetworks.Errorf(kind, format, args...).(*garnetworks.Error)
+	err.RetryAfter = min(max(after, shortestRetry), longestRetry)
+	return err
+}
+
+// refuse ends a call that was charged nothing.
+func (g *gate) refuse(w *waiter, err error) *waiter {
+	w.state = refused
+	w.err = err
+	g.count(err)
+	return w
+}
+
+// reject ends a tagged call that was never queued.
+func (g *gate) reject(now time.Time, w *waiter, err error) {
+	w.flow.finish -= w.cost()
+	w.workspace.undo(now, w.request.Tokens)
+	g.refuse(w, err)
+}
+
+// shed ends a waiting call with an error (A10).
+func (g *gate) shed(now time.Time, w *waiter, err error) {
+	w.class.remove(w)
+	w.pool.waiting--
+	w.workspace.undo(now, w.request.Tokens)
+	g.refuse(w, err)
+	g.decided = append(g.decided, w)
+}
+
+func (g *gate) count(err error) {
+	switch garnetworks.KindOf(err) {
+	case garnetworks.KindOverLimit:
+		g.counts.OverLimit++
+	case garnetworks.KindOverloaded:
+		g.counts.Overloaded++
+	case garnetworks.KindDeadline:
+		g.counts.Deadline++
+	case garnetworks.KindCancelled:
+		g.counts.Cancelled++
+	}
+}
+
+// dispatch fills free slots (A7).
+func (g *gate) dispatch(now time.Time, p *pool) {
+	for p.waiting > 0 && p.free() {
+		w := p.next()
+		if p.late(now, w, 0) {
+			g.shed(now, w, late(p.wait(now, w.class, 0)))
+			continue
+		}
+		w.class.serve(w)
+		p.waiting--
+		p.enter(now, w)
+		w.state = admitted
+		g.counts.Admitted++
+		g.decided = append(g.decided, w)
+	}
+}
+
+// review refuses the waiting calls that can't make it any more (A9): calls of
+// higher priority came in before them, or slots come free more slowly.
+func (g *gate) review(now time.Time, p *pool, force bool) {
+	if p.waiting == 0 || !force && now.Sub(p.reviewed) < reviewInterval {
+		return
+	}
+	p.reviewed = now
+	ahead := 0
+	for _, w := range p.ordered() {
+		wait := p.wait(now, w.class, ahead)
+		if p.late(now, w, wait) {
+			g.shed(now, w, late(wait))
+			continue
+		}
+		ahead++
+	}
+}
+
+// look reviews a waiting call's queue.
+func (g *gate) look(now time.Time, w *waiter) {
+	g.expire(now)
+	if w.state == waiting {
+		g.review(now, w.pool, false)
+	}
+}
+
+// cancel ends a call whose caller has gone. It returns false if the call has a
+// verdict already.
+func (g *gate) cancel(now time.Time, w *waiter) bool {
+	if w.state != waiting {
+		return false
+	}
+	w.class.remove(w)
+	w.pool.waiting--
+	w.workspace.undo(now, w.request.Tokens)
+	g.refuse(w, garnetworks.Errorf(garnetworks.KindCancelled, "the caller cancelled the call while it waited"))
+	return true
+}
+
+// done ends an admitted call.
+func (g *gate) done(now time.Time, w *waiter, tokens int) {
+	if w.state != admitted {
+		return
+	}
+	w.state = finished
+	w.workspace.leave(now, w.request.Tokens, tokens)
+	if w.pool == nil {
+		return
+	}
+	w.pool.leave(now, w)
+	g.dispatch(now, w.pool)
+	g.review(now, w.pool, false)
+}
+
+// demands returns the node's demand, sorted by workspace.
+func (g *gate) demands(now time.Time) []garnetworks.Demand {
+	var all []garnetworks.Demand
+	for _, w := range g.workspaces {
+		d := w.demand(now)
+		if d.InFlight > 0 || d.RequestsPerSecond > leastDemand {
+			all = append(all, d)
+		}
+	}
+	slices.SortFunc(all, func(a, b garnetworks.Demand) int { return compareNames(a.Workspace, b.Workspace) })
+	return all
+}
+
+// leastDemand is the rate below which a workspace is not reported.
+const leastDemand = 0.001
--- /dev/null
+++ b/admitter/pool.go
@@ -0,0 +1,253 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// defaultHold is the time that a call is taken to hold its slot before any
+	// call has been measured.
+	defaultHold = 5 * time.Second
+	// holdWeight is the weight of one call in the moving average.
+	holdWeight = 0.1
+	// defaultFirstToken is the time to the first token before the node has
+	// measured it.
+	defaultFirstToken = 200 * time.Millisecond
+	// reviewInterval is the time between two looks at the waiting calls (A9).
+	reviewInterval = 25 * time.Millisecond
+	// adaptInterval is the least time between two steps of the slot limit.
+	adaptInterval = 500 * time.Millisecond
+	// Steps and bounds of the slot limit, as factors of the node's part (A6).
+	shrinkStep, growStep            = 0.9, 0.05
+	leastFactor, mostFactor         = 0.3, 2.0
+	queueingUse, roomUse            = 1.0, 0.9
+	shortOfSlots                    = 0.9
+	leastRate                       = 0.05
+	classWindow                     = 2 * time.Second
+	defaultMaxWaiting               = 256
+	retrySpread                     = 0.25
+	shortestOverload                = time.Second
+	noCapacitySlots         float64 = 1
+)
+
+// pool holds a model's slots at the node and the calls that wait for them.
+type pool struct {
+	model    garnetworks.ModelName
+	capacity garnetworks.ModelCapacity
+	// factor adapts the node's part (A6).
+	factor  float64
+	adapted time.Time
+	// limit is the number of calls that the node lets run; at least 1, so that
+	// the router can say why a model is not served.
+	limit   float64
+	running int
+	// startSum is the sum of the entry times of running calls, in seconds since
+	// base, for the mean age.
+	startSum float64
+	base     time.Time
+	hold     float64
+	// classes are sorted by descending priority; they come from the manifest's
+	// priorities.
+	classes  []*class
+	waiting  int
+	reviewed time.Time
+}
+
+func newPool(now time.Time, model garnetworks.ModelName) *pool {
+	return &pool{model: model, factor: 1, limit: noCapacitySlots, base: now, hold: defaultHold.Seconds()}
+}
+
+// class returns the class of a priority.
+func (p *pool) class(priority int) *class {
+	i, ok := slices.BinarySearchFunc(p.classes, priority, func(c *class, want int) int { return want - c.priority })
+	if !ok {
+		c := &class{
+			priority: priority,
+			flows:    map[garnetworks.WorkspaceName]*flow{},
+			entered:  meter{window: classWindow},
+		}
+		p.classes = slices.Insert(p.classes, i, c)
+	}
+	return p.classes[i]
+}
+
+// setCapacity takes the model's capacity and the node's part of it, and adapts
+// the factor (A6).
+func (p *pool) setCapacity(now time.Time, capacity garnetworks.ModelCapacity, part float64) {
+	p.capacity = capacity
+	if capacity.Slots > 0 && now.Sub(p.adapted) >= adaptInterval {
+		p.adapted = now
+		p.adapt(capacity.InUse / float64(capacity.Slots))
+	}
+	p.limit = max(noCapacitySlots, p.factor*part*float64(capacity.Slots))
+}
+
+func (p *pool) adapt(use float64) {
+	switch {
+	case use > queueingUse:
+		p.factor = max(leastFactor, p.factor*shrinkStep)
+	case use < roomUse && float64(p.running) >= shortOfSlots*p.limit:
+		p.factor = min(mostFactor, p.factor+growStep)
+	case use < roomUse && p.factor < 1:
+		p.factor = min(1, p.factor+growStep)
+	}
+}
+
+// free reports whether a slot is free.
+func (p *pool) free() bool { return float64(p.running)+1 <= p.limit }
+
+// enter gives a slot to a call.
+func (p *pool) enter(now time.Time, w *waiter) {
+	p.running++
+	p.startSum += now.Sub(p.base).Seconds()
+	w.entered = now
+	w.class.entered.add(now, 1)
+}
+
+// leave takes the slot back.
+func (p *pool) leave(now time.Time, w *waiter) {
+	p.running--
+	p.startSum -= w.entered.Sub(p.base).Seconds()
+	if p.running == 0 {
+		p.startSum = 0
+	}
+	p.hold += holdWeight * (now.Sub(w.entered).Seconds() - p.hold)
+}
+
+// rate returns the slots that come free in a second while all are taken. If
+// calls stop ending, their age grows above the measured time and the rate falls,
+// before a single one has ended (A9).
+func (p *pool) rate(now time.Time) float64 {
+	hold := max(p.hold, 0.01)
+	if p.running > 0 {
+		age := now.Sub(p.base).Seconds() - p.startSum/float64(p.running)
+		hold = max(hold, age)
+	}
+	return p.limit / hold
+}
+
+// wait estimates how long a call waits that has ahead calls before it in a
+// class.
+func (p *pool) wait(now time.Time, c *class, ahead int) time.Duration {
+	rate := p.rate(now)
+	left := rate
+	for _, higher := range p.classes {
+		if higher.priority <= c.priority {
+			break
+		}
+		left -= higher.entered.rate(now)
+	}
+	left = max(left, leastRate*rate)
+	return seconds(float64(ahead+1) / left)
+}
+
+// ahead counts the calls that would be served before a tagged call.
+func (p *pool) ahead(w *waiter) int {
+	n := 0
+	for _, c := range p.classes {
+		if c.priority < w.class.priority {
+			break
+		}
+		if c != w.class {
+			n += c.waiting
+			continue
+		}
+		for _, f := range c.flows {
+			for _, other := range f.queue {
+				if !before(other, w) {
+					break
+				}
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// firstToken returns the usual time to the first token once a call runs.
+func (p *pool) firstToken() time.Duration {
+	if p.capacity.FirstToken > 0 {
+		return p.capacity.FirstToken
+	}
+	return defaultFirstToken
+}
+
+// late reports whether a call that waits for the given time misses its first
+// token.
+func (p *pool) late(now time.Time, w *waiter, wait time.Duration) bool {
+	by := w.request.FirstTokenBy
+	if by.IsZero() {
+		return false
+	}
+	// A measured time above the whole allowance must not refuse each call that
+	// waits: with half of it assumed, the engines get the chance to do better.
+	first := min(p.firstToken(), by.Sub(w.request.Received)/2)
+	return now.Add(wait + first).After(by)
+}
+
+// prune forgets priorities and workspaces that no call waits for; the manifest
+// names others now.
+func (p *pool) prune() {
+	p.classes = slices.DeleteFunc(p.classes, func(c *class) bool { return c.waiting == 0 })
+	for _, c := range p.classes {
+		for name, f := range c.flows {
+			if len(f.queue) == 0 {
+				delete(c.flows, name)
+			}
+		}
+	}
+}
+
+// next returns the call to be served next, or nil.
+func (p *pool) next() *waiter {
+	for _, c := range p.classes {
+		if c.waiting > 0 {
+			return c.first()
+		}
+	}
+	return nil
+}
+
+// victim returns the call that a newcomer may replace in a full queue, or nil
+// (A8).
+func (p *pool) victim(w *waiter) *waiter {
+	for i := len(p.classes) - 1; i >= 0; i-- {
+		c := p.classes[i]
+		if c.priority > w.class.priority {
+			return nil
+		}
+		if c.waiting == 0 {
+			continue
+		}
+		v := c.longest()
+		if c.priority == w.class.priority && len(v.flow.queue) <= len(w.flow.queue)+1 {
+			return nil
+		}
+		return v
+	}
+	return nil
+}
+
+// ordered returns the waiting calls in the order in which they will be served.
+func (p *pool) ordered() []*waiter {
+	all := make([]*waiter, 0, p.waiting)
+	for _, c := range p.classes {
+		from := len(all)
+		for _, f := range c.flows {
+			all = append(all, f.queue...)
+		}
+		slices.SortFunc(all[from:], func(a, b *waiter) int {
+			if before(a, b) {
+				return -1
+			}
+			if before(b, a) {
+				return 1
+			}
+			return 0
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/admitter/queue.go
@@ -0,0 +1,137 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// waiter is a call that waits or has its verdict.
+type waiter struct {
+	request   garnetworks.AdmitRequest
+	workspace *workspace
+	pool      *pool
+	class     *class
+	flow      *flow
+	// start is the call's start tag in fair queueing (A7).
+	start float64
+	// entered is when the call was let in.
+	entered time.Time
+	state   waitState
+	// err is the verdict of a refused call.
+	err error
+	// decided is closed with the verdict; nil for calls that never waited.
+	decided chan struct{}
+}
+
+type waitState int
+
+const (
+	waiting waitState = iota
+	admitted
+	refused
+	finished
+)
+
+// cost is the call's weight in fair queueing.
+func (w *waiter) cost() float64 { return max(1, float64(w.request.Tokens)) }
+
+// flow is one workspace's queue within a class.
+type flow struct {
+	// finish is the finish tag of the last call that was queued or let in.
+	finish float64
+	queue  []*waiter
+}
+
+// class holds the calls of one priority.
+type class struct {
+	priority int
+	// virtual is the start tag of the last call let in; it never decreases.
+	virtual float64
+	flows   map[garnetworks.WorkspaceName]*flow
+	waiting int
+	// entered measures the calls let in.
+	entered meter
+}
+
+func (c *class) flow(name garnetworks.WorkspaceName) *flow {
+	f := c.flows[name]
+	if f == nil {
+		f = &flow{}
+		c.flows[name] = f
+	}
+	return f
+}
+
+// tag gives a call its tags, as the last of its flow.
+func (c *class) tag(w *waiter) {
+	w.start = max(c.virtual, w.flow.finish)
+	w.flow.finish = w.start + w.cost()
+}
+
+// push queues a tagged call.
+func (c *class) push(w *waiter) {
+	w.flow.queue = append(w.flow.queue, w)
+	c.waiting++
+}
+
+// first returns the call to be served next, or nil. Equal tags are ordered by
+// name, so that the same calls are served in the same order each time.
+func (c *class) first() *waiter {
+	var best *waiter
+	for _, f := range c.flows {
+		if len(f.queue) > 0 && (best == nil || before(f.queue[0], best)) {
+			best = f.queue[0]
+		}
+	}
+	return best
+}
+
+func before(a, b *waiter) bool {
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.request.Workspace < b.request.Workspace
+}
+
+// serve takes a call that is first in its flow out and moves virtual time on.
+func (c *class) serve(w *waiter) {
+	w.flow.queue = w.flow.queue[1:]
+	c.waiting--
+	c.virtual = max(c.virtual, w.start)
+}
+
+// remove takes a call out that will not be served, and moves those behind it
+// forward, as if it had never come (A10).
+func (c *class) remove(w *waiter) {
+	f := w.flow
+	i := slices.Index(f.queue, w)
+	if i < 0 {
+		return
+	}
+	f.queue = slices.Delete(f.queue, i, i+1)
+	c.waiting--
+	for _, later := range f.queue[i:] {
+		later.start = max(c.virtual, later.start-w.cost())
+	}
+	f.finish -= w.cost()
+}
+
+// longest returns the last call of the flow that holds the most calls, or nil.
+func (c *class) longest() *waiter {
+	var best *flow
+	for _, f := range c.flows {
+		if len(f.queue) == 0 {
+			continue
+		}
+		if best == nil || len(f.queue) > len(best.queue) ||
+			len(f.queue) == len(best.queue) && f.queue[0].request.Workspace > best.queue[0].request.Workspace {
+			best = f
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.queue[len(best.queue)-1]
+}
--- /dev/null
+++ b/admitter/shares.go
@@ -0,0 +1,163 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Bounds of the division of limits.
+const (
+	// ShareBound is the age at which a table no longer counts (A3).
+	ShareBound = 15 * time.Second
+	// SettleTime is how long a risen share waits (A2). It is above the time in
+	// which a table reaches all nodes that can be reached.
+	SettleTime = 2 * time.Second
+	// equalPart is the part of the limit that is divided equally (A1).
+	equalPart = 0.25
+)
+
+// NodeDemand is what one node asks for.
+type NodeDemand struct {
+	Node garnetworks.NodeID `json:"node"`
+	// Silent nodes are on the rosters, but have not been heard of within
+	// ShareBound; they are taken to use the equal share (A3).
+	Silent bool `json:"silent,omitempty"`
+	// Demands of a silent node are not looked at.
+	Demands []garnetworks.Demand `json:"demands,omitempty"`
+}
+
+// ShareTable divides limits and slots among nodes.
+type ShareTable struct {
+	// Nodes are sorted by node.
+	Nodes []NodeShare `json:"nodes"`
+}
+
+// NodeShare is one node's part.
+type NodeShare struct {
+	Node garnetworks.NodeID `json:"node"`
+	// Slots is the node's part of the serving capacity, 0 to 1.
+	Slots float64 `json:"slots"`
+	// Workspaces are sorted by name; each workspace's shares sum to 1 at most
+	// over the nodes.
+	Workspaces []WorkspaceShare `json:"workspaces,omitempty"`
+}
+
+// WorkspaceShare is one node's part of a workspace's limits.
+type WorkspaceShare struct {
+	Workspace garnetworks.WorkspaceName `json:"workspace"`
+	Share     float64                   `json:"share"`
+}
+
+// Node returns a node's row.
+func (t *ShareTable) Node(id garnetworks.NodeID) (NodeShare, bool) {
+	i, ok := slices.BinarySearchFunc(t.Nodes, id, func(s NodeShare, id garnetworks.NodeID) int {
+		return compareNames(s.Node, id)
+	})
+	if !ok {
+		return NodeShare{}, false
+	}
+	return t.Nodes[i], true
+}
+
+// Shares divides the limits of the workspaces among all nodes on the rosters
+// (A1, A3). It is a pure function of its arguments, so that each node that
+// knows the same demands computes the same table.
+func Shares(workspaces []garnetworks.WorkspaceSpec, nodes []NodeDemand) ShareTable {
+	nodes = slices.Clone(nodes)
+	slices.SortFunc(nodes, func(a, b NodeDemand) int { return compareNames(a.Node, b.Node) })
+	table := ShareTable{Nodes: make([]NodeShare, len(nodes))}
+	for i, n := range nodes {
+		table.Nodes[i].Node = n.Node
+	}
+	slots := divide(nodes, func(n *NodeDemand) float64 { return busy(n.Demands) })
+	for i := range nodes {
+		table.Nodes[i].Slots = slots[i]
+	}
+	for _, w := range sortedSpecs(workspaces) {
+		part := divide(nodes, func(n *NodeDemand) float64 { return wish(w, n.Demands) })
+		for i := range nodes {
+			row := &table.Nodes[i]
+			row.Workspaces = append(row.Workspaces, WorkspaceShare{w.Name, part[i]})
+		}
+	}
+	return table
+}
+
+func sortedSpecs(workspaces []garnetworks.WorkspaceSpec) []garnetworks.WorkspaceSpec {
+	sorted := slices.Clone(workspaces)
+	slices.SortFunc(sorted, func(a, b garnetworks.WorkspaceSpec) int { return compareNames(a.Name, b.Name) })
+	return sorted
+}
+
+// divide returns each node's part of 1: the equal part for silent nodes, and
+// the rest by demand among the others.
+func divide(nodes []NodeDemand, demand func(*NodeDemand) float64) []float64 {
+	parts := make([]float64, len(nodes))
+	if len(nodes) == 0 {
+		return parts
+	}
+	equal := 1 / float64(len(nodes))
+	left, sum, heard := 1.0, 0.0, 0
+	for i := range nodes {
+		if nodes[i].Silent {
+			parts[i] = equal
+			left -= equal
+			continue
+		}
+		heard++
+		sum += demand(&nodes[i])
+	}
+	for i := range nodes {
+		if nodes[i].Silent {
+			continue
+		}
+		parts[i] = left / float64(heard)
+		if sum > 0 {
+			parts[i] = equalPart*parts[i] + (1-equalPart)*left*demand(&nodes[i])/sum
+		}
+	}
+	return parts
+}
+
+// wish adds up a node's demand for one workspace, each kind as a part of its
+// limit.
+func wish(w garnetworks.WorkspaceSpec, demands []garnetworks.Demand) float64 {
+	sum := 0.0
+	for _, d := range demands {
+		if d.Workspace != w.Name {
+			continue
+		}
+		sum += part(d.RequestsPerSecond, w.Limits.RequestsPerSecond)
+		sum += part(d.TokensPerSecond, w.Limits.TokensPerSecond)
+		sum += part(float64(d.InFlight), float64(w.Limits.Concurrency))
+	}
+	return sum
+}
+
+func part(value, limit float64) float64 {
+	if limit <= 0 || value <= 0 {
+		return 0
+	}
+	return value / limit
+}
+
+// busy adds up the tokens that a node is asked for over all workspaces.
+func busy(demands []garnetworks.Demand) float64 {
+	sum := 0.0
+	for _, d := range demands {
+		sum += max(0, d.TokensPerSecond)
+	}
+	return sum
+}
+
+func compareNames[T ~string](a, b T) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/admitter/workspace.go
@@ -0,0 +1,178 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Bounds of the limits at one node.
+const (
+	// BurstTime is the time for which a bucket gathers (A4).
+	BurstTime = time.Second
+	// BurstCalls is the number of requests that a bucket gathers at least (A4).
+	// With fewer, a node with a small share refuses calls that come in at random
+	// although the site is below the limit.
+	BurstCalls = 3
+	// creditTime is how much call time a node with less than one call's share
+	// gathers (A5).
+	creditTime = 20 * time.Second
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = 5 * time.Second
+
+	shortestRetry = 100 * time.Millisecond
+	longestRetry  = time.Minute
+)
+
+// workspace holds one workspace's limits at the node.
+type workspace struct {
+	spec garnetworks.WorkspaceSpec
+	// share is in force; next takes its place at nextAt (A2).
+	share, next float64
+	nextAt      time.Time
+	requests    bucket
+	tokens      bucket
+	// credit is the call time that the node has earned, in seconds (A5).
+	credit   bucket
+	creditAt time.Time
+	inFlight int
+	// askedRequests and askedTokens measure demand, refused calls included.
+	askedRequests, askedTokens meter
+}
+
+func newWorkspace() *workspace {
+	return &workspace{
+		askedRequests: meter{window: demandWindow},
+		askedTokens:   meter{window: demandWindow},
+	}
+}
+
+// setShare takes a new share: a lower one at once, a higher one later (A2).
+func (w *workspace) setShare(now time.Time, share float64) {
+	w.settle(now)
+	if share <= w.share {
+		w.share = share
+		w.nextAt = time.Time{}
+		w.apply(now)
+		return
+	}
+	if w.nextAt.IsZero() {
+		w.nextAt = now.Add(SettleTime)
+		w.next = share
+		return
+	}
+	// A rise that waits already is lowered at once; raised, it waits anew only
+	// for what was added, so take the lower of both until the next table.
+	w.next = min(w.next, share)
+}
+
+// forceShare sets the share that needs no settling.
+func (w *workspace) forceShare(now time.Time, share float64) {
+	w.share = share
+	w.nextAt = time.Time{}
+	w.apply(now)
+}
+
+// settle puts a share that has waited in force.
+func (w *workspace) settle(now time.Time) {
+	if w.nextAt.IsZero() || now.Before(w.nextAt) {
+		return
+	}
+	w.share = w.next
+	w.nextAt = time.Time{}
+	w.apply(now)
+}
+
+// apply sets the buckets by share and limits (A4).
+func (w *workspace) apply(now time.Time) {
+	l := w.spec.Limits
+	rate := w.share * l.RequestsPerSecond
+	w.requests.set(now, rate, max(BurstCalls, rate*BurstTime.Seconds()))
+	rate = w.share * l.TokensPerSecond
+	w.tokens.set(now, rate, rate*BurstTime.Seconds())
+	w.credit.set(now, min(1, w.calls()), creditTime.Seconds())
+}
+
+// calls returns the node's part of the concurrency limit.
+func (w *workspace) calls() float64 { return w.share * float64(w.spec.Limits.Concurrency) }
+
+// refusal returns how long the limits keep a call of the given tokens out; 0
+// if they let it in.
+func (w *workspace) refusal(now time.Time, tokens int) time.Duration {
+	w.settle(now)
+	l := w.spec.Limits
+	wait := time.Duration(0)
+	if l.RequestsPerSecond > 0 {
+		wait = max(wait, w.requests.wait(now, 1))
+	}
+	if l.TokensPerSecond > 0 && tokens > 0 {
+		// Without debt the call is let in, and pays in full; asking for the whole
+		// price would keep large calls out of small shares for good.
+		wait = max(wait, w.tokens.wait(now, 0))
+	}
+	if l.Concurrency > 0 {
+		wait = max(wait, w.concurrency(now))
+	}
+	return wait
+}
+
+// concurrency returns how long the concurrency limit keeps a call out (A5).
+func (w *workspace) concurrency(now time.Time) time.Duration {
+	w.drain(now)
+	calls := w.calls()
+	if w.inFlight >= int(math.Ceil(max(1, calls))) {
+		return time.Second
+	}
+	if calls < 1 {
+		return w.credit.wait(now, 0)
+	}
+	return 0
+}
+
+// drain pays for the calls in flight since the last look. A share of one call
+// or more is held by the number in flight alone.
+func (w *workspace) drain(now time.Time) {
+	if w.calls() >= 1 {
+		w.credit.level = max(0, w.credit.level)
+		w.creditAt = now
+		return
+	}
+	if passed := now.Sub(w.creditAt).Seconds(); passed > 0 && !w.creditAt.IsZero() {
+		w.credit.take(now, passed*float64(w.inFlight))
+	}
+	w.creditAt = now
+}
+
+// enter charges a call.
+func (w *workspace) enter(now time.Time, tokens int) {
+	w.drain(now)
+	w.requests.take(now, 1)
+	w.tokens.take(now, float64(tokens))
+	w.inFlight++
+}
+
+// undo takes back the charge of a call that did not run (A10).
+func (w *workspace) undo(now time.Time, tokens int) {
+	w.drain(now)
+	w.requests.take(now, -1)
+	w.tokens.take(now, -float64(tokens))
+	w.inFlight--
+}
+
+// leave ends a call that used other tokens than were charged.
+func (w *workspace) leave(now time.Time, charged, used int) {
+	w.drain(now)
+	w.tokens.take(now, float64(used-charged))
+	w.inFlight--
+}
+
+// demand returns what the node asks for.
+func (w *workspace) demand(now time.Time) garnetworks.Demand {
+	return garnetworks.Demand{
+		Workspace:         w.spec.Name,
+		RequestsPerSecond: w.askedRequests.rate(now),
+		TokensPerSecond:   w.askedTokens.rate(now),
+		InFlight:          w.inFlight,
+	}
+}
