Adapters over HTTP for every interface, and servers for the stand-ins

Cause: entry nodes reach platform, engines and services over the network. Change: connector speaks the wire formats with counted and sealed connections, one-shot bodies and a silence watchdog; faker serves its stand-ins on loopback.

--- /dev/null
+++ b/connector/enginecaller.go
@@ -0,0 +1,338 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// EngineCaller calls engines over HTTP/1.1 and reads their answers as
+// server-sent events. It implements garnetworks.EngineCaller.
+type EngineCaller struct{ *pool }
+
+// NewEngineCaller returns a caller with its own pooled connections.
+func NewEngineCaller(options Options) *EngineCaller {
+	return &EngineCaller{newPool(options)}
+}
+
+// Generate implements garnetworks.EngineCaller.
+func (ec *EngineCaller) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	request, body, err := generateRequest(address, call)
+	if err != nil {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	watch := newWatchdog(ec.options.Silence, cancel)
+	response, t, err := ec.send(ctx, address, request, bytes.NewReader(body), len(body))
+	if err != nil {
+		return nil, ec.abandon(address, watch, cancel, &garnetworks.AttemptError{Phase: t.failed(), Cause: err})
+	}
+	if failure := checkHeader(response, HeaderAttempt, string(call.Attempt)); failure != nil {
+		_ = response.Body.Close()
+		return nil, ec.abandon(address, watch, cancel, failure)
+	}
+	watch.rest()
+	return newEngineStream(ec, address, call.Attempt, response.Body, watch, cancel), nil
+}
+
+// abandon ends an attempt and says if silence ended it.
+func (ec *EngineCaller) abandon(address string, watch *watchdog, cancel context.CancelFunc, failure *garnetworks.AttemptError) error {
+	cancel()
+	if watch.stop() {
+		failure.Silent = true
+		ec.drop(address)
+	}
+	return failure
+}
+
+func generateRequest(address string, call *garnetworks.EngineCall) (*http.Request, []byte, error) {
+	body, err := json.Marshal(GenerateBody{
+		Model:            call.Model,
+		Adapter:          call.Adapter,
+		Prompt:           call.Prompt,
+		MaxTokens:        call.MaxTokens,
+		Temperature:      call.Temperature,
+		Stop:             call.Stop,
+		Delivered:        call.Delivered,
+		FirstTokenMillis: millisLeft(call.FirstTokenBy),
+		DeadlineMillis:   millisLeft(call.Deadline),
+	})
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "the call can't be encoded")
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+PathGenerate, nil)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "the address can't be used")
+	}
+	h := request.Header
+	h.Set("Content-Type", "application/json")
+	h.Set("Accept", "text/event-stream")
+	h.Set(HeaderAttempt, string(call.Attempt))
+	h.Set(HeaderCall, string(call.ID))
+	h.Set(HeaderWorkspace, string(call.Workspace))
+	h.Set(HeaderGroup, string(call.Group))
+	h.Set(HeaderToken, strconv.FormatUint(uint64(call.Token), 10))
+	h.Set(HeaderResume, strconv.Itoa(call.ResumeFrom))
+	h.Set(HeaderPriority, strconv.Itoa(call.Priority))
+	return request, body, nil
+}
+
+// millisLeft returns the time until t, at least 1 if t is set.
+func millisLeft(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(t).Milliseconds())
+}
+
+// checkHeader reads the answer's header: nil for an answer of the call's own
+// that was begun.
+func checkHeader(response *http.Response, header, id string) *garnetworks.AttemptError {
+	if failure := checkEcho(response, header, id); failure != nil {
+		return failure
+	}
+	if isRefusal(response) {
+		return refused(response)
+	}
+	if response.StatusCode != http.StatusOK {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseHeaders, Cause: problemError(response)}
+	}
+	return nil
+}
+
+// checkEcho returns nil if the answer echoes the call's identifier (rule C4).
+func checkEcho(response *http.Response, header, id string) *garnetworks.AttemptError {
+	echo := response.Header.Get(header)
+	if echo == id {
+		return nil
+	}
+	return &garnetworks.AttemptError{
+		Phase: garnetworks.PhaseCrossed,
+		Cause: errors.Errorf("status %d with identifier %.64q in place of the call's own", response.StatusCode, echo),
+	}
+}
+
+func refused(response *http.Response) *garnetworks.AttemptError {
+	return &garnetworks.AttemptError{
+		Phase:      garnetworks.PhaseRefused,
+		RetryAfter: retryAfter(response),
+		Cause:      problemError(response),
+	}
+}
+
+// isRefusal reports whether the answer proves that the call was not begun
+// (rule C3). The caller has checked the identifier.
+func isRefusal(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable &&
+		response.Header.Get(HeaderOutcome) == string(garnetworks.OutcomeNotRun)
+}
+
+// retryAfter reads the header in seconds; it is 0 if there is none.
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, time.Hour)
+}
+
+// watchdog cancels an attempt that makes no progress. It runs only while
+// someone waits for the other end.
+type watchdog struct {
+	bound  time.Duration
+	cancel context.CancelFunc
+	timer  *time.Timer
+	// waiting is when the present wait last made progress, in nanoseconds after
+	// start; 0 while nobody waits.
+	waiting atomic.Int64
+	start   time.Time
+	bitten  atomic.Bool
+}
+
+// checksPerBound sets how much longer than its bound a silence can last
+// unnoticed: a quarter.
+const checksPerBound = 4
+
+func newWatchdog(bound time.Duration, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{bound: bound, cancel: cancel, start: time.Now().Add(-1)}
+	w.progress()
+	w.timer = time.AfterFunc(bound, w.check)
+	return w
+}
+
+func (w *watchdog) now() int64 { return int64(time.Since(w.start)) }
+
+// progress notes that a wait begins or has made progress.
+func (w *watchdog) progress() { w.waiting.Store(w.now()) }
+
+// rest notes that nobody waits.
+func (w *watchdog) rest() { w.waiting.Store(0) }
+
+func (w *watchdog) check() {
+	since := w.waiting.Load()
+	if since == 0 || w.now()-since < int64(w.bound) {
+		w.timer.Reset(w.bound / checksPerBound)
+		return
+	}
+	w.bitten.Store(true)
+	w.cancel()
+}
+
+// stop ends the watchdog and reports whether it cancelled the attempt.
+func (w *watchdog) stop() bool {
+	w.timer.Stop()
+	return w.bitten.Load()
+}
+
+// engineStream reads an answer.
+type engineStream struct {
+	caller  *EngineCaller
+	address string
+	attempt garnetworks.CallID
+	body    io.ReadCloser
+	watch   *watchdog
+	cancel  context.CancelFunc
+	reader  *streamReader
+	event   EventBody
+	fed     int64
+	next    int
+	ended   bool
+	failure error
+}
+
+// streamReader is the reusable part of a stream.
+type streamReader struct {
+	events  eventReader
+	data    bytes.Reader
+	decoder *json.Decoder
+}
+
+func newEngineStream(ec *EngineCaller, address string, attempt garnetworks.CallID, body io.ReadCloser, watch *watchdog, cancel context.CancelFunc) *engineStream {
+	s := &engineStream{
+		caller:  ec,
+		address: address,
+		attempt: attempt,
+		body:    body,
+		watch:   watch,
+		cancel:  cancel,
+		next:    -1,
+	}
+	s.reader = &streamReader{}
+	s.reader.events.reset(s)
+	s.reader.decoder = json.NewDecoder(&s.reader.data)
+	return s
+}
+
+// Read reads the body and notes the progress.
+func (s *engineStream) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	s.watch.progress()
+	return n, err
+}
+
+// Next implements garnetworks.EngineStream.
+func (s *engineStream) Next(chunk *garnetworks.Chunk) error {
+	if s.failure != nil {
+		return s.failure
+	}
+	s.watch.progress()
+	err := s.reader.events.next()
+	s.watch.rest()
+	if err == nil {
+		err = s.decode(chunk)
+	}
+	if err != nil {
+		s.failure = s.fail(err)
+		return s.failure
+	}
+	if chunk.End {
+		s.ended = true
+		s.failure = io.EOF
+	}
+	return nil
+}
+
+var errMalformed = errors.New("a malformed event")
+
+// decode reads the event into chunk after checking that it is the attempt's
+// own (rule C4) and that no token is missing or doubled.
+func (s *engineStream) decode(chunk *garnetworks.Chunk) error {
+	r := s.reader
+	if string(r.events.id) != string(s.attempt) {
+		return errCrossed
+	}
+	r.data.Reset(r.events.data)
+	s.fed += int64(len(r.events.data))
+	s.event = EventBody{}
+	if err := r.decoder.Decode(&s.event); err != nil {
+		return err
+	}
+	if r.decoder.InputOffset() != s.fed {
+		return errMalformed
+	}
+	*chunk = garnetworks.Chunk{
+		Attempt:      s.attempt,
+		Index:        s.event.Index,
+		Text:         s.event.Text,
+		Tokens:       s.event.Tokens,
+		End:          string(r.events.event) == EventEnd,
+		FinishReason: s.event.FinishReason,
+	}
+	if s.event.Load != nil {
+		chunk.Load = garnetworks.Some(*s.event.Load)
+	}
+	return s.inOrder(chunk)
+}
+
+// inOrder checks that the chunk goes on where the one before it ended.
+func (s *engineStream) inOrder(chunk *garnetworks.Chunk) error {
+	if chunk.Tokens < 0 || chunk.Index < 0 || (s.next >= 0 && chunk.Index != s.next) {
+		return errors.Errorf("token %d came where %d was due", chunk.Index, s.next)
+	}
+	s.next = chunk.Index + chunk.Tokens
+	return nil
+}
+
+var errCrossed = errors.New("an event carries another attempt's identifier")
+
+// fail ends the attempt with the error that callers see.
+func (s *engineStream) fail(err error) error {
+	failure := &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err}
+	if err == io.EOF {
+		failure.Cause = io.ErrUnexpectedEOF
+	}
+	if err == errCrossed {
+		failure.Phase = garnetworks.PhaseCrossed
+	}
+	return s.caller.abandon(s.address, s.watch, s.cancel, failure)
+}
+
+// Close implements garnetworks.EngineStream. The connection of a whole answer
+// goes back to the pool.
+func (s *engineStream) Close() error {
+	if s.ended {
+		s.finish()
+	}
+	s.watch.stop()
+	s.cancel()
+	return s.body.Close()
+}
+
+// finishBound is how long the end of the body may take after the end marker;
+// after it the connection is not reused.
+const finishBound = 100 * time.Millisecond
+
+func (s *engineStream) finish() {
+	timer := time.AfterFunc(finishBound, s.cancel)
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, s.body, eventBufferBytes)
+}
--- /dev/null
+++ b/connector/link.go
@@ -0,0 +1,285 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Options bound the connections of an adapter; zero fields mean the defaults.
+type Options struct {
+	// ConnectTimeout bounds a TCP connect.
+	ConnectTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. It is short, because
+	// what sits between the two ends forgets idle connections first.
+	IdleTimeout time.Duration
+	// Silence is how long an answer may make no progress (rule C6).
+	Silence time.Duration
+	// MaxIdlePerAddress bounds the pooled connections to one address.
+	MaxIdlePerAddress int
+	// MaxAnswerBytes bounds an answer that is read as a whole.
+	MaxAnswerBytes int64
+	// FreshConnections makes each request open a connection of its own, so that
+	// none is written to a pooled connection that has gone silent.
+	FreshConnections bool
+}
+
+// Default bounds.
+const (
+	DefaultConnectTimeout    = time.Second
+	DefaultIdleTimeout       = 30 * time.Second
+	DefaultSilence           = 3 * time.Second
+	DefaultMaxIdlePerAddress = 64
+	DefaultMaxAnswerBytes    = 32 << 20
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.MaxIdlePerAddress, DefaultMaxIdlePerAddress)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// pool keeps one transport for each address, so that the connections to one
+// address can be dropped without those to others.
+type pool struct {
+	options Options
+	mu      sync.Mutex
+	links   map[string]*link
+	swept   time.Time
+}
+
+// link is the transport to one address.
+type link struct {
+	http.Transport
+	used time.Time
+}
+
+const (
+	// sweepInterval is how often links are looked through.
+	sweepInterval = time.Minute
+	// linkLifetime is how long an unused link is kept; addresses come and go
+	// with instances.
+	linkLifetime = 10 * time.Minute
+	// connBufferBytes is the size of a connection's buffers.
+	connBufferBytes = 4 << 10
+	maxHeaderBytes  = 64 << 10
+)
+
+func newPool(options Options) *pool {
+	return &pool{options: options.withDefaults(), links: make(map[string]*link)}
+}
+
+func (p *pool) link(address string) *link {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.swept) > sweepInterval {
+		p.sweep(now)
+	}
+	l := p.links[address]
+	if l == nil {
+		l = &link{}
+		p.setUp(&l.Transport)
+		p.links[address] = l
+	}
+	l.used = now
+	return l
+}
+
+func (p *pool) setUp(t *http.Transport) {
+	dialer := &net.Dialer{Timeout: p.options.ConnectTimeout}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: c}, nil
+	}
+	t.DisableCompression = true
+	t.DisableKeepAlives = p.options.FreshConnections
+	t.IdleConnTimeout = p.options.IdleTimeout
+	t.MaxIdleConnsPerHost = p.options.MaxIdlePerAddress
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	t.ReadBufferSize = connBufferBytes
+	t.WriteBufferSize = connBufferBytes
+}
+
+// sweep forgets links that were not used for long.
+func (p *pool) sweep(now time.Time) {
+	p.swept = now
+	for address, l := range p.links {
+		if now.Sub(l.used) > linkLifetime {
+			l.CloseIdleConnections()
+			delete(p.links, address)
+		}
+	}
+}
+
+// drop closes the idle connections to an address (rule C6).
+func (p *pool) drop(address string) {
+	p.mu.Lock()
+	l := p.links[address]
+	p.mu.Unlock()
+	if l != nil {
+		l.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (p *pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.CloseIdleConnections()
+	}
+}
+
+// countingConn counts the bytes that it was given to send.
+type countingConn struct {
+	net.Conn
+	mu      sync.Mutex
+	handed  uint64
+	writing int
+	sealed  bool
+}
+
+var errSealed = errors.New("the request was given up before it was sent")
+
+// Write counts p before it is sent and takes the count back if none of it was.
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writing--
+	c.handed += uint64(n)
+	c.mu.Unlock()
+	return n, err
+}
+
+// count returns the bytes sent so far.
+func (c *countingConn) count() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handed
+}
+
+// seal forbids further writes and reports whether more than base bytes have
+// been sent or are being sent.
+//
+// It guards against a request that is given up between getting its connection
+// and being written: the transport's writing goroutine could still send it
+// after the caller was told "not sent" (rule C1).
+func (c *countingConn) seal(base uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.handed > base || c.writing > 0
+}
+
+// trace follows one request through the transport.
+type trace struct {
+	mu sync.Mutex
+	// conn is the connection the request was last given; base is what it had
+	// sent before.
+	conn      *countingConn
+	base      uint64
+	sent      bool
+	firstByte bool
+}
+
+func (t *trace) hooks() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:              t.gotConn,
+		WroteRequest:         t.wroteRequest,
+		GotFirstResponseByte: t.gotFirstByte,
+	}
+}
+
+// gotConn notes the connection. If the request's bytes have left on an earlier
+// one, the transport is about to repeat the request; the new connection is
+// sealed, so that the repetition fails without a byte sent (rule C2).
+func (t *trace) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil && t.conn.seal(t.base) {
+		c.seal(0)
+		return
+	}
+	t.conn, t.base = c, c.count()
+}
+
+func (t *trace) wroteRequest(info httptrace.WroteRequestInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent = info.Err == nil
+}
+
+func (t *trace) gotFirstByte() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.firstByte = true
+}
+
+// failed returns how far a request without a complete answer header had come.
+// After it, no byte of the request can be sent any more.
+func (t *trace) failed() garnetworks.CallPhase {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.conn == nil || !t.conn.seal(t.base):
+		return garnetworks.PhaseConnect
+	case t.firstByte:
+		return garnetworks.PhaseHeaders
+	case !t.sent:
+		return garnetworks.PhaseWrite
+	}
+	return garnetworks.PhaseWait
+}
+
+// oneShot is a body that can be read once. The transport can't rewind it, so
+// it can't repeat a request whose body it has begun to read (rule C2).
+type oneShot struct{ r io.Reader }
+
+func (o *oneShot) Read(p []byte) (int, error) { return o.r.Read(p) }
+
+// Close implements io.Closer.
+func (o *oneShot) Close() error { return nil }
+
+// send makes a request whose body is body. On failure the trace says how far
+// it came.
+func (p *pool) send(ctx context.Context, address string, request *http.Request, body io.Reader, size int) (*http.Response, *trace, error) {
+	t := &trace{}
+	request = request.WithContext(httptrace.WithClientTrace(ctx, t.hooks()))
+	request.Body = &oneShot{body}
+	request.ContentLength = int64(size)
+	request.GetBody = nil
+	response, err := p.link(address).RoundTrip(request)
+	return response, t, err
+}
--- /dev/null
+++ b/connector/platform.go
@@ -0,0 +1,376 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// PlatformTimeout bounds a call to the platform or an order to an engine that
+// has no nearer deadline, so that a silent connection never holds a duty up.
+const PlatformTimeout = 5 * time.Second
+
+// client makes calls whose answers are read as a whole.
+type client struct {
+	*pool
+	// down is the kind of a call that had no effect.
+	down garnetworks.Kind
+}
+
+// exchange is one such call.
+type exchange struct {
+	address string
+	method  string
+	path    string
+	query   url.Values
+	header  http.Header
+	body    []byte
+	// writes says that the call has an effect (rule C5).
+	writes bool
+	// timeout replaces PlatformTimeout if it is above 0.
+	timeout time.Duration
+}
+
+// answer is a whole answer with status 200.
+type answer struct {
+	header http.Header
+	body   []byte
+}
+
+// do makes the call and maps failures to kinds.
+func (c client) do(ctx context.Context, x exchange) (answer, error) {
+	if x.timeout == 0 {
+		x.timeout = PlatformTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: x.address, Path: x.path, RawQuery: x.query.Encode()}
+	request, err := http.NewRequest(x.method, target.String(), nil)
+	if err != nil {
+		return answer{}, garnetworks.WrapError(c.down, err, "the address can't be used")
+	}
+	if x.header != nil {
+		request.Header = x.header
+	}
+	response, t, err := c.send(ctx, x.address, request, bytes.NewReader(x.body), len(x.body))
+	if err != nil {
+		phase := t.failed()
+		c.drop(x.address)
+		return answer{}, c.lost(x, phase, err)
+	}
+	defer response.Body.Close()
+	body, err := readWhole(response, c.options.MaxAnswerBytes)
+	if err != nil {
+		c.drop(x.address)
+		return answer{}, c.lost(x, garnetworks.PhaseBody, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return answer{response.Header, body}, nil
+	}
+	return answer{}, c.refused(x, response.StatusCode, body)
+}
+
+// lost names the failure of a call without a whole answer.
+func (c client) lost(x exchange, phase garnetworks.CallPhase, err error) error {
+	switch {
+	case phase == garnetworks.PhaseConnect:
+		return garnetworks.WrapError(c.down, err, "not sent")
+	case x.writes:
+		return garnetworks.WrapError(garnetworks.KindAnswerLost, err, "the answer was lost in phase "+string(phase))
+	}
+	return garnetworks.WrapError(c.down, err, "no answer in phase "+string(phase))
+}
+
+// refused reads an error answer. One without a known kind proves nothing: it
+// may come from something between the two ends.
+func (c client) refused(x exchange, status int, body []byte) error {
+	var p Problem
+	known := json.Unmarshal(body, &p) == nil && garnetworks.KindAnswer(p.Kind).Kind == p.Kind
+	if !known {
+		return c.lost(x, garnetworks.PhaseHeaders, errors.Errorf("status %d without a known error kind", status))
+	}
+	kind := p.Kind
+	if kind == garnetworks.KindUnreachable || kind == garnetworks.KindInternal {
+		kind = c.down
+	}
+	return &garnetworks.Error{
+		Kind:       kind,
+		Detail:     p.Detail,
+		RetryAfter: time.Duration(p.RetryAfterMillis) * time.Millisecond,
+	}
+}
+
+var (
+	errNoEndMarker = errors.New("the body has neither a length nor a last chunk")
+	errTooLong     = errors.New("the answer is too large")
+)
+
+// readWhole reads a body that has an end marker (rule C4).
+func readWhole(response *http.Response, limit int64) ([]byte, error) {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, errNoEndMarker
+	}
+	if response.ContentLength > limit {
+		return nil, errTooLong
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errTooLong
+	}
+	return body, nil
+}
+
+// maxProblemBytes bounds the error answers that are read for their text.
+const maxProblemBytes = 16 << 10
+
+// problemError reads an error answer's text.
+func problemError(response *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
+	var p Problem
+	if json.Unmarshal(body, &p) == nil && p.Detail != "" {
+		return errors.Errorf("status %d: %.512s", response.StatusCode, p.Detail)
+	}
+	return errors.Errorf("status %d", response.StatusCode)
+}
+
+// getJSON makes a call without effect and decodes its answer.
+func getJSON[T any](ctx context.Context, c client, x exchange) (T, error) {
+	var result T
+	x.method = http.MethodGet
+	a, err := c.do(ctx, x)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal(a.body, &result); err != nil {
+		return result, c.lost(x, garnetworks.PhaseBody, err)
+	}
+	return result, nil
+}
+
+// postJSON makes a call with an effect and decodes its answer.
+func postJSON[T any](ctx context.Context, c client, x exchange, body any) (T, error) {
+	var result T
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return result, garnetworks.WrapError(garnetworks.KindInvalidRequest, err, "the request can't be encoded")
+	}
+	x.method, x.body, x.writes = http.MethodPost, encoded, true
+	x.header = http.Header{"Content-Type": {"application/json"}}
+	a, err := c.do(ctx, x)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal(a.body, &result); err != nil {
+		return result, c.lost(x, garnetworks.PhaseBody, err)
+	}
+	return result, nil
+}
+
+// ObjectAPI calls the platform's object API. It implements
+// garnetworks.ObjectAPI.
+type ObjectAPI struct {
+	client
+	address string
+}
+
+// NewObjectAPI returns an adapter for the object API at address.
+func NewObjectAPI(address string, options Options) *ObjectAPI {
+	return &ObjectAPI{client{newPool(options), garnetworks.KindObjectAPIDown}, address}
+}
+
+// Get implements garnetworks.ObjectAPI.
+func (o *ObjectAPI) Get(ctx context.Context, key string) (garnetworks.Object, error) {
+	x := exchange{address: o.address, method: http.MethodGet, path: PathObject, query: url.Values{"key": {key}}}
+	a, err := o.do(ctx, x)
+	if err != nil {
+		return garnetworks.Object{}, err
+	}
+	revision, err := o.revision(x, a)
+	if err != nil {
+		return garnetworks.Object{}, err
+	}
+	return garnetworks.Object{Key: key, Value: a.body, Revision: revision}, nil
+}
+
+// revision reads the answer's revision. A revision of 0 means absent and can't
+// be that of an object.
+func (o *ObjectAPI) revision(x exchange, a answer) (garnetworks.Revision, error) {
+	n, err := strconv.ParseUint(a.header.Get(HeaderRevision), 10, 64)
+	if err != nil || n == 0 {
+		return 0, o.lost(x, garnetworks.PhaseHeaders, errors.New("the answer has no revision"))
+	}
+	return garnetworks.Revision(n), nil
+}
+
+// Put implements garnetworks.ObjectAPI.
+func (o *ObjectAPI) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	if len(value) > garnetworks.MaxObjectBytes {
+		return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "object %q has %d bytes; %d are allowed", key, len(value), garnetworks.MaxObjectBytes)
+	}
+	x := o.write(http.MethodPut, key, after)
+	x.body = value
+	a, err := o.do(ctx, x)
+	if err != nil {
+		return 0, err
+	}
+	return o.revision(x, a)
+}
+
+func (o *ObjectAPI) write(method, key string, after garnetworks.Revision) exchange {
+	header := make(http.Header)
+	header.Set(HeaderRevision, strconv.FormatUint(uint64(after), 10))
+	return exchange{
+		address: o.address,
+		method:  method,
+		path:    PathObject,
+		query:   url.Values{"key": {key}},
+		header:  header,
+		writes:  true,
+	}
+}
+
+// Delete implements garnetworks.ObjectAPI.
+func (o *ObjectAPI) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
+	_, err := o.do(ctx, o.write(http.MethodDelete, key, after))
+	return err
+}
+
+// List implements garnetworks.ObjectAPI.
+func (o *ObjectAPI) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	x := exchange{address: o.address, path: PathObjects, query: url.Values{"prefix": {prefix}}}
+	body, err := getJSON[ObjectsBody](ctx, o.client, x)
+	if err != nil {
+		return nil, 0, err
+	}
+	return body.objects(), body.Revision, nil
+}
+
+// Watch implements garnetworks.ObjectAPI.
+func (o *ObjectAPI) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	query := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(uint64(after), 10)},
+		"wait-ms": {strconv.FormatInt(max(0, wait.Milliseconds()), 10)},
+	}
+	x := exchange{address: o.address, path: PathWatch, query: query, timeout: wait + PlatformTimeout}
+	body, err := getJSON[ObjectsBody](ctx, o.client, x)
+	if err != nil {
+		return nil, 0, err
+	}
+	return body.objects(), body.Revision, nil
+}
+
+func (b ObjectsBody) objects() []garnetworks.Object {
+	objects := make([]garnetworks.Object, 0, len(b.Objects))
+	for _, o := range b.Objects {
+		objects = append(objects, garnetworks.Object(o))
+	}
+	return objects
+}
+
+// InstanceList calls the platform's instance list. It implements
+// garnetworks.InstanceList.
+type InstanceList struct {
+	client
+	address string
+}
+
+// NewInstanceList returns an adapter for the instance list at address.
+func NewInstanceList(address string, options Options) *InstanceList {
+	return &InstanceList{client{newPool(options), garnetworks.KindUnreachable}, address}
+}
+
+// Instances implements garnetworks.InstanceList.
+func (l *InstanceList) Instances(ctx context.Context, zone garnetworks.ZoneID) ([]garnetworks.ListedInstance, error) {
+	x := exchange{address: l.address, path: PathInstances, query: url.Values{"zone": {string(zone)}}}
+	return getJSON[[]garnetworks.ListedInstance](ctx, l.client, x)
+}
+
+// PowerSwitch calls the platform's power switch. It implements
+// garnetworks.PowerSwitch.
+type PowerSwitch struct {
+	client
+	address string
+}
+
+// NewPowerSwitch returns an adapter for the power switch at address.
+func NewPowerSwitch(address string, options Options) *PowerSwitch {
+	return &PowerSwitch{client{newPool(options), garnetworks.KindUnreachable}, address}
+}
+
+// SetPower implements garnetworks.PowerSwitch.
+func (p *PowerSwitch) SetPower(ctx context.Context, order garnetworks.PowerOrder) error {
+	_, err := postJSON[struct{}](ctx, p.client, exchange{address: p.address, path: PathPower}, order)
+	return err
+}
+
+// Power implements garnetworks.PowerSwitch.
+func (p *PowerSwitch) Power(ctx context.Context, instance garnetworks.InstanceID) (garnetworks.PowerState, error) {
+	x := exchange{address: p.address, path: PathPower, query: url.Values{"instance": {string(instance)}}}
+	body, err := getJSON[PowerBody](ctx, p.client, x)
+	if err != nil {
+		return garnetworks.PowerUnknown, err
+	}
+	return body.State, nil
+}
+
+// WeightStore calls the weight store. It implements garnetworks.WeightStore.
+type WeightStore struct {
+	client
+	address string
+}
+
+// NewWeightStore returns an adapter for the weight store at address.
+func NewWeightStore(address string, options Options) *WeightStore {
+	return &WeightStore{client{newPool(options), garnetworks.KindUnreachable}, address}
+}
+
+// Rate implements garnetworks.WeightStore.
+func (w *WeightStore) Rate(ctx context.Context) (int64, error) {
+	body, err := getJSON[BytesBody](ctx, w.client, exchange{address: w.address, path: PathWeightRate})
+	return body.Bytes, err
+}
+
+// Size implements garnetworks.WeightStore.
+func (w *WeightStore) Size(ctx context.Context, weights garnetworks.WeightID) (int64, error) {
+	query := url.Values{"model": {string(weights.Model)}, "version": {string(weights.Version)}}
+	body, err := getJSON[BytesBody](ctx, w.client, exchange{address: w.address, path: PathWeightSize, query: query})
+	return body.Bytes, err
+}
+
+// EngineOrders sends orders to engines. It implements garnetworks.EngineOrders
+// and garnetworks.CacheEvents.
+type EngineOrders struct{ client }
+
+// NewEngineOrders returns an adapter for engines at any address.
+func NewEngineOrders(options Options) *EngineOrders {
+	return &EngineOrders{client{newPool(options), garnetworks.KindUnreachable}}
+}
+
+// Order implements garnetworks.EngineOrders.
+func (e *EngineOrders) Order(ctx context.Context, address string, order garnetworks.EngineOrder) (garnetworks.EngineStatus, error) {
+	return postJSON[garnetworks.EngineStatus](ctx, e.client, exchange{address: address, path: PathOrders}, order)
+}
+
+// Status implements garnetworks.EngineOrders.
+func (e *EngineOrders) Status(ctx context.Context, address string) (garnetworks.EngineStatus, error) {
+	return getJSON[garnetworks.EngineStatus](ctx, e.client, exchange{address: address, path: PathStatus})
+}
+
+// CacheEvents implements garnetworks.CacheEvents.
+func (e *EngineOrders) CacheEvents(ctx context.Context, address string, after uint64) ([]garnetworks.CacheEvent, error) {
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	return getJSON[[]garnetworks.CacheEvent](ctx, e.client, exchange{address: address, path: PathCacheEvents, query: query})
+}
--- /dev/null
+++ b/connector/servicecaller.go
@@ -0,0 +1,80 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// ServiceCaller calls plain services over HTTP/1.1. It implements
+// garnetworks.ServiceCaller.
+type ServiceCaller struct{ *pool }
+
+// NewServiceCaller returns a caller that opens a connection for each call. The
+// calls are few, and one that may not be repeated must not be written to a
+// pooled connection that has gone silent: it would be lost with its outcome
+// unknown although a new connection would have worked.
+func NewServiceCaller(options Options) *ServiceCaller {
+	options.FreshConnections = true
+	return &ServiceCaller{newPool(options)}
+}
+
+// Call implements garnetworks.ServiceCaller. The context's deadline bounds the
+// call; a plain service shows no progress before its answer.
+func (sc *ServiceCaller) Call(ctx context.Context, address string, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	request, err := serviceRequest(address, call)
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
+	response, t, err := sc.send(ctx, address, request, bytes.NewReader(call.Body), len(call.Body))
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: t.failed(), Cause: err}
+	}
+	defer response.Body.Close()
+	return sc.read(response, call.ID)
+}
+
+func (sc *ServiceCaller) read(response *http.Response, id garnetworks.CallID) (garnetworks.ServiceAnswer, error) {
+	if failure := checkEcho(response, HeaderCall, string(id)); failure != nil {
+		return garnetworks.ServiceAnswer{}, failure
+	}
+	if isRefusal(response) {
+		return garnetworks.ServiceAnswer{}, refused(response)
+	}
+	body, err := readWhole(response, sc.options.MaxAnswerBytes)
+	if err != nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err}
+	}
+	return garnetworks.ServiceAnswer{
+		ID:          id,
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+	}, nil
+}
+
+func serviceRequest(address string, call *garnetworks.ServiceCall) (*http.Request, error) {
+	// Without the slash the path could name another host.
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, errors.Errorf("the path %.64q does not begin with a slash", call.Path)
+	}
+	request, err := http.NewRequest(call.Method, "http://"+address+call.Path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "the call can't be encoded")
+	}
+	h := request.Header
+	h.Set(HeaderCall, string(call.ID))
+	h.Set(HeaderWorkspace, string(call.Workspace))
+	if call.ContentType != "" {
+		h.Set("Content-Type", call.ContentType)
+	}
+	if call.Key != "" {
+		h.Set(HeaderKey, call.Key)
+	}
+	return request, nil
+}
--- a/faker/listener.go
+++ b/faker/listener.go
@@ -9,17 +9,19 @@
 type listener struct {
 	net.Listener
 	faults *Faults
+	// refuses may be nil.
+	refuses func() bool
 }
 
-// Accept waits for a connection; while the stand-in is down, each is closed at
-// once.
+// Accept waits for a connection; while the stand-in is down or refuses, each
+// is reset at once.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if l.faults.FaultsNow().Down {
+		if l.faults.FaultsNow().Down || (l.refuses != nil && l.refuses()) {
 			reset(c)
 			continue
 		}
