Answer callers over HTTP

Cause: callers need the OpenAI-compatible paths and plain services, with outcome, kind and call identifier on every answer. Change: package server parses, authenticates, admits, forwards and answers, whole or as a stream, and drains.

--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -13,9 +13,10 @@
 // the time line's ring.
 const eventsPerSecond = 10
 
-// eventLimiter passes events on to the recorder, and counts those of a second
-// that it leaves out in the next one's detail.
-type eventLimiter struct {
+// EventLimiter is a Recorder that passes events on to another one, and counts
+// those that it leaves out in the next one's detail. It is safe for concurrent
+// use.
+type EventLimiter struct {
 	recorder garnetworks.Recorder
 	mu       sync.Mutex
 	windows  map[garnetworks.EventKind]eventWindow
@@ -27,11 +28,14 @@
 	skipped int
 }
 
-func newEventLimiter(recorder garnetworks.Recorder) *eventLimiter {
-	return &eventLimiter{recorder: recorder, windows: map[garnetworks.EventKind]eventWindow{}}
+// NewEventLimiter returns an EventLimiter in front of recorder, which may be nil.
+func NewEventLimiter(recorder garnetworks.Recorder) *EventLimiter {
+	return &EventLimiter{recorder: recorder, windows: map[garnetworks.EventKind]eventWindow{}}
 }
 
-func (l *eventLimiter) record(event garnetworks.Event) {
+// Record passes the event on, if its kind has not yet had its share of the
+// second.
+func (l *EventLimiter) Record(event garnetworks.Event) {
 	if l.recorder == nil {
 		return
 	}
@@ -45,7 +49,7 @@
 	l.recorder.Record(event)
 }
 
-func (l *eventLimiter) pass(kind garnetworks.EventKind) (skipped int, ok bool) {
+func (l *EventLimiter) pass(kind garnetworks.EventKind) (skipped int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.windows[kind]
@@ -83,5 +87,5 @@
 	if garnetworks.KindAnswer(kind).Outcome == garnetworks.OutcomeNotRun {
 		event.Kind = garnetworks.EventCallRefused
 	}
-	f.events.record(event)
+	f.events.Record(event)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -130,7 +130,7 @@
 // Forwarder forwards calls. It is safe for concurrent use.
 type Forwarder struct {
 	options Options
-	events  *eventLimiter
+	events  *EventLimiter
 	pulses  pulses
 	tasks   tasks
 
@@ -150,7 +150,7 @@
 	}
 	return &Forwarder{
 		options: options,
-		events:  newEventLimiter(options.Recorder),
+		events:  NewEventLimiter(options.Recorder),
 		budget:  retrier.NewBudget(options.Budget, time.Now()),
 	}
 }
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -253,7 +253,7 @@
 
 func (w *watchdog) end(cause error) {
 	w.cancel(cause)
-	w.f.events.record(garnetworks.Event{
+	w.f.events.Record(garnetworks.Event{
 		Kind:   garnetworks.EventSilentConnection,
 		Zone:   w.group.Zone,
 		Group:  w.group.ID,
--- /dev/null
+++ b/server/call.go
@@ -0,0 +1,332 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/forwarder"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+)
+
+// httpCall is one request on its way through the server.
+type httpCall struct {
+	*Server
+	w         http.ResponseWriter
+	r         *http.Request
+	control   *http.ResponseController
+	id        garnetworks.CallID
+	received  time.Time
+	catalog   *catalog
+	workspace *garnetworks.WorkspaceSpec
+	// held is the number of bytes taken from Server.bodies.
+	held   int64
+	report CallReport
+	// forwarded says that the forwarder has recorded how the call ended.
+	forwarded bool
+	// answered says that the answer's header is sent, so that an error can only
+	// be told inside of it.
+	answered bool
+}
+
+// serve runs one call and answers with its error, if it has one.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, run func(*httpCall) error) {
+	c := &httpCall{
+		Server:   s,
+		w:        w,
+		r:        r,
+		control:  http.NewResponseController(w),
+		id:       newCallID(),
+		received: time.Now(),
+	}
+	w.Header().Set(HeaderCallID, string(c.id))
+	if err := s.enter(); err != nil {
+		c.finish(err)
+		return
+	}
+	defer s.leave()
+	defer c.release()
+	c.finish(c.authenticated(run))
+}
+
+func newCallID() garnetworks.CallID {
+	return garnetworks.CallID(strings.ToLower(ulid.Make().String()))
+}
+
+func (c *httpCall) authenticated(run func(*httpCall) error) error {
+	var err error
+	c.catalog, err = c.current()
+	if err != nil {
+		return err
+	}
+	c.workspace, err = c.catalog.workspace(c.r.Header.Get("Authorization"))
+	if err != nil {
+		return err
+	}
+	c.report.Workspace = c.workspace.Name
+	return run(c)
+}
+
+// finish answers with err unless a stream has told it already, and reports the
+// call.
+func (c *httpCall) finish(err error) {
+	if c.closing() && !c.answered {
+		c.w.Header().Set("Connection", "close")
+	}
+	c.report.Outcome = garnetworks.OutcomeCompleted
+	c.report.Elapsed = time.Since(c.received)
+	if err != nil {
+		c.report.Kind = garnetworks.KindOf(err)
+		c.report.Outcome = garnetworks.KindAnswer(c.report.Kind).Outcome
+		c.recordRefusal(err)
+	}
+	if err != nil && !c.answered {
+		c.allowWrite()
+		writeProblem(c.w, c.id, err)
+	}
+	if c.options.Observer != nil {
+		c.options.Observer.CallEnded(c.report)
+	}
+}
+
+// recordRefusal records the calls that a limit refused; the forwarder records
+// its own, and what a caller got wrong is no event.
+func (c *httpCall) recordRefusal(err error) {
+	shed := garnetworks.IsKind(err, garnetworks.KindOverLimit, garnetworks.KindOverloaded, garnetworks.KindDeadline)
+	if c.forwarded || !shed {
+		return
+	}
+	c.refusals.Record(garnetworks.Event{
+		Kind:   garnetworks.EventCallRefused,
+		Call:   c.id,
+		Error:  garnetworks.KindOf(err),
+		Detail: "workspace " + string(c.workspace.Name) + ": " + err.Error(),
+	})
+}
+
+// allowWrite gives the caller WriteTime to take what is written next.
+func (c *httpCall) allowWrite() {
+	// A writer without deadlines, as in tests, is not bounded.
+	_ = c.control.SetWriteDeadline(time.Now().Add(c.options.Limits.WriteTime))
+}
+
+// body reads the request's body within rule H3.
+func (c *httpCall) body() ([]byte, error) {
+	limit := c.options.Limits.Body
+	length := c.r.ContentLength
+	if length > limit {
+		return nil, garnetworks.Errorf(garnetworks.KindTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if length < 0 {
+		length = limit
+	}
+	if !c.bodies.TryAcquire(length) {
+		return nil, garnetworks.Errorf(garnetworks.KindOverloaded, "the node holds too many requests")
+	}
+	c.held = length
+	_ = c.control.SetReadDeadline(time.Now().Add(c.options.Limits.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	// Failure: the deadline stays set while the call runs, and the server's own
+	// wait for the caller's going away takes its end for just that.
+	_ = c.control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, bodyError(err, limit)
+	}
+	c.shrink(int64(len(body)))
+	return body, nil
+}
+
+func bodyError(err error, limit int64) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return garnetworks.Errorf(garnetworks.KindTooLarge, "the body is larger than %d bytes", limit)
+	}
+	return garnetworks.WrapError(garnetworks.KindInvalidRequest, err, "the body did not come whole")
+}
+
+// shrink gives back what a body of unknown length did not need.
+func (c *httpCall) shrink(length int64) {
+	c.bodies.Release(c.held - length)
+	c.held = length
+}
+
+func (c *httpCall) release() { c.bodies.Release(c.held) }
+
+// context returns the call's context: it ends with the caller's connection and
+// with the node's grace period.
+func (c *httpCall) context() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	stop := context.AfterFunc(c.grace, func() { cancel(context.Cause(c.grace)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// admit asks for the workspace's admission.
+func (c *httpCall) admit(ctx context.Context, tokens int, firstTokenBy time.Time) (garnetworks.Ticket, error) {
+	if c.options.Admitter == nil {
+		return openTicket{}, nil
+	}
+	return c.options.Admitter.Admit(ctx, garnetworks.AdmitRequest{
+		Workspace:    c.workspace.Name,
+		Priority:     c.workspace.Priority,
+		Tokens:       tokens,
+		Received:     c.received,
+		FirstTokenBy: firstTokenBy,
+	})
+}
+
+// openTicket is the ticket of a server without an Admitter.
+type openTicket struct{}
+
+func (openTicket) Done(int) {}
+
+// serveModel returns the handler of calls to models.
+func (s *Server) serveModel(parse func([]byte) (*modelRequest, error), shape *shape) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.serve(w, r, func(c *httpCall) error { return c.generate(parse, shape) })
+	}
+}
+
+func (c *httpCall) generate(parse func([]byte) (*modelRequest, error), shape *shape) error {
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	request, err := parse(body)
+	if err != nil {
+		return err
+	}
+	call, err := c.callRequest(request)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	promptTokens := estimateTokens(call.Prompt)
+	ticket, err := c.admit(ctx, promptTokens+call.MaxTokens, call.FirstTokenBy)
+	if err != nil {
+		return err
+	}
+	answer := newAnswer(c, shape, request, promptTokens)
+	c.forwarded = true
+	summary, err := c.options.Calls.Generate(ctx, call, answer)
+	ticket.Done(promptTokens + summary.Tokens)
+	c.report.Summary = summary
+	return answer.end(summary, err)
+}
+
+// callRequest checks the request against the workspace.
+func (c *httpCall) callRequest(request *modelRequest) (*garnetworks.CallRequest, error) {
+	model, adapter, err := c.catalog.model(c.workspace, request.Model)
+	if err != nil {
+		return nil, err
+	}
+	limits := &c.options.Limits
+	setDefault(&request.MaxTokens, limits.DefaultTokens)
+	if request.MaxTokens > limits.MaxTokens {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "max_tokens must be at most %d", limits.MaxTokens)
+	}
+	deadline := c.workspace.Deadline
+	setDefault(&deadline.FirstToken, limits.FirstToken)
+	setDefault(&deadline.Total, limits.Total)
+	c.report.Model = model
+	return &garnetworks.CallRequest{
+		ID:           c.id,
+		Workspace:    c.workspace.Name,
+		Model:        model,
+		Adapter:      adapter,
+		Priority:     c.workspace.Priority,
+		Prompt:       request.Prompt,
+		MaxTokens:    request.MaxTokens,
+		Temperature:  request.Temperature,
+		Stop:         request.Stop,
+		Received:     c.received,
+		FirstTokenBy: c.received.Add(deadline.FirstToken),
+		Deadline:     c.received.Add(deadline.Total),
+	}, nil
+}
+
+// bytesPerToken is the usual length of a token in the languages of the callers.
+const bytesPerToken = 4
+
+// estimateTokens estimates the prompt's tokens: only the engine's tokenizer knows
+// them, and admission can't wait for it.
+func estimateTokens(prompt string) int { return (len(prompt) + bytesPerToken - 1) / bytesPerToken }
+
+// serveService answers calls to plain services.
+func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
+	s.serve(w, r, (*httpCall).callService)
+}
+
+func (c *httpCall) callService() error {
+	service, path, err := splitServicePath(c.r.URL)
+	if err != nil {
+		return err
+	}
+	if err := c.catalog.service(c.workspace, service); err != nil {
+		return err
+	}
+	c.report.Service = service
+	key, err := checkKey(c.r.Header.Values(HeaderKey))
+	if err != nil {
+		return err
+	}
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	ticket, err := c.admit(ctx, 0, c.received.Add(c.options.Limits.FirstToken))
+	if err != nil {
+		return err
+	}
+	defer ticket.Done(0)
+	c.forwarded = true
+	answer, err := c.options.Calls.CallService(ctx, &garnetworks.ServiceCall{
+		ID:          c.id,
+		Workspace:   c.workspace.Name,
+		Service:     service,
+		Method:      c.r.Method,
+		Path:        path,
+		ContentType: c.r.Header.Get(headerType),
+		Body:        body,
+		Key:         key,
+	})
+	if err != nil {
+		return err
+	}
+	return c.writeService(&answer)
+}
+
+// writeService passes a service's answer on.
+func (c *httpCall) writeService(answer *garnetworks.ServiceAnswer) error {
+	// Failure: net/http panics on a status that is none, and the caller would
+	// see a broken connection after its call ran.
+	if answer.Status < http.StatusOK || answer.Status > maxStatus {
+		return garnetworks.Errorf(garnetworks.KindBackendLost, "the backend server answered with status %d", answer.Status)
+	}
+	h := c.w.Header()
+	if answer.ContentType != "" {
+		h.Set(headerType, answer.ContentType)
+	}
+	h.Set(HeaderOutcome, string(garnetworks.OutcomeCompleted))
+	if answer.ID != c.id {
+		h.Set(HeaderReplayed, "true")
+	}
+	c.allowWrite()
+	c.answered = true
+	c.w.WriteHeader(answer.Status)
+	_, _ = c.w.Write(answer.Body)
+	return nil
+}
+
+const maxStatus = 599
+
+var _ Caller = (*forwarder.Forwarder)(nil)
--- /dev/null
+++ b/server/request.go
@@ -0,0 +1,353 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// modelRequest is a parsed request to a model, before it is checked against the
+// workspace.
+type modelRequest struct {
+	// Model is "name" or "name:adapter".
+	Model  string
+	Prompt string
+	// MaxTokens is 0 if the request names none.
+	MaxTokens    int
+	Temperature  float64
+	Stop         []string
+	Stream       bool
+	IncludeUsage bool
+}
+
+// Bounds of a request's fields.
+const (
+	maxStops       = 4
+	maxStopBytes   = 256
+	maxTemperature = 2
+	// defaultTemperature is what OpenAI clients expect where they name none.
+	defaultTemperature = 1
+)
+
+// commonFields are the fields of both kinds of request. Those that are kept raw
+// are refused unless they ask for what the system does anyway (rule H5).
+type commonFields struct {
+	Model         string          `json:"model"`
+	MaxTokens     *int            `json:"max_tokens"`
+	Temperature   *float64        `json:"temperature"`
+	Stop          json.RawMessage `json:"stop"`
+	Stream        bool            `json:"stream"`
+	StreamOptions *streamOptions  `json:"stream_options"`
+
+	N                json.RawMessage `json:"n"`
+	TopP             json.RawMessage `json:"top_p"`
+	PresencePenalty  json.RawMessage `json:"presence_penalty"`
+	FrequencyPenalty json.RawMessage `json:"frequency_penalty"`
+	LogitBias        json.RawMessage `json:"logit_bias"`
+	Logprobs         json.RawMessage `json:"logprobs"`
+	Seed             json.RawMessage `json:"seed"`
+
+	// User and Metadata don't bear on the answer.
+	User     json.RawMessage `json:"user"`
+	Metadata json.RawMessage `json:"metadata"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatFields struct {
+	commonFields
+	Messages            []chatMessage   `json:"messages"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Tools               json.RawMessage `json:"tools"`
+	ToolChoice          json.RawMessage `json:"tool_choice"`
+	ResponseFormat      json.RawMessage `json:"response_format"`
+	TopLogprobs         json.RawMessage `json:"top_logprobs"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+	// Name is a participant's name, which becomes part of the prompt.
+	Name string `json:"name"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+type completionFields struct {
+	commonFields
+	Prompt json.RawMessage `json:"prompt"`
+	Echo   json.RawMessage `json:"echo"`
+	BestOf json.RawMessage `json:"best_of"`
+	Suffix json.RawMessage `json:"suffix"`
+}
+
+// field names a raw field and the values that change nothing.
+type field struct {
+	name    string
+	value   json.RawMessage
+	neutral []string
+}
+
+// parseChat parses a chat completion request.
+func parseChat(body []byte) (*modelRequest, error) {
+	var fields chatFields
+	if err := decode(body, &fields); err != nil {
+		return nil, err
+	}
+	err := neutral(
+		field{"tools", fields.Tools, []string{"[]"}},
+		field{"tool_choice", fields.ToolChoice, []string{`"none"`, `"auto"`}},
+		field{"response_format", fields.ResponseFormat, []string{`{"type":"text"}`}},
+		field{"top_logprobs", fields.TopLogprobs, []string{"0"}},
+	)
+	if err != nil {
+		return nil, err
+	}
+	if fields.MaxTokens != nil && fields.MaxCompletionTokens != nil && *fields.MaxTokens != *fields.MaxCompletionTokens {
+		return nil, invalid("max_tokens and max_completion_tokens differ")
+	}
+	if fields.MaxCompletionTokens != nil {
+		fields.MaxTokens = fields.MaxCompletionTokens
+	}
+	request, err := fields.request()
+	if err != nil {
+		return nil, err
+	}
+	request.Prompt, err = joinMessages(fields.Messages)
+	return request, err
+}
+
+// parseCompletion parses a completion request.
+func parseCompletion(body []byte) (*modelRequest, error) {
+	var fields completionFields
+	if err := decode(body, &fields); err != nil {
+		return nil, err
+	}
+	err := neutral(
+		field{"echo", fields.Echo, []string{"false"}},
+		field{"best_of", fields.BestOf, []string{"1"}},
+		field{"suffix", fields.Suffix, []string{`""`}},
+	)
+	if err != nil {
+		return nil, err
+	}
+	request, err := fields.request()
+	if err != nil {
+		return nil, err
+	}
+	prompts, err := stringOrList("prompt", fields.Prompt)
+	if err != nil {
+		return nil, err
+	}
+	if len(prompts) != 1 || prompts[0] == "" {
+		return nil, invalid("prompt must be one string that is not empty")
+	}
+	request.Prompt = prompts[0]
+	return request, nil
+}
+
+// decode reads one JSON object without unknown fields.
+func decode(body []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return invalid(decodeDetail(err))
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return invalid("the body goes on after its JSON object")
+	}
+	return nil
+}
+
+// decodeDetail makes the decoder's error readable to a caller.
+func decodeDetail(err error) string {
+	detail := strings.TrimPrefix(err.Error(), "json: ")
+	if err == io.EOF {
+		detail = "it is empty"
+	}
+	return "the body is not a valid request: " + detail
+}
+
+func invalid(detail string) error {
+	return &garnetworks.Error{Kind: garnetworks.KindInvalidRequest, Detail: detail}
+}
+
+// neutral returns an error that names the first field whose value the system
+// does not carry out.
+func neutral(fields ...field) error {
+	for _, f := range fields {
+		if !isNeutral(f) {
+			return invalid(f.name + " is not supported")
+		}
+	}
+	return nil
+}
+
+func isNeutral(f field) bool {
+	if len(f.value) == 0 || string(f.value) == "null" {
+		return true
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, f.value); err != nil {
+		return false
+	}
+	for _, v := range f.neutral {
+		if compact.String() == v {
+			return true
+		}
+	}
+	return false
+}
+
+// request checks the common fields.
+func (f *commonFields) request() (*modelRequest, error) {
+	err := neutral(
+		field{"n", f.N, []string{"1"}},
+		field{"top_p", f.TopP, []string{"1", "1.0"}},
+		field{"presence_penalty", f.PresencePenalty, []string{"0", "0.0"}},
+		field{"frequency_penalty", f.FrequencyPenalty, []string{"0", "0.0"}},
+		field{"logit_bias", f.LogitBias, []string{"{}"}},
+		field{"logprobs", f.Logprobs, []string{"false", "0"}},
+		field{"seed", f.Seed, nil},
+	)
+	if err != nil {
+		return nil, err
+	}
+	request := &modelRequest{Model: f.Model, Stream: f.Stream, Temperature: defaultTemperature}
+	if f.Model == "" {
+		return nil, invalid("model is missing")
+	}
+	if f.MaxTokens != nil {
+		if *f.MaxTokens < 1 {
+			return nil, invalid("max_tokens must be above 0")
+		}
+		request.MaxTokens = *f.MaxTokens
+	}
+	if f.Temperature != nil {
+		if *f.Temperature < 0 || *f.Temperature > maxTemperature {
+			return nil, invalid("temperature must be from 0 to 2")
+		}
+		request.Temperature = *f.Temperature
+	}
+	if f.StreamOptions != nil {
+		if !f.Stream {
+			return nil, invalid("stream_options needs stream")
+		}
+		request.IncludeUsage = f.StreamOptions.IncludeUsage
+	}
+	request.Stop, err = stops(f.Stop)
+	return request, err
+}
+
+func stops(raw json.RawMessage) ([]string, error) {
+	list, err := stringOrList("stop", raw)
+	if err != nil {
+		return nil, err
+	}
+	if len(list) > maxStops {
+		return nil, invalid("stop holds more than 4 strings")
+	}
+	for _, s := range list {
+		if s == "" || len(s) > maxStopBytes {
+			return nil, invalid("a stop string must have 1 to 256 bytes")
+		}
+	}
+	return list, nil
+}
+
+// stringOrList reads a string, a list of strings, or nothing.
+func stringOrList(name string, raw json.RawMessage) ([]string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil, nil
+	}
+	if raw[0] == '"' {
+		var one string
+		if err := json.Unmarshal(raw, &one); err != nil {
+			return nil, invalid(name + " is not a string")
+		}
+		return []string{one}, nil
+	}
+	var list []string
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return nil, invalid(name + " must be a string or a list of strings")
+	}
+	return list, nil
+}
+
+// roles are the roles of messages that the system carries.
+var roles = garnetworks.NewSet("system", "developer", "user", "assistant")
+
+// joinMessages makes the prompt. Each message is a header line with its role, and
+// its text; the prompt ends with the header of the answer. Equal beginnings of
+// conversations give equal prefixes, which the engines' caches need.
+func joinMessages(messages []chatMessage) (string, error) {
+	if len(messages) == 0 {
+		return "", invalid("messages is empty")
+	}
+	var prompt strings.Builder
+	for _, m := range messages {
+		if !roles.Has(m.Role) {
+			return "", invalid("the role of a message must be system, developer, user or assistant")
+		}
+		text, err := messageText(m.Content)
+		if err != nil {
+			return "", err
+		}
+		// Failure: text of a user that looks like a header would speak to the
+		// engine in another role.
+		if strings.Contains(text, headerStart) || strings.ContainsAny(m.Name, "<|>\n") {
+			return "", invalid("a message holds " + headerStart + ", which marks the role of messages")
+		}
+		writeHeader(&prompt, m.Role, m.Name)
+		prompt.WriteString(text)
+		prompt.WriteByte('\n')
+	}
+	writeHeader(&prompt, "assistant", "")
+	return prompt.String(), nil
+}
+
+// headerStart begins the header line of a message.
+const headerStart = "<|"
+
+func writeHeader(prompt *strings.Builder, role, name string) {
+	prompt.WriteString(headerStart)
+	prompt.WriteString(role)
+	if name != "" {
+		prompt.WriteByte(' ')
+		prompt.WriteString(name)
+	}
+	prompt.WriteString("|>\n")
+}
+
+func messageText(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", invalid("a message has no content")
+	}
+	if raw[0] == '"' {
+		var text string
+		if err := json.Unmarshal(raw, &text); err != nil {
+			return "", invalid("the content of a message is not a string")
+		}
+		return text, nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", invalid("the content of a message must be a string or a list of text parts")
+	}
+	var text strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", invalid("a part of a message must be of type text")
+		}
+		text.WriteString(p.Text)
+	}
+	return text.String(), nil
+}
