Carry peer calls over drpc with CBOR and mutual TLS

Cause: nodes need calls with deadlines that survive connections which go silent without an error, and that nobody else can make. Change: drpc over pooled TCP connections with a hand-written description, CBOR messages that are compressed from 512 bytes, error kinds and hybrid timestamps on each call, certificates that are reloaded in place, bounds on messages, connections, calls and times. Conclusion: with the progress watch or the closing of the other silent connections taken out, TestSilentConnectionIsReplaced fails.

--- /dev/null
+++ b/messenger/failure.go
@@ -0,0 +1,65 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcerr"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// failureCode marks a drpc error whose text is an encoded failure.
+const failureCode = 1
+
+// failure is an error on its way to the caller (rule M6). The cause stays
+// behind: it may hold what the other side must not see.
+type failure struct {
+	Kind       garnetworks.Kind      `json:"kind"`
+	Detail     string                `json:"detail"`
+	RetryAfter time.Duration         `json:"retry-after,omitempty"`
+	At         garnetworks.Timestamp `json:"at"`
+}
+
+// encodeFailure turns a handler's error into one that drpc sends whole.
+func encodeFailure(err error, at garnetworks.Timestamp) error {
+	f := failure{Kind: garnetworks.KindOf(err), At: at}
+	var e *garnetworks.Error
+	switch {
+	case errors.As(err, &e):
+		f.Detail, f.RetryAfter = e.Detail, e.RetryAfter
+	default:
+		f.Detail = "the peer failed"
+	}
+	text, encodeErr := json.Marshal(f)
+	if encodeErr != nil {
+		return err
+	}
+	return drpcerr.WithCode(errors.New(string(text)), failureCode)
+}
+
+// decodeFailure returns the failure that the handler sent, if it is one.
+func decodeFailure(err error) (failure, bool) {
+	var f failure
+	if drpcerr.Code(err) != failureCode {
+		return f, false
+	}
+	if json.Unmarshal([]byte(err.Error()), &f) != nil {
+		return f, false
+	}
+	return f, true
+}
+
+func (f failure) error() error {
+	return &garnetworks.Error{Kind: f.Kind, Detail: f.Detail, RetryAfter: f.RetryAfter}
+}
+
+// lostAnswer is the error of a call that may have reached the peer.
+func lostAnswer(ctx context.Context, address string, cause error) error {
+	if ctx.Err() != nil {
+		cause = ctx.Err()
+	}
+	return garnetworks.WrapError(garnetworks.KindAnswerLost, cause, "no answer from "+address)
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,434 @@
+package messenger
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// handler answers with what the test set; other methods say not-found.
+type handler struct {
+	heartbeat func(*garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error)
+	fetch     func(*garnetworks.FetchRequest) (*garnetworks.FetchResponse, error)
+}
+
+var errNotFound = garnetworks.Errorf(garnetworks.KindNotFound, "not in this test")
+
+func (h *handler) Heartbeat(_ context.Context, q *garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error) {
+	if h.heartbeat == nil {
+		return &garnetworks.HeartbeatResponse{From: q.From}, nil
+	}
+	return h.heartbeat(q)
+}
+
+func (h *handler) Fetch(_ context.Context, q *garnetworks.FetchRequest) (*garnetworks.FetchResponse, error) {
+	if h.fetch == nil {
+		return nil, errNotFound
+	}
+	return h.fetch(q)
+}
+
+func (h *handler) Distribute(context.Context, *garnetworks.DistributeRequest) (*garnetworks.DistributeResponse, error) {
+	return nil, errNotFound
+}
+
+func (h *handler) Events(context.Context, *garnetworks.EventsRequest) (*garnetworks.EventsResponse, error) {
+	return &garnetworks.EventsResponse{Node: "entry-1"}, nil
+}
+
+func (h *handler) Status(context.Context, *garnetworks.StatusRequest) (*garnetworks.StatusResponse, error) {
+	return nil, io.ErrUnexpectedEOF
+}
+
+func (h *handler) Propose(context.Context, *garnetworks.ProposeRequest) (*garnetworks.ProposeResponse, error) {
+	return nil, &garnetworks.Error{Kind: garnetworks.KindStaleGeneration, Detail: "generation 7 won", RetryAfter: time.Second, Cause: io.EOF}
+}
+
+func (h *handler) Progress(context.Context, *garnetworks.ProgressRequest) (*garnetworks.ProgressResponse, error) {
+	return nil, errNotFound
+}
+
+func (h *handler) Report(context.Context, *garnetworks.ReportRequest) (*garnetworks.ReportResponse, error) {
+	return nil, errNotFound
+}
+
+// serveTest serves h on loopback and returns the address.
+func serveTest(t *testing.T, options ServerOptions) string {
+	t.Helper()
+	server, err := NewServer(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := Listen("127.0.0.1:0", options.Keys, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var done sync.WaitGroup
+	done.Go(func() {
+		if err := server.Serve(t.Context(), listener); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(done.Wait)
+	return listener.Addr().String()
+}
+
+func newTestClient(t *testing.T, options ClientOptions) *Client {
+	c := NewClient(options)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestCallsKeepMessagesAndKinds(t *testing.T) {
+	large := garnetworks.Update{Topic: garnetworks.TopicManifest, Body: []byte(strings.Repeat("key: value\n", 40_000))}
+	address := serveTest(t, ServerOptions{Handler: &handler{
+		fetch: func(q *garnetworks.FetchRequest) (*garnetworks.FetchResponse, error) {
+			if len(q.Topics) == 1 {
+				return &garnetworks.FetchResponse{Updates: []garnetworks.Update{large}}, nil
+			}
+			body := make([]byte, MaxMessageBytes)
+			_, _ = rand.Read(body)
+			return &garnetworks.FetchResponse{Updates: []garnetworks.Update{{Body: body}}}, nil
+		},
+	}})
+	traffic := new(Traffic)
+	c := newTestClient(t, ClientOptions{Traffic: traffic})
+	ctx := t.Context()
+
+	q := &garnetworks.HeartbeatRequest{
+		From:     garnetworks.NodeInfo{ID: "entry-1", Incarnation: 7, Zone: "zone-a", Ready: true},
+		Versions: map[garnetworks.Topic]garnetworks.UpdateVersion{"roster/zone-a": {Term: 2, Sequence: 9}},
+	}
+	heard, err := c.Heartbeat(ctx, address, q)
+	if err != nil || heard.From != q.From {
+		t.Fatalf("heartbeat returned %+v, %v", heard, err)
+	}
+	got, err := c.Fetch(ctx, address, &garnetworks.FetchRequest{Topics: []garnetworks.Topic{"manifest"}})
+	if err != nil || string(got.Updates[0].Body) != string(large.Body) {
+		t.Fatalf("a large message did not come through: %v", err)
+	}
+	if n := traffic.Count().BytesReceived; n > uint64(len(large.Body))/10 {
+		t.Errorf("a repetitive message of %d bytes took %d bytes", len(large.Body), n)
+	}
+
+	kinds := map[string]struct {
+		call func() error
+		want garnetworks.Kind
+	}{
+		"handler's kind":       {func() error { _, err := c.Propose(ctx, address, &garnetworks.ProposeRequest{}); return err }, garnetworks.KindStaleGeneration},
+		"error without a kind": {func() error { _, err := c.Status(ctx, address, &garnetworks.StatusRequest{}); return err }, garnetworks.KindInternal},
+		"answer above bound":   {func() error { _, err := c.Fetch(ctx, address, &garnetworks.FetchRequest{}); return err }, garnetworks.KindTooLarge},
+		"request above bound": {func() error {
+			_, err := c.Propose(ctx, address, &garnetworks.ProposeRequest{Text: make([]byte, MaxMessageBytes+1)})
+			return err
+		}, garnetworks.KindTooLarge},
+		"nobody listens": {func() error { _, err := c.Status(ctx, "127.0.0.1:1", &garnetworks.StatusRequest{}); return err }, garnetworks.KindUnreachable},
+	}
+	for name, test := range kinds {
+		if err := test.call(); !garnetworks.IsKind(err, test.want) {
+			t.Errorf("%s: got %v, want %s", name, err, test.want)
+		}
+	}
+	_, err = c.Propose(ctx, address, &garnetworks.ProposeRequest{})
+	if e, ok := err.(*garnetworks.Error); !ok || e.Detail != "generation 7 won" || e.RetryAfter != time.Second {
+		t.Errorf("detail and retry time were lost: %+v", err)
+	}
+	if n := traffic.Count().Dials; n > 3 {
+		t.Errorf("%d connections were opened for sequential calls", n)
+	}
+}
+
+// forgetter passes bytes on until it is told to forget: from then on it takes
+// bytes of the old connections and passes nothing, without closing them.
+type forgetter struct {
+	target string
+	mu     sync.Mutex
+	forgot chan struct{}
+}
+
+func (f *forgetter) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.forgot)
+	f.forgot = make(chan struct{})
+}
+
+func (f *forgetter) serve(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			forgot := f.forgot
+			f.mu.Unlock()
+			go f.pass(conn, forgot)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (f *forgetter) pass(conn net.Conn, forgot chan struct{}) {
+	back, err := net.Dial("tcp", f.target)
+	if err != nil {
+		return
+	}
+	cut := func(w io.Writer) io.Writer {
+		return writerFunc(func(p []byte) (int, error) {
+			select {
+			case <-forgot:
+				return len(p), nil
+			default:
+				return w.Write(p)
+			}
+		})
+	}
+	go func() { _, _ = io.Copy(cut(conn), back) }()
+	_, _ = io.Copy(cut(back), conn)
+	_ = back.Close()
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+// TestSilentConnectionIsReplaced: Something between two nodes loses track of
+// their open connections. Nothing is closed and no error shows; calls over the
+// old connections would wait until their deadlines, one after the other, while
+// new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	f := &forgetter{target: serveTest(t, ServerOptions{Handler: &handler{}}), forgot: make(chan struct{})}
+	address := f.serve(t)
+	traffic := new(Traffic)
+	c := newTestClient(t, ClientOptions{Traffic: traffic})
+
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		_, err := c.Heartbeat(ctx, address, &garnetworks.HeartbeatRequest{})
+		return err
+	}
+	var group sync.WaitGroup
+	for range 3 {
+		group.Go(func() {
+			if err := call(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	f.forget()
+	for range 3 {
+		if err := call(); err != nil {
+			t.Fatalf("call after the connections fell silent: %v", err)
+		}
+	}
+	if got := traffic.Count(); got.Silent != 1 || got.Retries != 1 {
+		t.Errorf("found %d silent connections and sent %d calls again, want 1 and 1", got.Silent, got.Retries)
+	}
+}
+
+func TestCheckAddress(t *testing.T) {
+	tests := map[string]struct {
+		address           string
+		secured, insecure bool
+		ok                bool
+	}{
+		"loopback":                 {address: "127.0.0.1:7000", ok: true},
+		"loopback, version 6":      {address: "[::1]:7000", ok: true},
+		"open":                     {address: "10.0.0.1:7000"},
+		"all addresses":            {address: ":7000"},
+		"name":                     {address: "localhost:7000"},
+		"open with certificates":   {address: "10.0.0.1:7000", secured: true, ok: true},
+		"open, allowed outright":   {address: "10.0.0.1:7000", insecure: true, ok: true},
+		"no port":                  {address: "127.0.0.1", insecure: true},
+		"all with certificates":    {address: "0.0.0.0:7000", secured: true, ok: true},
+		"all addresses, version 6": {address: "[::]:7000"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := CheckAddress(test.address, test.secured, test.insecure)
+			if (err == nil) != test.ok {
+				t.Errorf("got %v", err)
+			}
+			if err != nil && !garnetworks.IsKind(err, garnetworks.KindInvalidSettings) {
+				t.Errorf("kind of %v", err)
+			}
+		})
+	}
+}
+
+// authority issues certificates for tests.
+type authority struct {
+	t           *testing.T
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	serial      int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	a.key = must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der := must(x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key))
+	a.certificate = must(x509.ParseCertificate(der))
+	return a
+}
+
+// issue writes a certificate for name and this authority into dir.
+func (a *authority) issue(dir, name string) Files {
+	a.serial++
+	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(100 + a.serial), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der := must(x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key))
+	files := Files{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authorities: filepath.Join(dir, "ca.pem")}
+	write := func(path, kind string, der []byte) {
+		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+			a.t.Fatal(err)
+		}
+	}
+	write(files.Certificate, "CERTIFICATE", der)
+	write(files.Key, "PRIVATE KEY", must(x509.MarshalPKCS8PrivateKey(key)))
+	write(files.Authorities, "CERTIFICATE", a.certificate.Raw)
+	return files
+}
+
+func (a *authority) keys(name string) *Keys {
+	return must(LoadKeys(a.issue(a.t.TempDir(), name)))
+}
+
+func TestCertificates(t *testing.T) {
+	site, foreign := newAuthority(t), newAuthority(t)
+	address := serveTest(t, ServerOptions{Handler: &handler{}, Keys: site.keys(NodeName)})
+	heartbeat := func(c *Client) error {
+		_, err := c.Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{})
+		return err
+	}
+	events := func(c *Client) error {
+		_, err := c.Events(t.Context(), address, &garnetworks.EventsRequest{})
+		return err
+	}
+	tests := map[string]struct {
+		keys *Keys
+		call func(*Client) error
+		want garnetworks.Kind
+	}{
+		"node":                      {site.keys(NodeName), heartbeat, ""},
+		"operator reads events":     {site.keys(OperatorName), events, ""},
+		"operator as a node":        {site.keys(OperatorName), heartbeat, garnetworks.KindForbidden},
+		"certificate of other name": {site.keys("billing.example"), events, garnetworks.KindAnswerLost},
+		"foreign authority":         {foreign.keys(NodeName), heartbeat, garnetworks.KindUnreachable},
+		"no certificate":            {nil, heartbeat, garnetworks.KindAnswerLost},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newTestClient(t, ClientOptions{Keys: test.keys})
+			if got := garnetworks.KindOf(test.call(c)); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestKeysAreReloaded: The operators' rotation replaces a node's certificate
+// and authority while the node runs. A half-written file in between must not
+// cut the node off, and the new files must count without a restart.
+func TestKeysAreReloaded(t *testing.T) {
+	before, after := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	files := before.issue(dir, NodeName)
+	keys := must(LoadKeys(files))
+	address := serveTest(t, ServerOptions{Handler: &handler{}, Keys: keys})
+	call := func(k *Keys) error {
+		_, err := newTestClient(t, ClientOptions{Keys: k}).Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{})
+		return err
+	}
+	if err := call(before.keys(NodeName)); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(files.Key, []byte("-----BEGIN PRIV"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if changed, err := keys.Reload(); changed || !garnetworks.IsKind(err, garnetworks.KindInvalidSettings) {
+		t.Errorf("a half-written key gave %v, %v", changed, err)
+	}
+	if err := call(before.keys(NodeName)); err != nil {
+		t.Errorf("a half-written key cut the node off: %v", err)
+	}
+	after.issue(dir, NodeName)
+	if changed, err := keys.Reload(); !changed || err != nil {
+		t.Fatalf("the new files gave %v, %v", changed, err)
+	}
+	if err := call(after.keys(NodeName)); err != nil {
+		t.Errorf("the new authority is refused: %v", err)
+	}
+	if err := call(before.keys(NodeName)); err == nil {
+		t.Error("the old authority is still accepted")
+	}
+}
+
+func FuzzUnmarshal(f *testing.F) {
+	for _, m := range []any{
+		&garnetworks.HeartbeatRequest{From: garnetworks.NodeInfo{ID: "entry-1"}},
+		&garnetworks.HeartbeatRequest{From: garnetworks.NodeInfo{Program: strings.Repeat("x", 4096)}},
+	} {
+		f.Add(must(Encoding{}.Marshal(m)))
+	}
+	f.Add([]byte{formCompressed, 0x9b, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var m garnetworks.HeartbeatRequest
+		_ = Encoding{}.Unmarshal(data, &m)
+	})
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	server := must(NewServer(ServerOptions{Handler: &handler{}}))
+	listener := must(Listen("127.0.0.1:0", nil, false))
+	go func() { _ = server.Serve(b.Context(), listener) }()
+	traffic := new(Traffic)
+	c := NewClient(ClientOptions{Traffic: traffic})
+	defer c.Close()
+	q := &garnetworks.HeartbeatRequest{
+		From:   garnetworks.NodeInfo{ID: "entry-017", Incarnation: 1 << 60, Address: "10.12.140.17:7070", Zone: "zone-c", Region: "region-2", Ready: true, Program: "0.1.0"},
+		At:     garnetworks.Timestamp{Wall: time.Now().UnixMilli(), Logical: 3},
+		Digest: 1 << 63,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Heartbeat(b.Context(), listener.Addr().String(), q); err != nil {
+			b.Fatal(err)
+		}
+	}
+	count := traffic.Count()
+	b.ReportMetric(float64(count.BytesSent)/float64(count.MessagesSent), "B-request")
+	b.ReportMetric(float64(count.BytesReceived)/float64(count.MessagesReceived), "B-answer")
+}
--- /dev/null
+++ b/messenger/server.go
@@ -0,0 +1,187 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// ServerOptions are what a server needs.
+type ServerOptions struct {
+	Handler garnetworks.PeerHandler
+	// Keys secure the connections; nil leaves them open.
+	Keys *Keys
+	// Clock may be nil.
+	Clock Clock
+	// Traffic may be nil.
+	Traffic *Traffic
+	// Log may be nil; it gets what can't be told to a caller.
+	Log func(error)
+}
+
+// Server answers other nodes and operators.
+type Server struct {
+	options ServerOptions
+	drpc    *drpcserver.Server
+	// connections and calls hold a token for each that is open (rule M4).
+	connections, calls chan struct{}
+}
+
+// NewServer returns a server that answers through options.Handler.
+func NewServer(options ServerOptions) (*Server, error) {
+	if options.Clock == nil {
+		options.Clock = unstamped{}
+	}
+	if options.Traffic == nil {
+		options.Traffic = new(Traffic)
+	}
+	if options.Log == nil {
+		options.Log = func(error) {}
+	}
+	s := &Server{
+		options:     options,
+		connections: make(chan struct{}, MaxConnections),
+		calls:       make(chan struct{}, MaxInProgress),
+	}
+	mux := drpcmux.New()
+	if err := mux.Register(s, peerMethods); err != nil {
+		return nil, errors.Wrap(err, "can't register the peer methods")
+	}
+	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return s, nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes + 1024},
+		InactivityTimeout: InactivityBound,
+	}
+}
+
+// Serve answers on the listener until ctx ends, and closes it. It returns when
+// all connections have ended.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if !s.recovered(ctx, err) {
+				return errors.Wrap(err, "can't accept peers")
+			}
+			continue
+		}
+		if !s.admit(conn) {
+			continue
+		}
+		group.Go(func() {
+			defer func() { <-s.connections }()
+			s.serveConn(ctx, conn)
+		})
+	}
+}
+
+// recovered waits after a failure to accept that may pass, such as too many
+// open files, and reports whether to go on.
+func (s *Server) recovered(ctx context.Context, err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	s.options.Log(err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(100 * time.Millisecond):
+	}
+	return true
+}
+
+// admit takes a connection's token or closes the connection (rule M4).
+func (s *Server) admit(conn net.Conn) bool {
+	select {
+	case s.connections <- struct{}{}:
+		return true
+	default:
+		s.options.Traffic.refused.Add(1)
+		_ = conn.Close()
+		return false
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithTimeout(ctx, ConnectionBound)
+	defer cancel()
+	metered := newMeteredConn(conn, s.options.Traffic)
+	defer func() { _ = metered.Close() }()
+	if s.options.Keys == nil {
+		_ = s.drpc.ServeOne(withRole(ctx, roleNode), metered)
+		return
+	}
+	secured := tls.Server(metered, s.options.Keys.serverConfig())
+	role, err := handshake(ctx, secured)
+	if err != nil {
+		s.options.Log(errors.Wrapf(err, "refused the peer %s", conn.RemoteAddr()))
+		return
+	}
+	_ = s.drpc.ServeOne(withRole(ctx, role), secured)
+}
+
+func handshake(ctx context.Context, conn *tls.Conn) (role, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialBound)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return "", err
+	}
+	return roleOf(conn.ConnectionState())
+}
+
+// serve runs one received call.
+func serve[Q, A any](ctx context.Context, s *Server, r rpc[Q, A], request *Q) (*A, error) {
+	answer, err := handle(ctx, s, r, request)
+	s.options.Traffic.messagesReceived.Add(1)
+	s.options.Traffic.messagesSent.Add(1)
+	if err != nil {
+		return nil, encodeFailure(err, s.options.Clock.Now())
+	}
+	*r.answered(answer) = s.options.Clock.Now()
+	return answer, nil
+}
+
+func handle[Q, A any](ctx context.Context, s *Server, r rpc[Q, A], request *Q) (*A, error) {
+	select {
+	case s.calls <- struct{}{}:
+		defer func() { <-s.calls }()
+	default:
+		s.options.Traffic.refused.Add(1)
+		return nil, garnetworks.Errorf(garnetworks.KindOverloaded, "the node works on %d peer calls already", MaxInProgress)
+	}
+	if !r.operators && roleFrom(ctx) != roleNode {
+		return nil, garnetworks.Errorf(garnetworks.KindForbidden, "%s needs a node's certificate", r.name)
+	}
+	if err := s.options.Clock.Observe(*r.asked(request)); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, HandlerBound)
+	defer cancel()
+	answer, err := r.call(s.options.Handler, ctx, request)
+	if err == nil && answer == nil {
+		err = garnetworks.Errorf(garnetworks.KindInternal, "%s gave no answer", r.name)
+	}
+	return answer, err
+}
--- /dev/null
+++ b/messenger/traffic.go
@@ -0,0 +1,90 @@
+package messenger
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Traffic counts what a node sends to and receives from its peers. The zero
+// value is ready for use; it may be shared by a server and a client.
+type Traffic struct {
+	messagesSent, messagesReceived atomic.Uint64
+	bytesSent, bytesReceived       atomic.Uint64
+	dials, silent, retries         atomic.Uint64
+	refused                        atomic.Uint64
+}
+
+// TrafficCount is a reading of Traffic.
+type TrafficCount struct {
+	// Messages are requests and answers.
+	MessagesSent, MessagesReceived uint64
+	// Bytes are counted at the TCP connection, so TLS and framing are in them,
+	// but not the headers of TCP and IP.
+	BytesSent, BytesReceived uint64
+	Dials                    uint64
+	// Silent counts connections that were ended because they moved no byte.
+	Silent uint64
+	// Retries counts calls that were sent a second time.
+	Retries uint64
+	// Refused counts connections and calls turned away by a bound.
+	Refused uint64
+}
+
+// Count reads the counters.
+func (t *Traffic) Count() TrafficCount {
+	return TrafficCount{
+		MessagesSent:     t.messagesSent.Load(),
+		MessagesReceived: t.messagesReceived.Load(),
+		BytesSent:        t.bytesSent.Load(),
+		BytesReceived:    t.bytesReceived.Load(),
+		Dials:            t.dials.Load(),
+		Silent:           t.silent.Load(),
+		Retries:          t.retries.Load(),
+		Refused:          t.refused.Load(),
+	}
+}
+
+// meteredConn counts bytes, notes when the last one moved, and bounds writes.
+type meteredConn struct {
+	net.Conn
+	traffic *Traffic
+	opened  time.Time
+	// moved is when the last byte moved, in nanoseconds after opened.
+	moved atomic.Int64
+}
+
+func newMeteredConn(conn net.Conn, traffic *Traffic) *meteredConn {
+	return &meteredConn{Conn: conn, traffic: traffic, opened: time.Now()}
+}
+
+// Read reads from the connection.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.bytesReceived.Add(uint64(n))
+	c.note(n)
+	return n, err
+}
+
+// Write writes to the connection. Without the deadline, a peer that stops
+// reading would hold the writer and its message for ever.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(WriteBound)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.traffic.bytesSent.Add(uint64(n))
+	c.note(n)
+	return n, err
+}
+
+func (c *meteredConn) note(n int) {
+	if n > 0 {
+		c.moved.Store(int64(time.Since(c.opened)))
+	}
+}
+
+// still is the time since a byte moved.
+func (c *meteredConn) still() time.Duration {
+	return time.Since(c.opened) - time.Duration(c.moved.Load())
+}
