--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -176,8 +176,11 @@
 	if cell.Outcome != garnetworks.OutcomeNotRun || delivered {
 		h.MayHaveRun = true
 	}
+	// What may have run in any attempt is not sent again, even if the last one
+	// proves that it did not run this time (rule R2).
+	once := h.Repeatability != Repeatable && h.MayHaveRun
 	return Verdict{
-		Retry:   cell.Retry && h.Attempts < h.MaxAttempts,
+		Retry:   cell.Retry && !once && h.Attempts < h.MaxAttempts,
 		Resume:  delivered,
 		Outcome: h.Outcome(),
 		Reason:  cell.Reason,
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,143 @@
+package retrier
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	completed = garnetworks.OutcomeCompleted
+	notRun    = garnetworks.OutcomeNotRun
+	unknown   = garnetworks.OutcomeUnknown
+)
+
+// A dispatcher's parts note is doubled, or a note that was written is reported
+// as "not run" and written again by hand. Both begin with one wrong cell of the
+// failure table, so each cell is written down here a second time.
+func TestEveryCell(t *testing.T) {
+	type cell struct {
+		retry   bool
+		outcome garnetworks.Outcome
+	}
+	want := map[garnetworks.CallPhase]map[Repeatability]cell{
+		"connect": {"repeatable": {true, notRun}, "not-repeatable": {true, notRun}, "keyed": {true, notRun}},
+		"write":   {"repeatable": {true, unknown}, "not-repeatable": {false, unknown}, "keyed": {false, unknown}},
+		"wait":    {"repeatable": {true, unknown}, "not-repeatable": {false, unknown}, "keyed": {false, unknown}},
+		"refused": {"repeatable": {true, notRun}, "not-repeatable": {true, notRun}, "keyed": {true, notRun}},
+		"headers": {"repeatable": {true, unknown}, "not-repeatable": {false, unknown}, "keyed": {false, unknown}},
+		"body":    {"repeatable": {true, unknown}, "not-repeatable": {false, unknown}, "keyed": {false, unknown}},
+		"crossed": {"repeatable": {true, unknown}, "not-repeatable": {false, unknown}, "keyed": {false, unknown}},
+		"done":    {"repeatable": {false, completed}, "not-repeatable": {false, completed}, "keyed": {false, completed}},
+		// A phase that an adapter of another program makes up.
+		"resting": {"repeatable": {false, unknown}, "not-repeatable": {false, unknown}, "keyed": {false, unknown}},
+	}
+	for phase, row := range want {
+		for repeatability, w := range row {
+			got := Lookup(phase, repeatability)
+			if got.Retry != w.retry || got.Outcome != w.outcome || got.Reason == "" {
+				t.Errorf("%s, %s: got retry %t, outcome %s (%q), want %t, %s",
+					phase, repeatability, got.Retry, got.Outcome, got.Reason, w.retry, w.outcome)
+			}
+		}
+	}
+	if got, all := len(Table()), len(Phases())*len(Repeatabilities()); got != all || all != 24 {
+		t.Errorf("the table has %d cells, want %d", got, all)
+	}
+}
+
+// A call breaks off while the first server works on it; the second attempt
+// finds no server. Told "not run" because of the last attempt, the caller would
+// run it again although the first server has run it.
+func TestOneDoubtfulAttemptIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := History{
+			Repeatability: rapid.SampledFrom(Repeatabilities()).Draw(t, "repeatability"),
+			MaxAttempts:   rapid.IntRange(1, 5).Draw(t, "max"),
+		}
+		doubtful := false
+		for {
+			phase := rapid.SampledFrom(Phases()[:len(Phases())-1]).Draw(t, "phase")
+			delivered := rapid.Bool().Draw(t, "delivered")
+			mayHaveRun := delivered || (phase != garnetworks.PhaseConnect && phase != garnetworks.PhaseRefused)
+			doubtful = doubtful || mayHaveRun
+			v := h.Failed(phase, delivered)
+			if (v.Outcome == notRun) == doubtful {
+				t.Fatalf("outcome %s, doubtful %t", v.Outcome, doubtful)
+			}
+			if v.Retry && doubtful && h.Repeatability != Repeatable {
+				t.Fatalf("a %s call is sent again after phase %s", h.Repeatability, phase)
+			}
+			if v.Resume != delivered {
+				t.Fatalf("resume %t with delivered %t", v.Resume, delivered)
+			}
+			if h.Attempts > h.MaxAttempts {
+				t.Fatalf("%d attempts of %d", h.Attempts, h.MaxAttempts)
+			}
+			if !v.Retry {
+				return
+			}
+		}
+	})
+}
+
+// A zone goes dark and a share of all calls fails at once, then all that is sent
+// there. The retries must stay within the stated fraction of the calls in each
+// interval, or the zones that are left go down as well.
+func TestBudgetBoundsRetriesInEachInterval(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := BudgetLimits{
+			Fraction: rapid.Float64Range(0, 1).Draw(t, "fraction"),
+			Floor:    rapid.Float64Range(0, 5).Draw(t, "floor"),
+			Burst:    rapid.Float64Range(1, 50).Draw(t, "burst"),
+		}
+		start := time.Unix(1000, 0)
+		now := start
+		b := NewBudget(limits, now)
+		type step struct {
+			at             time.Time
+			calls, retries int
+		}
+		steps := []step{{at: now}}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-50, 2000).Draw(t, "ms")) * time.Millisecond)
+			if now.Before(steps[len(steps)-1].at) {
+				now = steps[len(steps)-1].at
+			}
+			s := step{at: now, calls: rapid.IntRange(0, 20).Draw(t, "calls")}
+			for range s.calls {
+				b.Called(now)
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "wanted") {
+				if b.Take(now) {
+					s.retries++
+				}
+			}
+			// A clock reading taken before another goroutine's, used after it.
+			b.Take(now.Add(-time.Hour))
+			steps = append(steps, s)
+		}
+		for i := range steps {
+			calls, retries := 0, 0
+			for _, s := range steps[i:] {
+				calls += s.calls
+				retries += s.retries
+				bound := limits.Burst + limits.Fraction*float64(calls) + limits.Floor*s.at.Sub(steps[i].at).Seconds()
+				if float64(retries) > bound+1e-6 {
+					t.Fatalf("%d retries, bound %.2f", retries, bound)
+				}
+			}
+		}
+	})
+}
