Accept manifests by one conditional update after every node staged them

Cause: a manifest that the system has accepted must be in force everywhere within seconds and never revert, without each node watching the object API. Change: committer with a head object that decides, a pure state for each node (staging, joined zone reports, decisions in turn) and a thin adapter: New, Run, Manifest, OnUpdate, Propose, Progress, Report, Status.

--- /dev/null
+++ b/committer/committer.go
@@ -0,0 +1,614 @@
+package committer
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/parser"
+	"github.com/garnetworks/garnetworks/watcher"
+)
+
+const (
+	// tick is how often a node looks at what is due while a commit is under way,
+	// and idleTick while there is none.
+	tick     = 20 * time.Millisecond
+	idleTick = 250 * time.Millisecond
+	// queue bounds the actions that wait for their goroutine; what does not fit
+	// is asked for again by Step.
+	queue = 16
+	// peerTimeout bounds one call to a peer.
+	peerTimeout = 2 * time.Second
+	// askedPeers is the number of peers that a new node asks.
+	askedPeers = 3
+	// rosterWait is how long a new node waits for a roster that names its peers.
+	rosterWait = 3 * time.Second
+	// maxCommitID bounds a commit identifier, which is part of an object's key.
+	maxCommitID = 64
+)
+
+// Options describe a node's surroundings. Node, Zone and Objects are required.
+type Options struct {
+	Node        garnetworks.NodeID
+	Incarnation uint64
+	Zone        garnetworks.ZoneID
+	Objects     garnetworks.ObjectAPI
+	// Peers reaches other nodes; without it the node knows only itself.
+	Peers garnetworks.PeerCaller
+	// Rosters returns the rosters of all zones that the node knows; nil means
+	// that the node is alone.
+	Rosters func() []garnetworks.Roster
+	// Seeds are peers' addresses to ask before a roster is known.
+	Seeds []string
+	// Publish hands an update to the distribution; it must not block. The
+	// distribution calls OnUpdate of every node with it.
+	Publish func(garnetworks.Update)
+	// Applied is told of each manifest that the node begins to decide by, in
+	// order. It may be nil, and must not call the committer.
+	Applied func(*garnetworks.AcceptedManifest)
+	// Recorder may be nil.
+	Recorder garnetworks.Recorder
+	// Logger may be nil.
+	Logger hclog.Logger
+	// Clock returns the timestamp for messages; nil takes the runtime's clock.
+	Clock func() garnetworks.Timestamp
+	// Watcher changes the times of the watch of the object API.
+	Watcher watcher.Options
+}
+
+// Status is a node's view of manifests.
+type Status struct {
+	// Applied is the generation that the node decides by.
+	Applied garnetworks.Generation
+	// Staged is the generation that the pending proposal becomes if it is
+	// accepted; 0 if the node has staged none.
+	Staged garnetworks.Generation
+	// InForce is the newest generation that the node knows to be in force.
+	InForce garnetworks.Generation
+	// Learned says that the node has asked for the newest generation (rule M9).
+	Learned bool
+	// Unreadable is a generation above Applied that this program can't read, and
+	// Reason says why.
+	Unreadable garnetworks.Generation
+	Reason     string
+	// StoreBehind says that the object API told of a lower generation than the
+	// node has applied. If that lasts, its data went back. Only nodes that watch
+	// the object API say so.
+	StoreBehind bool
+}
+
+// Committer is a node's part in the acceptance of manifests.
+type Committer struct {
+	options  Options
+	store    store
+	manifest atomic.Pointer[garnetworks.AcceptedManifest]
+	wake     chan struct{}
+	reports  chan SendReport
+	bodies   chan FetchBody
+	decide   chan Action
+
+	mu    sync.Mutex
+	state *State
+	// headAsked and peersAsked say that the object API or the peers have
+	// answered, headDown that the object API could not be asked.
+	headAsked, peersAsked bool
+}
+
+// New returns a committer that knows nothing until Run.
+func New(options Options) *Committer {
+	if options.Publish == nil {
+		options.Publish = func(garnetworks.Update) {}
+	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	if options.Clock == nil {
+		options.Clock = func() garnetworks.Timestamp { return garnetworks.Timestamp{Wall: time.Now().UnixMilli()} }
+	}
+	if options.Watcher.Recorder == nil {
+		options.Watcher.Recorder = options.Recorder
+	}
+	return &Committer{
+		options: options,
+		store:   store{options.Objects},
+		state:   NewState(Identity{Node: options.Node, Incarnation: options.Incarnation, Zone: options.Zone}),
+		wake:    make(chan struct{}, 1),
+		reports: make(chan SendReport, 1),
+		bodies:  make(chan FetchBody, queue),
+		decide:  make(chan Action, 1),
+	}
+}
+
+// Manifest returns the manifest that the node decides by, which nobody changes.
+func (c *Committer) Manifest() (*garnetworks.AcceptedManifest, bool) {
+	m := c.manifest.Load()
+	return m, m != nil
+}
+
+// Status returns the node's view.
+func (c *Committer) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.state
+	status := Status{
+		Applied: s.Applied(),
+		InForce: s.inForce,
+		Learned: c.learned(),
+	}
+	if s.pending() && s.staged.manifest != nil {
+		status.Staged = s.staged.Base + 1
+	}
+	if s.unreadable > s.Applied() {
+		status.Unreadable, status.Reason = s.unreadable, s.unreadableReason
+	}
+	status.StoreBehind = s.storeBehind && s.Watches()
+	return status
+}
+
+// learned reports whether rule M9 lets the node be ready: the object API and
+// the peers were asked, or one of them was and a manifest is known.
+func (c *Committer) learned() bool {
+	if c.state.unreadable > c.state.Applied() {
+		return false
+	}
+	return c.peersAsked && (c.headAsked || c.state.accepted != nil)
+}
+
+// Run takes part in the acceptance of manifests until ctx ends.
+func (c *Committer) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.steps(ctx) })
+	g.Go(func() error { return c.sends(ctx) })
+	g.Go(func() error { return c.fetches(ctx) })
+	g.Go(func() error { return c.decides(ctx) })
+	g.Go(func() error { return c.learnHead(ctx) })
+	g.Go(func() error { return c.learnPeers(ctx) })
+	g.Go(func() error { return c.watches(ctx) })
+	return g.Wait()
+}
+
+// steps runs the state's decisions whenever something was seen or is due.
+func (c *Committer) steps(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-c.wake:
+		}
+		if c.step() {
+			timer.Reset(tick)
+		} else {
+			timer.Reset(idleTick)
+		}
+	}
+}
+
+// step hands out what is due and reports whether more will be soon.
+func (c *Committer) step() bool {
+	var rosters []garnetworks.Roster
+	if c.options.Rosters != nil {
+		rosters = c.options.Rosters()
+	}
+	updates, busy := c.stepState(rosters)
+	for _, u := range updates {
+		c.options.Publish(u)
+	}
+	return busy
+}
+
+// stepState hands out what is due but for the updates, which it returns: an
+// update that was dropped would not be asked for again. Of the other actions a
+// full queue drops what Step asks for again.
+func (c *Committer) stepState(rosters []garnetworks.Roster) (updates []garnetworks.Update, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.SeeRosters(rosters)
+	for _, action := range c.state.Step(time.Now()) {
+		switch a := action.(type) {
+		case Publish:
+			updates = append(updates, a.Update)
+		case SendReport:
+			offer(c.reports, a)
+		case FetchBody:
+			offer(c.bodies, a)
+		case Note:
+			c.record(a.Event)
+		default:
+			offer(c.decide, action)
+		}
+	}
+	c.adopt()
+	return updates, c.state.Busy()
+}
+
+func offer[T any](queue chan T, value T) {
+	select {
+	case queue <- value:
+	default:
+	}
+}
+
+// adopt makes the state's manifest the one that Manifest returns.
+func (c *Committer) adopt() {
+	accepted := c.state.Accepted()
+	if accepted == nil || accepted == c.manifest.Load() {
+		return
+	}
+	c.manifest.Store(accepted)
+	if c.options.Applied != nil {
+		c.options.Applied(accepted)
+	}
+}
+
+func (c *Committer) record(e garnetworks.Event) {
+	c.options.Logger.Info("manifest event", "kind", e.Kind, "generation", e.Generation, "detail", e.Detail)
+	if c.options.Recorder != nil {
+		c.options.Recorder.Record(e)
+	}
+}
+
+// see changes the state and has the steps run.
+func (c *Committer) see(change func(s *State, now time.Time)) {
+	c.mu.Lock()
+	change(c.state, time.Now())
+	c.adopt()
+	c.mu.Unlock()
+	offer(c.wake, struct{}{})
+}
+
+// OnUpdate takes an update from the distribution or a peer; topics of others are
+// ignored.
+func (c *Committer) OnUpdate(u garnetworks.Update) {
+	if !Topics(u.Topic) {
+		return
+	}
+	c.see(func(s *State, now time.Time) { s.SeeUpdate(u, now) })
+}
+
+// Topics reports whether a topic is the committer's.
+func Topics(t garnetworks.Topic) bool {
+	return t == garnetworks.TopicManifest || t == garnetworks.TopicProposal || strings.HasPrefix(string(t), string(garnetworks.TopicStaged))
+}
+
+func (c *Committer) sends(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case r := <-c.reports:
+			c.send(ctx, r)
+		}
+	}
+}
+
+// send brings the report to a peer, and fetches what the peer knows better.
+func (c *Committer) send(ctx context.Context, r SendReport) {
+	if c.options.Peers == nil {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	request := &garnetworks.ReportRequest{At: c.options.Clock(), Zone: c.options.Zone, Report: r.Report}
+	response, err := c.options.Peers.Report(call, r.To.Address, request)
+	if err != nil {
+		c.options.Logger.Debug("report not delivered", "to", r.To.ID, "error", err)
+		return
+	}
+	if response.Manifest > r.Report.Applied || response.Proposal > r.Report.Proposal {
+		c.fetchFrom(call, r.To.Address)
+	}
+}
+
+// fetchFrom asks a peer for its manifests and reports whether it answered.
+func (c *Committer) fetchFrom(ctx context.Context, address string) bool {
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	request := &garnetworks.FetchRequest{
+		At:     c.options.Clock(),
+		Topics: []garnetworks.Topic{garnetworks.TopicManifest, garnetworks.TopicProposal},
+	}
+	response, err := c.options.Peers.Fetch(call, address, request)
+	if err != nil {
+		return false
+	}
+	for _, u := range response.Updates {
+		c.OnUpdate(u)
+	}
+	return true
+}
+
+func (c *Committer) fetches(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-c.bodies:
+			body, err := c.store.readBody(ctx, f.CommitID)
+			if err != nil {
+				c.options.Logger.Debug("manifest not read", "commit", f.CommitID, "error", err)
+				continue
+			}
+			c.see(func(s *State, now time.Time) { s.SeeBody(f.CommitID, body, now) })
+		}
+	}
+}
+
+func (c *Committer) decides(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case action := <-c.decide:
+			c.write(ctx, action)
+		}
+	}
+}
+
+// write carries out the acceptance or the end of a proposal. Another node may
+// have done it: then the head says so and nothing is written.
+func (c *Committer) write(ctx context.Context, action Action) {
+	head, err := c.store.change(ctx, func(h Head) (Head, bool, error) {
+		switch a := action.(type) {
+		case Accept:
+			next, changed := h.Accept(a.Number, time.Now())
+			return next, changed, nil
+		case Refuse:
+			next, changed := h.Refuse(a.Number, a.Reason)
+			return next, changed, nil
+		}
+		return h, false, nil
+	})
+	if err != nil {
+		c.options.Logger.Warn("proposal not decided", "error", err)
+		return
+	}
+	c.seeHead(head, (*State).SeeAcceptance)
+}
+
+// seeHead takes a head that was read or written.
+func (c *Committer) seeHead(h headObject, take func(*State, Head, garnetworks.Revision, time.Time)) {
+	c.see(func(s *State, now time.Time) {
+		take(s, h.Head, h.revision, now)
+	})
+}
+
+// learnHead reads the head until it was read once (rule M9).
+func (c *Committer) learnHead(ctx context.Context) error {
+	for {
+		h, err := c.store.readHead(ctx)
+		if err == nil {
+			c.seeHead(h, (*State).SeeHead)
+			c.mu.Lock()
+			c.headAsked = true
+			c.mu.Unlock()
+			return nil
+		}
+		if err := pause(ctx, writePause); err != nil {
+			return err
+		}
+	}
+}
+
+// learnPeers asks some peers for their manifests once (rule M9). The object API
+// may answer with a value that is behind; a peer in whose sight a generation has
+// come into force knows it.
+func (c *Committer) learnPeers(ctx context.Context) error {
+	addresses := c.peerAddresses(ctx)
+	answers := 0
+	for _, address := range addresses {
+		if answers == askedPeers || ctx.Err() != nil {
+			break
+		}
+		if c.fetchFrom(ctx, address) {
+			answers++
+		}
+	}
+	c.mu.Lock()
+	c.peersAsked = true
+	c.mu.Unlock()
+	return ctx.Err()
+}
+
+// peerAddresses returns the addresses of the other nodes, those of the own zone
+// first, once a roster names some or the wait is over.
+func (c *Committer) peerAddresses(ctx context.Context) []string {
+	if c.options.Peers == nil {
+		return nil
+	}
+	deadline := time.Now().Add(rosterWait)
+	var near, far []string
+	for c.options.Rosters != nil && ctx.Err() == nil {
+		near, far = c.rosterAddresses()
+		if len(near)+len(far) > 0 || !time.Now().Before(deadline) {
+			break
+		}
+		_ = pause(ctx, tick)
+	}
+	return append(append(near, far...), c.options.Seeds...)
+}
+
+func (c *Committer) rosterAddresses() (near, far []string) {
+	for _, r := range c.options.Rosters() {
+		for _, n := range r.Nodes {
+			switch {
+			case n.ID == c.options.Node:
+			case r.Zone == c.options.Zone:
+				near = append(near, n.Address)
+			default:
+				far = append(far, n.Address)
+			}
+		}
+	}
+	return near, far
+}
+
+// watches follows the head while the node is one of those that watch.
+func (c *Committer) watches(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if !c.shallWatch() {
+			_ = pause(ctx, time.Second)
+			continue
+		}
+		c.watch(ctx)
+	}
+	return ctx.Err()
+}
+
+func (c *Committer) shallWatch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Watches()
+}
+
+// watch follows the head until ctx ends or it is others' turn.
+func (c *Committer) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for pause(ctx, time.Second) == nil && c.shallWatch() {
+		}
+	}()
+	w := watcher.New(c.options.Objects, HeadKey, c.options.Watcher)
+	_ = w.Run(ctx, func(o garnetworks.Object) {
+		if o.Key != HeadKey || o.Deleted {
+			return
+		}
+		h, err := decodeHead(o.Value)
+		if err != nil {
+			c.options.Logger.Error("head not readable", "error", err)
+			return
+		}
+		c.seeHead(headObject{h, o.Revision}, (*State).SeeHead)
+	})
+}
+
+// Propose answers garnetworks.PeerHandler. The manifest is parsed and checked
+// before anything is written. Errors are of kind KindInvalidManifest,
+// KindInvalidRequest, KindTooLarge, KindStaleGeneration (the detail names who
+// won), KindConflict (another proposal is pending), KindObjectAPIDown (nothing
+// was written) or KindOutcomeUnknown; a response tells how the commit stands.
+func (c *Committer) Propose(ctx context.Context, request *garnetworks.ProposeRequest) (*garnetworks.ProposeResponse, error) {
+	body, err := c.checkProposal(request)
+	if err != nil {
+		return nil, err
+	}
+	progress, err := c.propose(ctx, request, body)
+	if err != nil {
+		return nil, err
+	}
+	return &garnetworks.ProposeResponse{At: c.options.Clock(), Progress: progress}, nil
+}
+
+// checkProposal returns the manifest's body as it is stored.
+func (c *Committer) checkProposal(request *garnetworks.ProposeRequest) ([]byte, error) {
+	if !validCommitID(request.CommitID) {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "a commit identifier is 1 to %d letters, digits and hyphens", maxCommitID)
+	}
+	if request.Operator == "" || len(request.Operator) > 2*maxCommitID {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "an operator's name has 1 to %d bytes", 2*maxCommitID)
+	}
+	manifest, problems := parser.Parse("", request.Text)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return parser.Encode(manifest)
+}
+
+func validCommitID(id string) bool {
+	const digits = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-"
+	return id != "" && len(id) <= maxCommitID && strings.Trim(id, digits) == ""
+}
+
+func (c *Committer) propose(ctx context.Context, request *garnetworks.ProposeRequest, body []byte) (garnetworks.CommitProgress, error) {
+	p := Proposal{
+		CommitID: request.CommitID,
+		Operator: request.Operator,
+		Base:     request.Base,
+		Hash:     hashOf(body),
+		At:       time.Now(),
+	}
+	known, err := c.store.readHead(ctx)
+	if err != nil {
+		return garnetworks.CommitProgress{}, garnetworks.WrapError(garnetworks.KindObjectAPIDown, err, "nothing was written")
+	}
+	if _, told := known.Fate(p.CommitID); !told {
+		if _, err := known.Propose(p, request.Supersedes); err != nil {
+			return garnetworks.CommitProgress{}, err
+		}
+		if err := c.store.writeBody(ctx, p.CommitID, body); err != nil {
+			return garnetworks.CommitProgress{}, garnetworks.WrapError(garnetworks.KindObjectAPIDown, err, "nothing was proposed")
+		}
+	}
+	gone := c.store.collect(ctx, known.Garbage)
+	head, err := c.store.change(ctx, func(h Head) (Head, bool, error) {
+		// Rule M3: a commit that the head tells of is not proposed again.
+		if _, told := h.Fate(p.CommitID); told {
+			return h, false, nil
+		}
+		if c.behind(h) {
+			return h, false, errBehind
+		}
+		next, err := h.Propose(p, request.Supersedes)
+		return next.WithoutGarbage(gone), err == nil, err
+	})
+	if err != nil {
+		return garnetworks.CommitProgress{}, err
+	}
+	if pending := head.Pending; pending != nil && pending.CommitID == p.CommitID {
+		c.see(func(s *State, now time.Time) { s.SeeProposed(*pending, body, now) })
+	}
+	c.seeHead(head, (*State).SeeHead)
+	return c.progress(ctx, p.CommitID), nil
+}
+
+// behind reports whether the head has a lower generation than the node.
+func (c *Committer) behind(h Head) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return h.Accepted.Generation < c.state.Applied()
+}
+
+// Progress answers garnetworks.PeerHandler.
+func (c *Committer) Progress(ctx context.Context, request *garnetworks.ProgressRequest) (*garnetworks.ProgressResponse, error) {
+	return &garnetworks.ProgressResponse{At: c.options.Clock(), Progress: c.progress(ctx, request.CommitID)}, nil
+}
+
+// progress tells how a commit stands; the head is read where only it can tell.
+func (c *Committer) progress(ctx context.Context, commitID string) garnetworks.CommitProgress {
+	c.mu.Lock()
+	progress, askHead := c.state.Progress(commitID, time.Now())
+	c.mu.Unlock()
+	if !askHead || progress.CommitID == "" {
+		return progress
+	}
+	head, err := c.store.readHead(ctx)
+	if err != nil {
+		progress.Reason = strings.TrimPrefix(progress.Reason+"; the object API can't be asked now", "; ")
+		return progress
+	}
+	c.seeHead(head, (*State).SeeHead)
+	fate, told := head.Fate(progress.CommitID)
+	if !told || fate.State == progress.State || fate.State == garnetworks.CommitStaging {
+		return progress
+	}
+	return fate
+}
+
+// Report answers garnetworks.PeerHandler.
+func (c *Committer) Report(_ context.Context, request *garnetworks.ReportRequest) (*garnetworks.ReportResponse, error) {
+	c.see(func(s *State, _ time.Time) { s.SeeReport(request.Zone, request.Report) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := c.state.report()
+	return &garnetworks.ReportResponse{At: c.options.Clock(), Manifest: own.Applied, Proposal: own.Proposal}, nil
+}
--- /dev/null
+++ b/committer/head.go
@@ -0,0 +1,218 @@
+package committer
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// HeadKey is the key of the head.
+	HeadKey = "manifest/head"
+	// bodyPrefix begins the keys of manifests; the commit identifier follows.
+	bodyPrefix = "manifest/body/"
+	// recentCommits is the number of accepted commits that the head tells of;
+	// the design size has 300 a day, so that an operator's program can ask for
+	// half a day.
+	recentCommits = 150
+	// endedCommits is the number of refused and superseded commits told of.
+	endedCommits = 50
+)
+
+// BodyKey returns the key of a commit's manifest.
+func BodyKey(commitID string) string { return bodyPrefix + commitID }
+
+// Head is the aggregate that decides which manifest is accepted. Its methods
+// return a changed copy and leave the receiver as it is.
+type Head struct {
+	// Accepted is the commit of the newest generation; zero before the first.
+	// Its Generation only grows, by one.
+	Accepted garnetworks.CommitRecord `json:"accepted"`
+	// Hash is the SHA-256 of the accepted manifest's body, in hexadecimal.
+	Hash string `json:"hash"`
+	// Proposals counts the proposals ever made; it only grows.
+	Proposals uint64 `json:"proposals"`
+	// Pending is the proposal that may become the next generation, or nil. Its
+	// Base is Accepted.Generation.
+	Pending *Proposal `json:"pending,omitempty"`
+	// Recent are the last accepted commits, oldest first; the last is Accepted.
+	Recent []garnetworks.CommitRecord `json:"recent,omitempty"`
+	// Ended are the last commits that were not accepted, oldest first.
+	Ended []EndedProposal `json:"ended,omitempty"`
+	// Garbage are commits whose bodies may be deleted.
+	Garbage []string `json:"garbage,omitempty"`
+}
+
+// Proposal is a commit that waits for its acceptance.
+type Proposal struct {
+	// Number counts proposals from 1.
+	Number   uint64                 `json:"number"`
+	CommitID string                 `json:"commit-id"`
+	Operator string                 `json:"operator"`
+	Base     garnetworks.Generation `json:"base"`
+	// Hash is the SHA-256 of the manifest's body, in hexadecimal.
+	Hash string    `json:"hash"`
+	At   time.Time `json:"at"`
+}
+
+// EndedProposal is a commit that was not accepted and never will be.
+type EndedProposal struct {
+	Proposal
+	// State is garnetworks.CommitRefused or garnetworks.CommitSuperseded.
+	State  garnetworks.CommitState `json:"state"`
+	Reason string                  `json:"reason"`
+}
+
+// decodeHead returns the head that an object holds.
+func decodeHead(value []byte) (Head, error) {
+	var h Head
+	err := json.Unmarshal(value, &h)
+	return h, garnetworks.WrapError(garnetworks.KindInternal, err, "the object "+HeadKey+" is damaged")
+}
+
+// encode returns the head as it is stored. Its fields always encode.
+func (h Head) encode() []byte {
+	body, _ := json.Marshal(h)
+	return body
+}
+
+// Fate returns what the head knows of a commit.
+func (h Head) Fate(commitID string) (garnetworks.CommitProgress, bool) {
+	for _, r := range h.Recent {
+		if r.CommitID == commitID {
+			return acceptedProgress(r), true
+		}
+	}
+	if p := h.Pending; p != nil && p.CommitID == commitID {
+		return pendingProgress(p), true
+	}
+	for _, e := range h.Ended {
+		if e.CommitID == commitID {
+			progress := pendingProgress(&e.Proposal)
+			progress.State, progress.Reason = e.State, e.Reason
+			progress.Winner = h.winner(e.Base)
+			return progress, true
+		}
+	}
+	return garnetworks.CommitProgress{}, false
+}
+
+// winner returns the commit that was accepted on a base, if the head still
+// tells of it.
+func (h Head) winner(base garnetworks.Generation) garnetworks.CommitRecord {
+	for _, r := range h.Recent {
+		if r.Generation == base+1 {
+			return r
+		}
+	}
+	return garnetworks.CommitRecord{}
+}
+
+func acceptedProgress(r garnetworks.CommitRecord) garnetworks.CommitProgress {
+	return garnetworks.CommitProgress{
+		CommitID:   r.CommitID,
+		Operator:   r.Operator,
+		Base:       r.Generation - 1,
+		State:      garnetworks.CommitAccepted,
+		Generation: r.Generation,
+		AcceptedAt: r.At,
+	}
+}
+
+func pendingProgress(p *Proposal) garnetworks.CommitProgress {
+	return garnetworks.CommitProgress{
+		CommitID:   p.CommitID,
+		Operator:   p.Operator,
+		Base:       p.Base,
+		Proposal:   p.Number,
+		State:      garnetworks.CommitStaging,
+		ProposedAt: p.At,
+	}
+}
+
+// Propose makes p the pending proposal (rule M1). It refuses a stale base with
+// KindStaleGeneration, one that there is not yet with KindInvalidRequest, one
+// older than the history with KindOutcomeUnknown, and with KindConflict a
+// pending commit that supersedes does not name.
+func (h Head) Propose(p Proposal, supersedes string) (Head, error) {
+	if p.Base != h.Accepted.Generation {
+		return h, h.stale(p.Base)
+	}
+	if old := h.Pending; old != nil && old.CommitID != supersedes {
+		return h, garnetworks.Errorf(garnetworks.KindConflict,
+			"commit %s by %s on generation %d is pending since %s", old.CommitID, old.Operator, old.Base, old.At.UTC().Format(time.RFC3339))
+	}
+	if h.Pending != nil {
+		h = h.end(garnetworks.CommitSuperseded, "commit "+p.CommitID+" by "+p.Operator+" took its place")
+	}
+	h.Proposals++
+	p.Number = h.Proposals
+	h.Pending = &p
+	return h, nil
+}
+
+// stale returns the error for a commit on a base that is not the newest
+// generation: it names who won.
+func (h Head) stale(base garnetworks.Generation) error {
+	if base > h.Accepted.Generation {
+		return garnetworks.Errorf(garnetworks.KindInvalidRequest,
+			"there is no generation %d to build on; the newest is %d; this request has written nothing", base, h.Accepted.Generation)
+	}
+	if w := h.winner(base); w.CommitID != "" {
+		return garnetworks.Errorf(garnetworks.KindStaleGeneration,
+			"generation %d was made from generation %d first, by %s with commit %s; the newest is generation %d",
+			w.Generation, base, w.Operator, w.CommitID, h.Accepted.Generation)
+	}
+	// The commit may be one that was accepted long ago and is sent again, so
+	// nothing may be said of its fate (rule M3).
+	return garnetworks.Errorf(garnetworks.KindOutcomeUnknown,
+		"what was made from generation %d is older than the history that is kept; the newest is %d, by %s with commit %s",
+		base, h.Accepted.Generation, h.Accepted.Operator, h.Accepted.CommitID)
+}
+
+// Accept makes the pending proposal the newest generation; false if it is not
+// the one with the number.
+func (h Head) Accept(number uint64, now time.Time) (Head, bool) {
+	p := h.Pending
+	if p == nil || p.Number != number || p.Base != h.Accepted.Generation {
+		return h, false
+	}
+	if h.Accepted.CommitID != "" {
+		h.Garbage = append(slices.Clone(h.Garbage), h.Accepted.CommitID)
+	}
+	h.Accepted = garnetworks.CommitRecord{Generation: p.Base + 1, CommitID: p.CommitID, Operator: p.Operator, At: now}
+	h.Hash = p.Hash
+	h.Recent = tail(append(slices.Clone(h.Recent), h.Accepted), recentCommits)
+	h.Pending = nil
+	return h, true
+}
+
+// Refuse ends the pending proposal; false if it is not the one with the number.
+func (h Head) Refuse(number uint64, reason string) (Head, bool) {
+	if h.Pending == nil || h.Pending.Number != number {
+		return h, false
+	}
+	return h.end(garnetworks.CommitRefused, reason), true
+}
+
+// end moves the pending proposal to the ended ones.
+func (h Head) end(state garnetworks.CommitState, reason string) Head {
+	ended := EndedProposal{Proposal: *h.Pending, State: state, Reason: reason}
+	h.Ended = tail(append(slices.Clone(h.Ended), ended), endedCommits)
+	h.Garbage = append(slices.Clone(h.Garbage), ended.CommitID)
+	h.Pending = nil
+	return h
+}
+
+// WithoutGarbage returns the head without the commits whose bodies are gone.
+func (h Head) WithoutGarbage(gone []string) Head {
+	h.Garbage = slices.DeleteFunc(slices.Clone(h.Garbage), func(id string) bool { return slices.Contains(gone, id) })
+	return h
+}
+
+// tail returns the last n values.
+func tail[T any](values []T, n int) []T {
+	return values[max(0, len(values)-n):]
+}
--- /dev/null
+++ b/committer/progress.go
@@ -0,0 +1,149 @@
+package committer
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Progress tells how a commit stands as far as this node knows; an empty
+// identifier asks for the newest one. The second result says that only the head
+// can tell: the commit is unknown here, or it may have ended meanwhile.
+func (s *State) Progress(commitID string, now time.Time) (progress garnetworks.CommitProgress, askHead bool) {
+	if s.staged != nil && s.pending() && (commitID == "" || commitID == s.staged.CommitID) {
+		return s.pendingProgress(now)
+	}
+	if a := s.accepted; a != nil && (commitID == "" || commitID == a.CommitID) {
+		return s.acceptedProgress(), false
+	}
+	if s.accepted != nil {
+		for _, r := range s.accepted.Recent {
+			if r.CommitID == commitID {
+				return replacedProgress(r, s.accepted), false
+			}
+		}
+	}
+	return garnetworks.CommitProgress{
+		CommitID: commitID,
+		State:    garnetworks.CommitUnknown,
+		Reason:   "the node knows of no such commit",
+	}, true
+}
+
+// replacedProgress tells of a commit that was accepted and has a successor.
+func replacedProgress(r garnetworks.CommitRecord, newest *garnetworks.AcceptedManifest) garnetworks.CommitProgress {
+	p := acceptedProgress(r)
+	p.Reason = fmt.Sprintf("generation %d by %s has taken its place", newest.Generation, newest.Operator)
+	return p
+}
+
+func (s *State) pendingProgress(now time.Time) (garnetworks.CommitProgress, bool) {
+	p := pendingProgress(&s.staged.Proposal)
+	if s.staged.manifest == nil {
+		p.Reason = "this node refuses it: " + s.staged.refusal
+		return p, true
+	}
+	p.Zones = s.zonesOf(s.staged.manifest, s.staged.Number, s.Applied()+1)
+	old := now.Sub(s.staged.at) >= HoldAfter
+	if reason := s.refusal(); reason != "" {
+		p.Reason = reason
+		return p, true
+	}
+	if reason := heldBy(p.Zones); reason != "" && old {
+		p.State, p.Reason = garnetworks.CommitHeld, reason
+	}
+	// One that waits for long may have been refused or superseded unseen.
+	return p, old
+}
+
+func (s *State) acceptedProgress() garnetworks.CommitProgress {
+	a := s.accepted
+	p := acceptedProgress(garnetworks.CommitRecord{Generation: a.Generation, CommitID: a.CommitID, Operator: a.Operator, At: a.At})
+	if s.staged != nil && s.staged.CommitID == a.CommitID {
+		p.Proposal, p.ProposedAt = s.staged.Number, s.staged.At
+	}
+	p.Zones = s.zonesOf(&a.Manifest, p.Proposal, a.Generation)
+	if s.inForce == a.Generation {
+		p.State, p.InForceAt = garnetworks.CommitInForce, s.inForceAt
+		return p
+	}
+	p.Reason = notApplied(p.Zones)
+	return p
+}
+
+// zonesOf tells how far each zone of a manifest is with a proposal and the
+// generation that it becomes.
+func (s *State) zonesOf(m *garnetworks.Manifest, number uint64, generation garnetworks.Generation) []garnetworks.ZoneProgress {
+	zones := make([]garnetworks.ZoneProgress, 0, len(m.Site.Zones))
+	for _, spec := range m.Site.Zones {
+		zones = append(zones, s.zoneProgress(spec, number, generation))
+	}
+	slices.SortFunc(zones, func(a, b garnetworks.ZoneProgress) int { return cmp.Compare(a.Zone, b.Zone) })
+	return zones
+}
+
+func (s *State) zoneProgress(spec garnetworks.ZoneSpec, number uint64, generation garnetworks.Generation) garnetworks.ZoneProgress {
+	live := s.live(spec.Name)
+	p := garnetworks.ZoneProgress{Zone: spec.Name, LeftOut: spec.LeftOut, Live: len(live)}
+	for _, n := range live {
+		r, ok := s.zone(spec.Name).reports[n.ID]
+		if ok && r.Incarnation >= n.Incarnation {
+			p.Nodes = append(p.Nodes, r)
+		} else {
+			r = garnetworks.NodeReport{}
+		}
+		if (r.Proposal < number || r.Refusal != "") && r.Applied < generation {
+			p.Unstaged = append(p.Unstaged, n.ID)
+		}
+		if r.Applied < generation {
+			p.Unapplied = append(p.Unapplied, n.ID)
+		}
+	}
+	return p
+}
+
+// heldBy names the zones and nodes that hold a proposal, or "".
+func heldBy(zones []garnetworks.ZoneProgress) string {
+	return missing(zones, "staged", func(z garnetworks.ZoneProgress) []garnetworks.NodeID { return z.Unstaged })
+}
+
+// notApplied names the zones and nodes that have yet to confirm a generation,
+// or "".
+func notApplied(zones []garnetworks.ZoneProgress) string {
+	return missing(zones, "confirmed", func(z garnetworks.ZoneProgress) []garnetworks.NodeID { return z.Unapplied })
+}
+
+func missing(zones []garnetworks.ZoneProgress, word string, of func(garnetworks.ZoneProgress) []garnetworks.NodeID) string {
+	var parts []string
+	for _, z := range zones {
+		switch nodes := of(z); {
+		case z.LeftOut:
+		case z.Live == 0:
+			parts = append(parts, fmt.Sprintf("no live node of zone %s is known", z.Zone))
+		case len(nodes) == z.Live:
+			parts = append(parts, fmt.Sprintf("zone %s (%d nodes) has not %s it", z.Zone, z.Live, word))
+		case len(nodes) > 0:
+			parts = append(parts, fmt.Sprintf("zone %s has not %s it at %s", z.Zone, word, join(nodes)))
+		}
+	}
+	return strings.Join(parts, "; ")
+}
+
+func join(nodes []garnetworks.NodeID) string {
+	const most = 5
+	text := ""
+	for i, n := range nodes {
+		if i == most {
+			return text + fmt.Sprintf(" and %d more", len(nodes)-most)
+		}
+		if i > 0 {
+			text += ", "
+		}
+		text += string(n)
+	}
+	return text
+}
