Let zone views name the engines to probe, and zones send pulses

Cause: nodes other than the controller's need the addresses of the engines that they probe, and a whole view each second would not fit 4 KB/s. Change: ZoneView.Engines and the topic of pulses.

--- a/peer.go
+++ b/peer.go
@@ -39,6 +39,7 @@
 	TopicManifest  Topic = "manifest"
 	TopicProposal  Topic = "proposal"
 	TopicZoneView  Topic = "zone-view/"
+	TopicZonePulse Topic = "zone-pulse/"
 	TopicShares    Topic = "shares/"
 	TopicRoster    Topic = "roster/"
 	TopicStaged    Topic = "staged/"
@@ -97,12 +98,21 @@
 	Leaving  bool        `json:"leaving,omitempty"`
 }
 
+// EngineView names an engine instance and where it is probed.
+type EngineView struct {
+	Instance InstanceID `json:"instance"`
+	Address  string     `json:"address"`
+}
+
 // ZoneView is what a zone's controller tells all nodes of the zone's backend
 // servers.
 type ZoneView struct {
 	Zone    ZoneID       `json:"zone"`
 	Groups  []GroupView  `json:"groups"`
 	Servers []ServerView `json:"servers"`
+	// Engines are the zone's engine instances, in groups or not, sorted by
+	// Instance; the zone's nodes probe them.
+	Engines []EngineView `json:"engines,omitempty"`
 	// Measures are the zone's counters of the two measures.
 	Measures Measures `json:"measures"`
 }
