Spread the newest value of each topic through a bounded tree

Cause: a configuration change must reach all nodes within seconds, without a watch of the object API by each node. Change: a store that never goes back, a zone-aware tree of bounded degree, and repair by comparing digests on heartbeats.

--- /dev/null
+++ b/distributor/distributor.go
@@ -0,0 +1,529 @@
+// Package distributor spreads the newest value of each topic to all nodes: at
+// once through a tree of bounded degree, and by repair between peers for what
+// the tree missed.
+//
+// Its rules:
+//
+//	D1  A node holds one value of a topic, and replaces it only by one with a
+//	    higher version, from whomever it comes. Nothing goes back.
+//	D2  An update is handed down a tree whose root is the publisher: one branch
+//	    for each other region, one for each other zone of the region, Fanout
+//	    branches in the zone. No link but a branch's first crosses a border.
+//	D3  The order within a branch is a hash of node and update, so that over
+//	    many updates each node forwards about as often as the others.
+//	D4  A node answers for a part of the targets of an update once: whoever hands
+//	    it the same targets again is acknowledged without another round.
+//	D5  If the first node of a branch does not answer, the next one gets the
+//	    branch, MaxHeads in all; what is then left is for repair.
+//	D6  Each heartbeat compares digests of what both sides hold. If they differ,
+//	    the asking node fetches what it lacks after RepairGrace, and pushes what
+//	    the other side lacked in two exchanges running. Thus each node holds
+//	    what a peer in reach holds after one heartbeat interval, and a node that
+//	    nobody can call is served by its own calls.
+//	D7  Bodies, messages, topics, jobs and hops are bounded. What a bound refuses
+//	    is counted, and repair makes up for it.
+package distributor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Bounds (rule D7).
+const (
+	// DefaultFanout is the number of branches within a zone.
+	DefaultFanout = 4
+	// MaxHeads is how many nodes of a branch are tried (rule D5).
+	MaxHeads = 3
+	// MaxHops is the most steps an update takes; a tree over 330 nodes takes
+	// six.
+	MaxHops = 12
+	// MaxTopics bounds the topics held. Topics are named after zones, so their
+	// number grows with zones, not with nodes.
+	MaxTopics = 1024
+	// MaxBatchBytes bounds the bodies in one message, except that one body of
+	// any size fits.
+	MaxBatchBytes = 256 << 10
+	// SendBound bounds one handing on.
+	SendBound = 1500 * time.Millisecond
+	// RepairGrace is the time that the tree gets before repair steps in.
+	RepairGrace = 200 * time.Millisecond
+	// FailedFor is how long an address that did not answer is tried last.
+	FailedFor = 5 * time.Second
+	// maxJobs bounds the handings on that wait or run.
+	maxJobs = 64
+	// maxRepairs bounds the repairs in progress.
+	maxRepairs = 8
+)
+
+// Options are what a distributor needs.
+type Options struct {
+	Self  garnetworks.NodeInfo
+	Peers garnetworks.PeerCaller
+	// Nodes returns the nodes to reach, ready or not; Self is skipped.
+	Nodes func() []garnetworks.NodeInfo
+	// Apply takes each new value in force at this node. Versions of a topic
+	// come in rising order, versions in between may be left out, and calls never
+	// overlap.
+	Apply func(garnetworks.Update)
+	// Fanout is the number of branches within a zone; DefaultFanout if 0.
+	Fanout int
+	// Log may be nil.
+	Log func(error)
+}
+
+// Counts are a distributor's counters.
+type Counts struct {
+	// Published, Accepted, Duplicates and Older count updates by what became of
+	// them here.
+	Published, Accepted, Duplicates, Older uint64
+	// Conflicts counts updates that carried a held version with another body.
+	Conflicts uint64
+	// Sent counts updates handed on, SendFailures messages without an answer.
+	Sent, SendFailures uint64
+	// Repaired and Pushed count updates that repair brought and gave.
+	Repaired, Pushed uint64
+	// Refused counts updates and jobs above a bound.
+	Refused uint64
+}
+
+type counters struct {
+	published, accepted, duplicates, older, conflicts atomic.Uint64
+	sent, sendFailures, repaired, pushed, refused     atomic.Uint64
+}
+
+// Distributor spreads updates. It is safe for concurrent use.
+type Distributor struct {
+	options  Options
+	counters counters
+
+	mu    sync.Mutex
+	store store
+	// unapplied are topics whose newest value Apply has not seen.
+	unapplied garnetworks.Set[garnetworks.Topic]
+	// unsent are topics published here that wait for a job.
+	unsent garnetworks.Set[garnetworks.Topic]
+	// failed holds when an address last gave no answer (rule D5).
+	failed map[string]time.Time
+	// lacked is what each peer lacked in the last exchange (rule D6).
+	lacked map[string]map[garnetworks.Topic]garnetworks.UpdateVersion
+
+	applyReady, sendReady chan struct{}
+	jobs                  chan job
+	slots, repairs        chan struct{}
+	synced                chan struct{}
+	syncOnce              sync.Once
+}
+
+// job is a handing on of updates to targets.
+type job struct {
+	updates []garnetworks.Update
+	targets []garnetworks.NodeInfo
+	hops    int
+}
+
+// New returns a distributor; Run starts its work.
+func New(options Options) *Distributor {
+	if options.Fanout <= 0 {
+		options.Fanout = DefaultFanout
+	}
+	if options.Log == nil {
+		options.Log = func(error) {}
+	}
+	return &Distributor{
+		options:    options,
+		store:      newStore(),
+		unapplied:  garnetworks.NewSet[garnetworks.Topic](),
+		unsent:     garnetworks.NewSet[garnetworks.Topic](),
+		failed:     map[string]time.Time{},
+		lacked:     map[string]map[garnetworks.Topic]garnetworks.UpdateVersion{},
+		applyReady: make(chan struct{}, 1),
+		sendReady:  make(chan struct{}, 1),
+		jobs:       make(chan job, maxJobs),
+		slots:      make(chan struct{}, maxJobs),
+		repairs:    make(chan struct{}, maxRepairs),
+		synced:     make(chan struct{}),
+	}
+}
+
+// Run applies and hands on until ctx ends; it returns when all its work has
+// ended.
+func (d *Distributor) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { d.runApply(ctx) })
+	group.Go(func() { d.runPublish(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-d.jobs:
+			select {
+			case d.slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			group.Go(func() {
+				defer func() { <-d.slots }()
+				d.handOn(ctx, j)
+			})
+		}
+	}
+}
+
+// Publish takes a new value and spreads it. A value that is not newer than the
+// held one is refused with KindConflict, one above a bound with KindTooLarge.
+func (d *Distributor) Publish(update garnetworks.Update) error {
+	d.mu.Lock()
+	result := d.take(update)
+	if result == taken {
+		d.unsent.Add(update.Topic)
+	}
+	held := d.store.held[update.Topic].Version
+	d.mu.Unlock()
+	switch result {
+	case taken:
+		d.counters.published.Add(1)
+		signal(d.applyReady)
+		signal(d.sendReady)
+		return nil
+	case tooLarge, tooMany:
+		return garnetworks.Errorf(garnetworks.KindTooLarge, "topic %s: body of %d bytes or one topic too many", update.Topic, len(update.Body))
+	case duplicate:
+		return nil
+	default:
+		return garnetworks.Errorf(garnetworks.KindConflict, "topic %s: version %v is not above %v", update.Topic, update.Version, held)
+	}
+}
+
+// take puts the update into the store and counts what became of it. The caller
+// holds mu.
+func (d *Distributor) take(update garnetworks.Update) result {
+	r := d.store.take(update)
+	switch r {
+	case taken:
+		d.counters.accepted.Add(1)
+		d.unapplied.Add(update.Topic)
+	case duplicate:
+		d.counters.duplicates.Add(1)
+	case older:
+		d.counters.older.Add(1)
+	case conflicting:
+		d.counters.conflicts.Add(1)
+	default:
+		d.counters.refused.Add(1)
+	}
+	return r
+}
+
+// Handle takes a peer's updates and hands them on to its targets later; the
+// answer is for this node alone.
+func (d *Distributor) Handle(request *garnetworks.DistributeRequest) *garnetworks.DistributeResponse {
+	targets := d.lookUp(request.Targets)
+	d.mu.Lock()
+	accepted := 0
+	var jobs []job
+	for _, u := range request.Updates {
+		if d.take(u) == taken {
+			accepted++
+		}
+		jobs = d.plan(jobs, u, targets, request.Hops)
+	}
+	d.mu.Unlock()
+	if accepted > 0 {
+		signal(d.applyReady)
+	}
+	for _, j := range jobs {
+		d.enqueue(j)
+	}
+	return &garnetworks.DistributeResponse{Accepted: accepted}
+}
+
+// plan adds the handing on of u to the jobs, joined to the last one if the
+// targets are the same. The caller holds mu.
+func (d *Distributor) plan(jobs []job, u garnetworks.Update, targets []garnetworks.NodeInfo, hops int) []job {
+	if len(targets) == 0 {
+		return jobs
+	}
+	if hops >= MaxHops {
+		// Trees never get this deep. A loop of old messages would, and would go
+		// round for ever.
+		d.counters.refused.Add(1)
+		return jobs
+	}
+	left := d.store.claim(u, targets)
+	if len(left) == 0 {
+		return jobs
+	}
+	if n := len(jobs) - 1; n >= 0 && len(jobs[n].targets) == len(left) && len(left) == len(targets) {
+		jobs[n].updates = append(jobs[n].updates, u)
+		return jobs
+	}
+	return append(jobs, job{updates: []garnetworks.Update{u}, targets: left, hops: hops})
+}
+
+// enqueue never blocks: a peer's call must not wait for other peers. What does
+// not fit is left to repair (rule D7).
+func (d *Distributor) enqueue(j job) {
+	select {
+	case d.jobs <- j:
+	default:
+		d.counters.refused.Add(1)
+	}
+}
+
+// lookUp returns the nodes with the given addresses; of an unknown one, only
+// the address is known, and it is treated as one of the own zone.
+func (d *Distributor) lookUp(addresses []string) []garnetworks.NodeInfo {
+	if len(addresses) == 0 {
+		return nil
+	}
+	known := map[string]garnetworks.NodeInfo{}
+	for _, n := range d.options.Nodes() {
+		known[n.Address] = n
+	}
+	nodes := make([]garnetworks.NodeInfo, 0, len(addresses))
+	for _, a := range addresses {
+		n, ok := known[a]
+		if !ok {
+			n = garnetworks.NodeInfo{Address: a, Zone: d.options.Self.Zone, Region: d.options.Self.Region}
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// runPublish turns published topics into jobs. Topics published while jobs wait
+// are joined, and of one topic only the newest value is sent.
+func (d *Distributor) runPublish(ctx context.Context) {
+	for wait(ctx, d.sendReady) {
+		for _, j := range d.publications() {
+			select {
+			case d.jobs <- j:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (d *Distributor) publications() []job {
+	targets := d.targets()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var updates []garnetworks.Update
+	for _, t := range d.unsent.Sorted() {
+		updates = append(updates, d.store.held[t])
+	}
+	clear(d.unsent)
+	if len(targets) == 0 {
+		return nil
+	}
+	var jobs []job
+	for _, batch := range batches(updates) {
+		for _, u := range batch {
+			d.store.claim(u, targets)
+		}
+		jobs = append(jobs, job{updates: batch, targets: targets})
+	}
+	return jobs
+}
+
+// targets are all nodes but this one.
+func (d *Distributor) targets() []garnetworks.NodeInfo {
+	var targets []garnetworks.NodeInfo
+	for _, n := range d.options.Nodes() {
+		if n.ID != d.options.Self.ID && n.Address != d.options.Self.Address {
+			targets = append(targets, n)
+		}
+	}
+	return targets
+}
+
+// runApply brings new values into force, one after the other.
+func (d *Distributor) runApply(ctx context.Context) {
+	for wait(ctx, d.applyReady) {
+		for _, u := range d.applicable() {
+			d.options.Apply(u)
+		}
+	}
+}
+
+func (d *Distributor) applicable() []garnetworks.Update {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var updates []garnetworks.Update
+	for _, t := range d.unapplied.Sorted() {
+		updates = append(updates, d.store.held[t])
+	}
+	clear(d.unapplied)
+	return updates
+}
+
+// handOn sends the job's updates down its branches (rule D2).
+func (d *Distributor) handOn(ctx context.Context, j job) {
+	updates := d.newest(j.updates)
+	seed := seedOf(updates)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, b := range Split(d.options.Self, j.targets, d.options.Fanout, seed) {
+		group.Go(func() { d.send(ctx, updates, b, j.hops) })
+	}
+}
+
+// newest replaces updates that have become old while the job waited.
+func (d *Distributor) newest(updates []garnetworks.Update) []garnetworks.Update {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fresh := make([]garnetworks.Update, 0, len(updates))
+	for _, u := range updates {
+		if held, ok := d.store.held[u.Topic]; ok && u.Version.Less(held.Version) {
+			u = held
+		}
+		fresh = append(fresh, u)
+	}
+	return fresh
+}
+
+// send hands a branch to its first node that answers (rule D5).
+func (d *Distributor) send(ctx context.Context, updates []garnetworks.Update, branch []garnetworks.NodeInfo, hops int) {
+	branch = d.failedLast(branch)
+	for range MaxHeads {
+		if len(branch) == 0 || ctx.Err() != nil {
+			return
+		}
+		head := branch[0]
+		branch = branch[1:]
+		request := &garnetworks.DistributeRequest{
+			From:    d.options.Self.ID,
+			Updates: updates,
+			Targets: addressesOf(branch),
+			Hops:    hops + 1,
+		}
+		err := d.call(ctx, head.Address, request)
+		if err == nil {
+			d.counters.sent.Add(uint64(len(updates)))
+			return
+		}
+		d.counters.sendFailures.Add(1)
+		d.options.Log(err)
+	}
+}
+
+func (d *Distributor) call(ctx context.Context, address string, request *garnetworks.DistributeRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, SendBound)
+	defer cancel()
+	_, err := d.options.Peers.Distribute(ctx, address, request)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		d.failed[address] = time.Now()
+	} else {
+		delete(d.failed, address)
+	}
+	return err
+}
+
+// failedLast moves nodes that did not answer of late to the end of the branch.
+// Without it each update would wait SendBound for the same dead node.
+func (d *Distributor) failedLast(branch []garnetworks.NodeInfo) []garnetworks.NodeInfo {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var first, last []garnetworks.NodeInfo
+	for _, n := range branch {
+		at, failed := d.failed[n.Address]
+		switch {
+		case !failed:
+			first = append(first, n)
+		case now.Sub(at) > FailedFor:
+			delete(d.failed, n.Address)
+			first = append(first, n)
+		default:
+			last = append(last, n)
+		}
+	}
+	return append(first, last...)
+}
+
+// Versions returns the versions held.
+func (d *Distributor) Versions() map[garnetworks.Topic]garnetworks.UpdateVersion {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.store.versions()
+}
+
+// Get returns the held value of a topic.
+func (d *Distributor) Get(topic garnetworks.Topic) (garnetworks.Update, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u, ok := d.store.held[topic]
+	return u, ok
+}
+
+// Digest sums up the versions held.
+func (d *Distributor) Digest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.store.digest
+}
+
+// Missing returns the topics of which the other side, that holds versions, has
+// a newer value.
+func (d *Distributor) Missing(versions map[garnetworks.Topic]garnetworks.UpdateVersion) []garnetworks.Topic {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.store.missing(versions)
+}
+
+// UpdatesSince returns the values that the other side, which holds versions,
+// lacks, in topic order and as far as they fit into one message.
+func (d *Distributor) UpdatesSince(versions map[garnetworks.Topic]garnetworks.UpdateVersion) []garnetworks.Update {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return firstBatch(d.store.since(versions))
+}
+
+// Synced is closed once this node has compared what it holds with a peer and
+// fetched what it lacked.
+func (d *Distributor) Synced() <-chan struct{} { return d.synced }
+
+// Counts reads the counters.
+func (d *Distributor) Counts() Counts {
+	c := &d.counters
+	return Counts{
+		Published: c.published.Load(), Accepted: c.accepted.Load(),
+		Duplicates: c.duplicates.Load(), Older: c.older.Load(), Conflicts: c.conflicts.Load(),
+		Sent: c.sent.Load(), SendFailures: c.sendFailures.Load(),
+		Repaired: c.repaired.Load(), Pushed: c.pushed.Load(), Refused: c.refused.Load(),
+	}
+}
+
+func addressesOf(nodes []garnetworks.NodeInfo) []string {
+	addresses := make([]string, 0, len(nodes))
+	for _, n := range nodes {
+		addresses = append(addresses, n.Address)
+	}
+	return addresses
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// wait reports false when ctx has ended.
+func wait(ctx context.Context, c chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c:
+		return true
+	}
+}
--- /dev/null
+++ b/distributor/repair.go
@@ -0,0 +1,149 @@
+package distributor
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// FillRequest adds to a heartbeat what peers compare (rule D6).
+func (d *Distributor) FillRequest(request *garnetworks.HeartbeatRequest) {
+	request.Digest = d.Digest()
+}
+
+// FillResponse answers the comparison: with all versions if the digests differ.
+func (d *Distributor) FillResponse(request *garnetworks.HeartbeatRequest, response *garnetworks.HeartbeatResponse) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	response.Digest = d.store.digest
+	if request.Digest != response.Digest {
+		response.Versions = d.store.versions()
+	}
+}
+
+// TakeResponse repairs what the comparison showed; it may wait and call the
+// peer, and returns when that is done.
+func (d *Distributor) TakeResponse(ctx context.Context, address string, response *garnetworks.HeartbeatResponse) {
+	if len(response.Versions) == 0 && response.Digest == d.Digest() {
+		d.forget(address)
+		d.syncOnce.Do(func() { close(d.synced) })
+		return
+	}
+	select {
+	case d.repairs <- struct{}{}:
+		defer func() { <-d.repairs }()
+	default:
+		return
+	}
+	if !d.isSynced() {
+		d.repair(ctx, address, response.Versions)
+		return
+	}
+	// While an update is on its way down the tree, every comparison differs.
+	// Fetching at once would send most updates twice.
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(RepairGrace):
+	}
+	d.repair(ctx, address, response.Versions)
+}
+
+func (d *Distributor) isSynced() bool {
+	select {
+	case <-d.synced:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Distributor) forget(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.lacked, address)
+}
+
+func (d *Distributor) repair(ctx context.Context, address string, theirs map[garnetworks.Topic]garnetworks.UpdateVersion) {
+	if err := d.pull(ctx, address, theirs); err != nil {
+		d.options.Log(err)
+		return
+	}
+	d.syncOnce.Do(func() { close(d.synced) })
+	if err := d.push(ctx, address, theirs); err != nil {
+		d.options.Log(err)
+	}
+}
+
+// pull fetches what the peer has and this node lacks, message by message.
+func (d *Distributor) pull(ctx context.Context, address string, theirs map[garnetworks.Topic]garnetworks.UpdateVersion) error {
+	for missing := d.Missing(theirs); len(missing) > 0; {
+		before := len(missing)
+		response, err := d.fetch(ctx, address, missing)
+		if err != nil {
+			return err
+		}
+		d.counters.repaired.Add(uint64(d.Handle(&garnetworks.DistributeRequest{Updates: response.Updates}).Accepted))
+		missing = d.Missing(theirs)
+		if len(missing) >= before {
+			return garnetworks.Errorf(garnetworks.KindNotFound, "peer %s did not give topic %s", address, missing[0])
+		}
+	}
+	return nil
+}
+
+func (d *Distributor) fetch(ctx context.Context, address string, topics []garnetworks.Topic) (*garnetworks.FetchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, SendBound)
+	defer cancel()
+	return d.options.Peers.Fetch(ctx, address, &garnetworks.FetchRequest{Topics: topics})
+}
+
+// push gives the peer what it lacked in this exchange and the one before. A
+// peer that only lags behind the tree, or fetches by its own heartbeats, is
+// left alone; one that can't call anyone is served.
+func (d *Distributor) push(ctx context.Context, address string, theirs map[garnetworks.Topic]garnetworks.UpdateVersion) error {
+	d.mu.Lock()
+	lacking := map[garnetworks.Topic]garnetworks.UpdateVersion{}
+	var updates []garnetworks.Update
+	for _, u := range d.store.since(theirs) {
+		lacking[u.Topic] = u.Version
+		if d.lacked[address][u.Topic] == u.Version {
+			updates = append(updates, u)
+		}
+	}
+	d.lacked[address] = lacking
+	if len(d.lacked) > MaxTopics {
+		clear(d.lacked)
+	}
+	d.mu.Unlock()
+	if len(updates) == 0 {
+		return nil
+	}
+	batch := firstBatch(updates)
+	if err := d.call(ctx, address, &garnetworks.DistributeRequest{From: d.options.Self.ID, Updates: batch, Hops: MaxHops}); err != nil {
+		return err
+	}
+	d.counters.pushed.Add(uint64(len(batch)))
+	return nil
+}
+
+// HandleFetch answers a peer that lacks topics; no topics asks for all. What
+// does not fit into one message is left out, from the end.
+func (d *Distributor) HandleFetch(request *garnetworks.FetchRequest) *garnetworks.FetchResponse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	topics := request.Topics
+	if len(topics) == 0 {
+		topics = slices.Sorted(maps.Keys(d.store.held))
+	}
+	var updates []garnetworks.Update
+	for _, t := range topics {
+		if u, ok := d.store.held[t]; ok {
+			updates = append(updates, u)
+		}
+	}
+	return &garnetworks.FetchResponse{Updates: firstBatch(updates)}
+}
--- /dev/null
+++ b/distributor/store.go
@@ -0,0 +1,159 @@
+package distributor
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// result says what became of an update.
+type result string
+
+const (
+	taken       result = "taken"
+	duplicate   result = "duplicate"
+	older       result = "older"
+	conflicting result = "conflicting"
+	tooLarge    result = "too-large"
+	tooMany     result = "too-many"
+)
+
+// store holds the newest value of each topic. It is pure and not safe for
+// concurrent use.
+type store struct {
+	held map[garnetworks.Topic]garnetworks.Update
+	// digest is the sum of the hashes of all held versions.
+	digest uint64
+	// claimed are the targets that this node has answered for (rule D4).
+	claimed map[garnetworks.Topic]claims
+}
+
+// claims are the targets of one version of a topic.
+type claims struct {
+	version   garnetworks.UpdateVersion
+	addresses garnetworks.Set[string]
+}
+
+func newStore() store {
+	return store{
+		held:    map[garnetworks.Topic]garnetworks.Update{},
+		claimed: map[garnetworks.Topic]claims{},
+	}
+}
+
+// take keeps the update if it is newer than the held value (rule D1).
+func (s *store) take(u garnetworks.Update) result {
+	if len(u.Body) > garnetworks.MaxObjectBytes {
+		return tooLarge
+	}
+	held, ok := s.held[u.Topic]
+	switch {
+	case !ok && len(s.held) >= MaxTopics:
+		return tooMany
+	case ok && u.Version.Less(held.Version):
+		return older
+	case ok && u.Version == held.Version && !bytes.Equal(u.Body, held.Body):
+		return conflicting
+	case ok && u.Version == held.Version:
+		return duplicate
+	}
+	if ok {
+		s.digest -= versionHash(held.Topic, held.Version)
+	}
+	s.digest += versionHash(u.Topic, u.Version)
+	s.held[u.Topic] = u
+	return taken
+}
+
+// claim returns the targets that this node does not yet answer for, and answers
+// for them from now on. It returns none for an update that is no longer the
+// newest: the newer one has a tree of its own.
+func (s *store) claim(u garnetworks.Update, targets []garnetworks.NodeInfo) []garnetworks.NodeInfo {
+	if s.held[u.Topic].Version != u.Version {
+		return nil
+	}
+	c, ok := s.claimed[u.Topic]
+	if !ok || c.version != u.Version {
+		c = claims{version: u.Version, addresses: garnetworks.NewSet[string]()}
+		s.claimed[u.Topic] = c
+	}
+	var left []garnetworks.NodeInfo
+	for _, n := range targets {
+		if !c.addresses.Has(n.Address) {
+			c.addresses.Add(n.Address)
+			left = append(left, n)
+		}
+	}
+	return left
+}
+
+func (s *store) versions() map[garnetworks.Topic]garnetworks.UpdateVersion {
+	versions := make(map[garnetworks.Topic]garnetworks.UpdateVersion, len(s.held))
+	for t, u := range s.held {
+		versions[t] = u.Version
+	}
+	return versions
+}
+
+func (s *store) missing(versions map[garnetworks.Topic]garnetworks.UpdateVersion) []garnetworks.Topic {
+	var topics []garnetworks.Topic
+	for t, v := range versions {
+		held, ok := s.held[t]
+		if !ok || held.Version.Less(v) {
+			topics = append(topics, t)
+		}
+	}
+	slices.Sort(topics)
+	return topics
+}
+
+func (s *store) since(versions map[garnetworks.Topic]garnetworks.UpdateVersion) []garnetworks.Update {
+	var updates []garnetworks.Update
+	for t, u := range s.held {
+		v, ok := versions[t]
+		if !ok || v.Less(u.Version) {
+			updates = append(updates, u)
+		}
+	}
+	slices.SortFunc(updates, func(a, b garnetworks.Update) int { return cmp.Compare(a.Topic, b.Topic) })
+	return updates
+}
+
+func versionHash(t garnetworks.Topic, v garnetworks.UpdateVersion) uint64 {
+	var buffer [12]byte
+	binary.BigEndian.PutUint32(buffer[:], v.Term)
+	binary.BigEndian.PutUint64(buffer[4:], v.Sequence)
+	d := xxhash.New()
+	_, _ = d.WriteString(string(t))
+	_, _ = d.Write(buffer[:])
+	return d.Sum64()
+}
+
+// batches divides updates into messages of bounded size (rule D7).
+func batches(updates []garnetworks.Update) [][]garnetworks.Update {
+	var all [][]garnetworks.Update
+	for len(updates) > 0 {
+		batch := firstBatch(updates)
+		all = append(all, batch)
+		updates = updates[len(batch):]
+	}
+	return all
+}
+
+// firstBatch returns the updates from the front that fit into one message, at
+// least one if there is one.
+func firstBatch(updates []garnetworks.Update) []garnetworks.Update {
+	size := 0
+	for i, u := range updates {
+		size += len(u.Body)
+		if i > 0 && size > MaxBatchBytes {
+			return updates[:i]
+		}
+	}
+	return updates
+}
