Claim keyed calls in the object API, written in groups

Cause: a visit, parts note or appointment must run at most once over all entry nodes, though the object API loses answers, lands writes late and goes away. Change: claimer, a pure shard aggregate (rules C1 to C11) and one worker a shard that commits waiting operations together; given-up claims are released, records at rest move to buckets.

--- /dev/null
+++ b/claimer/fake_test.go
@@ -0,0 +1,230 @@
+package claimer
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// faults are the chances of one call's faults and a window of outage.
+type faults struct {
+	// lost answers come after the effect; late writes land after their caller
+	// was told nothing for its whole time.
+	lost, late, throttled float64
+	downFrom, downTo      time.Duration
+	latency               time.Duration
+}
+
+// store is an object API in memory.
+type store struct {
+	mu       sync.Mutex
+	objects  map[string]garnetworks.Object
+	revision garnetworks.Revision
+	random   *rand.Rand
+	faults   faults
+	start    time.Time
+	// puts, gets and conflicts count calls.
+	puts, gets, conflicts int
+}
+
+func newStore(f faults, seed uint64) *store {
+	return &store{objects: make(map[string]garnetworks.Object), random: rand.New(rand.NewPCG(seed, 1)), faults: f, start: time.Now()}
+}
+
+// begin waits for half of a call's time and draws its faults.
+func (s *store) begin(ctx context.Context) (lost, late bool, err error) {
+	s.mu.Lock()
+	f := s.faults
+	latency := f.latency
+	if latency > 0 {
+		latency += time.Duration(s.random.Int64N(int64(latency)))
+	}
+	lost = s.random.Float64() < f.lost
+	late = s.random.Float64() < f.late
+	throttled := s.random.Float64() < f.throttled
+	s.mu.Unlock()
+	sleep(ctx, latency)
+	if ctx.Err() != nil {
+		return false, false, garnetworks.WrapError(garnetworks.KindAnswerLost, ctx.Err(), "timeout")
+	}
+	since := time.Since(s.start)
+	if since >= f.downFrom && since < f.downTo {
+		return false, false, garnetworks.Errorf(garnetworks.KindObjectAPIDown, "down")
+	}
+	if throttled {
+		return false, false, garnetworks.Errorf(garnetworks.KindThrottled, "throttled")
+	}
+	return lost, late, nil
+}
+
+func (s *store) Get(ctx context.Context, key string) (garnetworks.Object, error) {
+	lost, _, err := s.begin(ctx)
+	if err != nil {
+		return garnetworks.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	if lost {
+		return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindAnswerLost, "lost")
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return o, garnetworks.Errorf(garnetworks.KindNotFound, "%s", key)
+	}
+	return o, nil
+}
+
+func (s *store) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	lost, late, err := s.begin(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if late {
+		go func() {
+			time.Sleep(3 * time.Second)
+			_, _ = s.put(key, value, after)
+		}()
+		return 0, garnetworks.Errorf(garnetworks.KindAnswerLost, "no answer; lands late")
+	}
+	revision, err := s.put(key, value, after)
+	if lost {
+		return 0, garnetworks.Errorf(garnetworks.KindAnswerLost, "lost")
+	}
+	return revision, err
+}
+
+func (s *store) put(key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.puts++
+	if s.objects[key].Revision != after {
+		s.conflicts++
+		return 0, garnetworks.Errorf(garnetworks.KindConflict, "%s", key)
+	}
+	if len(value) > garnetworks.MaxObjectBytes {
+		return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "%s", key)
+	}
+	s.revision++
+	s.objects[key] = garnetworks.Object{Key: key, Value: slices.Clone(value), Revision: s.revision}
+	return s.revision, nil
+}
+
+func (s *store) Delete(_ context.Context, key string, after garnetworks.Revision) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Revision != after {
+		return garnetworks.Errorf(garnetworks.KindNotFound, "%s", key)
+	}
+	delete(s.objects, key)
+	return nil
+}
+
+func (s *store) List(context.Context, string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	panic("not used")
+}
+
+func (s *store) Watch(context.Context, string, garnetworks.Revision, time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	panic("not used")
+}
+
+// count returns the number of objects under a prefix.
+func (s *store) count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.objects {
+		if strings.HasPrefix(key, Prefix+prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// cluster is some nodes before one store.
+type cluster struct {
+	store *store
+	nodes []*Claimer
+	stop  []context.CancelFunc
+	// loss is the chance that a handed over group's answer is lost.
+	loss float64
+}
+
+// newCluster starts nodes; with forwarding they commit for each other.
+func newCluster(ctx context.Context, size int, forwarding bool, loss float64, s *store) *cluster {
+	c := &cluster{store: s, loss: loss}
+	roster := make([]garnetworks.NodeInfo, size)
+	for i := range roster {
+		roster[i] = garnetworks.NodeInfo{ID: garnetworks.NodeID('a' + rune(i)), Region: "r", Zone: "z", Ready: true}
+	}
+	for i := range size {
+		o := Options{Node: roster[i], API: s, Random: lockedRandom(uint64(i))}
+		if forwarding {
+			o.Forwarder = garnetworks.Some[Forwarder](&link{cluster: c, roster: roster})
+		}
+		n := New(o)
+		n.SetRoster(roster)
+		run, stop := context.WithCancel(ctx)
+		go func() { _ = n.Run(run) }()
+		c.nodes = append(c.nodes, n)
+		c.stop = append(c.stop, stop)
+	}
+	return c
+}
+
+func lockedRandom(seed uint64) func() float64 {
+	var mu sync.Mutex
+	r := rand.New(rand.NewPCG(seed, 2))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Float64()
+	}
+}
+
+// link carries groups between the nodes of a cluster.
+type link struct {
+	cluster *cluster
+	roster  []garnetworks.NodeInfo
+}
+
+func (l *link) Commit(ctx context.Context, node garnetworks.NodeInfo, shard int, ops []Op) ([]Result, error) {
+	i := slices.IndexFunc(l.roster, func(n garnetworks.NodeInfo) bool { return n.ID == node.ID })
+	s := l.cluster.store
+	s.mu.Lock()
+	lost := s.random.Float64() < l.cluster.loss
+	held := s.random.Float64() < l.cluster.loss
+	s.mu.Unlock()
+	if held { // the group arrives after the sender has given up
+		go func() {
+			time.Sleep(2 * time.Second)
+			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+			defer cancel()
+			_, _ = l.cluster.nodes[i].Serve(c, shard, ops)
+		}()
+		return nil, garnetworks.Errorf(garnetworks.KindAnswerLost, "held up")
+	}
+	results, err := l.cluster.nodes[i].Serve(ctx, shard, ops)
+	if lost {
+		return nil, garnetworks.Errorf(garnetworks.KindAnswerLost, "lost")
+	}
+	return results, err
+}
--- /dev/null
+++ b/claimer/mover.go
@@ -0,0 +1,94 @@
+package claimer
+
+import (
+	"context"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// move hands the fullest bucket's records at rest over, if the shard is above
+// its target size. It runs right after a commit, so that what it moves is not
+// out of date. A failure leaves everything as it was, or a record in both
+// places, which readers join.
+func (w *worker) move(ctx context.Context) {
+	now := time.Now()
+	if w.shard == nil || now.Before(w.moveAfter) {
+		return
+	}
+	b, ok := w.shard.Fullest(now)
+	if !ok {
+		return
+	}
+	w.moveAfter = now.Add(moveInterval)
+	records := w.shard.Resting(now, b)
+	revision, err := w.fill(ctx, now, b, records)
+	if err != nil {
+		delete(w.buckets, b)
+		return
+	}
+	_ = w.write(ctx, w.shard.Without(b, records, revision), nil)
+}
+
+// fill writes records to a bucket and returns the bucket's new revision.
+func (w *worker) fill(ctx context.Context, now time.Time, b int, records []Record) (garnetworks.Revision, error) {
+	// Rule C9: a write of this bucket whose shard write failed may have left a
+	// newer revision than the mark, so the bucket is read, not remembered.
+	known, err := w.readBucket(ctx, b)
+	if err != nil {
+		return 0, err
+	}
+	next, orphans, fits := known.bucket.Take(now, w.claimer.options.Retention, records)
+	if !fits {
+		return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "bucket %d/%d is full", w.number, b)
+	}
+	if err := w.deleteAnswers(ctx, orphans); err != nil {
+		return 0, err
+	}
+	value, err := encode(next)
+	if err != nil {
+		return 0, err
+	}
+	call, cancel := context.WithTimeout(ctx, w.claimer.options.CallTimeout)
+	defer cancel()
+	revision, err := w.claimer.options.API.Put(call, bucketKey(w.number, b), value, known.revision)
+	if err != nil {
+		return 0, err
+	}
+	w.buckets[b] = cachedBucket{next, revision}
+	return revision, nil
+}
+
+// readBucket reads a bucket; one that does not exist is empty.
+func (w *worker) readBucket(ctx context.Context, b int) (cachedBucket, error) {
+	object, err := w.get(ctx, bucketKey(w.number, b))
+	if garnetworks.IsKind(err, garnetworks.KindNotFound) && w.shard.Marks[b] == 0 {
+		return cachedBucket{bucket: &Bucket{}}, nil
+	}
+	if err != nil {
+		return cachedBucket{}, err
+	}
+	if object.Revision < w.shard.Marks[b] {
+		return cachedBucket{}, garnetworks.Errorf(garnetworks.KindObjectAPIDown, "bucket %d/%d went back", w.number, b)
+	}
+	bucket := &Bucket{}
+	if err := decode(object.Value, bucket); err != nil {
+		return cachedBucket{}, err
+	}
+	return cachedBucket{bucket, object.Revision}, nil
+}
+
+// deleteAnswers deletes the answers of forgotten records. It goes before the
+// write that forgets them, so that a crash between the two leaves nothing over.
+func (w *worker) deleteAnswers(ctx context.Context, records []Record) error {
+	for i := range records {
+		r := &records[i]
+		call, cancel := context.WithTimeout(ctx, w.claimer.options.CallTimeout)
+		err := w.claimer.options.API.Delete(call, answerKey(r.Key, r.Call), r.Answer.Revision)
+		cancel()
+		if err != nil && !garnetworks.IsKind(err, garnetworks.KindNotFound) {
+			return err
+		}
+	}
+	return nil
+}
