Run zones and the site's power from whichever node holds the lease

Cause: nothing drove the aggregates, the placer and the grants. Change: controller: a pure step for a zone, thin loops for zones and the site, read-backs after each unclear write, orders gated by written tokens and the lease. leaser gains GiveAway; grouper releases engines that name no token while idle. Figures: four groups in two zones form on the stand-ins, engines that check fencing and engines that ignore it (TestGroupsFormOnStandIns, test clock).

--- /dev/null
+++ b/controller/act.go
@@ -0,0 +1,328 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/granter"
+	"github.com/garnetworks/garnetworks/grouper"
+)
+
+// deciding is one step of an active holder.
+type deciding struct {
+	*ZoneState
+	o     Observation
+	e     *Effects
+	fresh grouper.Statuses
+	heard map[garnetworks.InstanceID]time.Time
+	// open are the domains in the course of the decision, in order of name.
+	open []*openDomain
+}
+
+type openDomain struct {
+	*DomainState
+	*grouper.Aggregate
+}
+
+func (s *ZoneState) act(o Observation, e *Effects) {
+	if s.superseded(o, e) {
+		return
+	}
+	p := &deciding{ZoneState: s, o: o, e: e}
+	p.hear()
+	if p.isolated() {
+		return
+	}
+	p.addDomains()
+	if !p.openDomains() {
+		return
+	}
+	if p.observe() {
+		return
+	}
+	p.statePower()
+	p.planGroups()
+	p.commit()
+	p.sendOrders()
+	p.sendPower()
+	p.measure()
+	p.publish()
+}
+
+// superseded reports whether a domain or an engine holds a higher term. While
+// the lease is held, its record must have gone back, so a higher term is taken;
+// otherwise another node has taken over and this one stops (C4).
+func (s *ZoneState) superseded(o Observation, e *Effects) bool {
+	highest := s.Power.Stored.Term
+	for _, d := range s.Domains {
+		highest = max(highest, d.Stored.Term)
+	}
+	switch {
+	case highest > s.Term:
+		s.giveIn(o, e, highest, "the object API holds a higher term")
+	case s.refused != "":
+		s.giveIn(o, e, s.Term, s.refused)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *ZoneState) giveIn(o Observation, e *Effects, floor uint32, why string) {
+	e.Events = append(e.Events, garnetworks.Event{Kind: garnetworks.EventOrderRefused, Zone: s.Zone, Error: garnetworks.KindStaleToken, Detail: why})
+	if o.Term != 0 {
+		e.RaiseFloor = max(e.RaiseFloor, floor)
+	}
+	s.reset()
+}
+
+// hear collects the statuses that are fresh enough to count (rule G1) and when
+// each instance was last heard.
+func (p *deciding) hear() {
+	p.fresh = grouper.Statuses{}
+	p.heard = map[garnetworks.InstanceID]time.Time{}
+	for _, d := range p.sorted() {
+		for n := range d.Ahead.Instances {
+			p.hearOne(d.Ahead.Instances[n].ID)
+		}
+	}
+}
+
+func (p *deciding) hearOne(id garnetworks.InstanceID) {
+	w, ok := p.o.Statuses[id]
+	if own, known := p.direct[id]; known && (!ok || own.At.After(w.At)) {
+		w, ok = own, true
+	}
+	p.heard[id] = p.HearFrom
+	// A status from before the power was proven off is the echo of a machine that
+	// no longer runs.
+	if !ok || !w.At.After(p.offAt[id]) {
+		return
+	}
+	if w.At.After(p.HearFrom) {
+		p.heard[id] = w.At
+	}
+	if p.o.Now.Sub(w.At) <= garnetworks.ConfirmationBound {
+		p.fresh[id] = w.EngineStatus
+		p.heardAny = p.o.Now
+	}
+}
+
+// isolated reports whether nobody at all is heard though instances should run
+// (C8). It guards against a holder that is cut off from the engines: to it all
+// groups look broken while other nodes reach them. Silence does not count
+// against instances while it lasts.
+func (p *deciding) isolated() bool {
+	if len(p.fresh) > 0 || p.running() < 2 {
+		return false
+	}
+	silent := p.o.Now.Sub(p.heardAny)
+	given := !p.gaveAway.IsZero() && p.o.Now.Sub(p.gaveAway) < believeDark
+	if given && silent > p.Times.Isolation {
+		return false
+	}
+	if silent <= p.Times.Isolation {
+		if silent <= p.Times.Loss {
+			return false
+		}
+		p.readBack()
+		return true
+	}
+	p.gaveAway = p.o.Now
+	p.e.GiveAway = true
+	p.e.Events = append(p.e.Events, garnetworks.Event{Kind: garnetworks.EventLeaseLost, Zone: p.Zone, Detail: "no instance answers this node; another node may reach them"})
+	return true
+}
+
+// believeDark is how long after giving the lease away for silence a holder
+// believes the silence.
+const believeDark = 10 * time.Minute
+
+func (p *deciding) running() int {
+	n := 0
+	for _, d := range p.Domains {
+		for k := range d.Ahead.Instances {
+			if d.Ahead.Instances[k].Power == garnetworks.PowerOn && d.Ahead.Instances[k].Condition != garnetworks.ConditionLost {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// addDomains makes an object for each listed domain that has none.
+func (p *deciding) addDomains() {
+	for _, l := range p.Listed {
+		if l.Service != "" || l.Domain == "" || p.Domains[l.Domain] != nil {
+			continue
+		}
+		d := &DomainState{Record: Record[garnetworks.FabricDomain]{Key: DomainKey(p.Zone, l.Domain)}}
+		d.Ahead = garnetworks.FabricDomain{ID: l.Domain, Zone: p.Zone}
+		p.Domains[l.Domain] = d
+	}
+}
+
+func (p *deciding) openDomains() bool {
+	for _, d := range p.sorted() {
+		a, err := grouper.Open(&d.Ahead, p.Term)
+		if err != nil {
+			return false
+		}
+		p.open = append(p.open, &openDomain{d, a})
+	}
+	return true
+}
+
+func (p *deciding) domain(id garnetworks.DomainID) *openDomain {
+	for _, d := range p.open {
+		if d.Ahead.ID == id {
+			return d
+		}
+	}
+	return nil
+}
+
+// observe takes in what instances and the list say. It reports that another
+// holder has taken over.
+func (p *deciding) observe() bool {
+	observation := grouper.Observation{
+		Now:     p.o.Now,
+		Fresh:   p.fresh,
+		Heard:   p.heard,
+		Leaving: garnetworks.NewSet[garnetworks.InstanceID](),
+		Ordered: map[garnetworks.InstanceID]time.Time{},
+		Bounds:  p.bounds(),
+	}
+	for id, s := range p.power {
+		observation.Ordered[id] = s.first
+	}
+	listed := garnetworks.NewSet[garnetworks.InstanceID]()
+	for _, l := range p.Listed {
+		listed.Add(l.ID)
+		if l.State == garnetworks.ListedLeaving {
+			observation.Leaving.Add(l.ID)
+		}
+		p.register(l)
+	}
+	for _, d := range p.open {
+		if token, over := d.Observe(observation); over {
+			p.giveIn(p.o, p.e, token.Term(), "an engine holds the token "+token.String())
+			return true
+		}
+		for id := range p.gone {
+			if !listed.Has(id) && p.o.Term != 0 {
+				d.Gone(id, p.o.Now)
+			}
+		}
+		p.followManifest(d)
+	}
+	return false
+}
+
+// register takes listed engines in. A row of a domain that holds the instance
+// under another domain's name is left alone until the old domain lets it go.
+func (p *deciding) register(l garnetworks.ListedInstance) {
+	class, known := p.class(l.Class)
+	if l.Service != "" || !known {
+		return
+	}
+	for _, d := range p.open {
+		if d.Ahead.ID != l.Domain && grouper.FindInstance(&d.Ahead, l.ID) != nil {
+			return
+		}
+	}
+	if d := p.domain(l.Domain); d != nil {
+		d.Register(l, class)
+		p.gone.Remove(l.ID)
+	}
+	if _, known := p.heard[l.ID]; !known {
+		p.heard[l.ID] = p.o.Now
+	}
+}
+
+// followManifest notes the generation and the adapters of serving groups.
+func (p *deciding) followManifest(d *openDomain) {
+	if p.Manifest == nil {
+		return
+	}
+	d.SetGeneration(p.Manifest.Generation)
+	for _, m := range p.Manifest.Manifest.Models {
+		for n := range d.Domain().Groups {
+			g := &d.Domain().Groups[n]
+			if g.Model == m.Name && g.Version == m.Version {
+				d.SetAdapters(g.ID, m.Adapters)
+			}
+		}
+	}
+}
+
+func (p *deciding) bounds() grouper.Bounds {
+	b := grouper.Bounds{Loss: p.Times.Loss, Form: p.Times.Form, Load: p.Times.Load, Boot: map[string]time.Duration{}}
+	if p.Manifest == nil {
+		return b
+	}
+	b.Drain = p.Manifest.Manifest.Site.Grace.Drain
+	for _, c := range p.Manifest.Manifest.Site.Classes {
+		b.Boot[c.Name] = time.Duration(p.Times.BootFactor)*c.BootTime + p.Times.BootSlack
+	}
+	return b
+}
+
+// statePower decides the zone's limit and its statement.
+func (p *deciding) statePower() {
+	if p.Manifest == nil {
+		return
+	}
+	drawn := p.servicesDraw()
+	for _, d := range p.open {
+		drawn += grouper.Drawn(d.Domain())
+	}
+	needs := granter.Needs(p.models(), p.Manifest.Manifest.Site.Classes)
+	out := granter.PlanZone(granter.ZoneInput{
+		Zone:   p.Zone,
+		Term:   p.Term,
+		Stated: p.Power.Stored,
+		Ledger: p.Ledger,
+		Drawn:  drawn,
+		Need:   max(granter.Total(needs), p.Plan.Need) + p.servicesDraw(),
+		Needs:  needs,
+	})
+	p.Limit = out.Limit
+	switch {
+	case p.Power.MustRead:
+		p.Power.read(p.o.Now, p.e)
+	case out.Changed && p.o.Term != 0:
+		out.Statement.WriteID = p.writeID()
+		p.Power.write(p.o.Now, out.Statement, p.e)
+	}
+}
+
+// commit keeps the decisions and asks for the writes that are due.
+func (p *deciding) commit() {
+	for _, d := range p.open {
+		p.e.Events = append(p.e.Events, d.Events()...)
+		if d.Aggregate.Urgency() != grouper.Unchanged {
+			p.changed = true
+			d.Ahead = *d.Domain()
+			d.DomainState.Urgency = max(d.DomainState.Urgency, d.Aggregate.Urgency())
+			if d.SoftSince.IsZero() {
+				d.SoftSince = p.o.Now
+			}
+		}
+		p.store(d.DomainState)
+	}
+}
+
+func (p *deciding) store(d *DomainState) {
+	switch {
+	case d.MustRead:
+		d.read(p.o.Now, p.e)
+	case p.o.Term == 0:
+		// The lease has lapsed: a write could only be refused or fail (C3).
+	case d.Resend, d.Urgency == grouper.Hard, d.Urgency == grouper.Soft && p.o.Now.Sub(d.SoftSince) >= p.Times.SoftWriteEvery:
+		p.writeDomain(p.o.Now, d, p.e)
+	}
+}
+
+// failing reports whether the object API can't be relied on for the domain now.
+func (p *deciding) failing(d *DomainState) bool { return p.o.Term == 0 || !d.Failing.IsZero() }
--- /dev/null
+++ b/controller/state.go
@@ -0,0 +1,218 @@
+package controller
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/grouper"
+	"github.com/garnetworks/garnetworks/placer"
+)
+
+// Phase is how far a holder has come.
+type Phase string
+
+const (
+	// PhaseStandby: another node holds the lease, or nobody does.
+	PhaseStandby Phase = "standby"
+	// PhaseLoading: the zone's objects are being read.
+	PhaseLoading Phase = "loading"
+	// PhaseClaiming: each object is being written under the new term (C1).
+	PhaseClaiming Phase = "claiming"
+	// PhaseActive: the holder decides.
+	PhaseActive Phase = "active"
+)
+
+// Witness is a status with the time at which it was asked for.
+type Witness struct {
+	garnetworks.EngineStatus
+	At time.Time
+}
+
+// Observation is what a zone's controller sees at one step. Maps and slices
+// are only read.
+type Observation struct {
+	Now time.Time
+	// Term is the lease's term if it is held now, or 0.
+	Term uint32
+	// Contested says that another node is known to hold the lease.
+	Contested bool
+	// Statuses are the newest witnesses of the zone's instances.
+	Statuses map[garnetworks.InstanceID]Witness
+	// Manifest is nil before the first one.
+	Manifest *garnetworks.AcceptedManifest
+	// Slowdowns may be nil.
+	Slowdowns map[garnetworks.InstanceID]float64
+}
+
+// DomainState is one fabric domain and what is decided about it.
+type DomainState struct {
+	Record[garnetworks.FabricDomain]
+	// Ahead is the domain with all decisions, written or not.
+	Ahead garnetworks.FabricDomain
+	// Urgency says whether Ahead holds what has not been sent to be written.
+	Urgency grouper.Urgency
+	// Resend says that the newest value sent is not proven to be stored.
+	Resend bool
+	// SoftSince is when the oldest unwritten soft change was made.
+	SoftSince time.Time
+}
+
+// ZoneState is everything a zone's controller knows. Only Step and the On
+// methods change it.
+type ZoneState struct {
+	Zone  garnetworks.ZoneID
+	Times Times
+	Phase Phase
+	// Term is the term that the state belongs to.
+	Term uint32
+	// Since is when the phase was entered; HearFrom is when silence began to
+	// count.
+	Since    time.Time
+	HearFrom time.Time
+
+	Domains map[garnetworks.DomainID]*DomainState
+	Power   Record[garnetworks.ZonePower]
+	// Ledger is the newest one read.
+	Ledger     garnetworks.Option[garnetworks.PowerLedger]
+	ledgerRead nextCall
+	// Listed are the zone's rows.
+	Listed     []garnetworks.ListedInstance
+	listRead   nextCall
+	domainList nextCall
+	StoreRate  int64
+	rateRead   nextCall
+
+	Manifest *garnetworks.AcceptedManifest
+	Plan     placer.Output
+	planned  time.Time
+	changed  bool
+	loads    grouper.Loads
+
+	// direct are statuses that this controller read itself or that orders
+	// answered.
+	direct map[garnetworks.InstanceID]Witness
+	// orders holds what was sent to each instance, for retries.
+	orders map[garnetworks.InstanceID]*sentOrder
+	power  map[garnetworks.InstanceID]*sentPower
+	// offAt is when an instance was proven off: older statuses don't count.
+	offAt map[garnetworks.InstanceID]time.Time
+	// gone are instances that the power switch does not know.
+	gone garnetworks.Set[garnetworks.InstanceID]
+	// refused says who refused a token of this term as stale; empty if nobody.
+	refused string
+	// heardAny is when the holder last heard from any instance; gaveAway is when
+	// it gave the lease away for silence (C8).
+	heardAny time.Time
+	gaveAway time.Time
+
+	Limit    garnetworks.Watts
+	Measures garnetworks.Measures
+	measured time.Time
+	view     garnetworks.ZoneView
+	viewAt   time.Time
+	sequence uint64
+	writes   uint64
+}
+
+// nextCall paces a repeated call.
+type nextCall struct {
+	busy bool
+	at   time.Time
+}
+
+func (n *nextCall) start(now time.Time) bool {
+	if n.busy || now.Before(n.at) {
+		return false
+	}
+	n.busy = true
+	return true
+}
+
+func (n *nextCall) done(at time.Time) { n.busy, n.at = false, at }
+
+// sentOrder paces the orders to one instance.
+type sentOrder struct {
+	id   string
+	busy bool
+	at   time.Time
+}
+
+// sentPower paces the power orders to one instance.
+type sentPower struct {
+	id    string
+	busy  bool
+	acked bool
+	at    time.Time
+	// first is when the decision's order was first sent.
+	first time.Time
+}
+
+// NewZoneState returns the state of a controller that holds nothing.
+func NewZoneState(zone garnetworks.ZoneID, times Times) *ZoneState {
+	s := &ZoneState{Zone: zone, Times: times}
+	s.reset()
+	return s
+}
+
+// reset forgets everything that belonged to a holding.
+func (s *ZoneState) reset() {
+	gaveAway, direct := s.gaveAway, s.direct
+	*s = ZoneState{Zone: s.Zone, Times: s.Times, Phase: PhaseStandby, gaveAway: gaveAway, direct: direct, sequence: s.sequence, writes: s.writes}
+	s.Domains = map[garnetworks.DomainID]*DomainState{}
+	s.Power.Key = PowerKey(s.Zone)
+	s.loads = grouper.Loads{
+		Rates:    map[garnetworks.InstanceID]int64{},
+		Preloads: map[garnetworks.InstanceID]garnetworks.WeightID{},
+	}
+	if s.direct == nil {
+		s.direct = map[garnetworks.InstanceID]Witness{}
+	}
+	s.orders = map[garnetworks.InstanceID]*sentOrder{}
+	s.power = map[garnetworks.InstanceID]*sentPower{}
+	s.offAt = map[garnetworks.InstanceID]time.Time{}
+	s.gone = garnetworks.NewSet[garnetworks.InstanceID]()
+}
+
+// sorted returns the domains in order of name, so that a step is repeatable.
+func (s *ZoneState) sorted() []*DomainState {
+	return slices.SortedFunc(maps.Values(s.Domains), func(a, b *DomainState) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// Drawn is the zone's pessimistic draw by all decisions.
+func (s *ZoneState) Drawn() garnetworks.Watts {
+	sum := s.servicesDraw()
+	for _, d := range s.Domains {
+		sum += grouper.Drawn(&d.Ahead)
+	}
+	return sum
+}
+
+// servicesDraw is the draw of the listed plain services, which this controller
+// never powers off.
+func (s *ZoneState) servicesDraw() garnetworks.Watts {
+	var sum garnetworks.Watts
+	for _, l := range s.Listed {
+		if l.Service == "" {
+			continue
+		}
+		if c, ok := s.class(l.Class); ok {
+			sum += c.Watts
+		}
+	}
+	return sum
+}
+
+func (s *ZoneState) class(name string) (garnetworks.InstanceClass, bool) {
+	if s.Manifest == nil {
+		return garnetworks.InstanceClass{}, false
+	}
+	classes := s.Manifest.Manifest.Site.Classes
+	n := slices.IndexFunc(classes, func(c garnetworks.InstanceClass) bool { return c.Name == name })
+	if n < 0 {
+		return garnetworks.InstanceClass{}, false
+	}
+	return classes[n], true
+}
--- /dev/null
+++ b/controller/step.go
@@ -0,0 +1,258 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/grouper"
+)
+
+// Step decides what to do next.
+func (s *ZoneState) Step(o Observation) Effects {
+	e := Effects{}
+	if s.Phase != PhaseStandby && (o.Contested || (o.Term != 0 && o.Term != s.Term)) {
+		// Another node decides now, or this one under another term: nothing that
+		// was decided and not written may survive.
+		s.reset()
+	}
+	if s.Phase == PhaseStandby {
+		if o.Term == 0 {
+			return e
+		}
+		s.begin(o)
+	}
+	s.readAround(o, &e)
+	switch s.Phase {
+	case PhaseLoading:
+		s.load(o, &e)
+	case PhaseClaiming:
+		s.claim(o, &e)
+	case PhaseActive:
+		s.act(o, &e)
+	}
+	return e
+}
+
+func (s *ZoneState) begin(o Observation) {
+	s.Term = o.Term
+	s.enter(PhaseLoading, o.Now)
+}
+
+func (s *ZoneState) enter(p Phase, now time.Time) {
+	s.Phase = p
+	s.Since = now
+	s.HearFrom = now
+	s.heardAny = now
+	s.measured = now
+	s.changed = true
+}
+
+// readAround keeps what lies around the domains up to date.
+func (s *ZoneState) readAround(o Observation, e *Effects) {
+	s.takeManifest(o)
+	e.ReadList = s.listRead.start(o.Now)
+	e.ReadLedger = s.ledgerRead.start(o.Now)
+	e.ReadRate = s.rateRead.start(o.Now)
+}
+
+// takeManifest never goes back to an older generation (rule G10).
+func (s *ZoneState) takeManifest(o Observation) {
+	if o.Manifest == nil || (s.Manifest != nil && o.Manifest.Generation <= s.Manifest.Generation) {
+		return
+	}
+	s.Manifest = o.Manifest
+	s.changed = true
+}
+
+func (s *ZoneState) load(o Observation, e *Effects) {
+	if o.Term == 0 {
+		return
+	}
+	e.ListDomains = s.domainList.start(o.Now)
+}
+
+// OnDomains takes in the zone's domains.
+func (s *ZoneState) OnDomains(now time.Time, objects []garnetworks.Object, err error) error {
+	if s.Phase != PhaseLoading {
+		return nil
+	}
+	if err != nil {
+		s.domainList.done(now.Add(retryFailed))
+		return err
+	}
+	domains := map[garnetworks.DomainID]*DomainState{}
+	for _, object := range objects {
+		d := &DomainState{Record: Record[garnetworks.FabricDomain]{Key: object.Key}}
+		if err := d.onRead(now, object, nil); err != nil {
+			// A domain that can't be read may hold instances that draw power: nothing
+			// is decided for the zone until an operator has seen to it.
+			s.domainList.done(now.Add(s.Times.ListEvery))
+			return err
+		}
+		d.Ahead = grouper.Clone(&d.Stored)
+		domains[d.Stored.ID] = d
+	}
+	s.Domains = domains
+	s.Power.MustRead = true
+	s.enter(PhaseClaiming, now)
+	return nil
+}
+
+// claim writes each object under this term (C1).
+func (s *ZoneState) claim(o Observation, e *Effects) {
+	if o.Term == 0 {
+		return
+	}
+	claimed := s.claimPower(o, e)
+	for _, d := range s.sorted() {
+		if !s.claimDomain(o, d, e) {
+			claimed = false
+		}
+	}
+	if claimed {
+		s.enter(PhaseActive, o.Now)
+	}
+}
+
+func (s *ZoneState) claimPower(o Observation, e *Effects) bool {
+	switch {
+	case s.Power.MustRead:
+		s.Power.read(o.Now, e)
+	case s.Power.Stored.Term > s.Term:
+		e.RaiseFloor = max(e.RaiseFloor, s.Power.Stored.Term)
+	case s.Power.Stored.Term < s.Term:
+		next := s.Power.Stored
+		next.Zone, next.Term, next.WriteID = s.Zone, s.Term, s.writeID()
+		s.Power.write(o.Now, next, e)
+	default:
+		return !s.Power.Busy
+	}
+	return false
+}
+
+func (s *ZoneState) claimDomain(o Observation, d *DomainState, e *Effects) bool {
+	switch {
+	case d.MustRead:
+		d.read(o.Now, e)
+	case d.Stored.Term > s.Term:
+		// The lease's record was deleted or restored: terms went back.
+		e.RaiseFloor = max(e.RaiseFloor, d.Stored.Term)
+	case d.Stored.Term < s.Term:
+		d.Ahead = grouper.Clone(&d.Stored)
+		a, err := grouper.Open(&d.Ahead, s.Term)
+		if err != nil {
+			return false
+		}
+		d.Ahead = *a.Domain()
+		s.writeDomain(o.Now, d, e)
+	default:
+		return !d.Busy
+	}
+	return false
+}
+
+func (s *ZoneState) writeDomain(now time.Time, d *DomainState, e *Effects) {
+	if !d.due(now) {
+		return
+	}
+	d.Ahead.WriteID = s.writeID()
+	d.write(now, grouper.Clone(&d.Ahead), e)
+	d.Urgency = grouper.Unchanged
+	d.SoftSince = time.Time{}
+}
+
+// writeID is unique: a term belongs to one process, which counts its writes.
+func (s *ZoneState) writeID() string {
+	s.writes++
+	return fmt.Sprintf("%s/%d/%d", s.Zone, s.Term, s.writes)
+}
+
+// OnWrite takes in the result of a write.
+func (s *ZoneState) OnWrite(now time.Time, term uint32, key string, revision garnetworks.Revision, err error) {
+	if term != s.Term {
+		return
+	}
+	s.changed = true
+	if key == s.Power.Key {
+		s.Power.onWrite(now, revision, err)
+		return
+	}
+	if d := s.domainByKey(key); d != nil {
+		d.Resend = !d.onWrite(now, revision, err)
+	}
+}
+
+// OnRead takes in the result of a read.
+func (s *ZoneState) OnRead(now time.Time, term uint32, key string, object garnetworks.Object, err error) error {
+	if term != s.Term {
+		return nil
+	}
+	s.changed = true
+	if key == s.Power.Key {
+		return s.Power.onRead(now, object, err)
+	}
+	d := s.domainByKey(key)
+	if d == nil {
+		return nil
+	}
+	if err := d.onRead(now, object, err); err != nil {
+		return err
+	}
+	d.Resend = d.Stored.WriteID != d.Sent.WriteID
+	return nil
+}
+
+func (s *ZoneState) domainByKey(key string) *DomainState {
+	for _, d := range s.Domains {
+		if d.Key == key {
+			return d
+		}
+	}
+	return nil
+}
+
+// OnList takes in the instance list.
+func (s *ZoneState) OnList(now time.Time, rows []garnetworks.ListedInstance, err error) {
+	s.listRead.done(now.Add(s.Times.ListEvery))
+	if err == nil {
+		s.Listed = rows
+		s.changed = true
+	}
+}
+
+// OnLedger takes in the power ledger; it never goes back to an older one.
+func (s *ZoneState) OnLedger(now time.Time, ledger garnetworks.PowerLedger, err error) {
+	s.ledgerRead.done(now.Add(s.Times.LedgerEvery))
+	if err != nil {
+		return
+	}
+	if old, ok := s.Ledger.Get(); ok && old.Sequence >= ledger.Sequence {
+		return
+	}
+	s.Ledger = garnetworks.Some(ledger)
+	s.changed = true
+}
+
+// rateEvery is the time between two reads of the weight store's rate.
+const rateEvery = time.Minute
+
+// OnRate takes in the weight store's rate.
+func (s *ZoneState) OnRate(now time.Time, rate int64, err error) {
+	s.rateRead.done(now.Add(rateEvery))
+	if err == nil {
+		s.StoreRate = rate
+	}
+}
+
+// OnStatus takes in a status that was read directly or that answered an order.
+func (s *ZoneState) OnStatus(sent time.Time, status garnetworks.EngineStatus, err error) {
+	if err != nil || status.Instance == "" {
+		return
+	}
+	if old, ok := s.direct[status.Instance]; ok && !sent.After(old.At) {
+		return
+	}
+	s.direct[status.Instance] = Witness{status, sent}
+	s.changed = true
+}
--- /dev/null
+++ b/controller/view.go
@@ -0,0 +1,137 @@
+package controller
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/grouper"
+)
+
+// slowAt is the slowdown at which routers are told that a group is slow.
+const slowAt = 1.5
+
+// zoneView is what all nodes are told.
+func (p *deciding) zoneView() garnetworks.ZoneView {
+	view := garnetworks.ZoneView{Zone: p.Zone, Measures: p.Measures}
+	for _, d := range p.open {
+		for n := range d.Ahead.Groups {
+			if g := &d.Ahead.Groups[n]; g.State != garnetworks.GroupBroken {
+				view.Groups = append(view.Groups, p.groupView(&d.Ahead, g))
+			}
+		}
+	}
+	for _, l := range p.Listed {
+		if l.Service == "" {
+			continue
+		}
+		view.Servers = append(view.Servers, garnetworks.ServerView{
+			Instance: l.ID,
+			Service:  l.Service,
+			Zone:     p.Zone,
+			Address:  l.Address,
+			Leaving:  l.State == garnetworks.ListedLeaving,
+		})
+	}
+	return view
+}
+
+func (p *deciding) groupView(d *garnetworks.FabricDomain, g *garnetworks.Group) garnetworks.GroupView {
+	view := garnetworks.GroupView{
+		ID:        g.ID,
+		Zone:      p.Zone,
+		Domain:    d.ID,
+		Model:     g.Model,
+		Version:   g.Version,
+		Adapters:  g.Adapters,
+		Token:     g.Token,
+		State:     g.State,
+		Members:   g.Members,
+		Confirmed: serves(d, g, p.fresh),
+	}
+	if first := grouper.FindInstance(d, g.Members[0]); first != nil {
+		view.Address = first.Address
+		view.Load = p.fresh[first.ID].Load
+	}
+	for _, m := range g.Members {
+		view.Slow = view.Slow || p.o.Slowdowns[m] >= slowAt
+	}
+	return view
+}
+
+// serves reports whether the group counts as serving now (rule G1).
+func serves(d *garnetworks.FabricDomain, g *garnetworks.Group, fresh grouper.Statuses) bool {
+	return g.State == garnetworks.GroupServing && grouper.Confirmed(d, g, fresh)
+}
+
+// publish hands the view out when routers would act on the change, and now and
+// then for the loads and measures in it.
+func (p *deciding) publish() {
+	view := p.zoneView()
+	due := p.viewAt.IsZero() || p.o.Now.Sub(p.viewAt) >= p.Times.PublishEvery
+	if !due && reflect.DeepEqual(lasting(view), lasting(p.view)) {
+		return
+	}
+	p.view = view
+	p.viewAt = p.o.Now
+	p.e.View = garnetworks.Some(view)
+}
+
+// lasting leaves out what changes all the time.
+func lasting(view garnetworks.ZoneView) garnetworks.ZoneView {
+	view.Measures = garnetworks.Measures{}
+	groups := make([]garnetworks.GroupView, len(view.Groups))
+	copy(groups, view.Groups)
+	for n := range groups {
+		groups[n].Load = garnetworks.EngineLoad{}
+	}
+	view.Groups = groups
+	return view
+}
+
+// measure counts the two measures on from the last step.
+func (p *deciding) measure() {
+	passed := p.o.Now.Sub(p.measured)
+	p.measured = p.o.Now
+	down, stranded := p.countDown(), p.countStranded()
+	p.Measures.GroupDowntime += passed * time.Duration(p.Measures.GroupsDown)
+	p.Measures.Stranded += passed * time.Duration(p.Measures.InstancesStranded)
+	p.Measures.GroupsDown = down
+	p.Measures.InstancesStranded = stranded
+	p.Measures.Drawn = p.drawn()
+	p.Measures.Limit = p.Limit
+}
+
+// countDown returns how many wanted groups don't serve.
+func (p *deciding) countDown() int {
+	serving := map[garnetworks.ModelName]int{}
+	for _, d := range p.open {
+		for n := range d.Ahead.Groups {
+			if g := &d.Ahead.Groups[n]; serves(&d.Ahead, g, p.fresh) {
+				serving[g.Model]++
+			}
+		}
+	}
+	down := 0
+	for _, w := range p.Plan.Wanted {
+		down += max(w.Groups-serving[w.Model], 0)
+	}
+	return down
+}
+
+// countStranded returns how many powered instances don't serve. Those of a
+// draining group still finish calls.
+func (p *deciding) countStranded() int {
+	stranded := 0
+	for _, d := range p.open {
+		for n := range d.Ahead.Instances {
+			i := &d.Ahead.Instances[n]
+			g := grouper.FindGroup(&d.Ahead, i.Group)
+			useful := g != nil && (serves(&d.Ahead, g, p.fresh) || g.State == garnetworks.GroupDraining)
+			if i.Power.Draws() && !useful {
+				stranded++
+			}
+		}
+	}
+	return stranded
+}
--- a/granter/site.go
+++ b/granter/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -81,6 +82,7 @@
 
 func newSitePlan(in SiteInput) *sitePlan {
 	p := &sitePlan{SiteInput: in, grants: slices.Clone(in.Ledger.Grants), next: in.Ledger.Sequence + 1}
+	p.Memory.Moved = maps.Clone(in.Memory.Moved)
 	for _, z := range in.Zones {
 		p.ensure(z)
 	}
--- a/grouper/aggregate.go
+++ b/grouper/aggregate.go
@@ -228,10 +228,15 @@
 // released reports whether the status shows that the instance carried out the
 // release under its newest token and belongs to no group.
 func released(i *garnetworks.Instance, s garnetworks.EngineStatus) bool {
-	return s.Group == "" && s.Token == i.Token && s.Incarnation == i.Incarnation &&
+	carriedOut := s.Token == i.Token || s.LastOrder == releaseID(i.Token)
+	return s.Group == "" && carriedOut && s.Incarnation == i.Incarnation &&
 		(s.Phase == garnetworks.EngineIdle || s.Phase == garnetworks.EngineLoading)
 }
 
+// releaseID names a release; engines that name no token while they are idle
+// still name the last order that they carried out.
+func releaseID(token garnetworks.FencingToken) string { return "release/" + token.String() }
+
 // Judge notes whether a powered, admitted instance is healthy, leaving or a
 // straggler; it changes nothing for lost and returned ones.
 func (a *Aggregate) Judge(id garnetworks.InstanceID, condition garnetworks.Condition) {
@@ -447,6 +452,22 @@
 	a.record(garnetworks.EventGroupReleased, id, "", "%s", why)
 }
 
+// Gone takes an instance out that the power switch does not know and the list
+// does not name: there is no machine that could draw (D10). A group that held
+// it is broken first, so a second call is needed once the group is dissolved.
+func (a *Aggregate) Gone(id garnetworks.InstanceID, now time.Time) {
+	i := a.Instance(id)
+	if i == nil {
+		return
+	}
+	a.Lose(id, now, "the platform no longer has it")
+	if i.Group != "" {
+		return
+	}
+	i.Power = garnetworks.PowerOff
+	_ = a.Deregister(id)
+}
+
 // PowerOn decides to power an instance on; it counts as drawing from here on.
 func (a *Aggregate) PowerOn(id garnetworks.InstanceID, why string) error {
 	i := a.Instance(id)
--- a/grouper/doc.go
+++ b/grouper/doc.go
@@ -27,6 +27,6 @@
 //	    the switch reads off afterwards (rule G4).
 //	D9  A group with a member that says it is leaving takes no new work (rule
 //	    G8).
-//	D10 An instance leaves the domain only when the list no longer names it and
-//	    its power is proven off.
+//	D10 An instance leaves the domain only when the power switch does not know
+//	    it and the list does not name it; one that is off is not listed either.
 package grouper
--- a/grouper/orders.go
+++ b/grouper/orders.go
@@ -64,9 +64,9 @@
 }
 
 func freeOrder(i *garnetworks.Instance, s garnetworks.EngineStatus, loads Loads) (garnetworks.EngineOrder, bool) {
-	if s.Group != "" || s.Token != i.Token {
+	if s.Group != "" || (i.Condition == garnetworks.ConditionReturned && !released(i, s)) {
 		return garnetworks.EngineOrder{
-			ID:    fmt.Sprintf("release/%s", i.Token),
+			ID:    releaseID(i.Token),
 			Kind:  garnetworks.OrderRelease,
 			Token: i.Token,
 			Group: s.Group,
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -243,6 +243,16 @@
 	signal(l.wake)
 }
 
+// GiveAway frees the lease, so that another node can take it, and keeps this
+// node from contending for the given time. Orders end before it is called (L6).
+func (l *Lease) GiveAway(away time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.AwayUntil = time.Now().Add(away)
+	l.noteLocked()
+	signal(l.wake)
+}
+
 // OrderContext returns a context for one order, which ends within the order
 // bound and before the lease does, or KindLeaseLost. It must be called right
 // before the order (L3): a holder that was paused finds out here.
@@ -258,3 +268,6 @@
 	orderCtx, cancel := context.WithDeadline(ctx, now.Add(bound))
 	return orderCtx, cancel, nil
 }
+
+// OrderBound is the longest time for which an order may be in flight.
+func (l *Lease) OrderBound() time.Duration { return l.options.Settings.OrderBound }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -141,6 +141,8 @@
 	Floor uint32
 	// Closing says that the node steps down and wants the lease no more.
 	Closing bool
+	// AwayUntil is until when the node leaves the lease to others.
+	AwayUntil time.Time
 
 	// sent are the newest writes, oldest first. A write whose answer was lost can
 	// take effect after a read that did not show it yet, so they stay.
@@ -168,7 +170,7 @@
 
 // Term returns the term under which this node holds the lease, or 0.
 func (s *State) Term(now time.Time) uint32 {
-	if !s.Holding || Age(now, s.HeldFrom) >= s.Settings.Duration {
+	if !s.Holding || now.Before(s.AwayUntil) || Age(now, s.HeldFrom) >= s.Settings.Duration {
 		return 0
 	}
 	return s.Record.Term
@@ -177,7 +179,7 @@
 // MayAct reports whether an order that ends within bound may be sent now, and
 // the remaining time of the lease (L3).
 func (s *State) MayAct(now time.Time, bound time.Duration) (time.Duration, bool) {
-	if !s.Holding || s.Closing {
+	if !s.Holding || s.Closing || now.Before(s.AwayUntil) {
 		return 0, false
 	}
 	left := s.Settings.Duration - Age(now, s.HeldFrom)
@@ -230,7 +232,7 @@
 }
 
 func (s *State) nextOfHolder(now time.Time, writeID string) Action {
-	if s.Closing {
+	if s.Closing || now.Before(s.AwayUntil) {
 		return s.write(now, s.emptyRecord(writeID))
 	}
 	if now.Before(s.nextBeat) {
@@ -271,7 +273,7 @@
 // mayTake reports whether the record is free, or was this process's own until
 // its floor rose, or its holder's time is over with all its orders (L4).
 func (s *State) mayTake(now time.Time) bool {
-	if !s.Known {
+	if !s.Known || now.Before(s.AwayUntil) {
 		return false
 	}
 	if s.Record.Holder == "" {
