Let views name their controller and reports name slow groups

Cause: nodes must know whom to report to, and controllers who is slow. Change: ZoneView.Controller, HeartbeatRequest.Slow, the topic of zone demand.

--- a/peer.go
+++ b/peer.go
@@ -41,6 +41,7 @@
 	TopicZoneView  Topic = "zone-view/"
 	TopicZonePulse Topic = "zone-pulse/"
 	TopicShares    Topic = "shares/"
+	TopicDemand    Topic = "demand/"
 	TopicRoster    Topic = "roster/"
 	TopicStaged    Topic = "staged/"
 	TopicZoneState Topic = "zone-state/"
@@ -107,7 +108,10 @@
 // ZoneView is what a zone's controller tells all nodes of the zone's backend
 // servers.
 type ZoneView struct {
-	Zone    ZoneID       `json:"zone"`
+	Zone ZoneID `json:"zone"`
+	// Controller is the node that holds the zone's lease; nodes of the zone
+	// report to it.
+	Controller NodeInfo `json:"controller"`
 	Groups  []GroupView  `json:"groups"`
 	Servers []ServerView `json:"servers"`
 	// Engines are the zone's engine instances, in groups or not, sorted by
@@ -156,11 +160,21 @@
 	// Ask names nodes that the sender can't reach. The receiver answers in Heard
 	// and tries them itself.
 	Ask []NodeInfo `json:"ask,omitempty"`
+	// Slow names the groups that are slower than their like by the sender's
+	// measurements.
+	Slow []GroupSlowdown `json:"slow,omitempty"`
 	// Leaving says that the sender's process is stopping, so that its loss needs
 	// no suspicion.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// GroupSlowdown is a node's measurement of a group.
+type GroupSlowdown struct {
+	Group GroupID `json:"group"`
+	// Ratio is the group's time for a token over the median group's.
+	Ratio float64 `json:"ratio"`
+}
+
 // HeardNode is a node's word that another one lives.
 type HeardNode struct {
 	ID          NodeID `json:"id"`
