--- /dev/null
+++ b/tracker/store.go
@@ -0,0 +1,175 @@
+package tracker
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// maxConflicts bounds the tries of one roster write against other writers.
+const maxConflicts = 3
+
+// learnRosters reads all rosters once, and tries until that has worked.
+func (t *Tracker) learnRosters(ctx context.Context) {
+	for delay := time.Second; ; delay = min(2*delay, RereadEvery) {
+		err := t.list(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		t.options.Log(err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+	}
+}
+
+func (t *Tracker) list(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, StoreBound)
+	defer cancel()
+	t.reads.Add(1)
+	objects, _, err := t.options.Objects.List(bounded, RosterPrefix)
+	if err != nil {
+		return errors.Wrap(err, "can't list the rosters")
+	}
+	for _, o := range objects {
+		roster, err := decodeRoster(o)
+		if err != nil {
+			t.options.Log(err)
+			continue
+		}
+		t.learn(ctx, roster)
+	}
+	t.step(ctx, RostersRead{})
+	return nil
+}
+
+// learn takes a roster that was read, and spreads it: its writer may have died
+// before it could.
+func (t *Tracker) learn(ctx context.Context, roster garnetworks.Roster) {
+	t.step(ctx, RosterLearned{Roster: roster})
+	t.spread(roster)
+}
+
+func (t *Tracker) spread(roster garnetworks.Roster) {
+	body, err := json.Marshal(roster)
+	if err != nil {
+		t.options.Log(errors.Wrap(err, "can't encode a roster"))
+		return
+	}
+	err = t.options.Publish(garnetworks.Update{
+		Topic:   garnetworks.TopicRoster + garnetworks.Topic(roster.Zone),
+		Version: garnetworks.UpdateVersion{Sequence: roster.Version},
+		Body:    body,
+	})
+	// A newer one that came by distribution in between is no failure.
+	if err != nil && !garnetworks.IsKind(err, garnetworks.KindConflict) {
+		t.options.Log(err)
+	}
+}
+
+// reread reads the own zone's roster (rule T10).
+func (t *Tracker) reread(ctx context.Context) {
+	roster, _, err := t.read(ctx, t.options.Self.Zone)
+	if err != nil {
+		t.options.Log(err)
+		return
+	}
+	t.learn(ctx, roster)
+}
+
+// read returns the zone's roster, an empty one if there is none.
+func (t *Tracker) read(ctx context.Context, zone garnetworks.ZoneID) (garnetworks.Roster, garnetworks.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, StoreBound)
+	defer cancel()
+	t.reads.Add(1)
+	object, err := t.options.Objects.Get(ctx, RosterPrefix+string(zone))
+	if garnetworks.IsKind(err, garnetworks.KindNotFound) {
+		return garnetworks.Roster{Zone: zone}, 0, nil
+	}
+	if err != nil {
+		return garnetworks.Roster{}, 0, err
+	}
+	roster, err := decodeRoster(object)
+	return roster, object.Revision, err
+}
+
+func decodeRoster(o garnetworks.Object) (garnetworks.Roster, error) {
+	var roster garnetworks.Roster
+	if err := json.Unmarshal(o.Value, &roster); err != nil {
+		return roster, errors.Wrapf(err, "object %s is not a roster", o.Key)
+	}
+	return roster, nil
+}
+
+// write applies the patch to the roster in the object API, and tells the state
+// how it went.
+func (t *Tracker) write(ctx context.Context, patch Patch) {
+	roster, err := t.store(ctx, patch)
+	t.step(ctx, Written{Patch: patch, Roster: roster, Err: err})
+	if err != nil {
+		t.options.Log(err)
+		return
+	}
+	t.spread(roster)
+}
+
+func (t *Tracker) store(ctx context.Context, patch Patch) (garnetworks.Roster, error) {
+	var err error
+	for range maxConflicts {
+		var roster garnetworks.Roster
+		roster, err = t.storeOnce(ctx, patch)
+		if !garnetworks.IsKind(err, garnetworks.KindConflict) {
+			return roster, err
+		}
+	}
+	return garnetworks.Roster{}, err
+}
+
+func (t *Tracker) storeOnce(ctx context.Context, patch Patch) (garnetworks.Roster, error) {
+	current, revision, err := t.read(ctx, patch.Zone)
+	if err != nil {
+		return current, err
+	}
+	next, changed := patch.Apply(current)
+	if !changed {
+		return current, nil
+	}
+	next.WriteID = newWriteID()
+	body, err := json.Marshal(next)
+	if err != nil {
+		return current, errors.Wrap(err, "can't encode a roster")
+	}
+	err = t.put(ctx, RosterPrefix+string(patch.Zone), body, revision)
+	if !garnetworks.IsKind(err, garnetworks.KindAnswerLost, garnetworks.KindObjectAPIDown) {
+		return next, err
+	}
+	return next, t.readBack(ctx, next, err)
+}
+
+func (t *Tracker) put(ctx context.Context, key string, body []byte, after garnetworks.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, StoreBound)
+	defer cancel()
+	t.writes.Add(1)
+	_, err := t.options.Objects.Put(ctx, key, body, after)
+	return err
+}
+
+// readBack finds out whether a write whose answer was lost took effect (rule
+// G11). Without it, a node that was listed would be reported as not listed, and
+// the next writer would build on a guess.
+func (t *Tracker) readBack(ctx context.Context, written garnetworks.Roster, lost error) error {
+	current, _, err := t.read(ctx, written.Zone)
+	if err != nil {
+		return lost
+	}
+	if current.WriteID == written.WriteID {
+		return nil
+	}
+	return garnetworks.WrapError(garnetworks.KindConflict, lost, "the roster was not written")
+}
