Tell confirmations within a zone over a grid of nodes

Cause: each node needs each member's word within 3 s, and all-to-all telling grows with the square of the nodes. Change: two steps over rows and columns of the zone's nodes, differences of lists with ages of one byte, and clock relations from echoes, so that a message that is held up never makes a confirmation look younger.

--- /dev/null
+++ b/prober/exchange.go
@@ -0,0 +1,379 @@
+package prober
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// AgeUnit is the unit of garnetworks.ConfirmRequest's ages.
+	AgeUnit = 20 * time.Millisecond
+	// AgeNone stands for no confirmation within AgeNone units.
+	AgeNone = 255
+	// drift is the most by which two monotonic clocks run apart.
+	drift = 200e-6
+)
+
+// list is what a node tells of some instances. It is never changed.
+type list struct {
+	// sum is the checksum of statuses; 0 for none.
+	sum uint64
+	// statuses are sorted by instance and hold no loads.
+	statuses []garnetworks.EngineStatus
+}
+
+// newList makes a list of sorted statuses.
+func newList(statuses []garnetworks.EngineStatus) *list {
+	if len(statuses) == 0 {
+		return &list{}
+	}
+	// Encoding a struct of strings and numbers does not fail.
+	encoded, _ := cbor.Marshal(statuses)
+	return &list{sum: max(xxhash.Sum64(encoded), 1), statuses: statuses}
+}
+
+func compareStatus(s garnetworks.EngineStatus, id garnetworks.InstanceID) int {
+	return cmp.Compare(s.Instance, id)
+}
+
+// find returns the list's status of an instance.
+func (l *list) find(id garnetworks.InstanceID) (garnetworks.EngineStatus, bool) {
+	i, ok := slices.BinarySearchFunc(l.statuses, id, compareStatus)
+	if !ok {
+		return garnetworks.EngineStatus{}, false
+	}
+	return l.statuses[i], true
+}
+
+// difference returns what turns base into l.
+func (l *list) difference(base *list) (changed []garnetworks.EngineStatus, removed []garnetworks.InstanceID) {
+	for _, s := range l.statuses {
+		if known, ok := base.find(s.Instance); !ok || !sameStatus(&known, &s) {
+			changed = append(changed, s)
+		}
+	}
+	for _, s := range base.statuses {
+		if _, ok := l.find(s.Instance); !ok {
+			removed = append(removed, s.Instance)
+		}
+	}
+	return changed, removed
+}
+
+// sameStatus compares all that a list holds.
+func sameStatus(a, b *garnetworks.EngineStatus) bool {
+	return SameWord(a, b) && a.LastOrder == b.LastOrder && a.Load.Capacity == b.Load.Capacity &&
+		slices.Equal(a.Weights, b.Weights)
+}
+
+// with returns the list after a difference.
+func (l *list) with(changed []garnetworks.EngineStatus, removed []garnetworks.InstanceID) *list {
+	statuses := slices.DeleteFunc(slices.Clone(l.statuses), func(s garnetworks.EngineStatus) bool {
+		return slices.Contains(removed, s.Instance)
+	})
+	for _, s := range changed {
+		i, ok := slices.BinarySearchFunc(statuses, s.Instance, compareStatus)
+		if ok {
+			statuses[i] = s
+			continue
+		}
+		statuses = slices.Insert(statuses, i, s)
+	}
+	return newList(statuses)
+}
+
+// clock relates a peer's monotonic time to this process's: the peer's was stamp
+// no earlier than at. It comes from echoes: the peer says that its time was stamp
+// when it had this process's answer, which was given at at. The relation is used to count the age of a message from
+// before it was sent, however long it was held up on the way (rule P2).
+type clock struct {
+	stamp time.Duration
+	at    time.Time
+	known bool
+}
+
+// observe takes a stamp that the peer reached after the time at, and keeps the
+// tighter of the two bounds; the older one loosens by the drift.
+func (c *clock) observe(stamp time.Duration, at time.Time) {
+	if c.known && c.earliest(stamp).After(at) {
+		return
+	}
+	*c = clock{stamp, at, true}
+}
+
+// earliest returns a moment before which the peer has not read the stamp.
+func (c *clock) earliest(stamp time.Duration) time.Time {
+	since := stamp - c.stamp
+	loss := time.Duration(drift * float64(max(since, -since)))
+	return c.at.Add(since - loss)
+}
+
+// peer is what a node knows of another one.
+type peer struct {
+	incarnation uint64
+	clock       clock
+	// held are the lists that the peer has sent, acked the ones that it is known
+	// to hold, by garnetworks.ConfirmRequest.Relayed.
+	held, acked map[bool]*list
+	// echo is the stamp of the peer's last answer, echoAt this process's stamp
+	// when it had come, rounded up.
+	echo, echoAt uint64
+}
+
+// Outgoing is a request to be sent to a node.
+type Outgoing struct {
+	To      garnetworks.NodeInfo
+	Request *garnetworks.ConfirmRequest
+	list    *list
+}
+
+// Exchange decides what a node tells the others of its zone, and takes what
+// they tell (rule P6). It does no I/O and is safe for concurrent use.
+type Exchange struct {
+	self garnetworks.NodeID
+	// started is the origin of the stamps; incarnation tells the process from the
+	// node's earlier ones, whose stamps had another origin.
+	started     time.Time
+	incarnation uint64
+	table       *Table
+
+	mu          sync.Mutex
+	row, column []garnetworks.NodeInfo
+	// own are the instances that the node probes, ofRow those that its row does;
+	// both are sorted.
+	own, ofRow []garnetworks.InstanceID
+	peers      map[garnetworks.NodeID]*peer
+}
+
+// NewExchange returns an exchange for a node whose process started at started.
+func NewExchange(self garnetworks.NodeID, started time.Time, table *Table) *Exchange {
+	return &Exchange{self: self, started: started, incarnation: uint64(started.UnixMilli()), table: table, peers: make(map[garnetworks.NodeID]*peer)}
+}
+
+// Arrange takes the nodes and targets of the site; others than the zone's are
+// left out. A node that is not listed neither tells nor hears anything.
+func (x *Exchange) Arrange(nodes []garnetworks.NodeInfo, targets []Target) {
+	zone := zoneOf(x.self, nodes)
+	g := newGrid(zone, nodes)
+	row, column := g.row(x.self), g.column(x.self)
+	mates := garnetworks.NewSet(x.self)
+	for _, n := range row {
+		mates.Add(n.ID)
+	}
+	var own, ofRow []garnetworks.InstanceID
+	for _, t := range targets {
+		if t.Zone != zone {
+			continue
+		}
+		probers := Probers(t.Instance, t.Zone, nodes)
+		if slices.Contains(probers, x.self) {
+			own = append(own, t.Instance)
+		}
+		if slices.ContainsFunc(probers, mates.Has) {
+			ofRow = append(ofRow, t.Instance)
+		}
+	}
+	slices.Sort(own)
+	slices.Sort(ofRow)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.row, x.column, x.own, x.ofRow = row, column, own, ofRow
+	x.forget(nodes)
+}
+
+func zoneOf(id garnetworks.NodeID, nodes []garnetworks.NodeInfo) garnetworks.ZoneID {
+	i := slices.IndexFunc(nodes, func(n garnetworks.NodeInfo) bool { return n.ID == id })
+	if i < 0 {
+		return ""
+	}
+	return nodes[i].Zone
+}
+
+// forget drops peers that are no longer nodes; the caller holds mu.
+func (x *Exchange) forget(nodes []garnetworks.NodeInfo) {
+	known := garnetworks.NewSet[garnetworks.NodeID]()
+	for i := range nodes {
+		known.Add(nodes[i].ID)
+	}
+	for id := range x.peers {
+		if !known.Has(id) {
+			delete(x.peers, id)
+		}
+	}
+}
+
+// peer returns the state of a node's process, made anew after its restart; the
+// caller holds mu.
+func (x *Exchange) peer(id garnetworks.NodeID, incarnation uint64) *peer {
+	p, ok := x.peers[id]
+	if !ok || p.incarnation != incarnation {
+		p = &peer{incarnation: incarnation, held: make(map[bool]*list), acked: make(map[bool]*list)}
+		x.peers[id] = p
+	}
+	return p
+}
+
+// Outgoing returns the requests to send now.
+func (x *Exchange) Outgoing(now time.Time) []Outgoing {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make([]Outgoing, 0, len(x.row)+len(x.column))
+	out = x.tell(out, now, x.row, x.own, false)
+	return x.tell(out, now, x.column, x.ofRow, true)
+}
+
+// tell appends the requests to some nodes about some instances.
+func (x *Exchange) tell(out []Outgoing, now time.Time, to []garnetworks.NodeInfo, ids []garnetworks.InstanceID, relayed bool) []Outgoing {
+	if len(to) == 0 {
+		return out
+	}
+	l, ages, loads := x.table.snapshot(now, ids)
+	for _, n := range to {
+		request := &garnetworks.ConfirmRequest{
+			From: x.self, Incarnation: x.incarnation, Stamp: x.stamp(now), Relayed: relayed,
+			List: l.sum, Ages: ages, Loads: loads,
+		}
+		base := &list{}
+		if p, ok := x.peers[n.ID]; ok {
+			request.Echo, request.EchoAt, request.EchoOf = p.echo, p.echoAt, p.incarnation
+			if p.acked[relayed] != nil {
+				base = p.acked[relayed]
+			}
+		}
+		request.Base = base.sum
+		if base.sum != l.sum {
+			request.Changed, request.Removed = l.difference(base)
+		}
+		out = append(out, Outgoing{n, request, l})
+	}
+	return out
+}
+
+// stamp returns the process's monotonic time in milliseconds, rounded down.
+func (x *Exchange) stamp(now time.Time) uint64 {
+	return uint64(max(now.Sub(x.started), 0) / time.Millisecond)
+}
+
+// Incoming takes another node's request and returns the answer and the
+// instances whose word has changed.
+func (x *Exchange) Incoming(now time.Time, r *garnetworks.ConfirmRequest) (*garnetworks.ConfirmResponse, []garnetworks.InstanceID) {
+	x.mu.Lock()
+	p := x.peer(r.From, r.Incarnation)
+	held := p.take(r)
+	if r.EchoAt > 0 && r.EchoOf == x.incarnation {
+		p.clock.observe(time.Duration(r.EchoAt)*time.Millisecond, x.started.Add(time.Duration(r.Echo)*time.Millisecond))
+	}
+	sender := p.clock
+	x.mu.Unlock()
+	answer := &garnetworks.ConfirmResponse{Incarnation: x.incarnation, Stamp: x.stamp(now), Holds: held.sum}
+	if held.sum != r.List || len(r.Ages) != len(held.statuses) || !sender.known {
+		// The ages are of other statuses than the ones held, or the sender's clock
+		// is not known yet: nothing is refreshed, and the next request, after the
+		// answer, brings what is missing.
+		return answer, nil
+	}
+	base := sender.earliest(time.Duration(r.Stamp) * time.Millisecond)
+	return answer, x.table.Merge(minTime(base, now), held.results(base, r))
+}
+
+// take applies a request's difference to the list that the peer has sent before
+// and returns the list held then.
+func (p *peer) take(r *garnetworks.ConfirmRequest) *list {
+	held := p.held[r.Relayed]
+	if held == nil {
+		held = &list{}
+	}
+	if held.sum == r.List {
+		return held
+	}
+	base := held
+	if r.Base == 0 {
+		base = &list{}
+	}
+	if base.sum != r.Base {
+		return held
+	}
+	if next := base.with(r.Changed, r.Removed); next.sum == r.List {
+		held = next
+	}
+	p.held[r.Relayed] = held
+	return held
+}
+
+// results turns a list with ages into results.
+func (l *list) results(base time.Time, r *garnetworks.ConfirmRequest) []garnetworks.ProbeResult {
+	results := make([]garnetworks.ProbeResult, 0, len(l.statuses))
+	loads := make(map[int][]uint32, len(r.Loads)/loadFields)
+	for i := 0; i+loadFields <= len(r.Loads); i += loadFields {
+		loads[int(r.Loads[i])] = r.Loads[i+1 : i+loadFields]
+	}
+	for i, s := range l.statuses {
+		if r.Ages[i] == AgeNone {
+			continue
+		}
+		age := time.Duration(r.Ages[i]) * AgeUnit
+		s.Load.At = base.Add(-age)
+		if v, ok := loads[i]; ok {
+			s.Load.Running, s.Load.Waiting, s.Load.CacheUsed = int(v[0]), int(v[1]), float64(v[2])/100
+		}
+		results = append(results, garnetworks.ProbeResult{Status: s, Age: age})
+	}
+	return results
+}
+
+// loadFields is the count of numbers for each load in a request.
+const loadFields = 4
+
+// Answered takes a node's answer to a request.
+func (x *Exchange) Answered(now time.Time, o *Outgoing, answer *garnetworks.ConfirmResponse) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peer(o.To.ID, answer.Incarnation)
+	p.echo, p.echoAt = answer.Stamp, x.stamp(now)+1
+	p.acked[o.Request.Relayed] = nil
+	if answer.Holds == o.list.sum {
+		p.acked[o.Request.Relayed] = o.list
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// snapshot returns what the table says of some sorted instances: a list, and
+// the ages and loads that go with it.
+func (t *Table) snapshot(now time.Time, ids []garnetworks.InstanceID) (l *list, ages []byte, loads []uint32) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	statuses := make([]garnetworks.EngineStatus, 0, len(ids))
+	ages = make([]byte, 0, len(ids))
+	for _, id := range ids {
+		e, ok := t.entries[id]
+		if !ok {
+			continue
+		}
+		s := e.status
+		if s.Load.Running > 0 || s.Load.Waiting > 0 || s.Load.CacheUsed > 0 {
+			loads = append(loads, uint32(len(statuses)), uint32(s.Load.Running), uint32(s.Load.Waiting), uint32(s.Load.CacheUsed*100))
+		}
+		s.Load = garnetworks.EngineLoad{Capacity: s.Load.Capacity}
+		s.CacheEvents = 0
+		statuses = append(statuses, s)
+		ages = append(ages, ageByte(now.Sub(e.at)))
+	}
+	return newList(statuses), ages, loads
+}
+
+// ageByte rounds an age up to units.
+func ageByte(age time.Duration) byte {
+	return byte(min((max(age, 0)+AgeUnit-1)/AgeUnit, AgeNone))
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -25,6 +25,9 @@
 type Options struct {
 	// Node is the node that probes.
 	Node garnetworks.NodeID
+	// Peers sends results to the other nodes of the zone; without it the node
+	// knows only what it probes itself.
+	Peers garnetworks.Option[garnetworks.ConfirmCaller]
 	// Orders reads engines' status.
 	Orders garnetworks.EngineOrders
 	// Recorder may be nil.
@@ -44,7 +47,10 @@
 // them at one moment of the interval, chosen at random for each round, so that
 // what it then tells its peers is young; the moments of different nodes differ.
 type Prober struct {
-	options Options
+	options  Options
+	exchange *Exchange
+	// word holds a token when a word has changed since the last telling.
+	word    chan struct{}
 	results chan garnetworks.ProbeResult
 	dropped atomic.Uint64
 
@@ -71,10 +77,12 @@
 		options.Table = NewTable()
 	}
 	return &Prober{
-		options: options,
-		results: make(chan garnetworks.ProbeResult, resultsKept),
-		failing: garnetworks.NewSet[garnetworks.InstanceID](),
-		changed: make(map[garnetworks.InstanceID]struct{}),
+		options:  options,
+		exchange: NewExchange(options.Node, time.Now(), options.Table),
+		word:     make(chan struct{}, 1),
+		results:  make(chan garnetworks.ProbeResult, resultsKept),
+		failing:  garnetworks.NewSet[garnetworks.InstanceID](),
+		changed:  make(map[garnetworks.InstanceID]struct{}),
 	}
 }
 
@@ -86,7 +94,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.nodes = slices.Clone(nodes)
-	p.assigned = Assigned(p.options.Node, p.nodes, p.targets)
+	p.arrange()
 }
 
 // SetTargets takes the engine instances of all zones.
@@ -94,7 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.targets = slices.Clone(targets)
-	p.assigned = Assigned(p.options.Node, p.nodes, p.targets)
+	p.arrange()
 	known := garnetworks.NewSet[garnetworks.InstanceID]()
 	for _, t := range targets {
 		known.Add(t.Instance)
@@ -102,6 +110,12 @@
 	p.options.Table.Keep(known)
 }
 
+// arrange follows a change of nodes or targets; the caller holds mu.
+func (p *Prober) arrange() {
+	p.assigned = Assigned(p.options.Node, p.nodes, p.targets)
+	p.exchange.Arrange(p.nodes, p.targets)
+}
+
 // Assigned returns the targets that this node probes now.
 func (p *Prober) Assigned() []Target {
 	p.mu.Lock()
@@ -134,26 +148,44 @@
 	return taken
 }
 
-// Run probes until ctx ends and returns its error.
+// Run probes and tells the peers until ctx ends, and returns ctx's error.
 func (p *Prober) Run(ctx context.Context) error {
-	var probes sync.WaitGroup
-	defer probes.Wait()
+	var running sync.WaitGroup
+	defer running.Wait()
+	begun := make(chan struct{}, 1)
+	running.Go(func() { p.speak(ctx, begun) })
 	wait := time.Duration(p.options.Random() * float64(p.options.Interval))
 	for {
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		sleep(ctx, wait)
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-timer.C:
 		}
 		for _, t := range p.Assigned() {
-			probes.Go(func() { p.probe(ctx, t) })
+			running.Go(func() { p.probe(ctx, t) })
 		}
+		signal(begun)
 		wait = p.pause()
 	}
 }
 
+// signal puts a token into a channel that has room for one.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // pause returns the time to the next round: the interval with a tenth of
 // jitter downwards, so that rounds of different nodes do not stay in step and
 // no two probes lie further apart than the interval.
@@ -190,6 +222,7 @@
 	p.mu.Lock()
 	for _, id := range changed {
 		p.changed[id] = struct{}{}
+		signal(p.word)
 	}
 	failedBefore := p.failing.Has(t.Instance)
 	p.failing.Remove(t.Instance)
--- a/prober/table.go
+++ b/prober/table.go
@@ -61,7 +61,11 @@
 	if ok && known.status.Token == r.Status.Token {
 		first = known.first
 	}
-	t.entries[r.Status.Instance] = entry{r.Status, at, first}
+	status := r.Status
+	if ok && status.CacheEvents == 0 && status.Incarnation == known.status.Incarnation {
+		status.CacheEvents = known.status.CacheEvents // results from peers leave it out
+	}
+	t.entries[status.Instance] = entry{status, at, first}
 	return !ok || !SameWord(&known.status, &r.Status)
 }
 
