Work out nodes' shares from zone sums

Cause: limits hold for the whole site, while a table of 330 nodes sent to all would cost some 13 KB/s a node at 8 zones and 5 s. Change: nodes report to their zone's controller, controllers tell each other the zone's sum, and each node gets its own row with the answer to its report.

--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,150 @@
+package sharer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/admitter"
+)
+
+var (
+	start      = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+	workspaces = []garnetworks.WorkspaceSpec{{Name: "w", Limits: garnetworks.LimitsSpec{RequestsPerSecond: 100}}}
+)
+
+// site returns zones of unequal size.
+func site(sizes map[garnetworks.ZoneID]int) []garnetworks.NodeInfo {
+	var nodes []garnetworks.NodeInfo
+	for _, zone := range []garnetworks.ZoneID{"a", "b", "c"} {
+		for i := range sizes[zone] {
+			nodes = append(nodes, garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("%s-%d", zone, i)), Zone: zone})
+		}
+	}
+	return nodes
+}
+
+func demand(rate float64) []garnetworks.Demand {
+	return []garnetworks.Demand{{Workspace: "w", RequestsPerSecond: rate, TokensPerSecond: rate}}
+}
+
+// share returns a node's share of workspace w.
+func share(t *testing.T, k *Keeper, now time.Time, node garnetworks.NodeID) float64 {
+	t.Helper()
+	row, ok := k.Row(now, workspaces, node).Get()
+	if !ok {
+		t.Fatalf("no row for %s", node)
+	}
+	return row.Workspaces[0].Share
+}
+
+func TestSharesOfAllControllersSumToOne(t *testing.T) {
+	// An operator limits a workspace to 100 requests a second over the site.
+	// Each zone's controller works out its own nodes' shares from its own reports
+	// and the other zones' sums; if these tables did not fit each other, the
+	// workspace would get more than its limit.
+	nodes := site(map[garnetworks.ZoneID]int{"a": 2, "b": 5, "c": 1})
+	keepers := map[garnetworks.ZoneID]*Keeper{"a": New("a"), "b": New("b"), "c": New("c")}
+	for i, n := range nodes {
+		keepers[n.Zone].SetNodes(nodes)
+		keepers[n.Zone].Report(start, n.ID, demand(float64(10*i)))
+	}
+	for from, k := range keepers {
+		for _, other := range keepers {
+			other.TakeZone(start, from, k.ZoneDemand(start))
+		}
+	}
+	sum := 0.0
+	for _, n := range nodes {
+		sum += share(t, keepers[n.Zone], start, n.ID)
+	}
+	if math.Abs(sum-1) > 1e-9 {
+		t.Errorf("shares sum to %v", sum)
+	}
+	if low, high := share(t, keepers["b"], start, "b-0"), share(t, keepers["b"], start, "b-4"); low >= high {
+		t.Errorf("shares do not follow demand: %v for less, %v for more", low, high)
+	}
+}
+
+func TestSilentZoneKeepsItsEqualShare(t *testing.T) {
+	// Zone c is cut off. Its node goes on with the equal share among the known
+	// nodes, so the others must leave that much, or the workspace gets more than
+	// its limit.
+	nodes := site(map[garnetworks.ZoneID]int{"a": 2, "b": 1, "c": 1})
+	k := New("a")
+	k.SetNodes(nodes)
+	k.TakeZone(start, "b", ZoneDemand{Nodes: 1, Demands: demand(10)})
+	k.TakeZone(start, "c", ZoneDemand{Nodes: 1, Demands: demand(80)})
+	now := start.Add(admitter.ShareBound + time.Second)
+	k.TakeZone(now, "b", ZoneDemand{Nodes: 1, Demands: demand(10)})
+	k.Report(now, "a-0", demand(10))
+	k.Report(now, "a-1", demand(10))
+
+	sum := share(t, k, now, "a-0") + share(t, k, now, "a-1") + share(t, k, now, "b-0")
+	if want := 0.75; math.Abs(sum-want) > 1e-9 {
+		t.Errorf("nodes that were heard have %v together, want %v", sum, want)
+	}
+}
+
+func TestUnknownNodeGetsNoShares(t *testing.T) {
+	k := New("a")
+	k.SetNodes(site(map[garnetworks.ZoneID]int{"a": 1}))
+	k.Report(start, "a-9", demand(1))
+	if row := k.Row(start, workspaces, "a-9"); row.Present {
+		t.Errorf("a node on no roster got %+v", row.Value)
+	}
+	k.SetNodes(site(map[garnetworks.ZoneID]int{"a": 1}))
+	if got := k.ZoneDemand(start).Nodes; got != 0 {
+		t.Errorf("a node that is gone counts in the zone's demand")
+	}
+}
+
+func TestSlowdownsNeedTwoWitnesses(t *testing.T) {
+	slow := func(ratio float64) []garnetworks.GroupSlowdown {
+		return []garnetworks.GroupSlowdown{{Group: "g", Ratio: ratio}}
+	}
+	tests := map[string]struct {
+		words map[garnetworks.NodeID][]garnetworks.GroupSlowdown
+		want  float64
+	}{
+		"one of two":          {map[garnetworks.NodeID][]garnetworks.GroupSlowdown{"x": slow(3), "y": nil}, 0},
+		"the only node":       {map[garnetworks.NodeID][]garnetworks.GroupSlowdown{"x": slow(3)}, 3},
+		"two, lower median":   {map[garnetworks.NodeID][]garnetworks.GroupSlowdown{"x": slow(3), "y": slow(2)}, 2},
+		"outlier among three": {map[garnetworks.NodeID][]garnetworks.GroupSlowdown{"x": slow(2), "y": slow(90), "z": slow(3)}, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := Slowdowns(tt.words)["g"]; got != tt.want {
+				t.Errorf("Slowdowns() = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// BenchmarkTable works out the table of one zone's controller.
+func BenchmarkTable(b *testing.B) {
+	for _, count := range []int{6, 24, 96, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) {
+			nodes := site(map[garnetworks.ZoneID]int{"a": count / 3, "b": count / 3, "c": count / 3})
+			specs := make([]garnetworks.WorkspaceSpec, 10)
+			demands := make([]garnetworks.Demand, 10)
+			for i := range specs {
+				specs[i] = garnetworks.WorkspaceSpec{Name: garnetworks.WorkspaceName(fmt.Sprintf("workspace-%d", i)), Limits: garnetworks.LimitsSpec{RequestsPerSecond: 100}}
+				demands[i] = garnetworks.Demand{Workspace: specs[i].Name, RequestsPerSecond: float64(i)}
+			}
+			k := New("a")
+			k.SetNodes(nodes)
+			for _, n := range nodes {
+				k.Report(start, n.ID, demands)
+			}
+			k.TakeZone(start, "b", ZoneDemand{Nodes: count / 3, Demands: demands})
+			b.ReportAllocs()
+			for b.Loop() {
+				k.tableAt = time.Time{}
+				k.Row(start, specs, "a-0")
+			}
+		})
+	}
+}
