Fuzz zone and site controllers against an oracle

Change: a simulation of the pure parts over small fakes, with random faults, and an oracle for membership, confirmations, power and tokens. It found that a zone that claimed its statement before it had listed its instances stated a draw of 0, so that the site granted its power to others. The first statement now waits for the list, and no grant grows before every zone has stated its draw (W9).

--- a/controller/act.go
+++ b/controller/act.go
@@ -270,13 +270,10 @@
 
 // statePower decides the zone's limit and its statement.
 func (p *deciding) statePower() {
-	if p.Manifest == nil {
+	if p.Manifest == nil || !p.ListKnown {
 		return
 	}
-	drawn := p.servicesDraw()
-	for _, d := range p.open {
-		drawn += grouper.Drawn(d.Domain())
-	}
+	drawn := p.drawn()
 	needs := granter.Needs(p.models(), p.Manifest.Manifest.Site.Classes)
 	out := granter.PlanZone(granter.ZoneInput{
 		Zone:   p.Zone,
--- /dev/null
+++ b/controller/sim_test.go
@@ -0,0 +1,743 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/granter"
+	"github.com/garnetworks/garnetworks/grouper"
+	"github.com/garnetworks/garnetworks/leaser"
+)
+
+// sim runs the pure parts of several nodes over small fakes on a clock of its
+// own, one tick at a time, so that any order of events can be brought about.
+type sim struct {
+	now      time.Time
+	cap      garnetworks.Watts
+	manifest *garnetworks.AcceptedManifest
+	objects  map[string]simObject
+	revision garnetworks.Revision
+	puts     int
+	gets     int
+	engines  map[garnetworks.InstanceID]*simEngine
+	ids      []garnetworks.InstanceID
+	nodes    []*simNode
+	sites    []*simSite
+	later    []simEvent
+	apiDown  bool
+	views    map[garnetworks.ZoneID]simView
+	random   *rand.Rand
+	broken   string
+	ticks    int
+	// ledgerSeen and domainsSeen check that stored values never go back.
+	domainsSeen map[string]garnetworks.FabricDomain
+	events      map[garnetworks.EventKind]int
+	log         []string
+}
+
+type simObject struct {
+	value    []byte
+	revision garnetworks.Revision
+}
+
+type simEvent struct {
+	at time.Time
+	do func()
+}
+
+type simView struct {
+	version garnetworks.UpdateVersion
+	view    garnetworks.ZoneView
+}
+
+type simEngine struct {
+	row         garnetworks.ListedInstance
+	checks      bool
+	power       garnetworks.PowerState
+	bootAt      time.Time
+	bootTime    time.Duration
+	incarnation uint64
+	dark        bool
+	token       garnetworks.FencingToken
+	highest     garnetworks.FencingToken
+	obeyed      garnetworks.FencingToken
+	powerToken  garnetworks.FencingToken
+	powerDone   string
+	group       garnetworks.GroupID
+	model       garnetworks.ModelName
+	version     garnetworks.VersionName
+	adapters    []garnetworks.AdapterName
+	phase       garnetworks.EnginePhase
+	loadUntil   time.Time
+	weights     []garnetworks.WeightID
+	lastOrder   string
+	leaving     bool
+	// truth is when the engine was last ready in each group.
+	truth map[garnetworks.GroupID]time.Time
+}
+
+type simNode struct {
+	s        *sim
+	id       garnetworks.NodeID
+	zone     garnetworks.ZoneID
+	lease    *leaser.State
+	leaseAt  bool
+	state    *ZoneState
+	pausedTo time.Time
+	apiCut   bool
+	cut      bool
+	loseAPI  int
+	lateAPI  int
+	lose     int
+	table    map[garnetworks.InstanceID]Witness
+	probed   time.Time
+	writeID  int
+	sequence uint64
+	inbox    []func()
+	// process counts restarts: answers to an older process are lost.
+	process int
+}
+
+const (
+	simTick  = 200 * time.Millisecond
+	simWatts = 10_000
+)
+
+func newSim(seed uint64, zones, nodes, domains, size int, checks bool, manifest garnetworks.Manifest) *sim {
+	s := &sim{
+		now:         time.Unix(1_000_000, 0),
+		cap:         manifest.Site.PowerCap,
+		manifest:    &garnetworks.AcceptedManifest{Generation: 1, Manifest: manifest},
+		objects:     map[string]simObject{},
+		engines:     map[garnetworks.InstanceID]*simEngine{},
+		views:       map[garnetworks.ZoneID]simView{},
+		random:      rand.New(rand.NewPCG(seed, 1)),
+		domainsSeen: map[string]garnetworks.FabricDomain{},
+		events:      map[garnetworks.EventKind]int{},
+	}
+	for z := range zones {
+		zone := garnetworks.ZoneID(fmt.Sprintf("z%d", z))
+		s.addEngines(zone, domains, size, checks, manifest.Site.Classes[0].BootTime)
+		for n := range nodes {
+			s.addNode(garnetworks.NodeID(fmt.Sprintf("n%d-%d", z, n)), zone, n)
+		}
+	}
+	for n := range 2 {
+		s.sites = append(s.sites, &simSite{s: s, id: n})
+	}
+	return s
+}
+
+func (s *sim) addEngines(zone garnetworks.ZoneID, domains, size int, checks bool, boot time.Duration) {
+	for d := range domains {
+		for i := range size {
+			id := garnetworks.InstanceID(fmt.Sprintf("%s-d%d-i%02d", zone, d, i))
+			s.ids = append(s.ids, id)
+			s.engines[id] = &simEngine{
+				row: garnetworks.ListedInstance{
+					ID: id, Address: string(id), Zone: zone, Class: "gpu", State: garnetworks.ListedLive,
+					Domain: garnetworks.DomainID(fmt.Sprintf("%s-d%d", zone, d)),
+				},
+				checks: checks, power: garnetworks.PowerOn, incarnation: 1, bootTime: boot,
+				phase: garnetworks.EngineIdle, truth: map[garnetworks.GroupID]time.Time{},
+			}
+		}
+	}
+}
+
+func (s *sim) addNode(id garnetworks.NodeID, zone garnetworks.ZoneID, rank int) {
+	lease := leaser.NewState(id, leaser.Defaults())
+	lease.Rank, lease.Candidates = rank, 3
+	times := DefaultTimes()
+	s.nodes = append(s.nodes, &simNode{s: s, id: id, zone: zone, lease: lease, state: NewZoneState(zone, times), table: map[garnetworks.InstanceID]Witness{}})
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.broken == "" {
+		s.broken = fmt.Sprintf("at %s: ", s.now.Format("04:05.0")) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.later = append(s.later, simEvent{s.now.Add(d), do})
+}
+
+// run advances the clock.
+func (s *sim) run(d time.Duration) {
+	for until := s.now.Add(d); s.now.Before(until) && s.broken == ""; {
+		s.now = s.now.Add(simTick)
+		s.ticks++
+		s.deliver()
+		for _, id := range s.ids {
+			s.engines[id].tick(s.now)
+		}
+		for _, n := range s.nodes {
+			n.tick()
+		}
+		for _, site := range s.sites {
+			site.tick()
+		}
+		s.check()
+	}
+}
+
+func (s *sim) deliver() {
+	due := s.later
+	s.later = nil
+	sort.SliceStable(due, func(i, j int) bool { return due[i].at.Before(due[j].at) })
+	for _, e := range due {
+		if e.at.After(s.now) {
+			s.later = append(s.later, e)
+			continue
+		}
+		e.do()
+	}
+}
+
+// Object API.
+
+func (s *sim) get(key string) (garnetworks.Object, error) {
+	s.gets++
+	o, ok := s.objects[key]
+	if !ok {
+		return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindNotFound, "%s", key)
+	}
+	return garnetworks.Object{Key: key, Value: o.value, Revision: o.revision}, nil
+}
+
+func (s *sim) put(key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	s.puts++
+	if s.objects[key].revision != after {
+		return 0, garnetworks.Errorf(garnetworks.KindConflict, "%s", key)
+	}
+	s.revision++
+	s.objects[key] = simObject{value, s.revision}
+	s.checkStored(key, value)
+	return s.revision, nil
+}
+
+var errDown = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "down")
+
+// call makes a call to the object API from a node: 0.2 s there and back, with
+// the node's faults.
+func (n *simNode) call(write bool, do func() error, answer func(error)) {
+	s := n.s
+	if s.apiDown || n.apiCut {
+		n.answer(simTick, func() { answer(errDown) })
+		return
+	}
+	if write && n.lateAPI > 0 {
+		n.lateAPI--
+		s.after(time.Duration(1+s.random.IntN(20))*time.Second, func() { _ = do() })
+		n.answer(simTick, func() { answer(garnetworks.Errorf(garnetworks.KindAnswerLost, "late")) })
+		return
+	}
+	err := do()
+	if write && n.loseAPI > 0 {
+		n.loseAPI--
+		err = garnetworks.Errorf(garnetworks.KindAnswerLost, "lost")
+	}
+	n.answer(simTick, func() { answer(err) })
+}
+
+// answer hands a result to the node's process, which takes it in when it runs.
+func (n *simNode) answer(d time.Duration, do func()) {
+	process := n.process
+	n.s.after(d, func() {
+		if n.process == process {
+			n.inbox = append(n.inbox, do)
+		}
+	})
+}
+
+// Nodes.
+
+func (n *simNode) tick() {
+	s := n.s
+	if s.now.Before(n.pausedTo) {
+		return
+	}
+	inbox := n.inbox
+	n.inbox = nil
+	for _, do := range inbox {
+		do()
+	}
+	n.tickLease()
+	n.probe()
+	term := n.lease.Term(s.now)
+	if term == 0 && n.state.Phase == PhaseStandby {
+		return
+	}
+	o := Observation{Now: s.now, Term: term, Contested: !n.lease.Holding, Manifest: s.manifest, Statuses: n.table}
+	n.carryOut(n.state.Step(o), term)
+}
+
+func (n *simNode) tickLease() {
+	if n.leaseAt {
+		return
+	}
+	s := n.s
+	n.writeID++
+	a := n.lease.Next(s.now, fmt.Sprintf("%s/%d", n.id, n.writeID))
+	key := ZoneLeaseKey(n.zone)
+	switch a.Kind {
+	case leaser.ActionRead:
+		n.leaseAt = true
+		var o garnetworks.Object
+		n.call(false, func() (err error) { o, err = s.get(key); return err }, func(err error) {
+			n.leaseAt = false
+			var record garnetworks.LeaseRecord
+			if err == nil {
+				err = json.Unmarshal(o.Value, &record)
+			}
+			n.lease.OnRead(s.now, record, o.Revision, err, s.random.Float64())
+		})
+	case leaser.ActionWrite:
+		n.leaseAt = true
+		value, _ := json.Marshal(a.Record)
+		var revision garnetworks.Revision
+		n.call(true, func() (err error) { revision, err = s.put(key, value, a.After); return err }, func(err error) {
+			n.leaseAt = false
+			n.lease.OnWrite(s.now, revision, err)
+		})
+	}
+}
+
+func (n *simNode) probe() {
+	s := n.s
+	if s.now.Sub(n.probed) < time.Second {
+		return
+	}
+	n.probed = s.now
+	for _, id := range s.ids {
+		e := s.engines[id]
+		if !n.cut && e.answers() && e.row.Zone == n.zone {
+			n.table[id] = Witness{e.status(), s.now}
+		}
+	}
+}
+
+func (n *simNode) carryOut(e Effects, term uint32) {
+	s := n.s
+	for _, event := range e.Events {
+		s.events[event.Kind]++
+		s.log = append(s.log, fmt.Sprintf("%s %s %s %s %s %s", s.now.Format("04:05.0"), n.id, event.Kind, event.Group, event.Instance, event.Detail))
+	}
+	if view, ok := e.View.Get(); ok {
+		n.sequence++
+		n.publish(garnetworks.UpdateVersion{Term: n.state.Term, Sequence: n.sequence}, view)
+	}
+	n.callObjects(e)
+	if e.ReadList {
+		rows := s.rows(n.zone)
+		n.answer(simTick, func() { n.state.OnList(s.now, rows, nil) })
+	}
+	if e.ReadRate {
+		n.state.OnRate(s.now, 0, nil)
+	}
+	for _, p := range e.Power {
+		n.powerOrder(p)
+	}
+	for _, o := range e.Orders {
+		n.engineOrder(o)
+	}
+	for _, r := range e.ReadBacks {
+		n.readBack(r)
+	}
+	if e.RaiseFloor > 0 {
+		n.lease.RaiseFloor(e.RaiseFloor)
+	}
+	if e.GiveAway {
+		n.lease.AwayUntil = s.now.Add(giveAwayFor)
+	}
+}
+
+func (n *simNode) callObjects(e Effects) {
+	s, term := n.s, n.state.Term
+	if e.ListDomains {
+		var objects []garnetworks.Object
+		n.call(false, func() error { objects = s.list(DomainsPrefix(n.zone)); return nil }, func(err error) {
+			if err := n.state.OnDomains(s.now, objects, err); err != nil && !garnetworks.IsKind(err, garnetworks.KindObjectAPIDown) {
+				s.fail("%v", err)
+			}
+		})
+	}
+	for _, r := range e.Reads {
+		var o garnetworks.Object
+		n.call(false, func() (err error) { o, err = s.get(r.Key); return err }, func(err error) { _ = n.state.OnRead(s.now, term, r.Key, o, err) })
+	}
+	for _, w := range e.Writes {
+		var revision garnetworks.Revision
+		n.call(true, func() (err error) { revision, err = s.put(w.Key, w.Value, w.After); return err }, func(err error) { n.state.OnWrite(s.now, term, w.Key, revision, err) })
+	}
+	if e.ReadLedger {
+		var o garnetworks.Object
+		n.call(false, func() (err error) { o, err = s.get(LedgerKey); return err }, func(err error) {
+			var ledger garnetworks.PowerLedger
+			if err == nil {
+				err = json.Unmarshal(o.Value, &ledger)
+			}
+			n.state.OnLedger(s.now, ledger, err)
+		})
+	}
+}
+
+func (s *sim) list(prefix string) []garnetworks.Object {
+	s.gets++
+	var objects []garnetworks.Object
+	for key, o := range s.objects {
+		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
+			objects = append(objects, garnetworks.Object{Key: key, Value: o.value, Revision: o.revision})
+		}
+	}
+	sort.Slice(objects, func(i, j int) bool { return objects[i].Key < objects[j].Key })
+	return objects
+}
+
+func (s *sim) rows(zone garnetworks.ZoneID) []garnetworks.ListedInstance {
+	var rows []garnetworks.ListedInstance
+	for _, id := range s.ids {
+		if e := s.engines[id]; e.row.Zone == zone && e.power == garnetworks.PowerOn {
+			rows = append(rows, e.row)
+		}
+	}
+	return rows
+}
+
+// engineOrder checks the lease right before the order, as the loop does; the
+// order takes effect at some time within its bound.
+func (n *simNode) engineOrder(o EngineEffect) {
+	s := n.s
+	sent := s.now
+	bound := n.lease.Settings.OrderBound
+	ok := o.BeyondLease && n.lease.Holding
+	if !o.BeyondLease {
+		_, ok = n.lease.MayAct(sent, bound)
+	}
+	if !ok {
+		n.answer(simTick, func() {
+			n.state.OnOrder(sent, o, garnetworks.EngineStatus{}, garnetworks.Errorf(garnetworks.KindLeaseLost, ""))
+		})
+		return
+	}
+	e := s.engines[o.Instance]
+	if n.cut || !e.answers() {
+		n.answer(bound, func() {
+			n.state.OnOrder(sent, o, garnetworks.EngineStatus{}, garnetworks.Errorf(garnetworks.KindUnreachable, ""))
+		})
+		return
+	}
+	delay := time.Duration(s.random.Int64N(int64(bound)))
+	lost := n.lose > 0
+	if lost {
+		n.lose--
+	}
+	s.after(delay, func() {
+		status, err := e.order(s, o.EngineOrder)
+		if lost {
+			status, err = garnetworks.EngineStatus{}, garnetworks.Errorf(garnetworks.KindAnswerLost, "")
+		}
+		n.answer(simTick, func() { n.state.OnOrder(sent, o, status, err) })
+	})
+}
+
+func (n *simNode) readBack(r ReadBack) {
+	sent, e := n.s.now, n.s.engines[r.Instance]
+	if n.cut || !e.answers() {
+		n.answer(simTick, func() {
+			n.state.OnReadBack(sent, r.Instance, garnetworks.EngineStatus{}, garnetworks.Errorf(garnetworks.KindUnreachable, ""))
+		})
+		return
+	}
+	status := e.status()
+	n.answer(simTick, func() { n.state.OnReadBack(sent, r.Instance, status, nil) })
+}
+
+// powerOrder may take effect long after its answer was lost; the switch checks
+// tokens.
+func (n *simNode) powerOrder(p PowerEffect) {
+	s := n.s
+	e := s.engines[p.Instance]
+	if _, ok := n.lease.MayAct(s.now, n.lease.Settings.OrderBound); !ok {
+		n.answer(simTick, func() {
+			n.state.OnPower(s.now, p.PowerOrder, garnetworks.PowerUnknown, garnetworks.Errorf(garnetworks.KindLeaseLost, ""))
+		})
+		return
+	}
+	if n.lose > 0 {
+		n.lose--
+		s.after(time.Duration(s.random.IntN(30))*time.Second, func() { _ = e.setPower(s.now, p.PowerOrder) })
+		n.answer(simTick, func() {
+			n.state.OnPower(s.now, p.PowerOrder, garnetworks.PowerUnknown, garnetworks.Errorf(garnetworks.KindAnswerLost, ""))
+		})
+		return
+	}
+	err := e.setPower(s.now, p.PowerOrder)
+	state := e.power
+	n.answer(simTick, func() { n.state.OnPower(s.now, p.PowerOrder, state, err) })
+}
+
+// Engines.
+
+func (e *simEngine) answers() bool { return e.power == garnetworks.PowerOn && !e.dark }
+
+func (e *simEngine) status() garnetworks.EngineStatus {
+	return garnetworks.EngineStatus{
+		Instance: e.row.ID, Incarnation: e.incarnation, Phase: e.phase, Group: e.group, Token: e.token,
+		Model: e.model, Version: e.version, Adapters: e.adapters, Weights: slices.Clone(e.weights), LastOrder: e.lastOrder, Leaving: e.leaving,
+	}
+}
+
+func (e *simEngine) tick(now time.Time) {
+	if e.power == garnetworks.PowerStarting && !now.Before(e.bootAt) {
+		e.power = garnetworks.PowerOn
+		e.restart()
+	}
+	if e.phase == garnetworks.EngineLoading && !now.Before(e.loadUntil) {
+		id := garnetworks.WeightID{Model: e.model, Version: e.version}
+		if !slices.Contains(e.weights, id) {
+			e.weights = append(e.weights, id)
+		}
+		e.phase = garnetworks.EngineReady
+	}
+	if e.answers() && e.phase == garnetworks.EngineReady {
+		e.truth[e.group] = now
+	}
+}
+
+func (e *simEngine) restart() {
+	e.incarnation++
+	e.token, e.highest, e.obeyed = 0, 0, 0
+	e.group, e.model, e.version, e.adapters, e.weights = "", "", "", nil, nil
+	e.phase, e.lastOrder, e.leaving = garnetworks.EngineIdle, "", false
+	e.row.State = garnetworks.ListedLive
+}
+
+func (e *simEngine) order(s *sim, o garnetworks.EngineOrder) (garnetworks.EngineStatus, error) {
+	if !e.answers() {
+		return garnetworks.EngineStatus{}, garnetworks.Errorf(garnetworks.KindUnreachable, "")
+	}
+	if e.checks && o.Token < e.highest {
+		return e.status(), garnetworks.Errorf(garnetworks.KindStaleToken, "")
+	}
+	if !e.checks && o.Token < e.obeyed {
+		s.fail("%s, which ignores tokens, obeyed %s after %s", e.row.ID, o.ID, e.obeyed)
+	}
+	e.highest = max(e.highest, o.Token)
+	e.obeyed = max(e.obeyed, o.Token)
+	if o.ID == e.lastOrder {
+		return e.status(), nil
+	}
+	e.lastOrder = o.ID
+	e.carryOut(s.now, o)
+	return e.status(), nil
+}
+
+func (e *simEngine) carryOut(now time.Time, o garnetworks.EngineOrder) {
+	switch o.Kind {
+	case garnetworks.OrderForm:
+		if o.Group == e.group && o.Token == e.token {
+			return
+		}
+		e.group, e.token, e.model, e.version, e.adapters = o.Group, o.Token, o.Model, o.Version, o.Adapters
+		e.phase = garnetworks.EngineLoading
+		e.loadUntil = now.Add(20 * time.Second)
+		if slices.Contains(e.weights, garnetworks.WeightID{Model: o.Model, Version: o.Version}) {
+			e.loadUntil = now.Add(time.Second)
+		}
+	case garnetworks.OrderRelease:
+		e.group, e.token, e.phase = "", o.Token, garnetworks.EngineIdle
+	case garnetworks.OrderDrain:
+		if e.phase != garnetworks.EngineIdle {
+			e.phase = garnetworks.EngineDraining
+		}
+	case garnetworks.OrderAdapters:
+		e.adapters = o.Adapters
+	}
+}
+
+func (e *simEngine) setPower(now time.Time, o garnetworks.PowerOrder) error {
+	if o.Token < e.powerToken {
+		return garnetworks.Errorf(garnetworks.KindStaleToken, "")
+	}
+	e.powerToken = o.Token
+	if e.powerDone == o.ID {
+		return nil
+	}
+	e.powerDone = o.ID
+	switch {
+	case o.On && e.power == garnetworks.PowerOff:
+		e.power = garnetworks.PowerStarting
+		e.bootAt = now.Add(e.bootTime)
+		e.dark = false
+	case !o.On:
+		e.power = garnetworks.PowerOff
+		e.restart()
+	}
+	return nil
+}
+
+// The site's controller, whose round is spread over several ticks, on two nodes
+// that both believe they hold the lease: the conditional write alone keeps them
+// apart.
+type simSite struct {
+	s      *sim
+	id     int
+	cut    bool
+	lose   int
+	busy   bool
+	memory granter.SiteMemory
+}
+
+func (t *simSite) tick() {
+	s := t.s
+	if t.busy || t.cut || s.apiDown || s.random.IntN(10) > 0 {
+		return
+	}
+	t.busy = true
+	in := granter.SiteInput{Now: s.now, Term: 1, Generation: s.manifest.Generation, Cap: s.manifest.Manifest.Site.PowerCap, Memory: t.memory, Powers: map[garnetworks.ZoneID]garnetworks.ZonePower{}}
+	for _, z := range s.manifest.Manifest.Site.Zones {
+		in.Zones = append(in.Zones, z.Name)
+	}
+	object, err := s.get(LedgerKey)
+	if err == nil {
+		_ = json.Unmarshal(object.Value, &in.Ledger)
+	}
+	s.after(t.delay(), func() { t.readPowers(in, object.Revision) })
+}
+
+func (t *simSite) delay() time.Duration { return time.Duration(t.s.random.IntN(8)) * simTick }
+
+func (t *simSite) readPowers(in granter.SiteInput, after garnetworks.Revision) {
+	s := t.s
+	for _, o := range s.list(PowersPrefix) {
+		var p garnetworks.ZonePower
+		_ = json.Unmarshal(o.Value, &p)
+		in.Powers[p.Zone] = p
+	}
+	out, err := granter.PlanSite(in)
+	s.after(t.delay(), func() {
+		t.busy = false
+		if err != nil || s.apiDown {
+			return
+		}
+		if out.Changed {
+			out.Ledger.WriteID = fmt.Sprint(t.id, s.ticks)
+			value, _ := json.Marshal(out.Ledger)
+			if _, err := s.put(LedgerKey, value, after); err != nil || t.lose > 0 {
+				t.lose = max(t.lose-1, 0)
+				return
+			}
+		}
+		t.memory = out.Memory
+	})
+}
+
+// The oracle.
+
+// publish checks what routers are told: a confirmed group had all its members
+// ready within the bound (rule G1), and no two confirmed groups share one.
+func (n *simNode) publish(version garnetworks.UpdateVersion, view garnetworks.ZoneView) {
+	s := n.s
+	held := map[garnetworks.InstanceID]garnetworks.GroupID{}
+	for _, g := range view.Groups {
+		if !g.Confirmed {
+			continue
+		}
+		for _, m := range g.Members {
+			if other, twice := held[m]; twice {
+				s.fail("%s tells routers that %s is in %s and %s", n.id, m, other, g.ID)
+			}
+			held[m] = g.ID
+			if seen, ok := s.engines[m].truth[g.ID]; !ok || s.now.Sub(seen) > garnetworks.ConfirmationBound+simTick {
+				s.fail("%s calls %s confirmed, whose member %s was ready at %v", n.id, g.ID, m, seen)
+			}
+		}
+	}
+	if s.views[view.Zone].version.Less(version) {
+		s.views[view.Zone] = simView{version, view}
+	}
+}
+
+// check holds the true draw against the ledger's cap.
+func (s *sim) check() {
+	draw := s.draw()
+	ceiling := s.cap
+	if o, ok := s.objects[LedgerKey]; ok {
+		var ledger garnetworks.PowerLedger
+		_ = json.Unmarshal(o.value, &ledger)
+		if len(ledger.Grants) < len(s.manifest.Manifest.Site.Zones) {
+			return
+		}
+		ceiling = ledger.Cap
+		var granted garnetworks.Watts
+		for _, g := range ledger.Grants {
+			granted += g.Granted
+		}
+		if granted > ledger.Cap {
+			s.fail("grants of %d W exceed the cap of %d W", granted, ledger.Cap)
+		}
+	}
+	if draw > ceiling {
+		s.fail("the site draws %d W, above the cap of %d W", draw, ceiling)
+	}
+	for _, n := range s.nodes {
+		for _, d := range n.state.Domains {
+			if err := grouper.Check(&d.Ahead); err != nil {
+				s.fail("%s decided: %v", n.id, err)
+			}
+		}
+	}
+}
+
+func (s *sim) draw() garnetworks.Watts {
+	var draw garnetworks.Watts
+	for _, e := range s.engines {
+		if e.power != garnetworks.PowerOff {
+			draw += simWatts
+		}
+	}
+	return draw
+}
+
+// checkStored holds each stored domain against the one before: its invariants,
+// and no token that goes back.
+func (s *sim) checkStored(key string, value []byte) {
+	var d garnetworks.FabricDomain
+	if len(key) < len(domainsPrefix) || key[:len(domainsPrefix)] != domainsPrefix {
+		return
+	}
+	_ = json.Unmarshal(value, &d)
+	if err := grouper.Check(&d); err != nil {
+		s.fail("stored: %v", err)
+	}
+	old := s.domainsSeen[key]
+	if garnetworks.NewFencingToken(d.Term, d.Sequence) < garnetworks.NewFencingToken(old.Term, old.Sequence) {
+		s.fail("%s went back from %d.%d to %d.%d", key, old.Term, old.Sequence, d.Term, d.Sequence)
+	}
+	for n := range old.Instances {
+		i := &old.Instances[n]
+		if now := grouper.FindInstance(&d, i.ID); now != nil && now.Token < i.Token {
+			s.fail("the token of %s went back from %s to %s", i.ID, i.Token, now.Token)
+		}
+	}
+	s.domainsSeen[key] = d
+}
+
+// serving counts the groups that routers are told to use.
+func (s *sim) serving() int {
+	n := 0
+	for _, v := range s.views {
+		for _, g := range v.view.Groups {
+			if g.Confirmed {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/controller/site.go
+++ b/controller/site.go
@@ -115,7 +115,9 @@
 	in.Now, in.Term, in.Memory = time.Now(), term, s.memory
 	in.Generation, in.Cap = manifest.Generation, manifest.Manifest.Site.PowerCap
 	for _, z := range manifest.Manifest.Site.Zones {
-		in.Zones = append(in.Zones, z.Name)
+		if !z.LeftOut {
+			in.Zones = append(in.Zones, z.Name)
+		}
 	}
 	out, err := granter.PlanSite(in)
 	if garnetworks.IsKind(err, garnetworks.KindStaleToken) {
--- a/controller/state.go
+++ b/controller/state.go
@@ -78,8 +78,10 @@
 	// Ledger is the newest one read.
 	Ledger     garnetworks.Option[garnetworks.PowerLedger]
 	ledgerRead nextCall
-	// Listed are the zone's rows.
+	// Listed are the zone's rows; ListKnown says that they were read under this
+	// term.
 	Listed     []garnetworks.ListedInstance
+	ListKnown  bool
 	listRead   nextCall
 	domainList nextCall
 	StoreRate  int64
--- a/controller/step.go
+++ b/controller/step.go
@@ -119,6 +119,11 @@
 	switch {
 	case s.Power.MustRead:
 		s.Power.read(o.Now, e)
+	case s.Power.Revision == 0:
+		// There is no statement: the first one is written once the zone's draw is
+		// known, because the site would take an empty one for a draw of 0. Creating
+		// it is conditional too.
+		return true
 	case s.Power.Stored.Term > s.Term:
 		e.RaiseFloor = max(e.RaiseFloor, s.Power.Stored.Term)
 	case s.Power.Stored.Term < s.Term:
@@ -217,6 +222,7 @@
 	s.listRead.done(now.Add(s.Times.ListEvery))
 	if err == nil {
 		s.Listed = rows
+		s.ListKnown = true
 		s.changed = true
 	}
 }
--- a/granter/doc.go
+++ b/granter/doc.go
@@ -24,4 +24,7 @@
 //	    grant moves at most once in MoveEvery, and only by MinMove or more,
 //	    unless the cap, the manifest or the set of zones changed. So a zone's
 //	    grant changes direction at most 3600 s / MoveEvery times an hour.
+//	W9  Until every zone of the manifest that is not left out has stated its
+//	    draw once, no grant grows beyond what its zone draws already: what an
+//	    unknown zone draws is not known to be 0.
 package granter
--- a/granter/site.go
+++ b/granter/site.go
@@ -25,7 +25,7 @@
 	// Generation and Cap are the manifest's.
 	Generation garnetworks.Generation
 	Cap        garnetworks.Watts
-	// Zones are the manifest's zones.
+	// Zones are the manifest's zones that are not left out.
 	Zones []garnetworks.ZoneID
 	// Ledger is the newest one read; zero if there is none.
 	Ledger garnetworks.PowerLedger
@@ -178,6 +178,9 @@
 // grow raises grants towards what is wanted, as far as the cap allows (W1).
 func (p *sitePlan) grow() {
 	room := p.Cap - p.sum()
+	if p.unstated() {
+		room = 0
+	}
 	for n := range p.grants {
 		g := &p.grants[n]
 		counted := p.counted(*g)
@@ -195,6 +198,13 @@
 	}
 }
 
+// unstated reports whether a zone has never said what it draws (W9).
+func (p *sitePlan) unstated() bool {
+	return slices.ContainsFunc(p.Zones, func(z garnetworks.ZoneID) bool {
+		return !slices.ContainsFunc(p.grants, func(g garnetworks.ZoneGrant) bool { return g.Zone == z })
+	})
+}
+
 func (p *sitePlan) note(zone garnetworks.ZoneID, format string, from, to garnetworks.Watts) {
 	p.events = append(p.events, garnetworks.Event{
 		Kind: garnetworks.EventGrantMoved, Zone: zone, Generation: p.Generation,
