--- /dev/null
+++ b/checker/peer.go
@@ -0,0 +1,507 @@
+package checker
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// PeerBed connects callers to handlers.
+type PeerBed struct {
+	Caller garnetworks.PeerCaller
+	// Serve makes the handler reachable and returns its address and a function
+	// that ends it with its connections.
+	Serve func(handler garnetworks.PeerHandler) (address string, end func())
+	// Unused is an address at which nothing listens.
+	Unused string
+}
+
+// Peer checks a caller of other nodes with the server that it needs.
+func Peer(t *testing.T, open func(t *testing.T) PeerBed) {
+	t.Helper()
+	run(t, open, PeerCases())
+}
+
+// PeerCases returns the contract of garnetworks.PeerCaller.
+func PeerCases() map[string]Case[PeerBed] {
+	return map[string]Case[PeerBed]{
+		"requests and responses arrive as they are": {
+			Story: "A field is lost between nodes of one version; leases and manifests are compared by what is left.",
+			Run:   peerRoundTrips,
+		},
+		"a handler's error keeps its kind": {
+			Story: "A refusal by a peer looks like a broken network and is retried for ever.",
+			Run:   peerKinds,
+		},
+		"nobody listens": {
+			Story: "A replaced node must be noticed, not waited for.",
+			Run: func(ctx context.Context, b PeerBed) error {
+				_, err := b.Caller.Status(ctx, b.Unused, &garnetworks.StatusRequest{})
+				return wantKind("status", err, garnetworks.KindUnreachable)
+			},
+		},
+		"a peer that hangs holds nobody beyond the context": {
+			Story: "One paused node holds up the heartbeats of all.",
+			Run:   peerHangs,
+		},
+		"a peer that dies in a call is said": {
+			Story: "A node dies with a call in hand; it may have taken effect.",
+			Run:   peerDies,
+		},
+		"a peer that comes back is reached": {
+			Story: "A node restarts at its address and its peers keep to the dead connection.",
+			Run:   peerReturns,
+		},
+		"many calls at once stay apart": {
+			Story: "A heartbeat's answer reaches the caller of another.",
+			Run:   peerMany,
+		},
+		"a manifest of the largest size passes": {
+			Story: "A large manifest is committed and never arrives.",
+			Run:   peerLarge,
+		},
+	}
+}
+
+// peerHandler answers with what its fields say.
+type peerHandler struct {
+	mu         sync.Mutex
+	heartbeats []*garnetworks.HeartbeatRequest
+	distribute []*garnetworks.DistributeRequest
+	fetches    []*garnetworks.FetchRequest
+	events     []*garnetworks.EventsRequest
+	statuses   []*garnetworks.StatusRequest
+	proposes   []*garnetworks.ProposeRequest
+	progresses []*garnetworks.ProgressRequest
+	reports    []*garnetworks.ReportRequest
+	// hang holds each call until it is closed or the call's context ends.
+	hang chan struct{}
+	// entered gets a value for each call, if it has room.
+	entered chan struct{}
+	err     error
+	sample  peerSample
+}
+
+func (h *peerHandler) enter(ctx context.Context) error {
+	select {
+	case h.entered <- struct{}{}:
+	default:
+	}
+	if h.hang != nil {
+		select {
+		case <-h.hang:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return h.err
+}
+
+func (h *peerHandler) note(enter func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	enter()
+}
+
+// Heartbeat implements garnetworks.PeerHandler; it echoes the sender.
+func (h *peerHandler) Heartbeat(ctx context.Context, r *garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.heartbeats = append(h.heartbeats, r) })
+	response := h.sample.heartbeat
+	response.From.ID = r.From.ID
+	return &response, nil
+}
+
+// Distribute implements garnetworks.PeerHandler; it counts the updates.
+func (h *peerHandler) Distribute(ctx context.Context, r *garnetworks.DistributeRequest) (*garnetworks.DistributeResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.distribute = append(h.distribute, r) })
+	return &garnetworks.DistributeResponse{At: h.sample.at, Accepted: len(r.Updates)}, nil
+}
+
+// Fetch implements garnetworks.PeerHandler.
+func (h *peerHandler) Fetch(ctx context.Context, r *garnetworks.FetchRequest) (*garnetworks.FetchResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.fetches = append(h.fetches, r) })
+	return &garnetworks.FetchResponse{At: h.sample.at, Updates: h.sample.updates}, nil
+}
+
+// Events implements garnetworks.PeerHandler.
+func (h *peerHandler) Events(ctx context.Context, r *garnetworks.EventsRequest) (*garnetworks.EventsResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.events = append(h.events, r) })
+	response := h.sample.events
+	return &response, nil
+}
+
+// Status implements garnetworks.PeerHandler.
+func (h *peerHandler) Status(ctx context.Context, r *garnetworks.StatusRequest) (*garnetworks.StatusResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.statuses = append(h.statuses, r) })
+	response := h.sample.status
+	return &response, nil
+}
+
+// Propose implements garnetworks.PeerHandler.
+func (h *peerHandler) Propose(ctx context.Context, r *garnetworks.ProposeRequest) (*garnetworks.ProposeResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.proposes = append(h.proposes, r) })
+	return &garnetworks.ProposeResponse{At: h.sample.at, Progress: h.sample.progress}, nil
+}
+
+// Progress implements garnetworks.PeerHandler.
+func (h *peerHandler) Progress(ctx context.Context, r *garnetworks.ProgressRequest) (*garnetworks.ProgressResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.progresses = append(h.progresses, r) })
+	return &garnetworks.ProgressResponse{At: h.sample.at, Progress: h.sample.progress}, nil
+}
+
+// Report implements garnetworks.PeerHandler.
+func (h *peerHandler) Report(ctx context.Context, r *garnetworks.ReportRequest) (*garnetworks.ReportResponse, error) {
+	if err := h.enter(ctx); err != nil {
+		return nil, err
+	}
+	h.note(func() { h.reports = append(h.reports, r) })
+	return &garnetworks.ReportResponse{At: h.sample.at, Manifest: 4, Proposal: 5}, nil
+}
+
+// peerSample holds values with every field set.
+type peerSample struct {
+	at        garnetworks.Timestamp
+	updates   []garnetworks.Update
+	heartbeat garnetworks.HeartbeatResponse
+	events    garnetworks.EventsResponse
+	status    garnetworks.StatusResponse
+	request   garnetworks.HeartbeatRequest
+	progress  garnetworks.CommitProgress
+	report    garnetworks.NodeReport
+}
+
+func newPeerSample() peerSample {
+	at := garnetworks.Timestamp{Wall: 1_700_000_000_123, Logical: 7}
+	info := garnetworks.NodeInfo{
+		ID: "node-1", Incarnation: 1 << 60, Address: "127.0.0.1:1", Zone: "zone-a", Region: "region-a", Ready: true, Program: "1.0",
+	}
+	versions := map[garnetworks.Topic]garnetworks.UpdateVersion{garnetworks.TopicManifest: {Term: 3, Sequence: 1 << 50}}
+	updates := []garnetworks.Update{{
+		Topic: garnetworks.TopicManifest, Version: garnetworks.UpdateVersion{Term: 1, Sequence: 2}, Body: []byte("a\x00\xff"),
+	}}
+	load := garnetworks.EngineLoad{Running: 1, Waiting: 2, Capacity: 3, CacheUsed: 0.25, At: time.UnixMilli(1_700_000_000_000).UTC()}
+	status := garnetworks.EngineStatus{
+		Instance: "engine-1", Incarnation: 4, Phase: garnetworks.EngineReady, Group: "group-1", Token: 1 << 60, Model: "model", Version: "v1",
+		Adapters: []garnetworks.AdapterName{"adapter"}, Weights: []garnetworks.WeightID{{Model: "model", Version: "v1"}},
+		LastOrder: "order-1", Leaving: true, Load: load, CacheEvents: 9,
+	}
+	view := garnetworks.ZoneView{
+		Zone: "zone-a",
+		Groups: []garnetworks.GroupView{{
+			ID: "group-1", Zone: "zone-a", Domain: "domain-1", Model: "model", Version: "v1", Adapters: []garnetworks.AdapterName{"adapter"},
+			Token: 1 << 60, Address: "127.0.0.1:2", State: garnetworks.GroupServing, Members: []garnetworks.InstanceID{"engine-1"},
+			Confirmed: true, Load: load, Slow: true,
+		}},
+		Servers:  []garnetworks.ServerView{{Instance: "server-1", Service: "ledger", Zone: "zone-a", Address: "127.0.0.1:3", Leaving: true}},
+		Measures: garnetworks.Measures{GroupDowntime: time.Second, Stranded: time.Minute, GroupsDown: 1, InstancesStranded: 2, Drawn: 3, Limit: 4},
+	}
+	event := garnetworks.Event{
+		At: at, Node: "node-1", Sequence: 5, Kind: garnetworks.EventGroupFormed, Zone: "zone-a", Group: "group-1", Instance: "engine-1",
+		Call: "call-1", Generation: 6, Error: garnetworks.KindConflict, Detail: "detail",
+	}
+	report := garnetworks.NodeReport{Node: "node-1", Incarnation: 2, Proposal: 3, Refusal: "no", Applied: 4, StagedAt: load.At, AppliedAt: load.At}
+	progress := garnetworks.CommitProgress{
+		CommitID: "commit-1", Operator: "operator", Base: 5, Proposal: 6, State: garnetworks.CommitHeld, Generation: 7,
+		ProposedAt: load.At, AcceptedAt: load.At, InForceAt: load.At, Reason: "zone-b is cut off",
+		Zones: []garnetworks.ZoneProgress{{
+			Zone: "zone-a", LeftOut: true, Live: 2, Unstaged: []garnetworks.NodeID{"node-1"}, Unapplied: []garnetworks.NodeID{"node-2"},
+			Nodes: []garnetworks.NodeReport{report},
+		}},
+	}
+	return peerSample{
+		progress:  progress,
+		report:    report,
+		at:        at,
+		updates:   updates,
+		heartbeat: garnetworks.HeartbeatResponse{From: info, At: at, Updates: updates, Versions: versions},
+		events:    garnetworks.EventsResponse{At: at, Node: "node-1", Events: []garnetworks.Event{event}, Lost: 8},
+		status: garnetworks.StatusResponse{
+			At: at, Node: info, Generation: 9, Staged: 10, Leases: []string{"site"}, Views: []garnetworks.ZoneView{view},
+			Rosters:       []garnetworks.Roster{{Zone: "zone-a", Nodes: []garnetworks.NodeInfo{info}, Version: 11, WriteID: "write-1"}},
+			ObjectAPIDown: true,
+		},
+		request: garnetworks.HeartbeatRequest{
+			From: info, At: at, Versions: versions,
+			Demands:       []garnetworks.Demand{{Workspace: "office", RequestsPerSecond: 1.5, TokensPerSecond: 2.5, InFlight: 3}},
+			Confirmations: []garnetworks.ProbeResult{{Status: status, Age: time.Millisecond, Failed: true}},
+		},
+	}
+}
+
+func same(what string, got, wanted any) error {
+	if reflect.DeepEqual(got, wanted) {
+		return nil
+	}
+	return errors.Errorf("%s: got %+v, want %+v", what, got, wanted)
+}
+
+func peerRoundTrips(ctx context.Context, b PeerBed) error {
+	sample := newPeerSample()
+	h := &peerHandler{sample: sample}
+	address, end := b.Serve(h)
+	defer end()
+	return steps(
+		func() error { return peerHeartbeat(ctx, b, address, h) },
+		func() error { return peerDistribute(ctx, b, address, h) },
+		func() error {
+			request := &garnetworks.FetchRequest{At: sample.at, Topics: []garnetworks.Topic{garnetworks.TopicManifest}}
+			response, err := b.Caller.Fetch(ctx, address, request)
+			if err != nil {
+				return errors.Wrap(err, "fetch")
+			}
+			return steps(
+				func() error { return same("fetch request", h.fetches[0], request) },
+				func() error { return same("fetch response", response.Updates, sample.updates) },
+			)
+		},
+		func() error {
+			request := &garnetworks.EventsRequest{At: sample.at, After: 1 << 40, Limit: 12}
+			response, err := b.Caller.Events(ctx, address, request)
+			if err != nil {
+				return errors.Wrap(err, "events")
+			}
+			return steps(
+				func() error { return same("events request", h.events[0], request) },
+				func() error { return same("events response", *response, sample.events) },
+			)
+		},
+		func() error {
+			request := &garnetworks.StatusRequest{At: sample.at}
+			response, err := b.Caller.Status(ctx, address, request)
+			if err != nil {
+				return errors.Wrap(err, "status")
+			}
+			normalize(response)
+			return steps(
+				func() error { return same("status request", h.statuses[0], request) },
+				func() error { return same("status response", *response, sample.status) },
+			)
+		},
+		func() error { return peerCommits(ctx, b, address, h) },
+	)
+}
+
+// normalize gives the times of a decoded response the location of the sample's;
+// a codec may choose another one for the same instant.
+func normalize(response *garnetworks.StatusResponse) {
+	for i := range response.Views {
+		for j := range response.Views[i].Groups {
+			at := &response.Views[i].Groups[j].Load.At
+			*at = at.UTC()
+		}
+	}
+}
+
+func peerHeartbeat(ctx context.Context, b PeerBed, address string, h *peerHandler) error {
+	response, err := b.Caller.Heartbeat(ctx, address, &h.sample.request)
+	if err != nil {
+		return errors.Wrap(err, "heartbeat")
+	}
+	got := h.heartbeats[0]
+	for i := range got.Confirmations {
+		at := &got.Confirmations[i].Status.Load.At
+		*at = at.UTC()
+	}
+	return steps(
+		func() error { return same("heartbeat request", *got, h.sample.request) },
+		func() error { return same("heartbeat response", *response, h.sample.heartbeat) },
+	)
+}
+
+// inUTC gives the report's times the location of the sample's.
+func inUTC(r *garnetworks.NodeReport) {
+	r.StagedAt, r.AppliedAt = r.StagedAt.UTC(), r.AppliedAt.UTC()
+}
+
+func progressInUTC(p *garnetworks.CommitProgress) {
+	for _, at := range []*time.Time{&p.ProposedAt, &p.AcceptedAt, &p.InForceAt} {
+		*at = at.UTC()
+	}
+	for i := range p.Zones {
+		for j := range p.Zones[i].Nodes {
+			inUTC(&p.Zones[i].Nodes[j])
+		}
+	}
+}
+
+func peerCommits(ctx context.Context, b PeerBed, address string, h *peerHandler) error {
+	propose := &garnetworks.ProposeRequest{
+		At: h.sample.at, CommitID: "commit-1", Operator: "operator", Base: 1, Supersedes: "commit-0", Text: []byte("format: 1\n"),
+	}
+	proposed, err := b.Caller.Propose(ctx, address, propose)
+	if err != nil {
+		return errors.Wrap(err, "propose")
+	}
+	progressInUTC(&proposed.Progress)
+	ask := &garnetworks.ProgressRequest{At: h.sample.at, CommitID: "commit-1"}
+	progressed, err := b.Caller.Progress(ctx, address, ask)
+	if err != nil {
+		return errors.Wrap(err, "progress")
+	}
+	progressInUTC(&progressed.Progress)
+	report := &garnetworks.ReportRequest{At: h.sample.at, Zone: "zone-a", Report: h.sample.report}
+	reported, err := b.Caller.Report(ctx, address, report)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	inUTC(&h.reports[0].Report)
+	return steps(
+		func() error { return same("propose request", h.proposes[0], propose) },
+		func() error { return same("propose response", proposed.Progress, h.sample.progress) },
+		func() error { return same("progress request", h.progresses[0], ask) },
+		func() error { return same("progress response", progressed.Progress, h.sample.progress) },
+		func() error { return same("report request", h.reports[0], report) },
+		func() error {
+			return same("report response", *reported, garnetworks.ReportResponse{At: h.sample.at, Manifest: 4, Proposal: 5})
+		},
+	)
+}
+
+func peerDistribute(ctx context.Context, b PeerBed, address string, h *peerHandler) error {
+	request := &garnetworks.DistributeRequest{
+		From: "node-2", At: h.sample.at, Updates: h.sample.updates, Targets: []string{"127.0.0.1:4"}, Hops: 3,
+	}
+	response, err := b.Caller.Distribute(ctx, address, request)
+	if err != nil {
+		return errors.Wrap(err, "distribute")
+	}
+	return steps(
+		func() error { return same("distribute request", h.distribute[0], request) },
+		func() error {
+			return same("distribute response", *response, garnetworks.DistributeResponse{At: h.sample.at, Accepted: 1})
+		},
+	)
+}
+
+func peerKinds(ctx context.Context, b PeerBed) error {
+	for _, kind := range []garnetworks.Kind{garnetworks.KindStaleGeneration, garnetworks.KindNotReady, garnetworks.KindNotFound} {
+		h := &peerHandler{err: garnetworks.Errorf(kind, "refused")}
+		address, end := b.Serve(h)
+		_, err := b.Caller.Status(ctx, address, &garnetworks.StatusRequest{})
+		end()
+		if err := wantKind("status", err, kind); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func peerHangs(ctx context.Context, b PeerBed) error {
+	h := &peerHandler{hang: make(chan struct{})}
+	address, end := b.Serve(h)
+	defer end()
+	defer close(h.hang)
+	err := promptly(ctx, 100*time.Millisecond, func(ctx context.Context) error {
+		_, err := b.Caller.Heartbeat(ctx, address, &garnetworks.HeartbeatRequest{})
+		return err
+	})
+	return wantKind("heartbeat", err, garnetworks.KindUnreachable, garnetworks.KindAnswerLost)
+}
+
+func peerDies(ctx context.Context, b PeerBed) error {
+	h := &peerHandler{hang: make(chan struct{}), entered: make(chan struct{}, 1)}
+	address, end := b.Serve(h)
+	go func() {
+		<-h.entered
+		end()
+	}()
+	defer close(h.hang)
+	err := promptly(ctx, caseTimeout/2, func(ctx context.Context) error {
+		_, err := b.Caller.Heartbeat(ctx, address, &garnetworks.HeartbeatRequest{})
+		return err
+	})
+	return wantKind("heartbeat", err, garnetworks.KindAnswerLost)
+}
+
+func peerReturns(ctx context.Context, b PeerBed) error {
+	first, second := &peerHandler{sample: newPeerSample()}, &peerHandler{sample: newPeerSample()}
+	address, end := b.Serve(first)
+	if _, err := b.Caller.Status(ctx, address, &garnetworks.StatusRequest{}); err != nil {
+		end()
+		return errors.Wrap(err, "status")
+	}
+	end()
+	_, err := b.Caller.Status(ctx, address, &garnetworks.StatusRequest{})
+	if err := wantKind("status of an ended peer", err, garnetworks.KindUnreachable, garnetworks.KindAnswerLost); err != nil {
+		return err
+	}
+	address, end = b.Serve(second)
+	defer end()
+	return eventually(ctx, func() error {
+		_, err := b.Caller.Status(ctx, address, &garnetworks.StatusRequest{})
+		return err
+	})
+}
+
+func peerMany(ctx context.Context, b PeerBed) error {
+	const calls = 32
+	h := &peerHandler{sample: newPeerSample()}
+	address, end := b.Serve(h)
+	defer end()
+	errs := make([]error, calls)
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			id := garnetworks.NodeID(fmt.Sprintf("node-%d", i))
+			response, err := b.Caller.Heartbeat(ctx, address, &garnetworks.HeartbeatRequest{From: garnetworks.NodeInfo{ID: id}})
+			if err == nil {
+				err = want("answer to "+string(id), response.From.ID, id)
+			}
+			errs[i] = err
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func peerLarge(ctx context.Context, b PeerBed) error {
+	h := &peerHandler{sample: newPeerSample()}
+	address, end := b.Serve(h)
+	defer end()
+	body := make([]byte, garnetworks.MaxObjectBytes)
+	for i := range body {
+		body[i] = byte(i)
+	}
+	request := &garnetworks.DistributeRequest{Updates: []garnetworks.Update{{Topic: garnetworks.TopicManifest, Body: body}}}
+	response, err := b.Caller.Distribute(ctx, address, request)
+	if err != nil {
+		return errors.Wrap(err, "distribute")
+	}
+	return steps(
+		func() error { return want("accepted", response.Accepted, 1) },
+		func() error { return same("body", h.distribute[0].Updates[0].Body, body) },
+	)
+}
--- /dev/null
+++ b/checker/service.go
@@ -0,0 +1,247 @@
+package checker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
+)
+
+// ServiceCallerBed is a caller with one server of a plain service.
+type ServiceCallerBed struct {
+	Caller  garnetworks.ServiceCaller
+	Address string
+	// Unused is an address at which nothing listens.
+	Unused string
+	// Executions returns how often the server has run the call.
+	Executions func(id garnetworks.CallID) int
+	// SetLeaving makes the server refuse new calls, or take them again.
+	SetLeaving func(leaving bool)
+	// DropConnections breaks the server's open connections; it may be nil.
+	DropConnections func()
+	Faults          Faults
+}
+
+// ServiceCaller checks a caller of plain services.
+func ServiceCaller(t *testing.T, open func(t *testing.T) ServiceCallerBed) {
+	t.Helper()
+	run(t, open, ServiceCallerCases())
+}
+
+// ServiceCallerCases returns the contract of garnetworks.ServiceCaller.
+func ServiceCallerCases() map[string]Case[ServiceCallerBed] {
+	return map[string]Case[ServiceCallerBed]{
+		"a call runs once and is answered": {
+			Story: "A visit log is stored and the tech sees it.",
+			Run:   serviceAnswers,
+		},
+		"methods and bodies of all sorts": {
+			Story: "A call without a body is repeated by the transport, or not sent at all.",
+			Run:   serviceMethods,
+		},
+		"nobody listens": {
+			Story: "The server is gone; the call has surely not run and may go to another one.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				_, err := b.Caller.Call(ctx, b.Unused, serviceCall("c1"))
+				return wantPhase("call", err, garnetworks.PhaseConnect)
+			},
+		},
+		"a leaving server refuses": {
+			Story: "A server that leaves says that it did not begin; the call goes to another one.",
+			Run:   serviceRefuses,
+		},
+		"a lost answer may have run": {
+			Story: "A parts note is booked and its answer lost; said to be not run, it would be booked again.",
+			Run:   serviceLost,
+		},
+		"a truncated answer may have run": {
+			Story: "Half of an answer looks like a whole one.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				b.Faults.SetFaults(faker.FaultPlan{TruncateAnswers: 1})
+				_, err := b.Caller.Call(ctx, b.Address, serviceCall("c1"))
+				if err := wantPhase("call", err, garnetworks.PhaseBody); err != nil {
+					return err
+				}
+				return want("executions", b.Executions("c1"), 1)
+			},
+		},
+		"a crossed answer is dropped": {
+			Story: "An office gets the answer to another office's appointment.",
+			Run:   serviceCrossed,
+		},
+		"a late answer may have run": {
+			Story: "The deadline passes while the server works; the call has begun.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				b.Faults.SetFaults(faker.FaultPlan{LateAnswers: 1, LateBy: time.Minute})
+				err := promptly(ctx, 100*time.Millisecond, func(ctx context.Context) error {
+					_, err := b.Caller.Call(ctx, b.Address, serviceCall("c1"))
+					return err
+				})
+				return wantPhase("call", err, garnetworks.PhaseWait, garnetworks.PhaseHeaders)
+			},
+		},
+		"a server that is down is never a refusal": {
+			Story: "The server resets the connection; only what proves that it did not begin is a refusal.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				b.Faults.SetFaults(faker.FaultPlan{Down: true})
+				_, err := b.Caller.Call(ctx, b.Address, serviceCall("c1"))
+				err = wantPhase("call", err, garnetworks.PhaseConnect, garnetworks.PhaseWrite, garnetworks.PhaseWait)
+				if err != nil {
+					return err
+				}
+				return want("executions", b.Executions("c1"), 0)
+			},
+		},
+		"a frozen server holds nobody beyond the context": {
+			Story: "The server pauses and the office waits for ever.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				b.Faults.SetFaults(faker.FaultPlan{Frozen: true})
+				err := promptly(ctx, 100*time.Millisecond, func(ctx context.Context) error {
+					_, err := b.Caller.Call(ctx, b.Address, serviceCall("c1"))
+					return err
+				})
+				return wantPhase("call", err, garnetworks.PhaseWait)
+			},
+		},
+		"broken pooled connections never repeat a call": {
+			Story: "A pooled connection dies while a call is written to it; the transport repeats the call and the parts are booked twice.",
+			Able:  func(b ServiceCallerBed) bool { return b.DropConnections != nil },
+			Run:   serviceNeverRepeats,
+		},
+		"silent connections are not written to": {
+			Story: "The pooled connections have gone silent; an appointment written to one is lost with its outcome unknown although a new connection would have worked.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				if _, err := b.Caller.Call(ctx, b.Address, serviceCall("c1")); err != nil {
+					return errors.Wrap(err, "first call")
+				}
+				b.Faults.SilenceOpen()
+				return promptly(ctx, time.Second, func(ctx context.Context) error {
+					_, err := b.Caller.Call(ctx, b.Address, serviceCall("c2"))
+					return errors.Wrap(err, "second call")
+				})
+			},
+		},
+		"a path that is none is not sent": {
+			Story: "A path without its slash is read as another host's name.",
+			Run: func(ctx context.Context, b ServiceCallerBed) error {
+				for _, path := range []string{"", "visits", "@127.0.0.1/visits", "/a\nb"} {
+					call := serviceCall("c1")
+					call.Path = path
+					_, err := b.Caller.Call(ctx, b.Address, call)
+					if err := wantPhase(fmt.Sprintf("path %q", path), err, garnetworks.PhaseConnect); err != nil {
+						return err
+					}
+				}
+				return want("executions", b.Executions("c1"), 0)
+			},
+		},
+	}
+}
+
+func serviceCall(id garnetworks.CallID) *garnetworks.ServiceCall {
+	return &garnetworks.ServiceCall{
+		ID:          id,
+		Workspace:   "office",
+		Service:     "ledger",
+		Method:      http.MethodPost,
+		Path:        "/visits?site=1",
+		ContentType: "application/json",
+		Body:        []byte(`{"visit":1}`),
+	}
+}
+
+func serviceAnswers(ctx context.Context, b ServiceCallerBed) error {
+	call := serviceCall("c1")
+	call.Key = "key-1"
+	a, err := b.Caller.Call(ctx, b.Address, call)
+	if err != nil {
+		return errors.Wrap(err, "call")
+	}
+	return steps(
+		func() error { return want("identifier", a.ID, call.ID) },
+		func() error { return want("status", a.Status, http.StatusOK) },
+		func() error { return want("has a body", len(a.Body) > 0, true) },
+		func() error { return want("names its path", strings.Contains(string(a.Body), call.Path), true) },
+		func() error { return want("names its key", strings.Contains(string(a.Body), call.Key), true) },
+		func() error { return want("executions", b.Executions(call.ID), 1) },
+	)
+}
+
+func serviceMethods(ctx context.Context, b ServiceCallerBed) error {
+	bodies := map[string][]byte{"no body": nil, "small": []byte("x"), "large": make([]byte, 1<<20)}
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		for name, body := range bodies {
+			call := serviceCall(garnetworks.CallID(method + "-" + strings.ReplaceAll(name, " ", "-")))
+			call.Method, call.Body = method, body
+			if _, err := b.Caller.Call(ctx, b.Address, call); err != nil {
+				return errors.Wrapf(err, "%s with %s", method, name)
+			}
+			if err := want("executions of "+string(call.ID), b.Executions(call.ID), 1); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func serviceRefuses(ctx context.Context, b ServiceCallerBed) error {
+	b.SetLeaving(true)
+	_, err := b.Caller.Call(ctx, b.Address, serviceCall("c1"))
+	if err := wantPhase("call", err, garnetworks.PhaseRefused); err != nil {
+		return err
+	}
+	if err := want("executions", b.Executions("c1"), 0); err != nil {
+		return err
+	}
+	b.SetLeaving(false)
+	_, err = b.Caller.Call(ctx, b.Address, serviceCall("c2"))
+	return errors.Wrap(err, "call afterwards")
+}
+
+func serviceLost(ctx context.Context, b ServiceCallerBed) error {
+	b.Faults.SetFaults(faker.FaultPlan{LoseAnswers: 1})
+	_, err := b.Caller.Call(ctx, b.Address, serviceCall("c1"))
+	if err := wantPhase("call", err, garnetworks.PhaseWait, garnetworks.PhaseHeaders); err != nil {
+		return err
+	}
+	return want("executions", b.Executions("c1"), 1)
+}
+
+func serviceCrossed(ctx context.Context, b ServiceCallerBed) error {
+	if _, err := b.Caller.Call(ctx, b.Address, serviceCall("c1")); err != nil {
+		return errors.Wrap(err, "first call")
+	}
+	b.Faults.SetFaults(faker.FaultPlan{CrossAnswers: 1})
+	a, err := b.Caller.Call(ctx, b.Address, serviceCall("c2"))
+	if err := wantPhase("crossed call", err, garnetworks.PhaseCrossed); err != nil {
+		return err
+	}
+	return want("body", len(a.Body), 0)
+}
+
+func serviceNeverRepeats(ctx context.Context, b ServiceCallerBed) error {
+	const calls = 40
+	for i := range calls {
+		call := serviceCall(garnetworks.CallID(fmt.Sprintf("c%d", i)))
+		call.Key = string(call.ID)
+		if i%4 == 3 {
+			call.Body = nil
+		}
+		b.Faults.SetFaults(faker.FaultPlan{LoseAnswers: i % 2})
+		_, err := b.Caller.Call(ctx, b.Address, call)
+		if runs := b.Executions(call.ID); runs > 1 || (err == nil && runs != 1) {
+			return errors.Errorf("call %d ran %d times and ended with error %v", i, runs, err)
+		}
+		if i%5 == 0 {
+			b.DropConnections()
+		}
+	}
+	return nil
+}
--- a/connector/enginecaller.go
+++ b/connector/enginecaller.go
@@ -47,13 +47,19 @@
 // abandon ends an attempt and says if silence ended it.
 func (ec *EngineCaller) abandon(address string, watch *watchdog, cancel context.CancelFunc, failure *garnetworks.AttemptError) error {
 	cancel()
-	if watch.stop() {
-		failure.Silent = true
+	failure.Silent = watch.stop()
+	if failure.Silent || watch.idle() >= suspicion {
 		ec.drop(address)
 	}
 	return failure
 }
 
+// suspicion is how long an attempt must have stood still for the pooled
+// connections to its address to be dropped (rule C6), whoever ended it: those
+// that judge silence earlier than the watchdog end it by its context. Dropping
+// healthy connections costs only a connect each.
+const suspicion = 500 * time.Millisecond
+
 func generateRequest(address string, call *garnetworks.EngineCall) (*http.Request, []byte, error) {
 	body, err := json.Marshal(GenerateBody{
 		Model:            call.Model,
@@ -104,7 +110,7 @@
 		return refused(response)
 	}
 	if response.StatusCode != http.StatusOK {
-		return &garnetworks.AttemptError{Phase: garnetworks.PhaseHeaders, Cause: problemError(response)}
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseHeaders, Cause: readProblem(response)}
 	}
 	return nil
 }
@@ -122,11 +128,12 @@
 }
 
 func refused(response *http.Response) *garnetworks.AttemptError {
-	return &garnetworks.AttemptError{
-		Phase:      garnetworks.PhaseRefused,
-		RetryAfter: retryAfter(response),
-		Cause:      problemError(response),
+	cause := readProblem(response)
+	wait := cause.RetryAfter
+	if wait == 0 {
+		wait = retryAfter(response)
 	}
+	return &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: wait, Cause: cause}
 }
 
 // isRefusal reports whether the answer proves that the call was not begun
@@ -142,7 +149,7 @@
 	if err != nil || seconds < 0 {
 		return 0
 	}
-	return min(time.Duration(seconds)*time.Second, time.Hour)
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
 }
 
 // watchdog cancels an attempt that makes no progress. It runs only while
@@ -177,6 +184,15 @@
 // rest notes that nobody waits.
 func (w *watchdog) rest() { w.waiting.Store(0) }
 
+// idle returns how long the present wait has made no progress.
+func (w *watchdog) idle() time.Duration {
+	since := w.waiting.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Duration(w.now() - since)
+}
+
 func (w *watchdog) check() {
 	since := w.waiting.Load()
 	if since == 0 || w.now()-since < int64(w.bound) {
@@ -235,7 +251,9 @@
 // Read reads the body and notes the progress.
 func (s *engineStream) Read(p []byte) (int, error) {
 	n, err := s.body.Read(p)
-	s.watch.progress()
+	if n > 0 {
+		s.watch.progress()
+	}
 	return n, err
 }
 
@@ -246,8 +264,8 @@
 	}
 	s.watch.progress()
 	err := s.reader.events.next()
-	s.watch.rest()
 	if err == nil {
+		s.watch.rest()
 		err = s.decode(chunk)
 	}
 	if err != nil {
--- a/connector/link.go
+++ b/connector/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -20,7 +21,9 @@
 	// IdleTimeout is how long an unused connection is kept. It is short, because
 	// what sits between the two ends forgets idle connections first.
 	IdleTimeout time.Duration
-	// Silence is how long an answer may make no progress (rule C6).
+	// Silence is how long an engine's answer may make no progress (rule C6). It
+	// is a last resort: who knows more of the engine ends an attempt earlier, by
+	// its context.
 	Silence time.Duration
 	// MaxIdlePerAddress bounds the pooled connections to one address.
 	MaxIdlePerAddress int
@@ -35,7 +38,7 @@
 const (
 	DefaultConnectTimeout    = time.Second
 	DefaultIdleTimeout       = 30 * time.Second
-	DefaultSilence           = 3 * time.Second
+	DefaultSilence           = 15 * time.Second
 	DefaultMaxIdlePerAddress = 64
 	DefaultMaxAnswerBytes    = 32 << 20
 )
@@ -222,10 +225,7 @@
 // one, the transport is about to repeat the request; the new connection is
 // sealed, so that the repetition fails without a byte sent (rule C2).
 func (t *trace) gotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
-	}
+	c := counting(info.Conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil && t.conn.seal(t.base) {
@@ -235,6 +235,14 @@
 	t.conn, t.base = c, c.count()
 }
 
+// counting returns the connection's counter, which lies below TLS.
+func counting(c net.Conn) *countingConn {
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
+	return c.(*countingConn)
+}
+
 func (t *trace) wroteRequest(info httptrace.WroteRequestInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/connector/platform.go
+++ b/connector/platform.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +42,22 @@
 	timeout time.Duration
 }
 
+// target returns the URL of the call. The address is an IP number and port, or
+// a base URL.
+func (x exchange) target() (*url.URL, error) {
+	base := x.address
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	target, err := url.Parse(base)
+	if err != nil {
+		return nil, err
+	}
+	target = target.JoinPath(x.path)
+	target.RawQuery = x.query.Encode()
+	return target, nil
+}
+
 // answer is a whole answer with status 200.
 type answer struct {
 	header http.Header
@@ -53,7 +71,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.timeout)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: x.address, Path: x.path, RawQuery: x.query.Encode()}
+	target, err := x.target()
+	if err != nil {
+		return answer{}, garnetworks.WrapError(c.down, err, "the address can't be used")
+	}
 	request, err := http.NewRequest(x.method, target.String(), nil)
 	if err != nil {
 		return answer{}, garnetworks.WrapError(c.down, err, "the address can't be used")
@@ -94,19 +115,14 @@
 // may come from something between the two ends.
 func (c client) refused(x exchange, status int, body []byte) error {
 	var p Problem
-	known := json.Unmarshal(body, &p) == nil && garnetworks.KindAnswer(p.Kind).Kind == p.Kind
-	if !known {
+	if json.Unmarshal(body, &p) != nil || !p.known() {
 		return c.lost(x, garnetworks.PhaseHeaders, errors.Errorf("status %d without a known error kind", status))
 	}
 	kind := p.Kind
 	if kind == garnetworks.KindUnreachable || kind == garnetworks.KindInternal {
 		kind = c.down
 	}
-	return &garnetworks.Error{
-		Kind:       kind,
-		Detail:     p.Detail,
-		RetryAfter: time.Duration(p.RetryAfterMillis) * time.Millisecond,
-	}
+	return &garnetworks.Error{Kind: kind, Detail: p.Detail, RetryAfter: p.retryAfter()}
 }
 
 var (
@@ -135,16 +151,31 @@
 // maxProblemBytes bounds the error answers that are read for their text.
 const maxProblemBytes = 16 << 10
 
-// problemError reads an error answer's text.
-func problemError(response *http.Response) error {
+// readProblem reads an error answer. Its kind is KindInternal if the answer
+// names none that is known.
+func readProblem(response *http.Response) *garnetworks.Error {
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
 	var p Problem
-	if json.Unmarshal(body, &p) == nil && p.Detail != "" {
-		return errors.Errorf("status %d: %.512s", response.StatusCode, p.Detail)
+	if json.Unmarshal(body, &p) != nil || !p.known() {
+		p = Problem{Kind: garnetworks.KindInternal}
+	}
+	return &garnetworks.Error{
+		Kind:       p.Kind,
+		Detail:     fmt.Sprintf("status %d: %.512s", response.StatusCode, p.Detail),
+		RetryAfter: p.retryAfter(),
 	}
-	return errors.Errorf("status %d", response.StatusCode)
 }
 
+// known reports whether the problem's kind is one of the list.
+func (p Problem) known() bool { return garnetworks.KindAnswer(p.Kind).Kind == p.Kind }
+
+func (p Problem) retryAfter() time.Duration {
+	return min(time.Duration(max(0, p.RetryAfterMillis))*time.Millisecond, maxRetryAfter)
+}
+
+// maxRetryAfter bounds what other ends ask callers to wait.
+const maxRetryAfter = time.Hour
+
 // getJSON makes a call without effect and decodes its answer.
 func getJSON[T any](ctx context.Context, c client, x exchange) (T, error) {
 	var result T
@@ -185,7 +216,8 @@
 	address string
 }
 
-// NewObjectAPI returns an adapter for the object API at address.
+// NewObjectAPI returns an adapter for the object API at address, an IP
+// number and port or a base URL.
 func NewObjectAPI(address string, options Options) *ObjectAPI {
 	return &ObjectAPI{client{newPool(options), garnetworks.KindObjectAPIDown}, address}
 }
@@ -287,7 +319,8 @@
 	address string
 }
 
-// NewInstanceList returns an adapter for the instance list at address.
+// NewInstanceList returns an adapter for the instance list at address, an IP
+// number and port or a base URL.
 func NewInstanceList(address string, options Options) *InstanceList {
 	return &InstanceList{client{newPool(options), garnetworks.KindUnreachable}, address}
 }
@@ -305,7 +338,8 @@
 	address string
 }
 
-// NewPowerSwitch returns an adapter for the power switch at address.
+// NewPowerSwitch returns an adapter for the power switch at address, an IP
+// number and port or a base URL.
 func NewPowerSwitch(address string, options Options) *PowerSwitch {
 	return &PowerSwitch{client{newPool(options), garnetworks.KindUnreachable}, address}
 }
@@ -332,7 +366,8 @@
 	address string
 }
 
-// NewWeightStore returns an adapter for the weight store at address.
+// NewWeightStore returns an adapter for the weight store at address, an IP
+// number and port or a base URL.
 func NewWeightStore(address string, options Options) *WeightStore {
 	return &WeightStore{client{newPool(options), garnetworks.KindUnreachable}, address}
 }
--- a/faker/batch.go
+++ b/faker/batch.go
@@ -34,21 +34,23 @@
 // holds it back.
 const outDepth = 64
 
-// refusal says that the engine did not begin a call.
-type refusal struct {
-	reason     string
-	retryAfter time.Duration
-}
-
-func (r *refusal) Error() string { return r.reason }
-
+// refusalDelay is what a refused caller is told to wait.
 const refusalDelay = 200 * time.Millisecond
 
+// refusal returns the error of a call that was not begun.
+func refusal(kind garnetworks.Kind, reason string) *garnetworks.Error {
+	return &garnetworks.Error{Kind: kind, Detail: reason, RetryAfter: refusalDelay}
+}
+
 // submit takes a call into the engine's queue or refuses it.
-func (e *Engine) submit(call *garnetworks.EngineCall) (*sequence, error) {
+func (e *Engine) submit(call *garnetworks.EngineCall) (*sequence, *garnetworks.Error) {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
-	reason, missing := e.refuses(call)
+	refused, missing := e.refuses(call)
+	reason := ""
+	if refused != nil {
+		reason = refused.Detail
+	}
 	e.fleet.record(Attempt{
 		ID:         call.Attempt,
 		Call:       call.ID,
@@ -59,8 +61,8 @@
 		Refused:    reason,
 		MissingFor: missing,
 	})
-	if reason != "" {
-		return nil, &refusal{reason: reason, retryAfter: refusalDelay}
+	if refused != nil {
+		return nil, refused
 	}
 	s := &sequence{
 		call: *call,
@@ -78,28 +80,33 @@
 	return s, nil
 }
 
-// refuses returns why the call can't be begun, or "".
-func (e *Engine) refuses(call *garnetworks.EngineCall) (string, time.Duration) {
+// refuses returns why the call can't be begun, or nil, and how long a member
+// has been missing.
+func (e *Engine) refuses(call *garnetworks.EngineCall) (*garnetworks.Error, time.Duration) {
 	switch {
 	case e.power != garnetworks.PowerOn:
-		return "the instance is off", 0
+		return refusal(garnetworks.KindNotReady, "the instance is off"), 0
 	case e.group == "" || call.Group != e.group || call.Token != e.token:
-		return "the engine is not a member of the group with this token", 0
+		return refusal(garnetworks.KindStaleToken, "the engine is not a member of the group with this token"), 0
+	case e.phase == garnetworks.EngineDraining:
+		return refusal(garnetworks.KindShuttingDown, "the engine drains"), 0
 	case e.phase != garnetworks.EngineReady:
-		return "the engine is " + string(e.phase), 0
+		return refusal(garnetworks.KindNotReady, "the engine is "+string(e.phase)), 0
 	case e.members[0] != e.spec.ID:
-		return "the engine is not the group's first member", 0
+		return refusal(garnetworks.KindNotReady, "the engine is not the group's first member"), 0
 	case call.Model != e.model:
-		return "the group serves another model", 0
+		return refusal(garnetworks.KindNotReady, "the group serves another model"), 0
 	case call.Adapter != "" && !slices.Contains(e.adapters, call.Adapter):
-		return "the adapter is not loaded", 0
+		return refusal(garnetworks.KindNotReady, "the adapter is not loaded"), 0
+	case call.MaxTokens <= 0:
+		return refusal(garnetworks.KindInvalidRequest, "the number of tokens is not above 0"), 0
 	case len(e.batch.waiting) >= e.spec.Queue:
-		return "the queue is full", 0
+		return refusal(garnetworks.KindOverloaded, "the queue is full"), 0
 	}
 	if m, since := e.missingMember(); m != "" {
-		return "member " + string(m) + " is missing", max(time.Since(since), 1)
+		return refusal(garnetworks.KindNotReady, "member "+string(m)+" is missing"), max(time.Since(since), 1)
 	}
-	return "", 0
+	return nil, 0
 }
 
 // missingMember returns a member that does not take part in the group (rule
@@ -254,10 +261,9 @@
 	if err != nil {
 		return nil, beforeBegin(err, ctx.Err() == nil)
 	}
-	s, err := e.submit(call)
-	if err != nil {
-		r := err.(*refusal)
-		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: r.retryAfter, Cause: err}
+	s, refused := e.submit(call)
+	if refused != nil {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: refused.RetryAfter, Cause: refused}
 	}
 	if e.take(MethodGenerate, lostAnswers) {
 		e.cancel(s)
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -186,7 +186,7 @@
 	}
 	id := e.spec.ID
 	e.fleet.mu.Unlock()
-	e.dropConnections()
+	e.DropConnections()
 	if e.fleet.List != nil {
 		e.fleet.List.Remove(id)
 	}
@@ -200,7 +200,7 @@
 	e.incarnation++
 	e.downSince = time.Time{}
 	e.fleet.mu.Unlock()
-	e.dropConnections()
+	e.DropConnections()
 }
 
 // SetLeaving makes the engine say that it will stop, and the list too.
@@ -220,6 +220,13 @@
 	e.slowdown = factor
 }
 
+// SetEventGap makes every gap-th cache event get lost; 0 loses none.
+func (e *Engine) SetEventGap(gap uint64) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.spec.EventGap = gap
+}
+
 // SetFaults replaces the plan. It shadows Faults.SetFaults so that the other
 // members know how long the engine has been missing.
 func (e *Engine) SetFaults(plan FaultPlan) {
@@ -244,15 +251,6 @@
 	e.downSince = time.Now()
 }
 
-func (e *Engine) dropConnections() {
-	e.Faults.mu.Lock()
-	conns := e.connections()
-	e.Faults.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-	}
-}
-
 // up reports whether the engine takes part in its group now.
 func (e *Engine) up() bool {
 	plan := e.FaultsNow()
--- a/faker/faults.go
+++ b/faker/faults.go
@@ -64,13 +64,9 @@
 	change(&f.plan)
 	f.signal()
 	down := f.plan.Down
-	conns := f.connections()
 	f.mu.Unlock()
-	if !down {
-		return
-	}
-	for _, c := range conns {
-		_ = c.Close()
+	if down {
+		f.DropConnections()
 	}
 }
 
@@ -97,6 +93,16 @@
 	}
 }
 
+// DropConnections breaks all open connections.
+func (f *Faults) DropConnections() {
+	f.mu.Lock()
+	conns := f.connections()
+	f.mu.Unlock()
+	for _, c := range conns {
+		reset(c.Conn)
+	}
+}
+
 func (f *Faults) connections() []*conn {
 	conns := make([]*conn, 0, len(f.conns))
 	for c := range f.conns {
--- a/faker/fleet.go
+++ b/faker/fleet.go
@@ -83,10 +83,10 @@
 	e := newEngine(f, spec)
 	f.mu.Lock()
 	f.engines[spec.ID] = e
-	f.addresses[spec.Address] = e
+	f.addresses[e.spec.Address] = e
 	f.mu.Unlock()
 	if spec.On {
-		f.report(spec.ListedInstance)
+		f.report(e.spec.ListedInstance)
 	}
 	return e
 }
--- a/faker/objects.go
+++ b/faker/objects.go
@@ -80,6 +80,13 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
+// SetRates changes the rates; 0 means no limit.
+func (o *Objects) SetRates(writesPerSecond, readsPerSecond float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes, o.reads = limiter(writesPerSecond), limiter(readsPerSecond)
+}
+
 // Counts returns the number of calls by method, throttled ones included.
 func (o *Objects) Counts() map[string]uint64 {
 	o.mu.Lock()
@@ -136,7 +143,7 @@
 	return apply(ctx, f, MethodGet, failedObjectRead, func() (garnetworks.Object, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if err := o.count(MethodGet, o.reads); err != nil {
+		if err := o.countRead(MethodGet); err != nil {
 			return garnetworks.Object{}, err
 		}
 		object, ok := o.objects[key]
@@ -152,7 +159,7 @@
 	return apply(ctx, f, MethodPut, failedObjectWrite, func() (garnetworks.Revision, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if err := o.count(MethodPut, o.writes); err != nil {
+		if err := o.countWrite(MethodPut); err != nil {
 			return 0, err
 		}
 		if key == "" {
@@ -173,7 +180,7 @@
 	_, err := apply(ctx, f, MethodDelete, failedObjectWrite, func() (struct{}, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if err := o.count(MethodDelete, o.writes); err != nil {
+		if err := o.countWrite(MethodDelete); err != nil {
 			return struct{}{}, err
 		}
 		object, ok := o.objects[key]
@@ -197,7 +204,7 @@
 	p, err := apply(ctx, f, MethodList, failedObjectRead, func() (page, error) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
-		if err := o.count(MethodList, o.reads); err != nil {
+		if err := o.countRead(MethodList); err != nil {
 			return page{}, err
 		}
 		var objects []garnetworks.Object
@@ -219,7 +226,7 @@
 		return nil, 0, failedObjectRead(err, false)
 	}
 	o.mu.Lock()
-	err = o.count(MethodWatch, o.reads)
+	err = o.countRead(MethodWatch)
 	o.mu.Unlock()
 	if err != nil {
 		return nil, 0, err
@@ -290,6 +297,10 @@
 	o.changed = make(chan struct{})
 }
 
+func (o *Objects) countRead(method string) error { return o.count(method, o.reads) }
+
+func (o *Objects) countWrite(method string) error { return o.count(method, o.writes) }
+
 func (o *Objects) count(method string, l *rate.Limiter) error {
 	o.counts[method]++
 	if l.Allow() {
--- a/faker/serve.go
+++ b/faker/serve.go
@@ -291,7 +291,7 @@
 	}
 	t, err := s.begin(r.Context(), MethodCall)
 	if errors.Is(err, errUnavailable) {
-		refuse(w, connector.HeaderCall, string(call.ID), &refusal{reason: err.Error()})
+		refuse(w, connector.HeaderCall, string(call.ID), errNotBegun)
 		return
 	}
 	if err != nil {
@@ -301,12 +301,11 @@
 }
 
 func (s *Service) answer(w http.ResponseWriter, r *http.Request, t ticket, call *garnetworks.ServiceCall) {
-	answer, err := s.execute(r.Context(), call)
-	var refused *refusal
-	if errors.As(err, &refused) {
+	if refused := s.refuses(); refused != nil {
 		refuse(w, connector.HeaderCall, string(call.ID), refused)
 		return
 	}
+	answer, err := s.execute(r.Context(), call)
 	if err != nil || s.end(r.Context(), t) != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -326,20 +325,21 @@
 	_, _ = w.Write(answer.Body)
 }
 
+// errNotBegun is the refusal of a server that is unavailable.
+var errNotBegun = refusal(garnetworks.KindNotReady, "the server is unavailable")
+
 // refuse answers that a call was not begun, with the proof that rule C3 of
 // package connector asks for.
-func refuse(w http.ResponseWriter, header, id string, r *refusal) {
+func refuse(w http.ResponseWriter, header, id string, refused *garnetworks.Error) {
 	w.Header().Set(header, id)
 	w.Header().Set(connector.HeaderOutcome, string(garnetworks.OutcomeNotRun))
-	if r.retryAfter > 0 {
-		seconds := (r.retryAfter + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
-	}
+	seconds := (refused.RetryAfter + time.Second - 1) / time.Second
+	w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	replyJSON(w, http.StatusServiceUnavailable, connector.Problem{
-		Kind:             garnetworks.KindBackendRefused,
+		Kind:             refused.Kind,
 		Status:           http.StatusServiceUnavailable,
-		Detail:           r.reason,
-		RetryAfterMillis: r.retryAfter.Milliseconds(),
+		Detail:           refused.Detail,
+		RetryAfterMillis: refused.RetryAfter.Milliseconds(),
 	})
 }
 
--- a/faker/serveengine.go
+++ b/faker/serveengine.go
@@ -121,15 +121,14 @@
 	}
 	t, err := e.begin(r.Context(), MethodGenerate)
 	if errors.Is(err, errUnavailable) {
-		refuse(w, connector.HeaderAttempt, string(call.Attempt), &refusal{reason: err.Error()})
+		refuse(w, connector.HeaderAttempt, string(call.Attempt), errNotBegun)
 		return
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	s, err := e.submit(call)
-	var refused *refusal
-	if errors.As(err, &refused) {
+	s, refused := e.submit(call)
+	if refused != nil {
 		refuse(w, connector.HeaderAttempt, string(call.Attempt), refused)
 		return
 	}
--- a/faker/service.go
+++ b/faker/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -86,9 +87,6 @@
 
 // execute runs the call and counts it before anything is answered (rule F4).
 func (s *Service) execute(ctx context.Context, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
-	if s.refusing() {
-		return garnetworks.ServiceAnswer{}, &refusal{reason: "the server is leaving", retryAfter: refusalDelay}
-	}
 	execution := s.note(call)
 	// The execution counts although its caller may go away now.
 	_ = sleep(ctx, s.took)
@@ -105,10 +103,14 @@
 	}, nil
 }
 
-func (s *Service) refusing() bool {
+// refuses returns why new calls can't be begun, or nil.
+func (s *Service) refuses() *garnetworks.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving
+	if !s.leaving {
+		return nil
+	}
+	return refusal(garnetworks.KindShuttingDown, "the server is leaving")
 }
 
 func (s *Service) note(call *garnetworks.ServiceCall) int {
@@ -139,14 +141,17 @@
 // Call answers a call in process, with the failures that an adapter would
 // report.
 func (s *Service) Call(ctx context.Context, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	if _, err := url.ParseRequestURI(call.Path); err != nil || call.Path[0] != '/' {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
 	t, err := s.begin(ctx, MethodCall)
 	if err != nil {
 		return garnetworks.ServiceAnswer{}, beforeBegin(err, false)
 	}
-	answer, err := s.execute(ctx, call)
-	if r, ok := err.(*refusal); ok {
-		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: r.retryAfter, Cause: err}
+	if refused := s.refuses(); refused != nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: refused.RetryAfter, Cause: refused}
 	}
+	answer, err := s.execute(ctx, call)
 	previous := s.previous(call.ID)
 	if err == nil {
 		err = ctx.Err()
