Carry confirmations between nodes

Cause: the exchange of confirmations needs a call of its own. Change: messenger carries Confirm to handlers that take it; root gets CutTopic.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -127,6 +127,13 @@
 	return invoke(ctx, c, address, report, request)
 }
 
+// Confirm implements garnetworks.ConfirmCaller.
+func (c *Client) Confirm(ctx context.Context, address string, request *garnetworks.ConfirmRequest) (*garnetworks.ConfirmResponse, error) {
+	return invoke(ctx, c, address, confirm, request)
+}
+
+var _ garnetworks.ConfirmCaller = (*Client)(nil)
+
 // invoke makes one call.
 func invoke[Q, A any](ctx context.Context, c *Client, address string, r rpc[Q, A], request *Q) (*A, error) {
 	ctx, cancel := bounded(ctx)
--- a/messenger/methods.go
+++ b/messenger/methods.go
@@ -79,8 +79,24 @@
 		asked:    func(m *garnetworks.ReportRequest) *garnetworks.Timestamp { return &m.At },
 		answered: func(m *garnetworks.ReportResponse) *garnetworks.Timestamp { return &m.At },
 	}
+	confirm = rpc[garnetworks.ConfirmRequest, garnetworks.ConfirmResponse]{
+		name: "confirm", progress: progressState,
+		call:     handleConfirm,
+		asked:    func(m *garnetworks.ConfirmRequest) *garnetworks.Timestamp { return &m.At },
+		answered: func(m *garnetworks.ConfirmResponse) *garnetworks.Timestamp { return &m.At },
+	}
 )
 
+// handleConfirm answers only where the handler takes confirmations; operators'
+// programs and nodes of older versions do not.
+func handleConfirm(h garnetworks.PeerHandler, ctx context.Context, request *garnetworks.ConfirmRequest) (*garnetworks.ConfirmResponse, error) {
+	taker, ok := h.(garnetworks.ConfirmHandler)
+	if !ok {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the node takes no confirmations")
+	}
+	return taker.Confirm(ctx, request)
+}
+
 // methods is the drpc description of the peer service. Messages are plain
 // structs and CBOR needs no generated code, so the description is written out.
 type methods []served
@@ -92,7 +108,7 @@
 	describe() (name string, receiver drpc.Receiver, method any)
 }
 
-var peerMethods = methods{heartbeat, distribute, fetch, events, status, propose, progress, report}
+var peerMethods = methods{heartbeat, distribute, fetch, events, status, propose, progress, report, confirm}
 
 // NumMethods returns the number of methods.
 func (m methods) NumMethods() int { return len(m) }
--- a/peer.go
+++ b/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -47,6 +48,12 @@
 	TopicZoneState Topic = "zone-state/"
 )
 
+// CutTopic returns what stands behind the topic's first part, such as a zone's
+// name, and whether the topic begins with it.
+func CutTopic(topic, first Topic) (string, bool) {
+	return strings.CutPrefix(string(topic), string(first))
+}
+
 // UpdateVersion orders the values of a topic.
 type UpdateVersion struct {
 	// Term is the writer's lease term, or 0 where the object API orders writes.
@@ -111,9 +118,9 @@
 	Zone ZoneID `json:"zone"`
 	// Controller is the node that holds the zone's lease; nodes of the zone
 	// report to it.
-	Controller NodeInfo `json:"controller"`
-	Groups  []GroupView  `json:"groups"`
-	Servers []ServerView `json:"servers"`
+	Controller NodeInfo     `json:"controller"`
+	Groups     []GroupView  `json:"groups"`
+	Servers    []ServerView `json:"servers"`
 	// Engines are the zone's engine instances, in groups or not, sorted by
 	// Instance; the zone's nodes probe them.
 	Engines []EngineView `json:"engines,omitempty"`
