Join the parts to an entry node and serve a call through every layer

Cause: the parts were proved one by one; a caller needs them joined. Change: runner makes a node from settings, runs its duties, answers peers and operators, passes views, shares and manifests between the parts, and stops as planned.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -58,7 +58,7 @@
 	{"garnet_calls_total", "Calls of callers that ended, by what was called, outcome and error kind (empty if completed).", []string{"target", "outcome", "kind"}},
 	{"garnet_tokens_total", "Tokens delivered to callers, by workspace.", []string{"workspace"}},
 	{"garnet_first_token_seconds", "Time from the receipt of a call to its first token.", nil},
-	{"garnet_between_tokens_seconds", "Time between two tokens of a streamed answer.", nil},
+	{"garnet_between_tokens_seconds", "Mean time between two tokens of one answer.", nil},
 	{"garnet_calls_in_flight", "Calls admitted and not ended.", nil},
 	{"garnet_object_api_calls_total", "Calls to the object API, by method and error kind (empty if answered).", []string{"method", "kind"}},
 	{"garnet_peer_bytes_total", "Bytes exchanged with other nodes, by direction.", []string{"direction"}},
@@ -127,12 +127,11 @@
 // Registry lets embedders register metrics of their own.
 func (m *Meter) Registry() *prometheus.Registry { return m.registry }
 
-// CallStarted counts a call as in flight.
-func (m *Meter) CallStarted() { m.inFlight.Inc() }
+// InFlight sets the number of calls admitted and not ended.
+func (m *Meter) InFlight(n int) { m.inFlight.Set(float64(n)) }
 
 // CallEnded counts a call that ended; kind is empty if it completed.
 func (m *Meter) CallEnded(target string, outcome garnetworks.Outcome, kind garnetworks.Kind) {
-	m.inFlight.Dec()
 	m.calls.WithLabelValues(target, string(outcome), string(kind)).Inc()
 }
 
@@ -144,7 +143,7 @@
 // FirstToken observes the time to a call's first token.
 func (m *Meter) FirstToken(d time.Duration) { m.firstToken.Observe(d.Seconds()) }
 
-// BetweenTokens observes the time between two tokens.
+// BetweenTokens observes the mean time between two tokens of an answer.
 func (m *Meter) BetweenTokens(d time.Duration) { m.betweenTime.Observe(d.Seconds()) }
 
 // InForce sets the generation in force at the node.
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -33,7 +33,7 @@
 	api := m.ObjectAPI(lostAnswers{})
 	_, _ = api.Put(context.Background(), "k", nil, 0)
 	_, _, _ = api.Watch(context.Background(), "k", 0, 0)
-	m.CallStarted()
+	m.InFlight(3)
 	m.CallEnded("model", garnetworks.OutcomeNotRun, garnetworks.KindOverLimit)
 	m.Tokens("w", 3)
 	m.FirstToken(time.Second)
--- /dev/null
+++ b/runner/control.go
@@ -0,0 +1,50 @@
+package runner
+
+import (
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/controller"
+)
+
+// joinControl makes the controllers of the zone and of the site.
+func (r *Runner) joinControl() error {
+	r.listed = &listCache{InstanceList: r.platform.Instances}
+	var err error
+	r.zone, err = controller.NewZone(controller.Options{
+		Node:      r.self.ID,
+		Zone:      r.self.Zone,
+		Objects:   r.platform.Objects,
+		Instances: r.listed,
+		Power:     r.platform.Power,
+		Orders:    r.platform.Orders,
+		Statuses:  r.prober.Table(),
+		Manifest:  r.committer,
+		Weights:   r.platform.Weights,
+		Recorder:  r.events,
+		Publish:   r.views.publish,
+		Slowdowns: r.reports.slowdowns,
+	})
+	if err != nil {
+		return err
+	}
+	r.site, err = controller.NewSite(controller.SiteOptions{
+		Node:     r.self.ID,
+		Objects:  r.platform.Objects,
+		Manifest: r.committer,
+		Recorder: r.events,
+	})
+	return err
+}
+
+// leases returns the names of the leases that the node holds.
+func (r *Runner) leases() []string {
+	held := []string{}
+	for name, holds := range r.leaseStates() {
+		if holds {
+			held = append(held, name)
+		}
+	}
+	return held
+}
+
+// zoneLease returns the name of the own zone's lease.
+func zoneLease(zone garnetworks.ZoneID) string { return controller.ZoneLeaseKey(zone) }
--- /dev/null
+++ b/runner/reports.go
@@ -0,0 +1,215 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/admitter"
+	"github.com/garnetworks/garnetworks/messenger"
+	"github.com/garnetworks/garnetworks/sharer"
+)
+
+const (
+	// ReportEvery is the time between two reports to the zone's controller.
+	ReportEvery = 2 * time.Second
+	// reportBound bounds one report.
+	reportBound = time.Second
+	// demandEvery is the time between two words of a zone's demand to the site.
+	demandEvery = 5 * time.Second
+)
+
+// reports sends the node's reports to its zone's controller, and takes those of
+// others while the node is the controller (N4).
+type reports struct {
+	r *Runner
+
+	mu     sync.Mutex
+	keeper *sharer.Keeper
+	// slow holds each node's newest word on slow groups.
+	slow map[garnetworks.NodeID][]garnetworks.GroupSlowdown
+	// demandAt is when the zone's demand was last sent to the site.
+	demandAt time.Time
+}
+
+func newReports(r *Runner) *reports {
+	return &reports{
+		r:      r,
+		keeper: sharer.New(r.self.Zone),
+		slow:   make(map[garnetworks.NodeID][]garnetworks.GroupSlowdown),
+	}
+}
+
+// run reports once in ReportEvery.
+func (p *reports) run(ctx context.Context) {
+	ticker := time.NewTicker(ReportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.once(ctx)
+		}
+	}
+}
+
+func (p *reports) once(ctx context.Context) {
+	now := time.Now()
+	request := &garnetworks.HeartbeatRequest{
+		From:    p.r.tracker.Self(),
+		Demands: p.r.admitter.Demands(),
+		Slow:    p.slowGroups(now),
+	}
+	joined, known := p.r.views.own()
+	if !known {
+		return
+	}
+	if joined.View.Controller.ID == p.r.self.ID {
+		p.control(now, request)
+		return
+	}
+	p.send(ctx, joined.View.Controller.Address, request)
+}
+
+func (p *reports) slowGroups(now time.Time) []garnetworks.GroupSlowdown {
+	var slow []garnetworks.GroupSlowdown
+	for _, s := range p.r.router.Stragglers(now) {
+		slow = append(slow, garnetworks.GroupSlowdown{Group: s.Group, Ratio: s.Ratio})
+	}
+	return slow
+}
+
+func (p *reports) send(ctx context.Context, address string, request *garnetworks.HeartbeatRequest) {
+	ctx, cancel := context.WithTimeout(ctx, reportBound)
+	defer cancel()
+	response, err := p.r.client.Heartbeat(ctx, address, request)
+	if err != nil {
+		p.r.log.Debug("report not sent", "to", address, "error", err)
+		return
+	}
+	for _, u := range response.Updates {
+		p.take(u)
+	}
+}
+
+// receive takes a peer's report and answers with its shares.
+func (p *reports) receive(now time.Time, request *garnetworks.HeartbeatRequest, response *garnetworks.HeartbeatResponse) {
+	if len(request.Demands) == 0 && len(request.Slow) == 0 {
+		return
+	}
+	if request.From.Zone != p.r.self.Zone || p.r.zone.Lease().Term(now) == 0 {
+		return
+	}
+	row, ok := p.note(now, request).Get()
+	if !ok {
+		return
+	}
+	body, err := messenger.EncodeBody(admitter.ShareTable{Nodes: []admitter.NodeShare{row}})
+	if err != nil {
+		p.r.log.Error("shares not sent", "error", err)
+		return
+	}
+	response.Updates = append(response.Updates, garnetworks.Update{
+		Topic: garnetworks.TopicShares + garnetworks.Topic(p.r.self.Zone),
+		Body:  body,
+	})
+}
+
+// note takes a node's report and returns its shares.
+func (p *reports) note(now time.Time, request *garnetworks.HeartbeatRequest) garnetworks.Option[admitter.NodeShare] {
+	manifest, known := p.r.committer.Manifest()
+	nodes := p.r.nodes()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow[request.From.ID] = request.Slow
+	p.keeper.Report(now, request.From.ID, request.Demands)
+	p.keeper.SetNodes(nodes)
+	if !known {
+		return garnetworks.Option[admitter.NodeShare]{}
+	}
+	return p.keeper.Row(now, manifest.Manifest.Workspaces, request.From.ID)
+}
+
+// control takes the controller's own report and tells the site of the zone's
+// demand.
+func (p *reports) control(now time.Time, request *garnetworks.HeartbeatRequest) {
+	if row, ok := p.note(now, request).Get(); ok {
+		p.r.admitter.SetShares(admitter.ShareTable{Nodes: []admitter.NodeShare{row}})
+	}
+	term := p.r.zone.Lease().Term(now)
+	p.mu.Lock()
+	due := now.Sub(p.demandAt) >= demandEvery
+	if due {
+		p.demandAt = now
+	}
+	demand := p.keeper.ZoneDemand(now)
+	p.mu.Unlock()
+	if !due || term == 0 {
+		return
+	}
+	body, err := messenger.EncodeBody(demand)
+	if err != nil {
+		p.r.log.Error("demand not sent", "error", err)
+		return
+	}
+	p.r.publish(garnetworks.Update{
+		Topic:   garnetworks.TopicDemand + garnetworks.Topic(p.r.self.Zone),
+		Version: garnetworks.UpdateVersion{Term: term, Sequence: uint64(now.UnixMilli())},
+		Body:    body,
+	})
+}
+
+// take takes an update of shares or of a zone's demand, and reports whether it
+// was one.
+func (p *reports) take(u garnetworks.Update) bool {
+	if _, ok := garnetworks.CutTopic(u.Topic, garnetworks.TopicShares); ok {
+		var table admitter.ShareTable
+		if p.decode(u, &table) {
+			p.r.admitter.SetShares(table)
+		}
+		return true
+	}
+	if zone, ok := garnetworks.CutTopic(u.Topic, garnetworks.TopicDemand); ok {
+		var demand sharer.ZoneDemand
+		if p.decode(u, &demand) {
+			p.mu.Lock()
+			p.keeper.TakeZone(time.Now(), garnetworks.ZoneID(zone), demand)
+			p.mu.Unlock()
+		}
+		return true
+	}
+	return false
+}
+
+func (p *reports) decode(u garnetworks.Update, value any) bool {
+	if err := messenger.DecodeBody(u.Body, value); err != nil {
+		p.r.log.Warn("update refused", "topic", u.Topic, "error", err)
+		return false
+	}
+	return true
+}
+
+// slowdowns returns how much slower than their like the instances of slow groups
+// are: for each group the median of the nodes' words, so that one node with a
+// bad way to a group does not have it replaced.
+func (p *reports) slowdowns() map[garnetworks.InstanceID]float64 {
+	joined, known := p.r.views.own()
+	if !known {
+		return nil
+	}
+	p.mu.Lock()
+	ratios := sharer.Slowdowns(p.slow)
+	p.mu.Unlock()
+	slow := make(map[garnetworks.InstanceID]float64)
+	for i := range joined.View.Groups {
+		g := &joined.View.Groups[i]
+		if ratio, ok := ratios[g.ID]; ok {
+			for _, m := range g.Members { // from outside, no one can tell which member it is
+				slow[m] = ratio
+			}
+		}
+	}
+	return slow
+}
--- /dev/null
+++ b/runner/views.go
@@ -0,0 +1,227 @@
+package runner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/prober"
+	"github.com/garnetworks/garnetworks/pulser"
+)
+
+// PulseSilence is how long a node waits for a pulse of its own zone before it
+// probes by itself (N5). With one round of probes it stays below
+// garnetworks.ConfirmationBound.
+const PulseSilence = 1500 * time.Millisecond
+
+// views holds what the node knows of each zone's backend servers, and sends the
+// own zone's view while the node controls it.
+type views struct {
+	r *Runner
+
+	mu        sync.Mutex
+	receivers map[garnetworks.ZoneID]*pulser.Receiver
+	joined    map[garnetworks.ZoneID]pulser.Joined
+	sender    *pulser.Sender
+	term      uint32
+	alone     bool
+}
+
+func newViews(r *Runner) *views {
+	return &views{
+		r:         r,
+		receivers: make(map[garnetworks.ZoneID]*pulser.Receiver),
+		joined:    make(map[garnetworks.ZoneID]pulser.Joined),
+	}
+}
+
+// take takes an update of a zone's view or pulse, and reports whether it was
+// one.
+func (v *views) take(u garnetworks.Update) bool {
+	zone, ok := garnetworks.CutTopic(u.Topic, garnetworks.TopicZoneView)
+	if !ok {
+		zone, ok = garnetworks.CutTopic(u.Topic, garnetworks.TopicZonePulse)
+	}
+	if !ok {
+		return false
+	}
+	joined, err := v.receive(garnetworks.ZoneID(zone), u)
+	if err != nil {
+		v.r.log.Warn("zone view refused", "zone", zone, "error", err)
+		return true
+	}
+	if j, ok := joined.Get(); ok {
+		v.r.router.SetView(j.At, j.View)
+		v.r.meter.View(j.View)
+		v.setTargets(j.View)
+	}
+	return true
+}
+
+func (v *views) receive(zone garnetworks.ZoneID, u garnetworks.Update) (garnetworks.Option[pulser.Joined], error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	receiver := v.receivers[zone]
+	if receiver == nil {
+		receiver = pulser.NewReceiver(zone)
+		v.receivers[zone] = receiver
+	}
+	joined, err := receiver.Take(time.Now(), u)
+	if j, ok := joined.Get(); ok {
+		v.joined[zone] = j
+	}
+	return joined, err
+}
+
+// setTargets tells the prober which engines its zone has.
+func (v *views) setTargets(view garnetworks.ZoneView) {
+	if view.Zone != v.r.self.Zone {
+		return
+	}
+	targets := make([]prober.Target, 0, len(view.Engines))
+	known := garnetworks.NewSet[garnetworks.InstanceID]()
+	for _, e := range view.Engines {
+		targets = append(targets, prober.Target{Instance: e.Instance, Address: e.Address, Zone: view.Zone})
+		known.Add(e.Instance)
+	}
+	v.r.prober.SetTargets(targets)
+	v.r.prober.Table().Keep(known)
+}
+
+// own returns the own zone's view.
+func (v *views) own() (pulser.Joined, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	j, ok := v.joined[v.r.self.Zone]
+	return j, ok
+}
+
+// all returns every zone's view, sorted by zone.
+func (v *views) all() []garnetworks.ZoneView {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := make([]garnetworks.ZoneView, 0, len(v.joined))
+	for _, j := range v.joined {
+		list = append(list, j.View)
+	}
+	slices.SortFunc(list, func(a, b garnetworks.ZoneView) int {
+		if a.Zone < b.Zone {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// refresh keeps probes and routes going by the node's own findings.
+func (v *views) refresh(now time.Time, nodes []garnetworks.NodeInfo) {
+	joined, ok := v.own()
+	silent := !ok || now.Sub(joined.At) > PulseSilence
+	if silent {
+		nodes = []garnetworks.NodeInfo{readySelf(v.r.self)} // N5
+	}
+	v.noteSilence(silent && ok)
+	v.r.prober.SetRoster(nodes)
+	table := v.r.prober.Table()
+	for i := range joined.View.Groups {
+		g := &joined.View.Groups[i]
+		if g.State != garnetworks.GroupServing || !table.ConfirmedView(now, g) {
+			continue
+		}
+		v.r.router.ConfirmGroup(oldestWord(table, g.Members), g.ID, g.Token)
+	}
+}
+
+// readySelf makes the node the only one that probes; whether it takes calls
+// does not matter for that.
+func readySelf(self garnetworks.NodeInfo) garnetworks.NodeInfo {
+	self.Ready = true
+	return self
+}
+
+// oldestWord returns when the member that was asked longest ago was asked.
+func oldestWord(table *prober.Table, members []garnetworks.InstanceID) time.Time {
+	var oldest time.Time
+	for _, m := range members {
+		c, ok := table.Confirmation(m)
+		if !ok {
+			return time.Time{}
+		}
+		if oldest.IsZero() || c.At.Before(oldest) {
+			oldest = c.At
+		}
+	}
+	return oldest
+}
+
+func (v *views) noteSilence(silent bool) {
+	v.mu.Lock()
+	changed := v.alone != silent
+	v.alone = silent
+	v.mu.Unlock()
+	if changed && silent {
+		v.r.log.Info("no pulse of the own zone; probing its engines alone", "zone", v.r.self.Zone)
+	}
+}
+
+// publish sends the own zone's view on; the zone's controller calls it.
+func (v *views) publish(version garnetworks.UpdateVersion, view garnetworks.ZoneView) {
+	view.Controller = v.r.tracker.Self()
+	view.Controller.Incarnation = v.r.self.Incarnation
+	view.Engines = v.r.listed.engines()
+	v.mu.Lock()
+	now := time.Now()
+	if v.sender == nil || v.term != version.Term {
+		v.sender, v.term = pulser.NewSender(now), version.Term
+	}
+	updates, err := v.sender.Next(now, version, view)
+	v.mu.Unlock()
+	if err != nil {
+		v.r.log.Error("zone view not sent", "error", err)
+		return
+	}
+	for _, u := range updates {
+		v.r.publish(u)
+	}
+}
+
+// listCache keeps the instance list's last rows on their way to the controller,
+// so that the view can name the engines without another read.
+type listCache struct {
+	garnetworks.InstanceList
+
+	mu   sync.Mutex
+	rows []garnetworks.ListedInstance
+}
+
+// Instances implements garnetworks.InstanceList.
+func (l *listCache) Instances(ctx context.Context, zone garnetworks.ZoneID) ([]garnetworks.ListedInstance, error) {
+	rows, err := l.InstanceList.Instances(ctx, zone)
+	if err == nil {
+		l.mu.Lock()
+		l.rows = rows
+		l.mu.Unlock()
+	}
+	return rows, err
+}
+
+// engines returns the engines of the last rows, sorted by instance.
+func (l *listCache) engines() []garnetworks.EngineView {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var engines []garnetworks.EngineView
+	for _, row := range l.rows {
+		if row.Service == "" && row.Address != "" {
+			engines = append(engines, garnetworks.EngineView{Instance: row.ID, Address: row.Address})
+		}
+	}
+	slices.SortFunc(engines, func(a, b garnetworks.EngineView) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	return engines
+}
