--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -293,3 +293,13 @@
 	ip := net.ParseIP(host)
 	return ip != nil && ip.IsLoopback()
 }
+
+// Lines returns the lines to show for an error of Load or Parse, one for each
+// fault.
+func Lines(err error) string {
+	var faults Faults
+	if errors.As(err, &faults) {
+		return faults.Error()
+	}
+	return err.Error()
+}
