Fuzz the path of a call against an oracle of executions

Cause: not-run must mean not run, a call that may not be repeated must run once, and a partial answer must never look whole, whatever fails together. Change: a rapid state machine over server, forwarder and fakes of engines, services and the store of claims (refusals, breaks, silence, crossed and late answers, wrong resumptions, lost and refused writes, nodes killed and drained, callers who leave), each fault alone as a table, and the drain.

--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -129,10 +129,12 @@
 	// paused says that the attempt waits for the caller, not for the engine.
 	paused atomic.Bool
 
-	// The fields below belong to the timer's goroutine.
 	timer *time.Timer
+	// checking is held by check: a token that sets the timer anew while a probe
+	// runs must not start a second one beside it.
+	checking sync.Mutex
 	// judged is the sign up to which the silence was probed and found slow; -1
-	// before the first probe.
+	// before the first probe. It belongs to the holder of checking.
 	judged int64
 }
 
@@ -170,8 +172,13 @@
 		return
 	}
 	w.token.Store(elapsed)
-	w.begun.Store(true)
 	w.pulse.last.Store(w.base.UnixNano() + elapsed)
+	if !w.begun.Load() {
+		// From here on the shorter bound holds, and the timer still runs for the
+		// longer one.
+		w.begun.Store(true)
+		w.timer.Reset(w.f.options.Timeouts.BetweenTokens)
+	}
 }
 
 // pause and resume frame the time in which the caller holds the attempt up.
@@ -196,6 +203,8 @@
 // check runs on the timer's goroutine. It looks at the clock in place of a timer
 // that is set anew for each token.
 func (w *watchdog) check() {
+	w.checking.Lock()
+	defer w.checking.Unlock()
 	if w.ctx.Err() != nil {
 		return
 	}
--- /dev/null
+++ b/server/world_test.go
@@ -0,0 +1,434 @@
+package server_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/forwarder"
+	"github.com/garnetworks/garnetworks/server"
+	"github.com/pkg/errors"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	answerTokens = 12
+	serviceTime  = 5 * time.Second
+	bearer       = "Bearer key-of-delta"
+)
+
+// keys stands in for the index of workspace keys.
+type keys struct{}
+
+func (keys) Lookup(key string) (garnetworks.WorkspaceName, bool) {
+	return "delta", key == "key-of-delta"
+}
+
+type manifests struct{ accepted garnetworks.AcceptedManifest }
+
+func (m *manifests) Manifest() (*garnetworks.AcceptedManifest, bool) {
+	return &m.accepted, m.accepted.Generation > 0
+}
+
+func newManifests() *manifests {
+	return &manifests{garnetworks.AcceptedManifest{Generation: 1, Manifest: garnetworks.Manifest{
+		Models: []garnetworks.ModelSpec{{Name: "brief", Adapters: []garnetworks.AdapterName{"pumps"}}, {Name: "secret"}},
+		Workspaces: []garnetworks.WorkspaceSpec{{
+			Name:     "delta",
+			Models:   []garnetworks.ModelName{"brief"},
+			Services: []garnetworks.ServiceName{"ledger"},
+			Deadline: garnetworks.DeadlineSpec{FirstToken: 5 * time.Second, Total: time.Minute},
+		}},
+		Services: []garnetworks.ServiceSpec{{Name: "ledger", Timeout: serviceTime, Calls: []garnetworks.ServiceCallSpec{
+			{Methods: []string{"GET"}, PathPrefix: "/", Repeatable: true},
+			{PathPrefix: "/notes", KeyRequired: true},
+		}}, {Name: "hidden"}},
+	}}}
+}
+
+// attempt is a call's identifier without the number of the attempt.
+func callOf(attempt garnetworks.CallID) garnetworks.CallID {
+	call, _, _ := strings.Cut(string(attempt), ".")
+	return garnetworks.CallID(call)
+}
+
+func failed(phase garnetworks.CallPhase) error {
+	return &garnetworks.AttemptError{Phase: phase, Cause: errors.New("fault")}
+}
+
+// world is what the nodes of a test share: backend servers, and the store of
+// claims. It counts executions, which is all that the oracle needs.
+type world struct {
+	mu         sync.Mutex
+	executions map[garnetworks.CallID]int
+	claims     map[string]*claimRecord
+	// stuck counts attempts at engines that are busy and bring nothing.
+	stuck int
+	// faults are what meets the next attempts and claims, in order.
+	engineFaults  []string
+	serviceFaults []string
+	claimFaults   []string
+}
+
+func newWorld() *world {
+	return &world{executions: map[garnetworks.CallID]int{}, claims: map[string]*claimRecord{}}
+}
+
+func (w *world) execute(call garnetworks.CallID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.executions[call]++
+}
+
+func (w *world) next(faults *[]string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(*faults) == 0 {
+		return "none"
+	}
+	fault := (*faults)[0]
+	*faults = (*faults)[1:]
+	return fault
+}
+
+// node is one entry node in front of the world. Once it is dead, nothing that
+// its program does has an effect any more.
+type node struct {
+	*world
+	server *server.Server
+	calls  *forwarder.Forwarder
+	dead   chan struct{}
+}
+
+func (w *world) newNode() *node {
+	n := &node{world: w, dead: make(chan struct{})}
+	n.calls = forwarder.New(forwarder.Options{
+		Engines: n, Services: n, Groups: n, Servers: n, Claims: n, Prober: n, Manifest: newManifests(),
+	})
+	n.server = server.New(server.Options{
+		Calls: n.calls, Manifest: newManifests(),
+		NewKeyIndex: func(*garnetworks.Manifest) server.KeyIndex { return keys{} },
+	})
+	n.server.SetReady(true)
+	return n
+}
+
+func (n *node) isDead() bool {
+	select {
+	case <-n.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+var errDead = errors.New("the node is dead")
+
+// hang waits for the end of ctx or of the node.
+func (n *node) hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.dead:
+	}
+}
+
+func (n *node) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	case <-n.dead:
+	}
+}
+
+// Groups and servers: three of each, the first one that was not tried.
+
+func pick(tried int) (int, error) {
+	if tried >= 3 {
+		return 0, garnetworks.Errorf(garnetworks.KindNoGroup, "all were tried")
+	}
+	return tried, nil
+}
+
+func (n *node) Choose(_ time.Time, _ *garnetworks.CallRequest, tried []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	i, err := pick(len(tried))
+	id := fmt.Sprint("g", i)
+	return garnetworks.GroupView{ID: garnetworks.GroupID(id), Address: id}, err
+}
+
+func (n *node) Started(time.Time, *garnetworks.CallRequest, garnetworks.GroupID) {}
+
+func (n *node) Finished(time.Time, *garnetworks.CallRequest, garnetworks.GroupID, garnetworks.AttemptResult) {
+}
+
+func (n *node) Loaded(time.Time, garnetworks.GroupID, garnetworks.EngineLoad) {}
+
+func (n *node) ChooseServer(_ time.Time, _ garnetworks.ServiceName, tried []garnetworks.InstanceID) (garnetworks.ServerView, error) {
+	i, err := pick(len(tried))
+	return garnetworks.ServerView{Instance: garnetworks.InstanceID(fmt.Sprint("s", i))}, err
+}
+
+func (n *node) ServerStarted(time.Time, garnetworks.ServiceName, garnetworks.InstanceID) {}
+
+func (n *node) ServerFinished(time.Time, garnetworks.ServiceName, garnetworks.InstanceID, garnetworks.AttemptResult) {
+}
+
+// Status answers a probe: the engine is alive, and busy only if it is stuck.
+func (n *node) Status(_ context.Context, address string) (garnetworks.EngineStatus, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return garnetworks.EngineStatus{
+		Group: garnetworks.GroupID(address),
+		Load:  garnetworks.EngineLoad{At: time.Now(), Running: n.stuck},
+	}, nil
+}
+
+// token is the text of a token of the answer to a prompt.
+func token(prompt string, i int) string {
+	return fmt.Sprintf("%.8s\n\"%d\" ", strings.TrimSpace(prompt), i)
+}
+
+func wholeAnswer(prompt string) string {
+	var text strings.Builder
+	for i := range answerTokens {
+		text.WriteString(token(prompt, i))
+	}
+	return text.String()
+}
+
+// engineFaultNames are the ways in which an attempt at an engine can go.
+var engineFaultNames = []string{
+	"none", "none", "connect", "refused", "stale", "write", "wait", "headers", "break", "silent", "crossed",
+	"no-end", "done-lie", "gap", "overlap", "repeat", "anew", "short", "error-end", "slow", "stuck",
+}
+
+func (n *node) Generate(ctx context.Context, _ string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	if n.isDead() {
+		return nil, failed(garnetworks.PhaseConnect)
+	}
+	fault := n.next(&n.engineFaults)
+	switch fault {
+	case "connect", "refused":
+		return nil, failed(garnetworks.CallPhase(fault))
+	case "stale":
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, Cause: garnetworks.Errorf(garnetworks.KindStaleToken, "old")}
+	}
+	n.execute(call.ID)
+	switch fault {
+	case "write", "wait", "headers":
+		return nil, failed(garnetworks.CallPhase(fault))
+	}
+	s := &engineStream{node: n, ctx: ctx, call: call, fault: fault, index: call.ResumeFrom}
+	switch fault {
+	case "overlap":
+		s.index = max(0, call.ResumeFrom-3)
+	case "anew":
+		s.index = 0
+	}
+	return s, nil
+}
+
+type engineStream struct {
+	*node
+	ctx   context.Context
+	call  *garnetworks.EngineCall
+	fault string
+	index int
+	sent  int
+}
+
+// faultAfter is the number of chunks before the fault of an attempt.
+const faultAfter = 4
+
+func (s *engineStream) Next(c *garnetworks.Chunk) error {
+	s.sleep(s.ctx, 40*time.Millisecond)
+	if s.sent == faultAfter {
+		if err := s.strike(c); err != nil {
+			return err
+		}
+	}
+	if s.isDead() || s.ctx.Err() != nil {
+		return failed(garnetworks.PhaseBody)
+	}
+	s.sent++
+	text := token(s.call.Prompt, s.index)
+	if s.fault == "anew" && s.call.ResumeFrom > 0 {
+		text = "other "
+	}
+	*c = garnetworks.Chunk{Attempt: s.call.Attempt, Index: s.index, Text: text, Tokens: 1}
+	if s.fault == "crossed" && s.sent > faultAfter {
+		c.Attempt, c.Text = "another.1", "another caller's"
+	}
+	s.index++
+	if s.index >= answerTokens || (s.fault == "short" && s.call.ResumeFrom > 0) {
+		s.finish(c)
+	}
+	return nil
+}
+
+// strike carries out the faults that come in the middle of an answer.
+func (s *engineStream) strike(c *garnetworks.Chunk) error {
+	switch s.fault {
+	case "break":
+		return failed(garnetworks.PhaseBody)
+	case "no-end":
+		return io.EOF
+	case "done-lie":
+		return failed(garnetworks.PhaseDone)
+	case "gap":
+		s.index++
+	case "repeat":
+		s.index--
+	case "error-end":
+		*c = garnetworks.Chunk{}
+		s.index = answerTokens - 1
+	case "stuck":
+		s.mu.Lock()
+		s.stuck++
+		s.mu.Unlock()
+		s.hang(s.ctx)
+	case "silent":
+		s.hang(s.ctx)
+	case "slow":
+		s.sleep(s.ctx, 3*time.Second)
+	}
+	return nil
+}
+
+func (s *engineStream) finish(c *garnetworks.Chunk) {
+	c.End = true
+	c.FinishReason = "stop"
+	if s.fault == "error-end" {
+		c.Index, c.Text, c.Tokens = s.call.ResumeFrom+s.sent-1, "", 0
+		c.FinishReason = "error"
+	}
+	if s.fault == "short" && s.call.ResumeFrom > 0 {
+		// The end marker of a text that ends before the point of resumption.
+		c.Index, c.Text, c.Tokens = 0, token(s.call.Prompt, 0), 1
+	}
+}
+
+func (s *engineStream) Close() error { return nil }
+
+// serviceFaultNames are the ways in which an attempt at a service can go. In
+// those with "late" the call runs after the node has given it up.
+var serviceFaultNames = []string{
+	"none", "none", "connect", "refused", "write", "write-ran", "wait-ran", "headers-ran", "body-ran",
+	"crossed", "crossed-ran", "silent", "silent-ran", "late-ran",
+}
+
+func (n *node) Call(ctx context.Context, _ string, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	if n.isDead() {
+		return garnetworks.ServiceAnswer{}, failed(garnetworks.PhaseConnect)
+	}
+	fault, ran := strings.CutSuffix(n.next(&n.serviceFaults), "-ran")
+	id := callOf(call.ID)
+	if fault == "late" {
+		time.AfterFunc(serviceTime+time.Second, func() { n.execute(id) })
+		n.hang(ctx)
+		return garnetworks.ServiceAnswer{}, failed(garnetworks.PhaseWait)
+	}
+	n.sleep(ctx, 100*time.Millisecond)
+	if n.isDead() {
+		return garnetworks.ServiceAnswer{}, errDead
+	}
+	if ran || fault == "none" {
+		n.execute(id)
+	}
+	if ctx.Err() != nil {
+		return garnetworks.ServiceAnswer{}, failed(garnetworks.PhaseWait)
+	}
+	answer := garnetworks.ServiceAnswer{ID: call.ID, Status: 200, ContentType: "text/plain", Body: append([]byte("done:"), call.Body...)}
+	switch fault {
+	case "none":
+		return answer, nil
+	case "crossed":
+		answer.ID = "another.1"
+		answer.Body = []byte("another caller's")
+		return answer, nil
+	case "silent":
+		n.hang(ctx)
+		return garnetworks.ServiceAnswer{}, failed(garnetworks.PhaseWait)
+	}
+	return garnetworks.ServiceAnswer{}, failed(garnetworks.CallPhase(fault))
+}
+
+// claimRecord is a claim in the store.
+type claimRecord struct {
+	garnetworks.ClaimRequest
+	answer  *garnetworks.ServiceAnswer
+	unknown bool
+}
+
+// claimFaultNames: the store is down, or its answer is lost after the effect.
+var claimFaultNames = []string{"none", "none", "none", "down", "lost"}
+
+// store carries out a write unless the store is down; a lost answer comes after
+// the effect.
+func (n *node) store(write func() error) error {
+	fault := n.next(&n.claimFaults)
+	if n.isDead() || fault == "down" {
+		return garnetworks.Errorf(garnetworks.KindClaimsUnavailable, "down")
+	}
+	n.mu.Lock()
+	err := write()
+	n.mu.Unlock()
+	if fault == "lost" {
+		return garnetworks.Errorf(garnetworks.KindClaimsUnavailable, "lost")
+	}
+	return err
+}
+
+func (n *node) Claim(_ context.Context, request garnetworks.ClaimRequest) (garnetworks.ClaimResult, error) {
+	result := garnetworks.ClaimResult{Claim: garnetworks.Claim{ClaimRequest: request}}
+	err := n.store(func() error {
+		r := n.claims[request.Key]
+		switch {
+		case r == nil:
+			n.claims[request.Key] = &claimRecord{ClaimRequest: request}
+		case r.BodyHash != request.BodyHash:
+			return garnetworks.Errorf(garnetworks.KindKeyReused, "another body")
+		case r.answer != nil:
+			result.Recorded = garnetworks.Some(*r.answer)
+		case r.unknown || time.Now().After(r.Until):
+			return garnetworks.Errorf(garnetworks.KindOutcomeUnknown, "nobody knows")
+		default:
+			return garnetworks.Errorf(garnetworks.KindInProgress, "runs")
+		}
+		return nil
+	})
+	return result, err
+}
+
+func (n *node) Complete(_ context.Context, claim garnetworks.Claim, answer *garnetworks.ServiceAnswer) error {
+	return n.store(func() error {
+		n.claims[claim.Key].answer = answer
+		return nil
+	})
+}
+
+func (n *node) Abandon(_ context.Context, claim garnetworks.Claim, outcome garnetworks.Outcome) error {
+	return n.store(func() error {
+		r := n.claims[claim.Key]
+		if r == nil || r.Call != claim.Call {
+			return nil
+		}
+		r.unknown = true
+		if outcome == garnetworks.OutcomeNotRun {
+			delete(n.claims, claim.Key)
+		}
+		return nil
+	})
+}
