Hold the adapters to their failure rules by tests, fuzz and benchmark

Cause: what an adapter says of a failed call decides whether it is repeated. Change: tests of repetition by the transport, sealed connections, answers outside the contract, and the reader of server-sent events; a fuzz target with seeds; an allocation bound. An event out of order no longer fills in the caller's chunk, and the first event must be at the resumed position (both found by the table of TestEngineStream).

--- a/connector/enginecaller.go
+++ b/connector/enginecaller.go
@@ -41,7 +41,9 @@
 		return nil, ec.abandon(address, watch, cancel, failure)
 	}
 	watch.rest()
-	return newEngineStream(ec, address, call.Attempt, response.Body, watch, cancel), nil
+	s := newEngineStream(ec, address, call.Attempt, response.Body, watch, cancel)
+	s.next = call.ResumeFrom
+	return s, nil
 }
 
 // abandon ends an attempt and says if silence ended it.
@@ -219,7 +221,9 @@
 	cancel  context.CancelFunc
 	reader  *streamReader
 	event   EventBody
-	fed     int64
+	// fed counts the bytes given to the decoder.
+	fed int64
+	// next is the position of the token that is due.
 	next    int
 	ended   bool
 	failure error
@@ -240,7 +244,6 @@
 		body:    body,
 		watch:   watch,
 		cancel:  cancel,
-		next:    -1,
 	}
 	s.reader = &streamReader{}
 	s.reader.events.reset(s)
@@ -297,6 +300,9 @@
 	if r.decoder.InputOffset() != s.fed {
 		return errMalformed
 	}
+	if err := s.inOrder(); err != nil {
+		return err
+	}
 	*chunk = garnetworks.Chunk{
 		Attempt:      s.attempt,
 		Index:        s.event.Index,
@@ -308,15 +314,15 @@
 	if s.event.Load != nil {
 		chunk.Load = garnetworks.Some(*s.event.Load)
 	}
-	return s.inOrder(chunk)
+	return nil
 }
 
-// inOrder checks that the chunk goes on where the one before it ended.
-func (s *engineStream) inOrder(chunk *garnetworks.Chunk) error {
-	if chunk.Tokens < 0 || chunk.Index < 0 || (s.next >= 0 && chunk.Index != s.next) {
-		return errors.Errorf("token %d came where %d was due", chunk.Index, s.next)
+// inOrder checks that the event goes on where the one before it ended.
+func (s *engineStream) inOrder() error {
+	if s.event.Tokens < 0 || s.event.Index != s.next {
+		return errors.Errorf("token %d came where %d was due", s.event.Index, s.next)
 	}
-	s.next = chunk.Index + chunk.Tokens
+	s.next += s.event.Tokens
 	return nil
 }
 
--- /dev/null
+++ b/connector/events_test.go
@@ -0,0 +1,179 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// newTestStream reads an answer to attempt a.1 from r.
+func newTestStream(r io.Reader) *engineStream {
+	_, cancel := context.WithCancel(context.Background())
+	caller := NewEngineCaller(Options{})
+	return newEngineStream(caller, "", "a.1", io.NopCloser(r), newWatchdog(time.Hour, cancel), cancel)
+}
+
+// readTestStream returns the text of an answer and the error that ended it.
+func readTestStream(s *engineStream) (text string, chunk garnetworks.Chunk, err error) {
+	defer s.Close()
+	var b strings.Builder
+	for err == nil {
+		if err = s.Next(&chunk); err == nil {
+			b.WriteString(chunk.Text)
+		}
+	}
+	return b.String(), chunk, err
+}
+
+func TestEngineStream(t *testing.T) {
+	const (
+		one = "id: a.1\ndata: {\"index\":0,\"tokens\":1,\"text\":\"one \"}\n\n"
+		two = "id: a.1\ndata: {\"index\":1,\"tokens\":1,\"text\":\"two\"}\n\n"
+		end = "id: a.1\nevent: end\ndata: {\"index\":2,\"tokens\":0,\"finish-reason\":\"stop\",\"load\":{\"running\":3}}\n\n"
+	)
+	long := strings.Repeat("x", 3*eventBufferBytes)
+	tests := map[string]struct {
+		body  string
+		text  string
+		phase garnetworks.CallPhase
+	}{
+		"whole":                   {one + two + end, "one two", garnetworks.PhaseDone},
+		"line ends with CR":       {strings.ReplaceAll(one+two+end, "\n", "\r\n"), "one two", garnetworks.PhaseDone},
+		"comments between":        {": hi\n\n" + one + ": waiting\n\n" + two + ":\n" + end, "one two", garnetworks.PhaseDone},
+		"unknown fields":          {"retry: 5\nfoo\n" + one + two + end, "one two", garnetworks.PhaseDone},
+		"events without data":     {"id: a.1\n\n" + one + two + end, "one two", garnetworks.PhaseDone},
+		"data over lines":         {"id: a.1\ndata: {\"index\":0,\ndata: \"tokens\":1,\"text\":\"one \"}\n\n" + two + end, "one two", garnetworks.PhaseDone},
+		"no space after colon":    {strings.ReplaceAll(one+two+end, ": ", ":"), "one two", garnetworks.PhaseDone},
+		"long event":              {"id: a.1\ndata: {\"index\":0,\"tokens\":2,\"text\":\"" + long + "\"}\n\n" + end, long, garnetworks.PhaseDone},
+		"escapes":                 {"id: a.1\ndata: {\"index\":0,\"tokens\":2,\"text\":\"a\\nb\\u00f6\"}\n\n" + end, "a\nbö", garnetworks.PhaseDone},
+		"bytes after the end":     {one + two + end + "rubbish", "one two", garnetworks.PhaseDone},
+		"empty":                   {"", "", garnetworks.PhaseBody},
+		"no end":                  {one + two, "one two", garnetworks.PhaseBody},
+		"end without blank line":  {one + two + strings.TrimSuffix(end, "\n"), "one two", garnetworks.PhaseBody},
+		"breaks off in an event":  {one + two[:20], "one ", garnetworks.PhaseBody},
+		"token twice":             {one + one + two + end, "one ", garnetworks.PhaseBody},
+		"token missing":           {one + end, "one ", garnetworks.PhaseBody},
+		"negative tokens":         {"id: a.1\ndata: {\"index\":0,\"tokens\":-1}\n\n", "", garnetworks.PhaseBody},
+		"not JSON":                {one + "id: a.1\ndata: two\n\n" + end, "one ", garnetworks.PhaseBody},
+		"two values in one event": {"id: a.1\ndata: {\"index\":0,\"tokens\":1}{\"index\":1}\n\n" + end, "", garnetworks.PhaseBody},
+		"half a value":            {"id: a.1\ndata: {\"index\":0,\n\nid: a.1\ndata: \"tokens\":2}\n\n" + end, "", garnetworks.PhaseBody},
+		"too large":               {"id: a.1\ndata: {\"text\":\"" + strings.Repeat("x", maxEventBytes+eventBufferBytes) + "\"}\n\n", "", garnetworks.PhaseBody},
+		"another attempt's":       {one + strings.ReplaceAll(two, "a.1", "b.1") + end, "one ", garnetworks.PhaseCrossed},
+		"end of another attempt":  {one + two + strings.ReplaceAll(end, "a.1", "b.1"), "one two", garnetworks.PhaseCrossed},
+		"no identifier":           {one + strings.ReplaceAll(two, "id: a.1\n", "") + end, "one ", garnetworks.PhaseCrossed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			text, chunk, err := readTestStream(newTestStream(strings.NewReader(test.body)))
+			phase := garnetworks.PhaseDone
+			var attempt *garnetworks.AttemptError
+			if errors.As(err, &attempt) {
+				phase = attempt.Phase
+			} else if err != io.EOF {
+				t.Fatalf("got error %v of another type", err)
+			}
+			if text != test.text || phase != test.phase {
+				t.Errorf("got text %.40q and phase %s (%v), want %.40q and %s", text, phase, err, test.text, test.phase)
+			}
+			if chunk.End != (test.phase == garnetworks.PhaseDone) {
+				t.Errorf("got end %v with phase %s", chunk.End, phase)
+			}
+		})
+	}
+}
+
+// FuzzEngineStream holds the reader to what every answer must keep, whatever
+// bytes come: it ends; it is whole only with an end marker of its own; tokens
+// come in order; an answer that breaks off anywhere is not whole.
+func FuzzEngineStream(f *testing.F) {
+	const whole = "id: a.1\ndata: {\"index\":0,\"tokens\":1,\"text\":\"one\"}\n\nid: a.1\nevent: end\ndata: {\"index\":1}\n\n"
+	f.Add([]byte(whole), uint16(20))
+	f.Add([]byte(strings.ReplaceAll(whole, "\n", "\r\n")), uint16(70))
+	f.Add([]byte(strings.Replace(whole, "a.1", "b.1", 1)), uint16(1))
+	f.Add([]byte(": c\n\ndata\nid\nevent\n\ndata:\n\n"), uint16(3))
+	f.Add([]byte("id: a.1\ndata: {\"index\":0,\"tokens\":9223372036854775807}\n\nid: a.1\ndata: {\"index\":1}\n\n"), uint16(3))
+	f.Fuzz(func(t *testing.T, body []byte, cut uint16) {
+		text, last, err := readTestStream(newTestStream(bytes.NewReader(body)))
+		if err == io.EOF && !last.End {
+			t.Fatal("the answer ended without its end marker")
+		}
+		if err != io.EOF {
+			return
+		}
+		if !bytes.Contains(body, []byte("a.1")) {
+			t.Fatal("an answer without its identifier was whole")
+		}
+		// The same bytes in small pieces must read the same.
+		pieces, _, err := readTestStream(newTestStream(&slowReader{bytes.NewReader(body), int(cut%13) + 1}))
+		if err != io.EOF || pieces != text {
+			t.Fatalf("in pieces: got %q and error %v, want %q", pieces, err, text)
+		}
+	})
+}
+
+// slowReader returns a few bytes at a time.
+type slowReader struct {
+	r    io.Reader
+	size int
+}
+
+func (s *slowReader) Read(p []byte) (int, error) { return s.r.Read(p[:min(len(p), s.size)]) }
+
+// endlessEvents is a reader of token events without end.
+type endlessEvents struct {
+	next    int
+	pending []byte
+	buffer  []byte
+}
+
+func (e *endlessEvents) Read(p []byte) (int, error) {
+	if len(e.pending) == 0 {
+		e.buffer = fmt.Appendf(e.buffer[:0], "id: a.1\ndata: {\"index\":%d,\"tokens\":1,\"text\":\"token \"}\n\n", e.next)
+		e.pending = e.buffer
+		e.next++
+	}
+	n := copy(p, e.pending)
+	e.pending = e.pending[n:]
+	return n, nil
+}
+
+// BenchmarkNext measures one token from the body's bytes to the chunk.
+func BenchmarkNext(b *testing.B) {
+	s := newTestStream(&endlessEvents{})
+	defer s.Close()
+	var chunk garnetworks.Chunk
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.Next(&chunk); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// TestNextAllocations holds the adapter to one allocation for each token: the
+// token's text. The allocations of the test's own reader count too and are
+// taken off by measuring them.
+func TestNextAllocations(t *testing.T) {
+	const tokens = 1000
+	s := newTestStream(&endlessEvents{})
+	defer s.Close()
+	var chunk garnetworks.Chunk
+	read := func() {
+		if err := s.Next(&chunk); err != nil {
+			t.Fatal(err)
+		}
+	}
+	own := &endlessEvents{}
+	buffer := make([]byte, eventBufferBytes)
+	ownAllocations := testing.AllocsPerRun(tokens, func() { _, _ = own.Read(buffer) })
+	if got := testing.AllocsPerRun(tokens, read) - ownAllocations; got > 1 {
+		t.Errorf("got %.0f allocations for each token, want 1 at most", got)
+	}
+}
--- /dev/null
+++ b/connector/link_test.go
@@ -0,0 +1,305 @@
+package connector
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// dyingServer answers the first request on each connection, reads the second
+// one whole and then breaks the connection without an answer.
+type dyingServer struct {
+	net.Listener
+	mu sync.Mutex
+	// read holds the identifiers of the requests that arrived whole.
+	read []string
+}
+
+func newDyingServer(t *testing.T) *dyingServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &dyingServer{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *dyingServer) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 0; n < 2; n++ {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get(HeaderCall)
+		s.mu.Lock()
+		s.read = append(s.read, id)
+		s.mu.Unlock()
+		if n == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+HeaderCall+": "+id+"\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+}
+
+func (s *dyingServer) times(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, seen := range s.read {
+		if seen == id {
+			n++
+		}
+	}
+	return n
+}
+
+// A parts note is booked twice, though the caller sent it once. The note is
+// written to a pooled connection, the server reads it, books it and dies
+// before it answers; the transport sees a broken reused connection and, because
+// the request has an Idempotency-Key, sends it again on a new one.
+func TestTransportNeverRepeats(t *testing.T) {
+	tests := map[string]struct {
+		method string
+		body   string
+	}{
+		"keyed with body":    {http.MethodPost, "parts"},
+		"keyed without body": {http.MethodPost, ""},
+		"get":                {http.MethodGet, ""},
+		"put":                {http.MethodPut, "parts"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newDyingServer(t)
+			p := newPool(Options{})
+			defer p.Close()
+			caller := &ServiceCaller{p}
+			call := func(id garnetworks.CallID) error {
+				_, err := caller.Call(t.Context(), s.Addr().String(), &garnetworks.ServiceCall{
+					ID: id, Method: test.method, Path: "/parts", Body: []byte(test.body), Key: "key-" + string(id),
+				})
+				return err
+			}
+			if err := call("c1"); err != nil {
+				t.Fatal(err)
+			}
+			var attempt *garnetworks.AttemptError
+			if err := call("c2"); !errors.As(err, &attempt) || attempt.Phase != garnetworks.PhaseWait {
+				t.Errorf("got error %v, want one in phase wait", err)
+			}
+			if n := s.times("c2"); n != 1 {
+				t.Errorf("the server read the call %d times, want once", n)
+			}
+		})
+	}
+}
+
+// As above, with the first guard gone: a body that can be read again lets the
+// transport repeat the request. The second guard seals the new connection
+// before a byte of the repetition is sent.
+func TestRepetitionIsSealed(t *testing.T) {
+	s := newDyingServer(t)
+	p := newPool(Options{})
+	defer p.Close()
+	address := s.Addr().String()
+	send := func(id string) (*http.Response, error) {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/parts", strings.NewReader("parts"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(HeaderCall, id)
+		request.Header.Set(HeaderKey, id)
+		tr := &trace{}
+		return p.link(address).RoundTrip(request.WithContext(httptrace.WithClientTrace(t.Context(), tr.hooks())))
+	}
+	first, err := send("c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, first.Body)
+	_ = first.Body.Close()
+	if second, err := send("c2"); err == nil {
+		_ = second.Body.Close()
+		t.Error("the repetition was answered")
+	}
+	if n := s.times("c2"); n != 1 {
+		t.Errorf("the server read the call %d times, want once", n)
+	}
+}
+
+// A caller is told "not run" while its call runs. The call gets a connection
+// and is given up; the adapter says that no byte was sent; then the transport's
+// writing goroutine, which the machine had held up, sends it.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	var arrived atomic.Int64
+	go func() {
+		n, _ := io.Copy(io.Discard, far)
+		arrived.Add(n)
+	}()
+	c := &countingConn{Conn: near}
+	tr := &trace{}
+	tr.gotConn(httptrace.GotConnInfo{Conn: c})
+	if phase := tr.failed(); phase != garnetworks.PhaseConnect {
+		t.Errorf("got phase %s, want connect", phase)
+	}
+	if _, err := c.Write([]byte("late")); err == nil {
+		t.Error("the late write was accepted")
+	}
+	_ = near.Close()
+	if n := arrived.Load(); n != 0 {
+		t.Errorf("%d bytes arrived", n)
+	}
+}
+
+// A call that is being written when it is given up may have reached the server.
+func TestWriteInProgressIsNotUnsent(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &countingConn{Conn: near}
+	tr := &trace{}
+	tr.gotConn(httptrace.GotConnInfo{Conn: c})
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = c.Write([]byte("call"))
+	}()
+	for !c.isWriting() {
+		time.Sleep(time.Millisecond)
+	}
+	if phase := tr.failed(); phase != garnetworks.PhaseWrite {
+		t.Errorf("got phase %s, want write", phase)
+	}
+	_ = near.Close()
+	<-written
+}
+
+func (c *countingConn) isWriting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writing > 0
+}
+
+// rawServer answers each connection with fixed text after it has read the
+// request's head.
+func rawServer(t *testing.T, answer string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A caller gets half an answer, another caller's, or "not run" for a call that
+// ran, because the other end answers in a way that the contract does not allow.
+func TestServiceAnswersOutsideTheContract(t *testing.T) {
+	const own = HeaderCall + ": c1\r\n"
+	tests := map[string]struct {
+		answer string
+		phase  garnetworks.CallPhase
+	}{
+		"body without an end marker":         {"HTTP/1.1 200 OK\r\n" + own + "\r\nhalf", garnetworks.PhaseBody},
+		"body shorter than its length":       {"HTTP/1.1 200 OK\r\n" + own + "Content-Length: 9\r\n\r\nhalf", garnetworks.PhaseBody},
+		"chunks without the last one":        {"HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", garnetworks.PhaseBody},
+		"head that breaks off":               {"HTTP/1.1 200 OK\r\nGarnet-C", garnetworks.PhaseHeaders},
+		"no identifier":                      {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseCrossed},
+		"another identifier":                 {"HTTP/1.1 200 OK\r\n" + HeaderCall + ": c2\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseCrossed},
+		"refusal of another call":            {"HTTP/1.1 503 Busy\r\n" + HeaderCall + ": c2\r\n" + HeaderOutcome + ": not-run\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseCrossed},
+		"refusal by something between":       {"HTTP/1.1 503 Busy\r\n" + HeaderOutcome + ": not-run\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseCrossed},
+		"refusal with an endless delay":      {"HTTP/1.1 503 Busy\r\n" + own + HeaderOutcome + ": not-run\r\nRetry-After: 99999999999\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseRefused},
+		"not-run with a status that ran":     {"HTTP/1.1 500 Oops\r\n" + own + HeaderOutcome + ": not-run\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseDone},
+		"unavailable without proof":          {"HTTP/1.1 503 Busy\r\n" + own + "Content-Length: 0\r\n\r\n", garnetworks.PhaseDone},
+		"no answer at all":                   {"", garnetworks.PhaseWait},
+		"not HTTP":                           {"hello\r\n\r\n", garnetworks.PhaseHeaders},
+		"redirection is not followed":        {"HTTP/1.1 307 Go\r\n" + own + "Location: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n", garnetworks.PhaseDone},
+		"status without a body is an answer": {"HTTP/1.1 204 Done\r\n" + own + "\r\n", garnetworks.PhaseDone},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			caller := NewServiceCaller(Options{})
+			defer caller.Close()
+			_, err := caller.Call(t.Context(), rawServer(t, test.answer), &garnetworks.ServiceCall{
+				ID: "c1", Method: http.MethodPost, Path: "/", Body: []byte("x"),
+			})
+			phase := garnetworks.PhaseDone
+			var attempt *garnetworks.AttemptError
+			if errors.As(err, &attempt) {
+				phase = attempt.Phase
+			}
+			if phase != test.phase {
+				t.Errorf("got phase %s (error %v), want %s", phase, err, test.phase)
+			}
+			if attempt != nil && attempt.RetryAfter > time.Hour {
+				t.Errorf("got a delay of %v", attempt.RetryAfter)
+			}
+		})
+	}
+}
+
+// An operator's commit is told "conflict" or "failed" though it is in force,
+// because something between the two ends answered in the store's place.
+func TestWritesWithoutAKnownAnswerAreLost(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		kind   garnetworks.Kind
+	}{
+		"gateway's own page":  {"HTTP/1.1 502 Bad\r\nContent-Length: 4\r\n\r\noops", garnetworks.KindAnswerLost},
+		"unknown kind":        {"HTTP/1.1 409 No\r\nContent-Length: 18\r\n\r\n{\"kind\":\"strange\"}", garnetworks.KindAnswerLost},
+		"no revision":         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", garnetworks.KindAnswerLost},
+		"conflict":            {"HTTP/1.1 409 No\r\nContent-Length: 19\r\n\r\n{\"kind\":\"conflict\"}", garnetworks.KindConflict},
+		"body breaks off":     {"HTTP/1.1 200 OK\r\n" + HeaderRevision + ": 7\r\nContent-Length: 9\r\n\r\n{}", garnetworks.KindAnswerLost},
+		"nothing comes back":  {"", garnetworks.KindAnswerLost},
+		"unavailable by kind": {"HTTP/1.1 503 No\r\nContent-Length: 33\r\n\r\n{\"kind\":\"object-api-unavailable\"}", garnetworks.KindObjectAPIDown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			api := NewObjectAPI("http://"+rawServer(t, test.answer), Options{})
+			defer api.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := api.Put(ctx, "key", []byte("value"), 1)
+			if !garnetworks.IsKind(err, test.kind) {
+				t.Errorf("got error %v, want kind %s", err, test.kind)
+			}
+		})
+	}
+}
