Let embedders bring the network

Cause: whole-site failures are to be brought about under the test clock, with cuts between nodes. Change: runner takes listeners and a dialer, messenger a dialer.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -23,6 +23,8 @@
 	Traffic *Traffic
 	// Recorder may be nil; it gets an event for each silent connection.
 	Recorder garnetworks.Recorder
+	// Dial opens a connection to an address; nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client calls other nodes. It implements garnetworks.PeerCaller and is safe
@@ -71,9 +73,16 @@
 	if options.Recorder == nil {
 		options.Recorder = silent{}
 	}
+	if options.Dial == nil {
+		options.Dial = dialTCP
+	}
 	return &Client{options: options, pools: map[string]*pool{}, swept: time.Now()}
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
 // Close ends all idle connections; calls in progress end theirs.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -383,7 +392,7 @@
 	ctx, cancel := context.WithTimeout(ctx, DialBound)
 	defer cancel()
 	c.options.Traffic.dials.Add(1)
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	conn, err := c.options.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -57,6 +57,8 @@
 	// Platform replaces the adapters that the settings name; embedders and tests
 	// set it.
 	Platform garnetworks.Option[Platform]
+	// Network replaces TCP; tests set it to cut nodes off from each other.
+	Network garnetworks.Option[Network]
 	// Program is the program's version.
 	Program string
 	// LameDuck is how long a stopping node goes on taking calls after it dropped
@@ -64,6 +66,12 @@
 	LameDuck time.Duration
 }
 
+// Network opens the node's listeners and its connections to peers.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
 // Platform is everything outside the node that it calls.
 type Platform struct {
 	Objects   garnetworks.ObjectAPI
@@ -127,7 +135,7 @@
 	if r.log == nil {
 		r.log = hclog.NewNullLogger()
 	}
-	if err := r.listen(); err != nil {
+	if err := r.listen(options.Network); err != nil {
 		return nil, err
 	}
 	r.meter = meter.New()
@@ -157,7 +165,11 @@
 	}
 }
 
-func (r *Runner) listen() error {
+func (r *Runner) listen(network garnetworks.Option[Network]) error {
+	if n, ok := network.Get(); ok {
+		return r.listenOn(n)
+	}
+
 	if files := r.settings.PeerTLS; files.Enabled() {
 		keys, err := messenger.LoadKeys(messenger.Files(files))
 		if err != nil {
@@ -181,6 +193,18 @@
 	return nil
 }
 
+func (r *Runner) listenOn(n Network) error {
+	var err error
+	if r.callers, err = n.Listen(r.settings.Listen.Callers); err != nil {
+		return err
+	}
+	if r.peers, err = n.Listen(r.settings.Listen.Peers); err != nil {
+		return err
+	}
+	r.admin, err = n.Listen(r.settings.Listen.Admin)
+	return err
+}
+
 func (r *Runner) closeListeners() {
 	for _, l := range []net.Listener{r.callers, r.peers, r.admin} {
 		if l != nil {
@@ -210,7 +234,7 @@
 
 // join makes the parts, from those that need nothing to those that need others.
 func (r *Runner) join(options Options) error {
-	r.client = messenger.NewClient(messenger.ClientOptions{Keys: r.keys, Clock: r.timeline, Traffic: &r.traffic, Recorder: r.events})
+	r.client = messenger.NewClient(clientOptions(r, options.Network))
 	r.router = router.New(router.Options{Node: r.self.ID, Zone: r.self.Zone})
 	r.admitter = admitter.New(admitter.Options{Node: r.self.ID})
 	r.claimer = claimer.New(claimer.Options{Node: r.self, API: r.platform.Objects, Recorder: r.events})
@@ -238,6 +262,14 @@
 	return err
 }
 
+func clientOptions(r *Runner, network garnetworks.Option[Network]) messenger.ClientOptions {
+	o := messenger.ClientOptions{Keys: r.keys, Clock: r.timeline, Traffic: &r.traffic, Recorder: r.events}
+	if n, ok := network.Get(); ok {
+		o.Dial = n.Dial
+	}
+	return o
+}
+
 func (r *Runner) joinPeers() {
 	r.distributor = distributor.New(distributor.Options{
 		Self:  r.self,
