Bound slow callers and hold the transcript to the true text

Cause: a caller who stops reading must cost no more than a buffer, and a resumed stream must not join two texts.

--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -169,6 +169,8 @@
 	d = New(Options{})
 	d.Controller(at(0), sequence(1), view(garnetworks.GroupDraining, false))
 	d.Controller(at(1), sequence(2), serving)
+	d.Controller(at(3600), sequence(3), serving)
+	d.Expire(at(3601))
 	if d.Snapshot().Group(&serving.Groups[0]) {
 		t.Error("a group that drained serves again under its name")
 	}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,249 @@
+package forwarder
+
+import (
+	"context"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// A stream is resumed from a checkpoint a few tokens back, in chunks that are cut
+// in another way, or by an engine that made up another text. The caller must read
+// a beginning of the one true text, whatever comes in whichever order.
+func TestTranscriptDeliversOnlyTheText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "bb", "", "é", "abc"}), 1, 40).Draw(t, "words")
+		d := transcript{maxTokens: len(words)}
+		delivered := ""
+		for range rapid.IntRange(1, 6).Draw(t, "attempts") {
+			d.begin()
+			index := max(0, d.tokens-rapid.IntRange(0, 6).Draw(t, "back"))
+			// A chunk that follows one that was taken is taken, if it is true.
+			follows := false
+			for index < len(words) {
+				count := rapid.IntRange(1, min(4, len(words)-index)).Draw(t, "count")
+				text := strings.Join(words[index:index+count], "")
+				repeated := index < d.tokens && strings.Join(words[index:min(index+count, d.tokens)], "") != ""
+				lie := repeated && rapid.IntRange(0, 4).Draw(t, "lie") == 0
+				if lie {
+					text = "lie"
+				}
+				skipped := index > d.tokens
+				part, err := d.take(&garnetworks.Chunk{Index: index, Tokens: count, Text: text})
+				if err == nil && (lie || skipped) {
+					t.Fatalf("taken: %q at %d after %d tokens", text, index, d.tokens)
+				}
+				if err != nil && follows && !lie {
+					t.Fatalf("refused: %q at %d after %d tokens", text, index, d.tokens)
+				}
+				if err != nil {
+					break
+				}
+				follows = true
+				delivered += part.Text
+				if whole := strings.Join(words[:d.tokens], ""); delivered != whole {
+					t.Fatalf("delivered %q, want %q", delivered, whole)
+				}
+				index += count
+				if rapid.IntRange(0, 9).Draw(t, "skip") == 0 {
+					index++
+					follows = false
+				}
+				if rapid.IntRange(0, 5).Draw(t, "break") == 0 {
+					break
+				}
+			}
+		}
+		if len(d.text) != len(delivered) || d.tokens > len(words) {
+			t.Fatalf("kept %q with %d tokens, delivered %q", d.text, d.tokens, delivered)
+		}
+	})
+}
+
+// A connection goes dead while new ones work, or an engine takes long over a
+// batch. Cutting the second off costs a second prefill, waiting for the first
+// costs the tech the answer.
+func TestJudge(t *testing.T) {
+	started := time.Unix(1000, 0)
+	alive := func(change func(e *evidence)) evidence {
+		e := evidence{begun: true, started: started, group: "g1", probed: true}
+		e.status = garnetworks.EngineStatus{Group: "g1"}
+		e.status.Load = garnetworks.EngineLoad{Running: 3, At: started.Add(time.Second)}
+		change(&e)
+		return e
+	}
+	tests := map[string]struct {
+		e    evidence
+		want error
+	}{
+		"busy engine":                 {alive(func(*evidence) {}), nil},
+		"no new connection":           {alive(func(e *evidence) { e.probeError = errors.New("refused") }), errEngineLost},
+		"re-formed meanwhile":         {alive(func(e *evidence) { e.status.Group = "g2" }), errEngineChanged},
+		"released meanwhile":          {alive(func(e *evidence) { e.status.Group = "" }), errEngineChanged},
+		"others progress":             {alive(func(e *evidence) { e.othersProgressed = true }), errSilent},
+		"others, but this one queues": {alive(func(e *evidence) { e.othersProgressed, e.begun = true, false }), nil},
+		"engine without work":         {alive(func(e *evidence) { e.status.Load.Running = 0 }), errSilent},
+		"without work, but measured before": {alive(func(e *evidence) {
+			e.status.Load.Running, e.status.Load.At = 0, started.Add(-time.Second)
+		}), nil},
+		"waiting in its queue": {alive(func(e *evidence) { e.status.Load.Running, e.status.Load.Waiting = 0, 1 }), nil},
+		"no prober":            {evidence{begun: true, started: started, group: "g1"}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := judge(tt.e); got != tt.want {
+				t.Errorf("judged %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+const quickTokens = 1000
+
+// quick is a group whose engine brings tokens as fast as they are taken.
+type quick struct {
+	sent      int
+	cancelled bool
+	results   []garnetworks.AttemptResult
+	refuse    bool
+}
+
+func (q *quick) Choose(time.Time, *garnetworks.CallRequest, []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	return garnetworks.GroupView{ID: "g1"}, nil
+}
+func (q *quick) Started(time.Time, *garnetworks.CallRequest, garnetworks.GroupID) {}
+func (q *quick) Finished(_ time.Time, _ *garnetworks.CallRequest, _ garnetworks.GroupID, r garnetworks.AttemptResult) {
+	q.results = append(q.results, r)
+}
+func (q *quick) Loaded(time.Time, garnetworks.GroupID, garnetworks.EngineLoad) {}
+
+func (q *quick) Generate(ctx context.Context, _ string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	if q.refuse {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: 7 * time.Second}
+	}
+	return &quickStream{q, ctx, call.Attempt}, nil
+}
+
+type quickStream struct {
+	*quick
+	ctx     context.Context
+	attempt garnetworks.CallID
+}
+
+func (s *quickStream) Next(c *garnetworks.Chunk) error {
+	if s.ctx.Err() != nil {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: s.ctx.Err()}
+	}
+	*c = garnetworks.Chunk{Attempt: s.attempt, Index: s.sent, Text: "x", Tokens: 1}
+	s.sent++
+	if s.sent == quickTokens {
+		c.End, c.FinishReason = true, "stop"
+	}
+	return nil
+}
+
+func (s *quickStream) Close() error {
+	s.cancelled = true
+	return nil
+}
+
+// stuckSink takes one part and then nothing until it is let go.
+type stuckSink struct {
+	taken int
+	hold  time.Duration
+}
+
+func (s *stuckSink) Write(Part) error {
+	s.taken++
+	if s.taken == 2 {
+		time.Sleep(s.hold)
+	}
+	return nil
+}
+func (s *stuckSink) Flush() error { return nil }
+func (s *stuckSink) Idle() error  { return nil }
+
+func callFor(d time.Duration) *garnetworks.CallRequest {
+	now := time.Now()
+	return &garnetworks.CallRequest{ID: "c1", MaxTokens: 1 << 20, Received: now, FirstTokenBy: now.Add(d), Deadline: now.Add(d)}
+}
+
+// A caller stops reading its answer. The node must hold no more of it than the
+// buffer, hold the engine back meanwhile, and give the caller up in time.
+func TestSlowCallerIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &quick{}
+		f := New(Options{Engines: q, Groups: q})
+		sink := &stuckSink{hold: 15 * time.Second}
+		begin := time.Now()
+		go func() {
+			time.Sleep(9 * time.Second)
+			synctest.Wait()
+			if q.sent > 3*BufferParts {
+				t.Errorf("%d tokens were read for a caller who took %d", q.sent, sink.taken)
+			}
+		}()
+		_, err := f.Generate(context.Background(), callFor(time.Minute), sink)
+		if !garnetworks.IsKind(err, garnetworks.KindCancelled) || !q.cancelled {
+			t.Errorf("%v, cancelled at the engine: %t", err, q.cancelled)
+		}
+		if took := time.Since(begin); took > 16*time.Second {
+			t.Errorf("given up after %s", took)
+		}
+		if len(q.results) != 1 || !q.results[0].Cancelled {
+			t.Errorf("the group is blamed: %+v", q.results)
+		}
+	})
+}
+
+// A slow caller that reads on in time gets the whole answer, and the engine that
+// was held back meanwhile is not taken for dead.
+func TestPausedEngineIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &quick{}
+		f := New(Options{Engines: q, Groups: q, Timeouts: Timeouts{SlowBetweenTokens: time.Second}})
+		ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+		defer cancel()
+		sink := &stuckSink{hold: 8 * time.Second}
+		_, err := f.Generate(ctx, callFor(time.Minute), sink)
+		if err != nil || len(q.results) != 1 || q.results[0].Silent || sink.taken != quickTokens {
+			t.Errorf("%v, taken %d, %+v", err, sink.taken, q.results)
+		}
+	})
+}
+
+// A zone's engines refuse everything. Each call is sent to few groups, all calls
+// together stay within the budget, and the caller is told when to come back.
+func TestNoRetryStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &quick{refuse: true}
+		f := New(Options{Engines: q, Groups: q})
+		const calls = 500
+		for range calls {
+			_, err := f.Generate(context.Background(), callFor(time.Minute), &stuckSink{})
+			var e *garnetworks.Error
+			if !errors.As(err, &e) || e.Kind != garnetworks.KindBackendRefused || e.RetryAfter != 7*time.Second {
+				t.Fatalf("%v", err)
+			}
+		}
+		limits := f.options.Budget
+		retries := len(q.results) - calls
+		if bound := int(limits.Burst + limits.Fraction*calls); retries > bound || retries < bound/2 {
+			t.Errorf("%d retries for %d calls, bound %d", retries, calls, bound)
+		}
+	})
+}
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -295,10 +295,10 @@
 		return
 	}
 	if result.FirstToken == 0 {
-		result.FirstToken = time.Since(dog.base)
+		result.FirstToken = max(time.Since(dog.base), 1)
 	}
 	if m.summary.FirstToken == 0 {
-		m.summary.FirstToken = time.Since(m.call.Received)
+		m.summary.FirstToken = max(time.Since(m.call.Received), 1)
 	}
 }
 
