--- /dev/null
+++ b/faker/control.go
@@ -0,0 +1,252 @@
+package faker
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Faulty is a stand-in whose faults can be set.
+type Faulty interface {
+	SetFaults(plan FaultPlan)
+	FaultsNow() FaultPlan
+	SilenceOpen()
+	DropConnections()
+}
+
+// Control lets another process bring failures about over HTTP. It has an
+// address of its own, which no fault concerns.
+type Control struct {
+	// Targets are the stand-ins by the names in the control path.
+	Targets map[string]Faulty
+	// Fleet, Objects and Services may be nil.
+	Fleet    *Fleet
+	Objects  *Objects
+	Services map[string]*Service
+}
+
+// PlanBody is a FaultPlan as it travels; times are in milliseconds.
+type PlanBody struct {
+	DelayMillis     int64    `json:"delay-ms,omitempty"`
+	Down            bool     `json:"down,omitempty"`
+	Unavailable     bool     `json:"unavailable,omitempty"`
+	Frozen          bool     `json:"frozen,omitempty"`
+	LoseAnswers     int      `json:"lose-answers,omitempty"`
+	LateAnswers     int      `json:"late-answers,omitempty"`
+	LateByMillis    int64    `json:"late-by-ms,omitempty"`
+	CrossAnswers    int      `json:"cross-answers,omitempty"`
+	TruncateAnswers int      `json:"truncate-answers,omitempty"`
+	BreakAfter      int      `json:"break-after,omitempty"`
+	Methods         []string `json:"methods,omitempty"`
+}
+
+func (b PlanBody) plan() FaultPlan {
+	return FaultPlan{
+		Delay:           time.Duration(b.DelayMillis) * time.Millisecond,
+		Down:            b.Down,
+		Unavailable:     b.Unavailable,
+		Frozen:          b.Frozen,
+		LoseAnswers:     b.LoseAnswers,
+		LateAnswers:     b.LateAnswers,
+		LateBy:          time.Duration(b.LateByMillis) * time.Millisecond,
+		CrossAnswers:    b.CrossAnswers,
+		TruncateAnswers: b.TruncateAnswers,
+		BreakAfter:      b.BreakAfter,
+		Methods:         b.Methods,
+	}
+}
+
+func planBody(p FaultPlan) PlanBody {
+	return PlanBody{
+		DelayMillis:     p.Delay.Milliseconds(),
+		Down:            p.Down,
+		Unavailable:     p.Unavailable,
+		Frozen:          p.Frozen,
+		LoseAnswers:     p.LoseAnswers,
+		LateAnswers:     p.LateAnswers,
+		LateByMillis:    p.LateBy.Milliseconds(),
+		CrossAnswers:    p.CrossAnswers,
+		TruncateAnswers: p.TruncateAnswers,
+		BreakAfter:      p.BreakAfter,
+		Methods:         p.Methods,
+	}
+}
+
+// StateBody answers GET /state.
+type StateBody struct {
+	// ObjectCalls counts the object API's calls by method.
+	ObjectCalls map[string]uint64 `json:"object-calls,omitempty"`
+	Throttled   uint64            `json:"throttled"`
+	// Draw is the power drawn by all instances that are not off.
+	Draw    garnetworks.Watts          `json:"draw-watts"`
+	Engines []garnetworks.EngineStatus `json:"engines,omitempty"`
+	// Attempts and Refused count the calls that reached engines.
+	Attempts int `json:"attempts"`
+	Refused  int `json:"refused"`
+	// Executions counts the plain services' executions.
+	Executions map[string]int `json:"executions,omitempty"`
+}
+
+// ServeControl serves the control path on the loopback address.
+func ServeControl(c *Control) (*Server, error) { return ServeControlAt(loopback, c) }
+
+// ServeControlAt serves the control path on an address.
+func ServeControlAt(address string, c *Control) (*Server, error) {
+	r := chi.NewRouter()
+	r.Get("/faults", c.serveFaults)
+	r.Get("/faults/{target}", c.serveTarget)
+	r.Put("/faults/{target}", c.serveSet)
+	r.Post("/faults/{target}/silence", c.act(Faulty.SilenceOpen))
+	r.Post("/faults/{target}/drop", c.act(Faulty.DropConnections))
+	r.Post("/engines/{engine}/{action}", c.serveEngine)
+	r.Get("/state", c.serveState)
+	return serve(address, r, &Faults{}, nil)
+}
+
+func (c *Control) serveFaults(w http.ResponseWriter, r *http.Request) {
+	plans := make(map[string]PlanBody, len(c.Targets))
+	for name, target := range c.Targets {
+		plans[name] = planBody(target.FaultsNow())
+	}
+	reply(w, r, plans, nil)
+}
+
+// target returns the stand-in that the path names, or answers that there is
+// none.
+func (c *Control) target(w http.ResponseWriter, r *http.Request) (Faulty, bool) {
+	name := chi.URLParam(r, "target")
+	target, ok := c.Targets[name]
+	if !ok {
+		names := slices.Sorted(maps.Keys(c.Targets))
+		replyProblem(w, garnetworks.Errorf(garnetworks.KindNotFound, "no stand-in %q; there are %v", name, names))
+	}
+	return target, ok
+}
+
+func (c *Control) serveTarget(w http.ResponseWriter, r *http.Request) {
+	if target, ok := c.target(w, r); ok {
+		reply(w, r, planBody(target.FaultsNow()), nil)
+	}
+}
+
+func (c *Control) serveSet(w http.ResponseWriter, r *http.Request) {
+	target, ok := c.target(w, r)
+	if !ok {
+		return
+	}
+	var body PlanBody
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		replyProblem(w, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the plan is not as expected: %v", err))
+		return
+	}
+	target.SetFaults(body.plan())
+	reply(w, r, planBody(target.FaultsNow()), nil)
+}
+
+func (c *Control) act(action func(Faulty)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if target, ok := c.target(w, r); ok {
+			action(target)
+			reply(w, r, struct{}{}, nil)
+		}
+	}
+}
+
+// engineActions are what can be done to an engine's instance.
+var engineActions = map[string]func(*Engine){
+	"restart":   (*Engine).Restart,
+	"power-on":  (*Engine).PowerOn,
+	"power-off": (*Engine).PowerOff,
+	"leave":     (*Engine).SetLeaving,
+}
+
+// serveEngine acts on an engine; slow-down takes its factor from the query.
+func (c *Control) serveEngine(w http.ResponseWriter, r *http.Request) {
+	var e *Engine
+	if c.Fleet != nil {
+		e = c.Fleet.Engine(garnetworks.InstanceID(chi.URLParam(r, "engine")))
+	}
+	if e == nil {
+		replyProblem(w, garnetworks.Errorf(garnetworks.KindNotFound, "no engine %q", chi.URLParam(r, "engine")))
+		return
+	}
+	action := chi.URLParam(r, "action")
+	if action == "slow-down" {
+		serveSlowdown(w, r, e)
+		return
+	}
+	act, ok := engineActions[action]
+	if !ok {
+		names := slices.Sorted(maps.Keys(engineActions))
+		replyProblem(w, garnetworks.Errorf(garnetworks.KindNotFound, "no action %q; there are %v and slow-down", action, names))
+		return
+	}
+	act(e)
+	reply(w, r, struct{}{}, nil)
+}
+
+func serveSlowdown(w http.ResponseWriter, r *http.Request, e *Engine) {
+	factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+	if err != nil || factor <= 0 {
+		replyProblem(w, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the factor is not a number above 0"))
+		return
+	}
+	e.SetSlowdown(factor)
+	reply(w, r, struct{}{}, nil)
+}
+
+func (c *Control) serveState(w http.ResponseWriter, r *http.Request) {
+	reply(w, r, c.State(), nil)
+}
+
+// State returns the stand-ins' counters and states.
+func (c *Control) State() StateBody {
+	var body StateBody
+	if c.Objects != nil {
+		body.ObjectCalls, body.Throttled = c.Objects.Counts(), c.Objects.Throttled()
+	}
+	if c.Fleet != nil {
+		body.Draw = c.Fleet.Draw()
+		body.Engines = c.Fleet.statuses()
+		body.Attempts, body.Refused = c.Fleet.counts()
+	}
+	body.Executions = make(map[string]int, len(c.Services))
+	for name, s := range c.Services {
+		body.Executions[name] = s.Executions()
+	}
+	return body
+}
+
+// statuses returns the true states of all engines that run, whatever their
+// faults.
+func (f *Fleet) statuses() []garnetworks.EngineStatus {
+	var statuses []garnetworks.EngineStatus
+	for _, e := range f.Engines() {
+		f.mu.Lock()
+		if e.power == garnetworks.PowerOn {
+			statuses = append(statuses, e.status())
+		}
+		f.mu.Unlock()
+	}
+	return statuses
+}
+
+func (f *Fleet) counts() (attempts, refused int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.attempts {
+		if a.Refused != "" {
+			refused++
+		}
+	}
+	return len(f.attempts), refused
+}
