Run the contract of peer calls against the messenger

Cause: the contract suite for calls between nodes exists now; a program without a clock lost the timestamps that its caller had set. Change: the suite runs on loopback; messages are stamped only by a clock that is there, and in a copy.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -31,6 +31,7 @@
 // for concurrent use.
 type Client struct {
 	options ClientOptions
+	clock   stamper
 
 	mu     sync.Mutex
 	pools  map[string]*pool
@@ -64,9 +65,6 @@
 
 // NewClient returns a client.
 func NewClient(options ClientOptions) *Client {
-	if options.Clock == nil {
-		options.Clock = unstamped{}
-	}
 	if options.Traffic == nil {
 		options.Traffic = new(Traffic)
 	}
@@ -76,7 +74,7 @@
 	if options.Dial == nil {
 		options.Dial = dialTCP
 	}
-	return &Client{options: options, pools: map[string]*pool{}, swept: time.Now()}
+	return &Client{options: options, clock: stamper{options.Clock}, pools: map[string]*pool{}, swept: time.Now()}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -150,7 +148,7 @@
 	// The caller may send one request to several peers at once, so the
 	// timestamp goes into a copy.
 	stamped := *request
-	*r.asked(&stamped) = c.options.Clock.Now()
+	c.clock.stamp(r.asked(&stamped))
 	message, err := Encoding{}.Marshal(&stamped)
 	if err != nil {
 		return nil, c.explain(ctx, address, err)
@@ -165,8 +163,8 @@
 		return nil, c.explain(ctx, address, err)
 	}
 	at := *r.answered(answer)
-	c.options.Clock.Sample(address, at)
-	if err := c.options.Clock.Observe(at); err != nil {
+	c.clock.sample(address, at)
+	if err := c.clock.observe(at); err != nil {
 		return nil, err
 	}
 	return answer, nil
@@ -193,7 +191,7 @@
 		return lostAnswer(ctx, address, broken.cause)
 	}
 	if f, ok := decodeFailure(err); ok {
-		c.options.Clock.Sample(address, f.At)
+		c.clock.sample(address, f.At)
 		return f.error()
 	}
 	return err
--- /dev/null
+++ b/messenger/contract_test.go
@@ -0,0 +1,51 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/checker"
+	"github.com/garnetworks/garnetworks/messenger"
+)
+
+func TestContract(t *testing.T) {
+	checker.Peer(t, func(t *testing.T) checker.PeerBed {
+		client := messenger.NewClient(messenger.ClientOptions{})
+		t.Cleanup(client.Close)
+		return checker.PeerBed{
+			Caller: client,
+			Serve:  func(handler garnetworks.PeerHandler) (string, func()) { return serve(t, handler) },
+			Unused: unused(t),
+		}
+	})
+}
+
+func serve(t *testing.T, handler garnetworks.PeerHandler) (string, func()) {
+	server, err := messenger.NewServer(messenger.ServerOptions{Handler: handler})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := messenger.Listen("127.0.0.1:0", nil, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx, listener) })
+	return listener.Addr().String(), func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+func unused(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -68,12 +68,27 @@
 	Sample(source string, t garnetworks.Timestamp)
 }
 
-// unstamped is the clock of a program that has none.
-type unstamped struct{}
+// stamper stamps messages by a clock; without one it leaves them as they are.
+type stamper struct{ clock Clock }
 
-func (unstamped) Now() garnetworks.Timestamp           { return garnetworks.Timestamp{} }
-func (unstamped) Observe(garnetworks.Timestamp) error  { return nil }
-func (unstamped) Sample(string, garnetworks.Timestamp) {}
+func (s stamper) stamp(t *garnetworks.Timestamp) {
+	if s.clock != nil {
+		*t = s.clock.Now()
+	}
+}
+
+func (s stamper) observe(t garnetworks.Timestamp) error {
+	if s.clock == nil {
+		return nil
+	}
+	return s.clock.Observe(t)
+}
+
+func (s stamper) sample(source string, t garnetworks.Timestamp) {
+	if s.clock != nil {
+		s.clock.Sample(source, t)
+	}
+}
 
 // silent is the recorder of a program that records nothing.
 type silent struct{}
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -32,6 +32,7 @@
 // Server answers other nodes and operators.
 type Server struct {
 	options ServerOptions
+	clock   stamper
 	drpc    *drpcserver.Server
 	// connections and calls hold a token for each that is open (rule M4).
 	connections, calls chan struct{}
@@ -39,9 +40,6 @@
 
 // NewServer returns a server that answers through options.Handler.
 func NewServer(options ServerOptions) (*Server, error) {
-	if options.Clock == nil {
-		options.Clock = unstamped{}
-	}
 	if options.Traffic == nil {
 		options.Traffic = new(Traffic)
 	}
@@ -50,6 +48,7 @@
 	}
 	s := &Server{
 		options:     options,
+		clock:       stamper{options.Clock},
 		connections: make(chan struct{}, MaxConnections),
 		calls:       make(chan struct{}, MaxInProgress),
 	}
@@ -157,10 +156,14 @@
 	s.options.Traffic.messagesReceived.Add(1)
 	s.options.Traffic.messagesSent.Add(1)
 	if err != nil {
-		return nil, encodeFailure(err, s.options.Clock.Now())
-	}
-	*r.answered(answer) = s.options.Clock.Now()
-	return answer, nil
+		var at garnetworks.Timestamp
+		s.clock.stamp(&at)
+		return nil, encodeFailure(err, at)
+	}
+	// The handler may have given the same answer to several calls.
+	stamped := *answer
+	s.clock.stamp(r.answered(&stamped))
+	return &stamped, nil
 }
 
 func handle[Q, A any](ctx context.Context, s *Server, r rpc[Q, A], request *Q) (*A, error) {
@@ -174,7 +177,7 @@
 	if !r.operators && roleFrom(ctx) != roleNode {
 		return nil, garnetworks.Errorf(garnetworks.KindForbidden, "%s needs a node's certificate", r.name)
 	}
-	if err := s.options.Clock.Observe(*r.asked(request)); err != nil {
+	if err := s.clock.observe(*r.asked(request)); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, HandlerBound)
