Bring about the site's failures under the test clock

Cause: parts proved alone can fail together; failures of the whole site were not brought about yet. Change: the real nodes, six in three zones, run on the test clock over a network in memory that cuts nodes off and forgets open connections, on the stand-ins. Twelve scenarios with load on every node; at any moment checked: draw under the cap, one holder of each lease, keyed calls run once at most and never behind a not-run, answers that look whole are whole, no group serves with a member lost for longer than the confirmation bound. Found and mended: views of other zones were refreshed every 10 s only, so their groups lapsed in between. Noticed: a new version drains all zones' only groups at once; zones must take turns.

--- a/runner/control.go
+++ b/runner/control.go
@@ -3,11 +3,14 @@
 import (
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/controller"
+	"github.com/garnetworks/garnetworks/pulser"
 )
 
 // joinControl makes the controllers of the zone and of the site.
 func (r *Runner) joinControl() error {
 	r.listed = &listCache{InstanceList: r.platform.Instances}
+	times := controller.DefaultTimes()
+	times.PublishEvery = pulser.Interval // nodes of other zones know of the groups' confirmation by these alone
 	var err error
 	r.zone, err = controller.NewZone(controller.Options{
 		Node:      r.self.ID,
@@ -22,6 +25,7 @@
 		Recorder:  r.events,
 		Publish:   r.views.publish,
 		Slowdowns: r.reports.slowdowns,
+		Times:     times,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/runner/faults_test.go
@@ -0,0 +1,366 @@
+package runner
+
+import (
+	"fmt"
+	"regexp"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
+	"github.com/garnetworks/garnetworks/keymaker"
+)
+
+var keyLine = regexp.MustCompile(`key-hashes: \["[^"]*"\]`)
+
+func hashOf(secret string) string { return keymaker.Hash(secret) }
+
+// scenario is a failure of the whole site and what users still get.
+type scenario struct {
+	story string
+	// models says that each call to a model completes all the same, because
+	// other groups serve on.
+	models bool
+	run    func(s *virtualSite)
+}
+
+// Bounds that scenarios hold a recovery to, on the test clock. They are sums of
+// the system's own bounds, with some room.
+const (
+	// leaseMoves is a lease's end, the successor's wait and the first steps.
+	leaseMoves = 25 * time.Second
+	// groupBack is the loss of a member, a plan, orders and loading.
+	groupBack = 45 * time.Second
+	// manifestMoves is the users' bound for a change to be in force.
+	manifestMoves = 14 * time.Second
+)
+
+var scenarios = map[string]scenario{
+	"nothing fails": {
+		story: "A minute without failures: every call completes.",
+		run: func(s *virtualSite) {
+			time.Sleep(time.Minute)
+			for what, n := range s.load.outcomes {
+				if what != "model completed " && what != "ledger completed " && what != "ledger again completed " {
+					s.t.Errorf("%d outcomes %q though nothing failed", n, what)
+				}
+			}
+		},
+	},
+	"a zone's controller crashes": {
+		story: "The node that controls zone-a dies without a word. Its lease lapses, " +
+			"the other node takes over, and a member lost meanwhile is replaced.",
+		models: true,
+		run: func(s *virtualSite) {
+			holder := s.holder("zone-a")
+			s.crash(holder)
+			s.fleet.Engine(s.memberIn("zone-a")).SetFaults(faker.FaultPlan{Down: true})
+			s.within(leaseMoves, "another node holds the lease", func() string {
+				if now := s.holder("zone-a"); now == "" || now == holder {
+					return "holder " + string(now)
+				}
+				return ""
+			})
+			s.within(groupBack, "all groups serve", s.serving("zone-c-n0", groupsWanted))
+		},
+	},
+	"the object API is away": {
+		story: "The object API answers nothing for two minutes, and an engine dies " +
+			"meanwhile. Calls to models go on, keyed calls are refused as not run, " +
+			"the broken group is re-formed under the holder's own term, and all is " +
+			"well when the API is back.",
+		models: true,
+		run: func(s *virtualSite) {
+			s.objects.SetFaults(faker.FaultPlan{Down: true})
+			time.Sleep(20 * time.Second)
+			s.fleet.Engine(s.memberIn("zone-b")).SetFaults(faker.FaultPlan{Down: true})
+			s.within(groupBack, "the group is back though the object API is away", s.serving("zone-b-n1", groupsWanted))
+			before := s.load.completed("model")
+			time.Sleep(60 * time.Second)
+			if after := s.load.completed("model"); after-before < 500 {
+				s.t.Errorf("%d completions in a minute of the outage", after-before)
+			}
+			if s.load.refused("ledger", garnetworks.KindClaimsUnavailable) == 0 {
+				s.t.Error("no keyed call was refused as claims-unavailable")
+			}
+			s.objects.SetFaults(faker.FaultPlan{})
+			done := s.load.completed("ledger")
+			s.within(leaseMoves, "keyed calls complete again", func() string {
+				if s.load.completed("ledger") > done+5 {
+					return ""
+				}
+				return "no keyed call completed"
+			})
+			s.within(leaseMoves, "all groups serve", s.serving("zone-a-n0", groupsWanted))
+		},
+	},
+	"answers of the object API are lost": {
+		story: "Every third write takes effect and its answer is lost, for a minute. " +
+			"No call runs twice, no lease has two holders.",
+		models: true,
+		run: func(s *virtualSite) {
+			for range 60 {
+				s.objects.SetFaults(faker.FaultPlan{LoseAnswers: 8, Methods: []string{faker.MethodPut}})
+				time.Sleep(time.Second)
+			}
+			s.objects.SetFaults(faker.FaultPlan{})
+			s.within(leaseMoves, "all groups serve", s.serving("zone-a-n0", groupsWanted))
+		},
+	},
+	"a zone is cut off": {
+		story: "zone-c is cut off from the other zones and the platform for two " +
+			"minutes. Its group goes on serving its own callers, the others go on " +
+			"without it, and a new manifest is held with the zone's name.",
+		models: true,
+		run: func(s *virtualSite) {
+			s.cutZone("zone-c", true)
+			time.Sleep(10 * time.Second)
+			inside := s.nodes["zone-c-n0"].answerOf(s.t.Context(), s.key, "POST", "/v1/completions", "", virtualBody)
+			if inside.outcome != string(garnetworks.OutcomeCompleted) {
+				s.t.Errorf("a call inside the zone: %+v", inside)
+			}
+			if _, err := s.propose("zone-a-n0", "during", 1, s.manifestText(virtualCap, "v1")); err != nil {
+				s.t.Errorf("proposal during the cut: %v", err)
+			}
+			time.Sleep(30 * time.Second)
+			if got := s.inForce("zone-a-n0", "during")(); got == "" {
+				s.t.Error("a manifest is in force though zone-c is cut off and not left out")
+			} else if !regexp.MustCompile("zone-c").MatchString(got) {
+				s.t.Errorf("the held proposal does not name the zone: %s", got)
+			}
+			time.Sleep(80 * time.Second)
+			inside = s.nodes["zone-c-n1"].answerOf(s.t.Context(), s.key, "POST", "/v1/completions", "", virtualBody)
+			if inside.outcome != string(garnetworks.OutcomeCompleted) {
+				s.t.Errorf("a call inside the zone after two minutes: %+v", inside)
+			}
+			s.cutZone("zone-c", false)
+			s.within(time.Minute, "the held manifest is in force", s.inForce("zone-a-n0", "during"))
+			s.within(time.Minute, "all groups serve", s.serving("zone-a-n0", groupsWanted))
+		},
+	},
+	"a member freezes and returns": {
+		story: "An engine is paused for half a minute and goes on as if nothing had " +
+			"happened. Its group stops serving within the confirmation bound; the " +
+			"member is not part of any group until it is admitted again.",
+		models: true,
+		run: func(s *virtualSite) {
+			engine := s.fleet.Engine(s.memberIn("zone-a"))
+			engine.SetFaults(faker.FaultPlan{Frozen: true})
+			time.Sleep(30 * time.Second)
+			engine.SetFaults(faker.FaultPlan{})
+			s.within(groupBack, "all groups serve", s.serving("zone-b-n0", groupsWanted))
+		},
+	},
+	"a fabric domain goes dark": {
+		story: "All engines of zone-b's domain lose power at once and come back a " +
+			"minute later, empty.",
+		models: true,
+		run: func(s *virtualSite) {
+			for _, e := range s.fleet.Engines() {
+				if e.Spec().Zone == "zone-b" {
+					e.SetFaults(faker.FaultPlan{Down: true})
+				}
+			}
+			time.Sleep(time.Minute)
+			for _, e := range s.fleet.Engines() {
+				if e.Spec().Zone == "zone-b" {
+					e.SetFaults(faker.FaultPlan{})
+					e.Restart()
+				}
+			}
+			s.within(2*groupBack, "all groups serve", s.serving("zone-a-n0", groupsWanted))
+		},
+	},
+	"a node is stopped as planned": {
+		story: "An operator stops a node while calls stream through it. Each call in " +
+			"flight finishes, new ones are refused as not run, and its roles move on.",
+		models: true,
+		run: func(s *virtualSite) {
+			holder := s.holder("zone-a")
+			before := s.load.outcomesOf("model")
+			s.nodes[holder].stop()
+			s.within(leaseMoves, "another node holds the lease", func() string {
+				if now := s.holder("zone-a"); now == "" || now == holder {
+					return "holder " + string(now)
+				}
+				return ""
+			})
+			for what, n := range s.load.outcomesOf("model") {
+				if what != "completed " && what != "not-run shutting-down" && n > before[what] {
+					s.t.Errorf("%d calls ended as %q during a planned stop", n-before[what], what)
+				}
+			}
+		},
+	},
+	"operators race with a lower cap": {
+		story: "Two operators commit at once, one of them a lower power cap. One wins, " +
+			"the other is told who; the site's draw falls to the new cap, and nothing " +
+			"reverts.",
+		models: true,
+		run: func(s *virtualSite) {
+			type result struct {
+				id  string
+				err error
+			}
+			results := make(chan result, 2)
+			caps := map[string]garnetworks.Watts{"low": 9000, "lower": 8800}
+			for id, node := range map[string]garnetworks.NodeID{"low": "zone-a-n0", "lower": "zone-b-n0"} {
+				go func() {
+					_, err := s.propose(node, id, 1, s.manifestText(caps[id], "v1"))
+					results <- result{id, err}
+				}()
+			}
+			won := ""
+			for range 2 {
+				if r := <-results; r.err == nil {
+					won += r.id
+				} else if !garnetworks.IsKind(r.err, garnetworks.KindConflict, garnetworks.KindStaleGeneration) {
+					s.t.Errorf("the loser was told %v", r.err)
+				}
+			}
+			if caps[won] == 0 {
+				s.t.Fatalf("winners: %q, want one", won)
+			}
+			s.within(manifestMoves, "the winner's manifest is in force", s.inForce("zone-c-n0", won))
+			s.within(2*time.Minute, "the draw is at the cap", func() string {
+				if draw := s.fleet.Draw(); draw > caps[won] {
+					return fmt.Sprintf("%d W", draw)
+				}
+				return ""
+			})
+			for range 100 {
+				time.Sleep(500 * time.Millisecond)
+				if draw := s.fleet.Draw(); draw > caps[won] {
+					s.t.Fatalf("the site draws %d W over the new cap of %d W", draw, caps[won])
+				}
+			}
+			s.within(time.Minute, "the groups that the cap allows serve", s.serving("zone-a-n0", 2))
+		},
+	},
+	"power orders' answers are lost": {
+		story: "The answers to power orders get lost after their effect while engines " +
+			"die and are replaced; the draw is counted as on until proven off.",
+		run: func(s *virtualSite) {
+			s.power.SetFaults(faker.FaultPlan{LoseAnswers: -1})
+			for _, zone := range zones {
+				s.fleet.Engine(s.memberIn(zone)).SetFaults(faker.FaultPlan{Down: true})
+			}
+			time.Sleep(time.Minute)
+			s.power.SetFaults(faker.FaultPlan{})
+			s.within(2*groupBack, "all groups serve", s.serving("zone-b-n1", groupsWanted))
+		},
+	},
+	"open connections go silent": {
+		story: "Something between the nodes forgets all open connections of one node; " +
+			"new ones work. The node stays a member and its view stays fresh.",
+		models: true,
+		run: func(s *virtualSite) {
+			for range 4 {
+				s.network.silenceOpen("zone-a-n0")
+				time.Sleep(15 * time.Second)
+				if got := s.serving("zone-a-n0", groupsWanted)(); got != "" {
+					s.t.Errorf("15 s after connections went silent: %s", got)
+				}
+			}
+		},
+	},
+	"a new version is rolled out": {
+		story: "A manifest brings a new version of the model. Groups move to it one " +
+			"after the other; calls go on all the time.",
+		run: func(s *virtualSite) {
+			if _, err := s.propose("zone-a-n0", "v2", 1, s.manifestText(virtualCap, "v2")); err != nil {
+				s.t.Fatal(err)
+			}
+			s.within(manifestMoves, "the manifest is in force", s.inForce("zone-b-n0", "v2"))
+			s.within(10*time.Minute, "all groups serve the new version", func() string {
+				got := 0
+				for _, view := range s.nodes["zone-c-n0"].views.all() {
+					for i := range view.Groups {
+						if g := &view.Groups[i]; g.State == garnetworks.GroupServing && g.Confirmed && g.Version == "v2" {
+							got++
+						}
+					}
+				}
+				if got < groupsWanted {
+					return fmt.Sprintf("%d groups", got)
+				}
+				return ""
+			})
+		},
+	},
+}
+
+// holder returns the node that holds the zone's lease, or nothing.
+func (s *virtualSite) holder(zone garnetworks.ZoneID) garnetworks.NodeID {
+	for id, n := range s.nodes {
+		if n.self.Zone == zone && n.zone.Lease().Term(time.Now()) > 0 {
+			return id
+		}
+	}
+	return ""
+}
+
+// memberIn returns a member of a group in the zone.
+func (s *virtualSite) memberIn(zone garnetworks.ZoneID) garnetworks.InstanceID {
+	s.t.Helper()
+	for _, n := range s.nodes {
+		for _, view := range n.views.all() {
+			if view.Zone != zone || len(view.Groups) == 0 {
+				continue
+			}
+			return view.Groups[0].Members[1]
+		}
+	}
+	s.t.Fatalf("no group in %s", zone)
+	return ""
+}
+
+// modelsComplete reports calls to models that did not complete. Calls to a node
+// that stops are refused as not run, so that the balancer's next one takes them.
+func (s *virtualSite) modelsComplete() {
+	s.t.Helper()
+	for what, n := range s.load.outcomesOf("model") {
+		if what != "completed " && what != "not-run shutting-down" {
+			s.t.Errorf("%d calls to models ended as %q", n, what)
+		}
+	}
+}
+
+// refused returns how many calls were refused as not run by the kind.
+func (l *load) refused(what string, kind garnetworks.Kind) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outcomes[what+" not-run "+string(kind)]
+}
+
+// outcomesOf returns the outcomes of one kind of call.
+func (l *load) outcomesOf(what string) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := make(map[string]int)
+	for name, n := range l.outcomes {
+		if len(name) > len(what) && name[:len(what)+1] == what+" " {
+			found[name[len(what)+1:]] = n
+		}
+	}
+	return found
+}
+
+func TestSiteUnderFailure(t *testing.T) {
+	for name, tt := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				t.Log(tt.story)
+				s := newVirtualSite(t)
+				defer s.close()
+				s.begin()
+				tt.run(s)
+				if tt.models {
+					s.modelsComplete()
+				}
+				s.settle()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/runner/virtual_test.go
@@ -0,0 +1,523 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/configurer"
+	"github.com/garnetworks/garnetworks/faker"
+)
+
+// virtualSite is a site on the test clock: the real nodes, joined by a network in
+// memory, on stand-ins in process. It runs inside a synctest bubble.
+type virtualSite struct {
+	t        *testing.T
+	network  *memoryNetwork
+	objects  *faker.Objects
+	list     *faker.InstanceList
+	fleet    *faker.Fleet
+	power    *faker.Power
+	services *faker.Services
+	service  *faker.Service
+	nodes    map[garnetworks.NodeID]*virtualNode
+	key      string
+	load     *load
+	stopLoad context.CancelFunc
+	loading  sync.WaitGroup
+}
+
+// virtualNode is a node and what can be done to it.
+type virtualNode struct {
+	*Runner
+	objects *faker.ObjectsView
+	// cut holds the zones whose backend servers the node can't reach; the empty
+	// name stands for the platform.
+	cut  sync.Map
+	stop context.CancelFunc
+	done chan error
+}
+
+const (
+	nodesPerZone  = 2
+	groupsWanted  = 3
+	virtualCap    = garnetworks.Watts(16000)
+	engineWatts   = garnetworks.Watts(1000)
+	virtualTokens = 20
+)
+
+func newVirtualSite(t *testing.T) *virtualSite {
+	t.Helper()
+	s := &virtualSite{t: t, network: newMemoryNetwork(), services: new(faker.Services), nodes: make(map[garnetworks.NodeID]*virtualNode)}
+	weights := faker.NewWeightStore(1<<30, map[garnetworks.WeightID]int64{{Model: "chat", Version: "v1"}: 1 << 30, {Model: "chat", Version: "v2"}: 1 << 30})
+	s.objects = faker.NewObjects(faker.ObjectsOptions{WritesPerSecond: 300, ReadsPerSecond: 2000})
+	s.list = faker.NewInstanceList(2 * time.Second)
+	s.fleet = faker.NewFleet(weights, s.list)
+	s.power = faker.NewPower(s.fleet)
+	for _, zone := range zones {
+		s.addEngines(zone)
+	}
+	s.service = faker.NewService("ledger", 5*time.Millisecond)
+	s.services.Add("zone-a-ledger:80", s.service)
+	s.list.Report(garnetworks.ListedInstance{
+		ID: "ledger-1", Address: "zone-a-ledger:80", Zone: "zone-a", Class: "small", State: garnetworks.ListedLive, Service: "ledger",
+	})
+	for _, zone := range zones {
+		for i := range nodesPerZone {
+			s.startNode(nodeName(zone, i), zone, weights)
+		}
+	}
+	return s
+}
+
+func nodeName(zone garnetworks.ZoneID, i int) garnetworks.NodeID {
+	return garnetworks.NodeID(fmt.Sprintf("%s-n%d", zone, i))
+}
+
+func (s *virtualSite) addEngines(zone garnetworks.ZoneID) {
+	for i := range enginesPerZone {
+		id := garnetworks.InstanceID(fmt.Sprintf("%s-e%d", zone, i))
+		s.fleet.Add(faker.EngineSpec{
+			ListedInstance: garnetworks.ListedInstance{
+				ID: id, Address: string(id) + ":80", Zone: zone, Domain: garnetworks.DomainID(zone + "-d"), Class: "big", State: garnetworks.ListedLive,
+			},
+			Watts: engineWatts, On: i < 5, Boot: 5 * time.Second, ChecksFencing: true,
+			FirstToken: 50 * time.Millisecond, PerToken: 20 * time.Millisecond,
+		})
+	}
+}
+
+func (s *virtualSite) startNode(id garnetworks.NodeID, zone garnetworks.ZoneID, weights garnetworks.WeightStore) *virtualNode {
+	s.t.Helper()
+	n := &virtualNode{objects: s.objects.View(), done: make(chan error, 1)}
+	cut := &cutPlatform{node: n, site: s, weights: weights}
+	settings := configurer.Settings{
+		Node: id, Zone: zone, Region: "region-1",
+		Listen:     configurer.Listen{Callers: string(id) + ":callers", Peers: string(id) + ":peers", Admin: string(id) + ":admin"},
+		Limits:     configurer.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, HeaderTime: time.Second, Connections: 100},
+		DrainGrace: 20 * time.Second,
+		EventRing:  8192,
+	}
+	for other := range s.nodes {
+		settings.Seeds = append(settings.Seeds, string(other)+":peers")
+	}
+	r, err := New(Options{
+		Settings: settings,
+		Network:  garnetworks.Some(s.network.at(id)),
+		Platform: garnetworks.Some(Platform{
+			Objects: n.objects, Instances: cut, Power: cut, Weights: cut, Orders: cut, Probes: cut, Engines: cut, Services: cut,
+		}),
+		LameDuck: time.Second,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.Runner, n.stop = r, cancel
+	s.nodes[id] = n
+	go func() { n.done <- r.Run(ctx, nil) }()
+	return n
+}
+
+// close ends everything, so that the bubble can end.
+func (s *virtualSite) close() {
+	if s.stopLoad != nil {
+		s.stopLoad()
+		s.loading.Wait()
+	}
+	for _, n := range s.nodes {
+		n.stop()
+	}
+	for id, n := range s.nodes {
+		if err := <-n.done; err != nil {
+			s.t.Errorf("node %s: %v", id, err)
+		}
+	}
+	s.fleet.Close()
+}
+
+// cutPlatform is everything outside as one node reaches it.
+type cutPlatform struct {
+	node    *virtualNode
+	site    *virtualSite
+	weights garnetworks.WeightStore
+}
+
+// connectTimeout is how long a connect to a cut-off address takes to fail.
+const connectTimeout = time.Second
+
+// reach fails like a connect that times out if the name's zone is cut off.
+func (c *cutPlatform) reach(ctx context.Context, name string) error {
+	zone := garnetworks.ZoneID("")
+	if len(name) >= len("zone-a") {
+		zone = garnetworks.ZoneID(name[:len("zone-a")])
+	}
+	if _, cut := c.node.cut.Load(zone); !cut {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return garnetworks.WrapError(garnetworks.KindUnreachable, ctx.Err(), name)
+}
+
+func (c *cutPlatform) Instances(ctx context.Context, zone garnetworks.ZoneID) ([]garnetworks.ListedInstance, error) {
+	if err := c.reach(ctx, ""); err != nil {
+		return nil, err
+	}
+	return c.site.list.Instances(ctx, zone)
+}
+
+func (c *cutPlatform) SetPower(ctx context.Context, order garnetworks.PowerOrder) error {
+	if err := c.reach(ctx, ""); err != nil {
+		return err
+	}
+	return c.site.power.SetPower(ctx, order)
+}
+
+func (c *cutPlatform) Power(ctx context.Context, id garnetworks.InstanceID) (garnetworks.PowerState, error) {
+	if err := c.reach(ctx, ""); err != nil {
+		return garnetworks.PowerUnknown, err
+	}
+	return c.site.power.Power(ctx, id)
+}
+
+func (c *cutPlatform) Rate(ctx context.Context) (int64, error) {
+	if err := c.reach(ctx, ""); err != nil {
+		return 0, err
+	}
+	return c.weights.Rate(ctx)
+}
+
+func (c *cutPlatform) Size(ctx context.Context, id garnetworks.WeightID) (int64, error) {
+	if err := c.reach(ctx, ""); err != nil {
+		return 0, err
+	}
+	return c.weights.Size(ctx, id)
+}
+
+func (c *cutPlatform) Order(ctx context.Context, address string, order garnetworks.EngineOrder) (garnetworks.EngineStatus, error) {
+	if err := c.reach(ctx, address); err != nil {
+		return garnetworks.EngineStatus{}, err
+	}
+	return c.site.fleet.Order(ctx, address, order)
+}
+
+func (c *cutPlatform) Status(ctx context.Context, address string) (garnetworks.EngineStatus, error) {
+	if err := c.reach(ctx, address); err != nil {
+		return garnetworks.EngineStatus{}, err
+	}
+	return c.site.fleet.Status(ctx, address)
+}
+
+func (c *cutPlatform) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	if err := c.reach(ctx, address); err != nil {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
+	return c.site.fleet.Generate(ctx, address, call)
+}
+
+func (c *cutPlatform) Call(ctx context.Context, address string, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	if err := c.reach(ctx, address); err != nil {
+		return garnetworks.ServiceAnswer{}, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
+	return c.site.services.Call(ctx, address, call)
+}
+
+// cutZone cuts a zone off from the other zones and from the platform, or joins
+// it again.
+func (s *virtualSite) cutZone(zone garnetworks.ZoneID, cut bool) {
+	for id, n := range s.nodes {
+		for other, m := range s.nodes {
+			if n.self.Zone == zone && m.self.Zone != zone {
+				s.network.setCut(id, other, cut)
+			}
+		}
+		for _, z := range append([]garnetworks.ZoneID{""}, zones...) {
+			apart := (n.self.Zone == zone) != (z == zone)
+			if !apart || (z == "" && n.self.Zone != zone) {
+				continue
+			}
+			if cut {
+				n.cut.Store(z, true)
+			} else {
+				n.cut.Delete(z)
+			}
+		}
+		if n.self.Zone == zone {
+			n.objects.SetFaults(faker.FaultPlan{Down: cut})
+		}
+	}
+}
+
+// crash ends a node without any farewell: nobody hears it any more.
+func (s *virtualSite) crash(id garnetworks.NodeID) {
+	n := s.nodes[id]
+	for other := range s.nodes {
+		if other != id {
+			s.network.setCut(id, other, true)
+		}
+	}
+	for _, z := range append([]garnetworks.ZoneID{""}, zones...) {
+		n.cut.Store(z, true)
+	}
+	n.objects.SetFaults(faker.FaultPlan{Down: true})
+	n.stop()
+}
+
+// manifestText returns a manifest with the given cap and model version.
+func (s *virtualSite) manifestText(powerCap garnetworks.Watts, version string) string {
+	base := &testSite{}
+	text := base.manifest()
+	if s.key == "" {
+		s.key = base.key
+		return s.manifestText(powerCap, version)
+	}
+	text = strings.Replace(text, "power-cap-watts: 40000", fmt.Sprintf("power-cap-watts: %d", powerCap), 1)
+	text = strings.Replace(text, "version: v1", "version: "+version, 1)
+	text = strings.Replace(text, "boot-time: 1s", "boot-time: 5s", 1)
+	text = strings.Replace(text, "weight-bytes: 1048576", "weight-bytes: 1073741824", 1)
+	return keyLine.ReplaceAllString(text, fmt.Sprintf(`key-hashes: ["%s"]`, hashOf(s.key)))
+}
+
+// propose hands a manifest to a node and returns its progress.
+func (s *virtualSite) propose(node garnetworks.NodeID, id string, base garnetworks.Generation, text string) (garnetworks.CommitProgress, error) {
+	response, err := s.nodes[node].committer.Propose(context.Background(), &garnetworks.ProposeRequest{
+		CommitID: id, Operator: "operator-" + id, Base: base, Text: []byte(text),
+	})
+	if err != nil {
+		return garnetworks.CommitProgress{}, err
+	}
+	return response.Progress, nil
+}
+
+// within waits on the test clock until check returns an empty string.
+func (s *virtualSite) within(bound time.Duration, what string, check func() string) time.Duration {
+	s.t.Helper()
+	begun := time.Now()
+	for {
+		missing := check()
+		if missing == "" {
+			return time.Since(begun)
+		}
+		if time.Since(begun) > bound {
+			s.t.Fatalf("%s: not within %v: %s", what, bound, missing)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// inForce is a check that a commit is in force by a node's word.
+func (s *virtualSite) inForce(node garnetworks.NodeID, id string) func() string {
+	return func() string {
+		r, err := s.nodes[node].committer.Progress(context.Background(), &garnetworks.ProgressRequest{CommitID: id})
+		if err != nil {
+			return err.Error()
+		}
+		if r.Progress.State != garnetworks.CommitInForce {
+			return fmt.Sprintf("%s %s", r.Progress.State, r.Progress.Reason)
+		}
+		return ""
+	}
+}
+
+// serving is a check that the node sees a number of confirmed groups.
+func (s *virtualSite) serving(node garnetworks.NodeID, want int) func() string {
+	return func() string {
+		serving := 0
+		for _, view := range s.nodes[node].views.all() {
+			for i := range view.Groups {
+				if g := &view.Groups[i]; g.State == garnetworks.GroupServing && g.Confirmed {
+					serving++
+				}
+			}
+		}
+		if serving < want {
+			return fmt.Sprintf("%d of %d groups serve", serving, want)
+		}
+		return ""
+	}
+}
+
+// began brings the site to where all groups serve under load.
+func (s *virtualSite) begin() {
+	s.t.Helper()
+	if _, err := s.propose(nodeName("zone-a", 0), "first", 0, s.manifestText(virtualCap, "v1")); err != nil {
+		s.t.Fatal(err)
+	}
+	s.within(30*time.Second, "the first manifest in force", s.inForce(nodeName("zone-b", 1), "first"))
+	s.within(2*time.Minute, "all groups serve", s.serving(nodeName("zone-c", 0), groupsWanted))
+	s.startLoad()
+}
+
+// answerOf calls a node in process.
+func (n *virtualNode) answerOf(ctx context.Context, key, method, path, idempotency, body string) answer {
+	request := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Content-Type", "application/json")
+	if idempotency != "" {
+		request.Header.Set("Idempotency-Key", idempotency)
+	}
+	w := httptest.NewRecorder()
+	n.server.Handler().ServeHTTP(w, request)
+	result := w.Result()
+	outcome := result.Header.Get("Garnet-Outcome")
+	if trailer := result.Trailer.Get("Garnet-Outcome"); trailer != "" {
+		outcome = trailer
+	}
+	return answer{result.StatusCode, outcome, result.Header.Get("Garnet-Error-Kind"), w.Body.String()}
+}
+
+// load calls every node at a steady pace and checks each answer.
+type load struct {
+	site *virtualSite
+
+	mu       sync.Mutex
+	outcomes map[string]int
+	faults   []string
+	keys     atomic.Int64
+	peak     garnetworks.Watts
+	holders  int
+}
+
+func (s *virtualSite) startLoad() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopLoad = cancel
+	s.load = &load{site: s, outcomes: make(map[string]int)}
+	for id := range s.nodes {
+		s.loading.Go(func() { s.load.callModels(ctx, id) })
+		s.loading.Go(func() { s.load.callLedger(ctx, id) })
+	}
+	s.loading.Go(func() { s.load.watch(ctx) })
+}
+
+func (l *load) fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.faults) < 20 {
+		l.faults = append(l.faults, fmt.Sprintf(format, args...))
+	}
+}
+
+func (l *load) count(what string, a answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes[what+" "+a.outcome+" "+a.kind]++
+}
+
+const virtualBody = `{"model":"chat","prompt":"the pump at well 9 has failed","max_tokens":20}`
+
+// callModels sends completions; a completed one must be whole (rule G7).
+func (l *load) callModels(ctx context.Context, id garnetworks.NodeID) {
+	want := faker.AnswerText(&garnetworks.CallRequest{Model: "chat", Prompt: "the pump at well 9 has failed"}, 0, virtualTokens)
+	for ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond)
+		n := l.site.nodes[id]
+		if n.stopping.Load() {
+			return
+		}
+		a := n.answerOf(ctx, l.site.key, "POST", "/v1/completions", "", virtualBody)
+		l.count("model", a)
+		if a.outcome == string(garnetworks.OutcomeCompleted) && !strings.Contains(a.body, want) {
+			l.fault("node %s: an answer that looks whole is not: %s", id, a.body)
+		}
+	}
+}
+
+// callLedger sends keyed calls that may not be repeated, each a second time to
+// another node; they must run once at most, and not at all behind "not run"
+// (rules G5 and G6).
+func (l *load) callLedger(ctx context.Context, id garnetworks.NodeID) {
+	for ctx.Err() == nil {
+		time.Sleep(700 * time.Millisecond)
+		n := l.site.nodes[id]
+		if n.stopping.Load() {
+			return
+		}
+		key := fmt.Sprintf("visit-%d", l.keys.Add(1))
+		first := n.answerOf(ctx, l.site.key, "POST", "/services/ledger/visits", key, `{"visit":"`+key+`"}`)
+		l.count("ledger", first)
+		ran := l.site.service.ExecutionsByKey(key)
+		if first.outcome == string(garnetworks.OutcomeNotRun) && ran > 0 {
+			l.fault("node %s: call %s ran %d times behind not-run: %+v", id, key, ran, first)
+		}
+		other := l.site.nodes[l.otherNode(id)]
+		if other.stopping.Load() {
+			continue
+		}
+		second := other.answerOf(ctx, l.site.key, "POST", "/services/ledger/visits", key, `{"visit":"`+key+`"}`)
+		l.count("ledger again", second)
+		if ran := l.site.service.ExecutionsByKey(key); ran > 1 {
+			l.fault("call %s ran %d times: %+v, then %+v", key, ran, first, second)
+		}
+		if first.outcome == string(garnetworks.OutcomeCompleted) && second.outcome == string(garnetworks.OutcomeCompleted) && first.body != second.body {
+			l.fault("call %s got two answers: %+v, then %+v", key, first, second)
+		}
+	}
+}
+
+func (l *load) otherNode(id garnetworks.NodeID) garnetworks.NodeID {
+	for other, n := range l.site.nodes {
+		if other != id && n.self.Zone != l.site.nodes[id].self.Zone {
+			return other
+		}
+	}
+	return id
+}
+
+// watch samples what must hold at any moment: the draw and the leases.
+func (l *load) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		if draw := l.site.fleet.Draw(); draw > virtualCap {
+			l.fault("the site draws %d W over its cap of %d W", draw, virtualCap)
+		}
+		holders := make(map[string][]garnetworks.NodeID)
+		for id, n := range l.site.nodes {
+			for name, held := range n.leaseStates() {
+				if held {
+					holders[name] = append(holders[name], id)
+				}
+			}
+		}
+		for name, list := range holders {
+			if len(list) > 1 {
+				l.fault("lease %s is held by %v", name, list)
+			}
+		}
+	}
+}
+
+// settle ends the load and reports what did not hold.
+func (s *virtualSite) settle() {
+	s.t.Helper()
+	s.stopLoad()
+	s.loading.Wait()
+	s.stopLoad = nil
+	s.load.mu.Lock()
+	defer s.load.mu.Unlock()
+	for _, f := range s.load.faults {
+		s.t.Error(f)
+	}
+	attempts, _ := s.fleet.Attempts()
+	for _, a := range attempts {
+		// A call can be on its way when the last confirmation lapses.
+		if a.Refused == "" && a.MissingFor > garnetworks.ConfirmationBound+time.Second {
+			s.t.Errorf("group %s served call %s %v after a member was lost", a.Group, a.Call, a.MissingFor)
+		}
+	}
+	s.t.Logf("outcomes: %v; %d attempts at engines; %v calls to the object API", s.load.outcomes, len(attempts), s.objects.Counts())
+}
+
+// completed returns how many calls of a kind have completed.
+func (l *load) completed(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outcomes[what+" completed "]
+}
