--- a/cmd/garnetdemo/main_test.go
+++ b/cmd/garnetdemo/main_test.go
@@ -28,7 +28,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var stdout, stderr bytes.Buffer
 	ended := make(chan int, 1)
-	go func() { ended <- run(ctx, flags{StandInsOnly: true, Dir: dir, FirstPort: 7100, Engines: 8}, &stdout, &stderr) }()
+	go func() {
+		ended <- run(ctx, flags{StandInsOnly: true, Dir: dir, FirstPort: 7100, Engines: 8}, &stdout, &stderr)
+	}()
 	manifest := filepath.Join(dir, "manifest.yaml")
 	for {
 		if data, err := os.ReadFile(manifest); err == nil && strings.HasSuffix(string(data), "...\n") {
--- /dev/null
+++ b/cmd/garnetload/drive.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// resultDepth is how many results wait for the collector.
+const resultDepth = 1024
+
+// drive sends the plan's calls when they are due and collects their results.
+func drive(ctx context.Context, f flags, p *plan, s *sender, progress io.Writer) *report {
+	results := make(chan result, resultDepth)
+	report := newReport()
+	var inFlight atomic.Int64
+	collected := make(chan struct{})
+	go func() {
+		defer close(collected)
+		collect(report, results, f.Progress, &inFlight, progress)
+	}()
+	sendAll(ctx, f, p, s, results, &inFlight)
+	close(results)
+	<-collected
+	return report
+}
+
+// sendAll sends each call at its time, whether or not earlier ones were
+// answered, and waits for the answers.
+func sendAll(ctx context.Context, f flags, p *plan, s *sender, results chan<- result, inFlight *atomic.Int64) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	start := time.Now()
+	for {
+		j, ok := p.next()
+		if !ok {
+			return
+		}
+		due := start.Add(j.due)
+		timer.Reset(time.Until(due))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		if inFlight.Load() >= int64(f.MaxInFlight) {
+			results <- result{class: j.class, outcome: outcomeNotSent, kind: "--max-in-flight reached"}
+			continue
+		}
+		inFlight.Add(1)
+		calls.Go(func() {
+			r := s.send(ctx, j, due)
+			inFlight.Add(-1)
+			results <- r
+		})
+	}
+}
+
+// collect enters results into the report and prints progress lines.
+func collect(report *report, results <-chan result, every time.Duration, inFlight *atomic.Int64, progress io.Writer) {
+	var tick <-chan time.Time
+	if every > 0 {
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		tick = ticker.C
+	}
+	start := time.Now()
+	for {
+		select {
+		case r, ok := <-results:
+			if !ok {
+				report.Seconds = time.Since(start).Seconds()
+				return
+			}
+			report.add(r)
+		case <-tick:
+			_, _ = fmt.Fprintln(progress, report.progressLine(time.Since(start), inFlight.Load()))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/garnetload/sender.go
@@ -0,0 +1,306 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/connector"
+	"github.com/garnetworks/garnetworks/faker"
+)
+
+// result is what became of one call.
+type result struct {
+	class class
+	// outcome is the word of the answer, or one of the outcomes below.
+	outcome string
+	kind    string
+	// late is how long after its due time the call was sent; the other times are
+	// from the due time too.
+	late       time.Duration
+	firstToken time.Duration
+	total      time.Duration
+	gaps       []time.Duration
+	tokens     int
+	retryAfter bool
+}
+
+// Outcomes that the tool itself finds.
+const (
+	outcomeCompleted = string(garnetworks.OutcomeCompleted)
+	outcomeNotSent   = "not-sent"
+	outcomeNoAnswer  = "no-answer"
+	outcomeBroken    = "broken"
+	outcomeWrong     = "wrong-text"
+)
+
+// sender sends calls.
+type sender struct {
+	flags
+	client *http.Client
+	groups map[string][]faker.GroupBody
+	turn   atomic.Uint64
+}
+
+func newSender(ctx context.Context, f flags) (*sender, error) {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: f.MaxInFlight,
+		DisableCompression:  true,
+	}
+	s := &sender{flags: f, client: &http.Client{Transport: transport}}
+	if f.Direct == "" {
+		return s, nil
+	}
+	return s, s.learnGroups(ctx)
+}
+
+// learnGroups asks the stand-ins for the groups that serve.
+func (s *sender) learnGroups(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Direct+"/groups", nil)
+	if err != nil {
+		return err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "the stand-ins' control path")
+	}
+	defer response.Body.Close()
+	var groups []faker.GroupBody
+	if err := json.NewDecoder(response.Body).Decode(&groups); err != nil {
+		return errors.Wrap(err, "the stand-ins' groups")
+	}
+	s.groups = make(map[string][]faker.GroupBody)
+	for _, g := range groups {
+		s.groups[string(g.Model)] = append(s.groups[string(g.Model)], g)
+	}
+	if len(groups) == 0 {
+		return errors.New("no group serves")
+	}
+	return nil
+}
+
+// send makes one call and measures it from when it was due.
+func (s *sender) send(ctx context.Context, j job, due time.Time) result {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(s.Timeout))
+	defer cancel()
+	r := result{class: j.class, late: time.Since(due)}
+	request, err := s.request(ctx, j)
+	if err != nil {
+		r.outcome, r.kind = outcomeNotSent, err.Error()
+		return r
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		r.total = time.Since(due)
+		r.outcome, r.kind = outcomeNoAnswer, failureKind(ctx, err)
+		return r
+	}
+	defer response.Body.Close()
+	s.read(ctx, j, response, due, &r)
+	r.total = time.Since(due)
+	return r
+}
+
+// failureKind names a failure without the addresses in it, so that equal ones
+// are counted together.
+func failureKind(ctx context.Context, err error) string {
+	if ctx.Err() != nil {
+		return "timeout"
+	}
+	cause := errors.Cause(err)
+	for {
+		inner := errors.Unwrap(cause)
+		if inner == nil {
+			return cause.Error()
+		}
+		cause = inner
+	}
+}
+
+func (s *sender) request(ctx context.Context, j job) (*http.Request, error) {
+	switch j.class {
+	case classDirect:
+		return s.directRequest(ctx, j)
+	case classService:
+		return s.callerRequest(ctx, j, "/services/"+s.Service, j.body)
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": j.model, "prompt": j.prompt, "max_tokens": s.MaxTokens, "stream": !s.Whole,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s.callerRequest(ctx, j, "/v1/completions", string(body))
+}
+
+func (s *sender) callerRequest(ctx context.Context, j job, path, body string) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, j.url+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+j.key)
+	request.Header.Set("Content-Type", "application/json")
+	if j.idempotencyKey != "" {
+		request.Header.Set(connector.HeaderKey, j.idempotencyKey)
+	}
+	return request, nil
+}
+
+// directRequest calls an engine as an entry node does.
+func (s *sender) directRequest(ctx context.Context, j job) (*http.Request, error) {
+	groups := s.groups[j.model]
+	if len(groups) == 0 {
+		return nil, errors.Errorf("no group serves %s", j.model)
+	}
+	g := groups[s.turn.Add(1)%uint64(len(groups))]
+	body, err := json.Marshal(connector.GenerateBody{Model: g.Model, Prompt: j.prompt, MaxTokens: s.MaxTokens})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Address+connector.PathGenerate, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	h := request.Header
+	h.Set(connector.HeaderAttempt, fmt.Sprintf("direct-%d", j.number))
+	h.Set(connector.HeaderCall, fmt.Sprintf("direct-%d", j.number))
+	h.Set(connector.HeaderGroup, string(g.Group))
+	h.Set(connector.HeaderToken, strconv.FormatUint(g.Token, 10))
+	h.Set(connector.HeaderResume, "0")
+	h.Set(connector.HeaderPriority, "0")
+	return request, nil
+}
+
+// read reads the answer into r.
+func (s *sender) read(ctx context.Context, j job, response *http.Response, due time.Time, r *result) {
+	r.retryAfter = response.Header.Get("Retry-After") != ""
+	var text string
+	var whole bool
+	var err error
+	switch {
+	case response.StatusCode != http.StatusOK:
+		_, err = io.Copy(io.Discard, response.Body)
+		whole = err == nil
+	case j.class == classService:
+		_, err = io.Copy(io.Discard, response.Body)
+		whole = err == nil
+		r.firstToken = time.Since(due)
+	case s.Whole && j.class == classGateway:
+		text, err = s.readWhole(response.Body, r)
+		whole = err == nil
+		r.firstToken = time.Since(due)
+	default:
+		text, whole, err = readStream(response.Body, due, r)
+	}
+	r.outcome, r.kind = header(response, connector.HeaderOutcome), header(response, "Garnet-Error-Kind")
+	if response.StatusCode != http.StatusOK && r.kind == "" {
+		r.kind = fmt.Sprintf("status %d", response.StatusCode)
+	}
+	if j.class == classDirect && whole && response.StatusCode == http.StatusOK {
+		r.outcome = outcomeCompleted
+	}
+	switch {
+	case err != nil:
+		r.outcome, r.kind = outcomeBroken, failureKind(ctx, err)
+	case !whole && r.outcome == outcomeCompleted, r.outcome == "":
+		r.outcome = outcomeBroken
+	case s.Verify && r.outcome == outcomeCompleted && j.class != classService && text != s.wanted(j):
+		r.outcome = outcomeWrong
+	}
+}
+
+// header reads a header that may come as a trailer.
+func header(response *http.Response, name string) string {
+	if value := response.Header.Get(name); value != "" {
+		return value
+	}
+	return response.Trailer.Get(name)
+}
+
+// wanted is what the engines' stand-ins must answer.
+func (s *sender) wanted(j job) string {
+	call := &garnetworks.CallRequest{Model: garnetworks.ModelName(j.model), Prompt: j.prompt}
+	return faker.AnswerText(call, 0, s.MaxTokens)
+}
+
+// event is what is read of an event's data: a completion's from an entry node,
+// or an engine's own.
+type event struct {
+	Text    string `json:"text"`
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+func (e *event) text() string {
+	if len(e.Choices) > 0 {
+		return e.Choices[0].Text
+	}
+	return e.Text
+}
+
+func (s *sender) readWhole(body io.Reader, r *result) (string, error) {
+	var e event
+	if err := json.NewDecoder(body).Decode(&e); err != nil {
+		return "", err
+	}
+	r.tokens = e.Usage.CompletionTokens
+	return e.text(), nil
+}
+
+// maxLine bounds a line of a stream.
+const maxLine = 1 << 20
+
+// readStream reads server-sent events up to the end marker, [DONE] or an event
+// named end.
+func readStream(body io.Reader, due time.Time, r *result) (text string, whole bool, err error) {
+	var b strings.Builder
+	var last time.Time
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4<<10), maxLine)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if line == "event: "+connector.EventEnd {
+			whole = true
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			whole = true
+			continue
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return "", false, err
+		}
+		if e.text() == "" {
+			continue
+		}
+		now := time.Now()
+		if r.tokens == 0 {
+			r.firstToken = now.Sub(due)
+		} else {
+			r.gaps = append(r.gaps, now.Sub(last))
+		}
+		last = now
+		r.tokens++
+		b.WriteString(e.text())
+	}
+	return b.String(), whole, scanner.Err()
+}
--- a/faker/control.go
+++ b/faker/control.go
@@ -107,6 +107,7 @@
 	r.Post("/faults/{target}/drop", c.act(Faulty.DropConnections))
 	r.Post("/engines/{engine}/{action}", c.serveEngine)
 	r.Get("/state", c.serveState)
+	r.Get("/groups", c.serveGroups)
 	return serve(address, r, &Faults{}, nil)
 }
 
@@ -226,6 +227,37 @@
 	return body
 }
 
+// GroupBody is a group that serves now, by its first member's word.
+type GroupBody struct {
+	Group garnetworks.GroupID `json:"group"`
+	// Token is a string, because it does not fit the numbers of every reader.
+	Token   uint64                `json:"token,string"`
+	Model   garnetworks.ModelName `json:"model"`
+	Address string                `json:"address"`
+}
+
+func (c *Control) serveGroups(w http.ResponseWriter, r *http.Request) {
+	groups := []GroupBody{}
+	if c.Fleet != nil {
+		groups = append(groups, c.Fleet.Groups()...)
+	}
+	reply(w, r, groups, nil)
+}
+
+// Groups returns the groups that serve now.
+func (f *Fleet) Groups() []GroupBody {
+	var groups []GroupBody
+	for _, e := range f.Engines() {
+		f.mu.Lock()
+		missing, _ := e.missingMember()
+		if e.phase == garnetworks.EngineReady && e.members[0] == e.spec.ID && missing == "" {
+			groups = append(groups, GroupBody{e.group, uint64(e.token), e.model, e.spec.Address})
+		}
+		f.mu.Unlock()
+	}
+	return groups
+}
+
 // statuses returns the true states of all engines that run, whatever their
 // faults.
 func (f *Fleet) statuses() []garnetworks.EngineStatus {
