Place, replace, spare and power by numbered rules; account for the measures

Cause: the thin plan formed groups only. Plans that end groups on the way are made again in rounds. measurer sums group downtime and stranded instances.

--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -1,2 +1,227 @@
-// Package measurer keeps account of the users' two measures.
+// Package measurer keeps account of the users' two measures: group downtime
+// and stranded accelerators. It is pure; times come from the caller.
+//
+//	M1  A wanted group is one that the manifest and the power allow, as
+//	    placer.Output.Wanted counts them. A fault never makes one unwanted.
+//	M2  A group serves if routers may send it new calls: it is in state serving
+//	    and all of its members are confirmed. A draining group doesn't.
+//	M3  Group downtime grows, for each model on its own, by the wanted groups
+//	    that don't serve times the time. More groups of one model than wanted
+//	    make up for nothing elsewhere.
+//	M4  An instance is stranded if it has accelerators, isn't proven off, and is
+//	    no member of a serving group. So booting, loading, forming and draining
+//	    count, and so does a lost instance until its power is proven off.
+//	M5  The time between two observations counts with what the first one saw.
+//	    Of a gap above LongestGap, as after a pause of the process, the excess
+//	    counts as well and is summed up as blind, so that a reader can tell how
+//	    much of the figures was not watched.
+//	M6  A clock that goes back adds nothing and takes nothing away.
 package measurer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/placer"
+)
+
+// LongestGap is the longest time between two observations that counts as
+// watched (rule M5).
+const LongestGap = 10 * time.Second
+
+// Observation is a zone at one time.
+type Observation struct {
+	At time.Time
+	// Models are sorted by name.
+	Models []ModelCount
+	// Stranded is the number of stranded instances (rule M4).
+	Stranded int
+	// Powered is the number of instances with accelerators not proven off.
+	Powered int
+	// Drawn is the pessimistic draw.
+	Drawn garnetworks.Watts
+	Limit garnetworks.Watts
+}
+
+// ModelCount counts the groups of a model.
+type ModelCount struct {
+	Model   garnetworks.ModelName
+	Wanted  int
+	Serving int
+}
+
+// Down returns how many wanted groups don't serve.
+func (c ModelCount) Down() int { return max(0, c.Wanted-c.Serving) }
+
+// Snapshot is what an observation is made from.
+type Snapshot struct {
+	At      time.Time
+	Domains []garnetworks.FabricDomain
+	Classes []garnetworks.InstanceClass
+	// Wanted comes from the last plan.
+	Wanted []placer.ModelGroups
+	Limit  garnetworks.Watts
+	// Confirmed reports whether all members of a group are confirmed within
+	// garnetworks.ConfirmationBound (rule G1).
+	Confirmed func(garnetworks.GroupID) bool
+}
+
+// Observe reduces a snapshot to the counts.
+func Observe(s Snapshot) Observation {
+	o := Observation{At: s.At, Limit: s.Limit}
+	accelerated := garnetworks.NewSet[string]()
+	for _, c := range s.Classes {
+		if c.Accelerators > 0 {
+			accelerated.Add(c.Name)
+		}
+	}
+	for _, w := range s.Wanted {
+		o.Models = append(o.Models, ModelCount{Model: w.Model, Wanted: w.Groups})
+	}
+	slices.SortFunc(o.Models, compareCounts)
+	for i := range s.Domains {
+		o.addDomain(&s.Domains[i], accelerated, s.Confirmed)
+	}
+	return o
+}
+
+func compareCounts(a, b ModelCount) int { return cmp.Compare(a.Model, b.Model) }
+
+func (o *Observation) addDomain(d *garnetworks.FabricDomain, accelerated garnetworks.Set[string], confirmed func(garnetworks.GroupID) bool) {
+	serving := garnetworks.NewSet[garnetworks.InstanceID]()
+	for i := range d.Groups {
+		g := &d.Groups[i]
+		if g.State != garnetworks.GroupServing || !confirmed(g.ID) {
+			continue
+		}
+		o.addServing(g.Model)
+		for _, m := range g.Members {
+			serving.Add(m)
+		}
+	}
+	for i := range d.Instances {
+		instance := &d.Instances[i]
+		if !instance.Power.Draws() {
+			continue
+		}
+		o.Drawn += instance.Watts
+		if !accelerated.Has(instance.Class) {
+			continue
+		}
+		o.Powered++
+		if !serving.Has(instance.ID) {
+			o.Stranded++
+		}
+	}
+}
+
+// addServing counts a serving group; one of a model that isn't wanted has no
+// count to add to.
+func (o *Observation) addServing(m garnetworks.ModelName) {
+	at, ok := slices.BinarySearchFunc(o.Models, ModelCount{Model: m}, compareCounts)
+	if ok {
+		o.Models[at].Serving++
+	}
+}
+
+// GroupsDown returns the number of wanted groups that don't serve.
+func (o Observation) GroupsDown() int {
+	down := 0
+	for _, m := range o.Models {
+		down += m.Down()
+	}
+	return down
+}
+
+// Account sums the measures up. The zero value is ready for use.
+type Account struct {
+	last     Observation
+	started  bool
+	downtime time.Duration
+	stranded time.Duration
+	blind    time.Duration
+	byModel  map[garnetworks.ModelName]time.Duration
+}
+
+// Add closes the time since the last observation and begins the next one.
+func (a *Account) Add(o Observation) {
+	a.CountUntil(o.At)
+	if a.started && o.At.Before(a.last.At) {
+		o.At = a.last.At
+	}
+	a.last = o
+	a.started = true
+}
+
+// CountUntil counts the last observation up to now.
+func (a *Account) CountUntil(now time.Time) {
+	elapsed := now.Sub(a.last.At)
+	if !a.started || elapsed <= 0 {
+		return
+	}
+	a.last.At = now
+	a.blind += max(0, elapsed-LongestGap)
+	a.stranded += elapsed * time.Duration(a.last.Stranded)
+	for _, m := range a.last.Models {
+		a.addDown(m, elapsed)
+	}
+}
+
+func (a *Account) addDown(m ModelCount, elapsed time.Duration) {
+	if m.Down() == 0 {
+		return
+	}
+	if a.byModel == nil {
+		a.byModel = make(map[garnetworks.ModelName]time.Duration)
+	}
+	down := elapsed * time.Duration(m.Down())
+	a.downtime += down
+	a.byModel[m.Model] += down
+}
+
+// Measures returns the sums up to the last time counted, and the counts now.
+func (a *Account) Measures() garnetworks.Measures {
+	return garnetworks.Measures{
+		GroupDowntime:     a.downtime,
+		Stranded:          a.stranded,
+		GroupsDown:        a.last.GroupsDown(),
+		InstancesStranded: a.last.Stranded,
+		Drawn:             a.last.Drawn,
+		Limit:             a.last.Limit,
+	}
+}
+
+// Blind returns how much of the time counted was not watched (rule M5).
+func (a *Account) Blind() time.Duration { return a.blind }
+
+// ModelDowntime is the downtime of a model's groups.
+type ModelDowntime struct {
+	Model    garnetworks.ModelName
+	Downtime time.Duration
+}
+
+// ByModel returns the downtime of each model that had any, sorted by name.
+func (a *Account) ByModel() []ModelDowntime {
+	all := make([]ModelDowntime, 0, len(a.byModel))
+	for m, d := range a.byModel {
+		all = append(all, ModelDowntime{Model: m, Downtime: d})
+	}
+	slices.SortFunc(all, func(a, b ModelDowntime) int { return cmp.Compare(a.Model, b.Model) })
+	return all
+}
+
+// Sum adds the measures of several zones up.
+func Sum(zones []garnetworks.Measures) garnetworks.Measures {
+	var sum garnetworks.Measures
+	for _, m := range zones {
+		sum.GroupDowntime += m.GroupDowntime
+		sum.Stranded += m.Stranded
+		sum.GroupsDown += m.GroupsDown
+		sum.InstancesStranded += m.InstancesStranded
+		sum.Drawn += m.Drawn
+		sum.Limit += m.Limit
+	}
+	return sum
+}
--- /dev/null
+++ b/placer/index.go
@@ -0,0 +1,406 @@
+package placer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// presence is how an instance could come to a group.
+type presence int
+
+const (
+	// unusable instances can't join a group now.
+	unusable presence = iota
+	// powerless instances are proven off and can be booted.
+	powerless
+	// booting instances were ordered on.
+	booting
+	// leavingGroup instances are members of a group that drains.
+	leavingGroup
+	// idle instances are powered, healthy and in no group.
+	idle
+	// employed instances are members of a group that stays.
+	employed
+)
+
+// use is what the plan does with an instance.
+type use int
+
+const (
+	unused use = iota
+	usedByGroup
+	usedBySlot
+	usedAsReplacement
+	usedAsSpare
+)
+
+type instance struct {
+	*garnetworks.Instance
+	domain   *domain
+	class    *class
+	observed InstanceObservation
+	history  InstanceHistory
+	presence presence
+	use      use
+	// free is when a member of a draining group becomes free.
+	free time.Time
+	// doubtful instances failed within StrikeMemory (rule P7).
+	doubtful bool
+	// order is the position of the slot that the instance is reserved for.
+	order int
+	// reason is given if the instance is ordered on.
+	reason Reason
+	// preload is what a reserved or spare instance should load.
+	preload Weights
+	// loadClass orders loads (rule P12).
+	loadClass loadClass
+	// powerOff is set once the plan orders the instance off.
+	powerOff bool
+	// pool is nil for instances that no model uses.
+	pool *pool
+	// draining says that the instance is a member of a group that drains.
+	draining bool
+	// loads says that the plan lets the instance load weights.
+	loads bool
+}
+
+// Weights are the weights of a model's version with their size.
+type Weights struct {
+	garnetworks.WeightID
+	// Bytes is the size of one instance's share.
+	Bytes int64
+}
+
+type class struct {
+	garnetworks.InstanceClass
+	// largest is the largest group size of the class's models.
+	largest int
+	// mixed says that models of several group sizes use the class.
+	mixed bool
+}
+
+type domain struct {
+	*garnetworks.FabricDomain
+	instances []*instance
+	// held counts the groups and slots of each model in the domain.
+	held []int
+	// version counts changes, so that choices can be kept until then.
+	version int
+	// dark is true if nothing in the domain is powered and healthy, and
+	// instances have failed there.
+	dark bool
+}
+
+type group struct {
+	*garnetworks.Group
+	domain  *domain
+	model   *model
+	members []*instance
+	// ending is set once the plan drains or dissolves the group.
+	ending bool
+	// replaces is the living group that this one will replace.
+	replaces *group
+	// replacement is the group that will replace this one.
+	replacement *group
+	// order is the position of the group's slot.
+	order int
+	// minimum says that the group fills a minimum slot.
+	minimum bool
+}
+
+type model struct {
+	garnetworks.ModelSpec
+	class *class
+	index int
+	// live are the groups that fill slots, the best first.
+	live []*group
+	// shadows are groups that form to replace live ones.
+	shadows []*group
+	// drains counts groups that drain.
+	drains int
+	// pending counts slots without a group that the plan waits for.
+	pending int
+	// unplaced counts slots for which no domain has the instances.
+	unplaced int
+	// moving counts replacements that the plan prepares.
+	moving int
+	// reservations are those of the last plan that no slot has taken up.
+	reservations []Reservation
+	// choices keeps the best members of each domain, by the domain's index.
+	choices []keptChoice
+}
+
+// ending is the end of a group that an earlier round decided.
+type ending struct {
+	reason Reason
+	grace  time.Duration
+}
+
+type planner struct {
+	in Input
+	// ended holds the groups that end; judged says that all those known from
+	// the start have been ended, endedLate that there were others.
+	ended     map[garnetworks.GroupID]ending
+	judged    bool
+	endedLate bool
+	// displaced says that a slot displaced groups, which ends the round.
+	displaced bool
+	out       Output
+	classes   map[string]*class
+	models    []*model
+	byName    map[garnetworks.ModelName]*model
+	domains   []*domain
+	instances []*instance
+	groups    []*group
+	slots     []slot
+	// planned is the draw of everything the plan has a use for.
+	planned garnetworks.Watts
+	// forms are the groups that can form now.
+	forms []*pendingForm
+	// closing, offs, ons and loads are the decisions by kind.
+	closing, offs, ons, loads []Decision
+	pools                     []*pool
+	// spareWatts is the draw of the kept spares.
+	spareWatts garnetworks.Watts
+	lostGrace  time.Duration
+	scratch    []candidate
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{in: in}
+	p.indexClasses()
+	p.indexModels()
+	p.indexDomains()
+	p.indexGroups()
+	p.slots = slotsOf(p.models)
+	return p
+}
+
+func (p *planner) indexClasses() {
+	p.classes = make(map[string]*class, len(p.in.Classes))
+	for _, c := range p.in.Classes {
+		if c.BootTime <= 0 {
+			c.BootTime = DefaultBootTime
+		}
+		if c.FailuresPerDay <= 0 {
+			c.FailuresPerDay = defaultFailures
+		}
+		p.classes[c.Name] = &class{InstanceClass: c}
+	}
+}
+
+func (p *planner) indexModels() {
+	p.byName = make(map[garnetworks.ModelName]*model, len(p.in.Models))
+	for _, m := range p.in.Models {
+		c := p.classes[m.Class]
+		p.models = append(p.models, &model{ModelSpec: m, class: c})
+		if c == nil {
+			continue
+		}
+		c.mixed = c.mixed || c.largest != 0 && c.largest != m.GroupSize
+		c.largest = max(c.largest, m.GroupSize)
+	}
+	slices.SortFunc(p.models, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Name, b.Name))
+	})
+	for i, m := range p.models {
+		m.index = i
+		m.choices = make([]keptChoice, len(p.in.Domains))
+		p.byName[m.Name] = m
+	}
+	for _, r := range p.in.State.Reservations {
+		if m := p.byName[r.Model]; m != nil {
+			m.reservations = append(m.reservations, r)
+		}
+	}
+}
+
+func (p *planner) indexDomains() {
+	count := 0
+	for i := range p.in.Domains {
+		count += len(p.in.Domains[i].Instances)
+	}
+	slab := make([]instance, 0, count)
+	p.instances = make([]*instance, 0, count)
+	for i := range p.in.Domains {
+		d := &domain{FabricDomain: &p.in.Domains[i], held: make([]int, len(p.models))}
+		d.instances = make([]*instance, 0, len(d.Instances))
+		for j := range d.Instances {
+			slab = append(slab, instance{Instance: &d.Instances[j], domain: d})
+			d.instances = append(d.instances, &slab[len(slab)-1])
+		}
+		slices.SortFunc(d.instances, func(a, b *instance) int { return cmp.Compare(a.ID, b.ID) })
+		p.domains = append(p.domains, d)
+	}
+	slices.SortFunc(p.domains, func(a, b *domain) int { return cmp.Compare(a.ID, b.ID) })
+	for _, d := range p.domains {
+		p.instances = append(p.instances, d.instances...)
+		for _, i := range d.instances {
+			p.indexInstance(i)
+		}
+		d.dark = isDark(d)
+	}
+}
+
+func (p *planner) indexInstance(i *instance) {
+	i.class = p.classes[i.Class]
+	i.observed = p.in.Instances[i.ID]
+	i.history = p.in.State.Instances[i.ID]
+	p.recordLoss(i)
+	i.doubtful = i.history.Strikes > 0 && p.in.Now.Before(i.history.LastStrike.Add(StrikeMemory))
+	i.presence = p.presenceOf(i)
+	if i.Power.Draws() {
+		p.out.Drawn += i.Watts
+	}
+}
+
+// recordLoss counts the instance's failures. A boot that takes far too long
+// counts as one: the instance draws power, never answers, and nothing else
+// would ever end the wait for it.
+func (p *planner) recordLoss(i *instance) {
+	h := &i.history
+	running := i.Power == garnetworks.PowerOn || i.Power == garnetworks.PowerUnknown
+	lost := running && i.Condition == garnetworks.ConditionLost || p.bootOverdue(i)
+	if i.Power == garnetworks.PowerStopping {
+		return
+	}
+	if !lost {
+		h.LostSince = time.Time{}
+		p.forgetStrikes(h)
+		return
+	}
+	if h.LostSince.IsZero() {
+		h.LostSince = p.in.Now
+		h.LastStrike = p.in.Now
+		h.Strikes++
+	}
+}
+
+func (p *planner) forgetStrikes(h *InstanceHistory) {
+	for h.Strikes > 0 && !p.in.Now.Before(h.LastStrike.Add(StrikeMemory)) {
+		h.Strikes--
+		h.LastStrike = h.LastStrike.Add(StrikeMemory)
+	}
+}
+
+func (p *planner) bootOverdue(i *instance) bool {
+	if i.Power != garnetworks.PowerStarting || i.class == nil || i.history.PoweredOn.IsZero() {
+		return false
+	}
+	limit := bootOverdueFactor*i.class.BootTime + time.Minute
+	return !p.in.Now.Before(i.history.PoweredOn.Add(limit))
+}
+
+// presenceOf judges the instance on its own; indexGroups corrects it for
+// members of groups.
+func (p *planner) presenceOf(i *instance) presence {
+	if i.class == nil || p.inBackoff(i) {
+		return unusable
+	}
+	switch i.Power {
+	case garnetworks.PowerOff:
+		return powerless
+	case garnetworks.PowerStarting:
+		if !i.history.LostSince.IsZero() {
+			return unusable
+		}
+		return booting
+	case garnetworks.PowerOn:
+		// An instance whose end is announced would break its next group too.
+		if !i.observed.LeaveBy.IsZero() {
+			return unusable
+		}
+		if i.Condition == garnetworks.ConditionHealthy || i.Condition == garnetworks.ConditionStraggler {
+			return idle
+		}
+	}
+	return unusable
+}
+
+// inBackoff keeps an instance that fails again and again out of groups for
+// twice the time after each failure (rule P7): each return would otherwise
+// break another group.
+func (p *planner) inBackoff(i *instance) bool {
+	until := backoffEnd(i.history)
+	if !p.in.Now.Before(until) {
+		return false
+	}
+	p.wake(until)
+	return true
+}
+
+func backoffEnd(h InstanceHistory) time.Time {
+	if h.Strikes < 2 {
+		return time.Time{}
+	}
+	backoff := firstBackoff << min(h.Strikes-2, 10)
+	return h.LastStrike.Add(min(backoff, longestBackoff))
+}
+
+func isDark(d *domain) bool {
+	failed := false
+	for _, i := range d.instances {
+		if i.Power == garnetworks.PowerOn && i.Condition == garnetworks.ConditionHealthy {
+			return false
+		}
+		failed = failed || i.doubtful
+	}
+	return failed
+}
+
+func (p *planner) indexGroups() {
+	byID := make(map[garnetworks.InstanceID]*instance, len(p.instances))
+	for _, i := range p.instances {
+		byID[i.ID] = i
+	}
+	named := map[garnetworks.GroupID]*group{}
+	for _, d := range p.domains {
+		for j := range d.Groups {
+			g := &group{Group: &d.Groups[j], domain: d, model: p.byName[d.Groups[j].Model]}
+			for _, id := range g.Members {
+				if i := byID[id]; i != nil && i.domain == d {
+					g.members = append(g.members, i)
+				}
+			}
+			p.groups = append(p.groups, g)
+			named[g.ID] = g
+		}
+	}
+	slices.SortFunc(p.groups, func(a, b *group) int { return cmp.Compare(a.ID, b.ID) })
+	for _, g := range p.groups {
+		if g.Replaces != "" {
+			g.replaces = named[g.Replaces]
+		}
+	}
+}
+
+// wake asks for a new plan at t.
+func (p *planner) wake(t time.Time) {
+	if !t.After(p.in.Now) {
+		return
+	}
+	if p.out.Wake.IsZero() || t.Before(p.out.Wake) {
+		p.out.Wake = t
+	}
+}
+
+// remember writes the state for the next plan; instances without history are
+// left out, so that the state stays small.
+func (p *planner) remember() {
+	p.out.State.Instances = make(map[garnetworks.InstanceID]InstanceHistory)
+	for _, i := range p.instances {
+		if i.history != (InstanceHistory{}) {
+			p.out.State.Instances[i.ID] = i.history
+		}
+	}
+}
+
+func copyTimes(m map[garnetworks.ModelName]time.Time) map[garnetworks.ModelName]time.Time {
+	c := make(map[garnetworks.ModelName]time.Time, len(m))
+	maps.Copy(c, m)
+	return c
+}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -1,81 +1,78 @@
 package placer
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/garnetworks/garnetworks"
 )
 
 // Plan decides what to do next in the zone.
+//
+// A group that ends frees members that slots before its own may want, so a
+// plan that ends groups on the way is made again with those groups ending from
+// the start. Each round ends one group more at least, which bounds them.
 func Plan(in Input) Output {
-	out := Output{State: in.State}
-	free := map[garnetworks.DomainID][]garnetworks.Instance{}
-	have := map[garnetworks.ModelName]int{}
-	domains := slices.Clone(in.Domains)
-	slices.SortFunc(domains, func(a, b garnetworks.FabricDomain) int { return cmp.Compare(a.ID, b.ID) })
-	for _, d := range domains {
-		held := garnetworks.NewSet[garnetworks.InstanceID]()
-		for _, g := range d.Groups {
-			if g.State == garnetworks.GroupBroken {
-				out.Decisions = append(out.Decisions, DissolveGroup{Domain: d.ID, Group: g.ID, Reason: ReasonMemberLost})
-				continue
-			}
-			have[g.Model]++
-			for _, m := range g.Members {
-				held.Add(m)
-			}
-		}
-		for _, i := range d.Instances {
-			if i.Power.Draws() {
-				out.Drawn += i.Watts
-			}
-			if !held.Has(i.ID) && (i.Power == garnetworks.PowerOff || i.Condition == garnetworks.ConditionHealthy) {
-				free[d.ID] = append(free[d.ID], i)
-			}
+	ended := map[garnetworks.GroupID]ending{}
+	for {
+		p := newPlanner(in)
+		p.ended = ended
+		p.decide()
+		if !p.endedLate {
+			p.collect()
+			p.countWanted()
+			p.remember()
+			return p.out
 		}
+		in.State.Sheds = p.out.State.Sheds
+		in.State.Moves = p.out.State.Moves
 	}
-	models := slices.Clone(in.Models)
-	slices.SortStableFunc(models, func(a, b garnetworks.ModelSpec) int { return cmp.Compare(b.Priority, a.Priority) })
-	drawn := out.Drawn
-	for _, m := range models {
-		for range m.MinGroups - have[m.Name] {
-			for _, d := range domains {
-				if form(&out, &drawn, in.Limit, d.ID, m, free) {
-					break
-				}
-			}
-		}
+}
+
+func (p *planner) decide() {
+	p.out.State.Sheds = copyTimes(p.in.State.Sheds)
+	p.out.State.Moves = copyTimes(p.in.State.Moves)
+	p.lostGrace = p.graceForLost()
+	p.judgeGroups()
+	p.fillSlots()
+	p.replaceMembers()
+	if p.endedLate {
+		return
 	}
-	return out
+	p.keepSpares()
+	p.describeHolds()
+	p.decidePower()
+	p.shareRate()
 }
 
-func form(out *Output, drawn *garnetworks.Watts, limit garnetworks.Watts, d garnetworks.DomainID, m garnetworks.ModelSpec, free map[garnetworks.DomainID][]garnetworks.Instance) bool {
-	var members, on []garnetworks.InstanceID
-	var watts garnetworks.Watts
-	var rest []garnetworks.Instance
-	for _, i := range free[d] {
-		if i.Class != m.Class || len(members) == m.GroupSize {
-			rest = append(rest, i)
-			continue
-		}
-		members = append(members, i.ID)
-		if i.Power == garnetworks.PowerOff {
-			on = append(on, i.ID)
-			watts += i.Watts
-		}
+// collect puts the decisions in the order in which they can be carried out:
+// what frees members and power comes before what takes them.
+func (p *planner) collect() {
+	count := len(p.closing) + len(p.offs) + len(p.ons) + len(p.forms) + len(p.loads)
+	if count == 0 {
+		return
 	}
-	if len(members) < m.GroupSize || *drawn+watts > limit {
-		return false
+	p.out.Decisions = make([]Decision, 0, count)
+	p.out.Decisions = append(p.out.Decisions, p.closing...)
+	p.out.Decisions = append(p.out.Decisions, p.offs...)
+	p.out.Decisions = append(p.out.Decisions, p.ons...)
+	for _, f := range p.forms {
+		p.out.Decisions = append(p.out.Decisions, f.decision())
 	}
-	*drawn += watts
-	free[d] = rest
-	for _, i := range on {
-		out.Decisions = append(out.Decisions, PowerOn{Domain: d, Instance: i, Reason: ReasonWanted})
+	p.out.Decisions = append(p.out.Decisions, p.loads...)
+}
+
+func (f *pendingForm) decision() FormGroup {
+	d := FormGroup{
+		Domain:   f.choice.domain.ID,
+		Model:    f.model.Name,
+		Version:  f.model.Version,
+		Adapters: slices.Clone(f.model.Adapters),
+		Members:  idsOf(f.choice.members),
+		LoadRate: f.rate,
+		Reason:   f.reason,
 	}
-	if len(on) == 0 {
-		slices.Sort(members)
-		out.Decisions = append(out.Decisions, FormGroup{Domain: d, Model: m.Name, Version: m.Version, Adapters: m.Adapters, Members: members, Reason: ReasonWanted})
+	if f.replaces != nil {
+		d.Replaces = f.replaces.ID
 	}
-	return true
+	return d
 }
--- /dev/null
+++ b/placer/power.go
@@ -0,0 +1,271 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// decidePower orders instances off and on (rules P3, P11 and P13).
+func (p *planner) decidePower() {
+	ons := p.wantedOn()
+	var asked garnetworks.Watts
+	for _, i := range ons {
+		asked += i.Watts
+	}
+	lack := p.out.Drawn + asked - p.in.Limit
+	lack -= p.switchOffDue()
+	p.switchOffFor(lack)
+	p.switchOn(ons)
+}
+
+// wantedOn returns the instances to be ordered on, the most urgent first.
+func (p *planner) wantedOn() []*instance {
+	var ons []*instance
+	for _, d := range p.domains {
+		probing := d.dark && p.probesFirst(d)
+		probed := probing && hasBooting(d)
+		for _, i := range d.instances {
+			if i.use == unused || i.presence != powerless {
+				continue
+			}
+			if i.doubtful && probed {
+				continue
+			}
+			ons = append(ons, i)
+			probed = probing
+		}
+	}
+	slices.SortStableFunc(ons, func(a, b *instance) int { return cmp.Compare(a.order, b.order) })
+	return ons
+}
+
+func hasBooting(d *domain) bool {
+	return slices.ContainsFunc(d.instances, func(i *instance) bool { return i.presence == booting && i.use != unused })
+}
+
+// probesFirst reports whether a dark domain is tried with one instance: all of
+// them booting in vain cost more than the boot time that one costs (rule P7).
+func (p *planner) probesFirst(d *domain) bool {
+	for _, i := range d.instances {
+		if i.class != nil && i.class.largest > 0 {
+			return p.in.Weights.Stranded*float64(i.class.largest) > p.in.Weights.GroupDowntime
+		}
+	}
+	return false
+}
+
+// switchOffDue orders off what has no use any longer and returns its draw,
+// with that of instances that are being switched off.
+func (p *planner) switchOffDue() garnetworks.Watts {
+	var freed garnetworks.Watts
+	for _, i := range p.instances {
+		if i.Power == garnetworks.PowerStopping {
+			freed += i.Watts
+		}
+		p.noteIdle(i)
+		reason, due := p.offDue(i)
+		if reason == "" {
+			continue
+		}
+		if p.in.Now.Before(due) {
+			p.wake(due)
+			continue
+		}
+		p.switchOff(i, reason)
+		freed += i.Watts
+	}
+	return freed
+}
+
+// noteIdle keeps the time since which the instance is of no use.
+func (p *planner) noteIdle(i *instance) {
+	running := i.Power == garnetworks.PowerOn || i.Power == garnetworks.PowerStarting
+	if !running || i.use != unused || i.draining {
+		i.history.IdleSince = time.Time{}
+		return
+	}
+	if i.history.IdleSince.IsZero() {
+		i.history.IdleSince = p.in.Now
+	}
+}
+
+// offDue returns why and when the instance is to be ordered off; an empty
+// reason means that it isn't.
+func (p *planner) offDue(i *instance) (Reason, time.Time) {
+	switch {
+	case i.Power == garnetworks.PowerOff || i.Power == garnetworks.PowerStopping:
+		return "", time.Time{}
+	case i.use != unused || i.draining || i.class == nil || i.class.largest == 0:
+		return "", time.Time{}
+	case !i.history.LostSince.IsZero():
+		return ReasonLost, i.history.LostSince.Add(p.lostGrace)
+	case i.Power != garnetworks.PowerOn && i.Power != garnetworks.PowerStarting:
+		return "", time.Time{}
+	case i.Condition == garnetworks.ConditionLeaving:
+		return ReasonLeaving, i.history.IdleSince
+	case i.Condition == garnetworks.ConditionReturned:
+		return ReasonIdle, i.history.IdleSince.Add(ReturnGrace)
+	default:
+		return ReasonIdle, p.idleDue(i)
+	}
+}
+
+// idleDue returns the end of the hold by rule P11, but not before FlapBound has
+// passed since the instance was ordered on (rule P13).
+func (p *planner) idleDue(i *instance) time.Time {
+	due := i.history.IdleSince.Add(p.holdOf(i))
+	if on := i.history.PoweredOn; !on.IsZero() && on.Add(FlapBound).After(due) {
+		due = on.Add(FlapBound)
+	}
+	return due
+}
+
+func (p *planner) holdOf(i *instance) time.Duration {
+	o := i.pool
+	hold := o.hold
+	if o.survivors > 0 && i.presence == idle {
+		hold = max(hold, p.survivorHold(o))
+	}
+	return min(hold, MaxHold)
+}
+
+// survivorHold is the time after which holding survivors has cost as much as
+// booting and loading them anew would.
+func (p *planner) survivorHold(o *pool) time.Duration {
+	cost := p.in.Weights.Stranded * float64(o.survivors)
+	if cost <= 0 {
+		return MaxHold
+	}
+	factor := 1 + p.in.Weights.GroupDowntime/cost
+	return seconds(min(o.Saved.Seconds()*factor, MaxHold.Seconds()))
+}
+
+// describeHolds computes, for each pool, how long its leftovers are held.
+func (p *planner) describeHolds() {
+	for _, o := range p.pools {
+		share := 1.0
+		if s := p.in.Weights.Stranded; s > 0 {
+			share = min(1, o.Worth(len(o.kept)+1)/s)
+		}
+		o.hold = seconds(o.class.BootTime.Seconds() * share)
+		o.survivors = p.survivorsOf(o)
+	}
+}
+
+// survivorsOf counts the idle instances of a pool that wait for a lost member:
+// a group is wanted, they are too few for it, and with those that may return
+// they are enough.
+func (p *planner) survivorsOf(o *pool) int {
+	least := 0
+	for _, m := range p.models {
+		if m.class == o.class && m.unplaced > 0 && (least == 0 || m.GroupSize < least) {
+			least = m.GroupSize
+		}
+	}
+	left, mayReturn := 0, 0
+	for _, i := range o.domain.instances {
+		if i.class != o.class || i.use != unused {
+			continue
+		}
+		if i.presence == idle {
+			left++
+		} else if i.history.Strikes > 0 {
+			mayReturn++
+		}
+	}
+	if least == 0 || left+mayReturn < least {
+		return 0
+	}
+	return left
+}
+
+// switchOffFor gives up holds until the lack of power is covered; what is of
+// the least use goes first.
+func (p *planner) switchOffFor(lack garnetworks.Watts) {
+	if lack <= 0 {
+		return
+	}
+	var held []*instance
+	for _, i := range p.instances {
+		if reason, _ := p.offDue(i); reason != "" && !i.powerOff {
+			held = append(held, i)
+		}
+	}
+	slices.SortStableFunc(held, func(a, b *instance) int { return cmp.Compare(holdRank(a), holdRank(b)) })
+	for _, i := range held {
+		if lack <= 0 {
+			return
+		}
+		reason, _ := p.offDue(i)
+		if reason == ReasonIdle {
+			reason = ReasonPower
+		}
+		p.switchOff(i, reason)
+		lack -= i.Watts
+	}
+}
+
+func holdRank(i *instance) int {
+	switch {
+	case !i.history.LostSince.IsZero():
+		return 0
+	case i.presence != idle:
+		return 1
+	case len(i.Weights) == 0:
+		return 2
+	default:
+		return 3
+	}
+}
+
+func (p *planner) switchOff(i *instance, reason Reason) {
+	i.powerOff = true
+	p.offs = append(p.offs, PowerOff{Domain: i.domain.ID, Instance: i.ID, Reason: reason})
+	if reason == ReasonIdle || reason == ReasonPower {
+		i.history.PoweredOff = p.in.Now
+	}
+	i.history.PoweredOn = time.Time{}
+	i.history.IdleSince = time.Time{}
+	i.history.Weights = garnetworks.WeightID{}
+	i.history.LoadRate = 0
+}
+
+// switchOn orders on, in order, what the pessimistic draw leaves room for. A
+// later instance never overtakes an earlier one that must wait, since it would
+// take the power that the earlier one waits for.
+func (p *planner) switchOn(ons []*instance) {
+	drawn := p.out.Drawn
+	for _, i := range ons {
+		if drawn+i.Watts > p.in.Limit {
+			return
+		}
+		drawn += i.Watts
+		i.history.PoweredOn = p.in.Now
+		i.history.PoweredOff = time.Time{}
+		p.ons = append(p.ons, PowerOn{Domain: i.domain.ID, Instance: i.ID, Reason: i.reason})
+	}
+}
+
+// graceForLost returns how long lost instances keep their power.
+func (p *planner) graceForLost() time.Duration {
+	powered, lost := 0, 0
+	for _, i := range p.instances {
+		ran := i.Power == garnetworks.PowerOn || i.Power == garnetworks.PowerUnknown
+		isLost := !i.history.LostSince.IsZero()
+		if isLost {
+			lost++
+		}
+		if ran || isLost {
+			powered++
+		}
+	}
+	// Most of a zone lost at once shows rather that this node is cut off; to
+	// switch everything off would turn its own fault into the zone's.
+	if lost >= massLostLeast && float64(lost) > massLostShare*float64(powered) {
+		return MassLostGrace
+	}
+	return LostGrace
+}
--- /dev/null
+++ b/placer/state_test.go
@@ -0,0 +1,215 @@
+package placer_test
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/placer"
+	"pgregory.net/rapid"
+)
+
+// machine drives a zone through random faults, orders and changes of the
+// manifest. After each step the plan must keep the rules that apply checks,
+// must be the same when it is made twice, and must have settled once it is
+// carried out.
+type machine struct {
+	*world
+}
+
+func (m *machine) pick(t *rapid.T) *garnetworks.Instance {
+	d := &m.Domains[rapid.IntRange(0, len(m.Domains)-1).Draw(t, "domain")]
+	return &d.Instances[rapid.IntRange(0, len(d.Instances)-1).Draw(t, "instance")]
+}
+
+func (m *machine) check(t *rapid.T) {
+	before := clone(m.Input)
+	a, b := placer.Plan(m.Input), placer.Plan(m.Input)
+	if !reflect.DeepEqual(a, b) {
+		t.Fatalf("two plans from one input differ:\n%s\n%s", describe(a), describe(b))
+	}
+	if !reflect.DeepEqual(before, m.Input) {
+		t.Fatalf("the plan changed its input")
+	}
+	slices.Reverse(m.Domains)
+	if c := placer.Plan(m.Input); !reflect.DeepEqual(a, c) {
+		t.Fatalf("the plan depends on the order of domains:\n%s\n%s", describe(a), describe(c))
+	}
+	slices.Reverse(m.Domains)
+	m.plan(t)
+}
+
+func clone(in placer.Input) placer.Input {
+	in.Domains = slices.Clone(in.Domains)
+	for i := range in.Domains {
+		in.Domains[i].Instances = slices.Clone(in.Domains[i].Instances)
+		in.Domains[i].Groups = slices.Clone(in.Domains[i].Groups)
+	}
+	in.Models = slices.Clone(in.Models)
+	return in
+}
+
+func (m *machine) fault(t *rapid.T) {
+	i := m.pick(t)
+	if i.Power == garnetworks.PowerOff {
+		return
+	}
+	i.Condition = rapid.SampledFrom([]garnetworks.Condition{
+		garnetworks.ConditionLost, garnetworks.ConditionLeaving,
+		garnetworks.ConditionStraggler, garnetworks.ConditionReturned,
+	}).Draw(t, "condition")
+}
+
+func (m *machine) heal(t *rapid.T) { m.pick(t).Condition = garnetworks.ConditionHealthy }
+
+func (m *machine) domainDark(t *rapid.T) {
+	d := &m.Domains[rapid.IntRange(0, len(m.Domains)-1).Draw(t, "domain")]
+	for i := range d.Instances {
+		if d.Instances[i].Power.Draws() {
+			d.Instances[i].Condition = garnetworks.ConditionLost
+		}
+	}
+}
+
+func (m *machine) announce(t *rapid.T) {
+	i := m.pick(t)
+	by := m.Now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "seconds")) * time.Second)
+	m.Instances[i.ID] = placer.InstanceObservation{LeaveBy: by}
+}
+
+func (m *machine) withdraw(t *rapid.T) { delete(m.Instances, m.pick(t).ID) }
+
+func (m *machine) limit(t *rapid.T) {
+	count := 0
+	for _, d := range m.Domains {
+		count += len(d.Instances)
+	}
+	m.Limit = engineWatts * garnetworks.Watts(rapid.IntRange(0, count).Draw(t, "limit"))
+}
+
+func (m *machine) manifest(t *rapid.T) {
+	o := &m.Models[rapid.IntRange(0, len(m.Models)-1).Draw(t, "model")]
+	o.MinGroups = rapid.IntRange(0, 3).Draw(t, "min")
+	o.MaxGroups = o.MinGroups + rapid.IntRange(0, 2).Draw(t, "more")
+	o.Priority = rapid.IntRange(0, 3).Draw(t, "priority")
+	o.Version = rapid.SampledFrom([]garnetworks.VersionName{"v1", "v2"}).Draw(t, "version")
+	m.Weights = rapid.SampledFrom([]garnetworks.MeasureWeights{delta, schiedsplan}).Draw(t, "weights")
+}
+
+func (m *machine) removeInstance(t *rapid.T) {
+	d := &m.Domains[rapid.IntRange(0, len(m.Domains)-1).Draw(t, "domain")]
+	if len(d.Instances) > 6 {
+		d.Instances = slices.Delete(d.Instances, 2, 3)
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	m.Now = m.Now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "seconds")) * time.Second)
+}
+
+// heals all, lets everything under way end, and asks the oracle.
+func (m *machine) recover(t *rapid.T) {
+	m.Instances = map[garnetworks.InstanceID]placer.InstanceObservation{}
+	for i := range m.Domains {
+		for j := range m.Domains[i].Instances {
+			m.Domains[i].Instances[j].Condition = garnetworks.ConditionHealthy
+		}
+	}
+	m.Now = m.Now.Add(48 * time.Hour)
+	m.settle(t)
+	m.Now = m.Now.Add(2 * placer.MaxHold)
+	m.settle(t)
+	m.checkGreedy(t)
+	m.checkNothingStranded(t)
+}
+
+// checkGreedy is the oracle for rule P1: a model below its minimum has no
+// domain in which it could form, were all groups of lower priority gone.
+func (m *machine) checkGreedy(t *rapid.T) {
+	serving := m.serving()
+	for _, o := range m.Models {
+		if serving[o.Name] >= o.MinGroups {
+			continue
+		}
+		used := garnetworks.Watts(0)
+		for _, d := range m.Domains {
+			free := len(d.Instances)
+			for _, g := range d.Groups {
+				if m.protected(g.Model, o, serving) {
+					free -= len(g.Members)
+					used += engineWatts * garnetworks.Watts(len(g.Members))
+				}
+			}
+			if free >= o.GroupSize && m.Limit >= m.protectedDraw(o, serving)+engineWatts*garnetworks.Watts(o.GroupSize) {
+				t.Fatalf("%s has %d of %d groups though %s has room for it", o.Name, serving[o.Name], o.MinGroups, d.ID)
+			}
+		}
+	}
+}
+
+func (m *machine) protected(name garnetworks.ModelName, than garnetworks.ModelSpec, _ map[garnetworks.ModelName]int) bool {
+	for _, o := range m.Models {
+		if o.Name == name {
+			return o.Name == than.Name || o.Priority >= than.Priority
+		}
+	}
+	return false
+}
+
+func (m *machine) protectedDraw(than garnetworks.ModelSpec, serving map[garnetworks.ModelName]int) garnetworks.Watts {
+	draw := garnetworks.Watts(0)
+	for _, g := range m.all() {
+		if m.protected(g.Model, than, serving) {
+			draw += engineWatts * garnetworks.Watts(len(g.Members))
+		}
+	}
+	return draw
+}
+
+// checkNothingStranded is the oracle for rules P10 and P11: in a zone at rest
+// only spares are powered outside of groups, and none with weights that put
+// stranded instances first.
+func (m *machine) checkNothingStranded(t *rapid.T) {
+	for _, d := range m.Domains {
+		idle := 0
+		for _, i := range d.Instances {
+			if i.Power.Draws() && i.Group == "" {
+				idle++
+			}
+		}
+		most := 0
+		if m.Weights == delta {
+			most = 2
+		}
+		if len(d.Groups) == 0 {
+			most = 0
+		}
+		if idle > most {
+			t.Fatalf("%s keeps %d instances powered outside of groups, at most %d are due:\n%+v\n%+v\n%+v", d.ID, idle, most, d, m.Input.Limit, placer.Plan(m.Input))
+		}
+	}
+}
+
+func TestPlansKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{newWorld(3, 10, modelSpec("a", 3, 2, 3), modelSpec("b", 2, 1, 3), modelSpec("c", 1, 1, 2))}
+		m.Models[2].GroupSize = rapid.SampledFrom([]int{2, 4}).Draw(t, "size")
+		m.settle(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":         m.check,
+			"fault":    m.fault,
+			"heal":     m.heal,
+			"dark":     m.domainDark,
+			"announce": m.announce,
+			"withdraw": m.withdraw,
+			"limit":    m.limit,
+			"manifest": m.manifest,
+			"remove":   m.removeInstance,
+			"pass":     m.pass,
+			"finish":   func(*rapid.T) { m.finish() },
+			"recover":  m.recover,
+		})
+	})
+}
--- a/placer/types.go
+++ b/placer/types.go
@@ -227,8 +227,20 @@
 type State struct {
 	// Instances holds only instances with something to remember.
 	Instances map[garnetworks.InstanceID]InstanceHistory
-	// Moves holds when a model's group was last replaced by choice.
+	// Moves holds when a model's straggler was last replaced.
 	Moves map[garnetworks.ModelName]time.Time
+	// Sheds holds when a lowered limit last took a group of the model.
+	Sheds map[garnetworks.ModelName]time.Time
+	// Reservations are the members that groups wait for, in the order of slots.
+	Reservations []Reservation
+}
+
+// Reservation is a choice of members that are not all there yet. Later plans
+// keep to it unless another choice is sooner by SwitchGain (rule P13).
+type Reservation struct {
+	Model   garnetworks.ModelName
+	Domain  garnetworks.DomainID
+	Members []garnetworks.InstanceID
 }
 
 // InstanceHistory is what is remembered of an instance.
--- /dev/null
+++ b/placer/wanted.go
@@ -0,0 +1,111 @@
+package placer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// capacity counts instances of one class in one domain that no wanted group
+// has taken.
+type capacity struct {
+	domain *domain
+	class  *class
+	left   int
+	held   []int
+}
+
+// countWanted computes the wanted groups (rule P2) and the zone's need.
+func (p *planner) countWanted() {
+	wanted, _ := p.wantedWithin(p.in.Limit)
+	for _, m := range p.models {
+		p.out.Wanted = append(p.out.Wanted, ModelGroups{Model: m.Name, Groups: wanted[m.index]})
+	}
+	slices.SortFunc(p.out.Wanted, func(a, b ModelGroups) int { return cmp.Compare(a.Model, b.Model) })
+	_, p.out.Need = p.wantedWithin(math.MaxInt64)
+	p.out.Need += p.spareWatts
+}
+
+func (p *planner) wantedWithin(limit garnetworks.Watts) ([]int, garnetworks.Watts) {
+	capacities := p.capacities()
+	wanted := make([]int, len(p.models))
+	var drawn garnetworks.Watts
+	for _, s := range p.slots {
+		m := s.model
+		if m.class == nil {
+			continue
+		}
+		watts := m.class.Watts * garnetworks.Watts(m.GroupSize)
+		if watts > limit-drawn {
+			continue
+		}
+		c := roomiest(capacities, m)
+		if c == nil {
+			continue
+		}
+		c.left -= m.GroupSize
+		c.held[m.index]++
+		drawn += watts
+		wanted[m.index]++
+	}
+	return wanted, drawn
+}
+
+func (p *planner) capacities() []*capacity {
+	var all []*capacity
+	for _, d := range p.domains {
+		first := len(all)
+		for _, i := range d.instances {
+			if i.class == nil {
+				continue
+			}
+			at := slices.IndexFunc(all[first:], func(c *capacity) bool { return c.class == i.class })
+			if at < 0 {
+				at = len(all) - first
+				all = append(all, &capacity{domain: d, class: i.class, held: make([]int, len(p.models))})
+			}
+			all[first+at].left++
+		}
+	}
+	return all
+}
+
+// roomiest returns where a group of the model would go by the ties of P5.
+func roomiest(capacities []*capacity, m *model) *capacity {
+	var best *capacity
+	for _, c := range capacities {
+		if c.class != m.class || c.left < m.GroupSize {
+			continue
+		}
+		if best == nil || compareCapacities(c, best, m) < 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+func compareCapacities(a, b *capacity, m *model) int {
+	return cmp.Or(
+		cmp.Compare(a.waste(m), b.waste(m)),
+		cmp.Compare(a.held[m.index], b.held[m.index]),
+		cmp.Compare(b.left, a.left),
+	)
+}
+
+// waste is how many more instances than before fit no largest group.
+func (c *capacity) waste(m *model) int {
+	if !c.class.mixed {
+		return 0
+	}
+	return (c.left-m.GroupSize)%c.class.largest - c.left%c.class.largest
+}
+
+// Wanted returns the number of groups of each model that the manifest and the
+// power allow (rule P2), sorted by model, without making a plan.
+func Wanted(in Input) []ModelGroups {
+	p := newPlanner(in)
+	p.countWanted()
+	return p.out.Wanted
+}
