--- a/checker/doc.go
+++ b/checker/doc.go
@@ -47,9 +47,12 @@
 	SilenceOpen()
 }
 
-// caseTimeout bounds one case, so that a call that never returns fails its
-// case and not the whole run.
-const caseTimeout = 10 * time.Second
+// Bounds of one case, so that a call that never returns fails its case and not
+// the whole run. Failures expects cases to fail and waits less for it.
+const (
+	caseTimeout = 10 * time.Second
+	biteTimeout = 3 * time.Second
+)
 
 // run runs the cases as subtests, each on a bed of its own.
 func run[B any](t *testing.T, open func(*testing.T) B, cases map[string]Case[B]) {
@@ -62,7 +65,7 @@
 			if c.Able != nil && !c.Able(bed) {
 				t.Skip("the bed can't bring this about")
 			}
-			if err := c.attempt(t.Context(), bed); err != nil {
+			if err := c.attempt(t.Context(), bed, caseTimeout); err != nil {
 				t.Errorf("%v\nstory: %s", err, c.Story)
 			}
 		})
@@ -70,15 +73,15 @@
 }
 
 // attempt runs the case and turns a call that never returns into an error.
-func (c Case[B]) attempt(ctx context.Context, bed B) error {
-	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
+func (c Case[B]) attempt(ctx context.Context, bed B, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx, bed) }()
 	select {
 	case err := <-done:
 		return err
-	case <-time.After(caseTimeout + time.Second):
+	case <-time.After(timeout + within):
 		return errors.New("the case did not end")
 	}
 }
@@ -94,7 +97,7 @@
 		if c.Able != nil && !c.Able(bed) {
 			continue
 		}
-		if c.attempt(t.Context(), bed) != nil {
+		if c.attempt(t.Context(), bed, biteTimeout) != nil {
 			failed = append(failed, name)
 		}
 	}
--- a/checker/objectapi.go
+++ b/checker/objectapi.go
@@ -149,7 +149,11 @@
 	}
 }
 
-const testKey = "checks/object"
+const (
+	testKey = "checks/object"
+	// longWatch is the wait of a watch that a change is to end.
+	longWatch = 2 * time.Second
+)
 
 func objectReadsBack(ctx context.Context, b ObjectAPIBed) error {
 	value := []byte("a\x00b\xff\n")
@@ -394,7 +398,7 @@
 		written <- err
 	}()
 	start := time.Now()
-	changes, _, err := b.API.Watch(ctx, "watched/", revision, caseTimeout/2)
+	changes, _, err := b.API.Watch(ctx, "watched/", revision, longWatch)
 	if err != nil {
 		return errors.Wrap(err, "watch")
 	}
@@ -403,7 +407,7 @@
 	}
 	return steps(
 		func() error { return want("changes", len(changes), 1) },
-		func() error { return want("woke before its end", time.Since(start) < caseTimeout/2, true) },
+		func() error { return want("woke before its end", time.Since(start) < longWatch, true) },
 	)
 }
 
