Give operators their command line

Cause: operators drive the system by committing manifests and watching them come into force, and had no program for it. Change: garnetctl with manifest check, diff, plan, commit, watch, show and example, key new and hash, status, groups, power, nodes, timeline and exit-codes; tables and JSON; one exit code for each end. A commit whose answer is lost is asked again with the same identifier. References to unknown names are told although another value of their list is wrong.

--- /dev/null
+++ b/cmd/garnetctl/main_test.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/keymaker"
+	"github.com/garnetworks/garnetworks/parser"
+)
+
+const nodesFlag = "--nodes=10.0.1.4:7600,10.0.2.4:7600"
+
+// execute runs a command line against the nodes and returns all that its user
+// sees.
+func execute(ctx context.Context, nodes *fakeNodes, stdin string, args ...string) (int, string) {
+	var stdout, stderr bytes.Buffer
+	code := run(ctx, args, strings.NewReader(stdin), &stdout, &stderr, func(tlsFlags) (garnetworks.PeerCaller, error) { return nodes, nil })
+	return code, fmt.Sprintf("$ garnetctl %s\n%s--- errors and notes\n%s--- exit code %d\n", strings.Join(args, " "), &stdout, &stderr, code)
+}
+
+func TestOutputs(t *testing.T) {
+	denied := func(kind garnetworks.Kind, text string) []proposal {
+		return []proposal{{err: garnetworks.Errorf(kind, "%s", text)}}
+	}
+	lost := proposal{err: garnetworks.Errorf(garnetworks.KindOutcomeUnknown, "the answer to the write was lost")}
+	commit := []string{nodesFlag, "manifest", "commit", "-", "--commit-id=c8", "--operator=anna", "--base=7", "--wait=10s"}
+	firstDown := garnetworks.NewSet("10.0.1.4:7600")
+	allDown := garnetworks.NewSet("10.0.1.4:7600", "10.0.2.4:7600", "10.0.3.4:7600")
+	refused := stage(garnetworks.CommitRefused, 2, 0)
+	refused.Reason = "node node-c of zone south-c refuses it: the manifest has format 2 and comes from a newer program"
+	superseded := garnetworks.CommitProgress{
+		CommitID: "c8", Operator: "anna", Base: 7, State: garnetworks.CommitSuperseded, Reason: "commit c9 by otto took its place",
+		Winner: garnetworks.CommitRecord{Generation: 8, CommitID: "c9", Operator: "otto", At: at(30)},
+	}
+	changed := strings.NewReplacer("96000", "50000", `"2026.11"`, `"2026.12"`, "      - note-reader\n", "").Replace(parser.Example())
+
+	cases := map[string]struct {
+		nodes fakeNodes
+		stdin string
+		args  []string
+		want  int
+	}{
+		"usage":              {args: []string{"manifest", "chek"}, want: exitUsage},
+		"exit-codes":         {args: []string{"exit-codes"}},
+		"no-nodes":           {args: []string{"status"}, want: exitUsage},
+		"check-bad":          {args: []string{"manifest", "check", "testdata/bad.yaml"}, want: exitInvalid},
+		"check-bad-json":     {args: []string{"manifest", "check", "testdata/bad.yaml", "--output=json"}, want: exitInvalid},
+		"check-good":         {stdin: parser.Example(), args: []string{"manifest", "check", "-"}},
+		"check-fleet":        {stdin: parser.Example(), args: []string{"manifest", "check", "-", "--fleet=testdata/fleet.json"}, want: exitInvalid},
+		"check-cut-off":      {stdin: parser.Example()[:2000], args: []string{"manifest", "check", "-"}, want: exitInvalid},
+		"check-no-file":      {args: []string{"manifest", "check", "testdata/none.yaml"}, want: exitUsage},
+		"plan":               {stdin: changed, args: []string{nodesFlag, "manifest", "plan", "-"}},
+		"plan-first":         {nodes: fakeNodes{none: true}, stdin: parser.Example(), args: []string{nodesFlag, "manifest", "plan", "-"}},
+		"show":               {args: []string{nodesFlag, "manifest", "show"}},
+		"commit":             {nodes: fakeNodes{proposals: []proposal{{progress: stage(garnetworks.CommitStaging, 1, 0)}}, progress: []garnetworks.CommitProgress{stage(garnetworks.CommitStaging, 2, 0), stage(garnetworks.CommitAccepted, 3, 1), inForce()}}, stdin: changed, args: commit},
+		"commit-stale":       {nodes: fakeNodes{proposals: denied(garnetworks.KindStaleGeneration, "generation 8 was made from generation 7 first, by otto with commit c9; the newest is generation 8")}, stdin: changed, args: commit, want: exitStale},
+		"commit-pending":     {nodes: fakeNodes{proposals: denied(garnetworks.KindConflict, "commit c9 by otto on generation 7 is pending")}, stdin: changed, args: commit, want: exitPending},
+		"commit-refused":     {nodes: fakeNodes{proposals: []proposal{{progress: stage(garnetworks.CommitStaging, 1, 0)}}, progress: []garnetworks.CommitProgress{refused}}, stdin: changed, args: commit, want: exitInvalid},
+		"commit-held":        {nodes: fakeNodes{proposals: []proposal{{progress: stage(garnetworks.CommitStaging, 1, 0)}}, progress: []garnetworks.CommitProgress{held()}}, stdin: changed, args: commit, want: exitNotYet},
+		"commit-superseded":  {nodes: fakeNodes{proposals: []proposal{{progress: stage(garnetworks.CommitStaging, 1, 0)}}, progress: []garnetworks.CommitProgress{superseded}}, stdin: changed, args: commit, want: exitStale},
+		"commit-lost-once":   {nodes: fakeNodes{proposals: []proposal{lost, {progress: inForce()}}}, stdin: changed, args: commit},
+		"commit-lost":        {nodes: fakeNodes{proposals: []proposal{lost, {err: garnetworks.Errorf(garnetworks.KindObjectAPIDown, "nothing was written")}}}, stdin: changed, args: commit, want: exitUnknown},
+		"commit-unreachable": {nodes: fakeNodes{down: allDown}, stdin: changed, args: commit, want: exitUnreachable},
+		"commit-bad":         {args: []string{nodesFlag, "manifest", "commit", "testdata/bad.yaml"}, want: exitInvalid},
+		"watch-json":         {nodes: fakeNodes{progress: []garnetworks.CommitProgress{held()}}, args: []string{nodesFlag, "--output=json", "manifest", "watch", "--wait=0"}, want: exitNotYet},
+		"status":             {args: []string{nodesFlag, "status"}},
+		"status-partly":      {nodes: fakeNodes{down: firstDown, progress: []garnetworks.CommitProgress{held()}}, args: []string{nodesFlag, "status"}, want: exitPartly},
+		"status-json":        {args: []string{nodesFlag, "status", "--output=json"}},
+		"status-unreachable": {nodes: fakeNodes{down: allDown}, args: []string{nodesFlag, "status"}, want: exitUnreachable},
+		"groups":             {args: []string{nodesFlag, "groups"}},
+		"groups-down":        {args: []string{nodesFlag, "groups", "--down"}},
+		"power":              {args: []string{nodesFlag, "power"}},
+		"nodes":              {args: []string{nodesFlag, "nodes"}},
+		"nodes-partly":       {nodes: fakeNodes{down: firstDown}, args: []string{nodesFlag, "nodes"}, want: exitPartly},
+		"timeline":           {args: []string{nodesFlag, "timeline"}},
+		"timeline-partly":    {nodes: fakeNodes{down: firstDown}, args: []string{nodesFlag, "timeline"}, want: exitPartly},
+		"timeline-overrun":   {nodes: fakeNodes{overrun: 12}, args: []string{nodesFlag, "timeline", "--kind=member-lost,group-broken"}, want: exitPartly},
+		"timeline-call-json": {args: []string{nodesFlag, "timeline", "--call=call-5", "--output=json"}},
+		"key-hash":           {stdin: keymaker.Prefix + strings.Repeat("a", 52) + "\n", args: []string{"key", "hash"}},
+		"key-hash-of-no-key": {stdin: "secret\n", args: []string{"key", "hash"}, want: exitUsage},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				code, seen := execute(t.Context(), &c.nodes, c.stdin, c.args...)
+				if code != c.want {
+					t.Errorf("exit code %d, want %d", code, c.want)
+				}
+				goldie.New(t).Assert(t, name, []byte(seen))
+			})
+		})
+	}
+}
+
+// A commit's answer is lost on the way to the operator, and the same node can't
+// be reached any more. The command must ask the next node with the same commit
+// identifier, so that the commit is never made twice.
+func TestCommitAsksAgainWithTheSameIdentifier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := &fakeNodes{proposals: []proposal{
+			{err: garnetworks.Errorf(garnetworks.KindAnswerLost, "the connection broke")},
+			{err: garnetworks.Errorf(garnetworks.KindAnswerLost, "the connection broke")},
+			{progress: inForce()},
+		}}
+		code, seen := execute(t.Context(), nodes, parser.Example(), nodesFlag, "manifest", "commit", "-")
+		if code != exitDone || len(nodes.asked) != 3 {
+			t.Fatalf("exit code %d after %d proposals:\n%s", code, len(nodes.asked), seen)
+		}
+		for _, request := range nodes.asked {
+			if request.CommitID != nodes.asked[0].CommitID || request.Base != 7 {
+				t.Errorf("proposal %s on %d, first %s on 7", request.CommitID, request.Base, nodes.asked[0].CommitID)
+			}
+		}
+	})
+}
+
+// What show prints, changed, must build on the generation that it shows, not on
+// the newest: another operator may have committed in between.
+func TestCommitBuildsOnWhatShowHasShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := &fakeNodes{proposals: []proposal{{progress: inForce()}}}
+		text := "# generation: 5\n" + parser.Example()
+		if code, seen := execute(t.Context(), nodes, text, nodesFlag, "manifest", "commit", "-"); code != exitDone {
+			t.Fatalf("exit code %d:\n%s", code, seen)
+		}
+		if base := nodes.asked[0].Base; base != 5 {
+			t.Errorf("the commit builds on generation %d, want 5", base)
+		}
+	})
+}
+
+func TestKeyNewIsShownOnce(t *testing.T) {
+	_, first := execute(t.Context(), &fakeNodes{}, "", "key", "new")
+	_, second := execute(t.Context(), &fakeNodes{}, "", "key", "new")
+	if first == second || strings.Count(first, keymaker.Prefix) != 1 || strings.Count(first, keymaker.HashPrefix) != 1 {
+		t.Errorf("two new keys:\n%s\n%s", first, second)
+	}
+}
+
+// Following the time line, an event of one node arrives a round later than a
+// younger event of another. The reader must see them in causal order, each once.
+func TestFollowKeepsOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		nodes := &lateEvents{fakeNodes: &fakeNodes{}}
+		var stdout, stderr bytes.Buffer
+		code := run(ctx, []string{nodesFlag, "timeline", "--follow"}, nil, &stdout, &stderr,
+			func(tlsFlags) (garnetworks.PeerCaller, error) { return nodes, nil })
+		var kinds []string
+		for line := range strings.Lines(stdout.String()) {
+			kinds = append(kinds, strings.Fields(line)[3])
+		}
+		want := "node-started member-lost group-broken call-refused group-formed"
+		if got := strings.Join(kinds, " "); code != exitDone || got != want {
+			t.Errorf("exit code %d, events %s, want %s\n%s", code, got, want, &stderr)
+		}
+	})
+}
+
+// lateEvents has the first node's events arrive two rounds late.
+type lateEvents struct {
+	*fakeNodes
+	rounds int
+}
+
+func (l *lateEvents) Events(ctx context.Context, address string, request *garnetworks.EventsRequest) (*garnetworks.EventsResponse, error) {
+	if address == infos[0].Address {
+		l.rounds++
+		if l.rounds < 2 {
+			return &garnetworks.EventsResponse{Node: infos[0].ID}, nil
+		}
+	}
+	response, err := l.fakeNodes.Events(ctx, address, request)
+	if l.rounds < 2 && err == nil && address == infos[1].Address {
+		response.Events = response.Events[:1]
+	}
+	return response, err
+}
--- /dev/null
+++ b/cmd/garnetctl/table.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// table prints columns for people.
+type table struct {
+	rows [][]string
+}
+
+// newTable returns a table with a header; none is printed if it is empty.
+func newTable(header ...string) *table {
+	t := &table{}
+	if len(header) > 0 {
+		t.rows = append(t.rows, upper(header))
+	}
+	return t
+}
+
+func upper(header []string) []string {
+	row := make([]string, len(header))
+	for i, h := range header {
+		row[i] = strings.ToUpper(h)
+	}
+	return row
+}
+
+func (t *table) row(cells ...string) { t.rows = append(t.rows, cells) }
+
+// print writes the rows with their columns below each other.
+func (t *table) print(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range t.rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = plain(cell)
+		}
+		_, _ = fmt.Fprintln(tw, strings.TrimRight(strings.Join(cells, "\t"), "\t"))
+	}
+	return tw.Flush()
+}
+
+// plain makes a cell fit for a terminal: what nodes and manifests send must not
+// move the cursor or break the columns.
+func plain(cell string) string {
+	if cell == "" {
+		return "-"
+	}
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f || (r >= 0x80 && r < 0xa0) {
+			return ' '
+		}
+		return r
+	}, cell)
+}
+
+// printJSON prints a value for programs.
+func (s *session) printJSON(value any) error {
+	encoder := json.NewEncoder(s.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// clock returns a time for people; zero is empty.
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format("2006-01-02 15:04:05.000")
+}
+
+func watts(w garnetworks.Watts) string { return fmt.Sprintf("%d W", w) }
+
+// span returns a duration to the tenth of a second.
+func span(d time.Duration) string { return d.Round(100 * time.Millisecond).String() }
+
+func generation(g garnetworks.Generation) string {
+	if g == 0 {
+		return ""
+	}
+	return fmt.Sprint(g)
+}
+
+// list joins values with commas.
+func list[T ~string](values []T) string {
+	words := make([]string, len(values))
+	for i, v := range values {
+		words[i] = string(v)
+	}
+	return strings.Join(words, ", ")
+}
+
+func yesNo(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
+
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- a/committer/progress.go
+++ b/committer/progress.go
@@ -37,7 +37,10 @@
 // replacedProgress tells of a commit that was accepted and has a successor.
 func replacedProgress(r garnetworks.CommitRecord, newest *garnetworks.AcceptedManifest) garnetworks.CommitProgress {
 	p := acceptedProgress(r)
-	p.Reason = fmt.Sprintf("generation %d by %s has taken its place", newest.Generation, newest.Operator)
+	p.Reason = "a later generation has taken its place"
+	p.Winner = garnetworks.CommitRecord{
+		Generation: newest.Generation, CommitID: newest.CommitID, Operator: newest.Operator, At: newest.At,
+	}
 	return p
 }
 
@@ -125,7 +128,7 @@
 		case z.Live == 0:
 			parts = append(parts, fmt.Sprintf("no live node of zone %s is known", z.Zone))
 		case len(nodes) == z.Live:
-			parts = append(parts, fmt.Sprintf("zone %s (%d nodes) has not %s it", z.Zone, z.Live, word))
+			parts = append(parts, fmt.Sprintf("zone %s has not %s it at any of its nodes", z.Zone, word))
 		case len(nodes) > 0:
 			parts = append(parts, fmt.Sprintf("zone %s has not %s it at %s", z.Zone, word, join(nodes)))
 		}
--- a/parser/check.go
+++ b/parser/check.go
@@ -190,7 +190,7 @@
 // class returns the class that is referred to at path.
 func (c *checker) class(path, name string) (garnetworks.InstanceClass, bool) {
 	k, ok := c.classes[name]
-	if !ok && !c.partlyUnread("site.instance-classes") {
+	if !ok && !c.namesUnread("site.instance-classes") {
 		c.refuse(path, "there is no instance class %q in site.instance-classes", shorten(name))
 	}
 	return k, ok
@@ -297,13 +297,13 @@
 func (c *checker) workspace(at string, w garnetworks.WorkspaceSpec) {
 	c.name(at+".name", string(w.Name))
 	for i, m := range w.Models {
-		if !c.models.Has(m) && !c.partlyUnread("models") {
+		if !c.models.Has(m) && !c.namesUnread("models") {
 			c.refuse(fmt.Sprintf("%s.models[%d]", at, i), "there is no model %q in models", shorten(string(m)))
 		}
 	}
 	unique(c, at+".models", w.Models, "")
 	for i, s := range w.Services {
-		if !c.services.Has(s) && !c.partlyUnread("services") {
+		if !c.services.Has(s) && !c.namesUnread("services") {
 			c.refuse(fmt.Sprintf("%s.services[%d]", at, i), "there is no service %q in services", shorten(string(s)))
 		}
 	}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -245,6 +245,21 @@
 	return false
 }
 
+// namesUnread reports whether the name of an entry of a list could not be read,
+// so that a reference to an unknown name may mean that entry.
+func (p *places) namesUnread(list string) bool {
+	if p.unread(list) {
+		return true
+	}
+	for b := range p.bad {
+		entry, within := strings.CutPrefix(b, list+"[")
+		if _, rest, _ := strings.Cut(entry, "]"); within && (rest == "" || rest == ".name") {
+			return true
+		}
+	}
+	return false
+}
+
 // find returns the position of the value at path, or of the nearest one around
 // it.
 func (p *places) find(path string) position {
--- a/peer.go
+++ b/peer.go
@@ -397,7 +397,8 @@
 	InForceAt  time.Time  `json:"in-force-at,omitzero"`
 	// Reason explains held, refused, superseded and unknown.
 	Reason string `json:"reason,omitempty"`
-	// Winner is the commit that was accepted in place of this one.
+	// Winner is the commit that was accepted in place of this one or that has
+	// replaced it since.
 	Winner CommitRecord `json:"winner,omitzero"`
 	// Zones are sorted by zone.
 	Zones []ZoneProgress `json:"zones,omitempty"`
