--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,611 @@
+package distributor
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// network joins distributors in one process. Calls take latency; what is cut
+// fails after the caller's bound, as a lost packet would.
+type network struct {
+	mu      sync.Mutex
+	nodes   []garnetworks.NodeInfo
+	running map[string]*peer
+	cut     map[[2]string]bool
+	// dieAfterReceipt stops the process at an address once it has acknowledged
+	// an update.
+	dieAfterReceipt string
+	calls           int
+}
+
+// peer is a running process.
+type peer struct {
+	*Distributor
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	mu     sync.Mutex
+	// applied are the versions that came into force, in order.
+	applied map[garnetworks.Topic][]garnetworks.UpdateVersion
+}
+
+const latency = time.Millisecond
+
+// newNetwork returns nodes spread over zones, and zones over regions.
+func newNetwork(nodes, zones, regions int) *network {
+	n := &network{running: map[string]*peer{}, cut: map[[2]string]bool{}}
+	n.nodes = siteOf(nodes, zones, regions)
+	return n
+}
+
+func siteOf(nodes, zones, regions int) []garnetworks.NodeInfo {
+	var all []garnetworks.NodeInfo
+	for i := range nodes {
+		z := i % zones
+		all = append(all, garnetworks.NodeInfo{
+			ID:      garnetworks.NodeID(fmt.Sprintf("entry-%03d", i)),
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			Zone:    garnetworks.ZoneID(fmt.Sprintf("zone-%d", z)),
+			Region:  garnetworks.RegionID(fmt.Sprintf("region-%d", z%regions)),
+		})
+	}
+	return all
+}
+
+// caller calls peers in the name of one node.
+type caller struct {
+	garnetworks.PeerCaller
+	network *network
+	from    string
+}
+
+func (c caller) reach(ctx context.Context, address string) (*peer, error) {
+	c.network.mu.Lock()
+	p, ok := c.network.running[address]
+	cut := c.network.cut[[2]string{c.from, address}]
+	c.network.calls++
+	c.network.mu.Unlock()
+	switch {
+	case cut:
+		<-ctx.Done()
+		return nil, garnetworks.Errorf(garnetworks.KindUnreachable, "cut")
+	case !ok:
+		time.Sleep(latency)
+		return nil, garnetworks.Errorf(garnetworks.KindUnreachable, "refused")
+	}
+	time.Sleep(latency)
+	return p, nil
+}
+
+func (c caller) Distribute(ctx context.Context, address string, q *garnetworks.DistributeRequest) (*garnetworks.DistributeResponse, error) {
+	p, err := c.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.network.mu.Lock()
+	dies := c.network.dieAfterReceipt == address
+	c.network.mu.Unlock()
+	if dies {
+		c.network.stop(address)
+		return &garnetworks.DistributeResponse{Accepted: len(q.Updates)}, nil
+	}
+	return p.Handle(q), nil
+}
+
+func (c caller) Fetch(ctx context.Context, address string, q *garnetworks.FetchRequest) (*garnetworks.FetchResponse, error) {
+	p, err := c.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return p.HandleFetch(q), nil
+}
+
+func (c caller) Heartbeat(ctx context.Context, address string, q *garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error) {
+	p, err := c.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	response := &garnetworks.HeartbeatResponse{}
+	p.FillResponse(q, response)
+	return response, nil
+}
+
+// start runs a process of node i that holds nothing.
+func (n *network) start(i int) *peer {
+	info := n.nodes[i]
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &peer{cancel: cancel, applied: map[garnetworks.Topic][]garnetworks.UpdateVersion{}}
+	p.Distributor = New(Options{
+		Self:  info,
+		Peers: caller{network: n, from: info.Address},
+		Nodes: func() []garnetworks.NodeInfo { return n.nodes },
+		Apply: func(u garnetworks.Update) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.applied[u.Topic] = append(p.applied[u.Topic], u.Version)
+		},
+	})
+	n.mu.Lock()
+	n.running[info.Address] = p
+	n.mu.Unlock()
+	p.done.Go(func() { p.Run(ctx) })
+	p.done.Go(func() { n.beat(ctx, i, p) })
+	return p
+}
+
+// beat compares with two neighbours each second and with another zone now and
+// then, as the tracker does.
+func (n *network) beat(ctx context.Context, i int, p *peer) {
+	for round := 1; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+		targets := n.neighbours(i)
+		if (round+i)%5 == 0 {
+			targets = append(targets, n.nodes[(i*13+round*5)%len(n.nodes)])
+		}
+		for _, t := range targets {
+			p.done.Go(func() { n.compare(ctx, p, t.Address) })
+		}
+	}
+}
+
+func (n *network) neighbours(i int) []garnetworks.NodeInfo {
+	var near []garnetworks.NodeInfo
+	for j := 1; j < len(n.nodes) && len(near) < 2; j++ {
+		if other := n.nodes[(i+j)%len(n.nodes)]; other.Zone == n.nodes[i].Zone {
+			near = append(near, other)
+		}
+	}
+	return near
+}
+
+func (n *network) compare(ctx context.Context, p *peer, address string) {
+	q := &garnetworks.HeartbeatRequest{}
+	p.FillRequest(q)
+	bounded, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	response, err := p.options.Peers.Heartbeat(bounded, address, q)
+	if err == nil {
+		p.TakeResponse(ctx, address, response)
+	}
+}
+
+func (n *network) stop(address string) {
+	n.mu.Lock()
+	p, ok := n.running[address]
+	delete(n.running, address)
+	n.mu.Unlock()
+	if ok {
+		p.cancel()
+	}
+}
+
+func (n *network) stopAll() {
+	n.mu.Lock()
+	running := n.running
+	n.running = map[string]*peer{}
+	n.mu.Unlock()
+	for _, p := range running {
+		p.cancel()
+		p.done.Wait()
+	}
+}
+
+func (n *network) cutBetween(from, to int, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]string{n.nodes[from].Address, n.nodes[to].Address}] = cut
+}
+
+// lacking returns the running nodes in which the version is not in force.
+func (n *network) lacking(topic garnetworks.Topic, v garnetworks.UpdateVersion) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var lacking []string
+	for address, p := range n.running {
+		p.mu.Lock()
+		applied := p.applied[topic]
+		p.mu.Unlock()
+		if len(applied) == 0 || applied[len(applied)-1] != v {
+			lacking = append(lacking, address)
+		}
+	}
+	slices.Sort(lacking)
+	return lacking
+}
+
+func version(sequence uint64) garnetworks.UpdateVersion {
+	return garnetworks.UpdateVersion{Sequence: sequence}
+}
+
+func manifest(sequence uint64) garnetworks.Update {
+	return garnetworks.Update{Topic: garnetworks.TopicManifest, Version: version(sequence), Body: fmt.Appendf(nil, "body %d", sequence)}
+}
+
+func mustPublish(t interface{ Fatal(...any) }, p *peer, u garnetworks.Update) {
+	if err := p.Publish(u); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSpread publishes at one node of a site of the design size with faults in
+// the tree, and looks when the update is in force in all running nodes.
+func TestSpread(t *testing.T) {
+	const nodes, zones, regions = 96, 8, 3
+	tests := map[string]struct {
+		story  string
+		before func(n *network)
+		// within is the time in which all running nodes must have the update.
+		within time.Duration
+	}{
+		"sound": {
+			story:  "Nothing fails; only the tree's hops take time.",
+			before: func(*network) {},
+			within: 10 * time.Millisecond,
+		},
+		"a node is dead": {
+			story:  "A node died a moment ago and is still listed. Its branch goes to the next one.",
+			before: func(n *network) { n.stop(headOf(n, manifest(7))) },
+			within: 10 * time.Millisecond,
+		},
+		"a node is cut off from the publisher": {
+			story: "Packets to the head of a branch are lost, so that the publisher waits in vain. The branch goes to the next one, and the head asks its neighbours.",
+			before: func(n *network) {
+				i := slices.IndexFunc(n.nodes, func(o garnetworks.NodeInfo) bool { return o.Address == headOf(n, manifest(7)) })
+				n.cutBetween(0, i, true)
+			},
+			within: SendBound + time.Second + RepairGrace + 10*time.Millisecond,
+		},
+		"an inner node dies after it acknowledged": {
+			story:  "The head of a region acknowledges the update and dies before it hands it on. The publisher knows nothing of it; a third of the site lacks the update until repair finds it.",
+			before: func(n *network) { n.dieAfterReceipt = headOf(n, manifest(7)) },
+			within: 8 * time.Second,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(nodes, zones, regions)
+				for i := range nodes {
+					n.start(i)
+				}
+				defer n.stopAll()
+				time.Sleep(1500 * time.Millisecond)
+				test.before(n)
+				mustPublish(t, n.running[n.nodes[0].Address], manifest(7))
+				time.Sleep(test.within)
+				if lacking := n.lacking(garnetworks.TopicManifest, version(7)); len(lacking) > 0 {
+					t.Errorf("%d nodes lack the update after %v: %v", len(lacking), test.within, lacking)
+				}
+			})
+		})
+	}
+}
+
+// headOf is the first node of the first branch of an update from node 0.
+func headOf(n *network, u garnetworks.Update) string {
+	branches := Split(n.nodes[0], n.nodes[1:], DefaultFanout, seedOf([]garnetworks.Update{u}))
+	return branches[0][0].Address
+}
+
+// TestOldValuesTakeNobodyBack: A node was cut off for hours and returns with
+// old values, and a late watch brings it an old one on top. Whatever it
+// publishes or is asked for, no other node may go back, and it must catch up.
+func TestOldValuesTakeNobodyBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(6, 3, 1)
+		for i := range 5 {
+			n.start(i)
+		}
+		defer n.stopAll()
+		first := n.running[n.nodes[0].Address]
+		mustPublish(t, first, manifest(4))
+		mustPublish(t, first, manifest(9))
+		time.Sleep(time.Second)
+
+		old := n.start(5)
+		mustPublish(t, old, manifest(4))
+		mustPublish(t, old, manifest(5))
+		if err := first.Publish(manifest(8)); !garnetworks.IsKind(err, garnetworks.KindConflict) {
+			t.Errorf("an old value was taken: %v", err)
+		}
+		time.Sleep(3 * time.Second)
+		if lacking := n.lacking(garnetworks.TopicManifest, version(9)); len(lacking) > 0 {
+			t.Errorf("%v do not hold the newest value", lacking)
+		}
+		for address, p := range n.running {
+			if applied := p.applied[garnetworks.TopicManifest]; !slices.IsSortedFunc(applied, compareVersions) {
+				t.Errorf("%s applied %v", address, applied)
+			}
+		}
+	})
+}
+
+func compareVersions(a, b garnetworks.UpdateVersion) int {
+	switch {
+	case a.Less(b):
+		return -1
+	case b.Less(a):
+		return 1
+	}
+	return 0
+}
+
+// TestNodeThatNobodyCanCall: A half-open partition lets a node's own calls
+// through and no call to it. It is in the roster and serves callers, so it must
+// not miss an update; and one that can be called but calls nobody must not
+// either, when it was cut off for the time of the tree.
+func TestNodeThatNobodyCanCall(t *testing.T) {
+	for name, inbound := range map[string]bool{"can't be called": true, "can't call": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(6, 1, 1)
+				for i := range 6 {
+					n.start(i)
+				}
+				defer n.stopAll()
+				for i := range 5 {
+					n.cutBetween(i, 5, true)
+					n.cutBetween(5, i, !inbound)
+				}
+				mustPublish(t, n.running[n.nodes[2].Address], manifest(1))
+				time.Sleep(500 * time.Millisecond)
+				for i := range 5 {
+					n.cutBetween(i, 5, inbound)
+				}
+				time.Sleep(3 * time.Second)
+				if lacking := n.lacking(garnetworks.TopicManifest, version(1)); len(lacking) > 0 {
+					t.Errorf("%v lack the update", lacking)
+				}
+			})
+		})
+	}
+}
+
+// TestSilentNodeDelaysOneUpdate: Packets to a node that heads a branch are lost
+// and the node is still listed. Only the first update waits for it; if each one
+// did, every change would take seconds until the node is found to be lost.
+func TestSilentNodeDelaysOneUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(24, 3, 1)
+		for i := range n.nodes {
+			n.start(i)
+		}
+		defer n.stopAll()
+		head := headOf(n, manifest(7))
+		silent := slices.IndexFunc(n.nodes, func(o garnetworks.NodeInfo) bool { return o.Address == head })
+		n.cutBetween(0, silent, true)
+		next := uint64(8)
+		for headOf(n, manifest(next)) != head {
+			next++
+		}
+		mustPublish(t, n.running[n.nodes[0].Address], manifest(7))
+		time.Sleep(SendBound + 10*time.Millisecond)
+		mustPublish(t, n.running[n.nodes[0].Address], manifest(next))
+		time.Sleep(20 * time.Millisecond)
+		if lacking := n.lacking(garnetworks.TopicManifest, version(next)); len(lacking) > 0 {
+			t.Errorf("the second update waited, too: %v lack it", lacking)
+		}
+	})
+}
+
+// TestHandsOnOnce: Messages come twice, or go round in a loop of nodes with
+// different rosters. Each would double the traffic of the whole branch, or keep
+// it up for ever.
+func TestHandsOnOnce(t *testing.T) {
+	targets := []string{"10.0.0.1:7000", "10.0.0.2:7000"}
+	tests := map[string]struct {
+		requests []*garnetworks.DistributeRequest
+		calls    int
+	}{
+		"once":         {[]*garnetworks.DistributeRequest{{Updates: []garnetworks.Update{manifest(3)}, Targets: targets}}, 2},
+		"same targets": {[]*garnetworks.DistributeRequest{{Updates: []garnetworks.Update{manifest(3)}, Targets: targets}, {Updates: []garnetworks.Update{manifest(3)}, Targets: targets}}, 2},
+		"other targets": {[]*garnetworks.DistributeRequest{
+			{Updates: []garnetworks.Update{manifest(3)}, Targets: targets[:1]},
+			{Updates: []garnetworks.Update{manifest(3)}, Targets: targets},
+		}, 2},
+		"older": {[]*garnetworks.DistributeRequest{
+			{Updates: []garnetworks.Update{manifest(3)}, Targets: targets},
+			{Updates: []garnetworks.Update{manifest(2)}, Targets: targets},
+		}, 2},
+		"too many hops": {[]*garnetworks.DistributeRequest{{Updates: []garnetworks.Update{manifest(3)}, Targets: targets, Hops: MaxHops}}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(3, 1, 1)
+				for i := range n.nodes {
+					n.start(i)
+				}
+				defer n.stopAll()
+				first := n.running[n.nodes[0].Address]
+				for _, q := range test.requests {
+					first.Handle(q)
+					time.Sleep(100 * time.Millisecond)
+				}
+				n.mu.Lock()
+				calls := n.calls
+				n.mu.Unlock()
+				if calls != test.calls {
+					t.Errorf("%d calls, want %d", calls, test.calls)
+				}
+			})
+		})
+	}
+}
+
+// step is one action of the state machine.
+type step struct {
+	action      string
+	node, other int
+	update      garnetworks.Update
+	wait        time.Duration
+}
+
+func drawSteps(t *rapid.T, nodes int) []step {
+	var steps []step
+	for range rapid.IntRange(1, 25).Draw(t, "steps") {
+		steps = append(steps, step{
+			action: rapid.SampledFrom([]string{"publish", "publish", "cut", "heal", "restart", "wait"}).Draw(t, "action"),
+			node:   rapid.IntRange(0, nodes-1).Draw(t, "node"),
+			other:  rapid.IntRange(0, nodes-1).Draw(t, "other"),
+			update: garnetworks.Update{
+				Topic:   garnetworks.Topic(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "topic")),
+				Version: garnetworks.UpdateVersion{Term: uint32(rapid.IntRange(0, 2).Draw(t, "term")), Sequence: uint64(rapid.IntRange(1, 9).Draw(t, "sequence"))},
+			},
+			wait: time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond,
+		})
+	}
+	return steps
+}
+
+// TestStateMachine plays publications, cuts, and restarts with empty memory
+// against an oracle: the versions that a process applies only grow, and once
+// all is healed each node comes to the highest version published of each topic.
+func TestStateMachine(t *testing.T) {
+	const nodes = 7
+	rapid.Check(t, func(r *rapid.T) {
+		steps := drawSteps(r, nodes)
+		var failures []string
+		synctest.Test(t, func(*testing.T) { failures = play(newNetwork(nodes, 3, 2), steps) })
+		if len(failures) > 0 {
+			r.Fatal(failures)
+		}
+	})
+}
+
+func play(n *network, steps []step) []string {
+	var all []*peer
+	for i := range n.nodes {
+		all = append(all, n.start(i))
+	}
+	defer n.stopAll()
+	newest := map[garnetworks.Topic]garnetworks.UpdateVersion{}
+	for _, s := range steps {
+		switch s.action {
+		case "publish":
+			if n.running[n.nodes[s.node].Address].Publish(s.update) == nil && newest[s.update.Topic].Less(s.update.Version) {
+				newest[s.update.Topic] = s.update.Version
+			}
+		case "cut":
+			n.cutBetween(s.node, s.other, true)
+		case "heal":
+			n.heal()
+		case "restart":
+			// Of a value that only one process ever held, nothing is promised.
+			time.Sleep(20 * time.Second)
+			if len(n.lackingAny(newest)) == 0 {
+				n.stop(n.nodes[s.node].Address)
+				all = append(all, n.start(s.node))
+			}
+		}
+		time.Sleep(s.wait)
+	}
+	n.heal()
+	time.Sleep(40 * time.Second)
+	failures := n.lackingAny(newest)
+	for _, p := range all {
+		for topic, applied := range p.applied {
+			if !slices.IsSortedFunc(applied, compareVersions) {
+				failures = append(failures, fmt.Sprintf("%s of a process went back: %v", topic, applied))
+			}
+		}
+	}
+	return failures
+}
+
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
+func (n *network) lackingAny(newest map[garnetworks.Topic]garnetworks.UpdateVersion) []string {
+	var all []string
+	for topic, v := range newest {
+		for _, address := range n.lacking(topic, v) {
+			all = append(all, fmt.Sprintf("%s lacks %s %v", address, topic, v))
+		}
+	}
+	return all
+}
+
+func TestSplit(t *testing.T) {
+	tests := map[string]struct{ nodes, zones, regions, depth int }{
+		"one node":       {1, 1, 1, 0},
+		"today":          {6, 3, 1, 2},
+		"larger":         {24, 3, 1, 3},
+		"quarter":        {96, 8, 3, 5},
+		"design size":    {330, 8, 3, 6},
+		"one large zone": {330, 1, 1, 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			nodes := siteOf(test.nodes, test.zones, test.regions)
+			for seed := range uint64(20) {
+				self := nodes[seed%uint64(len(nodes))]
+				targets := slices.DeleteFunc(slices.Clone(nodes), func(o garnetworks.NodeInfo) bool { return o.ID == self.ID })
+				if got := Depth(self, targets, DefaultFanout, seed); got > test.depth {
+					t.Errorf("depth %d, want %d at most", got, test.depth)
+				}
+				checkTree(t, self, targets, seed, test.zones, test.regions)
+			}
+		})
+	}
+}
+
+// checkTree holds that each target is reached once, that no node has more
+// branches than rule D2 allows, and that few links cross borders.
+func checkTree(t *testing.T, self garnetworks.NodeInfo, targets []garnetworks.NodeInfo, seed uint64, zones, regions int) {
+	reached := garnetworks.NewSet[string]()
+	crossZone, crossRegion := 0, 0
+	var walk func(from garnetworks.NodeInfo, targets []garnetworks.NodeInfo)
+	walk = func(from garnetworks.NodeInfo, targets []garnetworks.NodeInfo) {
+		branches := Split(from, targets, DefaultFanout, seed)
+		if most := DefaultFanout + regions - 1 + (zones+regions-1)/regions - 1; len(branches) > most {
+			t.Errorf("%d branches, want %d at most", len(branches), most)
+		}
+		for _, b := range branches {
+			if reached.Has(b[0].Address) {
+				t.Errorf("%s is reached twice", b[0].ID)
+			}
+			reached.Add(b[0].Address)
+			if b[0].Zone != from.Zone {
+				crossZone++
+			}
+			if b[0].Region != from.Region {
+				crossRegion++
+			}
+			walk(b[0], b[1:])
+		}
+	}
+	walk(self, targets)
+	if len(reached) != len(targets) {
+		t.Errorf("%d nodes are reached, want %d", len(reached), len(targets))
+	}
+	if crossZone > zones-1 || crossRegion > regions-1 {
+		t.Errorf("%d links cross zones and %d regions", crossZone, crossRegion)
+	}
+}
