Carry a node's streams over the loss of a zone

A stopping node refused calls as not ready before the balancer had noticed, because the runner had already taken its readiness back. Conclusion: without the free retry, and without the wait of broken streams, the test fails, each tried once.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,8 +22,9 @@
 //	    repetition of the call receives it.
 //	F7  A call that may not be repeated and carries a key is claimed before its
 //	    first attempt (rule G6). Without a claim it is not forwarded.
-//	F8  A retry takes from the node's budget (rule R5). Retries without tokens
-//	    delivered don't wait for it; broken streams wait up to ResumeWait.
+//	F8  A retry takes from the node's budget unless it is free (rules R5, R6).
+//	    Calls without delivered tokens don't wait for the budget; broken streams
+//	    wait up to ResumeWait.
 package forwarder
 
 import (
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"flag"
 	"os"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -247,6 +251,7 @@
 		}
 		limits := f.options.Budget
 		retries := len(q.results) - calls
+		t.Logf("%d retries for %d calls that were all refused", retries, calls)
 		if bound := int(limits.Burst + limits.Fraction*calls); retries > bound || retries < bound/2 {
 			t.Errorf("%d retries for %d calls, bound %d", retries, calls, bound)
 		}
@@ -334,3 +339,80 @@
 
 func (b *busy) Finished(time.Time, *garnetworks.CallRequest, garnetworks.GroupID, garnetworks.AttemptResult) {
 }
+
+// zones is eight groups in eight zones; calls go round. Zone 0 goes dark at a
+// time, and the chooser does not learn of it.
+type zones struct {
+	busy
+	mu       sync.Mutex
+	next     int
+	dark     context.Context
+	attempts int
+}
+
+func (z *zones) Choose(_ time.Time, _ *garnetworks.CallRequest, tried []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for {
+		id := garnetworks.GroupID("g" + strconv.Itoa(z.next%8))
+		z.next++
+		if !slices.Contains(tried, id) {
+			return garnetworks.GroupView{ID: id, Address: string(id)}, nil
+		}
+	}
+}
+
+func (z *zones) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	z.mu.Lock()
+	z.attempts++
+	z.mu.Unlock()
+	if address == "g0" && z.dark.Err() != nil {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect}
+	}
+	if address == "g0" {
+		ctx = z.dark
+	}
+	return &busyStream{&z.busy, ctx, call, call.ResumeFrom}, nil
+}
+
+// One of eight zones goes dark under the load of a node of the design size: 15
+// calls a second, 200 streams in flight. A tenth of all calls must not turn into
+// a storm, and the broken streams must go on elsewhere.
+func TestZoneLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := &zones{}
+		z.after = -1
+		var darken context.CancelFunc
+		z.dark, darken = context.WithCancel(context.Background())
+		f := New(Options{Engines: z, Groups: z, Prober: z})
+		const perSecond, seconds, tokens = 15, 40, 330
+		var running sync.WaitGroup
+		var whole, inFlight atomic.Int64
+		var longest time.Duration
+		for i := range perSecond * seconds {
+			running.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / perSecond)
+				call := callFor(time.Minute)
+				call.MaxTokens = tokens
+				inFlight.Add(1)
+				defer inFlight.Add(-1)
+				if _, err := f.Generate(context.Background(), call, &stuckSink{}); err == nil {
+					whole.Add(1)
+				}
+				z.mu.Lock()
+				defer z.mu.Unlock()
+				longest = max(longest, time.Since(call.Received))
+			})
+		}
+		time.Sleep(20 * time.Second)
+		before := inFlight.Load()
+		darken()
+		running.Wait()
+		calls := perSecond * seconds
+		delay := longest - tokens*40*time.Millisecond
+		t.Logf("%d in flight at the loss, %d of %d whole, %d retries, longest delay %s", before, whole.Load(), calls, z.attempts-calls, delay)
+		if int(whole.Load()) != calls || delay > f.options.Timeouts.ResumeWait+time.Second {
+			t.Errorf("%d of %d are whole, longest delay %s", whole.Load(), calls, delay)
+		}
+	})
+}
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -164,7 +164,7 @@
 		}
 		delivered := m.transcript.tokens > 0
 		verdict := m.history.Failed(m.last.phase, delivered)
-		if ctx.Err() != nil || m.last.cause == errSlowCaller || !verdict.Retry || !m.mayRetry(ctx, verdict.Resume) {
+		if ctx.Err() != nil || m.last.cause == errSlowCaller || !verdict.Retry || !m.mayRetry(ctx, verdict) {
 			return m.giveUp(ctx, m.last.cause)
 		}
 		if !m.last.connectionOnly {
@@ -178,10 +178,13 @@
 // Failure: the loss of a zone breaks a share of all streams at one moment. They
 // must not all be resumed at once, and need not be given up either: each waits
 // for its turn in the budget, within a bound.
-func (m *modelCall) mayRetry(ctx context.Context, resume bool) bool {
+func (m *modelCall) mayRetry(ctx context.Context, verdict retrier.Verdict) bool {
+	if verdict.Free {
+		return true
+	}
 	until := time.Now().Add(m.options.Timeouts.ResumeWait)
 	for !m.takeRetry() {
-		if !resume || time.Now().After(until) {
+		if !verdict.Resume || time.Now().After(until) {
 			return false
 		}
 		select {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -299,7 +299,7 @@
 		if ctx.Err() != nil {
 			return garnetworks.ServiceAnswer{}, s.stopped(ctx)
 		}
-		if !verdict.Retry || !s.takeRetry() {
+		if !verdict.Retry || (!verdict.Free && !s.takeRetry()) {
 			return garnetworks.ServiceAnswer{}, endError(&s.history, s.last, s.last.cause)
 		}
 		s.tried = append(s.tried, server.Instance)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -16,6 +16,8 @@
 //	R5  Retries of a node never exceed Fraction of its calls, plus Floor a
 //	    second, plus Burst; so the loss of a zone can't multiply the load of the
 //	    zones that are left.
+//	R6  After an attempt that reached no server, the next one is free: it is the
+//	    first that puts load on a server. MaxAttempts bounds it all the same.
 package retrier
 
 import "github.com/garnetworks/garnetworks"
@@ -147,6 +149,8 @@
 	Retry bool
 	// Resume says that the next attempt goes on after the delivered tokens.
 	Resume bool
+	// Free says that a retry takes nothing from the budget (rule R6).
+	Free bool
 	// Outcome is what may be said of the whole call if no attempt follows.
 	Outcome garnetworks.Outcome
 	Reason  string
@@ -182,6 +186,7 @@
 	return Verdict{
 		Retry:   cell.Retry && !once && h.Attempts < h.MaxAttempts,
 		Resume:  delivered,
+		Free:    phase == garnetworks.PhaseConnect,
 		Outcome: h.Outcome(),
 		Reason:  cell.Reason,
 	}
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -79,6 +79,9 @@
 			if v.Retry && doubtful && h.Repeatability != Repeatable {
 				t.Fatalf("a %s call is sent again after phase %s", h.Repeatability, phase)
 			}
+			if v.Free && phase != garnetworks.PhaseConnect {
+				t.Fatalf("a retry after phase %s is free", phase)
+			}
 			if v.Resume != delivered {
 				t.Fatalf("resume %t with delivered %t", v.Resume, delivered)
 			}
--- a/server/faults_test.go
+++ b/server/faults_test.go
@@ -191,7 +191,8 @@
 }
 
 // While the balancer has not noticed yet that a stopping node is not ready, the
-// node goes on taking its calls.
+// node goes on taking its calls. Before it was ready for the first time it takes
+// none.
 func TestLameDuck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newWorld().newNode()
@@ -199,7 +200,11 @@
 			Calls: n.calls, Manifest: newManifests(), LameDuck: 2 * time.Second,
 			NewKeyIndex: func(*garnetworks.Manifest) server.KeyIndex { return keys{} },
 		})
+		if r := n.receive(step{What: "call-read"}); r.outcome != garnetworks.OutcomeNotRun {
+			t.Errorf("before the node is ready: %+v", r)
+		}
 		n.server.SetReady(true)
+		n.server.SetReady(false)
 		go func() { _ = n.server.Drain(context.Background()) }()
 		time.Sleep(time.Second)
 		if r := n.receive(step{What: "call-read"}); r.outcome != garnetworks.OutcomeCompleted || n.server.Ready() {
--- a/server/server.go
+++ b/server/server.go
@@ -139,8 +139,9 @@
 	endGrace context.CancelCauseFunc
 
 	mu sync.Mutex
-	// ready is the runner's word.
-	ready bool
+	// ready is the runner's word, and opened whether it ever was true.
+	ready  bool
+	opened bool
 	// leaving is set by Drain; draining once new calls are refused.
 	leaving  bool
 	draining bool
@@ -212,12 +213,14 @@
 	}}
 }
 
-// SetReady sets whether the node takes calls. It has no effect once Drain was
-// called.
+// SetReady sets whether a balancer should send calls to the node. Before the
+// first true, calls are refused as not run. A later false refuses none: those
+// that the balancer sends before it notices are served.
 func (s *Server) SetReady(ready bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ready = ready
+	s.opened = s.opened || ready
 }
 
 // Ready reports whether a balancer should send calls to the node.
@@ -278,7 +281,7 @@
 	if s.draining {
 		return garnetworks.Errorf(garnetworks.KindShuttingDown, "this node takes no new calls")
 	}
-	if !s.ready {
+	if !s.opened {
 		return garnetworks.Errorf(garnetworks.KindNotReady, "this node is not ready yet")
 	}
 	s.inFlight++
