Fence leases by term under pauses, late writes and drifting clocks

Cause: two holders of different terms must never have orders in flight together. Change: a state machine test for leaser over three nodes with drifting clocks, lost answers, writes that take effect late, pauses and restarts. A node that reads rarely took the time between two of its reads for a silent holder and tried to take the lease again and again; a takeover now needs a read that shows the record unchanged after the whole wait (TestFewNodesReadOften). A free record is left to the candidates. Controllers send a drain only once it is written, and break a group whose engines drain though no drain is recorded.

--- a/controller/fuzz_test.go
+++ b/controller/fuzz_test.go
@@ -175,5 +175,22 @@
 	for _, l := range s.log[max(len(s.log)-60, 0):] {
 		rt.Log(l)
 	}
+	s.dump(rt)
 	rt.Fatalf("%d of %d groups serve 1000 s after the last fault", s.serving(), groups)
 }
+
+func (s *sim) dump(rt *rapid.T) {
+	rt.Logf("ledger %s", s.objects[LedgerKey].value)
+	for _, n := range s.nodes {
+		if n.state.Phase != PhaseActive {
+			continue
+		}
+		rt.Logf("%s stated %+v limit %d unmet %+v", n.id, n.state.Power.Stored, n.state.Limit, n.state.Plan.Unmet)
+		for _, d := range n.state.sorted() {
+			for _, i := range d.Ahead.Instances {
+				e := s.engines[i.ID]
+				rt.Logf("%s %s %s group %q token %s; engine %s %s group %q", i.ID, i.Power, i.Condition, i.Group, i.Token, e.power, e.phase, e.group)
+			}
+		}
+	}
+}
--- a/controller/send.go
+++ b/controller/send.go
@@ -37,12 +37,19 @@
 }
 
 // recorded reports whether the newest decision about the instance is proven to
-// be written: every decision issues a token.
+// be written. Every decision issues a token but for a drain, which keeps the
+// group's.
 func recorded(d *DomainState, id garnetworks.InstanceID) bool {
 	stored := grouper.FindInstance(&d.Stored, id)
 	decided := grouper.FindInstance(&d.Ahead, id)
 	return stored != nil && decided != nil &&
-		stored.Token == decided.Token && stored.Group == decided.Group && d.Stored.Term == d.Ahead.Term
+		stored.Token == decided.Token && stored.Group == decided.Group && d.Stored.Term == d.Ahead.Term &&
+		drains(&d.Stored, stored.Group) == drains(&d.Ahead, decided.Group)
+}
+
+func drains(d *garnetworks.FabricDomain, id garnetworks.GroupID) bool {
+	g := grouper.FindGroup(d, id)
+	return g != nil && g.State == garnetworks.GroupDraining
 }
 
 // pace lets one order at a time go to an instance, and the same one again only
--- a/grouper/observe.go
+++ b/grouper/observe.go
@@ -34,7 +34,8 @@
 	Heard map[garnetworks.InstanceID]time.Time
 	// Leaving are the instances that the list or their engine calls leaving.
 	Leaving garnetworks.Set[garnetworks.InstanceID]
-	// Ordered is when the power of a starting instance was ordered.
+	// Ordered is when this holder first sent the order that powers a starting
+	// instance; absent before.
 	Ordered map[garnetworks.InstanceID]time.Time
 	Bounds  Bounds
 }
@@ -69,14 +70,15 @@
 		if silence > o.Bounds.Loss {
 			a.Lose(id, o.Now, "no confirmation for "+silence.Round(time.Second).String())
 		}
-	case garnetworks.PowerStarting, garnetworks.PowerUnknown:
-		since := o.Heard[id]
-		if at, known := o.Ordered[id]; known && at.After(since) {
-			since = at
-		}
-		if o.Now.Sub(since) > o.Bounds.Boot[i.Class] {
+	case garnetworks.PowerStarting:
+		at, sent := o.Ordered[id]
+		if sent && o.Now.Sub(at) > o.Bounds.Boot[i.Class] {
 			a.Lose(id, o.Now, "did not answer after its boot time")
 		}
+	case garnetworks.PowerUnknown:
+		if silence > o.Bounds.Boot[i.Class] {
+			a.Lose(id, o.Now, "has not answered since it was listed")
+		}
 	}
 }
 
@@ -114,9 +116,16 @@
 	if g == nil {
 		return false
 	}
+	elsewhere := s.Group != g.ID || s.Token != g.Token || s.Phase == garnetworks.EngineIdle
 	switch g.State {
-	case garnetworks.GroupLoading, garnetworks.GroupServing, garnetworks.GroupDraining:
-		return s.Group != g.ID || s.Token != g.Token || s.Phase == garnetworks.EngineIdle
+	case garnetworks.GroupLoading, garnetworks.GroupServing:
+		// A drain that an earlier holder ordered and never got written can't be
+		// taken back: the engines would refuse all calls for good.
+		return elsewhere || s.Phase == garnetworks.EngineDraining
+	case garnetworks.GroupDraining:
+		return elsewhere
+	case garnetworks.GroupForming:
+		return s.Group == g.ID && s.Phase == garnetworks.EngineDraining
 	}
 	return false
 }
@@ -125,7 +134,7 @@
 	if s.Group == "" {
 		return "no group"
 	}
-	return string(s.Group) + " under " + s.Token.String()
+	return string(s.Group) + " under " + s.Token.String() + ", " + string(s.Phase)
 }
 
 func (a *Aggregate) observeGroup(id garnetworks.GroupID, o Observation) {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -129,8 +129,9 @@
 	Known    bool
 	Record   garnetworks.LeaseRecord
 	Revision garnetworks.Revision
-	// SeenAt is when Record was first seen (L4).
+	// SeenAt is when Record was first seen, ReadAt when it was last read (L4).
 	SeenAt time.Time
+	ReadAt time.Time
 	// Holding says that Record is this process's own. A record with this node's
 	// name from before a restart is another holder's: the new process does not
 	// know what the old one decided.
@@ -276,20 +277,23 @@
 	if !s.Known || now.Before(s.AwayUntil) {
 		return false
 	}
-	if s.Record.Holder == "" {
+	if s.Record.Holder == "" && s.Rank < s.Candidates {
 		return true
 	}
 	if s.retake != 0 && s.retake == s.Revision {
 		return true
 	}
-	return s.waitedOut(now)
+	return s.waitedOut()
 }
 
-// waitedOut counts the record's own duration if it is the longer one: its
-// holder may run with other settings.
-func (s *State) waitedOut(now time.Time) bool {
-	duration := max(s.Record.Duration, s.Settings.Duration)
-	return now.Sub(s.SeenAt) >= duration+s.Settings.OrderBound+s.Settings.DriftBound
+// waitedOut reports whether a read has shown the record unchanged for the whole
+// wait. A node that reads rarely knows nothing of what lies between two reads.
+func (s *State) waitedOut() bool { return s.ReadAt.Sub(s.SeenAt) >= s.wait() }
+
+// wait counts the record's own duration if it is the longer one: its holder may
+// run with other settings.
+func (s *State) wait() time.Duration {
+	return max(s.Record.Duration, s.Settings.Duration) + s.Settings.OrderBound + s.Settings.DriftBound
 }
 
 // OnRead takes in the result of a read that ended at now. jitter is between 0
@@ -303,8 +307,12 @@
 		return
 	}
 	s.mustRead = false
-	s.nextRead = now.Add(s.spread(s.readEvery(), jitter))
+	s.ReadAt = now
 	s.conclude(now, record, revision)
+	s.nextRead = now.Add(s.spread(s.readEvery(), jitter))
+	if over := s.SeenAt.Add(s.wait()); s.Rank < s.Candidates && now.Before(over) && over.Before(s.nextRead) {
+		s.nextRead = over
+	}
 }
 
 func (s *State) readEvery() time.Duration {
--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,251 @@
+package leaser
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		given := false
+		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+		if !given {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// world is one record and several nodes with clocks of their own.
+type world struct {
+	now    time.Time
+	record garnetworks.LeaseRecord
+	rev    garnetworks.Revision
+	nodes  []*contender
+	// orders holds until when each node's newest order may be in flight, and its
+	// term.
+	orders []order
+	terms  uint32
+	late   []lateWrite
+}
+
+type order struct {
+	until time.Time
+	node  int
+	term  uint32
+}
+
+type lateWrite struct {
+	at    time.Time
+	write Action
+}
+
+type contender struct {
+	*State
+	id      garnetworks.NodeID
+	skew    float64
+	paused  time.Time
+	started time.Time
+	writes  int
+}
+
+// clock is the node's own clock, which runs faster or slower than real time.
+func (c *contender) clock(now time.Time) time.Time {
+	return c.started.Add(time.Duration(float64(now.Sub(c.started)) * c.skew))
+}
+
+func (w *world) put(a Action) error {
+	if a.After != w.rev {
+		return garnetworks.Errorf(garnetworks.KindConflict, "")
+	}
+	w.rev++
+	w.record = a.Record
+	if a.Record.Term < w.terms {
+		return fmt.Errorf("term %d after %d", a.Record.Term, w.terms)
+	}
+	w.terms = a.Record.Term
+	return nil
+}
+
+// act lets a node do what is due, with a chance of a lost answer, of a write
+// that takes effect late, and of a refusal.
+func (w *world) act(rt *rapid.T, n int) {
+	c := w.nodes[n]
+	c.writes++
+	now := c.clock(w.now)
+	a := c.Next(now, fmt.Sprintf("%s/%d", c.id, c.writes))
+	fate := rapid.IntRange(0, 9).Draw(rt, "fate")
+	switch a.Kind {
+	case ActionRead:
+		var err error
+		if fate == 0 {
+			err = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "")
+		} else if w.rev == 0 {
+			err = garnetworks.Errorf(garnetworks.KindNotFound, "")
+		}
+		c.OnRead(now, w.record, w.rev, err, 0.5)
+	case ActionWrite:
+		w.write(rt, c, a, fate)
+	}
+	if left, ok := c.MayAct(c.clock(w.now), c.Settings.OrderBound); ok && left > 0 {
+		w.orders = append(w.orders, order{w.now.Add(c.Settings.OrderBound), n, c.Record.Term})
+	}
+}
+
+func (w *world) write(rt *rapid.T, c *contender, a Action, fate int) {
+	lost := garnetworks.Errorf(garnetworks.KindAnswerLost, "")
+	switch fate {
+	case 0:
+		c.OnWrite(c.clock(w.now), 0, garnetworks.Errorf(garnetworks.KindObjectAPIDown, ""))
+	case 1:
+		if err := w.put(a); garnetworks.KindOf(err) == garnetworks.KindInternal {
+			rt.Fatal(err)
+		}
+		c.OnWrite(c.clock(w.now), 0, lost)
+	case 2:
+		w.late = append(w.late, lateWrite{w.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(rt, "late")) * time.Second), a})
+		c.OnWrite(c.clock(w.now), 0, lost)
+	default:
+		err := w.put(a)
+		if garnetworks.KindOf(err) == garnetworks.KindInternal {
+			rt.Fatal(err)
+		}
+		c.OnWrite(c.clock(w.now), w.rev, err)
+	}
+}
+
+// TestOrdersOfTwoTermsNeverOverlap holds rules L1 to L5: whatever is paused,
+// lost, late or restarted, and with clocks that differ by one in a hundred, no
+// order of a term is in flight once a node may send orders of another one.
+func TestOrdersOfTwoTermsNeverOverlap(t *testing.T) {
+	taken := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &world{now: time.Unix(1_000_000, 0)}
+		for n := range 3 {
+			w.add(n, 1+float64(n-1)/100)
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"run": func(rt *rapid.T) {
+				for range rapid.IntRange(1, 40).Draw(rt, "ticks") {
+					w.tick(rt)
+				}
+			},
+			"pause": func(rt *rapid.T) {
+				n := rapid.IntRange(0, 2).Draw(rt, "node")
+				w.nodes[n].paused = w.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(rt, "seconds")) * time.Second)
+			},
+			"restart": func(rt *rapid.T) { n := rapid.IntRange(0, 2).Draw(rt, "node"); w.add(n, w.nodes[n].skew) },
+			"floor": func(rt *rapid.T) {
+				c := w.nodes[rapid.IntRange(0, 2).Draw(rt, "node")]
+				c.RaiseFloor(w.record.Term)
+			},
+		})
+		taken += int(w.terms)
+	})
+	t.Logf("%d terms", taken)
+	if taken == 0 {
+		t.Error("no node ever took the lease")
+	}
+}
+
+func (w *world) add(n int, skew float64) {
+	id := garnetworks.NodeID(fmt.Sprintf("n%d", n))
+	c := &contender{State: NewState(id, Defaults()), id: id, skew: skew, started: w.now}
+	c.Candidates = 3
+	if n < len(w.nodes) {
+		c.writes = w.nodes[n].writes + 1000
+		w.nodes[n] = c
+		return
+	}
+	w.nodes = append(w.nodes, c)
+}
+
+func (w *world) tick(rt *rapid.T) {
+	w.now = w.now.Add(500 * time.Millisecond)
+	for _, l := range w.late {
+		if !l.at.After(w.now) {
+			_ = w.put(l.write)
+		}
+	}
+	kept := w.late[:0]
+	for _, l := range w.late {
+		if l.at.After(w.now) {
+			kept = append(kept, l)
+		}
+	}
+	w.late = kept
+	for n, c := range w.nodes {
+		if !w.now.Before(c.paused) {
+			w.act(rt, n)
+		}
+	}
+	w.check(rt)
+}
+
+func (w *world) check(rt *rapid.T) {
+	live := w.orders[:0]
+	for _, o := range w.orders {
+		if o.until.After(w.now) {
+			live = append(live, o)
+		}
+	}
+	w.orders = live
+	for _, o := range w.orders {
+		if o.term != w.orders[0].term {
+			rt.Fatalf("orders of terms %d and %d are in flight together", w.orders[0].term, o.term)
+		}
+	}
+}
+
+// TestAgeTakesTheLongerClock: a machine is suspended for a minute. Its monotonic
+// clock stood still, its wall clock is set after it resumes; by the monotonic
+// clock alone it would still hold a lease that another node has taken.
+func TestAgeTakesTheLongerClock(t *testing.T) {
+	for name, c := range map[string]struct{ mono, wall, want time.Duration }{
+		"running":         {time.Second, time.Second, time.Second},
+		"suspended":       {time.Second, time.Minute, time.Minute},
+		"wall set back":   {time.Second, -time.Hour, time.Second},
+		"wall set onward": {time.Second, time.Hour, time.Hour},
+	} {
+		if got := longer(c.mono, c.wall); got != c.want {
+			t.Errorf("%s: age is %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// TestFewNodesReadOften counts the calls that 41 nodes of a zone make for one
+// lease in an hour without faults (L7).
+func TestFewNodesReadOften(t *testing.T) {
+	w := &world{now: time.Unix(1_000_000, 0)}
+	reads, writes := 0, 0
+	for n := range 41 {
+		w.add(n, 1)
+		w.nodes[n].Rank = n
+	}
+	for end := w.now.Add(time.Hour); w.now.Before(end); w.now = w.now.Add(100 * time.Millisecond) {
+		for _, c := range w.nodes {
+			c.writes++
+			switch a := c.Next(w.now, fmt.Sprint(c.id, c.writes)); a.Kind {
+			case ActionRead:
+				reads++
+				c.OnRead(w.now, w.record, w.rev, nil, float64(c.Rank%10)/10)
+			case ActionWrite:
+				writes++
+				err := w.put(a)
+				c.OnWrite(w.now, w.rev, err)
+			}
+		}
+	}
+	t.Logf("41 nodes, 1 h: %d reads (%.2f/s), %d writes (%.2f/s)", reads, float64(reads)/3600, writes, float64(writes)/3600)
+	if writes > 1300 || reads > 4500 {
+		t.Errorf("%d reads and %d writes for one lease in an hour", reads, writes)
+	}
+}
