Measure the two measures on a table of faults; space boots out, hold what returns

Cause: the policy was not measured; and the trace of the first table showed instances switched off on their return (the time lost counted as idle), lost ones cut while their group waited anyway, boots of groups whose turn at the store came minutes later, and whole dark racks booted in vain. Rules P7, P11 and P14.

--- /dev/null
+++ b/placer/baseline_test.go
@@ -0,0 +1,141 @@
+package placer_test
+
+import (
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/placer"
+)
+
+// baseline is the naive policy that the measurement compares with: it keeps no
+// spares, tears a group down when a member is missing or leaving, and rebuilds
+// groups in order of discovery from whatever instances of a domain come first,
+// booting those that are off. It never switches anything off unless the limit
+// forces it, shares the store evenly, and knows no priorities. Engines keep
+// their weights, as under the policy, so that the comparison isn't made easy.
+func baseline(in placer.Input) placer.Output {
+	b := &naive{in: in, taken: garnetworks.NewSet[garnetworks.InstanceID](), have: map[garnetworks.ModelName]int{}}
+	b.judge()
+	b.shed()
+	b.rebuild()
+	return b.out
+}
+
+type naive struct {
+	in    placer.Input
+	out   placer.Output
+	taken garnetworks.Set[garnetworks.InstanceID]
+	have  map[garnetworks.ModelName]int
+	drawn garnetworks.Watts
+}
+
+func (b *naive) judge() {
+	for _, d := range b.in.Domains {
+		conditions := map[garnetworks.InstanceID]garnetworks.Condition{}
+		for _, i := range d.Instances {
+			conditions[i.ID] = i.Condition
+			if i.Power.Draws() {
+				b.drawn += i.Watts
+			}
+		}
+		for _, g := range d.Groups {
+			b.judgeGroup(d.ID, g, conditions)
+		}
+	}
+}
+
+func (b *naive) judgeGroup(d garnetworks.DomainID, g garnetworks.Group, conditions map[garnetworks.InstanceID]garnetworks.Condition) {
+	drained := g.State == garnetworks.GroupDraining && (b.in.Groups[g.ID].Idle || !b.in.Now.Before(g.DrainUntil))
+	lost, leaving := drained, false
+	for _, m := range g.Members {
+		c := conditions[m]
+		lost = lost || c == garnetworks.ConditionLost || c == garnetworks.ConditionReturned
+		leaving = leaving || c == garnetworks.ConditionLeaving
+	}
+	if lost {
+		b.out.Decisions = append(b.out.Decisions, placer.DissolveGroup{Domain: d, Group: g.ID})
+		return
+	}
+	for _, m := range g.Members {
+		b.taken.Add(m)
+	}
+	if g.State == garnetworks.GroupDraining {
+		return
+	}
+	if leaving && g.State == garnetworks.GroupServing {
+		b.out.Decisions = append(b.out.Decisions, placer.DrainGroup{Domain: d, Group: g.ID, Grace: b.in.Grace.Drain})
+		return
+	}
+	b.have[g.Model]++
+}
+
+// shed takes groups, the last discovered first, until the draw fits the limit.
+func (b *naive) shed() {
+	over := b.drawn - b.in.Limit
+	for n := len(b.in.Domains) - 1; n >= 0 && over > 0; n-- {
+		d := b.in.Domains[n]
+		for _, i := range d.Instances {
+			if over > 0 && i.Power.Draws() && !b.taken.Has(i.ID) {
+				if i.Power != garnetworks.PowerStopping {
+					b.out.Decisions = append(b.out.Decisions, placer.PowerOff{Domain: d.ID, Instance: i.ID})
+				}
+				b.taken.Add(i.ID)
+				over -= i.Watts
+			}
+		}
+		for _, g := range d.Groups {
+			if over <= 0 {
+				break
+			}
+			over -= engineWatts * garnetworks.Watts(len(g.Members))
+			if g.State == garnetworks.GroupServing && b.taken.Has(g.Members[0]) {
+				b.out.Decisions = append(b.out.Decisions, placer.DrainGroup{Domain: d.ID, Group: g.ID, Grace: b.in.Grace.Shed})
+				b.have[g.Model]--
+			}
+		}
+	}
+}
+
+func (b *naive) rebuild() {
+	for _, m := range b.in.Models {
+		for range max(0, m.MaxGroups-b.have[m.Name]) {
+			for _, d := range b.in.Domains {
+				if b.build(m, d) {
+					break
+				}
+			}
+		}
+	}
+}
+
+func (b *naive) build(m garnetworks.ModelSpec, d garnetworks.FabricDomain) bool {
+	var members []garnetworks.InstanceID
+	var on []placer.Decision
+	ready := true
+	watts := garnetworks.Watts(0)
+	for _, i := range d.Instances {
+		healthy := i.Condition == garnetworks.ConditionHealthy || i.Condition == garnetworks.ConditionStraggler
+		usable := i.Power == garnetworks.PowerOn && healthy || i.Power == garnetworks.PowerStarting || i.Power == garnetworks.PowerOff
+		if len(members) == m.GroupSize || b.taken.Has(i.ID) || !usable {
+			continue
+		}
+		members = append(members, i.ID)
+		ready = ready && i.Power == garnetworks.PowerOn
+		if i.Power == garnetworks.PowerOff {
+			on = append(on, placer.PowerOn{Domain: d.ID, Instance: i.ID})
+			watts += i.Watts
+		}
+	}
+	if len(members) < m.GroupSize || b.drawn+watts > b.in.Limit {
+		return false
+	}
+	b.drawn += watts
+	for _, id := range members {
+		b.taken.Add(id)
+	}
+	b.out.Decisions = append(b.out.Decisions, on...)
+	if ready {
+		b.out.Decisions = append(b.out.Decisions, placer.FormGroup{
+			Domain: d.ID, Model: m.Name, Version: m.Version, Members: members,
+		})
+	}
+	return true
+}
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -39,8 +39,8 @@
 //	    lower priority. The fewest and last ones of one domain go.
 //	P7  An instance that failed is doubtful until StrikeMemory has passed. It is
 //	    used only where P5 and P6 find nothing else, and after its second
-//	    failure only when a doubling time has passed. A dark domain is tried
-//	    with one instance first if S·g > D.
+//	    failure only when a doubling time has passed. If S·g > D, the failed
+//	    instances of a domain are tried with one boot until one has come back.
 //	P8  A group with a leaving member is drained at once (rule G8). Where the
 //	    end is known beforehand, or a straggler or an old version is the cause,
 //	    the replacement is made before the group is drained: as a whole second
@@ -60,8 +60,11 @@
 //	    P10 as a share of S. Survivors whose missing member may return are held
 //	    for (B+L)·(1+D/(S·n)), the time at which the holding has cost as much
 //	    as booting and loading them anew; so holding costs at most twice what
-//	    the best choice in hindsight would. Whatever they hold is given up at
-//	    once if a group needs the power.
+//	    the best choice in hindsight would. A lost instance keeps its power for
+//	    LostGrace; longer while a group of its domain waits for a boot and the n
+//	    lost ones cost less than the wait, S·n < D+S·g; and for
+//	    (B+L)·(1+D/(S·g)) if half of its domain is lost and a group is wanting.
+//	    All that is held is given up at once if a group needs the power.
 //	P12 The store's rate goes first to groups of minimum slots, then to those
 //	    above, then to members that wait for others, then to replacements,
 //	    then to spares; within each, by priority, and by the least bytes left,
@@ -73,6 +76,8 @@
 //	    ReformBound. Members that a slot waits for are kept until another choice
 //	    is sooner by SwitchGain. Rates change by steps of at least an eighth. A plan
 //	    applied to its own result has no decisions.
+//	P14 If S·g > D, a group's members are ordered on only so early that their
+//	    boots end as the store has fed the groups before it.
 package placer
 
 import "time"
@@ -131,6 +136,7 @@
 	rateStep          = 8
 	floorShare        = 1000
 	preloadLeastShare = 100
+	bootMargin        = 15 * time.Second
 	preloadRetry      = 30 * time.Second
 	day               = 24 * time.Hour
 )
--- /dev/null
+++ b/placer/faults_test.go
@@ -0,0 +1,157 @@
+package placer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/placer"
+	"github.com/sebdah/goldie/v2"
+)
+
+// faultCase is a row of the measurement: what happens in a zone at rest, and
+// how long it is watched.
+type faultCase struct {
+	name   string
+	window time.Duration
+	begin  func(*simulator)
+	// setup changes the zone before it starts; it may be nil.
+	setup func(*world)
+}
+
+// window is how long the effects of a fault are summed up.
+const window = time.Hour
+
+func faultCases() []faultCase {
+	roomy := func(w *world) { w.Models[2].MaxGroups = 1 }
+	return []faultCase{
+		{name: "nothing happens", window: window, begin: func(*simulator) {}},
+		{name: "single member lost", window: window, begin: func(s *simulator) { s.fail(s.member("a", 1), repairAfter, false) }},
+		{name: "member returns in 8 s", window: window, begin: func(s *simulator) { s.fail(s.member("a", 1), 8*time.Second, true) }},
+		{name: "member returns in 45 s", window: window, begin: func(s *simulator) { s.fail(s.member("a", 1), 45*time.Second, true) }},
+		{name: "two members, one domain", window: window, begin: func(s *simulator) {
+			s.fail(s.member("a", 1), repairAfter, false)
+			s.fail(s.member("b", 2), repairAfter, false)
+		}},
+		{name: "whole domain dark", window: 2 * window, begin: func(s *simulator) { s.dark(0, 1) }},
+		{name: "same, room elsewhere", window: 2 * window, setup: roomy, begin: func(s *simulator) { s.dark(0, 1) }},
+		{name: "rack (half a domain)", window: 2 * window, begin: func(s *simulator) { s.dark(0, 2) }},
+		{name: "straggler", window: window, begin: func(s *simulator) {
+			s.member("a", 1).instance.Condition = garnetworks.ConditionStraggler
+		}},
+		{name: "4 restarts, no notice", window: window, begin: func(s *simulator) { s.restarts(0) }},
+		{name: "4 restarts, announced", window: window, begin: func(s *simulator) { s.restarts(10 * time.Minute) }},
+		{name: "cap lowered for 20 min", window: window, begin: func(s *simulator) {
+			before := s.Limit
+			s.Limit = engineWatts * 45
+			s.after(20*time.Minute, func() { s.Limit = before })
+		}},
+		{name: "peak over", window: window, begin: func(s *simulator) { s.Models[1].MaxGroups = 3 }},
+		{name: "store slow, member lost", window: window, begin: func(s *simulator) {
+			s.StoreRate /= 10
+			s.fail(s.member("a", 1), repairAfter, false)
+		}},
+		{name: "boot slow, member lost", window: window, begin: func(s *simulator) {
+			s.boot = 15 * time.Minute
+			s.fail(s.member("a", 1), repairAfter, false)
+		}},
+		{name: "ordinary day", window: 24 * time.Hour, begin: func(s *simulator) { s.ordinaryDay() }},
+	}
+}
+
+// dark cuts every part-th instance of a domain off for half an hour, as a failed
+// switch does; the instances keep their weights if they keep their power, and
+// the power can still be switched.
+func (s *simulator) dark(domain, part int) {
+	for n := range s.Domains[domain].Instances {
+		if n%part == 0 {
+			s.fail(s.engines[s.Domains[domain].Instances[n].ID], 30*time.Minute, true)
+		}
+	}
+}
+
+func (s *simulator) restarts(announced time.Duration) {
+	for n := range 4 {
+		s.after(time.Duration(n)*12*time.Minute, func() { s.restart(s.member("b", n), announced) })
+	}
+}
+
+type measured struct {
+	down, stranded, slow float64
+}
+
+func simulate(t testing.TB, c faultCase, p policy, weights garnetworks.MeasureWeights) measured {
+	t.Helper()
+	w := newWorld(5, 15, modelSpec("a", 10, 4, 6), modelSpec("b", 5, 4, 6), modelSpec("c", 1, 1, 3))
+	w.Weights = weights
+	w.Limit = engineWatts * 70
+	w.Grace.Drain = time.Minute
+	if c.setup != nil {
+		c.setup(w)
+	}
+	s := newSimulator(w, p)
+	s.announced = map[garnetworks.InstanceID]placer.InstanceObservation{}
+	s.run(epoch.Add(time.Hour))
+	before := s.account.Measures()
+	slow := s.slow
+	c.begin(s)
+	s.run(s.Now.Add(c.window))
+	if s.err != nil {
+		t.Fatalf("%s: %v", c.name, s.err)
+	}
+	s.account.CountUntil(s.Now)
+	after := s.account.Measures()
+	return measured{
+		down:     (after.GroupDowntime - before.GroupDowntime).Seconds(),
+		stranded: (after.Stranded - before.Stranded).Seconds(),
+		slow:     (s.slow - slow).Seconds(),
+	}
+}
+
+// TestFaultTable measures the two measures on the table of faults for the naive
+// baseline, for the policy with weights that put downtime first, and with
+// weights that put stranded instances first. The zone has 5 domains of 15
+// instances, 15 groups of 4, and power for 70 instances. To reproduce:
+//
+//	go test ./placer -run TestFaultTable -v
+func TestFaultTable(t *testing.T) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-24s|%32s |%32s |%12s |%20s\n", "",
+		"group downtime, group-seconds", "stranded, instance-seconds", "cost ratio", "slow, group-seconds")
+	fmt.Fprintf(&b, "%-24s", "case")
+	for range 2 {
+		fmt.Fprintf(&b, "|%8s %7s %4s %7s %4s ", "baseline", "D-heavy", "", "S-heavy", "")
+	}
+	fmt.Fprintf(&b, "| D-hvy S-hvy |%6s %6s %6s\n", "base", "D-hvy", "S-hvy")
+	for _, c := range faultCases() {
+		if testing.Short() && c.window > 2*window {
+			continue
+		}
+		naive := simulate(t, c, baseline, delta)
+		d := simulate(t, c, placer.Plan, delta)
+		s := simulate(t, c, placer.Plan, schiedsplan)
+		fmt.Fprintf(&b, "%-24s|%8.0f %7.0f %4s %7.0f %4s |%8.0f %7.0f %4s %7.0f %4s |%6s %5s |%6.0f %6.0f %6.0f\n", c.name,
+			naive.down, d.down, ratio(d.down, naive.down), s.down, ratio(s.down, naive.down),
+			naive.stranded, d.stranded, ratio(d.stranded, naive.stranded), s.stranded, ratio(s.stranded, naive.stranded),
+			ratio(d.cost(delta), naive.cost(delta)), ratio(s.cost(schiedsplan), naive.cost(schiedsplan)),
+			naive.slow, d.slow, s.slow)
+	}
+	t.Logf("\n%s", b.String())
+	if !testing.Short() {
+		goldie.New(t).Assert(t, "fault-table", []byte(b.String()))
+	}
+}
+
+// cost weighs the measures as the manifest does.
+func (m measured) cost(w garnetworks.MeasureWeights) float64 {
+	return m.down*w.GroupDowntime + m.stranded*w.Stranded
+}
+
+func ratio(a, b float64) string {
+	if b == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", a/b)
+}
--- a/placer/index.go
+++ b/placer/index.go
@@ -62,6 +62,8 @@
 	powerOff bool
 	// pool is nil for instances that no model uses.
 	pool *pool
+	// delay is how much later than now the instance should be ordered on.
+	delay time.Duration
 	// draining says that the instance is a member of a group that drains.
 	draining bool
 	// loads says that the plan lets the instance load weights.
@@ -90,9 +92,8 @@
 	held []int
 	// version counts changes, so that choices can be kept until then.
 	version int
-	// dark is true if nothing in the domain is powered and healthy, and
-	// instances have failed there.
-	dark bool
+	// unproven is true if instances have failed and none has come back.
+	unproven bool
 }
 
 type group struct {
@@ -159,6 +160,8 @@
 	slots     []slot
 	// planned is the draw of everything the plan has a use for.
 	planned garnetworks.Watts
+	// waits are the reserved slots, in order.
+	waits []pendingWait
 	// forms are the groups that can form now.
 	forms []*pendingForm
 	// closing, offs, ons and loads are the decisions by kind.
@@ -242,7 +245,7 @@
 		for _, i := range d.instances {
 			p.indexInstance(i)
 		}
-		d.dark = isDark(d)
+		d.unproven = isUnproven(d)
 	}
 }
 
@@ -265,6 +268,7 @@
 	h := &i.history
 	running := i.Power == garnetworks.PowerOn || i.Power == garnetworks.PowerUnknown
 	lost := running && i.Condition == garnetworks.ConditionLost || p.bootOverdue(i)
+	lost = lost || i.Power == garnetworks.PowerStarting && !h.LostSince.IsZero()
 	if i.Power == garnetworks.PowerStopping {
 		return
 	}
@@ -287,12 +291,17 @@
 	}
 }
 
+// bootOverdue allows twice the time after each failure: were the class's boot
+// time stated too short, every boot would be given up and none would ever end.
 func (p *planner) bootOverdue(i *instance) bool {
 	if i.Power != garnetworks.PowerStarting || i.class == nil || i.history.PoweredOn.IsZero() {
 		return false
 	}
 	limit := bootOverdueFactor*i.class.BootTime + time.Minute
-	return !p.in.Now.Before(i.history.PoweredOn.Add(limit))
+	limit <<= min(i.history.Strikes, 4)
+	end := i.history.PoweredOn.Add(limit)
+	p.wake(end)
+	return !p.in.Now.Before(end)
 }
 
 // presenceOf judges the instance on its own; indexGroups corrects it for
@@ -341,13 +350,18 @@
 	return h.LastStrike.Add(min(backoff, longestBackoff))
 }
 
-func isDark(d *domain) bool {
+// isUnproven reports whether instances of the domain have failed and none of
+// them has come back.
+func isUnproven(d *domain) bool {
 	failed := false
 	for _, i := range d.instances {
+		if !i.doubtful {
+			continue
+		}
 		if i.Power == garnetworks.PowerOn && i.Condition == garnetworks.ConditionHealthy {
 			return false
 		}
-		failed = failed || i.doubtful
+		failed = true
 	}
 	return failed
 }
--- a/placer/power.go
+++ b/placer/power.go
@@ -10,6 +10,7 @@
 
 // decidePower orders instances off and on (rules P3, P11 and P13).
 func (p *planner) decidePower() {
+	p.delayBoots()
 	ons := p.wantedOn()
 	var asked garnetworks.Watts
 	for _, i := range ons {
@@ -25,12 +26,16 @@
 func (p *planner) wantedOn() []*instance {
 	var ons []*instance
 	for _, d := range p.domains {
-		probing := d.dark && p.probesFirst(d)
+		probing := d.unproven && p.probesFirst(d)
 		probed := probing && hasBooting(d)
 		for _, i := range d.instances {
 			if i.use == unused || i.presence != powerless {
 				continue
 			}
+			if i.delay > 0 {
+				p.wake(p.in.Now.Add(i.delay))
+				continue
+			}
 			if i.doubtful && probed {
 				continue
 			}
@@ -42,12 +47,62 @@
 	return ons
 }
 
+// delayBoots spaces out the boots of several groups (rule P14): the store feeds
+// one group after another, so that a group whose turn comes later would only
+// stand by, powered, until then.
+func (p *planner) delayBoots() {
+	if p.in.StoreRate <= 0 {
+		return
+	}
+	fed := p.loadingNow()
+	for _, w := range p.waits {
+		size := float64(w.model.GroupSize)
+		c := w.choice
+		boot := c.longestWait(p)
+		if p.in.Weights.Stranded*size > p.in.Weights.GroupDowntime && !c.begun() {
+			c.delay(fed - boot - bootMargin)
+		}
+		fed = max(fed, boot) + p.waitOf(c.members, w.model) - boot
+	}
+}
+
+// loadingNow estimates how long the store is busy with groups that load.
+func (p *planner) loadingNow() time.Duration {
+	var bytes int64
+	for _, l := range p.loaders() {
+		if !l.preloads() {
+			bytes += l.bytes
+		}
+	}
+	return seconds(float64(bytes) / float64(p.in.StoreRate))
+}
+
+func (c choice) longestWait(p *planner) time.Duration {
+	var longest time.Duration
+	for _, i := range c.members {
+		longest = max(longest, p.presenceWait(i))
+	}
+	return longest
+}
+
+// begun reports whether a member boots already.
+func (c choice) begun() bool {
+	return slices.ContainsFunc(c.members, func(i *instance) bool { return i.presence == booting })
+}
+
+func (c choice) delay(d time.Duration) {
+	for _, i := range c.members {
+		i.delay = d
+	}
+}
+
 func hasBooting(d *domain) bool {
 	return slices.ContainsFunc(d.instances, func(i *instance) bool { return i.presence == booting && i.use != unused })
 }
 
-// probesFirst reports whether a dark domain is tried with one instance: all of
-// them booting in vain cost more than the boot time that one costs (rule P7).
+// probesFirst reports whether the failed instances of a domain are tried with
+// one of them: all booting in vain cost more than the boot time that one costs
+// (rule P7).
 func (p *planner) probesFirst(d *domain) bool {
 	for _, i := range d.instances {
 		if i.class != nil && i.class.largest > 0 {
@@ -80,10 +135,12 @@
 	return freed
 }
 
-// noteIdle keeps the time since which the instance is of no use.
+// noteIdle keeps the time since which the instance is of no use. The time that
+// it was lost doesn't count: else one that returns late would be switched off
+// before it is re-admitted.
 func (p *planner) noteIdle(i *instance) {
 	running := i.Power == garnetworks.PowerOn || i.Power == garnetworks.PowerStarting
-	if !running || i.use != unused || i.draining {
+	if !running || i.use != unused || i.draining || !i.history.LostSince.IsZero() {
 		i.history.IdleSince = time.Time{}
 		return
 	}
@@ -101,7 +158,7 @@
 	case i.use != unused || i.draining || i.class == nil || i.class.largest == 0:
 		return "", time.Time{}
 	case !i.history.LostSince.IsZero():
-		return ReasonLost, i.history.LostSince.Add(p.lostGrace)
+		return ReasonLost, i.history.LostSince.Add(p.lostHold(i))
 	case i.Power != garnetworks.PowerOn && i.Power != garnetworks.PowerStarting:
 		return "", time.Time{}
 	case i.Condition == garnetworks.ConditionLeaving:
@@ -113,6 +170,23 @@
 	}
 }
 
+// lostHold returns how long a lost instance keeps its power (rule P11). While a
+// group of its domain waits for a boot, a return may be sooner, and a few lost
+// instances cost less than the wait. Of a domain of which half is lost at once,
+// a switch is the likelier cause than the instances, which then come back with
+// their weights.
+func (p *planner) lostHold(i *instance) time.Duration {
+	o := i.pool
+	switch {
+	case o.waiting > 0 && float64(o.lost-o.GroupSize)*p.in.Weights.Stranded < p.in.Weights.GroupDowntime:
+		return MaxHold
+	case 2*o.lost >= o.size && o.wanted:
+		return max(p.lostGrace, p.holdAgainstBoot(o, o.GroupSize))
+	default:
+		return p.lostGrace
+	}
+}
+
 // idleDue returns the end of the hold by rule P11, but not before FlapBound has
 // passed since the instance was ordered on (rule P13).
 func (p *planner) idleDue(i *instance) time.Time {
@@ -127,15 +201,15 @@
 	o := i.pool
 	hold := o.hold
 	if o.survivors > 0 && i.presence == idle {
-		hold = max(hold, p.survivorHold(o))
+		hold = max(hold, p.holdAgainstBoot(o, o.survivors))
 	}
 	return min(hold, MaxHold)
 }
 
-// survivorHold is the time after which holding survivors has cost as much as
-// booting and loading them anew would.
-func (p *planner) survivorHold(o *pool) time.Duration {
-	cost := p.in.Weights.Stranded * float64(o.survivors)
+// holdAgainstBoot is the time after which holding a group's n instances has
+// cost as much as booting and loading them anew would.
+func (p *planner) holdAgainstBoot(o *pool, n int) time.Duration {
+	cost := p.in.Weights.Stranded * float64(n)
 	if cost <= 0 {
 		return MaxHold
 	}
@@ -152,6 +226,26 @@
 		}
 		o.hold = seconds(o.class.BootTime.Seconds() * share)
 		o.survivors = p.survivorsOf(o)
+		p.countLost(o)
+	}
+}
+
+// countLost fills in what lostHold asks for.
+func (p *planner) countLost(o *pool) {
+	for _, m := range p.models {
+		o.wanted = o.wanted || m.class == o.class && m.pending > 0
+	}
+	for _, i := range o.domain.instances {
+		if i.class != o.class {
+			continue
+		}
+		o.size++
+		if !i.history.LostSince.IsZero() {
+			o.lost++
+		}
+		if i.use == usedBySlot && (i.presence == booting || i.presence == powerless) {
+			o.waiting++
+		}
 	}
 }
 
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -45,6 +45,12 @@
 	rate     int64
 }
 
+// pendingWait is a slot whose members are not all there.
+type pendingWait struct {
+	choice choice
+	model  *model
+}
+
 // fillSlots keeps, sheds, displaces and places groups, in the order of P1.
 func (p *planner) fillSlots() {
 	p.assignSlots()
@@ -209,6 +215,7 @@
 		return
 	}
 	s.model.pending++
+	p.waits = append(p.waits, pendingWait{choice: c, model: s.model})
 	p.preloadWaiting(c, s.model, loadWaiting)
 	p.out.State.Reservations = append(p.out.State.Reservations, Reservation{
 		Model: s.model.Name, Domain: c.domain.ID, Members: idsOf(c.members),
--- a/placer/spares.go
+++ b/placer/spares.go
@@ -66,6 +66,10 @@
 	hold time.Duration
 	// survivors counts the idle instances that wait for a lost member.
 	survivors int
+	// size counts the pool's instances, lost those that are lost, and waiting
+	// those that boot for a slot; wanted says that a slot of the class is empty.
+	size, lost, waiting int
+	wanted              bool
 }
 
 // spareStep is the choice of one more spare of a pool.
