Let a repeated order change the rate of a running load

Cause: garnetdemo's second model stayed in loading for good: the controller raised the rate of a load by a repeated order and the engine's stand-in kept to the first one, 0.7 MB/s of 64 MB. Change: a repeated form order sets the rate of the running load; loads of several weights run beside each other, so a preload no longer ends the load of a group. Conclusion: held by the case 'a repeated order can change the rate of a load'; with the change taken out it fails in process and over HTTP.

--- a/checker/engine.go
+++ b/checker/engine.go
@@ -69,6 +69,10 @@
 			Story: "An order whose answer was lost is sent again and breaks off the calls of a serving group.",
 			Run:   ordersRepeated,
 		},
+		"a repeated order can change the rate of a load": {
+			Story: "A group starts to load at what is left of the weight store's rate; when the others are done it is given more, and goes on at a crawl.",
+			Run:   ordersChangeRate,
+		},
 		"an old token is refused by an engine that checks": {
 			Story: "A paused controller wakes and takes an instance out of the group that its successor formed.",
 			Run:   ordersStale,
@@ -273,6 +277,24 @@
 	return want("phase", status.Phase, garnetworks.EngineReady)
 }
 
+func ordersChangeRate(ctx context.Context, b EngineOrdersBed) error {
+	slow := formOrder(b, "1", 1)
+	slow.LoadRate = 1
+	status, err := sendOrder(ctx, b, b.Checking, slow)
+	if err != nil {
+		return err
+	}
+	if err := want("phase", status.Phase, garnetworks.EngineLoading); err != nil {
+		return err
+	}
+	quick := slow
+	quick.ID, quick.LoadRate = "2", 1<<40
+	if _, err := sendOrder(ctx, b, b.Checking, quick); err != nil {
+		return err
+	}
+	return wantReady(ctx, b, b.Checking.Address, quick)
+}
+
 func ordersStale(ctx context.Context, b EngineOrdersBed) error {
 	newer := formOrder(b, "1", 8)
 	if _, err := sendOrder(ctx, b, b.Checking, newer); err != nil {
--- a/cmd/garnetdemo/standins.go
+++ b/cmd/garnetdemo/standins.go
@@ -156,10 +156,10 @@
 	return "large-trusting"
 }
 
-// manifest returns a manifest that leaves some engines without power.
+// manifest returns a manifest whose cap is below what all engines draw.
 func (s *standIns) manifest() string {
-	engines := len(zones) * s.engines
-	watts := engines*engineWatts + serverWatts
+	const capParts, allParts = 5, 6
+	watts := len(zones)*s.engines*engineWatts*capParts/allParts + serverWatts
 	var text strings.Builder
 	_, _ = fmt.Fprintf(&text, manifestHead, watts, engineWatts, serverWatts)
 	_, _ = fmt.Fprintf(&text, modelEntry, "chat", weightBytes, enginesPerDomain, className(0), 1, len(zones), 100)
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -79,7 +79,8 @@
 	lastOrder   string
 	leaving     bool
 	orders      int
-	cancelLoad  context.CancelFunc
+	// loads are the running loads of weights.
+	loads map[garnetworks.WeightID]*load
 	slowdown    float64
 	// downSince is when the engine stopped taking part; zero while it does.
 	downSince time.Time
@@ -116,10 +117,7 @@
 
 // reset gives the engine the state of a process that has just started.
 func (e *Engine) reset() {
-	if e.cancelLoad != nil {
-		e.cancelLoad()
-	}
-	e.cancelLoad = nil
+	e.cancelLoads()
 	e.phase = garnetworks.EngineIdle
 	e.group, e.token, e.highest, e.members = "", 0, 0, nil
 	e.model, e.version, e.adapters, e.weights = "", "", nil, nil
@@ -304,7 +302,7 @@
 	case garnetworks.OrderDrain:
 		e.drain()
 	case garnetworks.OrderPreload:
-		e.load(order, func() {})
+		e.load(order)
 	case garnetworks.OrderAdapters:
 		e.adapters = slices.Clone(order.Adapters)
 	default:
@@ -313,12 +311,14 @@
 	return nil
 }
 
-// form joins a group. The same group and token again change nothing.
+// form joins a group. The same group and token again change only the rate of a
+// load that runs.
 func (e *Engine) form(order garnetworks.EngineOrder) error {
 	if !slices.Contains(order.Members, e.spec.ID) {
 		return garnetworks.Errorf(garnetworks.KindInvalidRequest, "%s is not among the members of group %s", e.spec.ID, order.Group)
 	}
 	if order.Group == e.group && order.Token == e.token {
+		e.load(order)
 		return nil
 	}
 	e.leave("the engine joined another group")
@@ -327,20 +327,13 @@
 	e.model, e.version = order.Model, order.Version
 	e.adapters = slices.Clone(order.Adapters)
 	e.phase = garnetworks.EngineLoading
-	e.load(order, func() {
-		if e.phase == garnetworks.EngineLoading {
-			e.phase = garnetworks.EngineReady
-		}
-	})
+	e.load(order)
 	return nil
 }
 
 func (e *Engine) leave(reason string) {
 	e.breakAll(reason)
-	if e.cancelLoad != nil {
-		e.cancelLoad()
-		e.cancelLoad = nil
-	}
+	e.cancelLoads()
 	e.phase = garnetworks.EngineIdle
 	e.group, e.token, e.members = "", 0, nil
 	e.model, e.version, e.adapters = "", "", nil
@@ -352,30 +345,49 @@
 	}
 }
 
-// load reads weights in the background and then calls done under the lock,
-// unless another order came in between.
-func (e *Engine) load(order garnetworks.EngineOrder, done func()) {
+func (e *Engine) cancelLoads() {
+	for _, l := range e.loads {
+		l.cancel()
+	}
+	e.loads = make(map[garnetworks.WeightID]*load)
+}
+
+// load reads weights in the background. A load that runs gets the order's rate.
+func (e *Engine) load(order garnetworks.EngineOrder) {
 	id := garnetworks.WeightID{Model: order.Model, Version: order.Version}
-	if e.fleet.Store == nil || slices.Contains(e.weights, id) {
-		if !slices.Contains(e.weights, id) {
-			e.weights = append(e.weights, id)
-		}
-		done()
-		return
+	switch {
+	case slices.Contains(e.weights, id):
+		e.becomeReady()
+	case e.fleet.Store == nil:
+		e.loaded(id)
+	case e.loads[id] != nil:
+		e.fleet.Store.setRate(e.loads[id], order.LoadRate)
+	default:
+		ctx, cancel := context.WithCancel(e.fleet.ctx)
+		l := &load{asked: order.LoadRate, cancel: cancel}
+		e.loads[id] = l
+		go e.loadWeights(ctx, id, l)
 	}
-	if e.cancelLoad != nil {
-		e.cancelLoad()
+}
+
+func (e *Engine) loaded(id garnetworks.WeightID) {
+	e.weights = append(e.weights, id)
+	e.becomeReady()
+}
+
+// becomeReady ends the loading phase once the group's weights are there.
+func (e *Engine) becomeReady() {
+	id := garnetworks.WeightID{Model: e.model, Version: e.version}
+	if e.phase == garnetworks.EngineLoading && slices.Contains(e.weights, id) {
+		e.phase = garnetworks.EngineReady
 	}
-	ctx, cancel := context.WithCancel(e.fleet.ctx)
-	e.cancelLoad = cancel
-	go e.loadWeights(ctx, id, order.LoadRate, done)
 }
 
 // loadRetry is how long a failed load waits before it starts again.
 const loadRetry = 200 * time.Millisecond
 
-func (e *Engine) loadWeights(ctx context.Context, id garnetworks.WeightID, rate int64, done func()) {
-	for e.fleet.Store.read(ctx, id, rate) != nil {
+func (e *Engine) loadWeights(ctx context.Context, id garnetworks.WeightID, l *load) {
+	for e.fleet.Store.read(ctx, id, l) != nil {
 		if sleep(ctx, loadRetry) != nil {
 			return
 		}
@@ -385,10 +397,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	e.cancelLoad()
-	e.cancelLoad = nil
-	e.weights = append(e.weights, id)
-	done()
+	l.cancel()
+	delete(e.loads, id)
+	e.loaded(id)
 }
 
 // Status returns the engine's own word on its state.
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -171,8 +171,11 @@
 	peak  int64
 }
 
-// load is one running load.
-type load struct{ asked int64 }
+// load is one running load; the store's lock guards asked.
+type load struct {
+	asked  int64
+	cancel context.CancelFunc
+}
 
 // NewWeightStore returns a store of the given rate in bytes a second.
 func NewWeightStore(rate int64, sizes map[garnetworks.WeightID]int64) *WeightStore {
@@ -229,12 +232,12 @@
 
 // read takes as long as loading the weights takes among the other loads. While
 // the store is down or frozen no byte comes.
-func (w *WeightStore) read(ctx context.Context, id garnetworks.WeightID, asked int64) error {
+func (w *WeightStore) read(ctx context.Context, id garnetworks.WeightID, l *load) error {
 	size, err := w.size(id)
 	if err != nil {
 		return err
 	}
-	l := w.enter(asked)
+	w.enter(l)
 	defer w.leave(l)
 	for left := float64(size); left > 0; {
 		if err := w.thaw(ctx); err != nil {
@@ -255,17 +258,27 @@
 	return nil
 }
 
-func (w *WeightStore) enter(asked int64) *load {
+func (w *WeightStore) enter(l *load) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := &load{asked: asked}
 	w.loads[l] = struct{}{}
+	w.notePeak()
+}
+
+func (w *WeightStore) notePeak() {
 	var sum int64
-	for other := range w.loads {
-		sum += other.asked
+	for l := range w.loads {
+		sum += l.asked
 	}
 	w.peak = max(w.peak, sum)
-	return l
+}
+
+// setRate changes the rate that a load asks for.
+func (w *WeightStore) setRate(l *load, asked int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l.asked = asked
+	w.notePeak()
 }
 
 func (w *WeightStore) leave(l *load) {
