Let a new version roll though extras can't be placed; ignore slowness of what is off

A model with one slot that nothing could fill never replaced its old version, since the empty slot counted as on its way. A straggler that was switched off kept its penalty, so that a slot waited for a worse member. Change: only slots that wait for reserved members count as on their way; slowness counts for powered instances alone.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -195,7 +195,8 @@
 	if i.presence != idle {
 		wait += doubtPenalty * time.Duration(i.history.Strikes)
 	}
-	if i.Condition == garnetworks.ConditionStraggler {
+	// What made an instance slow is forgotten with its power.
+	if i.Condition == garnetworks.ConditionStraggler && i.presence != powerless {
 		wait += stragglerPenalty
 	}
 	return wait
--- a/placer/power.go
+++ b/placer/power.go
@@ -233,7 +233,7 @@
 // countLost fills in what lostHold asks for.
 func (p *planner) countLost(o *pool) {
 	for _, m := range p.models {
-		o.wanted = o.wanted || m.class == o.class && m.pending > 0
+		o.wanted = o.wanted || m.class == o.class && m.pending+m.unplaced > 0
 	}
 	for _, i := range o.domain.instances {
 		if i.class != o.class {
--- a/placer/replace.go
+++ b/placer/replace.go
@@ -24,7 +24,8 @@
 	}
 }
 
-// busy counts the groups of the model that are on their way.
+// busy counts the groups of the model that are on their way. Slots that nothing
+// can fill don't count: a new version would else wait for them for good.
 func (p *planner) busy(m *model) int {
 	count := m.drains + m.pending + len(m.shadows) + m.moving
 	for _, g := range m.live {
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -171,7 +171,6 @@
 	}
 	c, ok := p.chooseFor(order, s)
 	if !ok {
-		m.pending++
 		m.unplaced++
 		p.unmet(m, CauseInstances)
 		return
--- a/placer/spares.go
+++ b/placer/spares.go
@@ -189,7 +189,8 @@
 }
 
 func (p *planner) mayBeSpare(i *instance) bool {
-	if i.use != unused || i.Condition == garnetworks.ConditionStraggler {
+	slow := i.Condition == garnetworks.ConditionStraggler && i.presence != powerless
+	if i.use != unused || slow {
 		return false
 	}
 	switch i.presence {
--- a/placer/types.go
+++ b/placer/types.go
@@ -13,7 +13,9 @@
 	Now time.Time
 	// Domains are the zone's fabric domains as last read or written, in any
 	// order. An instance that was ordered on is already PowerStarting, a group
-	// that was ordered formed is already GroupForming.
+	// that was ordered formed is already GroupForming. The Condition of an
+	// instance that is off means nothing; it is ConditionHealthy again from the
+	// order to power on.
 	Domains []garnetworks.FabricDomain
 	// Models are the manifest's models with MinGroups and MaxGroups reduced to
 	// the zone's share, see [ZoneModels].
