Order groups to load only once they have a useful rate

Cause: a group that waits for the weight store's rate was ordered with the placer's floor, one part in a thousand; an engine that keeps the rate with which it began to load never got any further. Change: the order to form waits until the member's rate is a hundredth of the zone's share; a member counts as refusing only from when it was asked.

--- a/controller/act.go
+++ b/controller/act.go
@@ -191,8 +191,17 @@
 		Heard:   p.heard,
 		Leaving: garnetworks.NewSet[garnetworks.InstanceID](),
 		Ordered: map[garnetworks.InstanceID]time.Time{},
+		Asked:   map[garnetworks.InstanceID]time.Time{},
 		Bounds:  p.bounds(),
 	}
+	for _, d := range p.open {
+		for n := range d.Domain().Instances {
+			i := &d.Domain().Instances[n]
+			if s := p.orders[i.ID]; s != nil && s.kind == garnetworks.OrderForm && s.token == i.Token {
+				observation.Asked[i.ID] = s.first
+			}
+		}
+	}
 	for id, s := range p.power {
 		observation.Ordered[id] = s.first
 	}
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -8,6 +8,10 @@
 	"github.com/garnetworks/garnetworks/placer"
 )
 
+// leastShare is the part of the zone's store rate below which a group that has
+// yet to load waits for its turn.
+const leastShare = 100
+
 // models returns the zone's share of the manifest's models.
 func (s *ZoneState) models() []garnetworks.ModelSpec {
 	return placer.ZoneModels(&s.Manifest.Manifest, s.Zone)
@@ -34,6 +38,7 @@
 	})
 	p.planned = p.o.Now
 	p.changed = false
+	p.loads.LeastRate = p.storeShare() / leastShare
 	for _, decision := range p.Plan.Decisions {
 		p.apply(decision)
 	}
--- a/controller/send.go
+++ b/controller/send.go
@@ -12,7 +12,7 @@
 	for _, d := range p.open {
 		for _, order := range grouper.Orders(&d.Ahead, p.fresh, p.loads) {
 			beyond, ok := p.maySend(d.DomainState, order)
-			if ok && p.pace(order.Instance, order.ID) {
+			if ok && p.pace(order) {
 				p.e.Orders = append(p.e.Orders, EngineEffect{AddressedOrder: order, BeyondLease: beyond})
 			}
 		}
@@ -54,16 +54,20 @@
 
 // pace lets one order at a time go to an instance, and the same one again only
 // after a while.
-func (p *deciding) pace(id garnetworks.InstanceID, order string) bool {
-	sent := p.orders[id]
+func (p *deciding) pace(order grouper.AddressedOrder) bool {
+	sent := p.orders[order.Instance]
 	if sent == nil {
 		sent = &sentOrder{}
-		p.orders[id] = sent
+		p.orders[order.Instance] = sent
 	}
-	if sent.busy || (sent.id == order && p.o.Now.Sub(sent.at) < p.Times.Retry) {
+	if sent.busy || (sent.id == order.ID && p.o.Now.Sub(sent.at) < p.Times.Retry) {
 		return false
 	}
-	*sent = sentOrder{id: order, busy: true, at: p.o.Now}
+	first := p.o.Now
+	if sent.kind == order.Kind && sent.token == order.Token {
+		first = sent.first
+	}
+	*sent = sentOrder{id: order.ID, kind: order.Kind, token: order.Token, busy: true, at: p.o.Now, first: first}
 	return true
 }
 
--- a/controller/site_test.go
+++ b/controller/site_test.go
@@ -137,7 +137,7 @@
 	b.t.Helper()
 	z, err := controller.NewZone(controller.Options{
 		Node: node, Zone: zone, Objects: objects, Instances: b.list, Power: b.power, Orders: b.fleet,
-		Statuses: b.table, Manifest: b, Recorder: b, Publish: b.publish,
+		Statuses: b.table, Manifest: b, Weights: b.store, Recorder: b, Publish: b.publish,
 	})
 	if err != nil {
 		b.t.Fatal(err)
--- a/controller/state.go
+++ b/controller/state.go
@@ -137,9 +137,13 @@
 
 // sentOrder paces the orders to one instance.
 type sentOrder struct {
-	id   string
-	busy bool
-	at   time.Time
+	id    string
+	kind  garnetworks.OrderKind
+	token garnetworks.FencingToken
+	busy  bool
+	at    time.Time
+	// first is when an order of this kind and token was first sent.
+	first time.Time
 }
 
 // sentPower paces the power orders to one instance.
--- a/grouper/observe.go
+++ b/grouper/observe.go
@@ -37,7 +37,10 @@
 	// Ordered is when this holder first sent the order that powers a starting
 	// instance; absent before.
 	Ordered map[garnetworks.InstanceID]time.Time
-	Bounds  Bounds
+	// Asked is when this holder first sent an instance the order to form the group
+	// that it is in; absent before.
+	Asked  map[garnetworks.InstanceID]time.Time
+	Bounds Bounds
 }
 
 // Observe takes in what the instances say of themselves. It reports a status
@@ -148,7 +151,7 @@
 	}
 	a.Advance(id, o.Fresh, o.Now)
 	switch {
-	case g.State == garnetworks.GroupForming && o.Now.Sub(g.Since) > o.Bounds.Form:
+	case g.State == garnetworks.GroupForming:
 		a.blame(g, o)
 	case g.State == garnetworks.GroupLoading && o.Now.Sub(g.Since) > o.Bounds.Load:
 		a.Break(id, o.Now, "did not load in time")
@@ -163,16 +166,17 @@
 	})
 }
 
-// blame refuses the members that have not taken the group's order, until they
-// show by a release that they take orders again.
+// blame refuses the members that have not taken the group's order in time, until
+// they show by a release that they take orders again.
 func (a *Aggregate) blame(g *garnetworks.Group, o Observation) {
 	for _, m := range slices.Clone(g.Members) {
 		s, ok := o.Fresh[m]
-		if !ok || s.Group != g.ID || s.Token != g.Token {
+		at, asked := o.Asked[m]
+		late := asked && o.Now.Sub(at) > o.Bounds.Form
+		if late && (!ok || s.Group != g.ID || s.Token != g.Token) {
 			a.Return(m, a.Instance(m).Incarnation, o.Now, "did not take the order to form "+string(g.ID))
 		}
 	}
-	a.Break(g.ID, o.Now, "a member did not take the order")
 }
 
 // settleReplaced drains the group that a serving one replaces.
--- a/grouper/orders.go
+++ b/grouper/orders.go
@@ -23,6 +23,10 @@
 	Rates map[garnetworks.InstanceID]int64
 	// Preloads are for instances in no group.
 	Preloads map[garnetworks.InstanceID]garnetworks.WeightID
+	// LeastRate holds back the order to form until the member's rate is at least
+	// this, or none is set: an engine may keep the rate with which it began to
+	// load.
+	LeastRate int64
 }
 
 // Orders returns the orders that bring the engines from what they say to what
@@ -102,7 +106,7 @@
 		LoadRate: rate,
 	}
 	if s.Group != g.ID || s.Token != g.Token {
-		return form, true
+		return form, rate == 0 || rate >= loads.LeastRate
 	}
 	if s.Phase == garnetworks.EngineLoading && rate > 0 && s.LastOrder != form.ID {
 		return form, true
