Measure a token's way through the adapter too

Cause: the target of one allocation a token is the gateway's, and the benchmark left the engine's adapter out.

--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -1,8 +1,9 @@
 package server_test
 
 import (
+	"bytes"
 	"context"
-	"io"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/connector"
 	"github.com/garnetworks/garnetworks/forwarder"
 	"github.com/garnetworks/garnetworks/server"
 )
@@ -75,8 +77,41 @@
 
 func benchServer(pace chan struct{}) *server.Server {
 	n := newWorld().newNode()
-	engine := &benchEngine{node: n, pace: pace}
-	calls := forwarder.New(forwarder.Options{Engines: engine, Groups: n, Prober: n, Manifest: newManifests()})
+	return serverFor(&benchEngine{node: n, pace: pace}, n)
+}
+
+// toAddress is a chooser with one group at a real address.
+type toAddress struct {
+	*node
+	address string
+}
+
+func (a toAddress) Choose(time.Time, *garnetworks.CallRequest, []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	return garnetworks.GroupView{ID: "g1", Address: a.address}, nil
+}
+
+// events1000 are the events of an answer with a place for the attempt.
+var events1000 = func() []byte {
+	var answer []byte
+	for i := range benchTokens {
+		end, reason := "", ""
+		if i == benchTokens-1 {
+			end, reason = "event: end\n", `,"finish-reason":"length"`
+		}
+		answer = fmt.Appendf(answer, "id: @\n%sdata: {\"index\":%d,\"tokens\":1,\"text\":\" pump\\n\"%s}\n\n", end, i, reason)
+	}
+	return answer
+}()
+
+// writeEvents answers as an engine does, as fast as the connection takes it.
+func writeEvents(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(connector.HeaderAttempt)
+	w.Header().Set(connector.HeaderAttempt, attempt)
+	_, _ = w.Write(bytes.ReplaceAll(events1000, []byte("@"), []byte(attempt)))
+}
+
+func serverFor(engines garnetworks.EngineCaller, groups garnetworks.GroupChooser) *server.Server {
+	calls := forwarder.New(forwarder.Options{Engines: engines, Groups: groups, Manifest: newManifests()})
 	s := server.New(server.Options{
 		Calls: calls, Manifest: newManifests(),
 		NewKeyIndex: func(*garnetworks.Manifest) server.KeyIndex { return keys{} },
@@ -126,17 +161,33 @@
 			})
 		})
 	}
-	// The caller and the kernel's loopback are in the figure.
-	b.Run("over-loopback", func(b *testing.B) {
-		listener := httptest.NewServer(benchServer(nil).Handler())
-		defer listener.Close()
-		measure(b, func() {
-			response, err := listener.Client().Do(benchRequest(listener.URL + "/v1/completions"))
-			if err != nil {
-				b.Fatal(err)
-			}
-			_, _ = io.Copy(io.Discard, response.Body)
-			response.Body.Close()
-		})
+	// The caller and the kernel's loopback are in the figures below, and in the
+	// second one the engine's adapter and an engine that writes prepared events.
+	b.Run("over-loopback", func(b *testing.B) { overLoopback(b, benchServer(nil)) })
+	b.Run("over-loopback-with-adapter", func(b *testing.B) {
+		engine := httptest.NewServer(http.HandlerFunc(writeEvents))
+		defer engine.Close()
+		caller := connector.NewEngineCaller(connector.Options{})
+		defer caller.Close()
+		groups := toAddress{newWorld().newNode(), engine.Listener.Addr().String()}
+		overLoopback(b, serverFor(caller, groups))
+	})
+}
+
+func overLoopback(b *testing.B, s *server.Server) {
+	listener := httptest.NewServer(s.Handler())
+	defer listener.Close()
+	var body bytes.Buffer
+	measure(b, func() {
+		response, err := listener.Client().Do(benchRequest(listener.URL + "/v1/completions"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		body.Reset()
+		_, _ = body.ReadFrom(response.Body)
+		response.Body.Close()
+		if !bytes.HasSuffix(body.Bytes(), []byte("data: [DONE]\n\n")) {
+			b.Fatalf("%d bytes, not whole", body.Len())
+		}
 	})
 }
