--- a/faker/engine.go
+++ b/faker/engine.go
@@ -80,8 +80,8 @@
 	leaving     bool
 	orders      int
 	// loads are the running loads of weights.
-	loads map[garnetworks.WeightID]*load
-	slowdown    float64
+	loads    map[garnetworks.WeightID]*load
+	slowdown float64
 	// downSince is when the engine stopped taking part; zero while it does.
 	downSince time.Time
 	batch     batch
