--- a/placer/doc.go
+++ b/placer/doc.go
@@ -72,10 +72,11 @@
 //	    preloads get only what is left.
 //	P13 No flapping: an instance ordered on is not powered off by choice, and a
 //	    spare powered off by choice not on again, before FlapBound has passed.
-//	    A model that lost a group to a lowered limit gets no new one before
+//	    A model that lost a group to a lowered limit or maximum gets back to more
+//	    than was left no sooner than FlapBound, to its minimum no sooner than
 //	    ReformBound. Members that a slot waits for are kept until another choice
-//	    is sooner by SwitchGain. Rates change by steps of at least an eighth. A plan
-//	    applied to its own result has no decisions.
+//	    is sooner by SwitchGain. Rates change by steps of at least an eighth. A
+//	    plan applied to its own result has no decisions.
 //	P14 If S·g > D, a group's members are ordered on only so early that their
 //	    boots end as the store has fed the groups before it.
 package placer
@@ -90,7 +91,8 @@
 	// FlapBound is the least time between two changes of an instance's power by
 	// choice (rule P13).
 	FlapBound = 3 * time.Minute
-	// ReformBound is how long a model waits after a lowered limit took a group.
+	// ReformBound is how long a model below its minimum waits after a lowered
+	// limit or maximum took a group of it (rule P13).
 	ReformBound = time.Minute
 	// SwitchGain is how much sooner another choice must be for a slot to give up
 	// the members that it waits for.
--- a/placer/faults_test.go
+++ b/placer/faults_test.go
@@ -48,7 +48,9 @@
 			s.Limit = engineWatts * 45
 			s.after(20*time.Minute, func() { s.Limit = before })
 		}},
-		{name: "peak over", window: window, begin: func(s *simulator) { s.Models[1].MaxGroups = 3 }},
+		{name: "peak begins", window: window, setup: func(w *world) { w.Models[1].MinGroups, w.Models[1].MaxGroups = 3, 3 }, begin: func(s *simulator) {
+			s.Models[1].MaxGroups = 6
+		}},
 		{name: "store slow, member lost", window: window, begin: func(s *simulator) {
 			s.StoreRate /= 10
 			s.fail(s.member("a", 1), repairAfter, false)
--- a/placer/index.go
+++ b/placer/index.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -412,9 +411,3 @@
 		}
 	}
 }
-
-func copyTimes(m map[garnetworks.ModelName]time.Time) map[garnetworks.ModelName]time.Time {
-	c := make(map[garnetworks.ModelName]time.Time, len(m))
-	maps.Copy(c, m)
-	return c
-}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/garnetworks/garnetworks"
@@ -29,8 +30,8 @@
 }
 
 func (p *planner) decide() {
-	p.out.State.Sheds = copyTimes(p.in.State.Sheds)
-	p.out.State.Moves = copyTimes(p.in.State.Moves)
+	p.out.State.Sheds = cloned(p.in.State.Sheds)
+	p.out.State.Moves = cloned(p.in.State.Moves)
 	p.lostGrace = p.graceForLost()
 	p.judgeGroups()
 	p.fillSlots()
@@ -44,6 +45,13 @@
 	p.shareRate()
 }
 
+// cloned returns a copy that is never nil, so that a plan can write into it.
+func cloned[V any](m map[garnetworks.ModelName]V) map[garnetworks.ModelName]V {
+	c := make(map[garnetworks.ModelName]V, len(m))
+	maps.Copy(c, m)
+	return c
+}
+
 // collect puts the decisions in the order in which they can be carried out:
 // what frees members and power comes before what takes them.
 func (p *planner) collect() {
--- /dev/null
+++ b/placer/rules_test.go
@@ -0,0 +1,292 @@
+package placer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/placer"
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+)
+
+// threeModels is the zone of the measurement: 5 domains of 15.
+func threeModels(t *testing.T) *world {
+	w := newWorld(5, 15, modelSpec("a", 10, 4, 6), modelSpec("b", 5, 4, 6), modelSpec("c", 1, 1, 3))
+	w.settle(t)
+	return w
+}
+
+// only returns the decisions of one type.
+func only[T placer.Decision](out placer.Output) []T {
+	var found []T
+	for _, d := range out.Decisions {
+		if one, ok := d.(T); ok {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+// A user sees two models down at once. A domain loses one member of each of two
+// groups of a model, and nothing else there can be booted. Were the groups
+// treated one by one, each would wait with three members for one that may never
+// come back.
+func TestSurvivorsOfOneDomainMerge(t *testing.T) {
+	w := newWorld(1, 8, modelSpec("a", 1, 2, 2))
+	w.settle(t)
+	w.instance("d00-i00").Condition = garnetworks.ConditionLost
+	w.instance("d00-i04").Condition = garnetworks.ConditionLost
+	out := w.plan(t)
+	if dissolved, formed := only[placer.DissolveGroup](out), only[placer.FormGroup](out); len(dissolved) != 2 || len(formed) != 1 {
+		t.Fatalf("want both groups dissolved and one formed of the survivors:\n%s", describe(out))
+	}
+	if rate := only[placer.FormGroup](out)[0].LoadRate; rate != 0 {
+		t.Errorf("the survivors have their weights, yet load at %d", rate)
+	}
+}
+
+// A user of the most important model sees it refused while less important ones
+// are served: a whole domain went dark, and the others are full.
+func TestDarkDomainGoesByPriority(t *testing.T) {
+	w := newWorld(2, 8, modelSpec("high", 9, 2, 2), modelSpec("low", 1, 1, 2))
+	w.settle(t)
+	for _, g := range w.all() {
+		t.Log(g.ID, g.Model, g.Members)
+	}
+	for i := range w.Domains[0].Instances {
+		w.Domains[0].Instances[i].Condition = garnetworks.ConditionLost
+	}
+	out := w.plan(t)
+	drains := only[placer.DrainGroup](out)
+	if len(drains) != 1 || w.group(drains[0].Group).Model != "low" || drains[0].Grace != w.Grace.Shed {
+		t.Fatalf("want the group of low drained with the grace for shedding:\n%s", describe(out))
+	}
+	w.settle(t)
+	if got := w.serving(); got["high"] != 2 || got["low"] != 0 {
+		t.Errorf("serving %v, want both groups of high", got)
+	}
+}
+
+// An operator sees a domain boot for nothing: after half an hour behind a broken
+// switch its instances are back with their weights, but are switched off in the
+// second before they are re-admitted, because they had been idle for so long.
+func TestReturnAfterLongLossKeepsItsPower(t *testing.T) {
+	w := threeModels(t)
+	for i := range w.Domains[0].Instances {
+		w.Domains[0].Instances[i].Condition = garnetworks.ConditionLost
+	}
+	w.plan(t)
+	w.Now = w.Now.Add(30 * time.Minute)
+	for i := range w.Domains[0].Instances {
+		w.Domains[0].Instances[i].Condition = garnetworks.ConditionReturned
+	}
+	if offs := only[placer.PowerOff](w.plan(t)); len(offs) != 0 {
+		t.Errorf("%d instances were switched off on their return", len(offs))
+	}
+}
+
+// An operator commits a new version, and one model never gets it: the model
+// wants one group more than the zone has instances for, and the empty slot was
+// taken for a group on its way, which replacements wait for.
+func TestVersionRollsThoughASlotStaysEmpty(t *testing.T) {
+	w := newWorld(1, 8, modelSpec("a", 1, 2, 5))
+	w.settle(t)
+	w.Models[0].Version = "v2"
+	w.settle(t)
+	for _, g := range w.all() {
+		if g.Version != "v2" {
+			t.Errorf("%s still has version %s", g.ID, g.Version)
+		}
+	}
+}
+
+// A cut-off node sees every instance of its zone lost at once. Were their power
+// cut after the ordinary grace, its own fault would end the zone's service.
+func TestMassLossWaits(t *testing.T) {
+	w := threeModels(t)
+	w.Weights = schiedsplan
+	w.settle(t)
+	for i := range w.Domains {
+		for j := range w.Domains[i].Instances {
+			w.Domains[i].Instances[j].Condition = garnetworks.ConditionLost
+		}
+	}
+	w.plan(t)
+	w.Now = w.Now.Add(placer.MassLostGrace - time.Second)
+	if offs := only[placer.PowerOff](w.plan(t)); len(offs) != 0 {
+		t.Errorf("%d instances were switched off before MassLostGrace", len(offs))
+	}
+}
+
+// A store that gives its rate to everyone alike brings every group back late.
+func TestStoreRateGoesByNeed(t *testing.T) {
+	w := newWorld(2, 10, modelSpec("high", 9, 1, 2), modelSpec("low", 1, 1, 2))
+	w.plan(t)
+	w.finish()
+	w.Now = w.Now.Add(time.Second)
+	out := w.plan(t)
+	sum, rates := int64(0), map[garnetworks.ModelName]int64{}
+	for _, f := range only[placer.FormGroup](out) {
+		sum += f.LoadRate * int64(len(f.Members))
+		rates[f.Model] = max(rates[f.Model], f.LoadRate)
+	}
+	for _, l := range only[placer.Preload](out) {
+		sum += l.LoadRate
+	}
+	if sum > w.StoreRate {
+		t.Errorf("rates sum up to %d of %d", sum, w.StoreRate)
+	}
+	if rates["high"] < 100*rates["low"] {
+		t.Errorf("high loads at %d, low at %d", rates["high"], rates["low"])
+	}
+}
+
+// flapCases change an input back and forth every five seconds.
+func flapCases() map[string]func(s *simulator, on bool) {
+	return map[string]func(s *simulator, on bool){
+		"weights": func(s *simulator, on bool) {
+			s.Weights = schiedsplan
+			if on {
+				s.Weights = delta
+			}
+		},
+		"limit": func(s *simulator, on bool) {
+			s.Limit = engineWatts * 58
+			if on {
+				s.Limit = engineWatts * 70
+			}
+		},
+		"maximum": func(s *simulator, on bool) {
+			s.Models[1].MaxGroups = 5
+			if on {
+				s.Models[1].MaxGroups = 6
+			}
+		},
+		"straggler": func(s *simulator, on bool) {
+			for _, e := range s.order[:4] {
+				if e.instance.Power == garnetworks.PowerOn {
+					e.instance.Condition = garnetworks.ConditionHealthy
+					if on {
+						e.instance.Condition = garnetworks.ConditionStraggler
+					}
+				}
+			}
+		},
+		"member": func(s *simulator, on bool) {
+			if e := s.order[1]; !on {
+				s.fail(e, 4*time.Second, true)
+			}
+		},
+	}
+}
+
+// An operator sees instances switched on and off without end, because an input
+// goes back and forth: no instance may be switched off by choice within
+// FlapBound of its order to power on, and no model's groups be formed again
+// more than once for each ReformBound.
+func TestAlternatingInputsDoNotFlap(t *testing.T) {
+	for name, alternate := range flapCases() {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(5, 15, modelSpec("a", 10, 4, 6), modelSpec("b", 5, 4, 6), modelSpec("c", 1, 1, 3))
+			w.Limit = engineWatts * 70
+			ons := map[garnetworks.InstanceID]time.Time{}
+			formed, switched, began := 0, 0, false
+			s := newSimulator(w, func(in placer.Input) placer.Output {
+				out := placer.Plan(in)
+				formed += len(only[placer.FormGroup](out))
+				for _, d := range only[placer.PowerOn](out) {
+					ons[d.Instance] = in.Now
+					switched++
+				}
+				for _, d := range only[placer.PowerOff](out) {
+					since := in.Now.Sub(ons[d.Instance])
+					if began && d.Reason == placer.ReasonIdle && since < placer.FlapBound {
+						t.Errorf("%s is switched off %v after it was switched on", d.Instance, since)
+					}
+				}
+				return out
+			})
+			s.run(epoch.Add(20 * time.Minute))
+			began, formed, switched = true, 0, 0
+			const length = 30 * time.Minute
+			for n := 0; time.Duration(n)*5*time.Second < length; n++ {
+				alternate(s, n%2 == 1)
+				s.run(s.Now.Add(5 * time.Second))
+			}
+			if s.err != nil {
+				t.Fatal(s.err)
+			}
+			// At most three groups are touched by any of the cases.
+			if most := 3 * int(length/placer.ReformBound); formed > most {
+				t.Errorf("%d groups were formed in %v, at most %d are due", formed, length, most)
+			}
+			if most := 15 * int(length/placer.FlapBound); switched > most {
+				t.Errorf("%d instances were switched on in %v, at most %d are due", switched, length, most)
+			}
+			t.Logf("%d groups formed, %d instances switched on", formed, switched)
+		})
+	}
+}
+
+// TestSpareTable shows how the ratio of the weights decides the number of
+// powered spares in a domain of 15 with three groups of 4; docs/weights.md
+// carries it.
+func TestSpareTable(t *testing.T) {
+	var b strings.Builder
+	losses := map[string]float64{"11 failures": 11.0 / 600, "and 160 restarts": 171.0 / 600}
+	fmt.Fprintf(&b, "%-18s%14s%14s%14s\n", "D/S", "boot 3 min", "boot 15 min", "no more off")
+	for _, name := range []string{"11 failures", "and 160 restarts"} {
+		fmt.Fprintf(&b, "%s a day on 600 instances\n", name)
+		for _, d := range []float64{1, 100, 300, 1000, 3000, 10000, 30000} {
+			c := placer.SpareCase{
+				LossRate: 12 * losses[name] / 86400, Saved: 220 * time.Second, Refill: 220 * time.Second,
+				GroupSize: 4, Weights: garnetworks.MeasureWeights{GroupDowntime: d, Stranded: 1},
+			}
+			slow := c
+			slow.Saved, slow.Refill = 940*time.Second, 940*time.Second
+			scarce := c
+			scarce.Refill = placer.RepairTime
+			fmt.Fprintf(&b, "%-18.0f%14d%14d%14d\n", d, c.Spares(), slow.Spares(), scarce.Spares())
+		}
+	}
+	goldie.New(t).Assert(t, "spares", []byte(b.String()))
+}
+
+// The shares of all zones must be the manifest's groups, whatever the numbers.
+func TestZoneSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var manifest garnetworks.Manifest
+		zones := rapid.IntRange(1, 8).Draw(t, "zones")
+		for z := range zones {
+			manifest.Site.Zones = append(manifest.Site.Zones, garnetworks.ZoneSpec{
+				Name:    garnetworks.ZoneID(fmt.Sprintf("z%d", z)),
+				LeftOut: z > 0 && rapid.Bool().Draw(t, "left out"),
+			})
+		}
+		for n := range rapid.IntRange(1, 5).Draw(t, "models") {
+			least := rapid.IntRange(0, 20).Draw(t, "min")
+			most := least + rapid.IntRange(0, 20).Draw(t, "more")
+			manifest.Models = append(manifest.Models, modelSpec(garnetworks.ModelName(fmt.Sprint("m", n)), 0, least, most))
+		}
+		least, most := make([]int, len(manifest.Models)), make([]int, len(manifest.Models))
+		for _, z := range manifest.Site.Zones {
+			for n, m := range placer.ZoneModels(&manifest, z.Name) {
+				if m.MinGroups > m.MaxGroups {
+					t.Fatalf("%s: %d to %d groups", m.Name, m.MinGroups, m.MaxGroups)
+				}
+				if !z.LeftOut {
+					least[n] += m.MinGroups
+					most[n] += m.MaxGroups
+				}
+			}
+		}
+		for n, m := range manifest.Models {
+			if least[n] != m.MinGroups || most[n] != m.MaxGroups {
+				t.Fatalf("%s: shares sum up to %d and %d, want %d and %d", m.Name, least[n], most[n], m.MinGroups, m.MaxGroups)
+			}
+		}
+	})
+}
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -93,6 +93,7 @@
 		most := min(max(m.MinGroups, m.MaxGroups), len(m.live))
 		for _, g := range m.live[most:] {
 			p.end(g, ReasonSurplus, p.in.Grace.Drain)
+			p.noteShed(m)
 		}
 		m.live = m.live[:most]
 	}
@@ -118,7 +119,7 @@
 	watts := drawOf(g.members)
 	if p.planned+watts > p.in.Limit {
 		p.end(g, ReasonPower, p.in.Grace.Shed)
-		p.out.State.Sheds[g.model.Name] = p.in.Now
+		p.noteShed(g.model)
 		p.unmet(g.model, CausePower)
 		return false
 	}
@@ -158,15 +159,12 @@
 		p.unmet(m, CauseClass)
 		return
 	}
-	// A limit that goes up and down would otherwise form and shed the same
-	// group again and again (rule P13).
-	if shed, ok := p.out.State.Sheds[m.Name]; ok && p.in.Now.Before(shed.Add(ReformBound)) {
-		p.wake(shed.Add(ReformBound))
+	if p.recentlyShed(s) {
 		p.unmet(m, CausePower)
 		return
 	}
 	if p.planned+m.class.Watts*garnetworks.Watts(m.GroupSize) > p.in.Limit {
-		p.unmet(m, CausePower)
+		p.giveUp(m)
 		return
 	}
 	c, ok := p.chooseFor(order, s)
@@ -176,12 +174,49 @@
 		return
 	}
 	if p.planned+drawOf(c.members) > p.in.Limit {
-		p.unmet(m, CausePower)
+		p.giveUp(m)
 		return
 	}
 	p.reserveSlot(order, s, c)
 }
 
+// recentlyShed keeps a limit or a maximum that goes up and down from forming and
+// shedding the same group again and again (rule P13). Groups that were left
+// then are replaced at any time.
+func (p *planner) recentlyShed(s slot) bool {
+	shed, ok := p.out.State.Sheds[s.model.Name]
+	end := shed.At.Add(FlapBound)
+	if s.minimum {
+		end = shed.At.Add(ReformBound)
+	}
+	if !ok || s.rank < shed.Groups || !p.in.Now.Before(end) {
+		return false
+	}
+	p.wake(end)
+	return true
+}
+
+// noteShed remembers that the model lost a group by choice.
+func (p *planner) noteShed(m *model) {
+	left := 0
+	for _, g := range m.live {
+		if !g.ending {
+			left++
+		}
+	}
+	p.out.State.Sheds[m.Name] = Shed{At: p.in.Now, Groups: left}
+}
+
+// giveUp leaves a slot empty for lack of power. If members were reserved for
+// it, the limit has fallen, and their boots are in vain.
+func (p *planner) giveUp(m *model) {
+	if len(m.reservations) > 0 {
+		m.reservations = m.reservations[1:]
+		p.noteShed(m)
+	}
+	p.unmet(m, CausePower)
+}
+
 // chooseFor tries, in turn, free instances, displacing, and doubtful instances
 // (rules P5, P6 and P7).
 func (p *planner) chooseFor(order int, s slot) (choice, bool) {
--- a/placer/types.go
+++ b/placer/types.go
@@ -231,12 +231,19 @@
 	Instances map[garnetworks.InstanceID]InstanceHistory
 	// Moves holds when a model's straggler was last replaced.
 	Moves map[garnetworks.ModelName]time.Time
-	// Sheds holds when a lowered limit last took a group of the model.
-	Sheds map[garnetworks.ModelName]time.Time
+	// Sheds holds the last time that a lowered limit or maximum took a group.
+	Sheds map[garnetworks.ModelName]Shed
 	// Reservations are the members that groups wait for, in the order of slots.
 	Reservations []Reservation
 }
 
+// Shed is a time at which a model lost groups by a limit or a maximum.
+type Shed struct {
+	At time.Time
+	// Groups is how many groups were left; these are replaced without delay.
+	Groups int
+}
+
 // Reservation is a choice of members that are not all there yet. Later plans
 // keep to it unless another choice is sooner by SwitchGain (rule P13).
 type Reservation struct {
