Bound idle connections between nodes

Change: a client keeps 24 idle connections, the one unused for longest gives way; the benchmark of a site has a size of 330. Conclusion: with the bound taken out TestIdleConnectionsAreBounded fails.

--- a/distributor/site_test.go
+++ b/distributor/site_test.go
@@ -204,7 +204,7 @@
 // 4 KB, from its publication to its being in force at the last node; the other
 // figures are for one node in steady state, over ten seconds without updates.
 func BenchmarkSite(b *testing.B) {
-	for _, size := range []struct{ nodes, zones int }{{6, 3}, {24, 4}, {96, 8}} {
+	for _, size := range []struct{ nodes, zones int }{{6, 3}, {24, 4}, {96, 8}, {330, 8}} {
 		b.Run(fmt.Sprintf("nodes=%d", size.nodes), func(b *testing.B) {
 			s := openSite(b, size.nodes, size.zones)
 			time.Sleep(8 * time.Second)
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -411,16 +411,36 @@
 func (c *Client) giveBack(conn *peerConn) {
 	conn.used = time.Now()
 	c.mu.Lock()
-	closed := c.closed
-	if !closed {
+	surplus := conn
+	if !c.closed {
 		conn.pool.idle = append(conn.pool.idle, conn)
+		surplus = c.surplus()
 	}
 	conn.pool.users--
 	c.mu.Unlock()
 	<-conn.pool.slots
-	if closed {
-		_ = conn.Close()
+	if surplus != nil {
+		_ = surplus.Close()
+	}
+}
+
+// surplus takes out the connection that was idle for longest if there are more
+// than MaxIdle; nil if there are not. The caller holds mu.
+func (c *Client) surplus() *peerConn {
+	count := 0
+	var oldest *pool
+	for _, p := range c.pools {
+		count += len(p.idle)
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].used.Before(oldest.idle[0].used)) {
+			oldest = p
+		}
+	}
+	if count <= MaxIdle {
+		return nil
 	}
+	conn := oldest.idle[0]
+	oldest.idle = oldest.idle[1:]
+	return conn
 }
 
 // drop ends a connection that failed.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -53,6 +53,10 @@
 	MaxConnections = 1024
 	// MaxInProgress bounds a server's calls in progress.
 	MaxInProgress = 256
+	// MaxIdle bounds a client's unused connections over all addresses; the one
+	// that was unused for longest gives way. Trees that differ from update to
+	// update would else join each node with each other one.
+	MaxIdle = 24
 	// MaxPerAddress bounds a client's connections to one address.
 	MaxPerAddress = 4
 )
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -281,13 +281,13 @@
 
 // authority issues certificates for tests.
 type authority struct {
-	t           *testing.T
+	t           testing.TB
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
 	serial      int64
 }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t testing.TB) *authority {
 	a := &authority{t: t}
 	a.key = must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
 	template := &x509.Certificate{
@@ -410,12 +410,38 @@
 	})
 }
 
+// TestIdleConnectionsAreBounded: Trees of updates join a node with another one
+// each time. Kept open, the connections would use up its memory and files.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	c := newTestClient(t, ClientOptions{})
+	for range MaxIdle + 6 {
+		address := serveTest(t, ServerOptions{Handler: &handler{}})
+		if _, err := c.Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	idle := 0
+	for _, p := range c.pools {
+		idle += len(p.idle)
+	}
+	if idle != MaxIdle {
+		t.Errorf("%d idle connections, want %d", idle, MaxIdle)
+	}
+}
+
 func BenchmarkHeartbeat(b *testing.B) {
-	server := must(NewServer(ServerOptions{Handler: &handler{}}))
-	listener := must(Listen("127.0.0.1:0", nil, false))
+	site := newAuthority(b)
+	for name, keys := range map[string]*Keys{"open": nil, "mutual-tls": site.keys(NodeName)} {
+		b.Run(name, func(b *testing.B) { benchmarkHeartbeat(b, keys) })
+	}
+}
+
+func benchmarkHeartbeat(b *testing.B, keys *Keys) {
+	server := must(NewServer(ServerOptions{Handler: &handler{}, Keys: keys}))
+	listener := must(Listen("127.0.0.1:0", keys, false))
 	go func() { _ = server.Serve(b.Context(), listener) }()
 	traffic := new(Traffic)
-	c := NewClient(ClientOptions{Traffic: traffic})
+	c := NewClient(ClientOptions{Traffic: traffic, Keys: keys})
 	defer c.Close()
 	q := &garnetworks.HeartbeatRequest{
 		From:   garnetworks.NodeInfo{ID: "entry-017", Incarnation: 1 << 60, Address: "10.12.140.17:7070", Zone: "zone-c", Region: "region-2", Ready: true, Program: "0.1.0"},
