Keep streams over a gap without groups, and the process over a panic

Cause: a broken stream ended at once when no group served for a moment, and a panic of an adapter on the attempt's goroutine ended the node.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -250,3 +250,17 @@
 		return context.Cause(ctx)
 	}
 }
+
+// guard runs an adapter and turns its panic into an error.
+//
+// Failure: an answer that nobody thought of makes an adapter panic. The attempt
+// runs on a goroutine of its own, where no HTTP server recovers, so the process
+// would end, and with it some hundred other calls.
+func guard(run func() error) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = errors.Errorf("the adapter panicked: %v", reason)
+		}
+	}()
+	return run()
+}
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -40,7 +40,8 @@
 	Group garnetworks.GroupID
 }
 
-// backoff is the pause before a broken stream asks for a retry again.
+// backoff is the least pause before a broken stream asks again for a retry or for
+// a group; the most is twice that.
 const backoff = 50 * time.Millisecond
 
 // modelCall is one call to a model. Its fields belong to the goroutine that
@@ -187,9 +188,7 @@
 		if !verdict.Resume || time.Now().After(until) {
 			return false
 		}
-		select {
-		case <-time.After(backoff + rand.N(backoff)):
-		case <-ctx.Done():
+		if !m.pause(ctx) {
 			return false
 		}
 	}
@@ -209,10 +208,37 @@
 		return garnetworks.GroupView{}, garnetworks.Errorf(garnetworks.KindDeadline, "the first token's deadline has passed")
 	}
 	group, err := m.options.Groups.Choose(now, m.call, m.tried)
-	if err == nil || len(m.tried) == 0 || m.transcript.tokens == 0 {
+	if err == nil || m.transcript.tokens == 0 {
 		return group, err
 	}
-	return m.options.Groups.Choose(now, m.call, nil)
+	return m.chooseAgain(ctx)
+}
+
+// chooseAgain looks for any group to resume a broken stream on, tried or not,
+// for as long as ResumeWait.
+//
+// Failure: the model's only group is lost, or a lost probe takes away its
+// confirmation for a moment. Most of the answer is with the caller already;
+// ended now, it would be generated again from its start.
+func (m *modelCall) chooseAgain(ctx context.Context) (garnetworks.GroupView, error) {
+	until := time.Now().Add(m.options.Timeouts.ResumeWait)
+	for {
+		now := time.Now()
+		group, err := m.options.Groups.Choose(now, m.call, nil)
+		if err == nil || now.After(until) || !m.pause(ctx) {
+			return group, err
+		}
+	}
+}
+
+// pause waits for a moment, and reports whether the call goes on.
+func (m *modelCall) pause(ctx context.Context) bool {
+	select {
+	case <-time.After(backoff + rand.N(backoff)):
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // attempt runs one attempt and returns nil if the answer is whole.
@@ -237,7 +263,7 @@
 	m.options.Groups.Started(started, m.call, group.ID)
 	dog := m.watch(attemptCtx, cancel, group, m.call)
 	result := garnetworks.AttemptResult{Phase: garnetworks.PhaseDone}
-	err := m.stream(attemptCtx, group, call, dog, &result)
+	err := guard(func() error { return m.stream(attemptCtx, group, call, dog, &result) })
 	dog.stop()
 	result.Tokens = m.transcript.tokens - before
 	var fail *failure
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -339,7 +339,11 @@
 	call := *s.call
 	call.ID = attemptID(s.call.ID, s.history.Attempts+1)
 	s.options.Servers.ServerStarted(started, s.call.Service, server.Instance)
-	answer, err := s.options.Services.Call(ctx, server.Address, &call)
+	var answer garnetworks.ServiceAnswer
+	err := guard(func() (err error) {
+		answer, err = s.options.Services.Call(ctx, server.Address, &call)
+		return err
+	})
 	if err == nil && answer.ID != call.ID {
 		err = &garnetworks.AttemptError{
 			Phase: garnetworks.PhaseCrossed,
--- a/server/faults_test.go
+++ b/server/faults_test.go
@@ -14,13 +14,14 @@
 // A tech waits for a brief whose first attempt meets one fault, at its start or
 // after four of twelve tokens. Each one must end whole all the same, and within
 // the bound: a dead connection costs BetweenTokens, an engine that is alive and
-// stuck SlowBetweenTokens.
+// stuck SlowBetweenTokens, a time without any group that time.
 func TestStreamSurvivesEachFault(t *testing.T) {
 	plain := time.Duration(answerTokens+2*faultAfter) * 40 * time.Millisecond
 	bounds := map[string]time.Duration{
 		"silent": plain + 1100*time.Millisecond,
 		"stuck":  plain + 5100*time.Millisecond,
 		"slow":   plain + 3*time.Second,
+		"outage": plain + 2100*time.Millisecond,
 	}
 	for _, fault := range engineFaultNames {
 		t.Run(fault, func(t *testing.T) {
@@ -81,6 +82,7 @@
 		"silent":      {c, u, u},
 		"silent-ran":  {c, u, u},
 		"late-ran":    {c, u, u},
+		"panic-ran":   {c, u, u},
 	}
 	columns := []step{
 		{What: "call-read", Body: "b"},
--- a/server/server.go
+++ b/server/server.go
@@ -261,6 +261,9 @@
 	if err := s.options.Calls.Wait(closing); err != nil {
 		return errors.Wrapf(err, "%d calls were cut off, and not all answers were recorded", cut)
 	}
+	if cut == 0 {
+		return nil
+	}
 	return errors.Errorf("%d calls were cut off at the end of the grace period", cut)
 }
 
--- a/server/world_test.go
+++ b/server/world_test.go
@@ -75,6 +75,8 @@
 	mu         sync.Mutex
 	executions map[garnetworks.CallID]int
 	claims     map[string]*claimRecord
+	// noGroupUntil is when groups serve again.
+	noGroupUntil time.Time
 	// stuck counts attempts at engines that are busy and bring nothing.
 	stuck int
 	// faults are what meets the next attempts and claims, in order.
@@ -163,11 +165,20 @@
 }
 
 func (n *node) Choose(_ time.Time, _ *garnetworks.CallRequest, tried []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	if n.outage() {
+		return garnetworks.GroupView{}, garnetworks.Errorf(garnetworks.KindNoGroup, "none serves")
+	}
 	i, err := pick(len(tried))
 	id := fmt.Sprint("g", i)
 	return garnetworks.GroupView{ID: garnetworks.GroupID(id), Address: id}, err
 }
 
+func (n *node) outage() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.noGroupUntil)
+}
+
 func (n *node) Started(time.Time, *garnetworks.CallRequest, garnetworks.GroupID) {}
 
 func (n *node) Finished(time.Time, *garnetworks.CallRequest, garnetworks.GroupID, garnetworks.AttemptResult) {
@@ -211,7 +222,7 @@
 // engineFaultNames are the ways in which an attempt at an engine can go.
 var engineFaultNames = []string{
 	"none", "none", "connect", "refused", "stale", "write", "wait", "headers", "break", "silent", "crossed",
-	"no-end", "done-lie", "gap", "overlap", "repeat", "anew", "short", "error-end", "slow", "stuck",
+	"no-end", "done-lie", "gap", "overlap", "repeat", "anew", "short", "error-end", "slow", "stuck", "panic", "outage",
 }
 
 func (n *node) Generate(ctx context.Context, _ string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
@@ -281,6 +292,13 @@
 // strike carries out the faults that come in the middle of an answer.
 func (s *engineStream) strike(c *garnetworks.Chunk) error {
 	switch s.fault {
+	case "panic":
+		panic("an answer that nobody thought of")
+	case "outage":
+		s.mu.Lock()
+		s.noGroupUntil = time.Now().Add(2 * time.Second)
+		s.mu.Unlock()
+		return failed(garnetworks.PhaseBody)
 	case "break":
 		return failed(garnetworks.PhaseBody)
 	case "no-end":
@@ -326,7 +344,7 @@
 // those with "late" the call runs after the node has given it up.
 var serviceFaultNames = []string{
 	"none", "none", "connect", "refused", "write", "write-ran", "wait-ran", "headers-ran", "body-ran",
-	"crossed", "crossed-ran", "silent", "silent-ran", "late-ran",
+	"crossed", "crossed-ran", "silent", "silent-ran", "late-ran", "panic-ran",
 }
 
 func (n *node) Call(ctx context.Context, _ string, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
@@ -352,6 +370,8 @@
 	}
 	answer := garnetworks.ServiceAnswer{ID: call.ID, Status: 200, ContentType: "text/plain", Body: append([]byte("done:"), call.Body...)}
 	switch fault {
+	case "panic":
+		panic("an answer that nobody thought of")
 	case "none":
 		return answer, nil
 	case "crossed":
