Race the power ledger against an oracle

Cause: grants move by two writers that each act on old reads. Change: a state machine over the pure plans of the site and three zones with old reads, lost answers, new holders and changes of cap and need; tables for targets and refused writers; the bound on flapping; leaser's machine also tells processes of one term apart.

--- /dev/null
+++ b/granter/granter_test.go
@@ -0,0 +1,338 @@
+package granter
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		given := false
+		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+		if !given {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const unit = 10
+
+// site is a ledger and three zones whose plans are made from what was read some
+// steps ago, in any order.
+type site struct {
+	now      time.Time
+	cap      garnetworks.Watts
+	gen      garnetworks.Generation
+	ledger   garnetworks.PowerLedger
+	ledgerAt int
+	memory   garnetworks.Option[SiteMemory]
+	zones    []*zone
+	// read is a site plan under way: the ledger, then the statements.
+	read   *SiteInput
+	readAt int
+	moves  map[garnetworks.ZoneID]int
+}
+
+type zone struct {
+	id     garnetworks.ZoneID
+	stated garnetworks.ZonePower
+	at     int
+	// known is the ledger that the holder read; own is what it knows is stated.
+	known garnetworks.Option[garnetworks.PowerLedger]
+	own   garnetworks.ZonePower
+	ownAt int
+	drawn garnetworks.Watts
+	limit garnetworks.Watts
+	term  uint32
+	needs []garnetworks.PowerNeed
+	// pending is a statement that was decided and not written yet.
+	pending *garnetworks.ZonePower
+	acting  bool
+}
+
+func newSite(cap garnetworks.Watts) *site {
+	s := &site{now: time.Unix(1_000_000, 0), cap: cap, gen: 1, moves: map[garnetworks.ZoneID]int{}}
+	for n := range 3 {
+		z := &zone{id: garnetworks.ZoneID(fmt.Sprintf("z%d", n)), term: 1, drawn: 3 * unit}
+		z.needs = []garnetworks.PowerNeed{{Minimum: true, Priority: n, Watts: 2 * unit, Groups: 2}, {Priority: 1, Watts: unit, Groups: 3}}
+		s.zones = append(s.zones, z)
+	}
+	return s
+}
+
+// startPlan reads the ledger; readPowers reads the statements later.
+func (s *site) startPlan() {
+	in := SiteInput{Now: s.now, Term: 1, Generation: s.gen, Cap: s.cap, Ledger: s.ledger, Powers: map[garnetworks.ZoneID]garnetworks.ZonePower{}}
+	for _, z := range s.zones {
+		in.Zones = append(in.Zones, z.id)
+	}
+	s.read, s.readAt = &in, s.ledgerAt
+}
+
+func (s *site) readPowers() {
+	if s.read == nil {
+		return
+	}
+	for _, z := range s.zones {
+		if z.at > 0 {
+			s.read.Powers[z.id] = z.stated
+		}
+	}
+}
+
+func (s *site) finishPlan(rt *rapid.T, lost bool) {
+	in := s.read
+	s.read = nil
+	if in == nil || len(in.Powers) == 0 {
+		return
+	}
+	in.Memory = s.memory.Value
+	out, err := PlanSite(*in)
+	if err != nil || s.readAt != s.ledgerAt {
+		return
+	}
+	if out.Changed {
+		for _, g := range out.Ledger.Grants {
+			for _, old := range s.ledger.Grants {
+				if old.Zone == g.Zone && old.Wanted != g.Wanted {
+					s.moves[g.Zone]++
+				}
+			}
+		}
+		s.ledger = out.Ledger
+		s.ledgerAt++
+	}
+	if !lost {
+		s.memory = garnetworks.Some(out.Memory)
+	}
+	s.check(rt)
+}
+
+func (z *zone) readLedger(s *site) {
+	if s.ledgerAt > 0 {
+		z.known = garnetworks.Some(s.ledger)
+	}
+}
+
+// plan decides a statement; write stores it later.
+func (z *zone) plan() {
+	out := PlanZone(ZoneInput{Zone: z.id, Term: z.term, Stated: z.own, Ledger: z.known, Drawn: z.drawn, Needs: z.needs, Need: Total(z.needs)})
+	z.limit = out.Limit
+	z.acting = true
+	if out.Changed {
+		z.pending = &out.Statement
+	}
+}
+
+// write stores the decided statement if nobody else has written since.
+func (z *zone) write(lost bool) {
+	if z.pending == nil {
+		return
+	}
+	if z.ownAt == z.at {
+		z.stated = *z.pending
+		z.at++
+		if !lost {
+			z.own, z.ownAt = z.stated, z.at
+		}
+	}
+	z.pending = nil
+}
+
+// takeOver is a new holder, which reads and claims the statement.
+func (z *zone) takeOver() {
+	z.term++
+	z.acting = false
+	z.known = garnetworks.Option[garnetworks.PowerLedger]{}
+	if z.at > 0 {
+		z.stated.Term = z.term
+		z.at++
+	}
+	z.own, z.ownAt, z.pending = z.stated, z.at, nil
+}
+
+func (s *site) check(rt *rapid.T) {
+	var drawn, granted garnetworks.Watts
+	for _, z := range s.zones {
+		drawn += z.drawn
+	}
+	for _, g := range s.ledger.Grants {
+		granted += g.Granted
+	}
+	if len(s.ledger.Grants) == len(s.zones) && (drawn > s.ledger.Cap || granted > s.ledger.Cap) {
+		rt.Fatalf("drawn %d W and granted %d W under a cap of %d W", drawn, granted, s.ledger.Cap)
+	}
+}
+
+// TestGrantsNeverExceedTheCap races a site's controller, whose reads are old,
+// against zones that power instances on and off within their limits, whose
+// writes get lost, whose holders change and whose ledgers are old, while the cap
+// and the needs change. After every step the true draw is at or under the cap of
+// the ledger, and at the end the cap of the manifest is reached.
+func TestGrantsNeverExceedTheCap(t *testing.T) {
+	steps := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSite(12 * unit)
+		pick := func(rt *rapid.T) *zone { return s.zones[rapid.IntRange(0, 2).Draw(rt, "zone")] }
+		rt.Repeat(map[string]func(*rapid.T){
+			"":             func(rt *rapid.T) { s.now = s.now.Add(time.Second); steps++; s.check(rt) },
+			"start":        func(*rapid.T) { s.startPlan() },
+			"powers":       func(*rapid.T) { s.readPowers() },
+			"finish":       func(rt *rapid.T) { s.finishPlan(rt, false) },
+			"finish-lost":  func(rt *rapid.T) { s.finishPlan(rt, true) },
+			"whole":        func(rt *rapid.T) { s.startPlan(); s.readPowers(); s.finishPlan(rt, false) },
+			"zone-ledger":  func(rt *rapid.T) { pick(rt).readLedger(s) },
+			"zone-plan":    func(rt *rapid.T) { pick(rt).plan() },
+			"zone-write":   func(rt *rapid.T) { pick(rt).write(false) },
+			"zone-lost":    func(rt *rapid.T) { pick(rt).write(true) },
+			"zone-read":    func(rt *rapid.T) { z := pick(rt); z.own, z.ownAt = z.stated, z.at },
+			"take-over":    func(rt *rapid.T) { pick(rt).takeOver() },
+			"new-site":     func(*rapid.T) { s.memory = garnetworks.Option[SiteMemory]{}; s.read = nil },
+			"cap":          func(rt *rapid.T) { s.cap = garnetworks.Watts(rapid.IntRange(2, 12).Draw(rt, "cap")) * unit; s.gen++ },
+			"need":         func(rt *rapid.T) { pick(rt).needs[1].Groups = rapid.IntRange(0, 6).Draw(rt, "groups") },
+			"zone-on":      func(rt *rapid.T) { pick(rt).powerOn() },
+			"zone-on-more": func(rt *rapid.T) { z := pick(rt); z.plan(); z.powerOn(); z.powerOn() },
+			"zone-off":     func(rt *rapid.T) { pick(rt).powerOff() },
+		})
+		s.settle(rt)
+	})
+	t.Logf("%d steps", steps)
+}
+
+func (z *zone) powerOn() {
+	if z.acting && z.at > 0 && z.drawn+unit <= z.limit {
+		z.drawn += unit
+	}
+}
+
+func (z *zone) powerOff() {
+	if z.drawn > 0 {
+		z.drawn -= unit
+	}
+}
+
+func (s *site) settle(rt *rapid.T) {
+	for range 300 {
+		s.now = s.now.Add(time.Second)
+		s.startPlan()
+		s.readPowers()
+		s.finishPlan(rt, false)
+		for _, z := range s.zones {
+			z.readLedger(s)
+			z.own, z.ownAt = z.stated, z.at
+			z.plan()
+			z.write(false)
+			for z.drawn > z.limit {
+				z.powerOff()
+			}
+			z.powerOn()
+			s.check(rt)
+		}
+	}
+	if s.ledger.Cap != s.cap {
+		rt.Fatalf("the cap stays at %d W, want %d W: %+v", s.ledger.Cap, s.cap, s.ledger)
+	}
+	var drawn garnetworks.Watts
+	for _, z := range s.zones {
+		drawn += z.drawn
+	}
+	if drawn+unit <= s.cap && drawn < 21*unit && s.stuck() {
+		rt.Fatalf("the zones draw %d W of %d W: %+v", drawn, s.cap, s.ledger)
+	}
+}
+
+// stuck reports whether a zone has less than its needs though power is left.
+func (s *site) stuck() bool {
+	var sum garnetworks.Watts
+	for _, g := range s.ledger.Grants {
+		sum += g.Granted
+	}
+	return sum+unit <= s.cap
+}
+
+// TestTargetsFollowPriority splits a cap that is too small for all needs.
+func TestTargetsFollowPriority(t *testing.T) {
+	need := func(minimum bool, priority, groups int) garnetworks.PowerNeed {
+		return garnetworks.PowerNeed{Minimum: minimum, Priority: priority, Watts: 40, Groups: groups}
+	}
+	for name, c := range map[string]struct {
+		cap  garnetworks.Watts
+		a, b []garnetworks.PowerNeed
+		want [2]garnetworks.Watts
+	}{
+		"all fit, the rest goes by need": {400, []garnetworks.PowerNeed{need(true, 1, 1)}, []garnetworks.PowerNeed{need(true, 1, 3)}, [2]garnetworks.Watts{100, 300}},
+		"minimum goes before priority":   {80, []garnetworks.PowerNeed{need(false, 9, 2)}, []garnetworks.PowerNeed{need(true, 1, 2)}, [2]garnetworks.Watts{0, 80}},
+		"priority decides":               {80, []garnetworks.PowerNeed{need(true, 2, 2)}, []garnetworks.PowerNeed{need(true, 1, 2)}, [2]garnetworks.Watts{80, 0}},
+		"equal needs take turns":         {120, []garnetworks.PowerNeed{need(true, 1, 4)}, []garnetworks.PowerNeed{need(true, 1, 4)}, [2]garnetworks.Watts{80, 40}},
+		"nobody needs any":               {100, nil, nil, [2]garnetworks.Watts{50, 50}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, err := PlanSite(SiteInput{
+				Now: time.Unix(0, 0), Term: 1, Generation: 1, Cap: c.cap, Zones: []garnetworks.ZoneID{"a", "b"},
+				Powers: map[garnetworks.ZoneID]garnetworks.ZonePower{"a": {Zone: "a", Needs: c.a}, "b": {Zone: "b", Needs: c.b}},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := [2]garnetworks.Watts{out.Ledger.Grants[0].Wanted, out.Ledger.Grants[1].Wanted}
+			if got != c.want {
+				t.Errorf("targets are %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestWantedMovesAtMostOnceAMinute lets a need swing every second for an hour:
+// the grants must not follow each swing (W8).
+func TestWantedMovesAtMostOnceAMinute(t *testing.T) {
+	s := newSite(24 * unit)
+	for n := range 3600 {
+		s.now = s.now.Add(time.Second)
+		s.zones[0].needs[1].Groups = 1 + 4*(n%2)
+		for _, z := range s.zones {
+			z.readLedger(s)
+			z.plan()
+			z.write(false)
+		}
+		s.startPlan()
+		s.readPowers()
+		s.finishPlan(nil, false)
+	}
+	if len(s.moves) == 0 {
+		t.Error("no grant ever moved")
+	}
+	for z, moves := range s.moves {
+		t.Logf("%s moved %d times in an hour", z, moves)
+		if moves > 62 {
+			t.Errorf("%s moved %d times in an hour", z, moves)
+		}
+	}
+}
+
+// TestOlderWritersAreRefused: a site controller that woke from a pause, or whose
+// node has yet to hear of the newest manifest, must not write (W7).
+func TestOlderWritersAreRefused(t *testing.T) {
+	ledger := garnetworks.PowerLedger{Term: 4, Generation: 7}
+	for name, c := range map[string]struct {
+		term uint32
+		gen  garnetworks.Generation
+		want garnetworks.Kind
+	}{
+		"older term":       {3, 7, garnetworks.KindStaleToken},
+		"older generation": {4, 6, garnetworks.KindStaleGeneration},
+		"same":             {4, 7, ""},
+	} {
+		if _, err := PlanSite(SiteInput{Term: c.term, Generation: c.gen, Ledger: ledger}); garnetworks.KindOf(err) != c.want {
+			t.Errorf("%s: %v, want %q", name, err, c.want)
+		}
+	}
+}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -35,12 +35,14 @@
 	orders []order
 	terms  uint32
 	late   []lateWrite
+	// owners are the processes that ever acted under a term.
+	owners map[uint32]*contender
 }
 
 type order struct {
-	until time.Time
-	node  int
-	term  uint32
+	until   time.Time
+	process *contender
+	term    uint32
 }
 
 type lateWrite struct {
@@ -96,7 +98,7 @@
 		w.write(rt, c, a, fate)
 	}
 	if left, ok := c.MayAct(c.clock(w.now), c.Settings.OrderBound); ok && left > 0 {
-		w.orders = append(w.orders, order{w.now.Add(c.Settings.OrderBound), n, c.Record.Term})
+		w.orders = append(w.orders, order{w.now.Add(c.Settings.OrderBound), c, c.Record.Term})
 	}
 }
 
@@ -128,7 +130,7 @@
 func TestOrdersOfTwoTermsNeverOverlap(t *testing.T) {
 	taken := 0
 	rapid.Check(t, func(rt *rapid.T) {
-		w := &world{now: time.Unix(1_000_000, 0)}
+		w := &world{now: time.Unix(1_000_000, 0), owners: map[uint32]*contender{}}
 		for n := range 3 {
 			w.add(n, 1+float64(n-1)/100)
 		}
@@ -199,9 +201,13 @@
 	}
 	w.orders = live
 	for _, o := range w.orders {
-		if o.term != w.orders[0].term {
-			rt.Fatalf("orders of terms %d and %d are in flight together", w.orders[0].term, o.term)
+		if o.term != w.orders[0].term || o.process != w.orders[0].process {
+			rt.Fatalf("orders of %s under %d and of %s under %d are in flight together", w.orders[0].process.id, w.orders[0].term, o.process.id, o.term)
 		}
+		if owner := w.owners[o.term]; owner != nil && owner != o.process {
+			rt.Fatalf("%s and %s both held term %d", owner.id, o.process.id, o.term)
+		}
+		w.owners[o.term] = o.process
 	}
 }
 
