--- a/faker/serveengine.go
+++ b/faker/serveengine.go
@@ -115,6 +115,7 @@
 }
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(connector.HeaderAttempt, r.Header.Get(connector.HeaderAttempt))
 	call, ok := engineCall(w, r)
 	if !ok {
 		return
