Hand on in the zone what repair brings from another one

Cause: when the node to which a region's branch was handed dies after its acknowledgement, the zones behind it learned of the update node by node. Change: a node that fetches an update from another zone hands it on to its own. Figures: 96 nodes, 1 ms a call, virtual time: in force in all after 5.7 s before, 1.7 s after (go test -v -run TestSpread ./distributor). Conclusion: without the handing on, the case of TestSpread fails its 3 s.

--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -285,7 +285,7 @@
 		"an inner node dies after it acknowledged": {
 			story:  "The head of a region acknowledges the update and dies before it hands it on. The publisher knows nothing of it; a third of the site lacks the update until repair finds it.",
 			before: func(n *network) { n.dieAfterReceipt = headOf(n, manifest(7)) },
-			within: 8 * time.Second,
+			within: 3 * time.Second,
 		},
 	}
 	for name, test := range tests {
--- a/distributor/repair.go
+++ b/distributor/repair.go
@@ -86,7 +86,8 @@
 		if err != nil {
 			return err
 		}
-		d.counters.repaired.Add(uint64(d.Handle(&garnetworks.DistributeRequest{Updates: response.Updates}).Accepted))
+		request := &garnetworks.DistributeRequest{Updates: response.Updates, Targets: d.zoneTargets(address)}
+		d.counters.repaired.Add(uint64(d.Handle(request).Accepted))
 		missing = d.Missing(theirs)
 		if len(missing) >= before {
 			return garnetworks.Errorf(garnetworks.KindNotFound, "peer %s did not give topic %s", address, missing[0])
@@ -95,6 +96,27 @@
 	return nil
 }
 
+// zoneTargets are the nodes of the own zone if the address is in another one.
+// What a node learns from there has likely missed its whole zone: the node to
+// which the zone's branch was handed died. Without handing on, the zone would
+// learn of it node by node. A node that has just started lacks everything by
+// itself, and hands nothing on.
+func (d *Distributor) zoneTargets(address string) []string {
+	if !d.isSynced() {
+		return nil
+	}
+	var near []string
+	for _, n := range d.targets() {
+		if n.Address == address && n.Zone == d.options.Self.Zone {
+			return nil
+		}
+		if n.Zone == d.options.Self.Zone {
+			near = append(near, n.Address)
+		}
+	}
+	return near
+}
+
 func (d *Distributor) fetch(ctx context.Context, address string, topics []garnetworks.Topic) (*garnetworks.FetchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, SendBound)
 	defer cancel()
