End the waiting watches of a cut-off view

Cause: a view's watch went on when the object API behind it went down, and faults were passed through every method. Change: faults wrap the plain methods; a watch ends when its stand-in goes down, in a view too.

--- a/faker/faults.go
+++ b/faker/faults.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// untilDown returns a context that ends when the stand-in goes down, as a call
+// that waits on its connection would.
+func (f *Faults) untilDown(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		for {
+			plan, changed, _ := f.snapshot()
+			if plan.Down {
+				cancel(errDown)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			}
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // Fields of the plan that count down.
 func lostAnswers(p *FaultPlan) *int      { return &p.LoseAnswers }
 func lateAnswers(p *FaultPlan) *int      { return &p.LateAnswers }
--- a/faker/objects.go
+++ b/faker/objects.go
@@ -111,27 +111,36 @@
 
 // Get implements garnetworks.ObjectAPI.
 func (o *Objects) Get(ctx context.Context, key string) (garnetworks.Object, error) {
-	return o.get(ctx, &o.Faults, key)
+	return apply(ctx, &o.Faults, MethodGet, failedObjectRead, func() (garnetworks.Object, error) { return o.get(key) })
 }
 
 // Put implements garnetworks.ObjectAPI.
 func (o *Objects) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
-	return o.put(ctx, &o.Faults, key, value, after)
+	return apply(ctx, &o.Faults, MethodPut, failedObjectWrite, func() (garnetworks.Revision, error) {
+		return o.put(key, value, after)
+	})
 }
 
 // Delete implements garnetworks.ObjectAPI.
 func (o *Objects) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
-	return o.delete(ctx, &o.Faults, key, after)
+	_, err := apply(ctx, &o.Faults, MethodDelete, failedObjectWrite, func() (struct{}, error) {
+		return struct{}{}, o.delete(key, after)
+	})
+	return err
 }
 
 // List implements garnetworks.ObjectAPI.
 func (o *Objects) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
-	return o.list(ctx, &o.Faults, prefix)
+	p, err := apply(ctx, &o.Faults, MethodList, failedObjectRead, func() (page, error) { return o.list(prefix) })
+	return p.objects, p.revision, err
 }
 
 // Watch implements garnetworks.ObjectAPI.
 func (o *Objects) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
-	return o.watch(ctx, &o.Faults, prefix, after, wait)
+	return watchThrough(ctx, &o.Faults, func(ctx context.Context) (page, error) {
+		changes, revision, err := o.watch(ctx, prefix, after, wait)
+		return page{changes, revision}, err
+	})
 }
 
 var (
@@ -139,108 +148,84 @@
 	failedObjectWrite = failedWrite(garnetworks.KindObjectAPIDown)
 )
 
-func (o *Objects) get(ctx context.Context, f *Faults, key string) (garnetworks.Object, error) {
-	return apply(ctx, f, MethodGet, failedObjectRead, func() (garnetworks.Object, error) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if err := o.countRead(MethodGet); err != nil {
-			return garnetworks.Object{}, err
-		}
-		object, ok := o.objects[key]
-		if !ok {
-			return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
-		}
-		object.Value = bytes.Clone(object.Value)
-		return object, nil
-	})
+func (o *Objects) get(key string) (garnetworks.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.countRead(MethodGet); err != nil {
+		return garnetworks.Object{}, err
+	}
+	object, ok := o.objects[key]
+	if !ok {
+		return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
+	}
+	object.Value = bytes.Clone(object.Value)
+	return object, nil
 }
 
-func (o *Objects) put(ctx context.Context, f *Faults, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
-	return apply(ctx, f, MethodPut, failedObjectWrite, func() (garnetworks.Revision, error) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if err := o.countWrite(MethodPut); err != nil {
-			return 0, err
-		}
-		if key == "" {
-			return 0, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the key is empty")
-		}
-		if len(value) > o.options.MaxBytes {
-			return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "object %q has %d bytes; %d are allowed", key, len(value), o.options.MaxBytes)
-		}
-		if now := o.objects[key].Revision; now != after {
-			return 0, garnetworks.Errorf(garnetworks.KindConflict, "object %q is at revision %d, not %d", key, now, after)
-		}
-		o.change(garnetworks.Object{Key: key, Value: append([]byte{}, value...)})
-		return o.revision, nil
-	})
+func (o *Objects) put(key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.countWrite(MethodPut); err != nil {
+		return 0, err
+	}
+	if key == "" {
+		return 0, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the key is empty")
+	}
+	if len(value) > o.options.MaxBytes {
+		return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "object %q has %d bytes; %d are allowed", key, len(value), o.options.MaxBytes)
+	}
+	if now := o.objects[key].Revision; now != after {
+		return 0, errRevision(key, now, after)
+	}
+	o.change(garnetworks.Object{Key: key, Value: append([]byte{}, value...)})
+	return o.revision, nil
 }
 
-func (o *Objects) delete(ctx context.Context, f *Faults, key string, after garnetworks.Revision) error {
-	_, err := apply(ctx, f, MethodDelete, failedObjectWrite, func() (struct{}, error) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if err := o.countWrite(MethodDelete); err != nil {
-			return struct{}{}, err
-		}
-		object, ok := o.objects[key]
-		if !ok {
-			return struct{}{}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
-		}
-		if object.Revision != after {
-			return struct{}{}, garnetworks.Errorf(garnetworks.KindConflict, "object %q is at revision %d, not %d", key, object.Revision, after)
-		}
-		o.change(garnetworks.Object{Key: key, Deleted: true})
-		return struct{}{}, nil
-	})
-	return err
+func errRevision(key string, now, after garnetworks.Revision) error {
+	return garnetworks.Errorf(garnetworks.KindConflict, "object %q is at revision %d, not %d", key, now, after)
 }
 
-func (o *Objects) list(ctx context.Context, f *Faults, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
-	type page struct {
-		objects  []garnetworks.Object
-		revision garnetworks.Revision
+func (o *Objects) delete(key string, after garnetworks.Revision) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.countWrite(MethodDelete); err != nil {
+		return err
 	}
-	p, err := apply(ctx, f, MethodList, failedObjectRead, func() (page, error) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		if err := o.countRead(MethodList); err != nil {
-			return page{}, err
-		}
-		var objects []garnetworks.Object
-		for _, key := range slices.Sorted(maps.Keys(o.objects)) {
-			if strings.HasPrefix(key, prefix) {
-				object := o.objects[key]
-				object.Value = bytes.Clone(object.Value)
-				objects = append(objects, object)
-			}
-		}
-		return page{objects, o.revision}, nil
-	})
-	return p.objects, p.revision, err
+	object, ok := o.objects[key]
+	if !ok {
+		return garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
+	}
+	if object.Revision != after {
+		return errRevision(key, object.Revision, after)
+	}
+	o.change(garnetworks.Object{Key: key, Deleted: true})
+	return nil
 }
 
-func (o *Objects) watch(ctx context.Context, f *Faults, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
-	t, err := f.begin(ctx, MethodWatch)
-	if err != nil {
-		return nil, 0, failedObjectRead(err, false)
+func (o *Objects) list(prefix string) (page, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err := o.countRead(MethodList); err != nil {
+		return page{}, err
+	}
+	var objects []garnetworks.Object
+	for _, key := range slices.Sorted(maps.Keys(o.objects)) {
+		if strings.HasPrefix(key, prefix) {
+			object := o.objects[key]
+			object.Value = bytes.Clone(object.Value)
+			objects = append(objects, object)
+		}
 	}
+	return page{objects, o.revision}, nil
+}
+
+func (o *Objects) watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
 	o.mu.Lock()
-	err = o.countRead(MethodWatch)
+	err := o.countRead(MethodWatch)
 	o.mu.Unlock()
 	if err != nil {
 		return nil, 0, err
 	}
-	changes, revision, err := o.await(ctx, f, prefix, after, wait)
-	if faultErr := f.end(ctx, t); faultErr != nil {
-		return nil, 0, failedObjectRead(faultErr, true)
-	}
-	return changes, revision, err
-}
-
-// await waits for a change under prefix. It ends early if the stand-in goes
-// down, as a connection would.
-func (o *Objects) await(ctx context.Context, f *Faults, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -248,21 +233,30 @@
 		if err != nil || len(changes) > 0 {
 			return changes, revision, err
 		}
-		plan, planChanged, _ := f.snapshot()
-		if plan.Down {
-			return nil, 0, garnetworks.WrapError(garnetworks.KindObjectAPIDown, errDown, "the watch broke off")
-		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, garnetworks.WrapError(garnetworks.KindObjectAPIDown, ctx.Err(), "the watch was given up")
+			return nil, 0, garnetworks.WrapError(garnetworks.KindObjectAPIDown, context.Cause(ctx), "the watch broke off")
 		case <-timer.C:
 			return nil, revision, nil
 		case <-changed:
-		case <-planChanged:
 		}
 	}
 }
 
+// page is the result of a list or a watch.
+type page struct {
+	objects  []garnetworks.Object
+	revision garnetworks.Revision
+}
+
+// watchThrough makes a watch whose end the faults can bring about.
+func watchThrough(ctx context.Context, f *Faults, watch func(ctx context.Context) (page, error)) ([]garnetworks.Object, garnetworks.Revision, error) {
+	ctx, cancel := f.untilDown(ctx)
+	defer cancel()
+	p, err := apply(ctx, f, MethodWatch, failedObjectRead, func() (page, error) { return watch(ctx) })
+	return p.objects, p.revision, err
+}
+
 func (o *Objects) changesAfter(prefix string, after garnetworks.Revision) ([]garnetworks.Object, garnetworks.Revision, <-chan struct{}, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -348,20 +342,17 @@
 
 // List implements garnetworks.ObjectAPI.
 func (v *ObjectsView) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
-	return v.objects.list(ctx, v.through(), prefix)
+	p, err := apply(ctx, &v.Faults, MethodList, failedObjectRead, func() (page, error) {
+		objects, revision, err := v.objects.List(ctx, prefix)
+		return page{objects, revision}, err
+	})
+	return p.objects, p.revision, err
 }
 
 // Watch implements garnetworks.ObjectAPI.
 func (v *ObjectsView) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
-	return v.objects.watch(ctx, v.through(), prefix, after, wait)
-}
-
-// through picks the faults that a read or watch meets: the view's own, unless
-// the object API itself is at fault.
-func (v *ObjectsView) through() *Faults {
-	plan := v.objects.FaultsNow()
-	if plan.Down || plan.Unavailable || plan.Frozen {
-		return &v.objects.Faults
-	}
-	return &v.Faults
+	return watchThrough(ctx, &v.Faults, func(ctx context.Context) (page, error) {
+		objects, revision, err := v.objects.Watch(ctx, prefix, after, wait)
+		return page{objects, revision}, err
+	})
 }
