--- a/prefix.go
+++ b/prefix.go
@@ -17,10 +17,18 @@
 	if count <= 0 {
 		return nil
 	}
-	hashes := make([]uint64, 0, count)
+	return AppendPrefixBlocks(make([]uint64, 0, count), model, adapter, prompt, limit)
+}
+
+// AppendPrefixBlocks appends the hashes that PrefixBlocks returns to hashes.
+func AppendPrefixBlocks(hashes []uint64, model ModelName, adapter AdapterName, prompt string, limit int) []uint64 {
+	count := min(len(prompt)/PrefixBlockBytes, limit)
 	var link [8]byte
-	d := xxhash.New()
-	_, _ = d.WriteString(string(model) + "\x00" + string(adapter))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(model))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(string(adapter))
 	for i := range count {
 		binary.LittleEndian.PutUint64(link[:], d.Sum64())
 		d.Reset()
--- a/router/capacity.go
+++ b/router/capacity.go
@@ -25,7 +25,7 @@
 	t.scratch = t.scratch[:0]
 	for _, e := range p.site.entries {
 		g := e.group
-		if g.until < now {
+		if !g.eligible(now) {
 			continue
 		}
 		sum.Slots += int(g.load.capacity)
--- a/router/choose.go
+++ b/router/choose.go
@@ -20,10 +20,12 @@
 	// another group must lie below the home to be worth a lost cache: no call is
 	// spilled for less than the first, each for more than the second (R6).
 	spillLow, spillHigh = 0.15, 0.5
+	// hintGain is how much busier than the home a hinted group may be (R9).
+	hintGain = 0.15
 	// zoneGain is the difference in mean use that is worth the way to another
 	// zone or region (R8).
 	zoneGain = 0.25
-	// fullUse is the mean use from which other regions help out (R8).
+	// fullUse is the filled part of the region from which other regions help out (R8).
 	fullUse = 0.95
 )
 
@@ -32,21 +34,29 @@
 	groups [ranks]*group
 	scores [ranks]uint64
 	n      int
+	// keep is the highest n; ranks at most.
+	keep int
 }
 
-// scan ranks the eligible groups of a scope (R1, R4).
-func (r *ranking) scan(now int64, s *scope, hash uint64, tried []garnetworks.GroupID) {
+// scan ranks the eligible groups of a scope and keeps the first of them (R1,
+// R4). Most groups are passed by after one comparison of scores.
+func (r *ranking) scan(now int64, s *scope, hash uint64, keep int, tried []garnetworks.GroupID) {
 	r.n = 0
+	r.keep = min(keep, ranks)
+	least := uint64(0)
 	for i := range s.entries {
 		e := &s.entries[i]
 		score := mix(hash ^ e.seed)
-		if r.n == ranks && score <= r.scores[ranks-1] {
+		if score <= least {
 			continue
 		}
-		if e.group.until < now || isTried(e.group, tried) {
+		if !e.group.eligible(now) || isTried(e.group, tried) {
 			continue
 		}
 		r.insert(e.group, score)
+		if r.n == r.keep {
+			least = r.scores[r.n-1]
+		}
 	}
 }
 
@@ -61,7 +71,7 @@
 
 func (r *ranking) insert(g *group, score uint64) {
 	i := r.n
-	if i == ranks {
+	if i == r.keep {
 		i--
 	} else {
 		r.n++
@@ -123,7 +133,7 @@
 	if m == 0 {
 		return t.chooseLoose(now, p, s, tried)
 	}
-	r.scan(now, s, prefix.hash, tried)
+	r.scan(now, s, prefix.hash, m+spillRanks, tried)
 	for m > 1 && prefix.next() {
 		r.narrow(m, prefix.hash)
 		m = min(m, max(1, t.width(prefix.hash, s.eligible)))
@@ -131,16 +141,25 @@
 	if r.n == 0 {
 		return t.chooseLoose(now, p, s, tried)
 	}
-	return t.settleRank(now, &r, m)
+	var hinted *group
+	if t.hints.taken {
+		hinted = t.longest(now, call, tried)
+	}
+	return t.settleRank(now, &r, m, hinted)
 }
 
 // settleRank picks the home or a group of the next ranks (R6). The part of the
 // calls that is spilled grows with the difference in use, and they go to
 // several groups: nodes that act on the same report would else all leave the
 // home at once and fill the next group, until the next report sends them back.
-func (t *table) settleRank(now int64, r *ranking, m int) *group {
+func (t *table) settleRank(now int64, r *ranking, m int, hinted *group) *group {
 	m = min(m, r.n)
 	home := r.groups[t.lessBusy(now, r, 0, m)]
+	if hinted != nil && hinted.cost(now) < home.cost(now)+hintGain {
+		// A hint is worth something and a hash that no event confirms is not, but
+		// a hint can be old (R9).
+		home = hinted
+	}
 	n := min(spillRanks, r.n-m)
 	if n == 0 {
 		return home
@@ -185,11 +204,11 @@
 // scope returns the part of the pool that the call is chosen from (R8).
 func (t *table) scope(now int64, p *pool) *scope {
 	p.region.refresh(now)
-	if p.region.eligible > 0 && p.region.mean < fullUse {
+	if p.region.eligible > 0 && p.region.filled < fullUse {
 		return &p.region
 	}
 	p.site.refresh(now)
-	if p.region.eligible > 0 && p.site.mean > p.region.mean-zoneGain {
+	if p.region.eligible > 0 && p.site.filled > p.region.filled-zoneGain {
 		return &p.region
 	}
 	return &p.site
@@ -233,7 +252,7 @@
 	const draws = 8
 	for range draws {
 		g := s.entries[t.next()%uint64(n)].group
-		if g != other && g.until >= now && !isTried(g, tried) {
+		if g != other && g.eligible(now) && !isTried(g, tried) {
 			return g
 		}
 	}
@@ -241,7 +260,7 @@
 	first := int(t.next() % uint64(n))
 	for i := range n {
 		g := s.entries[(first+i)%n].group
-		if g != other && g.until >= now && !isTried(g, tried) {
+		if g != other && g.eligible(now) && !isTried(g, tried) {
 			return g
 		}
 	}
--- a/router/compare_test.go
+++ b/router/compare_test.go
@@ -148,6 +148,9 @@
 	// viewEvery and viewLag are the time between two reports of all loads to all
 	// nodes, and their age on receipt.
 	viewEvery, viewLag time.Duration
+	// events hands cache events to the nodes with each report; one report in
+	// ten is lost.
+	events bool
 	// warmUp is not measured; length ends the run.
 	warmUp, length time.Duration
 }
@@ -223,6 +226,7 @@
 	for i := range view.Groups {
 		view.Groups[i].Load = r.engines[i].load(clock(now))
 	}
+	r.reportEvents(now)
 	r.loop.at(now+r.viewLag, func(now time.Duration) {
 		for _, p := range r.policies {
 			p.view(clock(now), view)
@@ -230,6 +234,23 @@
 	})
 }
 
+func (r *simRun) reportEvents(now time.Duration) {
+	for _, e := range r.engines {
+		events := e.pending
+		e.pending = nil
+		if len(events) == 0 || r.balancer.IntN(10) == 0 {
+			continue
+		}
+		r.loop.at(now+r.viewLag, func(time.Duration) {
+			for _, p := range r.policies {
+				if o, ok := p.(*ours); ok {
+					o.router.CacheEvents(e.id, events)
+				}
+			}
+		})
+	}
+}
+
 func (r *simRun) arrive(now time.Duration) {
 	if now >= r.length {
 		return
@@ -246,6 +267,9 @@
 
 func (r *simRun) receive(now time.Duration, c *simCall) {
 	e := r.engines[c.group]
+	if r.events {
+		e.name(c)
+	}
 	if e.running < engineSlots {
 		r.begin(now, e, c)
 		return
--- a/router/engine_test.go
+++ b/router/engine_test.go
@@ -43,10 +43,15 @@
 	order *list.List
 	// blocks bounds the cache.
 	blocks int
+	// names maps blocks to their hashes in events; events not yet sent are in
+	// pending, the last one's number in number.
+	names   map[uint64]uint64
+	pending []garnetworks.CacheEvent
+	number  uint64
 }
 
 func newSimEngine(id garnetworks.GroupID, blocks int) *simEngine {
-	return &simEngine{id: id, slow: 1, blocks: blocks, cache: map[uint64]*list.Element{}, order: list.New()}
+	return &simEngine{id: id, slow: 1, blocks: blocks, names: map[uint64]uint64{}, cache: map[uint64]*list.Element{}, order: list.New()}
 }
 
 // lookup returns the number of leading blocks in the cache.
@@ -68,14 +73,32 @@
 			continue
 		}
 		e.cache[b] = e.order.PushFront(b)
+		e.event(b, true)
 		if e.order.Len() > e.blocks {
 			last := e.order.Back()
 			delete(e.cache, last.Value.(uint64))
+			e.event(last.Value.(uint64), false)
 			e.order.Remove(last)
 		}
 	}
 }
 
+// name learns the hashes of a call's blocks in events.
+func (e *simEngine) name(c *simCall) {
+	per := BlockBytes / garnetworks.PrefixBlockBytes
+	hashes := garnetworks.PrefixBlocks(c.request.Model, c.request.Adapter, c.request.Prompt, hintBlocks)
+	for i := 0; (i+1)*per <= len(hashes) && i < len(c.blocks); i++ {
+		e.names[c.blocks[i]] = hashes[(i+1)*per-1]
+	}
+}
+
+func (e *simEngine) event(block uint64, added bool) {
+	if hash, ok := e.names[block]; ok {
+		e.number++
+		e.pending = append(e.pending, garnetworks.CacheEvent{Number: e.number, Block: hash, Added: added})
+	}
+}
+
 func (e *simEngine) load(at time.Time) garnetworks.EngineLoad {
 	return garnetworks.EngineLoad{Running: e.running, Waiting: len(e.waiting), Capacity: engineSlots, At: at}
 }
--- a/router/hints.go
+++ b/router/hints.go
@@ -1,10 +1,17 @@
 package router
 
-import "github.com/garnetworks/garnetworks"
+import (
+	"slices"
 
-// hintSlots is the number of prefixes that hints remember; the newest wins a
-// slot.
-const hintSlots = 1 << 13
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// hintSlots is the number of prefixes that hints remember.
+	hintSlots = 1 << 14
+	// hintBlocks is the number of a prompt's blocks that hints are looked up for.
+	hintBlocks = 32
+)
 
 // hint says that a group was seen to hold a prefix.
 type hint struct {
@@ -23,11 +30,46 @@
 	taken bool
 }
 
+// put remembers a prefix. The first group that was seen to hold it keeps the
+// slot: if the newest one took it, calls would wander with each miss.
 func (h *hints) put(hash uint64, g *group) {
+	if h.get(hash) != nil {
+		return
+	}
 	h.slots[hash%hintSlots] = hint{hash: hash, group: g, epoch: g.epoch}
 	h.taken = true
 }
 
+// get returns the group that was seen to hold a prefix, or nil.
+func (h *hints) get(hash uint64) *group {
+	s := &h.slots[hash%hintSlots]
+	if s.hash != hash || s.group == nil || s.epoch != s.group.epoch || s.group.gone {
+		return nil
+	}
+	return s.group
+}
+
+// longest returns the eligible group that was seen to hold the longest part of
+// the prompt, or nil.
+func (t *table) longest(now int64, call *garnetworks.CallRequest, tried []garnetworks.GroupID) *group {
+	t.blocks = garnetworks.AppendPrefixBlocks(t.blocks[:0], call.Model, call.Adapter, call.Prompt, hintBlocks)
+	for i := len(t.blocks) - 1; i >= 0; i-- {
+		g := t.hints.get(t.blocks[i])
+		if g != nil && g.eligible(now) && g.serves(call) && !isTried(g, tried) {
+			return g
+		}
+	}
+	return nil
+}
+
+// serves reports whether the group has the call's model and adapter.
+func (g *group) serves(call *garnetworks.CallRequest) bool {
+	if g.view.Model != call.Model {
+		return false
+	}
+	return call.Adapter == "" || slices.Contains(g.view.Adapters, call.Adapter)
+}
+
 func (h *hints) drop(hash uint64, g *group) {
 	s := &h.slots[hash%hintSlots]
 	if s.hash == hash && s.group == g {
--- a/router/table.go
+++ b/router/table.go
@@ -34,7 +34,7 @@
 	viewed, probed int64
 	// denied is the time up to which a sign against the group counts.
 	denied int64
-	// until is the time up to which the group is eligible; 0 if it is not.
+	// until is the time up to which the group is confirmed; 0 if it is not.
 	until    int64
 	cooldown cooldown
 	// gone is set once the group is no longer in any view.
@@ -58,10 +58,13 @@
 
 func (c *cooldown) succeed() { *c = cooldown{} }
 
-// settle recomputes until after any change (R1, R3).
-func (g *group) settle(now int64) {
+// eligible reports whether the group may get a call now (R1, R3).
+func (g *group) eligible(now int64) bool { return g.until >= now && g.denied <= now }
+
+// settle recomputes until after any change (R1).
+func (g *group) settle() {
 	g.until = 0
-	if g.gone || g.view.State != garnetworks.GroupServing || g.denied > now {
+	if g.gone || g.view.State != garnetworks.GroupServing {
 		return
 	}
 	if newest := max(g.viewed, g.probed); newest > 0 {
@@ -95,9 +98,10 @@
 // scope is a part of a pool.
 type scope struct {
 	entries []entry
-	// mean is the mean use of the eligible groups at the last refresh, and
-	// eligible their number.
+	// mean is the mean use of the eligible groups at the last refresh, filled the
+	// same with no group above 1, and eligible their number.
 	mean      float64
+	filled    float64
 	eligible  int
 	refreshed int64
 }
@@ -122,6 +126,7 @@
 	random   uint64
 	judged   int64
 	scratch  []float64
+	blocks   []uint64
 }
 
 func newTable(options Options) *table {
@@ -168,7 +173,7 @@
 	}
 	for id, g := range z.groups {
 		if seen[id] == nil {
-			t.dropGroup(now, id, g)
+			t.dropGroup(id, g)
 		}
 	}
 	z.groups = seen
@@ -187,8 +192,9 @@
 		t.groups[view.ID] = g
 	}
 	if view.Token > g.view.Token {
-		// Signs and probes were about the earlier token.
+		// Signs and confirmations were about the earlier token.
 		g.denied = 0
+		g.viewed = 0
 		g.probed = 0
 	}
 	if view.Token < g.view.Token {
@@ -205,13 +211,13 @@
 		g.probed = 0
 	}
 	g.load.report(now, view.Load)
-	g.settle(now)
+	g.settle()
 	return g
 }
 
-func (t *table) dropGroup(now int64, id garnetworks.GroupID, g *group) {
+func (t *table) dropGroup(id garnetworks.GroupID, g *group) {
 	g.gone = true
-	g.settle(now)
+	g.settle()
 	delete(t.groups, id)
 }
 
@@ -225,7 +231,7 @@
 	for _, g := range z.groups {
 		if g.viewed > 0 {
 			g.viewed = max(g.viewed, now)
-			g.settle(now)
+			g.settle()
 		}
 	}
 }
@@ -238,7 +244,7 @@
 	}
 	g.denied = 0
 	g.probed = max(g.probed, now)
-	g.settle(now)
+	g.settle()
 }
 
 // deny takes a sign against a group (R3).
@@ -248,7 +254,6 @@
 		return
 	}
 	g.denied = now + int64(DenialTime)
-	g.settle(now)
 }
 
 // rebuild sorts the groups into pools.
@@ -313,7 +318,7 @@
 	s.refreshed = now
 	reported, weight := 0.0, 0.0
 	for _, e := range s.entries {
-		if e.group.until < now {
+		if !e.group.eligible(now) {
 			continue
 		}
 		l := &e.group.load
@@ -325,20 +330,22 @@
 	if weight > 0 {
 		mean = reported / weight
 	}
-	used, capacity := 0.0, 0.0
+	used, filled, capacity := 0.0, 0.0, 0.0
 	s.eligible = 0
 	for _, e := range s.entries {
 		g := e.group
-		if g.until < now {
+		if !g.eligible(now) {
 			continue
 		}
 		g.load.refresh(now, mean)
 		s.eligible++
+		room := g.load.capacity * g.pace.weight
 		used += g.load.inUse()
-		capacity += g.load.capacity * g.pace.weight
+		filled += min(g.load.inUse(), room)
+		capacity += room
 	}
-	s.mean = 0
+	s.mean, s.filled = 0, 0
 	if capacity > 0 {
-		s.mean = used / capacity
+		s.mean, s.filled = used/capacity, filled/capacity
 	}
 }
