Hold the fabric domain's rules by a state machine and tables

Cause: the aggregate's refusals were only exercised through the controller. Change: random transitions under growing terms with all invariants checked after each; a table of what is refused; a table of what a confirmation must match; the size of a domain's object.

--- /dev/null
+++ b/grouper/grouper_test.go
@@ -0,0 +1,299 @@
+package grouper
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		given := false
+		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+		if !given {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func class(checks bool) garnetworks.InstanceClass {
+	return garnetworks.InstanceClass{Name: "gpu", Watts: 10, ChecksFencing: checks, Accelerators: 8}
+}
+
+func listed(n int) garnetworks.ListedInstance {
+	return garnetworks.ListedInstance{ID: name(n), Address: string(name(n)), Class: "gpu", Domain: "d"}
+}
+
+func name(n int) garnetworks.InstanceID { return garnetworks.InstanceID(fmt.Sprintf("i%02d", n)) }
+
+// admitted returns a domain of healthy, powered instances.
+func admitted(t testing.TB, size int, checks bool) *Aggregate {
+	a, err := Open(&garnetworks.FabricDomain{ID: "d", Zone: "z"}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range size {
+		a.Register(listed(n), class(checks))
+		a.SeeRunning(name(n))
+		a.Learn(name(n), 1)
+		if err := a.Readmit(name(n), idle(a.Instance(name(n)))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return a
+}
+
+func idle(i *garnetworks.Instance) garnetworks.EngineStatus {
+	return garnetworks.EngineStatus{Instance: i.ID, Incarnation: i.Incarnation, Token: i.Token, Phase: garnetworks.EngineIdle}
+}
+
+func ready(i *garnetworks.Instance, g *garnetworks.Group) garnetworks.EngineStatus {
+	return garnetworks.EngineStatus{
+		Instance: i.ID, Incarnation: i.Incarnation, Phase: garnetworks.EngineReady,
+		Group: g.ID, Token: g.Token, Model: g.Model, Version: g.Version,
+	}
+}
+
+// TestTransitionsKeepTheInvariants makes random transitions, sensible and not,
+// under growing terms, and checks after each that the domain's invariants hold,
+// that what was refused changed nothing, and that no token goes back.
+func TestTransitionsKeepTheInvariants(t *testing.T) {
+	steps, refused := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		domain := *admitted(t, 8, rapid.Bool().Draw(rt, "checks")).Domain()
+		a, _ := Open(&domain, 1)
+		now := start
+		tokens := map[garnetworks.InstanceID]garnetworks.FencingToken{}
+		pick := func(rt *rapid.T) garnetworks.InstanceID { return name(rapid.IntRange(0, 8).Draw(rt, "instance")) }
+		group := func(rt *rapid.T) garnetworks.GroupID {
+			if len(a.Domain().Groups) == 0 {
+				return "none"
+			}
+			return rapid.SampledFrom(a.Domain().Groups).Draw(rt, "group").ID
+		}
+		try := func(do func() error) {
+			before := Clone(a.Domain())
+			if do() == nil {
+				return
+			}
+			refused++
+			if !slices.EqualFunc(before.Instances, a.Domain().Instances, sameInstance) || len(before.Groups) != len(a.Domain().Groups) {
+				rt.Fatal("a refused transition changed the domain")
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"": func(rt *rapid.T) {
+				steps++
+				now = now.Add(time.Second)
+				if err := Check(a.Domain()); err != nil {
+					rt.Fatal(err)
+				}
+				for _, i := range a.Domain().Instances {
+					if i.Token < tokens[i.ID] {
+						rt.Fatalf("the token of %s went back from %s to %s", i.ID, tokens[i.ID], i.Token)
+					}
+					tokens[i.ID] = i.Token
+				}
+			},
+			"form": func(rt *rapid.T) {
+				members := rapid.SliceOfN(rapid.Custom(pick), 0, 4).Draw(rt, "members")
+				try(func() error {
+					_, err := a.Form(garnetworks.Group{Model: "m", Version: "v", Members: members}, now)
+					return err
+				})
+			},
+			"advance": func(rt *rapid.T) {
+				g := a.Group(group(rt))
+				if g == nil {
+					return
+				}
+				fresh := Statuses{}
+				for _, m := range g.Members {
+					fresh[m] = ready(a.Instance(m), g)
+				}
+				missing := rapid.Bool().Draw(rt, "missing")
+				if missing {
+					delete(fresh, g.Members[0])
+				}
+				was := g.State
+				a.Advance(g.ID, fresh, now)
+				if missing && g.State == garnetworks.GroupServing && was != garnetworks.GroupServing {
+					rt.Fatal("a group serves without a member's confirmation")
+				}
+			},
+			"lose":     func(rt *rapid.T) { a.Lose(pick(rt), now, "test") },
+			"return":   func(rt *rapid.T) { a.Return(pick(rt), 2, now, "test") },
+			"readmit":  func(rt *rapid.T) { id := pick(rt); try(func() error { return a.Readmit(id, status(a, id)) }) },
+			"drain":    func(rt *rapid.T) { a.Drain(group(rt), now, time.Second, "test") },
+			"break":    func(rt *rapid.T) { a.Break(group(rt), now, "test") },
+			"dissolve": func(rt *rapid.T) { a.Dissolve(group(rt), "test") },
+			"on":       func(rt *rapid.T) { id := pick(rt); try(func() error { return a.PowerOn(id, "test") }) },
+			"off":      func(rt *rapid.T) { id := pick(rt); try(func() error { return a.PowerOff(id, "test") }) },
+			"prove": func(rt *rapid.T) {
+				if i := a.Instance(pick(rt)); i != nil {
+					a.ProveOff(i.ID, i.Token)
+				}
+			},
+			"see":    func(rt *rapid.T) { a.SeeRunning(pick(rt)) },
+			"gone":   func(rt *rapid.T) { a.Gone(pick(rt), now) },
+			"listed": func(rt *rapid.T) { a.Register(listed(rapid.IntRange(0, 8).Draw(rt, "row")), class(true)) },
+			"term": func(rt *rapid.T) {
+				next, err := Open(a.Domain(), a.Domain().Term+uint32(rapid.IntRange(0, 2).Draw(rt, "terms")))
+				if err != nil {
+					rt.Fatal(err)
+				}
+				a = next
+			},
+		})
+	})
+	t.Logf("%d transitions, %d refused", steps, refused)
+}
+
+func status(a *Aggregate, id garnetworks.InstanceID) garnetworks.EngineStatus {
+	if i := a.Instance(id); i != nil {
+		return idle(i)
+	}
+	return garnetworks.EngineStatus{}
+}
+
+func sameInstance(x, y garnetworks.Instance) bool {
+	return x.Power == y.Power && x.Condition == y.Condition && x.Group == y.Group && x.Token == y.Token
+}
+
+// TestWhatIsRefused names the transitions that would break a rule.
+func TestWhatIsRefused(t *testing.T) {
+	form := func(a *Aggregate, members ...garnetworks.InstanceID) error {
+		_, err := a.Form(garnetworks.Group{Model: "m", Version: "v", Members: members}, start)
+		return err
+	}
+	for title, c := range map[string]struct {
+		do   func(a *Aggregate) error
+		want garnetworks.Kind
+	}{
+		"a lower term (D1)": {func(a *Aggregate) error {
+			a.Domain().Term = 9
+			_, err := Open(a.Domain(), 8)
+			return err
+		}, garnetworks.KindStaleToken},
+		"no member (D3)":            {func(a *Aggregate) error { return form(a) }, garnetworks.KindConflict},
+		"a member twice (D3)":       {func(a *Aggregate) error { return form(a, "i00", "i00") }, garnetworks.KindConflict},
+		"another domain's (D3)":     {func(a *Aggregate) error { return form(a, "i00", "x00") }, garnetworks.KindNotFound},
+		"a member of a group (D3)":  {func(a *Aggregate) error { _ = form(a, "i00", "i01"); return form(a, "i01", "i02") }, garnetworks.KindConflict},
+		"a lost member (D3)":        {func(a *Aggregate) error { a.Lose("i00", start, ""); return form(a, "i00") }, garnetworks.KindConflict},
+		"a returned member (D6)":    {func(a *Aggregate) error { a.Return("i00", 2, start, ""); return form(a, "i00") }, garnetworks.KindConflict},
+		"a member that is off (D3)": {func(a *Aggregate) error { _ = a.PowerOff("i00", ""); return form(a, "i00") }, garnetworks.KindConflict},
+		"power of a member (D8)":    {func(a *Aggregate) error { _ = form(a, "i00"); return a.PowerOff("i00", "") }, garnetworks.KindConflict},
+		"power on while it runs":    {func(a *Aggregate) error { return a.PowerOn("i00", "") }, garnetworks.KindConflict},
+		"forgetting what draws":     {func(a *Aggregate) error { return a.Deregister("i00") }, garnetworks.KindConflict},
+		"readmission unreleased": {func(a *Aggregate) error {
+			a.Return("i00", 2, start, "")
+			return a.Readmit("i00", garnetworks.EngineStatus{Incarnation: 2, Phase: garnetworks.EngineIdle})
+		}, garnetworks.KindConflict},
+		"readmission in a group": {func(a *Aggregate) error {
+			a.Return("i00", 2, start, "")
+			s := idle(a.Instance("i00"))
+			s.Group = "old"
+			return a.Readmit("i00", s)
+		}, garnetworks.KindConflict},
+		"an ignoring survivor (D7)": {func(a *Aggregate) error {
+			_ = form(a, "i00", "i01")
+			id := a.Domain().Groups[0].ID
+			a.Dissolve(id, "")
+			return form(a, "i00")
+		}, garnetworks.KindConflict},
+		"an old proof of power (D8)": {func(a *Aggregate) error { return oldProof(a) }, garnetworks.KindConflict},
+	} {
+		t.Run(title, func(t *testing.T) {
+			if err := c.do(admitted(t, 4, false)); garnetworks.KindOf(err) != c.want {
+				t.Errorf("got %v, want %s", err, c.want)
+			}
+		})
+	}
+}
+
+// oldProof powers an instance off, on and off, and tries to prove the second
+// with the first one's answer: an order to power on may be on its way between
+// the two.
+func oldProof(a *Aggregate) error {
+	_ = a.PowerOff("i00", "")
+	first := a.Instance("i00").Token
+	a.ProveOff("i00", first)
+	_ = a.PowerOn("i00", "")
+	_ = a.PowerOff("i00", "")
+	if a.ProveOff("i00", first) {
+		return nil
+	}
+	return garnetworks.Errorf(garnetworks.KindConflict, "refused")
+}
+
+// TestEachMemberMustConfirmAll: a group is confirmed only by members that say the
+// same of group, token, model, version and incarnation, and are ready (G1).
+func TestEachMemberMustConfirmAll(t *testing.T) {
+	for title, change := range map[string]func(s *garnetworks.EngineStatus){
+		"group":       func(s *garnetworks.EngineStatus) { s.Group = "other" },
+		"token":       func(s *garnetworks.EngineStatus) { s.Token-- },
+		"model":       func(s *garnetworks.EngineStatus) { s.Model = "other" },
+		"version":     func(s *garnetworks.EngineStatus) { s.Version = "other" },
+		"incarnation": func(s *garnetworks.EngineStatus) { s.Incarnation++ },
+		"phase":       func(s *garnetworks.EngineStatus) { s.Phase = garnetworks.EngineLoading },
+	} {
+		a := admitted(t, 4, true)
+		id, err := a.Form(garnetworks.Group{Model: "m", Version: "v", Members: []garnetworks.InstanceID{"i00", "i01", "i02"}}, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := a.Group(id)
+		fresh := Statuses{}
+		for _, m := range g.Members {
+			fresh[m] = ready(a.Instance(m), g)
+		}
+		if !Confirmed(a.Domain(), g, fresh) {
+			t.Fatal("the group is not confirmed by all its members")
+		}
+		s := fresh["i01"]
+		change(&s)
+		fresh["i01"] = s
+		if Confirmed(a.Domain(), g, fresh) {
+			t.Errorf("the group is confirmed with another %s", title)
+		}
+	}
+}
+
+// TestDomainStaysUnderTheObjectSize prints what a domain weighs in the object
+// API; the whole fleet would fit one object, so a domain always does.
+func TestDomainStaysUnderTheObjectSize(t *testing.T) {
+	for _, size := range []int{16, 75, 600} {
+		a := admitted(t, size, true)
+		for n := 0; n+4 <= size; n += 4 {
+			if _, err := a.Form(garnetworks.Group{
+				Model: "large-model-name", Version: "2026-11-30-release", Adapters: []garnetworks.AdapterName{"adapter-one", "adapter-two"},
+				Members: []garnetworks.InstanceID{name(n), name(n + 1), name(n + 2), name(n + 3)},
+			}, start); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for n := range size {
+			a.Hold(name(n), []garnetworks.WeightID{{Model: "large-model-name", Version: "2026-11-30-release"}, {Model: "large-model-name", Version: "2026-11-01-release"}})
+		}
+		value, err := json.Marshal(a.Domain())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d instances: %d bytes, %.1f %% of the object size", size, len(value), 100*float64(len(value))/garnetworks.MaxObjectBytes)
+		if len(value) > garnetworks.MaxObjectBytes/2 {
+			t.Errorf("%d instances take %d bytes", size, len(value))
+		}
+	}
+}
