--- a/cmd/garnetctl/main.go
+++ b/cmd/garnetctl/main.go
@@ -75,7 +75,7 @@
 	switch garnetworks.KindOf(err) {
 	case garnetworks.KindInvalidManifest, garnetworks.KindTooLarge:
 		return exitInvalid
-	case garnetworks.KindInvalidRequest:
+	case garnetworks.KindInvalidRequest, garnetworks.KindKeyReused:
 		return exitUsage
 	case garnetworks.KindStaleGeneration:
 		return exitStale
--- a/cmd/garnetctl/manifest.go
+++ b/cmd/garnetctl/manifest.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/garnetworks/garnetworks"
@@ -278,11 +277,11 @@
 // or that has to wait for another one.
 const proposeAgain = time.Second
 
-// propose hands the commit to a node. While its fate is unknown, or no node
-// could be reached, it asks again with the same identifier, which never commits
-// twice.
+// propose hands the commit to a node. While its fate is unknown, no node can be
+// reached or another commit is pending, it asks again with the same identifier,
+// which never commits twice. So the loser of a race learns who has won.
 func (s *session) propose(request *garnetworks.ProposeRequest, until time.Time) (garnetworks.CommitProgress, error) {
-	unknown := false
+	unknown, last := false, ""
 	for {
 		var response *garnetworks.ProposeResponse
 		err := s.site.any(s.ctx, func(ctx context.Context, address string) error {
@@ -293,20 +292,27 @@
 		if err == nil {
 			return response.Progress, nil
 		}
-		if garnetworks.IsKind(err, garnetworks.KindOutcomeUnknown, garnetworks.KindAnswerLost) {
-			unknown = true
-		}
-		again := garnetworks.IsKind(err, garnetworks.KindOutcomeUnknown, garnetworks.KindAnswerLost, garnetworks.KindUnreachable,
-			garnetworks.KindObjectAPIDown, garnetworks.KindThrottled, garnetworks.KindNotReady, garnetworks.KindShuttingDown)
-		if !again && !unknown || garnetworks.IsKind(err, garnetworks.KindStaleGeneration) {
+		unknown = unknown || garnetworks.IsKind(err, garnetworks.KindOutcomeUnknown, garnetworks.KindAnswerLost)
+		if !passes(err) && !unknown || garnetworks.IsKind(err, garnetworks.KindStaleGeneration) {
 			return garnetworks.CommitProgress{}, err
 		}
+		if text := err.Error(); text != last {
+			s.note("asking again until --wait is over: %s", text)
+			last = text
+		}
 		if !s.now().Add(proposeAgain).Before(until) || s.pause(proposeAgain) != nil {
 			return garnetworks.CommitProgress{}, s.unknown(request, err, unknown)
 		}
 	}
 }
 
+// passes reports whether the same request may be answered otherwise later.
+func passes(err error) bool {
+	return garnetworks.IsKind(err, garnetworks.KindOutcomeUnknown, garnetworks.KindAnswerLost, garnetworks.KindUnreachable,
+		garnetworks.KindObjectAPIDown, garnetworks.KindThrottled, garnetworks.KindNotReady, garnetworks.KindShuttingDown,
+		garnetworks.KindConflict)
+}
+
 // unknown says truthfully how a commit ended that got no clear answer.
 func (s *session) unknown(request *garnetworks.ProposeRequest, err error, unknown bool) error {
 	if !unknown {
@@ -506,18 +512,12 @@
 // formatManifest returns a text that parses to the same manifest and names the
 // generation, so that a commit of the changed text builds on it.
 func formatManifest(accepted *garnetworks.AcceptedManifest) (string, error) {
-	body, err := yaml.MarshalWithOptions(accepted.Manifest, yaml.IndentSequence(true),
-		yaml.CustomMarshaler(func(d time.Duration) ([]byte, error) { return []byte(d.String()), nil }))
+	text, err := parser.Format(&accepted.Manifest)
 	if err != nil {
-		return "", garnetworks.WrapError(garnetworks.KindInternal, err, "the manifest can't be written")
-	}
-	text := fmt.Sprintf("# generation: %d\n# commit %s by %s, accepted %s\n%s...\n",
-		accepted.Generation, plain(accepted.CommitID), plain(accepted.Operator), clock(accepted.At), body)
-	again, problems := parser.Parse("", []byte(text))
-	if len(problems) > 0 || len(parser.Diff(&accepted.Manifest, again)) > 0 {
-		return "", garnetworks.Errorf(garnetworks.KindInternal, "the manifest can't be written as text; use --output json")
+		return "", err
 	}
-	return text, nil
+	return fmt.Sprintf("# generation: %d\n# commit %s by %s, accepted %s\n%s",
+		accepted.Generation, plain(accepted.CommitID), plain(accepted.Operator), clock(accepted.At), text), nil
 }
 
 // exampleCommand prints the example.
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -539,14 +539,14 @@
 	}
 	known, err := c.store.readHead(ctx)
 	if err != nil {
-		return garnetworks.CommitProgress{}, garnetworks.WrapError(garnetworks.KindObjectAPIDown, err, "nothing was written")
+		return garnetworks.CommitProgress{}, nothingWritten(err)
 	}
 	if _, told := known.Fate(p.CommitID); !told {
 		if _, err := known.Propose(p, request.Supersedes); err != nil {
 			return garnetworks.CommitProgress{}, err
 		}
 		if err := c.store.writeBody(ctx, p.CommitID, body); err != nil {
-			return garnetworks.CommitProgress{}, garnetworks.WrapError(garnetworks.KindObjectAPIDown, err, "nothing was proposed")
+			return garnetworks.CommitProgress{}, nothingWritten(err)
 		}
 	}
 	gone := c.store.collect(ctx, known.Garbage)
@@ -571,6 +571,15 @@
 	return c.progress(ctx, p.CommitID), nil
 }
 
+// nothingWritten returns the error for a failure before the head was written. A
+// body alone proposes nothing.
+func nothingWritten(err error) error {
+	if garnetworks.IsKind(err, garnetworks.KindKeyReused, garnetworks.KindTooLarge, garnetworks.KindInternal) {
+		return err
+	}
+	return garnetworks.WrapError(garnetworks.KindObjectAPIDown, err, "nothing was proposed")
+}
+
 // behind reports whether the head has a lower generation than the node.
 func (c *Committer) behind(h Head) bool {
 	c.mu.Lock()
--- a/committer/store.go
+++ b/committer/store.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	if hashOf(stored) != hashOf(body) {
-		return garnetworks.Errorf(garnetworks.KindConflict, "commit %s was used with another manifest", commitID)
+		return garnetworks.Errorf(garnetworks.KindKeyReused, "commit %s was used with another manifest", commitID)
 	}
 	return nil
 }
@@ -194,7 +194,7 @@
 
 // retriable reports whether the same call may succeed a little later.
 func retriable(err error) bool {
-	return !garnetworks.IsKind(err, garnetworks.KindTooLarge, garnetworks.KindInvalidRequest, garnetworks.KindInternal)
+	return !garnetworks.IsKind(err, garnetworks.KindTooLarge, garnetworks.KindInvalidRequest, garnetworks.KindInternal, garnetworks.KindKeyReused)
 }
 
 // collect deletes the bodies of garbage commits and returns those that are gone.
--- a/parser/decoder.go
+++ b/parser/decoder.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math"
 	"reflect"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 
 	"github.com/garnetworks/garnetworks"
 )
@@ -177,8 +180,16 @@
 	return 0, false
 }
 
+// exponential matches a number that YAML's core schema knows and the YAML
+// library takes for text, such as 2e+06.
+var exponential = regexp.MustCompile(`^[-+]?[0-9]+[eE][-+]?[0-9]+$`)
+
 // float returns the value of a finite number.
 func float(n ast.Node) (float64, bool) {
+	if s, ok := n.(*ast.StringNode); ok && s.Token.Type == token.StringType && exponential.MatchString(s.Value) {
+		f, err := strconv.ParseFloat(s.Value, 64)
+		return f, err == nil
+	}
 	if f, ok := n.(*ast.FloatNode); ok {
 		return f.Value, !math.IsInf(f.Value, 0) && !math.IsNaN(f.Value)
 	}
--- a/parser/scan.go
+++ b/parser/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
@@ -18,6 +19,8 @@
 	// maxNesting bounds the nesting of flow collections and of sequences on one
 	// line; the schema needs six levels.
 	maxNesting = 16
+	// maxKeys bounds the keys of one mapping; the schema has ten at most.
+	maxKeys = 64
 	// maxIndent bounds a line's indentation, and so the nesting of blocks.
 	maxIndent = 64
 )
@@ -121,35 +124,113 @@
 // them.
 func allowed(p *places, tokens token.Tokens) bool {
 	ok := true
-	flow, entries, line := 0, 0, 0
+	bounds := &bounds{}
 	for _, t := range tokens {
 		at := position{t.Position.Line, t.Position.Column}
 		if text, forbidden := forbiddenTokens[t.Type]; forbidden {
 			p.add(at, "", "%s", text)
 			ok = false
 		}
-		if t.Position.Line != line {
-			line, entries = t.Position.Line, 0
-		}
-		switch t.Type {
-		case token.SequenceEntryType:
-			entries++
-		case token.SequenceStartType, token.MappingStartType:
-			flow++
-		case token.SequenceEndType, token.MappingEndType:
-			flow--
-		case token.DocumentEndType:
+		if t.Type == token.DocumentEndType {
 			p.add(at, "", "the end marker %q stands before the end of the text", endMarker)
 			return false
 		}
-		if flow > maxNesting || entries > maxNesting {
-			p.add(at, "", "the text is nested more than %d deep", maxNesting)
+		if text := bounds.exceeded(t); text != "" {
+			p.add(at, "", "%s", text)
 			return false
 		}
 	}
 	return ok
 }
 
+// bounds follows the structure of a text token by token. The YAML library's work
+// grows with the square of the keys of one mapping and with the nesting, so both
+// are bounded before it sees the text.
+type bounds struct {
+	// line and entries count the sequence entries that begin on one line.
+	line, entries int
+	// open are the mappings around the token, the innermost last.
+	open []mapping
+	// flow is the number of flow collections around the token.
+	flow int
+}
+
+// mapping counts the keys of one mapping.
+type mapping struct {
+	// column is where a block mapping's keys begin; 0 marks a flow mapping or
+	// sequence.
+	column int
+	keys   int
+	// line is where a flow collection begins.
+	line int
+}
+
+// exceeded takes the next token and returns which bound it exceeds, or "".
+func (b *bounds) exceeded(t *token.Token) string {
+	if t.Position.Line != b.line {
+		b.line, b.entries = t.Position.Line, 0
+	}
+	switch t.Type {
+	case token.SequenceEntryType:
+		b.entries++
+		b.leave(t.Position.Column)
+	case token.SequenceStartType, token.MappingStartType:
+		b.flow++
+		b.open = append(b.open, mapping{line: t.Position.Line})
+	case token.SequenceEndType, token.MappingEndType:
+		b.flow--
+		b.leaveFlow()
+	case token.MappingValueType:
+		b.key(t)
+	}
+	if b.flow > maxNesting || b.entries > maxNesting || len(b.open) > 2*maxNesting {
+		return fmt.Sprintf("the text is nested more than %d deep", maxNesting)
+	}
+	if len(b.open) == 0 || b.open[len(b.open)-1].keys <= maxKeys {
+		return ""
+	}
+	if last := b.open[len(b.open)-1]; last.column == 0 {
+		return fmt.Sprintf("the bracket on line %d holds more than %d keys; is it closed?", last.line, maxKeys)
+	}
+	return fmt.Sprintf("the mapping has more than %d keys", maxKeys)
+}
+
+// leave ends the block mappings that begin at or after a column.
+func (b *bounds) leave(column int) {
+	for n := len(b.open); n > 0 && b.open[n-1].column >= column; n = len(b.open) {
+		b.open = b.open[:n-1]
+	}
+}
+
+// leaveFlow ends the innermost flow collection.
+func (b *bounds) leaveFlow() {
+	for n := len(b.open); n > 0; n = len(b.open) {
+		last := b.open[n-1]
+		b.open = b.open[:n-1]
+		if last.column == 0 {
+			return
+		}
+	}
+}
+
+// key counts a key, whose token is the one before the colon.
+func (b *bounds) key(colon *token.Token) {
+	column := colon.Position.Column
+	if colon.Prev != nil {
+		column = colon.Prev.Position.Column
+	}
+	if b.flow > 0 {
+		column = 0
+	} else {
+		b.leave(column + 1)
+	}
+	if n := len(b.open); n > 0 && b.open[n-1].column == column {
+		b.open[n-1].keys++
+		return
+	}
+	b.open = append(b.open, mapping{column: column, keys: 1})
+}
+
 // addSyntax records the YAML library's error at its token.
 func addSyntax(p *places, err error) {
 	var e yaml.Error
