--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -40,7 +40,7 @@
 	// MaxHeads is how many nodes of a branch are tried (rule D5).
 	MaxHeads = 3
 	// MaxHops is the most steps an update takes; a tree over 330 nodes takes
-	// six.
+	// five.
 	MaxHops = 12
 	// MaxTopics bounds the topics held. Topics are named after zones, so their
 	// number grows with zones, not with nodes.
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -565,8 +565,8 @@
 		"one node":       {1, 1, 1, 0},
 		"today":          {6, 3, 1, 2},
 		"larger":         {24, 3, 1, 3},
-		"quarter":        {96, 8, 3, 5},
-		"design size":    {330, 8, 3, 6},
+		"quarter":        {96, 8, 3, 4},
+		"design size":    {330, 8, 3, 5},
 		"one large zone": {330, 1, 1, 5},
 	}
 	for name, test := range tests {
