Prefer members that are there, and remember sheds by rank

Change: a choice takes present instances if they are enough; a shed holds the rank from which groups are gone. The table of weights is measured.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -105,6 +105,7 @@
 	if len(candidates) < m.GroupSize {
 		return choice{}, false
 	}
+	candidates = presentOnly(candidates, m.GroupSize)
 	slices.SortFunc(candidates, compareCandidates)
 	before := d.unused(m.class)
 	c := choice{domain: d, rest: before - m.GroupSize}
@@ -124,6 +125,20 @@
 	return c, true
 }
 
+// presentOnly leaves out those that must be waited for if the others are enough.
+func presentOnly(candidates []candidate, enough int) []candidate {
+	present := 0
+	for _, c := range candidates {
+		if c.instance.presence == idle {
+			present++
+		}
+	}
+	if present < enough {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.instance.presence != idle })
+}
+
 // unused counts the instances of the class that the plan has no use for yet.
 func (d *domain) unused(c *class) int {
 	count := 0
--- a/placer/faults_test.go
+++ b/placer/faults_test.go
@@ -146,6 +146,24 @@
 	}
 }
 
+// TestWeightTable measures the ordinary day under several ratios of the two
+// weights; docs/weights.md carries it.
+func TestWeightTable(t *testing.T) {
+	if testing.Short() {
+		t.Skip("seven days are simulated")
+	}
+	cases := faultCases()
+	day := cases[len(cases)-1]
+	var b strings.Builder
+	fmt.Fprintf(&b, "%8s%26s%30s\n", "D/S", "downtime, group-seconds", "stranded, instance-seconds")
+	for _, ratio := range []float64{0.2, 1, 10, 100, 300, 3000, 30000} {
+		m := simulate(t, day, placer.Plan, garnetworks.MeasureWeights{GroupDowntime: ratio, Stranded: 1})
+		fmt.Fprintf(&b, "%8g%26.0f%30.0f\n", ratio, m.down, m.stranded)
+	}
+	t.Logf("\n%s", b.String())
+	goldie.New(t).Assert(t, "weight-table", []byte(b.String()))
+}
+
 // cost weighs the measures as the manifest does.
 func (m measured) cost(w garnetworks.MeasureWeights) float64 {
 	return m.down*w.GroupDowntime + m.stranded*w.Stranded
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -93,7 +93,7 @@
 		most := min(max(m.MinGroups, m.MaxGroups), len(m.live))
 		for _, g := range m.live[most:] {
 			p.end(g, ReasonSurplus, p.in.Grace.Drain)
-			p.noteShed(m)
+			p.noteShed(m, most)
 		}
 		m.live = m.live[:most]
 	}
@@ -119,7 +119,7 @@
 	watts := drawOf(g.members)
 	if p.planned+watts > p.in.Limit {
 		p.end(g, ReasonPower, p.in.Grace.Shed)
-		p.noteShed(g.model)
+		p.noteShed(g.model, p.slots[g.order].rank)
 		p.unmet(g.model, CausePower)
 		return false
 	}
@@ -164,7 +164,7 @@
 		return
 	}
 	if p.planned+m.class.Watts*garnetworks.Watts(m.GroupSize) > p.in.Limit {
-		p.giveUp(m)
+		p.giveUp(s)
 		return
 	}
 	c, ok := p.chooseFor(order, s)
@@ -174,7 +174,7 @@
 		return
 	}
 	if p.planned+drawOf(c.members) > p.in.Limit {
-		p.giveUp(m)
+		p.giveUp(s)
 		return
 	}
 	p.reserveSlot(order, s, c)
@@ -196,23 +196,21 @@
 	return true
 }
 
-// noteShed remembers that the model lost a group by choice.
-func (p *planner) noteShed(m *model) {
-	left := 0
-	for _, g := range m.live {
-		if !g.ending {
-			left++
-		}
+// noteShed remembers that the model lost all groups from a rank on.
+func (p *planner) noteShed(m *model, rank int) {
+	if shed, ok := p.out.State.Sheds[m.Name]; ok && shed.At.Equal(p.in.Now) {
+		rank = min(rank, shed.Groups)
 	}
-	p.out.State.Sheds[m.Name] = Shed{At: p.in.Now, Groups: left}
+	p.out.State.Sheds[m.Name] = Shed{At: p.in.Now, Groups: rank}
 }
 
 // giveUp leaves a slot empty for lack of power. If members were reserved for
 // it, the limit has fallen, and their boots are in vain.
-func (p *planner) giveUp(m *model) {
+func (p *planner) giveUp(s slot) {
+	m := s.model
 	if len(m.reservations) > 0 {
 		m.reservations = m.reservations[1:]
-		p.noteShed(m)
+		p.noteShed(m, s.rank)
 	}
 	p.unmet(m, CausePower)
 }
