--- a/controller/act.go
+++ b/controller/act.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -30,6 +31,7 @@
 	}
 	p := &deciding{ZoneState: s, o: o, e: e}
 	p.hear()
+	p.forget()
 	if p.isolated() {
 		return
 	}
@@ -77,6 +79,22 @@
 	s.reset()
 }
 
+// forget drops what is kept for instances that no domain holds any more.
+func (p *deciding) forget() {
+	maps.DeleteFunc(p.direct, func(id garnetworks.InstanceID, _ Witness) bool { return !p.holds(id) })
+	maps.DeleteFunc(p.orders, func(id garnetworks.InstanceID, _ *sentOrder) bool { return !p.holds(id) })
+	maps.DeleteFunc(p.reads, func(id garnetworks.InstanceID, _ *nextCall) bool { return !p.holds(id) })
+	maps.DeleteFunc(p.power, func(id garnetworks.InstanceID, _ *sentPower) bool { return !p.holds(id) })
+	maps.DeleteFunc(p.offAt, func(id garnetworks.InstanceID, _ time.Time) bool { return !p.holds(id) })
+	maps.DeleteFunc(p.loads.Rates, func(id garnetworks.InstanceID, _ int64) bool { return !p.holds(id) })
+	maps.DeleteFunc(p.loads.Preloads, func(id garnetworks.InstanceID, _ garnetworks.WeightID) bool { return !p.holds(id) })
+}
+
+func (p *deciding) holds(id garnetworks.InstanceID) bool {
+	_, ok := p.heard[id]
+	return ok
+}
+
 // hear collects the statuses that are fresh enough to count (rule G1) and when
 // each instance was last heard.
 func (p *deciding) hear() {
--- a/controller/record.go
+++ b/controller/record.go
@@ -37,8 +37,13 @@
 	After garnetworks.Revision
 }
 
-// retryFailed is the time between two calls about an object that fail.
-const retryFailed = 500 * time.Millisecond
+// The time between two calls about an object that fail grows from retryFailed to
+// retryLongest with the time for which they have failed, so that an API that is
+// down is not kept busy by those that wait for it.
+const (
+	retryFailed  = 500 * time.Millisecond
+	retryLongest = 5 * time.Second
+)
 
 // due reports whether a call about the object may be made now.
 func (r *Record[T]) due(now time.Time) bool { return !r.Busy && !now.Before(r.NotBefore) }
@@ -88,7 +93,7 @@
 		r.Failing = now
 	}
 	if !garnetworks.IsKind(err, garnetworks.KindAnswerLost) {
-		r.NotBefore = now.Add(retryFailed)
+		r.NotBefore = now.Add(min(max(now.Sub(r.Failing)/2, retryFailed), retryLongest))
 	}
 }
 
--- a/controller/send.go
+++ b/controller/send.go
@@ -103,27 +103,22 @@
 	if i.Power == garnetworks.PowerOff || i.Power == garnetworks.PowerStopping || i.Address == "" {
 		return false
 	}
-	key := "read-back/" + i.ID
 	_, fresh := p.fresh[i.ID]
 	if fresh && i.Condition != garnetworks.ConditionReturned && p.o.Now.Sub(p.heard[i.ID]) < p.Times.ReadBack {
 		return false
 	}
-	sent := p.orders[key]
-	if sent == nil {
-		sent = &sentOrder{}
-		p.orders[key] = sent
-	}
-	if sent.busy || p.o.Now.Sub(sent.at) < p.Times.ReadBack {
-		return false
+	read := p.reads[i.ID]
+	if read == nil {
+		read = &nextCall{}
+		p.reads[i.ID] = read
 	}
-	*sent = sentOrder{busy: true, at: p.o.Now}
-	return true
+	return read.start(p.o.Now)
 }
 
 // OnReadBack takes in a status that was read directly.
 func (s *ZoneState) OnReadBack(sent time.Time, id garnetworks.InstanceID, status garnetworks.EngineStatus, err error) {
-	if o := s.orders["read-back/"+id]; o != nil {
-		o.busy = false
+	if read := s.reads[id]; read != nil {
+		read.done(sent.Add(s.Times.ReadBack))
 	}
 	s.OnStatus(sent, status, err)
 }
--- a/controller/state.go
+++ b/controller/state.go
@@ -96,8 +96,9 @@
 	// direct are statuses that this controller read itself or that orders
 	// answered.
 	direct map[garnetworks.InstanceID]Witness
-	// orders holds what was sent to each instance, for retries.
+	// orders, reads and power hold what was sent to each instance, for retries.
 	orders map[garnetworks.InstanceID]*sentOrder
+	reads  map[garnetworks.InstanceID]*nextCall
 	power  map[garnetworks.InstanceID]*sentPower
 	// offAt is when an instance was proven off: older statuses don't count.
 	offAt map[garnetworks.InstanceID]time.Time
@@ -181,6 +182,7 @@
 		s.direct = map[garnetworks.InstanceID]Witness{}
 	}
 	s.orders = map[garnetworks.InstanceID]*sentOrder{}
+	s.reads = map[garnetworks.InstanceID]*nextCall{}
 	s.power = map[garnetworks.InstanceID]*sentPower{}
 	s.offAt = map[garnetworks.InstanceID]time.Time{}
 	s.gone = garnetworks.NewSet[garnetworks.InstanceID]()
