Let a new node decide by nothing until it has learned

Cause: a node that had just started decided by the first manifest that any peer sent, and counted as ready by it, also when the peer's was an old one (rule M9); Status().Learned told the truth, but nothing read it. Change: Manifest gives none until the node has learned. The machine's first failure is printed with its reason. The cost of a commit is counted at 6, 24 and 96 nodes. Without the guard TestNewNodeLearnsBeforeItDecides is red.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -126,6 +126,7 @@
 }
 
 // Manifest returns the manifest that the node decides by, which nobody changes.
+// There is none until the node has learned the newest generation (rule M9).
 func (c *Committer) Manifest() (*garnetworks.AcceptedManifest, bool) {
 	m := c.manifest.Load()
 	return m, m != nil
@@ -237,10 +238,12 @@
 	}
 }
 
-// adopt makes the state's manifest the one that Manifest returns.
+// adopt makes the state's manifest the one that Manifest returns, once the node
+// has learned what others know: a node that has just started and got an old
+// manifest from one peer must not begin to decide by it (rule M9).
 func (c *Committer) adopt() {
 	accepted := c.state.Accepted()
-	if accepted == nil || accepted == c.manifest.Load() {
+	if accepted == nil || accepted == c.manifest.Load() || !c.learned() {
 		return
 	}
 	c.manifest.Store(accepted)
@@ -386,10 +389,10 @@
 	for {
 		h, err := c.store.readHead(ctx)
 		if err == nil {
-			c.seeHead(h, (*State).SeeHead)
-			c.mu.Lock()
-			c.headAsked = true
-			c.mu.Unlock()
+			c.see(func(s *State, now time.Time) {
+				s.SeeHead(h.Head, h.revision, now)
+				c.headAsked = true
+			})
 			return nil
 		}
 		if err := pause(ctx, writePause); err != nil {
@@ -412,9 +415,7 @@
 			answers++
 		}
 	}
-	c.mu.Lock()
-	c.peersAsked = true
-	c.mu.Unlock()
+	c.see(func(*State, time.Time) { c.peersAsked = true })
 	return ctx.Err()
 }
 
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/committer"
+	"github.com/garnetworks/garnetworks/faker"
 	"github.com/garnetworks/garnetworks/parser"
 )
 
@@ -202,3 +203,88 @@
 		})
 	}
 }
+
+// TestCostOfCommit counts what a commit costs as the site grows: the object API
+// must see calls by zone, not by node.
+func TestCostOfCommit(t *testing.T) {
+	const zones = 3
+	writes := map[int]uint64{}
+	for _, perZone := range []int{2, 8, 32} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(t.Context())
+			defer s.haltAll()
+			for _, zone := range zoneNames {
+				for i := range perZone {
+					s.start(garnetworks.NodeID(fmt.Sprintf("%s-%02d", zone, i)), zone)
+				}
+			}
+			time.Sleep(30 * time.Second)
+			n := s.running()[0]
+			before, messages := s.objects.Counts(), s.traffic()
+			if _, err := n.Propose(t.Context(), propose("c1", 0, text(90000))); err != nil {
+				t.Fatal(err)
+			}
+			p := await(t, n, "c1", garnetworks.CommitInForce, 2*time.Second)
+			time.Sleep(time.Second)
+			after, spent := s.objects.Counts(), s.traffic()
+			writes[perZone] = after["put"] - before["put"]
+			t.Logf("%3d nodes: in force after %v; object API: %d writes, %d reads, %d watches; %d reports, %d updates with %d bytes",
+				zones*perZone, p.InForceAt.Sub(p.ProposedAt), writes[perZone], after["get"]-before["get"], after["watch"]-before["watch"],
+				spent.reports-messages.reports, spent.updates-messages.updates, spent.bytes-messages.bytes)
+		})
+	}
+	if writes[2] != writes[32] {
+		t.Errorf("a commit costs %d writes with %d nodes and %d with %d", writes[2], 2*zones, writes[32], 32*zones)
+	}
+}
+
+// A node starts in a zone that is cut off, or during an outage of the object API.
+// It must learn the newest generation from a peer, and without one it must not
+// decide by anything: its manifest could be one that was replaced long ago.
+func TestNewNodeLearnsBeforeItDecides(t *testing.T) {
+	cases := map[string]struct {
+		cut     bool
+		outage  bool
+		alone   bool
+		learned bool
+	}{
+		"healthy":               {learned: true},
+		"outage":                {outage: true, learned: true},
+		"cut off with a peer":   {cut: true, learned: true},
+		"cut off, first of all": {cut: true, alone: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, nodes := threeZones(t)
+				defer s.haltAll()
+				if _, err := nodes[0].Propose(t.Context(), propose("c1", 0, text(90000))); err != nil {
+					t.Fatal(err)
+				}
+				await(t, nodes[0], "c1", garnetworks.CommitInForce, time.Second)
+				s.cutOff("south-c", c.cut)
+				if c.alone {
+					nodes[4].halt()
+					nodes[5].halt()
+				}
+				s.objects.SetFaults(faker.FaultPlan{Down: c.outage})
+				asleep := committer.New(committer.Options{Node: "asleep", Incarnation: 1, Zone: "south-c", Objects: s.objects})
+				for _, u := range nodes[0].updates() {
+					asleep.OnUpdate(u)
+				}
+				if _, known := asleep.Manifest(); known {
+					t.Error("a node that has asked nobody decides by what it was told")
+				}
+				fresh := s.start("south-c-9", "south-c")
+				time.Sleep(5 * time.Second)
+				m, known := fresh.Manifest()
+				if known != c.learned || fresh.Status().Learned != c.learned {
+					t.Errorf("manifest %v, status %+v, want learned: %v", known, fresh.Status(), c.learned)
+				}
+				if known && m.Generation != 1 {
+					t.Errorf("the node decides by generation %d", m.Generation)
+				}
+			})
+		})
+	}
+}
--- a/committer/machine_test.go
+++ b/committer/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,8 @@
 // sequence of heads in the object API, which the machine reads without faults.
 type machine struct {
 	*site
+	t       *testing.T
+	once    *sync.Once
 	commits map[string]*commit
 	// accepted is the commit of each generation, as the heads tell.
 	accepted map[garnetworks.Generation]string
@@ -57,12 +60,15 @@
 //	    cut off ever since it was first asked for.
 //	O7  Once all faults are over, every process comes to the newest generation,
 //	    and no commit stays pending.
-func TestOperatorsNodesAndFaults(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		inBubble(t, func(t *testing.T) {
+func TestOperatorsNodesAndFaults(outer *testing.T) {
+	var once sync.Once
+	rapid.Check(outer, func(rt *rapid.T) {
+		inBubble(outer, func(t *testing.T) {
 			s, _ := threeZones(t)
 			m := &machine{
 				site:     s,
+				t:        outer,
+				once:     &once,
 				commits:  map[string]*commit{},
 				accepted: map[garnetworks.Generation]string{},
 				highest:  map[*node]garnetworks.Generation{},
@@ -109,6 +115,13 @@
 	}
 }
 
+// fail ends the case and keeps its reason: a case whose goroutines run in another
+// order when it is repeated is reported without it.
+func (m *machine) fail(rt *rapid.T, format string, args ...any) {
+	m.once.Do(func() { m.t.Logf("first failure: "+format, args...) })
+	rt.Fatalf(format, args...)
+}
+
 func (m *machine) pick(rt *rapid.T) *node {
 	nodes := m.running()
 	if len(nodes) == 0 {
@@ -311,11 +324,11 @@
 			continue
 		}
 		if a.Generation != newest+1 {
-			rt.Fatalf("O2: the head goes from generation %d to %d", newest, a.Generation)
+			m.fail(rt, "O2: the head goes from generation %d to %d", newest, a.Generation)
 		}
 		newest = a.Generation
 		if before, twice := seen[a.CommitID]; twice {
-			rt.Fatalf("O3: commit %s is generation %d and %d", a.CommitID, before, a.Generation)
+			m.fail(rt, "O3: commit %s is generation %d and %d", a.CommitID, before, a.Generation)
 		}
 		seen[a.CommitID] = a.Generation
 		m.checkAccepted(rt, a)
@@ -328,17 +341,17 @@
 		m.accepted[a.Generation] = a.CommitID
 		for zone := range c.cutAll {
 			if !c.leftOut.Has(zone) {
-				rt.Fatalf("O6: commit %s was accepted without zone %s", a.CommitID, zone)
+				m.fail(rt, "O6: commit %s was accepted without zone %s", a.CommitID, zone)
 			}
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if c.denied != "" {
-		rt.Fatalf("O3: commit %s was accepted as generation %d after the answer: %s", a.CommitID, a.Generation, c.denied)
+		m.fail(rt, "O3: commit %s was accepted as generation %d after the answer: %s", a.CommitID, a.Generation, c.denied)
 	}
 	if !c.hoped {
-		rt.Fatalf("O3: commit %s was accepted, but every answer said that nothing was written", a.CommitID)
+		m.fail(rt, "O3: commit %s was accepted, but every answer said that nothing was written", a.CommitID)
 	}
 }
 
@@ -348,11 +361,11 @@
 	if manifest, ok := n.Manifest(); ok {
 		generation = manifest.Generation
 		if m.accepted[generation] != manifest.CommitID {
-			rt.Fatalf("O2: node %s has commit %s as generation %d, the head %q", n.info.ID, manifest.CommitID, generation, m.accepted[generation])
+			m.fail(rt, "O2: node %s has commit %s as generation %d, the head %q", n.info.ID, manifest.CommitID, generation, m.accepted[generation])
 		}
 	}
 	if generation < m.highest[n] {
-		rt.Fatalf("O1: node %s went from generation %d to %d", n.info.ID, m.highest[n], generation)
+		m.fail(rt, "O1: node %s went from generation %d to %d", n.info.ID, m.highest[n], generation)
 	}
 	m.highest[n] = generation
 	if claim := n.Status().InForce; claim > m.claimed[n] {
@@ -366,7 +379,7 @@
 	for _, other := range m.running() {
 		status := other.Status()
 		if status.Learned && status.Applied < claim && !leftOut.Has(other.info.Zone) {
-			rt.Fatalf("O5: node %s calls generation %d in force, but %s (process %d) is ready with %d",
+			m.fail(rt, "O5: node %s calls generation %d in force, but %s (process %d) is ready with %d",
 				n.info.ID, claim, other.info.ID, other.info.Incarnation, status.Applied)
 		}
 	}
@@ -386,7 +399,7 @@
 		case garnetworks.CommitAccepted, garnetworks.CommitInForce:
 			m.checkHeads(rt)
 			if m.accepted[p.Generation] != id {
-				rt.Fatalf("O4: commit %s is called %s as generation %d, which is %q", id, p.State, p.Generation, m.accepted[p.Generation])
+				m.fail(rt, "O4: commit %s is called %s as generation %d, which is %q", id, p.State, p.Generation, m.accepted[p.Generation])
 			}
 		case garnetworks.CommitRefused, garnetworks.CommitSuperseded:
 			m.mu.Lock()
@@ -435,11 +448,11 @@
 	head := heads[len(heads)-1]
 	if head.Pending != nil {
 		response, _ := m.running()[0].Progress(m.ctx, &garnetworks.ProgressRequest{})
-		rt.Fatalf("O7: commit %s is still pending: %+v", head.Pending.CommitID, response.Progress)
+		m.fail(rt, "O7: commit %s is still pending: %+v", head.Pending.CommitID, response.Progress)
 	}
 	for _, n := range m.running() {
 		if status := n.Status(); status.Applied != head.Accepted.Generation || !status.Learned || status.InForce != head.Accepted.Generation {
-			rt.Fatalf("O7: node %s has %+v, the head generation %d", n.info.ID, status, head.Accepted.Generation)
+			m.fail(rt, "O7: node %s has %+v, the head generation %d", n.info.ID, status, head.Accepted.Generation)
 		}
 	}
 }
--- a/committer/site_test.go
+++ b/committer/site_test.go
@@ -31,6 +31,16 @@
 	// losing is the number of deliveries that get lost next.
 	losing int
 	round  int
+	spent  traffic
+}
+
+// traffic counts reports sent, updates published and their bytes.
+type traffic struct{ reports, updates, bytes int }
+
+func (s *site) traffic() traffic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spent
 }
 
 // node is one process and its view of the object API.
@@ -256,6 +266,10 @@
 }
 
 func (s *site) publish(from *node, u garnetworks.Update) {
+	s.mu.Lock()
+	s.spent.updates++
+	s.spent.bytes += len(u.Body)
+	s.mu.Unlock()
 	from.receive(u)
 	for _, n := range s.running() {
 		s.mu.Lock()
@@ -350,6 +364,9 @@
 }
 
 func (c *caller) Report(ctx context.Context, address string, request *garnetworks.ReportRequest) (*garnetworks.ReportResponse, error) {
+	c.site.mu.Lock()
+	c.site.spent.reports++
+	c.site.mu.Unlock()
 	n, err := c.to(address)
 	if err != nil {
 		return nil, err
