Await the re-admission of booted members; see stragglers by their latency

Cause: with the domain's real rules an instance is returned, not healthy, from its order to power on until its release is confirmed. Nobody judges stragglers; only measured slowdowns exist. An instance lost while it boots was switched off after 20 s, so that a boot time stated too short would never have let one finish. Change: returned instances count as booting until ReturnGrace; a slowdown of 1.5 makes a straggler; boots get the time that grows with each failure. With the returning presence taken out TestBootedMemberIsAwaited fails, with slowAt taken out TestMeasuredStragglerIsReplaced.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/garnetworks/garnetworks"
 )
 
 // choice is the best set of members for a group in one domain.
@@ -158,7 +156,7 @@
 		return false
 	}
 	switch i.presence {
-	case idle, leavingGroup:
+	case idle, returning, leavingGroup:
 		return true
 	case booting, powerless:
 		return doubtful || !i.doubtful
@@ -204,14 +202,16 @@
 		if on := i.history.PoweredOn; !on.IsZero() {
 			wait = max(0, wait-p.in.Now.Sub(on))
 		}
+	case returning:
+		wait = readmitTime
 	case leavingGroup:
 		wait = max(0, i.free.Sub(p.in.Now))
 	}
-	if i.presence != idle {
+	if i.presence == powerless || i.presence == booting {
 		wait += doubtPenalty * time.Duration(i.history.Strikes)
 	}
 	// What made an instance slow is forgotten with its power.
-	if i.Condition == garnetworks.ConditionStraggler && i.presence != powerless {
+	if i.isStraggler() && i.presence != powerless {
 		wait += stragglerPenalty
 	}
 	return wait
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -129,7 +129,9 @@
 	longestBackoff    = 30 * time.Minute
 	doubtPenalty      = time.Minute
 	stragglerPenalty  = 10 * time.Minute
+	slowAt            = 1.5
 	defaultSlowdown   = 1.5
+	readmitTime       = 2 * time.Second
 	defaultFailures   = 0.02
 	bootOverdueFactor = 3
 	massLostShare     = 0.6
--- a/placer/groups.go
+++ b/placer/groups.go
@@ -212,7 +212,7 @@
 func worse(g *group) []*instance {
 	var members []*instance
 	for _, i := range g.members {
-		if i.Condition == garnetworks.ConditionStraggler || !i.observed.LeaveBy.IsZero() {
+		if i.isStraggler() || !i.observed.LeaveBy.IsZero() {
 			members = append(members, i)
 		}
 	}
--- a/placer/index.go
+++ b/placer/index.go
@@ -18,6 +18,8 @@
 	powerless
 	// booting instances were ordered on.
 	booting
+	// returning instances run and are about to be re-admitted.
+	returning
 	// leavingGroup instances are members of a group that drains.
 	leavingGroup
 	// idle instances are powered, healthy and in no group.
@@ -253,6 +255,7 @@
 	i.observed = p.in.Instances[i.ID]
 	i.history = p.in.State.Instances[i.ID]
 	p.recordLoss(i)
+	p.noteReturn(i)
 	i.doubtful = i.history.Strikes > 0 && p.in.Now.Before(i.history.LastStrike.Add(StrikeMemory))
 	i.presence = p.presenceOf(i)
 	if i.Power.Draws() {
@@ -266,8 +269,9 @@
 func (p *planner) recordLoss(i *instance) {
 	h := &i.history
 	running := i.Power == garnetworks.PowerOn || i.Power == garnetworks.PowerUnknown
-	lost := running && i.Condition == garnetworks.ConditionLost || p.bootOverdue(i)
-	lost = lost || i.Power == garnetworks.PowerStarting && !h.LostSince.IsZero()
+	starting := i.Power == garnetworks.PowerStarting
+	lost := (running || starting) && i.Condition == garnetworks.ConditionLost || p.bootOverdue(i)
+	lost = lost || starting && !h.LostSince.IsZero()
 	if i.Power == garnetworks.PowerStopping {
 		return
 	}
@@ -296,13 +300,16 @@
 	if i.Power != garnetworks.PowerStarting || i.class == nil || i.history.PoweredOn.IsZero() {
 		return false
 	}
-	limit := bootOverdueFactor*i.class.BootTime + time.Minute
-	limit <<= min(i.history.Strikes, 4)
-	end := i.history.PoweredOn.Add(limit)
+	end := i.history.PoweredOn.Add(bootLimit(i))
 	p.wake(end)
 	return !p.in.Now.Before(end)
 }
 
+func bootLimit(i *instance) time.Duration {
+	limit := bootOverdueFactor*i.class.BootTime + time.Minute
+	return limit << min(i.history.Strikes, 4)
+}
+
 // presenceOf judges the instance on its own; indexGroups corrects it for
 // members of groups.
 func (p *planner) presenceOf(i *instance) presence {
@@ -322,13 +329,44 @@
 		if !i.observed.LeaveBy.IsZero() {
 			return unusable
 		}
-		if i.Condition == garnetworks.ConditionHealthy || i.Condition == garnetworks.ConditionStraggler {
+		switch i.Condition {
+		case garnetworks.ConditionHealthy, garnetworks.ConditionStraggler:
 			return idle
+		case garnetworks.ConditionReturned:
+			return p.presenceOfReturned(i)
 		}
 	}
 	return unusable
 }
 
+// presenceOfReturned counts on an instance that is about to be re-admitted, as
+// each is after its boot: else its slot would boot another one in its place.
+func (p *planner) presenceOfReturned(i *instance) presence {
+	end := i.history.ReturnedSince.Add(ReturnGrace)
+	p.wake(end)
+	if p.in.Now.Before(end) {
+		return returning
+	}
+	return unusable
+}
+
+// noteReturn keeps since when the instance has waited to be re-admitted.
+func (p *planner) noteReturn(i *instance) {
+	if i.Power != garnetworks.PowerOn || i.Condition != garnetworks.ConditionReturned {
+		i.history.ReturnedSince = time.Time{}
+		return
+	}
+	if i.history.ReturnedSince.IsZero() {
+		i.history.ReturnedSince = p.in.Now
+	}
+}
+
+// isStraggler reports whether the instance is slow, by the controller's
+// judgement or by what was measured.
+func (i *instance) isStraggler() bool {
+	return i.Condition == garnetworks.ConditionStraggler || i.observed.Slowdown >= slowAt
+}
+
 // inBackoff keeps an instance that fails again and again out of groups for
 // twice the time after each failure (rule P7): each return would otherwise
 // break another group.
--- a/placer/power.go
+++ b/placer/power.go
@@ -158,18 +158,31 @@
 	case i.use != unused || i.draining || i.class == nil || i.class.largest == 0:
 		return "", time.Time{}
 	case !i.history.LostSince.IsZero():
-		return ReasonLost, i.history.LostSince.Add(p.lostHold(i))
+		return ReasonLost, p.lostDue(i)
 	case i.Power != garnetworks.PowerOn && i.Power != garnetworks.PowerStarting:
 		return "", time.Time{}
 	case i.Condition == garnetworks.ConditionLeaving:
 		return ReasonLeaving, i.history.IdleSince
-	case i.Condition == garnetworks.ConditionReturned:
-		return ReasonIdle, i.history.IdleSince.Add(ReturnGrace)
+	case !i.history.ReturnedSince.IsZero():
+		return ReasonIdle, i.history.ReturnedSince.Add(ReturnGrace)
 	default:
 		return ReasonIdle, p.idleDue(i)
 	}
 }
 
+// lostDue returns when a lost instance is to be ordered off. One that boots is
+// given the time that bootLimit allows, which grows with each failure.
+func (p *planner) lostDue(i *instance) time.Time {
+	due := i.history.LostSince.Add(p.lostHold(i))
+	if i.Power != garnetworks.PowerStarting {
+		return due
+	}
+	if end := i.history.PoweredOn.Add(bootLimit(i)); end.After(due) {
+		return end
+	}
+	return due
+}
+
 // lostHold returns how long a lost instance keeps its power (rule P11). While a
 // group of its domain waits for a boot, a return may be sooner, and a few lost
 // instances cost less than the wait. Of a domain of which half is lost at once,
--- a/placer/replace.go
+++ b/placer/replace.go
@@ -133,7 +133,7 @@
 func (p *planner) stragglerLoss(g *group) float64 {
 	slowdown := 1.0
 	for _, i := range g.members {
-		if i.Condition != garnetworks.ConditionStraggler {
+		if !i.isStraggler() {
 			continue
 		}
 		s := i.observed.Slowdown
@@ -180,7 +180,7 @@
 func (p *planner) replacementsFor(g *group) (choice, bool) {
 	var candidates []candidate
 	for _, i := range g.domain.instances {
-		if available(i, g.model, false) && i.Condition != garnetworks.ConditionStraggler {
+		if available(i, g.model, false) && !i.isStraggler() {
 			candidates = append(candidates, p.rate(i, g.model))
 		}
 	}
--- a/placer/rules_test.go
+++ b/placer/rules_test.go
@@ -290,3 +290,53 @@
 		}
 	})
 }
+
+// An operator sees two instances boot for one lost member: the first one has
+// booted and waits a second for its re-admission, and in that second the slot
+// takes it for unusable and orders the next one on.
+func TestBootedMemberIsAwaited(t *testing.T) {
+	w := newWorld(1, 8, modelSpec("a", 1, 1, 1))
+	w.Weights = schiedsplan
+	w.settle(t)
+	w.instance("d00-i00").Condition = garnetworks.ConditionLost
+	ons := only[placer.PowerOn](w.plan(t))
+	if len(ons) != 1 {
+		t.Fatalf("%d instances were ordered on, want 1", len(ons))
+	}
+	w.Now = w.Now.Add(3 * time.Minute)
+	booted := w.instance(ons[0].Instance)
+	booted.Power, booted.Condition = garnetworks.PowerOn, garnetworks.ConditionReturned
+	if out := w.plan(t); len(only[placer.PowerOn](out)) != 0 || len(only[placer.FormGroup](out)) != 0 {
+		t.Fatalf("want nothing until the re-admission:\n%s", describe(out))
+	}
+	w.Now = w.Now.Add(2 * time.Second)
+	booted.Condition = garnetworks.ConditionHealthy
+	if forms := only[placer.FormGroup](w.plan(t)); len(forms) != 1 {
+		t.Fatalf("%d groups were formed after the re-admission, want 1", len(forms))
+	}
+}
+
+// Latency shows a member that slows its group down, but nobody has judged it:
+// the group must still get a better member, and only then end.
+func TestMeasuredStragglerIsReplaced(t *testing.T) {
+	w := newWorld(1, 8, modelSpec("a", 1, 1, 1))
+	w.settle(t)
+	slow := w.all()[0].Members[0]
+	w.Instances[slow] = placer.InstanceObservation{Slowdown: 2}
+	for range 3 {
+		out := w.plan(t)
+		for _, f := range only[placer.FormGroup](out) {
+			for _, m := range f.Members {
+				if m == slow {
+					t.Fatalf("the straggler is taken again:\n%s", describe(out))
+				}
+			}
+		}
+		w.finish()
+		w.Now = w.Now.Add(time.Minute)
+	}
+	w.settle(t)
+	if got := w.serving()["a"]; got != 1 || w.instance(slow).Group != "" {
+		t.Errorf("%d groups serve, the straggler's group is %q", got, w.instance(slow).Group)
+	}
+}
--- a/placer/spares.go
+++ b/placer/spares.go
@@ -189,12 +189,12 @@
 }
 
 func (p *planner) mayBeSpare(i *instance) bool {
-	slow := i.Condition == garnetworks.ConditionStraggler && i.presence != powerless
+	slow := i.isStraggler() && i.presence != powerless
 	if i.use != unused || slow {
 		return false
 	}
 	switch i.presence {
-	case idle, leavingGroup:
+	case idle, returning, leavingGroup:
 		return true
 	case booting:
 		return !i.doubtful
@@ -218,7 +218,7 @@
 // spareRank puts powered instances with useful weights first.
 func (p *planner) spareRank(o *pool, i *instance) int {
 	switch i.presence {
-	case idle, leavingGroup:
+	case idle, returning, leavingGroup:
 		for index, uses := range o.uses {
 			m := p.models[index]
 			if uses > 0 && m.class == o.class && p.missing(i, m.weights()) == 0 {
--- a/placer/types.go
+++ b/placer/types.go
@@ -14,8 +14,8 @@
 	// Domains are the zone's fabric domains as last read or written, in any
 	// order. An instance that was ordered on is already PowerStarting, a group
 	// that was ordered formed is already GroupForming. The Condition of an
-	// instance that is off means nothing; it is ConditionHealthy again from the
-	// order to power on.
+	// instance that is off means nothing; from the order to power on it is
+	// ConditionReturned or ConditionHealthy.
 	Domains []garnetworks.FabricDomain
 	// Models are the manifest's models with MinGroups and MaxGroups reduced to
 	// the zone's share, see [ZoneModels].
@@ -45,8 +45,9 @@
 // InstanceObservation is what status answers and the instance list told of an
 // instance. The zero value means that nothing is known.
 type InstanceObservation struct {
-	// Slowdown is how many times slower than its peers a straggler is; 0 means
-	// that it was not measured.
+	// Slowdown is how many times slower than its peers the instance is; 0 means
+	// that it was not measured. From 1.5 on it is a straggler whatever its
+	// Condition is.
 	Slowdown float64
 	// Loading names the weights that the instance loads now.
 	Loading garnetworks.WeightID
@@ -263,6 +264,9 @@
 	PoweredOff time.Time
 	// LostSince is when the instance was seen to be lost; zero unless it is.
 	LostSince time.Time
+	// ReturnedSince is when the instance was seen to wait for its re-admission;
+	// zero unless it does.
+	ReturnedSince time.Time
 	// Strikes counts losses; it falls by one for each StrikeMemory without one.
 	Strikes int
 	// LastStrike is when Strikes last changed.
