--- a/committer/state.go
+++ b/committer/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -245,7 +246,12 @@
 		return
 	}
 	s.head, s.revision = head, revision
-	s.storeBehind = head.Accepted.Generation < s.Applied()
+	behind := head.Accepted.Generation < s.Applied()
+	if behind && !s.storeBehind && s.Watches() {
+		s.note(garnetworks.EventObjectAPIBehind, head.Accepted.Generation, garnetworks.KindStaleGeneration,
+			fmt.Sprintf("nodes decide by generation %d", s.Applied()))
+	}
+	s.storeBehind = behind
 	// The staged proposal may be the one that is accepted now: then its body is
 	// here already.
 	if s.staged != nil && s.staged.CommitID == head.Accepted.CommitID && s.staged.Hash == head.Hash {
--- a/event.go
+++ b/event.go
@@ -61,6 +61,7 @@
 	EventServerLeaving    EventKind = "server-leaving"
 	EventObjectAPIDown    EventKind = "object-api-down"
 	EventObjectAPIBack    EventKind = "object-api-back"
+	EventObjectAPIBehind  EventKind = "object-api-behind"
 )
 
 // Event is an entry of the time line. Fields that do not apply are empty.
--- a/parser/check.go
+++ b/parser/check.go
@@ -178,6 +178,7 @@
 		c.count(at+".accelerators", int64(k.Accelerators), 0, maxCount)
 		c.duration(at+".boot-time", k.BootTime, 0, maxDuration)
 		c.rate(at+".failures-per-day", k.FailuresPerDay)
+		c.rate(at+".restarts-per-day", k.RestartsPerDay)
 		list[i] = k.Name
 		c.classes[k.Name] = k
 	}
--- a/parser/diff.go
+++ b/parser/diff.go
@@ -186,6 +186,7 @@
 		d.value(path+"/checks-fencing", before.ChecksFencing, after.ChecksFencing, fencingNote(after.ChecksFencing))
 		d.value(path+"/boot-time", before.BootTime, after.BootTime, note{})
 		d.value(path+"/failures-per-day", before.FailuresPerDay, after.FailuresPerDay, note{})
+		d.value(path+"/restarts-per-day", before.RestartsPerDay, after.RestartsPerDay, note{})
 	}
 }
 
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -67,7 +69,7 @@
 		"format zero":         {"format: 1", "format: 0", "format: must be 1"},
 		"unknown key":         {"    drain:", "    drian: 1s\n    drain:", "site.grace.drian: unknown key; known here: drain, shed"},
 		"missing key":         {"    drain: 60s\n", "", "site.grace.drain: is missing"},
-		"key twice":           {"    drain: 60s\n", "    drain: 60s\n    drain: 61s\n", "site.grace.drain: the key stands twice; first on line 48"},
+		"key twice":           {"    drain: 60s\n", "    drain: 60s\n    drain: 61s\n", "site.grace.drain: the key stands twice; first on line 51"},
 		"empty value":         {"drain: 60s", "drain:", "site.grace.drain: the value is missing"},
 		"no unit":             {"drain: 60s", "drain: 60", "must be a duration with its unit, such as 30s, not 60"},
 		"bad duration":        {"drain: 60s", "drain: 60 sec", `must be a duration with its unit, such as 30s, not "60 sec"`},
@@ -291,3 +293,72 @@
 		}
 	})
 }
+
+// The page is what people read, so it must hold every key and the example as it
+// is checked here.
+func TestPageMatchesTheFormat(t *testing.T) {
+	page, err := os.ReadFile("../docs/manifest.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), "```yaml\n"+parser.Example()+"```\n") {
+		t.Error("the page's example is not the one that the program prints")
+	}
+	reference, _, _ := strings.Cut(string(page), "## A whole example")
+	var walk func(reflect.Type)
+	walk = func(s reflect.Type) {
+		for i := range s.NumField() {
+			key, _, _ := strings.Cut(s.Field(i).Tag.Get("yaml"), ",")
+			if !strings.Contains(reference, key+"`") && !strings.Contains(reference, key+".") {
+				t.Errorf("the page's reference lacks the key %s", key)
+			}
+			f := s.Field(i).Type
+			if f.Kind() == reflect.Slice {
+				f = f.Elem()
+			}
+			if f.Kind() == reflect.Struct {
+				walk(f)
+			}
+		}
+	}
+	walk(reflect.TypeFor[garnetworks.Manifest]())
+}
+
+// A field that Diff does not know would be changed by a commit without a word in
+// its plan.
+func TestDiffSeesEveryField(t *testing.T) {
+	var walk func(path string, field func(*garnetworks.Manifest) reflect.Value, s reflect.Type)
+	walk = func(path string, field func(*garnetworks.Manifest) reflect.Value, s reflect.Type) {
+		switch s.Kind() {
+		case reflect.Struct:
+			for i := range s.NumField() {
+				walk(path+"."+s.Field(i).Name, func(m *garnetworks.Manifest) reflect.Value { return field(m).Field(i) }, s.Field(i).Type)
+			}
+			return
+		case reflect.Slice:
+			walk(path+"[]", func(m *garnetworks.Manifest) reflect.Value { return field(m).Index(0) }, s.Elem())
+			return
+		}
+		m := parse(t, parser.Example())
+		change(field(m))
+		if len(parser.Diff(parse(t, parser.Example()), m)) == 0 {
+			t.Errorf("Diff does not see a change of %s", path)
+		}
+	}
+	root := func(m *garnetworks.Manifest) reflect.Value { return reflect.ValueOf(m).Elem() }
+	walk("", root, reflect.TypeFor[garnetworks.Manifest]())
+}
+
+// change gives a value another one.
+func change(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(v.String() + "x")
+	case reflect.Bool:
+		v.SetBool(!v.Bool())
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 1)
+	default:
+		v.SetInt(v.Int() + 1)
+	}
+}
