Leave out of the comparison what comes again by itself

Cause: zones send pulses each second, so that most heartbeats differed, listed all versions and fetched what was on its way; and heartbeats that only carry a report were answered with all versions. Change: pulses and demands are spread but not compared; a digest of 0 asks for no comparison. With the rule taken out TestTransientTopicsAreNotCompared fails.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -22,6 +22,9 @@
 //	    nobody can call is served by its own calls.
 //	D7  Bodies, messages, topics, jobs and hops are bounded. What a bound refuses
 //	    is counted, and repair makes up for it.
+//	D8  Transient topics, whose next value comes soon of itself, are spread but
+//	    neither compared nor repaired: they are nearly always on their way
+//	    somewhere, so every comparison would differ.
 package distributor
 
 import (
@@ -70,6 +73,9 @@
 	// come in rising order, versions in between may be left out, and calls never
 	// overlap.
 	Apply func(garnetworks.Update)
+	// Transient tells the transient topics (rule D8); nil means those that the
+	// zones' controllers send each second or so.
+	Transient func(garnetworks.Topic) bool
 	// Fanout is the number of branches within a zone; DefaultFanout if 0.
 	Fanout int
 	// Log may be nil.
@@ -134,9 +140,12 @@
 	if options.Log == nil {
 		options.Log = func(error) {}
 	}
+	if options.Transient == nil {
+		options.Transient = periodic
+	}
 	return &Distributor{
 		options:    options,
-		store:      newStore(),
+		store:      newStore(options.Transient),
 		unapplied:  garnetworks.NewSet[garnetworks.Topic](),
 		unsent:     garnetworks.NewSet[garnetworks.Topic](),
 		failed:     map[string]time.Time{},
@@ -150,6 +159,13 @@
 	}
 }
 
+// periodic tells the topics that are sent again and again, changed or not.
+func periodic(t garnetworks.Topic) bool {
+	_, pulse := garnetworks.CutTopic(t, garnetworks.TopicZonePulse)
+	_, demand := garnetworks.CutTopic(t, garnetworks.TopicDemand)
+	return pulse || demand
+}
+
 // Run applies and hands on until ctx ends; it returns when all its work has
 // ended.
 func (d *Distributor) Run(ctx context.Context) {
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -464,6 +464,36 @@
 	}
 }
 
+// TestTransientTopicsAreNotCompared: Each zone sends a pulse a second. Were
+// pulses compared, most heartbeats would list all versions and fetch what is on
+// its way anyhow; the traffic of heartbeats would grow several times.
+func TestTransientTopicsAreNotCompared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(6, 2, 1)
+		for i := range n.nodes {
+			n.start(i)
+		}
+		defer n.stopAll()
+		mustPublish(t, n.running[n.nodes[0].Address], manifest(1))
+		time.Sleep(2 * time.Second)
+		digest := n.running[n.nodes[0].Address].Digest()
+		for i := range n.nodes[1:] {
+			n.cutBetween(i, 5, true)
+		}
+		pulse := garnetworks.Update{Topic: garnetworks.TopicZonePulse + "zone-0", Version: version(7), Body: []byte("pulse")}
+		mustPublish(t, n.running[n.nodes[0].Address], pulse)
+		time.Sleep(5 * time.Second)
+		if got := n.lacking(pulse.Topic, version(7)); !slices.Equal(got, []string{n.nodes[5].Address}) {
+			t.Errorf("%v lack the pulse, want only the node that was cut off", got)
+		}
+		for address, p := range n.running {
+			if p.Digest() != digest {
+				t.Errorf("the pulse changed the digest of %s", address)
+			}
+		}
+	})
+}
+
 // step is one action of the state machine.
 type step struct {
 	action      string
--- a/distributor/repair.go
+++ b/distributor/repair.go
@@ -14,10 +14,14 @@
 	request.Digest = d.Digest()
 }
 
-// FillResponse answers the comparison: with all versions if the digests differ.
+// FillResponse answers the comparison: with all versions if the digests differ,
+// with nothing if the heartbeat does not compare.
 func (d *Distributor) FillResponse(request *garnetworks.HeartbeatRequest, response *garnetworks.HeartbeatResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if request.Digest == 0 {
+		return
+	}
 	response.Digest = d.store.digest
 	if request.Digest != response.Digest {
 		response.Versions = d.store.versions()
@@ -27,6 +31,9 @@
 // TakeResponse repairs what the comparison showed; it may wait and call the
 // peer, and returns when that is done.
 func (d *Distributor) TakeResponse(ctx context.Context, address string, response *garnetworks.HeartbeatResponse) {
+	if response.Digest == 0 {
+		return
+	}
 	if len(response.Versions) == 0 && response.Digest == d.Digest() {
 		d.forget(address)
 		d.syncOnce.Do(func() { close(d.synced) })
--- a/distributor/site_test.go
+++ b/distributor/site_test.go
@@ -215,6 +215,46 @@
 	}
 }
 
+// BenchmarkPulses measures what a pulse of 150 bytes by each zone each second
+// costs a node, heartbeats included.
+func BenchmarkPulses(b *testing.B) {
+	for _, size := range []struct{ nodes, zones int }{{6, 3}, {96, 8}, {330, 8}} {
+		b.Run(fmt.Sprintf("nodes=%d/zones=%d", size.nodes, size.zones), func(b *testing.B) {
+			s := openSite(b, size.nodes, size.zones)
+			ctx, cancel := context.WithCancel(b.Context())
+			var group sync.WaitGroup
+			for zone := range size.zones {
+				group.Go(func() { s.pulse(ctx, zone) })
+			}
+			time.Sleep(8 * time.Second)
+			report := measureSteady(b, s)
+			cancel()
+			group.Wait()
+			for b.Loop() {
+				continue
+			}
+			report()
+		})
+	}
+}
+
+// pulse publishes a zone's pulses at its first node.
+func (s *entrySite) pulse(ctx context.Context, zone int) {
+	body := make([]byte, 150)
+	for ctx.Err() == nil {
+		_, _ = rand.Read(body)
+		_ = s.entries[zone].distributor.Publish(garnetworks.Update{
+			Topic:   garnetworks.TopicZonePulse + garnetworks.Topic(s.entries[zone].info.Zone),
+			Version: garnetworks.UpdateVersion{Term: 3, Sequence: uint64(time.Now().UnixMilli())},
+			Body:    slices.Clone(body),
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
 // measureSteady returns what reports its figures: the start of a benchmark's
 // loop forgets those reported before.
 func measureSteady(b *testing.B, s *entrySite) (report func()) {
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -27,7 +27,10 @@
 // concurrent use.
 type store struct {
 	held map[garnetworks.Topic]garnetworks.Update
-	// digest is the sum of the hashes of all held versions.
+	// transient tells the topics that are not compared (rule D8).
+	transient func(garnetworks.Topic) bool
+	// digest is emptyDigest and the hashes of all held versions that are
+	// compared.
 	digest uint64
 	// claimed are the targets that this node has answered for (rule D4).
 	claimed map[garnetworks.Topic]claims
@@ -39,10 +42,16 @@
 	addresses garnetworks.Set[string]
 }
 
-func newStore() store {
+// emptyDigest is the digest of a node that holds nothing; 0 says that a
+// heartbeat does not compare.
+const emptyDigest = 1
+
+func newStore(transient func(garnetworks.Topic) bool) store {
 	return store{
-		held:    map[garnetworks.Topic]garnetworks.Update{},
-		claimed: map[garnetworks.Topic]claims{},
+		held:      map[garnetworks.Topic]garnetworks.Update{},
+		transient: transient,
+		digest:    emptyDigest,
+		claimed:   map[garnetworks.Topic]claims{},
 	}
 }
 
@@ -62,11 +71,14 @@
 	case ok && u.Version == held.Version:
 		return duplicate
 	}
+	s.held[u.Topic] = u
+	if s.transient(u.Topic) {
+		return taken
+	}
 	if ok {
 		s.digest -= versionHash(held.Topic, held.Version)
 	}
 	s.digest += versionHash(u.Topic, u.Version)
-	s.held[u.Topic] = u
 	return taken
 }
 
@@ -95,7 +107,9 @@
 func (s *store) versions() map[garnetworks.Topic]garnetworks.UpdateVersion {
 	versions := make(map[garnetworks.Topic]garnetworks.UpdateVersion, len(s.held))
 	for t, u := range s.held {
-		versions[t] = u.Version
+		if !s.transient(t) {
+			versions[t] = u.Version
+		}
 	}
 	return versions
 }
@@ -116,7 +130,7 @@
 	var updates []garnetworks.Update
 	for t, u := range s.held {
 		v, ok := versions[t]
-		if !ok || v.Less(u.Version) {
+		if !s.transient(t) && (!ok || v.Less(u.Version)) {
 			updates = append(updates, u)
 		}
 	}
