Report under the incarnation that joined, and show manifests to operators

Cause: a process whose clock is behind raises its incarnation when it joins; its reports went on under the old one, so that every commit would have been held by a node that had staged it. manifest show and plan used Fetch, which an operator's certificate may not call. Change: committer.Options.Self gives the incarnation that joined; Progress can carry the manifest (peer.go: WithManifest, Manifest), read in full or not at all. Conclusion: TestReportsCarryTheIncarnationThatJoined holds the first; the runner has yet to set Self: r.tracker.Self.

--- a/cmd/garnetctl/fake_test.go
+++ b/cmd/garnetctl/fake_test.go
@@ -102,20 +102,16 @@
 	}
 }
 
-func (f *fakeNodes) Fetch(_ context.Context, address string, _ *garnetworks.FetchRequest) (*garnetworks.FetchResponse, error) {
-	if _, err := f.reach(address); err != nil {
-		return nil, err
-	}
-	response := &garnetworks.FetchResponse{}
+// manifest returns the example as the manifest in force.
+func (f *fakeNodes) manifest() []byte {
 	if f.none {
-		return response, nil
+		return nil
 	}
 	manifest, _ := parser.Parse("", []byte(parser.Example()))
-	body, err := json.Marshal(&garnetworks.AcceptedManifest{
+	body, _ := json.Marshal(&garnetworks.AcceptedManifest{
 		Generation: 7, CommitID: "c7", Operator: "anna", At: at(-60), Manifest: *manifest,
 	})
-	response.Updates = []garnetworks.Update{{Topic: garnetworks.TopicManifest, Body: body}}
-	return response, err
+	return body
 }
 
 func (f *fakeNodes) Propose(_ context.Context, address string, request *garnetworks.ProposeRequest) (*garnetworks.ProposeResponse, error) {
@@ -130,10 +126,13 @@
 	return &garnetworks.ProposeResponse{Progress: p.progress}, p.err
 }
 
-func (f *fakeNodes) Progress(_ context.Context, address string, _ *garnetworks.ProgressRequest) (*garnetworks.ProgressResponse, error) {
+func (f *fakeNodes) Progress(_ context.Context, address string, request *garnetworks.ProgressRequest) (*garnetworks.ProgressResponse, error) {
 	if _, err := f.reach(address); err != nil {
 		return nil, err
 	}
+	if request.WithManifest {
+		return &garnetworks.ProgressResponse{Manifest: f.manifest()}, nil
+	}
 	if len(f.progress) == 0 {
 		return &garnetworks.ProgressResponse{Progress: inForce()}, nil
 	}
--- a/cmd/garnetctl/manifest.go
+++ b/cmd/garnetctl/manifest.go
@@ -175,26 +175,38 @@
 // manifest returns the manifest that a node decides by, or nil if there is
 // none.
 func (s *site) manifest(ctx context.Context) (*garnetworks.AcceptedManifest, error) {
-	var response *garnetworks.FetchResponse
+	var response *garnetworks.ProgressResponse
 	err := s.any(ctx, func(ctx context.Context, address string) error {
 		var err error
-		response, err = s.caller.Fetch(ctx, address, &garnetworks.FetchRequest{Topics: []garnetworks.Topic{garnetworks.TopicManifest}})
+		response, err = s.caller.Progress(ctx, address, &garnetworks.ProgressRequest{WithManifest: true})
 		return err
 	})
-	if err != nil {
+	if err != nil || len(response.Manifest) == 0 {
 		return nil, err
 	}
-	for _, u := range response.Updates {
-		if u.Topic != garnetworks.TopicManifest {
-			continue
-		}
-		accepted := &garnetworks.AcceptedManifest{}
-		if err := json.Unmarshal(u.Body, accepted); err != nil {
-			return nil, garnetworks.WrapError(garnetworks.KindInternal, err, "the node's manifest is damaged")
-		}
-		return accepted, nil
+	return decodeAccepted(response.Manifest)
+}
+
+// decodeAccepted refuses a manifest that this program can't read in full: shown
+// without what it does not know, changed and committed again, the text would take
+// that away.
+func decodeAccepted(body []byte) (*garnetworks.AcceptedManifest, error) {
+	accepted := &garnetworks.AcceptedManifest{}
+	var raw struct {
+		Manifest json.RawMessage `json:"manifest"`
+	}
+	if err := json.Unmarshal(body, accepted); err != nil {
+		return nil, garnetworks.WrapError(garnetworks.KindInternal, err, "the node's manifest is damaged")
+	}
+	if err := json.Unmarshal(body, &raw); err != nil {
+		return nil, garnetworks.WrapError(garnetworks.KindInternal, err, "the node's manifest is damaged")
+	}
+	manifest, err := parser.Decode(raw.Manifest)
+	if err != nil {
+		return nil, err
 	}
-	return nil, nil
+	accepted.Manifest = *manifest
+	return accepted, nil
 }
 
 // basedOn finds the generation that show has written into a manifest's first
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -38,7 +38,12 @@
 	Node        garnetworks.NodeID
 	Incarnation uint64
 	Zone        garnetworks.ZoneID
-	Objects     garnetworks.ObjectAPI
+	// Self returns what the membership says of the node. It may be nil. Its
+	// incarnation replaces Incarnation when it is higher: a process whose clock is
+	// behind raises its own when it joins, and reports under the old one would
+	// count for nobody.
+	Self    func() garnetworks.NodeInfo
+	Objects garnetworks.ObjectAPI
 	// Peers reaches other nodes; without it the node knows only itself.
 	Peers garnetworks.PeerCaller
 	// Rosters returns the rosters of all zones that the node knows; nil means
@@ -210,8 +215,13 @@
 // update that was dropped would not be asked for again. Of the other actions a
 // full queue drops what Step asks for again.
 func (c *Committer) stepState(rosters []garnetworks.Roster) (updates []garnetworks.Update, busy bool) {
+	self := garnetworks.NodeInfo{}
+	if c.options.Self != nil {
+		self = c.options.Self()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.state.SeeIncarnation(self.Incarnation)
 	c.state.SeeRosters(rosters)
 	for _, action := range c.state.Step(time.Now()) {
 		switch a := action.(type) {
@@ -590,7 +600,22 @@
 
 // Progress answers garnetworks.PeerHandler.
 func (c *Committer) Progress(ctx context.Context, request *garnetworks.ProgressRequest) (*garnetworks.ProgressResponse, error) {
-	return &garnetworks.ProgressResponse{At: c.options.Clock(), Progress: c.progress(ctx, request.CommitID)}, nil
+	response := &garnetworks.ProgressResponse{At: c.options.Clock(), Progress: c.progress(ctx, request.CommitID)}
+	if request.WithManifest {
+		response.Manifest = c.manifestBody()
+	}
+	return response, nil
+}
+
+// manifestBody returns the manifest that the node decides by as it was written,
+// or nil.
+func (c *Committer) manifestBody() []byte {
+	if _, known := c.Manifest(); !known {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.message.update().Body
 }
 
 // progress tells how a commit stands; the head is read where only it can tell.
--- a/committer/state.go
+++ b/committer/state.go
@@ -190,6 +190,11 @@
 	return z
 }
 
+// SeeIncarnation takes the incarnation under which the node has joined.
+func (s *State) SeeIncarnation(incarnation uint64) {
+	s.self.Incarnation = max(s.self.Incarnation, incarnation)
+}
+
 // SeeRosters takes the rosters that the node knows; an older version of a
 // zone's roster is ignored.
 func (s *State) SeeRosters(rosters []garnetworks.Roster) {
--- a/committer/state_test.go
+++ b/committer/state_test.go
@@ -98,3 +98,30 @@
 		})
 	}
 }
+
+// A process starts with a clock that is behind, so its incarnation is below that
+// of the process before it; it joins under a raised one, which the roster names.
+// Its reports must carry that one, or every commit would be held by a node that
+// has staged it.
+func TestReportsCarryTheIncarnationThatJoined(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, _ := stateOf(t, now)
+	seeZone(s, "south-a", 7, 1, nil)
+	seeZone(s, "south-b", 1, 2, staged("south-b", 1, ""))
+	seeZone(s, "south-c", 1, 2, staged("south-c", 1, ""))
+	accepts := func() bool {
+		for _, action := range s.Step(now.Add(time.Second)) {
+			if _, ok := action.(committer.Accept); ok {
+				return true
+			}
+		}
+		return false
+	}
+	if accepts() {
+		t.Error("a report of incarnation 1 counts for incarnation 7")
+	}
+	s.SeeIncarnation(7)
+	if !accepts() {
+		t.Error("the commit is held though every node has staged it")
+	}
+}
--- a/peer.go
+++ b/peer.go
@@ -309,12 +309,17 @@
 type ProgressRequest struct {
 	At       Timestamp `json:"at"`
 	CommitID string    `json:"commit-id,omitempty"`
+	// WithManifest asks for the manifest that the node decides by.
+	WithManifest bool `json:"with-manifest,omitempty"`
 }
 
 // ProgressResponse tells how the commit stands, as the node knows it.
 type ProgressResponse struct {
 	At       Timestamp      `json:"at"`
 	Progress CommitProgress `json:"progress"`
+	// Manifest is the JSON of the AcceptedManifest that the node decides by; empty
+	// if it was not asked for or there is none.
+	Manifest []byte `json:"manifest,omitempty"`
 }
 
 // ReportRequest brings a node's report to the node that gathers the reports of
