Never use a term again after its decisions are forgotten

Cause: fuzzing found a holder that formed a group in an outage, forgot it when it gave its lease away for silence, and took its own record up again under the same term: it issued the same tokens for other decisions, and engines refused it for good. Raising the floor to the holder's own term did nothing, so it never got out. Change: a controller begins only under a term that it has not used; the floor ends a holding of that very term, and the next term waits out the order bound, since orders of the old one may be in flight.

--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -141,7 +141,12 @@
 		term := old.state.Term
 		lost, _ := s.member("z0")
 		lost.dark = true
-		s.until(t, time.Minute, "the group is broken", func() bool { return s.events[garnetworks.EventGroupBroken] > 0 })
+		s.until(t, time.Minute, "orders to form another group are decided", func() bool {
+			return s.events[garnetworks.EventGroupBroken] > 0 && old.forming() != ""
+		})
+		// One of its members dies meanwhile, so that the successor gives the others
+		// newer tokens than those in the old holder's hand.
+		s.engines[old.forming()].dark = true
 		old.pausedTo = s.now.Add(time.Minute)
 		took := s.until(t, time.Minute, "another node holds the lease", func() bool {
 			for _, n := range s.nodes {
@@ -160,6 +165,20 @@
 	})
 }
 
+// forming returns an instance that the node has decided to order into a group
+// and not yet sent the order to.
+func (n *simNode) forming() garnetworks.InstanceID {
+	if len(n.outbox) == 0 {
+		return ""
+	}
+	for id, o := range n.state.orders {
+		if o.busy && o.kind == garnetworks.OrderForm {
+			return id
+		}
+	}
+	return ""
+}
+
 // TestHolderCutOffFromTheObjectAPI: the holder of a lease loses the object API
 // and nobody else does; another node takes over while the old holder still
 // reaches the engines. Both act on the same engines for a while. Engines that
@@ -222,6 +241,36 @@
 	s.until(t, 3*time.Minute, "every group serves again", func() bool { return s.serving() == 4 })
 }
 
+// TestTermIsNotUsedTwice: in an outage of the object API a holder forms a group
+// that it can't write down. Then it loses its way to the engines, gives the lease
+// away, which nobody can take, and forgets what it decided. When everything is
+// back its own lease record still stands. Had it gone on under the same term, it
+// would issue the same tokens for other decisions: engines refuse its orders for
+// good, or take one group for another. The fuzzing found it.
+func TestTermIsNotUsedTwice(t *testing.T) {
+	manifest := simManifest(2, 4, 16*simWatts, true)
+	manifest.Site.Classes[0].FailuresPerDay = 100
+	manifest.Site.Weights.GroupDowntime = 1000
+	s := newSim(13, 2, 3, 2, 4, true, manifest)
+	s.until(t, 3*time.Minute, "every group serves", func() bool { return s.serving() == 4 })
+	s.pass(t, time.Minute)
+	old := s.holder("z0")
+	term := old.state.Term
+	s.apiDown = true
+	lost, _ := s.member("z0")
+	lost.dark = true
+	s.pass(t, time.Minute)
+	if s.servingIn("z0") != 2 {
+		t.Fatal("the group was not formed in the outage")
+	}
+	old.cut = true
+	s.pass(t, time.Minute)
+	old.cut, s.apiDown = false, false
+	s.until(t, 2*time.Minute, "the zone is held again", func() bool { n := s.holder("z0"); return n != nil && n.state.Term > term })
+	s.pass(t, time.Minute)
+	s.until(t, time.Minute, "every group serves", func() bool { return s.serving() == 4 })
+}
+
 // TestReturnedMemberIsRefused: a member falls silent, its group is replaced, and
 // it comes back as if nothing had happened, ready in its old group. Nobody may be
 // sent to the old group, and the member joins a new one only after it has
--- a/controller/fuzz_test.go
+++ b/controller/fuzz_test.go
@@ -129,6 +129,7 @@
 	m.Generation++
 	m.Manifest.Site.PowerCap = garnetworks.Watts(instances) * simWatts
 	s.manifest = &m
+	s.cap = max(s.cap, m.Manifest.Site.PowerCap)
 }
 
 func (s *sim) domain(e *simEngine, do func(*simEngine)) {
--- a/controller/sim_test.go
+++ b/controller/sim_test.go
@@ -17,8 +17,11 @@
 // sim runs the pure parts of several nodes over small fakes on a clock of its
 // own, one tick at a time, so that any order of events can be brought about.
 type sim struct {
-	now      time.Time
+	now time.Time
+	// cap is the most that the ledger's cap may be; whole says that the ledger has
+	// a row for each zone.
 	cap      garnetworks.Watts
+	whole    bool
 	manifest *garnetworks.AcceptedManifest
 	objects  map[string]simObject
 	revision garnetworks.Revision
@@ -37,7 +40,9 @@
 	// ledgerSeen and domainsSeen check that stored values never go back.
 	domainsSeen map[string]garnetworks.FabricDomain
 	events      map[garnetworks.EventKind]int
-	log         []string
+	// formed holds what each domain's token was issued for.
+	formed map[string]string
+	log    []string
 }
 
 type simObject struct {
@@ -123,6 +128,7 @@
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		domainsSeen: map[string]garnetworks.FabricDomain{},
 		events:      map[garnetworks.EventKind]int{},
+		formed:      map[string]string{},
 	}
 	for z := range zones {
 		zone := garnetworks.ZoneID(fmt.Sprintf("z%d", z))
@@ -224,9 +230,26 @@
 	s.revision++
 	s.objects[key] = simObject{value, s.revision}
 	s.checkStored(key, value)
+	s.checkLedger(key, value)
 	return s.revision, nil
 }
 
+// checkLedger lets the ledger's cap be above the manifest's only for what was
+// drawn or granted under an earlier one.
+func (s *sim) checkLedger(key string, value []byte) {
+	if key != LedgerKey {
+		return
+	}
+	var ledger garnetworks.PowerLedger
+	_ = json.Unmarshal(value, &ledger)
+	whole := len(ledger.Grants) == len(s.manifest.Manifest.Site.Zones)
+	if whole && s.whole && ledger.Cap > s.cap {
+		s.fail("the ledger's cap rises from %d W to %d W", s.cap, ledger.Cap)
+	}
+	s.whole = whole
+	s.cap = max(ledger.Cap, s.manifest.Manifest.Site.PowerCap)
+}
+
 var errDown = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "down")
 
 // call makes a call to the object API from a node: 0.2 s there and back, with
@@ -356,7 +379,7 @@
 		n.readBack(r)
 	}
 	if e.RaiseFloor > 0 {
-		n.lease.RaiseFloor(e.RaiseFloor)
+		n.lease.RaiseFloor(s.now, e.RaiseFloor)
 	}
 	if e.GiveAway {
 		n.lease.AwayUntil = s.now.Add(giveAwayFor)
@@ -534,6 +557,13 @@
 	if !e.checks && o.Token < e.obeyed {
 		s.fail("%s, which ignores tokens, obeyed %s after %s", e.row.ID, o.ID, e.obeyed)
 	}
+	if o.Kind == garnetworks.OrderForm {
+		what, key := fmt.Sprint(o.Group, o.Members, o.Model, o.Version), fmt.Sprint(e.row.Domain, o.Token)
+		if old, ok := s.formed[key]; ok && old != what {
+			s.fail("token %s was issued for %s and for %s", o.Token, old, what)
+		}
+		s.formed[key] = what
+	}
 	e.highest = max(e.highest, o.Token)
 	e.obeyed = max(e.obeyed, o.Token)
 	if o.ID == e.lastOrder {
--- a/controller/site_test.go
+++ b/controller/site_test.go
@@ -205,3 +205,60 @@
 		})
 	}
 }
+
+// TestHolderStopsInOrder: an entry node is replaced while it holds a zone's
+// lease. It ends its orders, frees the lease, and another node goes on within
+// seconds; no group is touched, and answers of the object API get lost all along.
+func TestHolderStopsInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, testManifest(1, 2, 200_000, false), false, 2, 5)
+		ctx, cancel := context.WithCancel(t.Context())
+		go b.probe(ctx)
+		first, stopFirst := context.WithCancel(ctx)
+		b.startZone(first, "n1", "z0", b.objects)
+		b.startSite(ctx, "n1")
+		time.Sleep(4 * time.Minute)
+		b.startZone(ctx, "n2", "z0", b.objects)
+		b.objects.SetFaults(faker.FaultPlan{LoseAnswers: 20, Methods: []string{faker.MethodPut}})
+		time.Sleep(30 * time.Second)
+		stopFirst()
+		stopped := time.Now()
+		for b.version("z0").Term < 2 && time.Since(stopped) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("another node acts %s after the stop", time.Since(stopped))
+		if time.Since(stopped) > 8*time.Second {
+			t.Error("the lease was not freed")
+		}
+		time.Sleep(10 * time.Second)
+		if got := b.serving(); got != 2 {
+			b.dump()
+			t.Errorf("%d groups serve, want 2", got)
+		}
+		if got := b.count(garnetworks.EventGroupBroken); got != 0 {
+			t.Errorf("%d groups were broken", got)
+		}
+		cancel()
+		b.fleet.Close()
+		synctest.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (b *bench) version(zone garnetworks.ZoneID) garnetworks.UpdateVersion {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.versions[zone]
+}
+
+func (b *bench) count(kind garnetworks.EventKind) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, e := range b.events {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
--- a/controller/state.go
+++ b/controller/state.go
@@ -66,7 +66,8 @@
 	Zone  garnetworks.ZoneID
 	Times Times
 	Phase Phase
-	// Term is the term that the state belongs to.
+	// Term is the term that the state belongs to; in PhaseStandby it is the last
+	// one that it belonged to, which is never used again.
 	Term uint32
 	// Since is when the phase was entered; HearFrom is when silence began to
 	// count.
@@ -171,7 +172,7 @@
 // reset forgets everything that belonged to a holding.
 func (s *ZoneState) reset() {
 	gaveAway, direct := s.gaveAway, s.direct
-	*s = ZoneState{Zone: s.Zone, Times: s.Times, Phase: PhaseStandby, gaveAway: gaveAway, direct: direct, sequence: s.sequence, writes: s.writes}
+	*s = ZoneState{Zone: s.Zone, Times: s.Times, Phase: PhaseStandby, Term: s.Term, gaveAway: gaveAway, direct: direct, sequence: s.sequence, writes: s.writes}
 	s.Domains = map[garnetworks.DomainID]*DomainState{}
 	s.Power.Key = PowerKey(s.Zone)
 	s.loads = grouper.Loads{
--- a/controller/step.go
+++ b/controller/step.go
@@ -20,6 +20,13 @@
 		if o.Term == 0 {
 			return e
 		}
+		if o.Term <= s.Term {
+			// What this process decided under the term is forgotten, tokens that an
+			// engine may hold among it. Going on under the same term would issue them
+			// again for other decisions.
+			e.RaiseFloor = s.Term
+			return e
+		}
 		s.begin(o)
 	}
 	s.readAround(o, &e)
@@ -36,6 +43,7 @@
 
 func (s *ZoneState) begin(o Observation) {
 	s.Term = o.Term
+	s.refused = ""
 	s.enter(PhaseLoading, o.Now)
 }
 
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -108,6 +108,10 @@
 				}
 			}
 		}
+		// The ledger's cap is above the manifest's only for what was drawn before.
+		if len(s.ledger.Grants) == len(s.zones) && out.Ledger.Cap > max(in.Cap, s.ledger.Cap) {
+			rt.Fatalf("the ledger's cap rises from %d W to %d W above the manifest's %d W", s.ledger.Cap, out.Ledger.Cap, in.Cap)
+		}
 		s.ledger = out.Ledger
 		s.ledgerAt++
 	}
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -238,7 +238,7 @@
 func (l *Lease) RaiseFloor(floor uint32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.RaiseFloor(floor)
+	l.state.RaiseFloor(time.Now(), floor)
 	l.noteLocked()
 	signal(l.wake)
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -138,7 +138,9 @@
 	Holding bool
 	// HeldFrom is the time before the last concluded renewal was sent (L1).
 	HeldFrom time.Time
-	// Floor is the highest term known from anywhere (L5).
+	// Seen is the highest term seen in the record; Floor is the highest one that
+	// this node must not hold any more (L5).
+	Seen  uint32
 	Floor uint32
 	// Closing says that the node steps down and wants the lease no more.
 	Closing bool
@@ -147,11 +149,14 @@
 
 	// sent are the newest writes, oldest first. A write whose answer was lost can
 	// take effect after a read that did not show it yet, so they stay.
-	sent     []sentWrite
-	retake   garnetworks.Revision
-	mustRead bool
-	nextRead time.Time
-	nextBeat time.Time
+	sent []sentWrite
+	// retake is the revision of this process's own record under a term that it may
+	// not use any more; from retakeFrom on it may replace it.
+	retake     garnetworks.Revision
+	retakeFrom time.Time
+	mustRead   bool
+	nextRead   time.Time
+	nextBeat   time.Time
 }
 
 // NewState returns the state of a node that knows nothing yet.
@@ -194,17 +199,17 @@
 }
 
 // RaiseFloor makes the node's next record carry a term above floor. A holder
-// whose term is not above it takes a new term with its next write: the record
-// was deleted or restored, and tokens of its term would go backwards (rule G3).
-// Until then it holds nothing, so it may send no order.
-func (s *State) RaiseFloor(floor uint32) {
-	if floor <= s.Floor {
-		return
-	}
-	s.Floor = floor
-	if s.Holding && s.Record.Term <= floor {
+// whose term is not above it takes a new term with its next write: tokens of its
+// term would go backwards (rule G3), because the record was deleted or restored
+// or because the holder no longer knows which ones it issued. Until then it holds
+// nothing, so it may send no order.
+// The orders that it sent before may be in flight until the order bound is over.
+func (s *State) RaiseFloor(now time.Time, floor uint32) {
+	s.Floor = max(s.Floor, floor)
+	if s.Holding && s.Record.Term <= s.Floor {
 		s.Holding = false
 		s.retake = s.Revision
+		s.retakeFrom = now.Add(s.Settings.OrderBound)
 	}
 }
 
@@ -256,7 +261,7 @@
 func (s *State) takeRecord(writeID string) garnetworks.LeaseRecord {
 	return garnetworks.LeaseRecord{
 		Holder:   s.Self,
-		Term:     max(s.Record.Term, s.Floor) + 1,
+		Term:     max(s.Record.Term, s.Seen, s.Floor) + 1,
 		Beat:     s.Record.Beat + 1,
 		Duration: s.Settings.Duration,
 		WriteID:  writeID,
@@ -280,7 +285,7 @@
 	if s.Record.Holder == "" && s.Rank < s.Candidates {
 		return true
 	}
-	if s.retake != 0 && s.retake == s.Revision {
+	if s.retake != 0 && s.retake == s.Revision && !now.Before(s.retakeFrom) {
 		return true
 	}
 	return s.waitedOut()
@@ -343,7 +348,7 @@
 // adopt takes in a write that is known to have taken effect.
 func (s *State) adopt(record garnetworks.LeaseRecord, revision garnetworks.Revision, started time.Time) {
 	s.see(started, record, revision)
-	s.Holding = record.Holder == s.Self && record.Term >= s.Floor
+	s.Holding = record.Holder == s.Self && record.Term > s.Floor
 	s.HeldFrom = started
 	s.nextBeat = started.Add(s.Settings.RenewEvery)
 }
@@ -355,7 +360,7 @@
 	s.Known = true
 	s.Record = record
 	s.Revision = revision
-	s.Floor = max(s.Floor, record.Term)
+	s.Seen = max(s.Seen, record.Term)
 }
 
 // OnWrite takes in the result of the write of the last ActionWrite.
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -147,7 +147,7 @@
 			"restart": func(rt *rapid.T) { n := rapid.IntRange(0, 2).Draw(rt, "node"); w.add(n, w.nodes[n].skew) },
 			"floor": func(rt *rapid.T) {
 				c := w.nodes[rapid.IntRange(0, 2).Draw(rt, "node")]
-				c.RaiseFloor(w.record.Term)
+				c.RaiseFloor(c.clock(w.now), w.record.Term)
 			},
 		})
 		taken += int(w.terms)
