State the need of spares beyond the limit; hold survivors only with power for them

Cause: a zone stated the need of the spares it already powered, so that a grant too small for spares never grew. Survivors were held for a group whose power later slots took, and switched off one plan later. Change: Need counts every spare that is worth it; a hold asks whether power is left for the whole group.

--- a/placer/index.go
+++ b/placer/index.go
@@ -126,7 +126,7 @@
 	drains int
 	// pending counts slots without a group that the plan waits for.
 	pending int
-	// unplaced counts slots for which no domain has the instances.
+	// unplaced counts empty slots for which nothing is reserved.
 	unplaced int
 	// moving counts replacements that the plan prepares.
 	moving int
@@ -168,7 +168,8 @@
 	// closing, offs, ons and loads are the decisions by kind.
 	closing, offs, ons, loads []Decision
 	pools                     []*pool
-	// spareWatts is the draw of the kept spares.
+	// spareWatts is the draw of all spares that are worth it, also of those that
+	// the limit leaves no power for.
 	spareWatts garnetworks.Watts
 	lostGrace  time.Duration
 	scratch    []candidate
--- a/placer/power.go
+++ b/placer/power.go
@@ -245,8 +245,9 @@
 
 // countLost fills in what lostHold asks for.
 func (p *planner) countLost(o *pool) {
+	o.wanted = p.leastUnplaced(o.class) > 0
 	for _, m := range p.models {
-		o.wanted = o.wanted || m.class == o.class && m.pending+m.unplaced > 0
+		o.wanted = o.wanted || m.class == o.class && m.pending > 0
 	}
 	for _, i := range o.domain.instances {
 		if i.class != o.class {
@@ -262,16 +263,24 @@
 	}
 }
 
-// survivorsOf counts the idle instances of a pool that wait for a lost member:
-// a group is wanted, they are too few for it, and with those that may return
-// they are enough.
-func (p *planner) survivorsOf(o *pool) int {
+// leastUnplaced returns the size of the smallest group of the class that is
+// wanting and that power is left for, or 0.
+func (p *planner) leastUnplaced(c *class) int {
 	least := 0
 	for _, m := range p.models {
-		if m.class == o.class && m.unplaced > 0 && (least == 0 || m.GroupSize < least) {
+		affordable := p.planned+c.Watts*garnetworks.Watts(m.GroupSize) <= p.in.Limit
+		if m.class == c && m.unplaced > 0 && affordable && (least == 0 || m.GroupSize < least) {
 			least = m.GroupSize
 		}
 	}
+	return least
+}
+
+// survivorsOf counts the idle instances of a pool that wait for a lost member:
+// a group is wanted, they are too few for it, and with those that may return
+// they are enough.
+func (p *planner) survivorsOf(o *pool) int {
+	least := p.leastUnplaced(o.class)
 	left, mayReturn := 0, 0
 	for _, i := range o.domain.instances {
 		if i.class != o.class || i.use != unused {
--- a/placer/rules_test.go
+++ b/placer/rules_test.go
@@ -340,3 +340,15 @@
 		t.Errorf("%d groups serve, the straggler's group is %q", got, w.instance(slow).Group)
 	}
 }
+
+// A zone never gets the power for its spares: it states only the need of what
+// it already powers, so that its grant never grows.
+func TestNeedHoldsSparesBeyondTheLimit(t *testing.T) {
+	w := threeModels(t)
+	full := placer.Plan(w.Input).Need
+	w.Limit = engineWatts * 60
+	w.settle(t)
+	if out := placer.Plan(w.Input); out.Need != full || out.Drawn != w.Limit {
+		t.Errorf("need %d, drawn %d; want the need of before, %d, and the limit drawn", out.Need, out.Drawn, full)
+	}
+}
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -212,6 +212,7 @@
 		m.reservations = m.reservations[1:]
 		p.noteShed(m, s.rank)
 	}
+	m.unplaced++
 	p.unmet(m, CausePower)
 }
 
--- a/placer/spares.go
+++ b/placer/spares.go
@@ -103,12 +103,12 @@
 
 func (p *planner) keepSpare(s spareStep) {
 	i := s.pool.candidates[s.count-1]
+	p.spareWatts += i.Watts
 	if len(s.pool.kept) != s.count-1 || p.planned+i.Watts > p.in.Limit {
 		return
 	}
 	s.pool.kept = append(s.pool.kept, i)
 	p.planned += i.Watts
-	p.spareWatts += i.Watts
 	i.use = usedAsSpare
 	i.order = len(p.slots)
 	i.reason = ReasonSpare
--- a/placer/types.go
+++ b/placer/types.go
@@ -71,7 +71,8 @@
 	// power allow, sorted by model. It doesn't shrink by faults.
 	Wanted []ModelGroups
 	// Need is the draw of the groups that the manifest asks of the zone and of
-	// their powered spares, whatever the limit is.
+	// the powered spares that are worth it, whatever the limit is: a zone whose
+	// grant is too small for its spares has to ask for more.
 	Need garnetworks.Watts
 	// Drawn is the pessimistic draw now.
 	Drawn garnetworks.Watts
