Go on without the instance list, and survive impossible tokens and deleted ledgers

Cause: a new holder planned nothing while the instance list was down. An engine that names garbage as its token would have pushed the zone's terms to their end. A deleted ledger would have counted from 1 and been ignored by every zone. Change: without the list a holder plans with the instances of its domains, and powers nothing on or off; a token a million terms ahead is a fault of its engine; a new ledger counts on from what the zones have seen. A test for each.

--- a/controller/act.go
+++ b/controller/act.go
@@ -299,9 +299,12 @@
 // the limit is not known: a plan made then would take the zone for one without
 // power and shed its groups.
 func (p *deciding) statePower() bool {
-	if p.Manifest == nil || !p.ListKnown {
+	if p.Manifest == nil {
 		return false
 	}
+	if !p.ListKnown {
+		return p.withoutList()
+	}
 	drawn := p.drawn()
 	needs := granter.Needs(p.models(), p.Manifest.Manifest.Site.Classes)
 	out := granter.PlanZone(granter.ZoneInput{
@@ -324,6 +327,17 @@
 	return true
 }
 
+// listPatience is how long a new holder waits for the instance list.
+const listPatience = 5 * time.Second
+
+// withoutList lets a new holder go on with the instances that the domains hold
+// while the instance list is down. What plain services draw is not known then, so
+// nothing is powered on or off and nothing is stated.
+func (p *deciding) withoutList() bool {
+	p.Limit, p.granted = p.Power.Stored.Limit, false
+	return p.Power.Stored.Seen != 0 && p.o.Now.Sub(p.Since) >= listPatience
+}
+
 // commit keeps the decisions and asks for the writes that are due.
 func (p *deciding) commit() {
 	for _, d := range p.open {
--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -17,6 +17,19 @@
 	return s
 }
 
+// settledWithSpares returns a site on which failures are so frequent that spares
+// are kept running.
+func settledWithSpares(t *testing.T, seed uint64, checks bool) *sim {
+	t.Helper()
+	manifest := simManifest(2, 4, 16*simWatts, checks)
+	manifest.Site.Classes[0].FailuresPerDay = 100
+	manifest.Site.Weights.GroupDowntime = 1000
+	s := newSim(seed, 2, 3, 2, 4, checks, manifest)
+	s.until(t, 3*time.Minute, "every group serves", func() bool { return s.serving() == 4 })
+	s.pass(t, time.Minute)
+	return s
+}
+
 // until runs the clock until the condition holds.
 func (s *sim) until(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
 	t.Helper()
@@ -88,14 +101,7 @@
 // lease ends, and the group comes back after the outage.
 func TestOutageLongerThanTheLease(t *testing.T) {
 	bothKinds(t, func(t *testing.T, checks bool) {
-		// Failures are so frequent that spares are kept running: nothing is powered
-		// on in an outage.
-		manifest := simManifest(2, 4, 16*simWatts, checks)
-		manifest.Site.Classes[0].FailuresPerDay = 100
-		manifest.Site.Weights.GroupDowntime = 1000
-		s := newSim(1, 2, 3, 2, 4, checks, manifest)
-		s.until(t, 3*time.Minute, "every group serves", func() bool { return s.serving() == 4 })
-		s.pass(t, time.Minute)
+		s := settledWithSpares(t, 1, checks)
 		lost, group := s.member("z0")
 		if spare := s.spare(lost); spare == nil || spare.power != garnetworks.PowerOn {
 			t.Fatal("no spare runs")
@@ -248,12 +254,7 @@
 // would issue the same tokens for other decisions: engines refuse its orders for
 // good, or take one group for another. The fuzzing found it.
 func TestTermIsNotUsedTwice(t *testing.T) {
-	manifest := simManifest(2, 4, 16*simWatts, true)
-	manifest.Site.Classes[0].FailuresPerDay = 100
-	manifest.Site.Weights.GroupDowntime = 1000
-	s := newSim(13, 2, 3, 2, 4, true, manifest)
-	s.until(t, 3*time.Minute, "every group serves", func() bool { return s.serving() == 4 })
-	s.pass(t, time.Minute)
+	s := settledWithSpares(t, 13, true)
 	old := s.holder("z0")
 	term := old.state.Term
 	s.apiDown = true
@@ -271,6 +272,23 @@
 	s.until(t, time.Minute, "every group serves", func() bool { return s.serving() == 4 })
 }
 
+// TestNewHolderWithoutTheInstanceList: the instance list is down when a zone's
+// controller moves to another node, and a member dies. The domains name the
+// instances; the group must come back from a running spare, and the other groups
+// must not be shed for a limit that is not known yet.
+func TestNewHolderWithoutTheInstanceList(t *testing.T) {
+	s := settledWithSpares(t, 14, true)
+	s.listDown = true
+	s.restart(s.holder("z0"))
+	lost, _ := s.member("z0")
+	lost.dark = true
+	s.pass(t, 20*time.Second)
+	s.until(t, time.Minute, "every group serves", func() bool { return s.serving() == 4 })
+	if got := s.events[garnetworks.EventGroupDraining]; got != 0 {
+		t.Errorf("%d groups were drained", got)
+	}
+}
+
 // TestReturnedMemberIsRefused: a member falls silent, its group is replaced, and
 // it comes back as if nothing had happened, ready in its old group. Nobody may be
 // sent to the old group, and the member joins a new one only after it has
--- a/controller/fuzz_test.go
+++ b/controller/fuzz_test.go
@@ -95,6 +95,7 @@
 		"lose-answers":  fault(func(n *simNode) { n.lose = 3 }),
 		"restart-node":  fault(func(n *simNode) { s.restart(n) }),
 		"outage":        func(rt *rapid.T) { s.apiDown = !s.apiDown; simFaults++; s.step(rt) },
+		"list":          func(rt *rapid.T) { s.listDown = !s.listDown; simFaults++; s.step(rt) },
 		"site-cut":      func(rt *rapid.T) { t := s.sites[s.random.IntN(2)]; t.cut = !t.cut; s.step(rt) },
 		"site-lose":     func(rt *rapid.T) { s.sites[s.random.IntN(2)].lose = 2; s.step(rt) },
 		"cap":           func(rt *rapid.T) { s.changeCap(rapid.IntRange(5, 16).Draw(rt, "cap")); simFaults++; s.step(rt) },
@@ -156,7 +157,7 @@
 // recover ends all faults and expects every group to serve within the time that
 // leases, boots and loads may take.
 func (s *sim) recover(rt *rapid.T, groups int) {
-	s.apiDown = false
+	s.apiDown, s.listDown = false, false
 	for _, n := range s.nodes {
 		n.apiCut, n.cut, n.lose, n.loseAPI, n.lateAPI = false, false, 0, 0, 0
 	}
--- a/controller/sim_test.go
+++ b/controller/sim_test.go
@@ -33,6 +33,7 @@
 	sites    []*simSite
 	later    []simEvent
 	apiDown  bool
+	listDown bool
 	views    map[garnetworks.ZoneID]simView
 	random   *rand.Rand
 	broken   string
@@ -363,8 +364,11 @@
 	}
 	n.callObjects(e)
 	if e.ReadList {
-		rows := s.rows(n.zone)
-		n.answer(simTick, func() { n.state.OnList(s.now, rows, nil) })
+		rows, err := s.rows(n.zone), error(nil)
+		if s.listDown {
+			rows, err = nil, garnetworks.Errorf(garnetworks.KindUnreachable, "")
+		}
+		n.answer(simTick, func() { n.state.OnList(s.now, rows, err) })
 	}
 	if e.ReadRate {
 		n.state.OnRate(s.now, 0, nil)
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -322,6 +322,20 @@
 	}
 }
 
+// TestDeletedLedgerIsHeededAgain: somebody deletes the ledger's object. The next
+// one must be heeded by zones that have stated a later version.
+func TestDeletedLedgerIsHeededAgain(t *testing.T) {
+	stated := garnetworks.ZonePower{Zone: "a", Limit: 40, Drawn: 40, Seen: 77}
+	out, err := PlanSite(SiteInput{Term: 1, Generation: 1, Cap: 100, Zones: []garnetworks.ZoneID{"a"}, Powers: map[garnetworks.ZoneID]garnetworks.ZonePower{"a": stated}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	zone := PlanZone(ZoneInput{Zone: "a", Term: 1, Stated: stated, Ledger: garnetworks.Some(out.Ledger), Drawn: 40})
+	if zone.Statement.Limit != 100 || zone.Statement.Seen <= 77 {
+		t.Errorf("the zone states %+v under the ledger %+v", zone.Statement, out.Ledger)
+	}
+}
+
 // TestOlderWritersAreRefused: a site controller that woke from a pause, or whose
 // node has yet to hear of the newest manifest, must not write (W7).
 func TestOlderWritersAreRefused(t *testing.T) {
--- a/granter/site.go
+++ b/granter/site.go
@@ -13,6 +13,9 @@
 const (
 	// MoveEvery is the shortest time between two changes of a zone's target.
 	MoveEvery = time.Minute
+	// restoredLead is how far a ledger that went back jumps ahead of what the zones
+	// have stated, since they may have read versions that they did not state.
+	restoredLead = 1000
 	// minMoveShare is MinMove's share of the cap.
 	minMoveShare = 100
 )
@@ -82,6 +85,13 @@
 
 func newSitePlan(in SiteInput) *sitePlan {
 	p := &sitePlan{SiteInput: in, grants: slices.Clone(in.Ledger.Grants), next: in.Ledger.Sequence + 1}
+	for _, power := range in.Powers {
+		// A ledger that was deleted or restored would count from behind what the
+		// zones have seen, and they would not heed it.
+		if power.Seen >= p.next {
+			p.next = power.Seen + restoredLead
+		}
+	}
 	p.Memory.Moved = maps.Clone(in.Memory.Moved)
 	for _, z := range in.Zones {
 		p.ensure(z)
--- a/grouper/grouper_test.go
+++ b/grouper/grouper_test.go
@@ -271,6 +271,35 @@
 	}
 }
 
+// TestTokensThatEnginesName: an engine that names a token of a higher term has
+// obeyed another holder, and this one must stop; one of this term that the domain
+// never recorded makes the count go on above it; one that nobody can have issued
+// is a fault of that engine alone.
+func TestTokensThatEnginesName(t *testing.T) {
+	for title, c := range map[string]struct {
+		token      garnetworks.FencingToken
+		superseded bool
+		lost       bool
+	}{
+		"known":      {garnetworks.NewFencingToken(1, 1), false, false},
+		"unrecorded": {garnetworks.NewFencingToken(1, 900), false, false},
+		"higher":     {garnetworks.NewFencingToken(2, 1), true, false},
+		"impossible": {garnetworks.NewFencingToken(1<<31, 1), false, true},
+	} {
+		a := admitted(t, 2, true)
+		s := idle(a.Instance("i00"))
+		s.Token = c.token
+		_, superseded := a.Observe(Observation{Now: start, Fresh: Statuses{"i00": s, "i01": idle(a.Instance("i01"))}})
+		lost := a.Instance("i00").Condition == garnetworks.ConditionLost
+		if superseded != c.superseded || lost != c.lost {
+			t.Errorf("%s: superseded %t, lost %t", title, superseded, lost)
+		}
+		if next := a.issue(); !c.superseded && !c.lost && next <= c.token {
+			t.Errorf("%s: the next token is %s after %s", title, next, c.token)
+		}
+	}
+}
+
 // TestDomainStaysUnderTheObjectSize prints what a domain weighs in the object
 // API; the whole fleet would fit one object, so a domain always does.
 func TestDomainStaysUnderTheObjectSize(t *testing.T) {
--- a/grouper/observe.go
+++ b/grouper/observe.go
@@ -43,6 +43,11 @@
 	Bounds Bounds
 }
 
+// impossibleLead is how far above the writer's term a term can't be: terms grow by
+// one with each change of holder, and a restored lease record is not older than
+// this many changes.
+const impossibleLead = 1 << 20
+
 // Observe takes in what the instances say of themselves. It reports a status
 // that holds a token of a higher term than the writer's: another holder has
 // taken over, and the writer must stop.
@@ -54,6 +59,11 @@
 			a.observeSilence(id, o)
 			continue
 		}
+		if s.Token.Term() > a.domain.Term+impossibleLead {
+			// Garbage from one engine must not push the zone's terms to their end.
+			a.Lose(id, o.Now, "names a token that nobody can have issued")
+			continue
+		}
 		if !a.SkipSequence(s.Token) {
 			return s.Token, true
 		}
