--- a/committer/committer.go
+++ b/committer/committer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/garnetworks/garnetworks"
@@ -553,7 +554,8 @@
 		return garnetworks.CommitProgress{}, nothingWritten(err)
 	}
 	if _, told := known.Fate(p.CommitID); !told {
-		if _, err := known.Propose(p, request.Supersedes); err != nil {
+		// What is refused now needs no body; a head that is behind refuses nothing.
+		if _, err := known.Propose(p, request.Supersedes); err != nil && !c.behind(known.Head) {
 			return garnetworks.CommitProgress{}, err
 		}
 		if err := c.store.writeBody(ctx, p.CommitID, body); err != nil {
@@ -572,6 +574,10 @@
 		next, err := h.Propose(p, request.Supersedes)
 		return next.WithoutGarbage(gone), err == nil, err
 	})
+	if garnetworks.IsKind(err, garnetworks.KindStaleGeneration) && !errors.Is(err, errBehind) {
+		// The commit has lost for good, so no later try needs its body.
+		c.store.collect(ctx, []string{p.CommitID})
+	}
 	if err != nil {
 		return garnetworks.CommitProgress{}, err
 	}
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -288,3 +288,70 @@
 		})
 	}
 }
+
+// The platform puts an older copy of the object API's data back. Nodes must keep
+// the manifest that they have, a node that starts must learn it from them, and
+// commits must be refused with that cause: accepted, they would give a generation
+// a second meaning.
+func TestObjectAPIGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, nodes := threeZones(t)
+		defer s.haltAll()
+		var copied garnetworks.Object
+		for i := range 2 {
+			if _, err := nodes[0].Propose(t.Context(), propose(fmt.Sprintf("c%d", i), garnetworks.Generation(i), text(90000+i))); err != nil {
+				t.Fatal(err)
+			}
+			await(t, nodes[0], fmt.Sprintf("c%d", i), garnetworks.CommitInForce, time.Second)
+			if i == 0 {
+				copied, _ = s.objects.Get(t.Context(), committer.HeadKey)
+			}
+		}
+		newest, err := s.objects.Get(t.Context(), committer.HeadKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.objects.Put(t.Context(), committer.HeadKey, copied.Value, newest.Revision); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		_, err = nodes[2].Propose(t.Context(), propose("c2", 2, text(80000)))
+		if !garnetworks.IsKind(err, garnetworks.KindStaleGeneration) || !strings.Contains(err.Error(), "went back") {
+			t.Errorf("the commit is answered %v", err)
+		}
+		nodes = append(nodes, s.start("south-a-9", "south-a"))
+		time.Sleep(5 * time.Second)
+		for _, n := range nodes {
+			if m, ok := n.Manifest(); !ok || m.Generation != 2 {
+				t.Errorf("node %s does not decide by generation 2", n.info.ID)
+			}
+		}
+		if !nodes[0].Status().StoreBehind {
+			t.Error("a node that watches the object API does not say that it went back")
+		}
+	})
+}
+
+// The loser of a race must not leave its manifest in the object API for good.
+func TestLoserLeavesNoBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, nodes := threeZones(t)
+		defer s.haltAll()
+		// Both look at the head before one of them writes it.
+		nodes[2].view.SetFaults(faker.FaultPlan{Delay: 500 * time.Millisecond, Methods: []string{faker.MethodPut}})
+		lost := make(chan error)
+		go func() {
+			_, err := nodes[2].Propose(t.Context(), propose("loser", 0, text(80000)))
+			lost <- err
+		}()
+		if _, err := nodes[0].Propose(t.Context(), propose("winner", 0, text(90000))); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-lost; !garnetworks.IsKind(err, garnetworks.KindStaleGeneration) || !strings.Contains(err.Error(), "winner") {
+			t.Errorf("the loser is answered %v", err)
+		}
+		if _, err := s.objects.Get(t.Context(), committer.BodyKey("loser")); !garnetworks.IsKind(err, garnetworks.KindNotFound) {
+			t.Errorf("the loser's manifest is still stored (%v)", err)
+		}
+	})
+}
