Divide the larger files by their jobs

Change: files by job; a field that nobody read is gone, and the site's tests end in place of hanging.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -30,7 +30,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -82,26 +81,6 @@
 	Log func(error)
 }
 
-// Counts are a distributor's counters.
-type Counts struct {
-	// Published, Accepted, Duplicates and Older count updates by what became of
-	// them here.
-	Published, Accepted, Duplicates, Older uint64
-	// Conflicts counts updates that carried a held version with another body.
-	Conflicts uint64
-	// Sent counts updates handed on, SendFailures messages without an answer.
-	Sent, SendFailures uint64
-	// Repaired and Pushed count updates that repair brought and gave.
-	Repaired, Pushed uint64
-	// Refused counts updates and jobs above a bound.
-	Refused uint64
-}
-
-type counters struct {
-	published, accepted, duplicates, older, conflicts atomic.Uint64
-	sent, sendFailures, repaired, pushed, refused     atomic.Uint64
-}
-
 // Distributor spreads updates. It is safe for concurrent use.
 type Distributor struct {
 	options  Options
@@ -125,13 +104,6 @@
 	syncOnce              sync.Once
 }
 
-// job is a handing on of updates to targets.
-type job struct {
-	updates []garnetworks.Update
-	targets []garnetworks.NodeInfo
-	hops    int
-}
-
 // New returns a distributor; Run starts its work.
 func New(options Options) *Distributor {
 	if options.Fanout <= 0 {
@@ -259,62 +231,6 @@
 	return &garnetworks.DistributeResponse{Accepted: accepted}
 }
 
-// plan adds the handing on of u to the jobs, joined to the last one if the
-// targets are the same. The caller holds mu.
-func (d *Distributor) plan(jobs []job, u garnetworks.Update, targets []garnetworks.NodeInfo, hops int) []job {
-	if len(targets) == 0 {
-		return jobs
-	}
-	if hops >= MaxHops {
-		// Trees never get this deep. A loop of old messages would, and would go
-		// round for ever.
-		d.counters.refused.Add(1)
-		return jobs
-	}
-	left := d.store.claim(u, targets)
-	if len(left) == 0 {
-		return jobs
-	}
-	// Of two bodies under one version, the one held here is handed on.
-	u = d.store.held[u.Topic]
-	if n := len(jobs) - 1; n >= 0 && len(jobs[n].targets) == len(left) && len(left) == len(targets) {
-		jobs[n].updates = append(jobs[n].updates, u)
-		return jobs
-	}
-	return append(jobs, job{updates: []garnetworks.Update{u}, targets: left, hops: hops})
-}
-
-// enqueue never blocks: a peer's call must not wait for other peers. What does
-// not fit is left to repair (rule D7).
-func (d *Distributor) enqueue(j job) {
-	select {
-	case d.jobs <- j:
-	default:
-		d.counters.refused.Add(1)
-	}
-}
-
-// lookUp returns the nodes with the given addresses; of an unknown one, only
-// the address is known, and it is treated as one of the own zone.
-func (d *Distributor) lookUp(addresses []string) []garnetworks.NodeInfo {
-	if len(addresses) == 0 {
-		return nil
-	}
-	known := map[string]garnetworks.NodeInfo{}
-	for _, n := range d.options.Nodes() {
-		known[n.Address] = n
-	}
-	nodes := make([]garnetworks.NodeInfo, 0, len(addresses))
-	for _, a := range addresses {
-		n, ok := known[a]
-		if !ok {
-			n = garnetworks.NodeInfo{Address: a, Zone: d.options.Self.Zone, Region: d.options.Self.Region}
-		}
-		nodes = append(nodes, n)
-	}
-	return nodes
-}
-
 // runPublish turns published topics into jobs. Topics published while jobs wait
 // are joined, and of one topic only the newest value is sent.
 func (d *Distributor) runPublish(ctx context.Context) {
@@ -382,92 +298,6 @@
 	return updates
 }
 
-// handOn sends the job's updates down its branches (rule D2).
-func (d *Distributor) handOn(ctx context.Context, j job) {
-	updates := d.newest(j.updates)
-	seed := seedOf(updates)
-	var group sync.WaitGroup
-	defer group.Wait()
-	for _, b := range Split(d.options.Self, j.targets, d.options.Fanout, seed) {
-		group.Go(func() { d.send(ctx, updates, b, j.hops) })
-	}
-}
-
-// newest replaces updates that have become old while the job waited.
-func (d *Distributor) newest(updates []garnetworks.Update) []garnetworks.Update {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	fresh := make([]garnetworks.Update, 0, len(updates))
-	for _, u := range updates {
-		if held, ok := d.store.held[u.Topic]; ok && u.Version.Less(held.Version) {
-			u = held
-		}
-		fresh = append(fresh, u)
-	}
-	return fresh
-}
-
-// send hands a branch to its first node that answers (rule D5).
-func (d *Distributor) send(ctx context.Context, updates []garnetworks.Update, branch []garnetworks.NodeInfo, hops int) {
-	branch = d.failedLast(branch)
-	for range MaxHeads {
-		if len(branch) == 0 || ctx.Err() != nil {
-			return
-		}
-		head := branch[0]
-		branch = branch[1:]
-		request := &garnetworks.DistributeRequest{
-			From:    d.options.Self.ID,
-			Updates: updates,
-			Targets: addressesOf(branch),
-			Hops:    hops + 1,
-		}
-		err := d.call(ctx, head.Address, request)
-		if err == nil {
-			d.counters.sent.Add(uint64(len(updates)))
-			return
-		}
-		d.counters.sendFailures.Add(1)
-		d.options.Log(err)
-	}
-}
-
-func (d *Distributor) call(ctx context.Context, address string, request *garnetworks.DistributeRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, SendBound)
-	defer cancel()
-	_, err := d.options.Peers.Distribute(ctx, address, request)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err != nil {
-		d.failed[address] = time.Now()
-	} else {
-		delete(d.failed, address)
-	}
-	return err
-}
-
-// failedLast moves nodes that did not answer of late to the end of the branch.
-// Without it each update would wait SendBound for the same dead node.
-func (d *Distributor) failedLast(branch []garnetworks.NodeInfo) []garnetworks.NodeInfo {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	var first, last []garnetworks.NodeInfo
-	for _, n := range branch {
-		at, failed := d.failed[n.Address]
-		switch {
-		case !failed:
-			first = append(first, n)
-		case now.Sub(at) > FailedFor:
-			delete(d.failed, n.Address)
-			first = append(first, n)
-		default:
-			last = append(last, n)
-		}
-	}
-	return append(first, last...)
-}
-
 // Versions returns the versions held.
 func (d *Distributor) Versions() map[garnetworks.Topic]garnetworks.UpdateVersion {
 	d.mu.Lock()
@@ -510,25 +340,6 @@
 // fetched what it lacked.
 func (d *Distributor) Synced() <-chan struct{} { return d.synced }
 
-// Counts reads the counters.
-func (d *Distributor) Counts() Counts {
-	c := &d.counters
-	return Counts{
-		Published: c.published.Load(), Accepted: c.accepted.Load(),
-		Duplicates: c.duplicates.Load(), Older: c.older.Load(), Conflicts: c.conflicts.Load(),
-		Sent: c.sent.Load(), SendFailures: c.sendFailures.Load(),
-		Repaired: c.repaired.Load(), Pushed: c.pushed.Load(), Refused: c.refused.Load(),
-	}
-}
-
-func addressesOf(nodes []garnetworks.NodeInfo) []string {
-	addresses := make([]string, 0, len(nodes))
-	for _, n := range nodes {
-		addresses = append(addresses, n.Address)
-	}
-	return addresses
-}
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/distributor/site_test.go
+++ b/distributor/site_test.go
@@ -69,13 +69,21 @@
 		s.entries = append(s.entries, openEntry(tb, s.objects, l, seeds, i, zones))
 	}
 	tb.Cleanup(s.close)
-	for !s.complete() {
-		time.Sleep(50 * time.Millisecond)
-		if tb.Context().Err() != nil {
-			tb.Fatal("the nodes did not find each other")
+	s.await(tb)
+	return s
+}
+
+// patience ends a test that would hang; it decides nothing else.
+const patience = 2 * time.Minute
+
+// await returns when all nodes know all and hold the same values.
+func (s *entrySite) await(tb testing.TB) {
+	tb.Helper()
+	for began := time.Now(); !s.complete(); time.Sleep(50 * time.Millisecond) {
+		if time.Since(began) > patience {
+			tb.Fatal("the nodes do not come to one view")
 		}
 	}
-	return s
 }
 
 func openEntry(tb testing.TB, objects garnetworks.ObjectAPI, l net.Listener, seeds []string, i, zones int) *entry {
@@ -187,17 +195,13 @@
 	if got := <-late.applied; string(got.Body) != "three" {
 		t.Errorf("the new node got %q", got.Body)
 	}
-	for !s.complete() {
-		time.Sleep(50 * time.Millisecond)
-	}
+	s.await(t)
 
 	late.tracker.Leave(t.Context())
 	late.cancel()
 	late.group.Wait()
 	s.entries = s.entries[:6]
-	for !s.complete() {
-		time.Sleep(50 * time.Millisecond)
-	}
+	s.await(t)
 }
 
 // BenchmarkSite measures sites in one process. Each operation is one update of
--- /dev/null
+++ b/messenger/pool.go
@@ -0,0 +1,221 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// pool holds the connections to one address.
+type pool struct {
+	// users counts the calls that hold or wait for a slot; a pool in use is not
+	// dropped.
+	users int
+	// slots holds a token for each connection in use (rule M4).
+	slots chan struct{}
+	// idle connections, the most recently used one last.
+	idle []*peerConn
+}
+
+// peerConn is a connection that carries one call at a time.
+type peerConn struct {
+	*drpcconn.Conn
+	metered *meteredConn
+	pool    *pool
+	// used is when the last call ended.
+	used time.Time
+	// reused says that the connection carried a call before this one.
+	reused bool
+}
+
+func unreachable(address string, cause error) error {
+	return garnetworks.WrapError(garnetworks.KindUnreachable, cause, "can't connect to "+address)
+}
+
+// take returns a connection to the address, an idle one if there is one.
+func (c *Client) take(ctx context.Context, address string) (*peerConn, error) {
+	p := c.pool(address)
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		c.leave(p)
+		return nil, unreachable(address, ctx.Err())
+	}
+	if conn := c.idle(p); conn != nil {
+		conn.reused = true
+		return conn, nil
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		<-p.slots
+		c.leave(p)
+		return nil, unreachable(address, err)
+	}
+	conn.pool = p
+	return conn, nil
+}
+
+// pool returns the pool of the address, and now and then drops what was idle
+// for long anywhere.
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	var stale []*peerConn
+	if now := time.Now(); now.Sub(c.swept) > IdleBound {
+		c.swept = now
+		stale = c.sweep(now)
+	}
+	p, ok := c.pools[address]
+	if !ok {
+		p = &pool{slots: make(chan struct{}, MaxPerAddress)}
+		c.pools[address] = p
+	}
+	p.users++
+	c.mu.Unlock()
+	closeAll(stale)
+	return p
+}
+
+// leave ends a call's use of the pool.
+func (c *Client) leave(p *pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.users--
+}
+
+// sweep takes out connections that were idle for long, and pools without any.
+func (c *Client) sweep(now time.Time) []*peerConn {
+	var stale []*peerConn
+	for address, p := range c.pools {
+		var kept []*peerConn
+		for _, conn := range p.idle {
+			if now.Sub(conn.used) > IdleBound {
+				stale = append(stale, conn)
+				continue
+			}
+			kept = append(kept, conn)
+		}
+		p.idle = kept
+		if len(kept) == 0 && p.users == 0 {
+			delete(c.pools, address)
+		}
+	}
+	return stale
+}
+
+// idle takes a usable idle connection out of the pool; nil if there is none.
+func (c *Client) idle(p *pool) *peerConn {
+	c.mu.Lock()
+	var stale []*peerConn
+	var found *peerConn
+	now := time.Now()
+	for found == nil && len(p.idle) > 0 {
+		conn := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if !usable(conn, now) {
+			stale = append(stale, conn)
+			continue
+		}
+		found = conn
+	}
+	c.mu.Unlock()
+	closeAll(stale)
+	return found
+}
+
+func usable(conn *peerConn, now time.Time) bool {
+	select {
+	case <-conn.Closed():
+		return false
+	default:
+	}
+	return now.Sub(conn.used) <= IdleBound && now.Sub(conn.metered.opened) <= ReuseBound
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*peerConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialBound)
+	defer cancel()
+	c.options.Traffic.dials.Add(1)
+	conn, err := c.options.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	metered := newMeteredConn(conn, c.options.Traffic)
+	options := drpcconn.Options{Manager: managerOptions()}
+	if c.options.Keys == nil {
+		return &peerConn{Conn: drpcconn.NewWithOptions(metered, options), metered: metered}, nil
+	}
+	secured := tls.Client(metered, c.options.Keys.clientConfig())
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = metered.Close()
+		return nil, err
+	}
+	return &peerConn{Conn: drpcconn.NewWithOptions(secured, options), metered: metered}, nil
+}
+
+// giveBack makes the connection idle.
+func (c *Client) giveBack(conn *peerConn) {
+	conn.used = time.Now()
+	c.mu.Lock()
+	surplus := conn
+	if !c.closed {
+		conn.pool.idle = append(conn.pool.idle, conn)
+		surplus = c.surplus()
+	}
+	conn.pool.users--
+	c.mu.Unlock()
+	<-conn.pool.slots
+	if surplus != nil {
+		_ = surplus.Close()
+	}
+}
+
+// surplus takes out the connection that was idle for longest if there are more
+// than MaxIdle; nil if there are not. The caller holds mu.
+func (c *Client) surplus() *peerConn {
+	count := 0
+	var oldest *pool
+	for _, p := range c.pools {
+		count += len(p.idle)
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].used.Before(oldest.idle[0].used)) {
+			oldest = p
+		}
+	}
+	if count <= MaxIdle {
+		return nil
+	}
+	conn := oldest.idle[0]
+	oldest.idle = oldest.idle[1:]
+	return conn
+}
+
+// drop ends a connection that failed.
+func (c *Client) drop(conn *peerConn) {
+	<-conn.pool.slots
+	c.leave(conn.pool)
+	_ = conn.Close()
+}
+
+// endSilent closes the idle connections to the address: what forgot one of
+// them has likely forgotten all.
+func (c *Client) endSilent(address string, p *pool) {
+	c.options.Traffic.silent.Add(1)
+	c.options.Recorder.Record(garnetworks.Event{
+		Kind:   garnetworks.EventSilentConnection,
+		Detail: "peer " + address,
+	})
+	c.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	c.mu.Unlock()
+	closeAll(idle)
+}
+
+func closeAll(conns []*peerConn) {
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/tracker/roster.go
@@ -0,0 +1,220 @@
+package tracker
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// candidates are the first nodes that may write the roster, without this one.
+func (s *State) candidates() []garnetworks.NodeInfo {
+	var first []garnetworks.NodeInfo
+	for _, id := range s.writers() {
+		if len(first) == Candidates {
+			break
+		}
+		if m, ok := s.members[id]; ok {
+			first = append(first, m.info)
+		}
+	}
+	return first
+}
+
+// writers are the zone's living nodes in the order in which they write.
+func (s *State) writers() []garnetworks.NodeID {
+	var ids []garnetworks.NodeID
+	if !s.leaving {
+		ids = append(ids, s.self.ID)
+	}
+	for id, m := range s.members {
+		if !m.gone() && m.suspected.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// rank is this node's place among the writers; -1 if it is none.
+func (s *State) rank() int { return slices.Index(s.writers(), s.self.ID) }
+
+func (s *State) isCandidate() bool {
+	r := s.rank()
+	return r >= 0 && r < Candidates
+}
+
+// listed returns the roster's description of a node of the own zone.
+func (s *State) listed(id garnetworks.NodeID) (garnetworks.NodeInfo, bool) {
+	nodes := s.rosters[s.self.Zone].Nodes
+	i, ok := slices.BinarySearchFunc(nodes, id, func(n garnetworks.NodeInfo, id garnetworks.NodeID) int { return cmp.Compare(n.ID, id) })
+	if !ok {
+		return garnetworks.NodeInfo{}, false
+	}
+	return nodes[i], true
+}
+
+// noteListing notes since when the roster does not list this node as it is.
+func (s *State) noteListing(now time.Time) {
+	listed, _ := s.listed(s.self.ID)
+	switch {
+	case listed == s.self:
+		s.unlisted = time.Time{}
+		s.accepted = true
+	case s.unlisted.IsZero():
+		s.unlisted = now
+	}
+}
+
+func (s *State) learnRoster(now time.Time, r garnetworks.Roster, d *Decisions) {
+	if r.Version <= s.rosters[r.Zone].Version {
+		return
+	}
+	if !slices.IsSortedFunc(r.Nodes, compareNodes) {
+		r.Nodes = slices.SortedFunc(slices.Values(r.Nodes), compareNodes)
+	}
+	s.rosters[r.Zone] = r
+	d.Changed = true
+	if r.Zone != s.self.Zone {
+		return
+	}
+	for _, n := range r.Nodes {
+		if n.ID == s.self.ID {
+			if n.Incarnation > s.self.Incarnation || (n.Incarnation == s.self.Incarnation && n.Address != s.self.Address) {
+				s.outrankedBy(now, n.Incarnation, d)
+			}
+			continue
+		}
+		s.learnListed(now, n)
+	}
+	s.noteListing(now)
+}
+
+// learnListed takes the roster's word on a node of the own zone, which is older
+// than what was heard from the node itself.
+func (s *State) learnListed(now time.Time, n garnetworks.NodeInfo) {
+	m, ok := s.members[n.ID]
+	switch {
+	case !ok:
+		s.members[n.ID] = &member{info: n}
+	case n.Incarnation > m.info.Incarnation:
+		*m = member{info: n}
+	case n.Incarnation == m.info.Incarnation && m.lost && !m.displaced:
+		// The writer has heard it after this node had given it up.
+		m.lost, m.suspected, m.denied = false, time.Time{}, false
+		m.told = now
+	}
+}
+
+func (s *State) reread(now time.Time, d *Decisions) {
+	if now.Before(s.nextReread) {
+		return
+	}
+	s.nextReread = now.Add(RereadEvery)
+	d.Reread = s.rank() == 0
+}
+
+// considerWrite decides whether this node changes the roster now (rule T7).
+func (s *State) considerWrite(now time.Time, d *Decisions) {
+	rank := s.rank()
+	var patch Patch
+	switch {
+	case s.leaving:
+		// The others were told; they take this node out.
+		return
+	case !s.read && now.Sub(s.unlisted) < JoinBound:
+		// The first read shows who writes.
+		return
+	case rank < Candidates:
+		patch = s.wanted(now)
+	case !s.unlisted.IsZero() && now.Sub(s.unlisted) >= JoinBound:
+		patch = Patch{Zone: s.self.Zone, Set: []garnetworks.NodeInfo{s.self}}
+		rank = 0
+	}
+	if patch.Empty() {
+		s.pending = time.Time{}
+		return
+	}
+	if s.pending.IsZero() {
+		s.pending = now
+	}
+	due := s.pending.Add(BatchDelay + time.Duration(rank)*RankDelay)
+	if s.writing || now.Before(due) || now.Before(s.nextWrite) {
+		return
+	}
+	patch.Above = s.rosters[s.self.Zone].Version
+	s.writing = true
+	d.Write = garnetworks.Some(patch)
+}
+
+// wanted is what the roster lacks by this node's direct evidence.
+func (s *State) wanted(now time.Time) Patch {
+	p := Patch{Zone: s.self.Zone}
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		m := s.members[id]
+		listed, ok := s.listed(id)
+		switch {
+		case m.gone():
+			if ok && listed.Incarnation <= m.info.Incarnation {
+				p.Remove = append(p.Remove, Removal{ID: id, Incarnation: m.info.Incarnation, Left: !m.lost})
+			}
+		case now.Sub(m.heard) > SuspectAfter || m.displaced:
+		case !ok || (listed != m.info && listed.Incarnation <= m.info.Incarnation):
+			p.Set = append(p.Set, m.info)
+		}
+	}
+	if listed, _ := s.listed(s.self.ID); listed != s.self {
+		p.Set = append(p.Set, s.self)
+		slices.SortFunc(p.Set, compareNodes)
+	}
+	return p
+}
+
+func (s *State) written(now time.Time, o Written, d *Decisions) {
+	s.writing = false
+	if o.Err != nil {
+		s.backoff = min(max(2*s.backoff, time.Second), maxBackoff)
+		s.nextWrite = now.Add(s.backoff)
+		return
+	}
+	s.backoff = 0
+	before := s.rosters[s.self.Zone]
+	if before.Version == 0 {
+		// At the first start of a site, the other zones list themselves now, too.
+		s.nextReread = now.Add(FirstReread)
+	}
+	s.learnRoster(now, o.Roster, d)
+	s.tell(before, o, d)
+}
+
+// tell gives the events of a roster write.
+func (s *State) tell(before garnetworks.Roster, o Written, d *Decisions) {
+	if o.Roster.Version <= before.Version {
+		return
+	}
+	known := map[garnetworks.NodeID]garnetworks.NodeInfo{}
+	for _, n := range before.Nodes {
+		known[n.ID] = n
+	}
+	for _, n := range o.Patch.Set {
+		if old, ok := known[n.ID]; !ok || old.Incarnation != n.Incarnation {
+			d.Events = append(d.Events, s.event(garnetworks.EventNodeJoined, n, "listed"))
+		}
+	}
+	for _, r := range o.Patch.Remove {
+		how := "lost"
+		if r.Left {
+			how = "left"
+		}
+		if n, ok := known[r.ID]; ok {
+			d.Events = append(d.Events, s.event(garnetworks.EventNodeLost, n, how))
+		}
+	}
+	d.Events = append(d.Events, garnetworks.Event{
+		Kind: garnetworks.EventRosterWritten, Zone: s.self.Zone,
+		Detail: fmt.Sprintf("version %d, %d nodes", o.Roster.Version, len(o.Roster.Nodes)),
+	})
+}
