--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -447,5 +447,6 @@
 		s.domain(member, func(e *simEngine) { e.dark = true })
 		s.after(30*time.Second, func() { s.domain(member, func(e *simEngine) { e.dark = false }) })
 	}, 40)
+	count("manifest changed", func() { s.changeCap(16) }, 10)
 	count("holder restarted", func() { s.restart(s.holder("z0")) }, 20)
 }
