Prove roster writes and a healed partition

Cause: the adapter that writes rosters, and the catching up of regions after a partition, had no tests. Change: a table of object API faults and rivals for the roster's write; a case of a region cut off for a minute. Conclusion: with the reading back or the further tries taken out TestStore fails.

--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -167,7 +167,8 @@
 		}
 		targets := n.neighbours(i)
 		if (round+i)%5 == 0 {
-			targets = append(targets, n.nodes[(i*13+round*5)%len(n.nodes)])
+			far := int(uint32(i+1)*2654435761>>8) + round
+			targets = append(targets, n.nodes[far%len(n.nodes)])
 		}
 		for _, t := range targets {
 			p.done.Go(func() { n.compare(ctx, p, t.Address) })
@@ -261,7 +262,10 @@
 	tests := map[string]struct {
 		story  string
 		before func(n *network)
-		// within is the time in which all running nodes must have the update.
+		// heal, if there is one, ends the fault a minute after the publication.
+		heal func(n *network)
+		// within is the time in which all running nodes must have the update, from
+		// the publication or the healing.
 		within time.Duration
 	}{
 		"sound": {
@@ -287,6 +291,20 @@
 			before: func(n *network) { n.dieAfterReceipt = headOf(n, manifest(7)) },
 			within: 3 * time.Second,
 		},
+		"a region is cut off for a minute": {
+			story: "The publisher's region loses the others. They go on with what they have, and must catch up when the link is back.",
+			before: func(n *network) {
+				for i, a := range n.nodes {
+					for j, b := range n.nodes {
+						if (a.Region == n.nodes[0].Region) != (b.Region == n.nodes[0].Region) {
+							n.cutBetween(i, j, true)
+						}
+					}
+				}
+			},
+			heal:   (*network).heal,
+			within: 3 * time.Second,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -299,6 +317,10 @@
 				time.Sleep(1500 * time.Millisecond)
 				test.before(n)
 				mustPublish(t, n.running[n.nodes[0].Address], manifest(7))
+				if test.heal != nil {
+					time.Sleep(time.Minute)
+					test.heal(n)
+				}
 				began := time.Now()
 				for time.Since(began) < test.within && len(n.lacking(garnetworks.TopicManifest, version(7))) > 0 {
 					time.Sleep(latency)
--- /dev/null
+++ b/tracker/store_test.go
@@ -0,0 +1,106 @@
+package tracker
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
+)
+
+// racedObjects lets another writer in before the first writes.
+type racedObjects struct {
+	garnetworks.ObjectAPI
+	races int
+	rival func()
+}
+
+func (o *racedObjects) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	if o.races > 0 {
+		o.races--
+		o.rival()
+	}
+	return o.ObjectAPI.Put(ctx, key, value, after)
+}
+
+// TestStore writes a roster against a failing object API. A lost answer must
+// not be taken for a failure, or the roster would be written again and events
+// would tell of a node twice; a rival's change must not be undone.
+func TestStore(t *testing.T) {
+	node := func(id garnetworks.NodeID) garnetworks.NodeInfo {
+		return garnetworks.NodeInfo{ID: id, Incarnation: 5, Zone: "zone-0"}
+	}
+	patch := Patch{Zone: "zone-0", Set: []garnetworks.NodeInfo{node("b")}, Remove: []Removal{{ID: "c", Incarnation: 5}}}
+	tests := map[string]struct {
+		faults faker.FaultPlan
+		races  int
+		kind   garnetworks.Kind
+		nodes  []string
+		writes uint64
+	}{
+		"sound":             {nodes: []string{"a#5", "b#5"}, writes: 1},
+		"answer lost":       {faults: faker.FaultPlan{LoseAnswers: 1, Methods: []string{faker.MethodPut}}, nodes: []string{"a#5", "b#5"}, writes: 1},
+		"unavailable":       {faults: faker.FaultPlan{Unavailable: true, Methods: []string{faker.MethodPut}}, kind: garnetworks.KindConflict, nodes: []string{"a#5", "c#5"}, writes: maxConflicts},
+		"down":              {faults: faker.FaultPlan{Unavailable: true}, kind: garnetworks.KindObjectAPIDown, nodes: []string{"a#5", "c#5"}},
+		"rival":             {races: 1, nodes: []string{"a#5", "b#5", "r#5"}, writes: 2},
+		"rivals every time": {races: maxConflicts, kind: garnetworks.KindConflict, nodes: []string{"a#5", "c#5", "r#5"}, writes: maxConflicts},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			objects := faker.NewObjects(faker.ObjectsOptions{})
+			change := func(change func(*garnetworks.Roster)) { changeRoster(t, objects, change) }
+			change(func(r *garnetworks.Roster) { r.Nodes = []garnetworks.NodeInfo{node("a"), node("c")} })
+			raced := &racedObjects{ObjectAPI: objects, races: test.races, rival: func() {
+				change(func(r *garnetworks.Roster) {
+					r.Nodes = slices.DeleteFunc(r.Nodes, func(n garnetworks.NodeInfo) bool { return n.ID == "r" })
+					r.Nodes = append(r.Nodes, node("r"))
+				})
+			}}
+			tracker := New(Options{Self: node("a"), Objects: raced})
+			objects.SetFaults(test.faults)
+			roster, err := tracker.store(t.Context(), patch)
+			objects.SetFaults(faker.FaultPlan{})
+			if got := garnetworks.KindOf(err); got != test.kind {
+				t.Errorf("got %v, want kind %q", err, test.kind)
+			}
+			stored := changeRoster(t, objects, nil)
+			if !slices.Equal(names(stored.Nodes), test.nodes) {
+				t.Errorf("stored %v, want %v", names(stored.Nodes), test.nodes)
+			}
+			if err == nil && roster.WriteID != stored.WriteID {
+				t.Error("the returned roster is not the stored one")
+			}
+			if writes, _ := tracker.StoreCalls(); writes != test.writes {
+				t.Errorf("%d writes, want %d", writes, test.writes)
+			}
+		})
+	}
+}
+
+// changeRoster changes the stored roster, if change is not nil, and returns it.
+func changeRoster(t *testing.T, objects garnetworks.ObjectAPI, change func(*garnetworks.Roster)) garnetworks.Roster {
+	t.Helper()
+	roster := garnetworks.Roster{Zone: "zone-0"}
+	object, err := objects.Get(t.Context(), RosterPrefix+"zone-0")
+	if err == nil {
+		err = json.Unmarshal(object.Value, &roster)
+	}
+	if err != nil && !garnetworks.IsKind(err, garnetworks.KindNotFound) {
+		t.Fatal(err)
+	}
+	if change == nil {
+		return roster
+	}
+	change(&roster)
+	roster.Version++
+	body, err := json.Marshal(roster)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := objects.Put(t.Context(), RosterPrefix+"zone-0", body, object.Revision); err != nil {
+		t.Fatal(err)
+	}
+	return roster
+}
