--- a/controller/sim_test.go
+++ b/controller/sim_test.go
@@ -386,7 +386,7 @@
 		n.lease.RaiseFloor(s.now, e.RaiseFloor)
 	}
 	if e.GiveAway {
-		n.lease.AwayUntil = s.now.Add(giveAwayFor)
+		n.lease.GiveAway(s.now, giveAwayFor)
 	}
 }
 
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -244,11 +244,11 @@
 }
 
 // GiveAway frees the lease, so that another node can take it, and keeps this
-// node from contending for the given time. Orders end before it is called (L6).
+// node from contending for the given time.
 func (l *Lease) GiveAway(away time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state.AwayUntil = time.Now().Add(away)
+	l.state.GiveAway(time.Now(), away)
 	l.noteLocked()
 	signal(l.wake)
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -144,8 +144,10 @@
 	Floor uint32
 	// Closing says that the node steps down and wants the lease no more.
 	Closing bool
-	// AwayUntil is until when the node leaves the lease to others.
+	// AwayUntil is until when the node leaves the lease to others; it frees its
+	// record at FreeFrom, when its last order can't be in flight any more.
 	AwayUntil time.Time
+	FreeFrom  time.Time
 
 	// sent are the newest writes, oldest first. A write whose answer was lost can
 	// take effect after a read that did not show it yet, so they stay.
@@ -198,6 +200,13 @@
 	return s.Holding && Age(now, s.HeldFrom) >= s.Settings.Duration
 }
 
+// GiveAway leaves the lease to other nodes for the given time. From now on the
+// node may send no order; its record is freed once those it sent have ended (L6).
+func (s *State) GiveAway(now time.Time, away time.Duration) {
+	s.FreeFrom = now.Add(s.Settings.OrderBound)
+	s.AwayUntil = now.Add(max(away, 2*s.Settings.OrderBound))
+}
+
 // RaiseFloor makes the node's next record carry a term above floor. A holder
 // whose term is not above it takes a new term with its next write: tokens of its
 // term would go backwards (rule G3), because the record was deleted or restored
@@ -238,6 +247,9 @@
 }
 
 func (s *State) nextOfHolder(now time.Time, writeID string) Action {
+	if now.Before(s.AwayUntil) && now.Before(s.FreeFrom) {
+		return Action{Kind: ActionWait, At: s.FreeFrom}
+	}
 	if s.Closing || now.Before(s.AwayUntil) {
 		return s.write(now, s.emptyRecord(writeID))
 	}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -145,6 +145,10 @@
 				w.nodes[n].paused = w.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(rt, "seconds")) * time.Second)
 			},
 			"restart": func(rt *rapid.T) { n := rapid.IntRange(0, 2).Draw(rt, "node"); w.add(n, w.nodes[n].skew) },
+			"give-away": func(rt *rapid.T) {
+				c := w.nodes[rapid.IntRange(0, 2).Draw(rt, "node")]
+				c.GiveAway(c.clock(w.now), 20*time.Second)
+			},
 			"floor": func(rt *rapid.T) {
 				c := w.nodes[rapid.IntRange(0, 2).Draw(rt, "node")]
 				c.RaiseFloor(c.clock(w.now), w.record.Term)
