Hold rosters that are read, in place of spreading them

Cause: found in review: each starting node read all rosters and published them, as it held none yet; 330 nodes that start together would have sent 8 rosters to 329 others each, 870,000 messages by calculation. Change: a roster of a zone that was not known is held for peers that ask; only one that is newer than the known is spread, since its writer may have died. Conclusion: with Publish in place of Hold TestReadRosters fails.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -167,25 +167,25 @@
 // held one is refused with KindConflict, one above a bound with KindTooLarge.
 func (d *Distributor) Publish(update garnetworks.Update) error {
 	d.mu.Lock()
-	result := d.take(update)
-	if result == taken {
+	r := d.take(update)
+	if r == taken {
 		d.unsent.Add(update.Topic)
-	}
-	held := d.store.held[update.Topic].Version
-	d.mu.Unlock()
-	switch result {
-	case taken:
 		d.counters.published.Add(1)
-		signal(d.applyReady)
-		signal(d.sendReady)
-		return nil
-	case tooLarge, tooMany:
-		return garnetworks.Errorf(garnetworks.KindTooLarge, "topic %s: body of %d bytes or one topic too many", update.Topic, len(update.Body))
-	case duplicate:
-		return nil
-	default:
-		return garnetworks.Errorf(garnetworks.KindConflict, "topic %s: version %v is not above %v", update.Topic, update.Version, held)
 	}
+	d.mu.Unlock()
+	signal(d.applyReady)
+	signal(d.sendReady)
+	return r.error(update)
+}
+
+// Hold takes a new value as Publish does, but leaves its spreading to repair. It
+// is for values that many nodes read at once from the same place.
+func (d *Distributor) Hold(update garnetworks.Update) error {
+	d.mu.Lock()
+	r := d.take(update)
+	d.mu.Unlock()
+	signal(d.applyReady)
+	return r.error(update)
 }
 
 // take puts the update into the store and counts what became of it. The caller
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -23,6 +23,18 @@
 	tooMany     result = "too-many"
 )
 
+// error says why an update was refused; nil if it is held now.
+func (r result) error(u garnetworks.Update) error {
+	switch r {
+	case taken, duplicate:
+		return nil
+	case tooLarge, tooMany:
+		return garnetworks.Errorf(garnetworks.KindTooLarge, "topic %s: %s, body of %d bytes", u.Topic, r, len(u.Body))
+	default:
+		return garnetworks.Errorf(garnetworks.KindConflict, "topic %s: version %v is %s", u.Topic, u.Version, r)
+	}
+}
+
 // store holds the newest value of each topic. It is pure and not safe for
 // concurrent use.
 type store struct {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -285,6 +285,7 @@
 		Peers:      r.client,
 		Recorder:   r.events,
 		Publish:    r.distributor.Publish,
+		Hold:       r.distributor.Hold,
 		Passengers: []tracker.Passenger{r.distributor},
 		Superseded: func() { close(r.superseded) },
 		Log:        func(err error) { r.log.Warn("membership", "error", err) },
--- a/tracker/store.go
+++ b/tracker/store.go
@@ -49,20 +49,30 @@
 	return nil
 }
 
-// learn takes a roster that was read, and spreads it: its writer may have died
-// before it could.
+// learn takes a roster that was read. If it is newer than a known one, its
+// writer may have died before it could spread it; this node does so in its
+// place. One of a zone that was not known is only held for peers that ask:
+// when a whole site starts, each node reads all rosters at once, and would send
+// each of them to all others.
 func (t *Tracker) learn(ctx context.Context, roster garnetworks.Roster) {
+	known, ok := t.Roster(roster.Zone)
 	t.step(ctx, RosterLearned{Roster: roster})
-	t.spread(roster)
+	switch {
+	case !ok:
+		t.hand(roster, t.options.Hold)
+	case known.Version < roster.Version:
+		t.hand(roster, t.options.Publish)
+	}
 }
 
-func (t *Tracker) spread(roster garnetworks.Roster) {
+// hand gives a roster to the distribution.
+func (t *Tracker) hand(roster garnetworks.Roster, take func(garnetworks.Update) error) {
 	body, err := json.Marshal(roster)
 	if err != nil {
 		t.options.Log(errors.Wrap(err, "can't encode a roster"))
 		return
 	}
-	err = t.options.Publish(garnetworks.Update{
+	err = take(garnetworks.Update{
 		Topic:   garnetworks.TopicRoster + garnetworks.Topic(roster.Zone),
 		Version: garnetworks.UpdateVersion{Sequence: roster.Version},
 		Body:    body,
@@ -106,7 +116,7 @@
 		t.options.Log(err)
 		return
 	}
-	t.spread(roster)
+	t.hand(roster, t.options.Publish)
 }
 
 func (t *Tracker) store(ctx context.Context, patch Patch) (garnetworks.Roster, error) {
--- a/tracker/store_test.go
+++ b/tracker/store_test.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// TestReadRosters: A whole site starts again, and each of its nodes reads the
+// rosters of all zones. Spread by each, they would be sent hundreds of
+// thousands of times; but one whose writer died before it spread it must be.
+func TestReadRosters(t *testing.T) {
+	objects := faker.NewObjects(faker.ObjectsOptions{})
+	written := changeRoster(t, objects, func(r *garnetworks.Roster) { r.Nodes = []garnetworks.NodeInfo{{ID: "a"}} })
+	var held, published []uint64
+	note := func(versions *[]uint64) func(garnetworks.Update) error {
+		return func(u garnetworks.Update) error {
+			*versions = append(*versions, u.Version.Sequence)
+			return nil
+		}
+	}
+	tracker := New(Options{
+		Self: garnetworks.NodeInfo{ID: "z", Zone: "zone-1"}, Objects: objects,
+		Publish: note(&published), Hold: note(&held),
+	})
+	for range 2 {
+		if err := tracker.list(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	newer := changeRoster(t, objects, func(*garnetworks.Roster) {})
+	if err := tracker.list(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(held, []uint64{written.Version}) || !slices.Equal(published, []uint64{newer.Version}) {
+		t.Errorf("held %v and published %v, want %d and %d", held, published, written.Version, newer.Version)
+	}
+}
+
 // changeRoster changes the stored roster, if change is not nil, and returns it.
 func changeRoster(t *testing.T, objects garnetworks.ObjectAPI, change func(*garnetworks.Roster)) garnetworks.Roster {
 	t.Helper()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -103,9 +103,12 @@
 	Peers   garnetworks.PeerCaller
 	// Recorder may be nil.
 	Recorder garnetworks.Recorder
-	// Publish spreads a roster that was written or read; the distributor's
-	// Publish. It may be nil.
-	Publish    func(garnetworks.Update) error
+	// Publish spreads a roster that was written; the distributor's Publish. It
+	// may be nil.
+	Publish func(garnetworks.Update) error
+	// Hold keeps a roster that was read for peers that ask; the distributor's
+	// Hold. It may be nil.
+	Hold       func(garnetworks.Update) error
 	Passengers []Passenger
 	// Superseded is called once when another process took this node's name; the
 	// process should stop. It may be nil.
@@ -143,6 +146,9 @@
 	if options.Publish == nil {
 		options.Publish = func(garnetworks.Update) error { return nil }
 	}
+	if options.Hold == nil {
+		options.Hold = func(garnetworks.Update) error { return nil }
+	}
 	if options.Superseded == nil {
 		options.Superseded = func() {}
 	}
