Route no new work to servers that are leaving, whoever says so first

Cause: the parts that join the signs of leaving were wired nowhere; a flapping instance list took a leaving server back into use. Change: the runner feeds the list's rows, probes' own words and zone views to drainer, and marks each view before the router sees it. The scenarios run on any shape of site; control cost can be measured (COST=n go test ./runner -run TestControlCost -v).

--- a/pulser/pulser.go
+++ b/pulser/pulser.go
@@ -136,8 +136,9 @@
 }
 
 type taken struct {
-	pulse pulse
-	at    time.Time
+	pulse   pulse
+	version garnetworks.UpdateVersion
+	at      time.Time
 }
 
 // NewReceiver returns a receiver for the zone that holds nothing.
@@ -146,6 +147,8 @@
 // Joined is the zone's view as it was confirmed at a time.
 type Joined struct {
 	View garnetworks.ZoneView
+	// Version is that of the pulse.
+	Version garnetworks.UpdateVersion
 	// At is when the view was fresh by the receiver's clock, at the latest.
 	At time.Time
 }
@@ -193,7 +196,7 @@
 		return none, garnetworks.WrapError(garnetworks.KindInvalidRequest, err, "decode a zone pulse")
 	}
 	r.newest = u.Version
-	return r.join(taken{pulse: p, at: now.Add(-r.late(now, u.Version.Term, p))}), nil
+	return r.join(taken{pulse: p, version: u.Version, at: now.Add(-r.late(now, u.Version.Term, p))}), nil
 }
 
 // late returns how much longer the pulse took than the quickest one of its
@@ -242,7 +245,7 @@
 		}
 	}
 	view.Measures = unpackMeasures(t.pulse.Measures)
-	return garnetworks.Some(Joined{View: view, At: t.at})
+	return garnetworks.Some(Joined{View: view, Version: t.version, At: t.at})
 }
 
 func packMeasures(m garnetworks.Measures) []int64 {
--- a/runner/control.go
+++ b/runner/control.go
@@ -8,7 +8,7 @@
 
 // joinControl makes the controllers of the zone and of the site.
 func (r *Runner) joinControl() error {
-	r.listed = &listCache{InstanceList: r.platform.Instances}
+	r.listed = &listCache{InstanceList: r.platform.Instances, signs: r.signs}
 	times := controller.DefaultTimes()
 	times.PublishEvery = pulser.Interval // nodes of other zones know of the groups' confirmation by these alone
 	var err error
--- /dev/null
+++ b/runner/cost_test.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/metrics"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// eightZones returns the first n of the zones of the design size.
+func eightZones(n int) []garnetworks.ZoneID {
+	all := []garnetworks.ZoneID{"zone-a", "zone-b", "zone-c", "zone-d", "zone-e", "zone-f", "zone-g", "zone-h"}
+	return all[:n]
+}
+
+// costShapes grow towards the design size, 8 zones of 41 nodes and 75 engines.
+var costShapes = []shape{
+	{zones: eightZones(3), nodes: 2, engines: 22, on: 21, groups: 15},
+	{zones: eightZones(4), nodes: 6, engines: 36, on: 34, groups: 32},
+	{zones: eightZones(8), nodes: 6, engines: 36, on: 34, groups: 64},
+	{zones: eightZones(8), nodes: 12, engines: 75, on: 72, groups: 144},
+	{zones: eightZones(8), nodes: 24, engines: 75, on: 72, groups: 144},
+	{zones: eightZones(8), nodes: 41, engines: 75, on: 72, groups: 144},
+}
+
+// cpuSeconds returns the processor time that this process's Go code has used.
+func cpuSeconds() float64 {
+	sample := []metrics.Sample{{Name: "/cpu/classes/user:cpu-seconds"}}
+	runtime.GC() // the runtime brings the estimate up to date
+	metrics.Read(sample)
+	return sample[0].Value.Float64()
+}
+
+// TestControlCost measures what a node spends on control while nothing fails and
+// no caller calls: messages, bytes, processor time, memory, and the calls to the
+// object API of the whole site. It runs only where COST is set to the number of
+// shapes to measure, since the large ones take minutes.
+func TestControlCost(t *testing.T) {
+	count := 0
+	if _, err := fmt.Sscan(os.Getenv("COST"), &count); err != nil {
+		t.Skip("COST is not set")
+	}
+	for _, size := range costShapes[:min(count, len(costShapes))] {
+		size.cap = engineWatts * garnetworks.Watts(len(size.zones)*size.engines) * 2
+		size.weight = 32 << 20
+		t.Run(fmt.Sprintf("nodes=%d,engines=%d", len(size.zones)*size.nodes, len(size.zones)*size.engines), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { measureCost(t, size) })
+		})
+	}
+}
+
+const (
+	costSettle = 30 * time.Second
+	costWindow = 60 * time.Second
+)
+
+func measureCost(t *testing.T, size shape) {
+	s := newVirtualSite(t, size)
+	defer s.close()
+	begun := time.Now()
+	s.begin()
+	formed := time.Since(begun)
+	time.Sleep(costSettle)
+
+	before, cpu, calls := s.traffic(), cpuSeconds(), s.objects.Counts()
+	time.Sleep(costWindow)
+	after, used, callsNow := s.traffic(), cpuSeconds()-cpu, s.objects.Counts()
+
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	nodes, seconds := float64(len(s.nodes)), costWindow.Seconds()
+	var bytes, messages, most float64
+	var worst garnetworks.NodeID
+	for id := range s.nodes {
+		sent := float64(after[id].BytesSent - before[id].BytesSent)
+		received := float64(after[id].BytesReceived - before[id].BytesReceived)
+		bytes += sent + received
+		messages += float64(after[id].MessagesSent - before[id].MessagesSent)
+		if sent+received > most {
+			most, worst = sent+received, id
+		}
+	}
+	t.Logf("formed in %v; a node: %.0f B/s (worst %s %.0f B/s), %.1f messages/s, %.2f %% of a core with its stand-ins, %.1f MB; site: %v calls to the object API in %v",
+		formed, bytes/nodes/seconds, worst, most/seconds, messages/nodes/seconds, 100*used/nodes/seconds,
+		float64(memory.HeapInuse)/nodes/1e6, difference(callsNow, calls), costWindow)
+}
+
+func difference(now, before map[string]uint64) map[string]uint64 {
+	d := make(map[string]uint64, len(now))
+	for method, n := range now {
+		d[method] = n - before[method]
+	}
+	return d
+}
--- a/runner/faults_test.go
+++ b/runner/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,9 @@
 	groupBack = 45 * time.Second
 	// manifestMoves is the users' bound for a change to be in force.
 	manifestMoves = 14 * time.Second
+	// listedWithin is the lag of the instance list and the time between two
+	// reads of it.
+	listedWithin = 12 * time.Second
 )
 
 var scenarios = map[string]scenario{
@@ -265,6 +269,39 @@
 			}
 		},
 	},
+	"backend servers are leaving": {
+		story: "A ledger server's row says that it is leaving, and an engine says so " +
+			"itself. Three seconds later neither gets new work, calls go on, and the " +
+			"engine's place is taken by another.",
+		models: true,
+		run: func(s *virtualSite) {
+			row := ledgerRow("zone-b")
+			row.State = garnetworks.ListedLeaving
+			s.list.Report(row)
+			leaving := s.memberIn("zone-a")
+			s.fleet.Engine(leaving).SetLeaving()
+			// The list shows changes 2 s late and is read once in a while.
+			time.Sleep(listedWithin + garnetworks.LeavingBound)
+			before, group := s.ledgers[1].Executions(), s.groupOf(leaving)
+			attempts, _ := s.fleet.Attempts()
+			time.Sleep(10 * time.Second)
+			if ran := s.ledgers[1].Executions() - before; ran > 0 {
+				s.t.Errorf("%d calls ran at the leaving ledger server", ran)
+			}
+			later, _ := s.fleet.Attempts()
+			for _, a := range later[len(attempts):] {
+				if a.Group == group {
+					s.t.Errorf("call %s was sent to group %s of the leaving engine", a.Call, a.Group)
+				}
+			}
+			s.within(groupBack, "all groups serve without the engine", func() string {
+				if s.groupOf(leaving) != "" {
+					return "the engine is still a member"
+				}
+				return s.serving("zone-b-n0", groupsWanted)()
+			})
+		},
+	},
 	"a new version is rolled out": {
 		story: "A manifest brings a new version of the model. Groups move to it one " +
 			"after the other; calls go on all the time.",
@@ -327,6 +364,18 @@
 	}
 }
 
+// groupOf returns the group that the instance is a member of, by the views.
+func (s *virtualSite) groupOf(id garnetworks.InstanceID) garnetworks.GroupID {
+	for _, view := range s.nodes["zone-b-n0"].views.all() {
+		for i := range view.Groups {
+			if slices.Contains(view.Groups[i].Members, id) {
+				return view.Groups[i].ID
+			}
+		}
+	}
+	return ""
+}
+
 // refused returns how many calls were refused as not run by the kind.
 func (l *load) refused(what string, kind garnetworks.Kind) int {
 	l.mu.Lock()
@@ -352,9 +401,10 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				t.Log(tt.story)
-				s := newVirtualSite(t)
+				s := newVirtualSite(t, smallShape)
 				defer s.close()
 				s.begin()
+				s.startLoad()
 				tt.run(s)
 				if tt.models {
 					s.modelsComplete()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -38,6 +38,7 @@
 	"github.com/garnetworks/garnetworks/configurer"
 	"github.com/garnetworks/garnetworks/controller"
 	"github.com/garnetworks/garnetworks/distributor"
+	"github.com/garnetworks/garnetworks/drainer"
 	"github.com/garnetworks/garnetworks/forwarder"
 	"github.com/garnetworks/garnetworks/keymaker"
 	"github.com/garnetworks/garnetworks/messenger"
@@ -113,6 +114,8 @@
 	zone        *controller.Zone
 	site        *controller.Site
 
+	// signs tells which backend servers are leaving.
+	signs   *drainer.Shared
 	views   *views
 	reports *reports
 	listed  *listCache
@@ -244,6 +247,7 @@
 		Orders:   r.platform.Orders,
 		Recorder: r.events,
 	})
+	r.signs = drainer.NewShared(drainer.Options{})
 	r.views = newViews(r)
 	r.reports = newReports(r)
 	r.joinPeers()
@@ -499,6 +503,8 @@
 	r.admitter.SetCapacity(r.router.Capacities(now))
 	r.claimer.SetRoster(nodes)
 	r.views.refresh(now, nodes)
+	r.views.takeOwnWords(now)
+	r.signs.Update(func(d *drainer.Drainer) { d.Expire(now) })
 	r.zone.Lease().SetContenders(zoneNodes(nodes, r.self.Zone))
 	r.site.Lease().SetContenders(zoneNodes(nodes, ""))
 	r.meter.InFlight(r.server.InFlight())
--- a/runner/views.go
+++ b/runner/views.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/drainer"
 	"github.com/garnetworks/garnetworks/prober"
 	"github.com/garnetworks/garnetworks/pulser"
 )
@@ -53,13 +54,46 @@
 		return true
 	}
 	if j, ok := joined.Get(); ok {
-		v.r.router.SetView(j.At, j.View)
+		v.r.signs.Update(func(d *drainer.Drainer) { d.Controller(time.Now(), j.Version, &j.View) })
+		v.route(j)
 		v.r.meter.View(j.View)
 		v.setTargets(j.View)
 	}
 	return true
 }
 
+// route hands a view to the router with all signs of leaving servers in it
+// (rule G8).
+func (v *views) route(j pulser.Joined) {
+	v.r.router.SetView(j.At, v.r.signs.Snapshot().Mark(&j.View))
+}
+
+// takeOwnWords looks for engines of the own zone that say that they are leaving;
+// a probe hears that before the instance list or the controller does.
+func (v *views) takeOwnWords(now time.Time) {
+	joined, ok := v.own()
+	if !ok {
+		return
+	}
+	known := v.r.signs.Snapshot()
+	var words []garnetworks.EngineStatus
+	for _, e := range joined.View.Engines {
+		status, _, heard := v.r.prober.Table().Status(e.Instance)
+		if heard && status.Leaving == known.Server(e.Instance) {
+			words = append(words, status)
+		}
+	}
+	if len(words) == 0 {
+		return
+	}
+	v.r.signs.Update(func(d *drainer.Drainer) {
+		for i := range words {
+			d.OwnWord(now, &words[i])
+		}
+	})
+	v.route(joined)
+}
+
 func (v *views) receive(zone garnetworks.ZoneID, u garnetworks.Update) (garnetworks.Option[pulser.Joined], error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -191,6 +225,7 @@
 // so that the view can name the engines without another read.
 type listCache struct {
 	garnetworks.InstanceList
+	signs *drainer.Shared
 
 	mu   sync.Mutex
 	rows []garnetworks.ListedInstance
@@ -203,6 +238,7 @@
 		l.mu.Lock()
 		l.rows = rows
 		l.mu.Unlock()
+		l.signs.Update(func(d *drainer.Drainer) { d.List(time.Now(), rows) })
 	}
 	return rows, err
 }
--- a/runner/virtual_test.go
+++ b/runner/virtual_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,19 +14,22 @@
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/configurer"
 	"github.com/garnetworks/garnetworks/faker"
+	"github.com/garnetworks/garnetworks/messenger"
 )
 
 // virtualSite is a site on the test clock: the real nodes, joined by a network in
 // memory, on stand-ins in process. It runs inside a synctest bubble.
 type virtualSite struct {
-	t        *testing.T
+	t        testing.TB
+	size     shape
 	network  *memoryNetwork
 	objects  *faker.Objects
 	list     *faker.InstanceList
 	fleet    *faker.Fleet
 	power    *faker.Power
 	services *faker.Services
-	service  *faker.Service
+	// ledgers are the servers of the plain service, in zone-a and zone-b.
+	ledgers  []*faker.Service
 	nodes    map[garnetworks.NodeID]*virtualNode
 	key      string
 	load     *load
@@ -45,49 +49,84 @@
 }
 
 const (
-	nodesPerZone  = 2
 	groupsWanted  = 3
 	virtualCap    = garnetworks.Watts(16000)
 	engineWatts   = garnetworks.Watts(1000)
 	virtualTokens = 20
 )
 
-func newVirtualSite(t *testing.T) *virtualSite {
+// domainEngines is the number of engines in a fabric domain.
+const domainEngines = 16
+
+// shape is the size of a site.
+type shape struct {
+	zones []garnetworks.ZoneID
+	// nodes, engines and on are numbers in each zone; the first engines are on.
+	nodes, engines, on int
+	// groups is the number of groups wanted over the site.
+	groups int
+	cap    garnetworks.Watts
+	// weight is the size of a version's weights on one engine, loaded at 1 GB/s
+	// over the site.
+	weight int64
+}
+
+// smallShape has one group in each zone, with a powered spare and one that is
+// off.
+var smallShape = shape{zones: zones, nodes: 2, engines: 6, on: 5, groups: groupsWanted, cap: virtualCap, weight: 1 << 30}
+
+func newVirtualSite(t testing.TB, size shape) *virtualSite {
 	t.Helper()
-	s := &virtualSite{t: t, network: newMemoryNetwork(), services: new(faker.Services), nodes: make(map[garnetworks.NodeID]*virtualNode)}
-	weights := faker.NewWeightStore(1<<30, map[garnetworks.WeightID]int64{{Model: "chat", Version: "v1"}: 1 << 30, {Model: "chat", Version: "v2"}: 1 << 30})
+	s := &virtualSite{t: t, size: size, network: newMemoryNetwork(), services: new(faker.Services), nodes: make(map[garnetworks.NodeID]*virtualNode)}
+	weights := faker.NewWeightStore(1<<30, map[garnetworks.WeightID]int64{{Model: "chat", Version: "v1"}: size.weight, {Model: "chat", Version: "v2"}: size.weight})
 	s.objects = faker.NewObjects(faker.ObjectsOptions{WritesPerSecond: 300, ReadsPerSecond: 2000})
 	s.list = faker.NewInstanceList(2 * time.Second)
 	s.fleet = faker.NewFleet(weights, s.list)
 	s.power = faker.NewPower(s.fleet)
-	for _, zone := range zones {
+	for _, zone := range size.zones {
 		s.addEngines(zone)
 	}
-	s.service = faker.NewService("ledger", 5*time.Millisecond)
-	s.services.Add("zone-a-ledger:80", s.service)
-	s.list.Report(garnetworks.ListedInstance{
-		ID: "ledger-1", Address: "zone-a-ledger:80", Zone: "zone-a", Class: "small", State: garnetworks.ListedLive, Service: "ledger",
-	})
-	for _, zone := range zones {
-		for i := range nodesPerZone {
+	for i, zone := range size.zones[:2] {
+		s.ledgers = append(s.ledgers, faker.NewService("ledger", 5*time.Millisecond))
+		s.services.Add(ledgerRow(zone).Address, s.ledgers[i])
+		s.list.Report(ledgerRow(zone))
+	}
+	for _, zone := range size.zones {
+		for i := range size.nodes {
 			s.startNode(nodeName(zone, i), zone, weights)
 		}
 	}
 	return s
 }
 
+func ledgerRow(zone garnetworks.ZoneID) garnetworks.ListedInstance {
+	return garnetworks.ListedInstance{
+		ID: garnetworks.InstanceID(zone + "-ledger"), Address: string(zone) + "-ledger:80", Zone: zone,
+		Class: "small", State: garnetworks.ListedLive, Service: "ledger",
+	}
+}
+
+// executions counts how often a keyed call ran, at any server.
+func (s *virtualSite) executions(key string) int {
+	sum := 0
+	for _, l := range s.ledgers {
+		sum += l.ExecutionsByKey(key)
+	}
+	return sum
+}
+
 func nodeName(zone garnetworks.ZoneID, i int) garnetworks.NodeID {
 	return garnetworks.NodeID(fmt.Sprintf("%s-n%d", zone, i))
 }
 
 func (s *virtualSite) addEngines(zone garnetworks.ZoneID) {
-	for i := range enginesPerZone {
+	for i := range s.size.engines {
 		id := garnetworks.InstanceID(fmt.Sprintf("%s-e%d", zone, i))
 		s.fleet.Add(faker.EngineSpec{
 			ListedInstance: garnetworks.ListedInstance{
-				ID: id, Address: string(id) + ":80", Zone: zone, Domain: garnetworks.DomainID(zone + "-d"), Class: "big", State: garnetworks.ListedLive,
+				ID: id, Address: string(id) + ":80", Zone: zone, Domain: garnetworks.DomainID(fmt.Sprintf("%s-d%d", zone, i/domainEngines)), Class: "big", State: garnetworks.ListedLive,
 			},
-			Watts: engineWatts, On: i < 5, Boot: 5 * time.Second, ChecksFencing: true,
+			Watts: engineWatts, On: i < s.size.on, Boot: 5 * time.Second, ChecksFencing: true,
 			FirstToken: 50 * time.Millisecond, PerToken: 20 * time.Millisecond,
 		})
 	}
@@ -98,7 +137,7 @@
 	n := &virtualNode{objects: s.objects.View(), done: make(chan error, 1)}
 	cut := &cutPlatform{node: n, site: s, weights: weights}
 	settings := configurer.Settings{
-		Node: id, Zone: zone, Region: "region-1",
+		Node: id, Zone: zone, Region: s.region(zone),
 		Listen:     configurer.Listen{Callers: string(id) + ":callers", Peers: string(id) + ":peers", Admin: string(id) + ":admin"},
 		Limits:     configurer.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, HeaderTime: time.Second, Connections: 100},
 		DrainGrace: 20 * time.Second,
@@ -125,6 +164,12 @@
 	return n
 }
 
+// region returns the region of a zone: three zones to each.
+func (s *virtualSite) region(zone garnetworks.ZoneID) garnetworks.RegionID {
+	i := slices.Index(s.size.zones, zone)
+	return garnetworks.RegionID(fmt.Sprintf("region-%d", i/3+1))
+}
+
 // close ends everything, so that the bubble can end.
 func (s *virtualSite) close() {
 	if s.stopLoad != nil {
@@ -239,7 +284,7 @@
 				s.network.setCut(id, other, cut)
 			}
 		}
-		for _, z := range append([]garnetworks.ZoneID{""}, zones...) {
+		for _, z := range append([]garnetworks.ZoneID{""}, s.size.zones...) {
 			apart := (n.self.Zone == zone) != (z == zone)
 			if !apart || (z == "" && n.self.Zone != zone) {
 				continue
@@ -264,7 +309,7 @@
 			s.network.setCut(id, other, true)
 		}
 	}
-	for _, z := range append([]garnetworks.ZoneID{""}, zones...) {
+	for _, z := range append([]garnetworks.ZoneID{""}, s.size.zones...) {
 		n.cut.Store(z, true)
 	}
 	n.objects.SetFaults(faker.FaultPlan{Down: true})
@@ -281,11 +326,22 @@
 	}
 	text = strings.Replace(text, "power-cap-watts: 40000", fmt.Sprintf("power-cap-watts: %d", powerCap), 1)
 	text = strings.Replace(text, "version: v1", "version: "+version, 1)
+	text = strings.Replace(text, "min-groups: 3", fmt.Sprintf("min-groups: %d", s.size.groups), 1)
+	text = strings.Replace(text, "max-groups: 3", fmt.Sprintf("max-groups: %d", s.size.groups), 1)
+	text = strings.Replace(text, "  - {name: zone-a, region: region-1}\n  - {name: zone-b, region: region-1}\n  - {name: zone-c, region: region-1}\n", s.zoneLines(), 1)
 	text = strings.Replace(text, "boot-time: 1s", "boot-time: 5s", 1)
-	text = strings.Replace(text, "weight-bytes: 1048576", "weight-bytes: 1073741824", 1)
+	text = strings.Replace(text, "weight-bytes: 1048576", fmt.Sprintf("weight-bytes: %d", s.size.weight), 1)
 	return keyLine.ReplaceAllString(text, fmt.Sprintf(`key-hashes: ["%s"]`, hashOf(s.key)))
 }
 
+func (s *virtualSite) zoneLines() string {
+	var b strings.Builder
+	for i, zone := range s.size.zones {
+		fmt.Fprintf(&b, "  - {name: %s, region: region-%d}\n", zone, i/3+1)
+	}
+	return b.String()
+}
+
 // propose hands a manifest to a node and returns its progress.
 func (s *virtualSite) propose(node garnetworks.NodeID, id string, base garnetworks.Generation, text string) (garnetworks.CommitProgress, error) {
 	response, err := s.nodes[node].committer.Propose(context.Background(), &garnetworks.ProposeRequest{
@@ -345,15 +401,14 @@
 	}
 }
 
-// began brings the site to where all groups serve under load.
+// begin brings the site to where all groups serve.
 func (s *virtualSite) begin() {
 	s.t.Helper()
-	if _, err := s.propose(nodeName("zone-a", 0), "first", 0, s.manifestText(virtualCap, "v1")); err != nil {
+	if _, err := s.propose(nodeName("zone-a", 0), "first", 0, s.manifestText(s.size.cap, "v1")); err != nil {
 		s.t.Fatal(err)
 	}
 	s.within(30*time.Second, "the first manifest in force", s.inForce(nodeName("zone-b", 1), "first"))
-	s.within(2*time.Minute, "all groups serve", s.serving(nodeName("zone-c", 0), groupsWanted))
-	s.startLoad()
+	s.within(2*time.Minute, "all groups serve", s.serving(nodeName("zone-c", 0), s.size.groups))
 }
 
 // answerOf calls a node in process.
@@ -382,8 +437,6 @@
 	outcomes map[string]int
 	faults   []string
 	keys     atomic.Int64
-	peak     garnetworks.Watts
-	holders  int
 }
 
 func (s *virtualSite) startLoad() {
@@ -443,7 +496,7 @@
 		key := fmt.Sprintf("visit-%d", l.keys.Add(1))
 		first := n.answerOf(ctx, l.site.key, "POST", "/services/ledger/visits", key, `{"visit":"`+key+`"}`)
 		l.count("ledger", first)
-		ran := l.site.service.ExecutionsByKey(key)
+		ran := l.site.executions(key)
 		if first.outcome == string(garnetworks.OutcomeNotRun) && ran > 0 {
 			l.fault("node %s: call %s ran %d times behind not-run: %+v", id, key, ran, first)
 		}
@@ -453,7 +506,7 @@
 		}
 		second := other.answerOf(ctx, l.site.key, "POST", "/services/ledger/visits", key, `{"visit":"`+key+`"}`)
 		l.count("ledger again", second)
-		if ran := l.site.service.ExecutionsByKey(key); ran > 1 {
+		if ran := l.site.executions(key); ran > 1 {
 			l.fault("call %s ran %d times: %+v, then %+v", key, ran, first, second)
 		}
 		if first.outcome == string(garnetworks.OutcomeCompleted) && second.outcome == string(garnetworks.OutcomeCompleted) && first.body != second.body {
@@ -475,8 +528,8 @@
 func (l *load) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
-		if draw := l.site.fleet.Draw(); draw > virtualCap {
-			l.fault("the site draws %d W over its cap of %d W", draw, virtualCap)
+		if draw := l.site.fleet.Draw(); draw > l.site.size.cap {
+			l.fault("the site draws %d W over its cap of %d W", draw, l.site.size.cap)
 		}
 		holders := make(map[string][]garnetworks.NodeID)
 		for id, n := range l.site.nodes {
@@ -521,3 +574,12 @@
 	defer l.mu.Unlock()
 	return l.outcomes[what+" completed "]
 }
+
+// traffic returns each node's counters of peer traffic.
+func (s *virtualSite) traffic() map[garnetworks.NodeID]messenger.TrafficCount {
+	counts := make(map[garnetworks.NodeID]messenger.TrafficCount)
+	for id, n := range s.nodes {
+		counts[id] = n.Runner.traffic.Count()
+	}
+	return counts
+}
