Prove that foreign programs on either end do no harm

Cause: a wrong port in a setting, or another program on the peer address, was not tried. Change: tables of foreign servers and foreign clients. Conclusion: no fault found; calls end with a kind in their time, nodes are served on.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -184,8 +184,10 @@
 	defer cancel()
 	watch := watchProgress(conn.metered, progressBound(ctx, conn, r.progress), cancel)
 	c.options.Traffic.messagesSent.Add(1)
-	err = conn.Invoke(ctx, r.name, Encoding{}, request, answer)
+	var size sizedEncoding
+	err = conn.Invoke(ctx, r.name, &size, request, answer)
 	silent := watch.stop()
+	c.options.Traffic.add(r.name, len(request), size.read)
 	if err == nil {
 		c.options.Traffic.messagesReceived.Add(1)
 		c.giveBack(conn)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -259,6 +259,81 @@
 	})
 }
 
+// TestForeignServer: A setting names the wrong port, and something else answers
+// there. The call must end with a kind in its time, and the process must live.
+func TestForeignServer(t *testing.T) {
+	tests := map[string]func(net.Conn){
+		"closes at once": func(net.Conn) {},
+		"greets":         func(c net.Conn) { _, _ = c.Write([]byte("SSH-2.0-Server_9.7\r\n" + strings.Repeat("x", 300))) },
+		"answers HTTP": func(c net.Conn) {
+			_, _ = c.Read(make([]byte, 512))
+			_, _ = c.Write([]byte("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n400 Bad Request"))
+		},
+		"sends without end": func(c net.Conn) {
+			for {
+				if _, err := c.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		},
+		"says nothing": func(c net.Conn) { _, _ = io.Copy(io.Discard, c) },
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			listener := must(Listen("127.0.0.1:0", nil, false))
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = conn.Close() }()
+						answer(conn)
+					}()
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := newTestClient(t, ClientOptions{}).Heartbeat(ctx, listener.Addr().String(), &garnetworks.HeartbeatRequest{})
+			if !garnetworks.IsKind(err, garnetworks.KindAnswerLost, garnetworks.KindUnreachable) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// TestForeignClient: Something that speaks another protocol, or sends what no
+// node sends, connects to the peer address. Nodes must be served on.
+func TestForeignClient(t *testing.T) {
+	address := serveTest(t, ServerOptions{Handler: &handler{}})
+	frames := map[string][]byte{
+		"HTTP":             []byte("GET / HTTP/1.1\r\nHost: entry\r\n\r\n"),
+		"message first":    {0x05, 0x01, 0x01, 0x02, 0x00, 0xa0},
+		"close first":      {0x0b, 0x01, 0x01, 0x00},
+		"unknown method":   append([]byte{0x03, 0x01, 0x01, 0x04}, "stop"...),
+		"empty message":    append(append([]byte{0x03, 0x01, 0x01, 0x09}, "heartbeat"...), 0x05, 0x01, 0x02, 0x00),
+		"message too long": append([]byte{0x04, 0x01, 0x01, 0xff, 0xff, 0xff, 0x7f}, make([]byte, MaxMessageBytes+8192)...),
+		"frames backwards": {0x03, 0x09, 0x09, 0x00, 0x03, 0x01, 0x01, 0x00},
+	}
+	for name, frame := range frames {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(100 * time.Millisecond))
+			_, _ = conn.Write(frame)
+			_, _ = conn.Read(make([]byte, 512))
+			if _, err := newTestClient(t, ClientOptions{}).Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{}); err != nil {
+				t.Errorf("a node is not served any more: %v", err)
+			}
+		})
+	}
+}
+
 func TestCheckAddress(t *testing.T) {
 	tests := map[string]struct {
 		address           string
--- a/messenger/traffic.go
+++ b/messenger/traffic.go
@@ -1,7 +1,9 @@
 package messenger
 
 import (
+	"maps"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -13,6 +15,37 @@
 	bytesSent, bytesReceived       atomic.Uint64
 	dials, silent, retries         atomic.Uint64
 	refused                        atomic.Uint64
+
+	mu sync.Mutex
+	// methods counts the calls that this node makes.
+	methods map[string]MethodCount
+}
+
+// MethodCount counts the calls of one method that a node makes. Its bytes are
+// those of the messages, without framing.
+type MethodCount struct {
+	Calls, BytesSent, BytesReceived uint64
+}
+
+// add counts a call.
+func (t *Traffic) add(method string, sent, received int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.methods == nil {
+		t.methods = make(map[string]MethodCount)
+	}
+	m := t.methods[method]
+	m.Calls++
+	m.BytesSent += uint64(sent)
+	m.BytesReceived += uint64(received)
+	t.methods[method] = m
+}
+
+// Methods reads the counters of the calls that the node makes, by method.
+func (t *Traffic) Methods() map[string]MethodCount {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.methods)
 }
 
 // TrafficCount is a reading of Traffic.
