--- a/admitter/shares.go
+++ b/admitter/shares.go
@@ -153,10 +153,16 @@
 	return parts
 }
 
-// siteUse returns the site's demand as a part of the nearest limit.
+// siteUse returns the site's demand as a part of the nearest limit. Silent nodes
+// are taken to use what is reserved for them.
 func siteUse(w garnetworks.WorkspaceSpec, nodes []NodeDemand) float64 {
 	sum := garnetworks.Demand{}
+	silent := 0
 	for i := range nodes {
+		if nodes[i].Silent {
+			silent++
+			continue
+		}
 		for _, d := range nodes[i].Demands {
 			if d.Workspace != w.Name {
 				continue
@@ -166,11 +172,12 @@
 			sum.InFlight += max(0, d.InFlight)
 		}
 	}
-	return max(
+	heard := max(
 		part(sum.RequestsPerSecond, w.Limits.RequestsPerSecond),
 		part(sum.TokensPerSecond, w.Limits.TokensPerSecond),
 		part(float64(sum.InFlight), float64(w.Limits.Concurrency)),
 	)
+	return heard + float64(silent)/float64(max(1, len(nodes)))
 }
 
 // wish adds up a node's demand for one workspace, each kind as a part of its
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -56,3 +56,12 @@
 		})
 	}
 }
+
+func BenchmarkNewWithView(b *testing.B) {
+	// B/op is about what a router holds.
+	view := testView("z1", 150)
+	b.ReportAllocs()
+	for b.Loop() {
+		New(Options{Node: "n1", Zone: "z1"}).SetView(testStart, view)
+	}
+}
