--- a/messenger/client.go
+++ b/messenger/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc"
 
 	"github.com/garnetworks/garnetworks"
 )
@@ -204,3 +205,15 @@
 	}
 	return nil, &brokenError{reused: conn.reused, cause: err}
 }
+
+// sizedEncoding notes the size of the answer.
+type sizedEncoding struct {
+	Encoding
+	read int
+}
+
+// Unmarshal implements drpc.Encoding.
+func (e *sizedEncoding) Unmarshal(data []byte, message drpc.Message) error {
+	e.read = len(data)
+	return e.Encoding.Unmarshal(data, message)
+}
