Hand claims to the committing node over the peer protocol

Cause: without it each node writes each shard for itself, which 330 nodes can't within the platform's writes. Change: the method commit-claims in messenger; prober skips what has not changed. Conclusion: the runner has yet to pass claimer.PeerForwarder and to answer CommitClaims.

--- /dev/null
+++ b/claimer/peers_test.go
@@ -0,0 +1,75 @@
+package claimer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/messenger"
+)
+
+// committing answers CommitClaims and nothing else.
+type committing struct {
+	garnetworks.PeerHandler
+	*Claimer
+}
+
+// A node that does not commit a shard itself hands its claims to the one that
+// does, over the peer protocol; the answer must be as if it had written itself,
+// also once that node is gone.
+func TestClaimsOverThePeerProtocol(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	store := newStore(faults{}, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := messenger.NewClient(messenger.ClientOptions{})
+	defer client.Close()
+	// Only the node that listens is ready, so it commits every shard.
+	roster := []garnetworks.NodeInfo{{ID: "a", Address: listener.Addr().String(), Ready: true}, {ID: "b"}}
+	var nodes []*Claimer
+	for _, n := range roster {
+		c := New(Options{Node: n, API: store, Forwarder: garnetworks.Some[Forwarder](PeerForwarder{client})})
+		c.SetRoster(roster)
+		go func() { _ = c.Run(ctx) }()
+		nodes = append(nodes, c)
+	}
+	server, err := messenger.NewServer(messenger.ServerOptions{Handler: committing{Claimer: nodes[0]}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serving, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(serving, listener)
+	}()
+	claimAndComplete(ctx, t, nodes[1], 1)
+	if nodes[1].worker(KeyDigest("delta", "ledger", "visit-1")).shard != nil {
+		t.Error("the node has read the shard itself")
+	}
+	stop()
+	<-ended
+	claimAndComplete(ctx, t, nodes[1], 2)
+}
+
+func claimAndComplete(ctx context.Context, t *testing.T, c *Claimer, key int) {
+	t.Helper()
+	r := request(key, key)
+	r.Until = time.Now().Add(time.Minute)
+	claim, err := c.Claim(ctx, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = c.Complete(ctx, claim.Claim, &garnetworks.ServiceAnswer{ID: r.Call, Status: 200, Body: []byte("stored")}); err != nil {
+		t.Fatal(err)
+	}
+	replay, err := c.Claim(ctx, request(key, 100+key))
+	if recorded, _ := replay.Recorded.Get(); err != nil || string(recorded.Body) != "stored" {
+		t.Fatalf("replay: %q, %v", recorded.Body, err)
+	}
+}
--- a/claims.go
+++ b/claims.go
@@ -15,7 +15,8 @@
 // CommitClaimsResponse holds the results of operations that are proven to be in
 // the object API.
 type CommitClaimsResponse struct {
-	_ struct{} `cbor:",toarray"`
+	_  struct{} `cbor:",toarray"`
+	At Timestamp
 	// Results are encoded by package claimer, one for each operation.
 	Results []byte
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -89,18 +89,25 @@
 // Table returns the table that the results go to.
 func (p *Prober) Table() *Table { return p.options.Table }
 
-// SetRoster takes the entry nodes of all zones.
+// SetRoster takes the entry nodes of all zones. Without a change it does little.
 func (p *Prober) SetRoster(nodes []garnetworks.NodeInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.Equal(nodes, p.nodes) {
+		return
+	}
 	p.nodes = slices.Clone(nodes)
 	p.arrange()
 }
 
-// SetTargets takes the engine instances of all zones.
+// SetTargets takes the engine instances of the node's zone, or of all zones.
+// Without a change it does little.
 func (p *Prober) SetTargets(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.Equal(targets, p.targets) {
+		return
+	}
 	p.targets = slices.Clone(targets)
 	p.arrange()
 	known := garnetworks.NewSet[garnetworks.InstanceID]()
