Keep a refused clock apart from a contested address

Cause: found in review: peers refused a clock that is ahead with the same kind as a node that claims another's address, so the time line told the operator of an address conflict. Change: the refusal is an invalid request; a test of the clock's way through refusals and answers. Conclusion: with the sample of refusals or the server's check taken out TestClockIsCarriedBothWays fails.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -259,6 +259,57 @@
 	})
 }
 
+// TestClockIsCarriedBothWays: A node's clock runs an hour ahead. Its peers
+// refuse its messages, and it can only correct itself by what their refusals
+// tell of their clocks.
+func TestClockIsCarriedBothWays(t *testing.T) {
+	now := time.Now()
+	sound, ahead := &fixedClock{at: now}, &fixedClock{at: now.Add(time.Hour)}
+	handled := 0
+	address := serveTest(t, ServerOptions{Clock: sound, Handler: &handler{
+		heartbeat: func(*garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error) {
+			handled++
+			return &garnetworks.HeartbeatResponse{}, nil
+		},
+	}})
+	c := newTestClient(t, ClientOptions{Clock: ahead})
+	_, err := c.Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{})
+	if !garnetworks.IsKind(err, garnetworks.KindInvalidRequest) || handled != 0 {
+		t.Errorf("a message from an hour ahead was handled %d times and answered with %v", handled, err)
+	}
+	ahead.at = now.Add(time.Second)
+	if _, err := c.Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{}); err != nil || handled != 1 {
+		t.Errorf("the corrected node's message was handled %d times and answered with %v", handled, err)
+	}
+	want := garnetworks.Timestamp{Wall: now.UnixMilli()}
+	if len(ahead.sampled) != 2 || ahead.sampled[0] != want || ahead.sampled[1] != want {
+		t.Errorf("sampled %v, want %v from the refusal and from the answer", ahead.sampled, want)
+	}
+	if len(sound.observed) != 1 || len(ahead.observed) != 1 {
+		t.Errorf("the server accepted %v, the client %v", sound.observed, ahead.observed)
+	}
+}
+
+// fixedClock stands still, and refuses what is more than a minute ahead.
+type fixedClock struct {
+	at                time.Time
+	observed, sampled []garnetworks.Timestamp
+}
+
+func (c *fixedClock) Now() garnetworks.Timestamp {
+	return garnetworks.Timestamp{Wall: c.at.UnixMilli()}
+}
+
+func (c *fixedClock) Observe(t garnetworks.Timestamp) error {
+	if t.Time().Sub(c.at) > time.Minute {
+		return garnetworks.Errorf(garnetworks.KindInvalidRequest, "ahead")
+	}
+	c.observed = append(c.observed, t)
+	return nil
+}
+
+func (c *fixedClock) Sample(_ string, t garnetworks.Timestamp) { c.sampled = append(c.sampled, t) }
+
 // TestForeignServer: A setting names the wrong port, and something else answers
 // there. The call must end with a kind in its time, and the process must live.
 func TestForeignServer(t *testing.T) {
--- a/recorder/clock.go
+++ b/recorder/clock.go
@@ -56,7 +56,7 @@
 }
 
 // Observe accepts a received timestamp, so that every later reading is above
-// it (rule C2), or refuses it with KindConflict if it is too far ahead (rule
+// it (rule C2), or refuses it with KindInvalidRequest if it is too far ahead (rule
 // C3). The zero timestamp, of a sender without a clock, is accepted and ignored.
 func (c *Clock) Observe(t garnetworks.Timestamp, now time.Time) error {
 	limit := now.Add(c.correction + MaxAhead).UnixMilli()
@@ -65,7 +65,7 @@
 	// refused instead of the timestamp alone: what did not happen here can't be
 	// an effect that is ordered before its cause.
 	if t.Wall > limit {
-		return garnetworks.Errorf(garnetworks.KindConflict, "the sender's clock is %d ms ahead", t.Wall-now.Add(c.correction).UnixMilli())
+		return garnetworks.Errorf(garnetworks.KindInvalidRequest, "the sender's clock is %d ms ahead", t.Wall-now.Add(c.correction).UnixMilli())
 	}
 	if c.last.Before(t) {
 		c.last = t
