--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -30,7 +30,8 @@
 //	C9  A record at rest is written to its bucket before it leaves its shard, and
 //	    the shard names the bucket's revision, so that a reader who sees the shard
 //	    without the record knows which bucket revision it must have read.
-//	C10 A record is forgotten only Retention after its last change and its Until.
+//	C10 A record is forgotten only Retention after its last change and its Until,
+//	    by a clock that most of the shard's records bear out.
 //	C11 A full shard refuses new claims before the reserve that completions need;
 //	    an answer that does not fit is dropped, the mark that the call completed
 //	    never is.
--- a/claimer/mover.go
+++ b/claimer/mover.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return 0, err
 	}
-	next, orphans, fits := known.bucket.Take(now, w.claimer.options.Retention, records)
+	next, orphans, fits := known.bucket.Take(w.shard.Witnessed(now), w.claimer.options.Retention, records)
 	if !fits {
 		return 0, garnetworks.Errorf(garnetworks.KindTooLarge, "bucket %d/%d is full", w.number, b)
 	}
@@ -55,7 +55,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.buckets[b] = cachedBucket{next, revision}
+	w.buckets[b] = cachedBucket{next, revision, len(value)}
 	return revision, nil
 }
 
@@ -75,7 +75,7 @@
 	if err := decode(object.Value, bucket); err != nil {
 		return cachedBucket{}, err
 	}
-	return cachedBucket{bucket, object.Revision}, nil
+	return cachedBucket{bucket, object.Revision, len(object.Value)}, nil
 }
 
 // deleteAnswers deletes the answers of forgotten records. It goes before the
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -17,7 +17,7 @@
 	// Shards is the number of objects that take changes.
 	Shards = 16
 	// Buckets is the number of objects behind each shard.
-	Buckets = 32
+	Buckets = 64
 )
 
 // Digest is a truncated SHA-256 hash.
--- a/claimer/shard.go
+++ b/claimer/shard.go
@@ -339,6 +339,26 @@
 	return fullest, bytes[fullest] > 0
 }
 
+// Witnessed returns now, or the middle one of the ends of the shard's claims if
+// that is earlier. The ends were set by the nodes that received the calls, so a
+// node whose own clock runs days ahead does not forget the records of a day:
+// their keys would be free, and a replay would run a second time (rule C10).
+func (s *Shard) Witnessed(now time.Time) time.Time {
+	ends := make([]int64, len(s.Records))
+	for i := range s.Records {
+		ends[i] = s.Records[i].Until
+	}
+	if len(ends) == 0 {
+		return now
+	}
+	slices.Sort(ends)
+	middle := time.UnixMilli(ends[len(ends)/2])
+	if middle.Before(now) {
+		return middle
+	}
+	return now
+}
+
 // Resting returns the records of a bucket that may leave the shard.
 func (s *Shard) Resting(now time.Time, bucket int) []Record {
 	var resting []Record
--- a/claimer/shard_test.go
+++ b/claimer/shard_test.go
@@ -239,6 +239,27 @@
 	}
 }
 
+// A node comes up with a clock that is two days ahead and commits a shard. The
+// records of the last day must not be forgotten by it, nor because some other
+// node's clock is ahead.
+func TestWrongClocksForgetNothing(t *testing.T) {
+	const day = 24 * time.Hour
+	s := &Shard{}
+	for i := range 9 {
+		r := Record{Key: Digest{byte(i)}, Until: someTime.Add(time.Duration(i) * time.Minute).UnixMilli()}
+		if i >= 6 {
+			r.Until += 2 * day.Milliseconds()
+		}
+		s.Records = append(s.Records, r)
+	}
+	for name, now := range map[string]time.Time{"right": someTime.Add(10 * time.Minute), "ahead": someTime.Add(2 * day), "behind": someTime.Add(-day)} {
+		at := s.Witnessed(now)
+		if at.After(now) || at.After(someTime.Add(10*time.Minute)) {
+			t.Errorf("%s: forgets by %v", name, at.Sub(someTime))
+		}
+	}
+}
+
 // A shard that can't hand its records on refuses new keys while it still has
 // room for the completions of the calls that run.
 func TestFullShard(t *testing.T) {
--- a/claimer/worker.go
+++ b/claimer/worker.go
@@ -24,8 +24,9 @@
 	forwardPause = 2 * time.Second
 	// moveInterval is the least distance between two moves to buckets.
 	moveInterval = time.Second
-	// cachedBuckets bounds the buckets that a worker keeps in memory.
-	cachedBuckets = 8
+	// cachedBytes bounds the buckets that a worker remembers, by their encoded
+	// sizes: a node that writes all shards for itself holds 32 MB at most.
+	cachedBytes = 2 << 20
 )
 
 // worker commits the operations of one shard, one group after the other. One
@@ -67,6 +68,8 @@
 type cachedBucket struct {
 	bucket   *Bucket
 	revision garnetworks.Revision
+	// bytes is the size of the bucket's value.
+	bytes int
 }
 
 func newWorker(c *Claimer, number int) *worker {
@@ -418,12 +421,17 @@
 	return w.claimer.options.API.Get(call, key)
 }
 
-// trim bounds the memory for buckets.
+// trim bounds the memory for buckets; which ones go does not matter.
 func (w *worker) trim() {
-	for b := range w.buckets {
-		if len(w.buckets) <= cachedBuckets {
+	total := 0
+	for _, known := range w.buckets {
+		total += known.bytes
+	}
+	for b, known := range w.buckets {
+		if total <= cachedBytes {
 			return
 		}
+		total -= known.bytes
 		delete(w.buckets, b)
 	}
 }
@@ -447,7 +455,7 @@
 	if err := decode(object.Value, bucket); err != nil {
 		return err
 	}
-	w.buckets[b] = cachedBucket{bucket, object.Revision}
+	w.buckets[b] = cachedBucket{bucket, object.Revision, len(object.Value)}
 	return nil
 }
 
