Hold the early refusal of waiting calls by tests

Cause: three guards could be taken out without a test going red: the age of running calls in the rate, the look at waiting calls, and the check before a slot is given. Change: a test of stalled engines, one of a paused node.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -53,3 +53,61 @@
 		}
 	})
 }
+
+func TestStalledEnginesRefuseWaitingCalls(t *testing.T) {
+	// Engines answer within 100 ms, then hang. A call that waits could be held
+	// until its deadline, since no call ends that would show the stall; it must be
+	// refused as soon as the age of the running calls does, with time left for the
+	// caller to turn elsewhere.
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Options{Node: "n1"})
+		a.SetManifest(testManifest())
+		a.SetCapacity([]garnetworks.ModelCapacity{{Model: "m", Slots: 2, FirstToken: 50 * time.Millisecond}})
+		for range 100 {
+			ticket, err := a.Admit(t.Context(), testRequest("top", 2))
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			ticket.Done(100)
+		}
+		for range 2 {
+			if _, err := a.Admit(t.Context(), testRequest("top", 2)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		begin := time.Now()
+		request := testRequest("top", 2)
+		request.FirstTokenBy = begin.Add(840 * time.Millisecond)
+		_, err := a.Admit(t.Context(), request)
+		if !garnetworks.IsKind(err, garnetworks.KindDeadline) {
+			t.Fatalf("got %v, want a deadline that can't be met", err)
+		}
+		if waited := time.Since(begin); waited > 550*time.Millisecond {
+			t.Errorf("refused after %v, want well before the deadline", waited)
+		}
+		if e := err.(*garnetworks.Error); e.RetryAfter < shortestOverload {
+			t.Errorf("got Retry-After %v, want %v at least", e.RetryAfter, shortestOverload)
+		}
+	})
+}
+
+func TestLateCallGetsNoSlot(t *testing.T) {
+	// The node was paused for two seconds. A call that waited meanwhile must not
+	// take the slot that came free: its caller has given it up, and another call
+	// could still have used the slot in time.
+	g := newGate(Options{Node: "n1"})
+	g.setManifest(testStart, testManifest())
+	g.setCapacity(testStart, []garnetworks.ModelCapacity{{Model: "m", Slots: 1}})
+	g.pools["m"].hold = 0.1
+	ask := func(by time.Duration) *waiter {
+		return g.arrive(testStart, garnetworks.AdmitRequest{
+			Workspace: "top", Model: "m", Priority: 2, Tokens: 1, Received: testStart, FirstTokenBy: testStart.Add(by),
+		})
+	}
+	running, late, patient := ask(time.Second), ask(time.Second), ask(time.Minute)
+	g.done(testStart.Add(2*time.Second), running, 1)
+	if late.state != refused || patient.state != admitted {
+		t.Errorf("got states %v and %v, want the late call refused and the other admitted", late.state, patient.state)
+	}
+}
--- a/admitter/state_test.go
+++ b/admitter/state_test.go
@@ -62,6 +62,8 @@
 	maxWait int
 	specs   []garnetworks.WorkspaceSpec
 	ledgers map[garnetworks.WorkspaceName]*ledger
+	// tooLate is a call that was let in after its first token was due.
+	tooLate *waiter
 	// waiting and running are the calls by their last verdict.
 	waiting, running []*waiter
 	verdicts         map[*waiter]int
@@ -104,6 +106,9 @@
 		m.waiting = slices.DeleteFunc(m.waiting, func(x *waiter) bool { return x == w })
 		if w.state == admitted {
 			m.enter(w)
+			if by := w.request.FirstTokenBy; !by.IsZero() && m.now.After(by) {
+				m.tooLate = w
+			}
 		} else {
 			m.ledgers[w.request.Workspace].undo(w.request.Tokens)
 		}
@@ -216,6 +221,9 @@
 func (m *gateMachine) resize(t *rapid.T) { m.capacity(rapid.IntRange(0, 5).Draw(t, "slots")) }
 
 func (m *gateMachine) check(t *rapid.T) {
+	if m.tooLate != nil {
+		t.Fatalf("a call of %s was let in after its first token was due", m.tooLate.request.Workspace)
+	}
 	p := m.gate.pools["m"]
 	if p.waiting != len(m.waiting) || p.waiting > m.maxWait {
 		t.Fatalf("%d calls wait, want %d, at most %d", p.waiting, len(m.waiting), m.maxWait)
