--- a/confirm.go
+++ b/confirm.go
@@ -23,7 +23,7 @@
 	// the instances that it probes itself.
 	Relayed bool
 	// Base is the checksum of the list that Changed and Removed refer to; 0 is
-	// the empty list.
+	// the empty list. It is 0, too, if the receiver should hold List already.
 	Base uint64
 	// List is the checksum of the list that Ages and Loads refer to.
 	List uint64
--- a/prober/exchange.go
+++ b/prober/exchange.go
@@ -138,7 +138,8 @@
 type Exchange struct {
 	self garnetworks.NodeID
 	// started is the origin of the stamps; incarnation tells the process from the
-	// node's earlier ones, whose stamps had another origin.
+	// node's earlier ones, whose stamps had another origin. It is the start's time
+	// in milliseconds, cut to 32 bits to be short.
 	started     time.Time
 	incarnation uint64
 	table       *Table
@@ -153,7 +154,7 @@
 
 // NewExchange returns an exchange for a node whose process started at started.
 func NewExchange(self garnetworks.NodeID, started time.Time, table *Table) *Exchange {
-	return &Exchange{self: self, started: started, incarnation: uint64(started.UnixMilli()), table: table, peers: make(map[garnetworks.NodeID]*peer)}
+	return &Exchange{self: self, started: started, incarnation: uint64(uint32(started.UnixMilli())), table: table, peers: make(map[garnetworks.NodeID]*peer)}
 }
 
 // Arrange takes the nodes and targets of the site; others than the zone's are
@@ -238,8 +239,8 @@
 				base = p.acked[relayed]
 			}
 		}
-		request.Base = base.sum
 		if base.sum != l.sum {
+			request.Base = base.sum
 			request.Changed, request.Removed = l.difference(base)
 		}
 		out = append(out, Outgoing{n, request, l})
