Hold back a new holder's first view until it has heard everybody

Cause: a node that started and took a free lease at once told routers of other zones that serving groups were unconfirmed, before it had probed their members.

--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -289,6 +289,36 @@
 	}
 }
 
+// TestFirstViewOfANewHolderIsWhole: a node starts, finds its zone's lease free and
+// holds it before it has probed every engine. Callers in other zones, whose nodes
+// know the zone by its view alone, must not be refused meanwhile.
+func TestFirstViewOfANewHolderIsWhole(t *testing.T) {
+	s := settled(t, 16, true)
+	for _, n := range s.nodes {
+		if n.zone == "z0" {
+			n.apiCut = true
+			n.pausedTo = s.now.Add(time.Hour)
+		}
+	}
+	key := ZoneLeaseKey("z0")
+	_, err := s.put(key, []byte(`{"term":7}`), s.objects[key].revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := s.nodes[0]
+	s.restart(fresh)
+	fresh.slowTo = s.now.Add(4 * time.Second)
+	for start := s.now; s.now.Sub(start) < 20*time.Second; {
+		s.pass(t, simTick)
+		if got := s.servingIn("z0"); got != 2 {
+			t.Fatalf("%d of 2 groups are in the view of term %d", got, s.views["z0"].version.Term)
+		}
+	}
+	if s.views["z0"].version.Term < 8 {
+		t.Errorf("the new holder told nothing: %+v", s.views["z0"].version)
+	}
+}
+
 // TestReturnedMemberIsRefused: a member falls silent, its group is replaced, and
 // it comes back as if nothing had happened, ready in its old group. Nobody may be
 // sent to the old group, and the member joins a new one only after it has
--- a/controller/sim_test.go
+++ b/controller/sim_test.go
@@ -105,6 +105,8 @@
 	lose     int
 	table    map[garnetworks.InstanceID]Witness
 	probed   time.Time
+	// slowTo is until when each instance is probed only every three seconds.
+	slowTo   time.Time
 	writeID  int
 	sequence uint64
 	inbox    []func()
@@ -345,8 +347,12 @@
 		return
 	}
 	n.probed = s.now
-	for _, id := range s.ids {
+	for k, id := range s.ids {
 		e := s.engines[id]
+		// A node that has just started spreads its first probes over three seconds.
+		if s.now.Before(n.slowTo) && k%3 != int(s.now.Unix()%3) {
+			continue
+		}
 		if !n.cut && e.answers() && e.row.Zone == n.zone {
 			n.table[id] = Witness{e.status(), s.now}
 		}
--- a/controller/view.go
+++ b/controller/view.go
@@ -68,6 +68,9 @@
 // then for the loads and measures in it.
 func (p *deciding) publish() {
 	view := p.zoneView()
+	if p.viewAt.IsZero() && p.warmingUp(view) {
+		return
+	}
 	due := p.viewAt.IsZero() || p.o.Now.Sub(p.viewAt) >= p.Times.PublishEvery
 	if !due && reflect.DeepEqual(lasting(view), lasting(p.view)) {
 		return
@@ -77,6 +80,23 @@
 	p.e.View = garnetworks.Some(view)
 }
 
+// warmingUp reports whether a new holder may not have heard everybody yet. Its
+// first view would call groups unconfirmed that serve, and nodes that know of them
+// by views alone would refuse their callers. A group that is really missing a
+// member is told a little later than the last holder's silence has lasted already.
+func (p *deciding) warmingUp(view garnetworks.ZoneView) bool {
+	if p.o.Now.Sub(p.HearFrom) >= p.Times.Loss {
+		return false
+	}
+	for n := range view.Groups {
+		// That a group serves may not have been written yet (C10).
+		if g := &view.Groups[n]; g.State != garnetworks.GroupDraining && !g.Confirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // lasting leaves out what changes all the time.
 func lasting(view garnetworks.ZoneView) garnetworks.ZoneView {
 	view.Measures = garnetworks.Measures{}
