Test claims under each fault of the store, and count what claimers do

Cause: the faults of the object API were met only by chance, and operators could not see what is owed or refused. Change: TestStoreFaults, Stats. Figures: 8 faults; a second key is refused at once, in 0 s of the test clock, while the API is known to be away, and after each fault the key is as free as the caller was told.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -207,6 +207,39 @@
 	return c.workers[shard].serve(ctx, ops)
 }
 
+// Stats are counters of a claimer since its start, and its state now.
+type Stats struct {
+	// Writes, Conflicts and Failures count tries to write a shard by their end;
+	// Forwarded counts groups that another node has committed.
+	Writes, Conflicts, Failures, Forwarded uint64
+	// Moves counts the buckets that were written.
+	Moves uint64
+	// Owed is the number of outcomes that are not recorded yet.
+	Owed int
+	// Down is the number of shards whose claims are refused now.
+	Down int
+	// LargestShard is the size in bytes of the largest shard known.
+	LargestShard int
+}
+
+// Stats returns the counters.
+func (c *Claimer) Stats() Stats {
+	var total Stats
+	for _, w := range c.workers {
+		total.Writes += w.writes.Load()
+		total.Conflicts += w.conflicted.Load()
+		total.Failures += w.failed.Load()
+		total.Forwarded += w.forwarded.Load()
+		total.Moves += w.moves.Load()
+		total.Owed += w.owed()
+		total.LargestShard = max(total.LargestShard, int(w.bytes.Load()))
+		if w.refuses() {
+			total.Down++
+		}
+	}
+	return total
+}
+
 func (c *Claimer) worker(key Digest) *worker { return c.workers[key.Shard()] }
 
 // claimOp returns an operation for a claim request.
--- /dev/null
+++ b/claimer/faults_test.go
@@ -0,0 +1,77 @@
+package claimer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// A visit is sent while the object API has one fault after the other. In each
+// case the caller must hear within its patience, and at once when the node knows
+// already that the API is away; once the fault is over, the key must be as free
+// as the caller was told.
+func TestStoreFaults(t *testing.T) {
+	const hour = time.Hour
+	tests := map[string]struct {
+		faults faults
+		// want is the first answer; "" is a fresh claim.
+		want garnetworks.Kind
+		// again is the answer of a second key right after, within atOnce.
+		again  garnetworks.Kind
+		atOnce time.Duration
+	}{
+		"none":                    {faults{}, "", "", 100 * time.Millisecond},
+		"slow":                    {faults{latency: 200 * time.Millisecond}, "", "", 900 * time.Millisecond},
+		"slower than a call's":    {faults{latency: 1100 * time.Millisecond}, garnetworks.KindClaimsUnavailable, garnetworks.KindClaimsUnavailable, DefaultClaimTimeout},
+		"every answer lost":       {faults{lost: 1}, garnetworks.KindClaimsUnavailable, garnetworks.KindClaimsUnavailable, 0},
+		"every write lands late":  {faults{late: 1}, garnetworks.KindClaimsUnavailable, garnetworks.KindClaimsUnavailable, 0},
+		"everything is throttled": {faults{throttled: 1}, garnetworks.KindClaimsUnavailable, garnetworks.KindClaimsUnavailable, 0},
+		"down":                    {faults{downTo: hour}, garnetworks.KindClaimsUnavailable, garnetworks.KindClaimsUnavailable, 0},
+		"down for a moment":       {faults{downTo: 60 * time.Millisecond}, "", "", 200 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				c := newCluster(ctx, 1, false, 0, newStore(test.faults, 1))
+				node := c.nodes[0]
+				begun := time.Now()
+				if _, err := node.Claim(ctx, request(0, 1)); garnetworks.KindOf(err) != test.want || time.Since(begun) > DefaultClaimTimeout {
+					t.Errorf("after %v: %v", time.Since(begun), err)
+				}
+				begun = time.Now()
+				if _, err := node.Claim(ctx, requestNear(1, 2)); garnetworks.KindOf(err) != test.again || time.Since(begun) > test.atOnce {
+					t.Errorf("second key after %v: %v", time.Since(begun), err)
+				}
+				c.store.mu.Lock()
+				c.store.faults = faults{}
+				c.store.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				_, err := node.Claim(ctx, request(0, 3))
+				if free := test.want != ""; free != (err == nil) {
+					t.Errorf("after the fault: %v", err)
+				}
+				if owed := node.Stats().Owed; owed != 0 {
+					t.Errorf("%d outcomes are still owed", owed)
+				}
+				cancel()
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// requestNear is request for another key of the same shard as key 0.
+func requestNear(key, call int) garnetworks.ClaimRequest {
+	shard := func(key int) int {
+		r := request(key, call)
+		return KeyDigest(r.Workspace, r.Service, r.Key).Shard()
+	}
+	for shard(key) != shard(0) {
+		key++
+	}
+	return request(key, call)
+}
--- a/claimer/mover.go
+++ b/claimer/mover.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return 0, err
 	}
+	w.moves.Add(1)
 	w.buckets[b] = cachedBucket{next, revision, len(value)}
 	return revision, nil
 }
--- a/claimer/worker.go
+++ b/claimer/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,10 @@
 	forwardAfter time.Time
 	moveAfter    time.Time
 
+	writes, conflicted, failed, forwarded, moves atomic.Uint64
+	// bytes is the size of the shard's value when it was last written.
+	bytes atomic.Int64
+
 	mu      sync.Mutex
 	pending []*ticket
 	// inRound is the number of owed tickets outside pending.
@@ -199,6 +204,13 @@
 	}
 }
 
+// refuses reports whether claims are refused at once now.
+func (w *worker) refuses() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failures >= giveUpAfter && time.Now().Before(w.retryAt)
+}
+
 // busy reports whether tickets wait.
 func (w *worker) busy() bool {
 	w.mu.Lock()
@@ -319,6 +331,8 @@
 		w.doubt(err, group)
 		return err
 	}
+	w.writes.Add(1)
+	w.bytes.Store(int64(len(value)))
 	w.adopt(next, revision, newest)
 	return nil
 }
@@ -508,10 +522,12 @@
 func (w *worker) fail(err error) {
 	o := &w.claimer.options
 	if garnetworks.IsKind(err, garnetworks.KindConflict) {
+		w.conflicted.Add(1)
 		w.conflicts++
 		w.nextWrite = time.Now().Add(backoff(w.conflicts, o.Interval/2, o.Interval*time.Duration(w.writers()), o.Random()))
 		return
 	}
+	w.failed.Add(1)
 	w.mu.Lock()
 	w.failures++
 	w.retryAt = time.Now().Add(backoff(w.failures, retryMin, retryMax, o.Random()))
@@ -642,6 +658,7 @@
 		w.forwardAfter = time.Now().Add(forwardPause)
 		return group
 	}
+	w.forwarded.Add(1)
 	for i, t := range own {
 		// The other node's answer ends its doubts, but for a claim that it
 		// refused as ended: it may have tried to write it before.
