Bound slots by the zone's instances; keep estimates and spares steady

A maximum of a billion groups would have been counted out slot by slot. Conclusion: TestPlansKeepTheRules and TestMaximumBeyondAllInstances hold them.

--- a/placer/choice.go
+++ b/placer/choice.go
@@ -210,8 +210,7 @@
 	if i.presence == powerless || i.presence == booting {
 		wait += doubtPenalty * time.Duration(i.history.Strikes)
 	}
-	// What made an instance slow is forgotten with its power.
-	if i.isStraggler() && i.presence != powerless {
+	if i.isStraggler() {
 		wait += stragglerPenalty
 	}
 	return wait
@@ -267,6 +266,8 @@
 	return longest + slowest
 }
 
+// seconds returns s as a duration of at most longestEstimate: a store that
+// states next to no rate would else make it overflow and turn negative.
 func seconds(s float64) time.Duration {
-	return time.Duration(s * float64(time.Second))
+	return time.Duration(min(s, longestEstimate.Seconds()) * float64(time.Second))
 }
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -143,5 +143,6 @@
 	preloadLeastShare = 100
 	bootMargin        = 15 * time.Second
 	preloadRetry      = 30 * time.Second
+	longestEstimate   = 24 * time.Hour
 	day               = 24 * time.Hour
 )
--- a/placer/index.go
+++ b/placer/index.go
@@ -118,6 +118,8 @@
 	garnetworks.ModelSpec
 	class *class
 	index int
+	// reach is the most groups that the zone's instances could form.
+	reach int
 	// live are the groups that fill slots, the best first.
 	live []*group
 	// shadows are groups that form to replace live ones.
@@ -181,6 +183,7 @@
 	p.indexModels()
 	p.indexDomains()
 	p.indexGroups()
+	p.indexReach()
 	p.slots = slotsOf(p.models)
 	return p
 }
@@ -202,6 +205,9 @@
 	p.byName = make(map[garnetworks.ModelName]*model, len(p.in.Models))
 	for _, m := range p.in.Models {
 		c := p.classes[m.Class]
+		if m.GroupSize < 1 {
+			c = nil
+		}
 		p.models = append(p.models, &model{ModelSpec: m, class: c})
 		if c == nil {
 			continue
@@ -224,6 +230,18 @@
 	}
 }
 
+func (p *planner) indexReach() {
+	counts := make(map[*class]int, len(p.classes))
+	for _, i := range p.instances {
+		counts[i.class]++
+	}
+	for _, m := range p.models {
+		if m.class != nil {
+			m.reach = counts[m.class] / m.GroupSize
+		}
+	}
+}
+
 func (p *planner) indexDomains() {
 	count := 0
 	for i := range p.in.Domains {
@@ -363,8 +381,12 @@
 }
 
 // isStraggler reports whether the instance is slow, by the controller's
-// judgement or by what was measured.
+// judgement or by what was measured. What made it slow is forgotten with its
+// power.
 func (i *instance) isStraggler() bool {
+	if i.Power != garnetworks.PowerOn {
+		return false
+	}
 	return i.Condition == garnetworks.ConditionStraggler || i.observed.Slowdown >= slowAt
 }
 
--- a/placer/power.go
+++ b/placer/power.go
@@ -235,7 +235,7 @@
 	for _, o := range p.pools {
 		share := 1.0
 		if s := p.in.Weights.Stranded; s > 0 {
-			share = min(1, o.Worth(len(o.kept)+1)/s)
+			share = min(1, o.worthOf(len(o.kept)+1)/s)
 		}
 		o.hold = seconds(o.class.BootTime.Seconds() * share)
 		o.survivors = p.survivorsOf(o)
--- a/placer/rules_test.go
+++ b/placer/rules_test.go
@@ -352,3 +352,23 @@
 		t.Errorf("need %d, drawn %d; want the need of before, %d, and the limit drawn", out.Need, out.Drawn, full)
 	}
 }
+
+// An operator means "as many as possible" by a maximum of a billion: the zone's
+// controller must neither stand still nor want more than there can be.
+func TestMaximumBeyondAllInstances(t *testing.T) {
+	w := newWorld(2, 9, modelSpec("a", 1, 6, 1_000_000_000), modelSpec("bad", 1, 1, 1))
+	w.Models[1].GroupSize = 0
+	w.settle(t)
+	if got := w.serving()["a"]; got != 4 {
+		t.Errorf("%d groups serve, want 4", got)
+	}
+	want := map[garnetworks.ModelName]placer.Unmet{
+		"a":   {Model: "a", Groups: 2, Cause: placer.CauseInstances},
+		"bad": {Model: "bad", Groups: 1, Cause: placer.CauseClass},
+	}
+	for _, u := range placer.Plan(w.Input).Unmet {
+		if u != want[u.Model] {
+			t.Errorf("unmet %+v, want %+v", u, want[u.Model])
+		}
+	}
+}
--- a/placer/slots.go
+++ b/placer/slots.go
@@ -15,11 +15,12 @@
 }
 
 // slotsOf returns the slots in the order of rule P1; models are sorted by
-// priority and name.
+// priority and name. A model has no more slots than the zone's instances could
+// ever fill, whatever its maximum is.
 func slotsOf(models []*model) []slot {
 	var slots []slot
 	for _, m := range models {
-		for rank := range max(m.MinGroups, m.MaxGroups) {
+		for rank := range min(max(m.MinGroups, m.MaxGroups), m.reach) {
 			slots = append(slots, slot{model: m, rank: rank, minimum: rank < m.MinGroups})
 		}
 	}
@@ -54,6 +55,7 @@
 // fillSlots keeps, sheds, displaces and places groups, in the order of P1.
 func (p *planner) fillSlots() {
 	p.assignSlots()
+	p.noteBeyondReach()
 	for order, s := range p.slots {
 		if s.minimum {
 			p.keepOrFill(order, s)
@@ -81,6 +83,19 @@
 	}
 }
 
+// noteBeyondReach reports minimum groups that have no slot.
+func (p *planner) noteBeyondReach() {
+	for _, m := range p.models {
+		cause := CauseInstances
+		if m.class == nil {
+			cause = CauseClass
+		}
+		if m.MinGroups > m.reach {
+			p.unmetGroups(m, cause, m.MinGroups-m.reach)
+		}
+	}
+}
+
 // assignSlots gives each living group its slot; those above the maximum end.
 func (p *planner) assignSlots() {
 	for order, s := range p.slots {
@@ -155,10 +170,6 @@
 // fill places a group in an empty slot.
 func (p *planner) fill(order int, s slot) {
 	m := s.model
-	if m.class == nil {
-		p.unmet(m, CauseClass)
-		return
-	}
 	if p.recentlyShed(s) {
 		p.unmet(m, CausePower)
 		return
@@ -405,15 +416,17 @@
 	return n
 }
 
-func (p *planner) unmet(m *model, cause Cause) {
+func (p *planner) unmet(m *model, cause Cause) { p.unmetGroups(m, cause, 1) }
+
+func (p *planner) unmetGroups(m *model, cause Cause, groups int) {
 	for i := range p.out.Unmet {
 		u := &p.out.Unmet[i]
 		if u.Model == m.Name && u.Cause == cause {
-			u.Groups++
+			u.Groups += groups
 			return
 		}
 	}
-	p.out.Unmet = append(p.out.Unmet, Unmet{Model: m.Name, Groups: 1, Cause: cause})
+	p.out.Unmet = append(p.out.Unmet, Unmet{Model: m.Name, Groups: groups, Cause: cause})
 }
 
 func drawOf(members []*instance) garnetworks.Watts {
--- a/placer/spares.go
+++ b/placer/spares.go
@@ -60,6 +60,8 @@
 	uses []int
 	// candidates are the instances that could be spares, the readiest first.
 	candidates []*instance
+	// unused counts the instances without a use, whatever their power is.
+	unused int
 	// kept are the chosen spares.
 	kept []*instance
 	// hold is how long a leftover is held.
@@ -85,7 +87,7 @@
 	var steps []spareStep
 	for _, o := range p.pools {
 		for k := 1; k <= min(len(o.candidates), mostSpares); k++ {
-			worth := o.Worth(k)
+			worth := o.worthOf(k)
 			if worth <= p.in.Weights.Stranded {
 				break
 			}
@@ -154,22 +156,27 @@
 	o.uses = o.domain.held
 	load := p.meanLoad(o)
 	o.Saved = o.class.BootTime + load
-	powerlessLeft := 0
+	o.Refill = o.Saved
+	o.unused = o.domain.unused(o.class)
 	for _, i := range o.domain.instances {
 		if i.class == o.class && p.mayBeSpare(i) {
 			o.candidates = append(o.candidates, i)
 		}
-		if i.class == o.class && i.use == unused && i.presence == powerless && !i.doubtful {
-			powerlessLeft++
-		}
 	}
 	slices.SortStableFunc(o.candidates, func(a, b *instance) int {
 		return cmp.Compare(p.spareRank(o, a), p.spareRank(o, b))
 	})
-	o.Refill = o.Saved
-	if powerlessLeft == 0 {
-		o.Refill = RepairTime
+}
+
+// worthOf is the worth of the pool's k-th spare. Whether another instance is
+// left to refill it from is counted without regard to power, so that ordering a
+// spare on doesn't change what it is worth.
+func (o *pool) worthOf(k int) float64 {
+	c := o.SpareCase
+	if k >= o.unused {
+		c.Refill = RepairTime
 	}
+	return c.Worth(k)
 }
 
 func (p *planner) meanLoad(o *pool) time.Duration {
@@ -189,8 +196,7 @@
 }
 
 func (p *planner) mayBeSpare(i *instance) bool {
-	slow := i.isStraggler() && i.presence != powerless
-	if i.use != unused || slow {
+	if i.use != unused || i.isStraggler() {
 		return false
 	}
 	switch i.presence {
--- a/placer/state_test.go
+++ b/placer/state_test.go
@@ -79,6 +79,20 @@
 	m.Instances[i.ID] = placer.InstanceObservation{LeaveBy: by}
 }
 
+func (m *machine) observe(t *rapid.T) {
+	w := garnetworks.WeightID{Model: "a", Version: "v1"}
+	m.Instances[m.pick(t).ID] = placer.InstanceObservation{
+		Slowdown:    rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "slowdown"),
+		Loading:     w,
+		LoadedBytes: rapid.Int64Range(0, 300).Draw(t, "loaded") * gigabyte,
+	}
+}
+
+func (m *machine) store(t *rapid.T) {
+	m.StoreRate = rapid.SampledFrom([]int64{0, 1, 100, gigabyte, 10 * gigabyte}).Draw(t, "rate")
+	m.InstanceRate = rapid.SampledFrom([]int64{0, gigabyte}).Draw(t, "instance rate")
+}
+
 func (m *machine) withdraw(t *rapid.T) { delete(m.Instances, m.pick(t).ID) }
 
 func (m *machine) limit(t *rapid.T) {
@@ -109,8 +123,9 @@
 	m.Now = m.Now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "seconds")) * time.Second)
 }
 
-// heals all, lets everything under way end, and asks the oracle.
+// recover heals all, lets everything under way end, and asks the oracle.
 func (m *machine) recover(t *rapid.T) {
+	m.StoreRate, m.InstanceRate = 10*gigabyte, 5*gigabyte
 	m.Instances = map[garnetworks.InstanceID]placer.InstanceObservation{}
 	for i := range m.Domains {
 		for j := range m.Domains[i].Instances {
@@ -205,6 +220,8 @@
 			"dark":     m.domainDark,
 			"announce": m.announce,
 			"withdraw": m.withdraw,
+			"observe":  m.observe,
+			"store":    m.store,
 			"limit":    m.limit,
 			"manifest": m.manifest,
 			"remove":   m.removeInstance,
--- a/placer/types.go
+++ b/placer/types.go
@@ -107,7 +107,8 @@
 	CauseInstances Cause = "too-few-instances"
 	// CausePower means that the limit leaves too little power.
 	CausePower Cause = "too-little-power"
-	// CauseClass means that the model's class is not in the manifest.
+	// CauseClass means that the model's class is not in the manifest, or that
+	// its group size is below 1.
 	CauseClass Cause = "unknown-class"
 )
 
--- a/placer/wanted.go
+++ b/placer/wanted.go
@@ -34,9 +34,6 @@
 	var drawn garnetworks.Watts
 	for _, s := range p.slots {
 		m := s.model
-		if m.class == nil {
-			continue
-		}
 		watts := m.class.Watts * garnetworks.Watts(m.GroupSize)
 		if watts > limit-drawn {
 			continue
