Read the count of calls under its lock

Cause: the race detector found TestReturnAfterOutage reading the stand-in's calls while watchers wrote them. Change: a copy is taken under the lock. Conclusion: the test's fault, not the watcher's.

--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -293,7 +293,10 @@
 		time.Sleep(DefaultRetryMax)
 		var second [8]int
 		tenths := make([]int, 80)
-		for _, at := range s.calls {
+		s.mu.Lock()
+		calls := slices.Clone(s.calls)
+		s.mu.Unlock()
+		for _, at := range calls {
 			second[min(int(at.Sub(back)/time.Second), 7)]++
 			tenths[min(int(at.Sub(back)/(100*time.Millisecond)), 79)]++
 		}
