Let a cut-off zone's nodes use the engines that only they reach

Cause: nodes of a cut-off zone kept their equal part of all slots, so that at the zone's full rate 30 % of a workspace's calls were refused beside idle engines; and all calls refused in one moment got the same time to come back. Change: the part grows faster the more is free, up to four times; it does not grow along when groups come back into reach; times to come back differ by up to a quarter.

--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -33,6 +33,8 @@
 	stopped bool
 	decided []*waiter
 	counts  Counts
+	// refusals spread the times to come back.
+	refusals uint64
 }
 
 // Counts are the verdicts since the start.
@@ -197,7 +199,7 @@
 	}
 	r := &w.request
 	if !r.FirstTokenBy.IsZero() && !now.Before(r.FirstTokenBy) {
-		return late(shortestOverload)
+		return g.late(shortestOverload)
 	}
 	w.workspace = g.workspaces[r.Workspace]
 	if w.workspace == nil {
@@ -212,7 +214,7 @@
 		}
 	}
 	if wait := w.workspace.refusal(now, r.Tokens); wait > 0 {
-		return retry(garnetworks.KindOverLimit, wait, "workspace %s is over its limit at this node", r.Workspace)
+		return g.retry(garnetworks.KindOverLimit, wait, "workspace %s is over its limit at this node", r.Workspace)
 	}
 	return nil
 }
@@ -235,16 +237,16 @@
 	p.short = true
 	wait := p.wait(now, w.class, p.ahead(w))
 	if p.late(now, w, wait) {
-		g.reject(now, w, late(wait))
+		g.reject(now, w, g.late(wait))
 		return
 	}
 	if p.waiting >= g.options.MaxWaiting {
 		v := p.victim(w)
 		if v == nil {
-			g.reject(now, w, full(wait))
+			g.reject(now, w, g.full(wait))
 			return
 		}
-		g.shed(now, v, full(p.wait(now, v.class, p.ahead(v))))
+		g.shed(now, v, g.full(p.wait(now, v.class, p.ahead(v))))
 	}
 	w.decided = make(chan struct{})
 	w.class.push(w)
@@ -252,17 +254,23 @@
 	g.review(now, p, true)
 }
 
-func late(wait time.Duration) error {
-	return retry(garnetworks.KindDeadline, max(wait, shortestOverload), "the first token can't come in time")
+func (g *gate) late(wait time.Duration) error {
+	return g.retry(garnetworks.KindDeadline, max(wait, shortestOverload), "the first token can't come in time")
 }
 
-func full(wait time.Duration) error {
-	return retry(garnetworks.KindOverloaded, max(wait, shortestOverload), "the queue is full")
+func (g *gate) full(wait time.Duration) error {
+	return g.retry(garnetworks.KindOverloaded, max(wait, shortestOverload), "the queue is full")
 }
 
-func retry(kind garnetworks.Kind, after time.Duration, format string, args ...any) error {
+// retry makes a refusal with the time after which to come back, a little later
+// for some callers than for others: those refused in the same moment would else
+// all come back in the same moment.
+func (g *gate) retry(kind garnetworks.Kind, after time.Duration, format string, args ...any) error {
 	err := garnetworks.Errorf(kind, format, args...).(*garnetworks.Error)
-	err.RetryAfter = min(max(after, shortestRetry), longestRetry)
+	after = min(max(after, shortestRetry), longestRetry)
+	g.refusals++
+	part := float64(g.refusals*retryStride%retryParts) / retryParts
+	err.RetryAfter = after + time.Duration(retrySpread*part*float64(after))
 	return err
 }
 
@@ -311,7 +319,7 @@
 			return
 		}
 		if p.late(now, w, 0) {
-			g.shed(now, w, late(p.wait(now, w.class, 0)))
+			g.shed(now, w, g.late(p.wait(now, w.class, 0)))
 			continue
 		}
 		w.class.serve(w)
@@ -334,7 +342,7 @@
 	for _, w := range p.ordered() {
 		wait := p.wait(now, w.class, ahead)
 		if p.late(now, w, wait) {
-			g.shed(now, w, late(wait))
+			g.shed(now, w, g.late(wait))
 			continue
 		}
 		ahead++
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -114,6 +114,12 @@
 }
 
 func runLoad(load float64, admit bool, nodes int) []loadCount {
+	return runCutOff(load, admit, nodes, nodes)
+}
+
+// runCutOff runs the load at some nodes of those on the rosters; the others can
+// reach neither them nor the engines.
+func runCutOff(load float64, admit bool, nodes, known int) []loadCount {
 	r := &loadRun{
 		now: testStart, random: rand.New(rand.NewPCG(3, 3)), admit: admit, load: load,
 		counts: make([]loadCount, len(loadWorkspaces)), waiters: map[*waiter]*loadCall{},
@@ -129,7 +135,7 @@
 		id := garnetworks.NodeID(fmt.Sprintf("n%d", i))
 		g := newGate(Options{Node: id})
 		g.setManifest(r.now, r.manifest)
-		g.setNodes(r.now, nodes)
+		g.setNodes(r.now, known)
 		r.gates = append(r.gates, g)
 		r.routers = append(r.routers, router.New(router.Options{Node: id, Zone: "z1"}))
 	}
@@ -396,3 +402,44 @@
 		})
 	}
 }
+
+func TestCutOffZoneServesItsEngines(t *testing.T) {
+	// A zone is cut off with a third of the nodes. Each goes on with its equal
+	// share of the slots, counted over all nodes, although the others can't reach
+	// the zone's engines; callers in the zone were refused beside idle engines.
+	if testing.Short() {
+		t.Skip("a measurement")
+	}
+	counts := runCutOff(1, true, 2, 6)
+	logLoad(t, 1, true, counts)
+	if got := goodput(counts); got < 0.85 {
+		t.Errorf("got goodput %.3f, want 0.85 of the full rate", got)
+	}
+}
+
+func TestReunionDoesNotFloodEngines(t *testing.T) {
+	// A cut-off zone's node has grown to three times its part of the slots. The
+	// cut ends, and it sees all groups again. If its limit grew threefold with
+	// them, it would fill the engines of the other zones in a moment.
+	now := testStart
+	g := newGate(Options{Node: "n1"})
+	g.setNodes(now, 6)
+	g.setManifest(now, &garnetworks.Manifest{Models: []garnetworks.ModelSpec{{Name: "m"}}})
+	p := g.pools["m"]
+	set := func(slots int, use float64) {
+		now = now.Add(time.Second)
+		p.short = true
+		g.setCapacity(now, []garnetworks.ModelCapacity{{Model: "m", Slots: slots, InUse: use * float64(slots)}})
+	}
+	for range 60 {
+		set(400, 0.4)
+	}
+	if p.limit < 200 {
+		t.Fatalf("got limit %.0f while cut off beside idle engines, want 200 at least", p.limit)
+	}
+	before := p.limit
+	set(1200, 0.98)
+	if p.limit > before {
+		t.Errorf("got limit %.0f after the cut, want %.0f at most", p.limit, before)
+	}
+}
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -22,8 +22,12 @@
 	// adaptInterval is the least time between two steps of the slot limit.
 	adaptInterval = 500 * time.Millisecond
 	// Steps and bounds of the slot limit, as factors of the node's part (A6).
+	// roomStep times the free part is the step up while much is free: the nodes
+	// of a cut-off zone hold a part of all slots, though no other node can reach
+	// the engines there.
+	roomStep                = 0.3
 	shrinkStep, growStep    = 0.97, 0.03
-	leastFactor, mostFactor = 0.3, 2.0
+	leastFactor, mostFactor = 0.3, 4.0
 	queueingUse, roomUse    = 1.0, 0.97
 	// slowFirstToken is the usual time to the first token from which the engines
 	// are short of prefill, however many slots are free; half of what is
@@ -35,13 +39,17 @@
 	firstTokenMargin = 2
 	// reserveDeviations is how far above the mean number of calls of higher
 	// priorities room is left for them, in standard deviations.
-	reserveDeviations         = 2.5
-	leastRate                 = 0.05
-	classWindow               = 10 * time.Second
-	defaultMaxWaiting         = 256
-	retrySpread               = 0.25
-	shortestOverload          = time.Second
-	noCapacitySlots   float64 = 1
+	reserveDeviations = 2.5
+	leastRate         = 0.05
+	classWindow       = 10 * time.Second
+	defaultMaxWaiting = 256
+	// retrySpread is the part by which times to come back differ; retryParts and
+	// retryStride walk through the differences.
+	retrySpread              = 0.25
+	retryParts               = 64
+	retryStride              = 37
+	shortestOverload         = time.Second
+	noCapacitySlots  float64 = 1
 )
 
 // pool holds a model's slots at the node and the calls that wait for them.
@@ -49,7 +57,9 @@
 	model    garnetworks.ModelName
 	capacity garnetworks.ModelCapacity
 	// factor adapts the node's part (A6).
-	factor  float64
+	factor float64
+	// part is the node's part of the slots, before adaptation.
+	part    float64
 	adapted time.Time
 	// short is set when a call found no slot since the last step.
 	short bool
@@ -96,7 +106,14 @@
 		p.adapt(capacity.InUse/float64(capacity.Slots), capacity.FirstToken)
 		p.short = false
 	}
-	p.limit = max(noCapacitySlots, p.factor*part*float64(capacity.Slots))
+	whole := part * float64(capacity.Slots)
+	if p.factor > 1 && whole > p.part && p.part > 0 {
+		// Other nodes reach these groups again, or there are more of them: what was
+		// taken beyond the own part must not grow along with it.
+		p.factor = max(1, p.factor*p.part/whole)
+	}
+	p.part = whole
+	p.limit = max(noCapacitySlots, p.factor*whole)
 }
 
 // adapt takes one step. Engines show that they are short of something by calls
@@ -110,7 +127,7 @@
 		return
 	}
 	if p.short {
-		p.factor = min(mostFactor, p.factor+growStep)
+		p.factor = min(mostFactor, p.factor+max(growStep, roomStep*(roomUse-use)))
 	} else if p.factor < 1 {
 		p.factor = min(1, p.factor+growStep)
 	}
