Find frozen engines by how soon first tokens usually come

Cause: with an engine frozen, calls waited 2 s for the probe and 0.5 s for its answer, and the chooser went on choosing the group until its confirmation ended. An attempt that was ended because a new connection does not reach the engine is reported to the chooser as unreached, so that the router's cooldown takes the group back.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -10,9 +10,10 @@
 //	F3  Tokens reach the caller in order, none twice and none left out, over all
 //	    attempts: positions and texts of overlapping chunks are compared with
 //	    what was delivered, and a chunk that contradicts it fails the attempt.
-//	F4  An attempt without progress is probed once, on a new connection, and
-//	    ended if the probe shows that the connection or the engine is dead, or
-//	    if the slow bound is over. Both bounds are in Timeouts.
+//	F4  An attempt without progress is probed on a new connection, once, or twice
+//	    before its first token, and ended if the probe shows that the connection
+//	    or the engine is dead, or if the slow bound is over. The bounds are in
+//	    Timeouts and in rule S7.
 //	F5  A call buffers at most BufferParts parts and BufferBytes bytes. While the
 //	    buffer is full the engine's stream is not read, so that the engine is
 //	    held back by the connection; a caller who takes nothing for SlowCaller
@@ -61,7 +62,7 @@
 // DefaultTimeouts.
 type Timeouts struct {
 	// FirstToken is the silence before the first token of an attempt after which
-	// the engine is probed.
+	// the engine is probed, if it was not found lost by an early probe (rule S7).
 	FirstToken time.Duration
 	// BetweenTokens is the silence between tokens after which the engine is
 	// probed.
@@ -135,6 +136,7 @@
 	start  time.Time
 	events *EventLimiter
 	pulses pulses
+	usual  usual
 	tasks  tasks
 
 	budgetMu sync.Mutex
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -104,6 +104,12 @@
 		"without work, but measured before": {alive(func(e *evidence) {
 			e.status.Load.Running, e.status.Load.At = 0, started.Add(-time.Second)
 		}), nil},
+		"early, engine without work": {alive(func(e *evidence) {
+			e.early, e.begun, e.status.Load.Running = true, false, 0
+		}), nil},
+		"early, no new connection": {alive(func(e *evidence) {
+			e.early, e.probeError = true, errors.New("refused")
+		}), errEngineLost},
 		"waiting in its queue":    {alive(func(e *evidence) { e.status.Load.Running, e.status.Load.Waiting = 0, 1 }), nil},
 		"overtaken, nobody waits": {alive(func(e *evidence) { e.overtaken, e.begun = true, false }), errSilent},
 		"overtaken, some wait": {alive(func(e *evidence) {
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -270,6 +270,11 @@
 	if err != nil {
 		fail = classify(attemptCtx, err)
 		result.Phase = fail.phase
+		if fail.cause == errEngineLost {
+			// What became of the call stays open, but the chooser learns that a new
+			// connection does not reach the engine now.
+			result.Phase = garnetworks.PhaseConnect
+		}
 		result.Silent = fail.connectionOnly
 		result.StaleToken = fail.stale
 		result.Leaving = fail.leaving
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -35,6 +35,9 @@
 	// overtaken says that an attempt that started later at the group has its
 	// first token.
 	overtaken bool
+	// early says that the silence is longer than usual, but within the bound that
+	// suits any engine.
+	early bool
 	// probed says that there is a Prober; probeError and status are its result.
 	probed     bool
 	probeError error
@@ -56,6 +59,10 @@
 //	S5  An engine that measured, since the attempt began, neither running nor
 //	    waiting requests does not have the attempt: its connection is dead.
 //	S6  Everything else can be a slow engine and gets the slow bound.
+//	S7  Once the node knows how long a model's first tokens usually take here, the
+//	    first probe comes at twice the wait of 95 in 100 calls. So early, only S1
+//	    and S2 judge: the engine may not have got to a slow call yet. A second
+//	    probe comes at the bound that suits any engine.
 func judge(e evidence) error {
 	if e.probed && e.probeError != nil {
 		return errEngineLost // S1
@@ -63,6 +70,9 @@
 	if e.probed && e.status.Group != e.group {
 		return errEngineChanged // S2
 	}
+	if e.early {
+		return nil // S7
+	}
 	if e.begun && e.othersProgressed {
 		return errSilent // S3
 	}
@@ -140,6 +150,7 @@
 	f     *Forwarder
 	group *garnetworks.GroupView
 	call  garnetworks.CallID
+	model garnetworks.ModelName
 	// ctx is the attempt's; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -149,6 +160,9 @@
 	offset int64
 	// prefill is added to the bound of the first token for the prompt's length.
 	prefill time.Duration
+	// early is the wait for the first token before the first probe (rule S7); 0
+	// if there is no such probe.
+	early time.Duration
 
 	// sign and token are the times of the last sign of life and of the last
 	// token, in nanoseconds since base.
@@ -163,8 +177,10 @@
 	// runs must not start a second one beside it.
 	checking sync.Mutex
 	// judged is the sign up to which the silence was probed and found slow; -1
-	// before the first probe. It belongs to the holder of checking.
-	judged int64
+	// before the first probe. It belongs to the holder of checking, as does
+	// judgedEarly, which says that the early probe is done.
+	judged      int64
+	judgedEarly bool
 }
 
 // prefillBytesPerSecond is a low estimate of how fast engines read prompts: about
@@ -176,6 +192,7 @@
 		f:       f,
 		group:   group,
 		call:    call.ID,
+		model:   call.Model,
 		ctx:     ctx,
 		cancel:  cancel,
 		pulse:   f.pulses.join(group.ID),
@@ -184,9 +201,14 @@
 		judged:  -1,
 	}
 	w.offset = int64(w.base.Sub(f.start))
+	first := f.options.Timeouts.FirstToken + w.prefill
+	if early, ok := f.usual.early(call.Model, w.prefill); ok && early < first && f.options.Prober != nil {
+		w.early = early
+		first = early
+	}
 	// The timer's goroutine reads w.timer, so it is set before the timer runs.
 	ready := make(chan struct{})
-	w.timer = time.AfterFunc(f.options.Timeouts.FirstToken+w.prefill, func() {
+	w.timer = time.AfterFunc(first, func() {
 		<-ready
 		w.check()
 	})
@@ -210,6 +232,7 @@
 	w.pulse.last.Store(w.offset + elapsed)
 	if !w.begun.Load() {
 		w.pulse.begin(w.offset)
+		w.f.usual.took(w.model, time.Duration(elapsed))
 		// From here on the shorter bound holds, and the timer still runs for the
 		// longer one.
 		w.begun.Store(true)
@@ -233,6 +256,9 @@
 	if w.begun.Load() {
 		return t.BetweenTokens, t.SlowBetweenTokens
 	}
+	if w.early > 0 && !w.judgedEarly {
+		return w.early, t.SlowFirstToken + w.prefill
+	}
 	return t.FirstToken + w.prefill, t.SlowFirstToken + w.prefill
 }
 
@@ -275,6 +301,7 @@
 		started: w.base,
 		group:   w.group.ID,
 	}
+	e.early = !e.begun && w.early > 0 && !w.judgedEarly
 	half := (int64(time.Since(w.base)) - sign) / 2
 	e.othersProgressed = w.pulse.last.Load() > w.offset+sign+half
 	e.overtaken = w.pulse.begun.Load() > w.offset
@@ -292,7 +319,11 @@
 			w.end(cause)
 			return
 		}
-		w.judged = sign
+		if e.early {
+			w.judgedEarly = true
+		} else {
+			w.judged = sign
+		}
 	}
 	w.timer.Reset(time.Nanosecond)
 }
