Retry calls elsewhere that one server refused for its own reasons

Cause: a group that misses a member refuses calls until its confirmation ends. At 15 calls a second the retry budget carries that; at 100 it is spent, and calls ended as backend-refused though two other groups would have taken them. Change: rule R6: a retry is free after a refusal as not ready, leaving or stale token, too. Such an attempt ran nothing, so the next is the first that puts load on a server. A refusal for load or without a known reason takes from the budget as before. MaxAttempts bounds all.

--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -295,7 +295,7 @@
 		if s.last == nil {
 			return answer, nil
 		}
-		verdict := s.history.Failed(s.last.phase, false)
+		verdict := s.history.Failed(retrier.Failure{Phase: s.last.phase, Refusal: s.last.refusal})
 		if ctx.Err() != nil {
 			return garnetworks.ServiceAnswer{}, s.stopped(ctx)
 		}
@@ -356,7 +356,7 @@
 		fail = classify(ctx, err)
 		result.Phase = fail.phase
 		result.Silent = fail.timedOut || errors.Is(ctx.Err(), context.DeadlineExceeded)
-		result.Leaving = fail.leaving
+		result.Leaving = fail.refusal == garnetworks.KindShuttingDown
 		result.Cancelled = cancelled(ctx)
 	}
 	now := time.Now()
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -16,8 +16,11 @@
 //	R5  Retries of a node never exceed Fraction of its calls, plus Floor a
 //	    second, plus Burst; so the loss of a zone can't multiply the load of the
 //	    zones that are left.
-//	R6  After an attempt that reached no server, the next one is free: it is the
-//	    first that puts load on a server. MaxAttempts bounds it all the same.
+//	R6  After an attempt that put no load on a server, the next one is free: no
+//	    server was reached, or one refused because this server can't take the
+//	    call now (it is not ready, it leaves, the token is stale). A refusal for
+//	    load, or for no stated reason, is not free: the next server is probably
+//	    as busy. MaxAttempts bounds what is free all the same.
 package retrier
 
 import "github.com/garnetworks/garnetworks"
@@ -169,15 +172,38 @@
 	MayHaveRun bool
 }
 
-// Failed takes the phase in which an attempt failed, and whether tokens of the
-// call were delivered to the caller before or during it.
-func (h *History) Failed(phase garnetworks.CallPhase, delivered bool) Verdict {
-	cell := Lookup(phase, h.Repeatability)
+// Failure is how an attempt failed.
+type Failure struct {
+	Phase garnetworks.CallPhase
+	// Refusal is the kind that the server gave with PhaseRefused; it means nothing
+	// with other phases.
+	Refusal garnetworks.Kind
+	// Delivered says that tokens of the call were delivered to the caller before or
+	// during the attempt.
+	Delivered bool
+}
+
+// free is rule R6.
+func (f Failure) free() bool {
+	switch f.Phase {
+	case garnetworks.PhaseConnect:
+		return true
+	case garnetworks.PhaseRefused:
+		return f.Refusal == garnetworks.KindNotReady ||
+			f.Refusal == garnetworks.KindStaleToken ||
+			f.Refusal == garnetworks.KindShuttingDown
+	}
+	return false
+}
+
+// Failed takes the end of an attempt that failed.
+func (h *History) Failed(f Failure) Verdict {
+	cell := Lookup(f.Phase, h.Repeatability)
 	h.Attempts++
 	// Failure: the first attempt breaks off while waiting and may be running,
 	// the second one finds no server. The last attempt alone would say "not run"
 	// of a call that ran. The history keeps the doubt (rule R3).
-	if cell.Outcome != garnetworks.OutcomeNotRun || delivered {
+	if cell.Outcome != garnetworks.OutcomeNotRun || f.Delivered {
 		h.MayHaveRun = true
 	}
 	// What may have run in any attempt is not sent again, even if the last one
@@ -185,8 +211,8 @@
 	once := h.Repeatability != Repeatable && h.MayHaveRun
 	return Verdict{
 		Retry:   cell.Retry && !once && h.Attempts < h.MaxAttempts,
-		Resume:  delivered,
-		Free:    phase == garnetworks.PhaseConnect,
+		Resume:  f.Delivered,
+		Free:    f.free(),
 		Outcome: h.Outcome(),
 		Reason:  cell.Reason,
 	}
