--- a/runner/faults_test.go
+++ b/runner/faults_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"fmt"
 	"regexp"
 	"slices"
@@ -120,7 +121,7 @@
 		run: func(s *virtualSite) {
 			s.cutZone("zone-c", true)
 			time.Sleep(10 * time.Second)
-			inside := s.nodes["zone-c-n0"].answerOf(s.t.Context(), s.key, "POST", "/v1/completions", "", virtualBody)
+			inside := s.nodes["zone-c-n0"].answerOf(context.Background(), s.key, "POST", "/v1/completions", "", virtualBody)
 			if inside.outcome != string(garnetworks.OutcomeCompleted) {
 				s.t.Errorf("a call inside the zone: %+v", inside)
 			}
@@ -134,7 +135,7 @@
 				s.t.Errorf("the held proposal does not name the zone: %s", got)
 			}
 			time.Sleep(80 * time.Second)
-			inside = s.nodes["zone-c-n1"].answerOf(s.t.Context(), s.key, "POST", "/v1/completions", "", virtualBody)
+			inside = s.nodes["zone-c-n1"].answerOf(context.Background(), s.key, "POST", "/v1/completions", "", virtualBody)
 			if inside.outcome != string(garnetworks.OutcomeCompleted) {
 				s.t.Errorf("a call inside the zone after two minutes: %+v", inside)
 			}
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -81,6 +81,16 @@
 	return response, nil
 }
 
+// CommitClaims implements garnetworks.ClaimsHandler.
+func (h *peerHandler) CommitClaims(ctx context.Context, request *garnetworks.CommitClaimsRequest) (*garnetworks.CommitClaimsResponse, error) {
+	response, err := h.r.claimer.CommitClaims(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	response.At = h.r.timeline.Now()
+	return response, nil
+}
+
 // leaseStates tells of each lease whether the node holds it.
 func (r *Runner) leaseStates() map[string]bool {
 	now := time.Now()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -240,7 +240,12 @@
 	r.client = messenger.NewClient(clientOptions(r, options.Network))
 	r.router = router.New(router.Options{Node: r.self.ID, Zone: r.self.Zone})
 	r.admitter = admitter.New(admitter.Options{Node: r.self.ID})
-	r.claimer = claimer.New(claimer.Options{Node: r.self, API: r.platform.Objects, Recorder: r.events})
+	r.claimer = claimer.New(claimer.Options{
+		Node:      r.self,
+		API:       r.platform.Objects,
+		Forwarder: garnetworks.Some[claimer.Forwarder](claimer.PeerForwarder{Peers: r.client}),
+		Recorder:  r.events,
+	})
 	r.prober = prober.New(prober.Options{
 		Node:     r.self.ID,
 		Peers:    garnetworks.Some[garnetworks.ConfirmCaller](r.client),
--- a/runner/virtual_test.go
+++ b/runner/virtual_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -20,7 +20,7 @@
 // virtualSite is a site on the test clock: the real nodes, joined by a network in
 // memory, on stand-ins in process. It runs inside a synctest bubble.
 type virtualSite struct {
-	t        testing.TB
+	t        reporter
 	size     shape
 	network  *memoryNetwork
 	objects  *faker.Objects
@@ -29,8 +29,13 @@
 	power    *faker.Power
 	services *faker.Services
 	// ledgers are the servers of the plain service, in zone-a and zone-b.
-	ledgers  []*faker.Service
-	nodes    map[garnetworks.NodeID]*virtualNode
+	ledgers []*faker.Service
+	weights *faker.WeightStore
+	// mu guards nodes, which change when one is replaced.
+	mu    sync.Mutex
+	nodes map[garnetworks.NodeID]*virtualNode
+	// isCut holds the zones that are cut off now.
+	isCut    map[garnetworks.ZoneID]bool
 	key      string
 	load     *load
 	stopLoad context.CancelFunc
@@ -45,9 +50,11 @@
 	objects *faker.ObjectsView
 	// cut holds the zones whose backend servers the node can't reach; the empty
 	// name stands for the platform.
-	cut  sync.Map
-	stop context.CancelFunc
-	done chan error
+	cut sync.Map
+	// crashed nodes are heard by nobody until they are replaced.
+	crashed bool
+	stop    context.CancelFunc
+	done    chan error
 }
 
 const (
@@ -60,6 +67,17 @@
 // domainEngines is the number of engines in a fabric domain.
 const domainEngines = 16
 
+// reporter is what testing.T and rapid.T have in common.
+type reporter interface {
+	Helper()
+	Log(args ...any)
+	Logf(format string, args ...any)
+	Error(args ...any)
+	Errorf(format string, args ...any)
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // shape is the size of a site.
 type shape struct {
 	zones []garnetworks.ZoneID
@@ -77,13 +95,13 @@
 // off.
 var smallShape = shape{zones: zones, nodes: 2, engines: 6, on: 5, groups: groupsWanted, cap: virtualCap, weight: 1 << 30}
 
-func newVirtualSite(t testing.TB, size shape) *virtualSite {
+func newVirtualSite(t reporter, size shape) *virtualSite {
 	t.Helper()
-	s := &virtualSite{t: t, size: size, network: newMemoryNetwork(), services: new(faker.Services), nodes: make(map[garnetworks.NodeID]*virtualNode)}
-	weights := faker.NewWeightStore(1<<30, map[garnetworks.WeightID]int64{{Model: "chat", Version: "v1"}: size.weight, {Model: "chat", Version: "v2"}: size.weight})
+	s := &virtualSite{t: t, size: size, network: newMemoryNetwork(), services: new(faker.Services), nodes: make(map[garnetworks.NodeID]*virtualNode), isCut: make(map[garnetworks.ZoneID]bool)}
+	s.weights = faker.NewWeightStore(1<<30, map[garnetworks.WeightID]int64{{Model: "chat", Version: "v1"}: size.weight, {Model: "chat", Version: "v2"}: size.weight})
 	s.objects = faker.NewObjects(faker.ObjectsOptions{WritesPerSecond: 300, ReadsPerSecond: 2000})
 	s.list = faker.NewInstanceList(2 * time.Second)
-	s.fleet = faker.NewFleet(weights, s.list)
+	s.fleet = faker.NewFleet(s.weights, s.list)
 	s.power = faker.NewPower(s.fleet)
 	for _, zone := range size.zones {
 		s.addEngines(zone)
@@ -95,7 +113,7 @@
 	}
 	for _, zone := range size.zones {
 		for i := range size.nodes {
-			s.startNode(nodeName(zone, i), zone, weights)
+			s.startNode(nodeName(zone, i), zone)
 		}
 	}
 	return s
@@ -134,10 +152,10 @@
 	}
 }
 
-func (s *virtualSite) startNode(id garnetworks.NodeID, zone garnetworks.ZoneID, weights garnetworks.WeightStore) *virtualNode {
+func (s *virtualSite) startNode(id garnetworks.NodeID, zone garnetworks.ZoneID) *virtualNode {
 	s.t.Helper()
 	n := &virtualNode{objects: s.objects.View(), done: make(chan error, 1)}
-	cut := &cutPlatform{node: n, site: s, weights: weights}
+	cut := &cutPlatform{node: n, site: s}
 	settings := configurer.Settings{
 		Node: id, Zone: zone, Region: s.region(zone),
 		Listen:     configurer.Listen{Callers: string(id) + ":callers", Peers: string(id) + ":peers", Admin: string(id) + ":admin"},
@@ -161,7 +179,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.Runner, n.stop = r, cancel
+	s.mu.Lock()
 	s.nodes[id] = n
+	s.mu.Unlock()
 	go func() { n.done <- r.Run(ctx, nil) }()
 	return n
 }
@@ -172,6 +192,46 @@
 	return garnetworks.RegionID(fmt.Sprintf("region-%d", i/3+1))
 }
 
+// node returns the process that runs under a name now.
+func (s *virtualSite) node(id garnetworks.NodeID) *virtualNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[id]
+}
+
+// names returns the nodes' names in order.
+func (s *virtualSite) names() []garnetworks.NodeID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.nodes))
+}
+
+// replace starts a new process under the name of one that has ended.
+func (s *virtualSite) replace(id garnetworks.NodeID) {
+	s.t.Helper()
+	old := s.node(id)
+	old.stop()
+	if err := <-old.done; err != nil {
+		s.t.Errorf("node %s: %v", id, err)
+	}
+	old.crashed = false
+	for _, other := range s.names() {
+		if other != id {
+			s.network.setCut(id, other, s.apart(id, other))
+		}
+	}
+	s.startNode(id, old.self.Zone).cutOff(s)
+}
+
+// apart reports whether a cut lies between the nodes.
+func (s *virtualSite) apart(a, b garnetworks.NodeID) bool {
+	if s.node(a).crashed || s.node(b).crashed {
+		return true
+	}
+	from, to := s.node(a).self.Zone, s.node(b).self.Zone
+	return from != to && (s.isCut[from] || s.isCut[to])
+}
+
 // close ends everything, so that the bubble can end.
 func (s *virtualSite) close() {
 	if s.stopLoad != nil {
@@ -191,9 +251,8 @@
 
 // cutPlatform is everything outside as one node reaches it.
 type cutPlatform struct {
-	node    *virtualNode
-	site    *virtualSite
-	weights garnetworks.WeightStore
+	node *virtualNode
+	site *virtualSite
 }
 
 // connectTimeout is how long a connect to a cut-off address takes to fail.
@@ -239,14 +298,14 @@
 	if err := c.reach(ctx, ""); err != nil {
 		return 0, err
 	}
-	return c.weights.Rate(ctx)
+	return c.site.weights.Rate(ctx)
 }
 
 func (c *cutPlatform) Size(ctx context.Context, id garnetworks.WeightID) (int64, error) {
 	if err := c.reach(ctx, ""); err != nil {
 		return 0, err
 	}
-	return c.weights.Size(ctx, id)
+	return c.site.weights.Size(ctx, id)
 }
 
 func (c *cutPlatform) Order(ctx context.Context, address string, order garnetworks.EngineOrder) (garnetworks.EngineStatus, error) {
@@ -280,33 +339,37 @@
 // cutZone cuts a zone off from the other zones and from the platform, or joins
 // it again.
 func (s *virtualSite) cutZone(zone garnetworks.ZoneID, cut bool) {
-	for id, n := range s.nodes {
-		for other, m := range s.nodes {
-			if n.self.Zone == zone && m.self.Zone != zone {
-				s.network.setCut(id, other, cut)
-			}
+	s.isCut[zone] = cut
+	names := s.names()
+	for i, id := range names {
+		for _, other := range names[i+1:] {
+			s.network.setCut(id, other, s.apart(id, other))
 		}
-		for _, z := range append([]garnetworks.ZoneID{""}, s.size.zones...) {
-			apart := (n.self.Zone == zone) != (z == zone)
-			if !apart || (z == "" && n.self.Zone != zone) {
-				continue
-			}
-			if cut {
-				n.cut.Store(z, true)
-			} else {
-				n.cut.Delete(z)
-			}
-		}
-		if n.self.Zone == zone {
-			n.objects.SetFaults(faker.FaultPlan{Down: cut})
+		s.node(id).cutOff(s)
+	}
+}
+
+// cutOff cuts the node off from what lies beyond its zone's cut.
+func (n *virtualNode) cutOff(s *virtualSite) {
+	if n.crashed {
+		return
+	}
+	own := n.self.Zone
+	for _, z := range append([]garnetworks.ZoneID{""}, s.size.zones...) {
+		if z != own && (s.isCut[own] || s.isCut[z]) {
+			n.cut.Store(z, true)
+		} else {
+			n.cut.Delete(z)
 		}
 	}
+	n.objects.SetFaults(faker.FaultPlan{Down: s.isCut[own]})
 }
 
 // crash ends a node without any farewell: nobody hears it any more.
 func (s *virtualSite) crash(id garnetworks.NodeID) {
-	n := s.nodes[id]
-	for other := range s.nodes {
+	n := s.node(id)
+	n.crashed = true
+	for _, other := range s.names() {
 		if other != id {
 			s.network.setCut(id, other, true)
 		}
@@ -473,9 +536,9 @@
 	want := faker.AnswerText(&garnetworks.CallRequest{Model: "chat", Prompt: "the pump at well 9 has failed"}, 0, virtualTokens)
 	for ctx.Err() == nil {
 		time.Sleep(200 * time.Millisecond)
-		n := l.site.nodes[id]
+		n := l.site.node(id)
 		if n.stopping.Load() {
-			return
+			continue
 		}
 		a := n.answerOf(ctx, l.site.key, "POST", "/v1/completions", "", virtualBody)
 		l.count("model", a)
@@ -491,9 +554,9 @@
 func (l *load) callLedger(ctx context.Context, id garnetworks.NodeID) {
 	for ctx.Err() == nil {
 		time.Sleep(700 * time.Millisecond)
-		n := l.site.nodes[id]
+		n := l.site.node(id)
 		if n.stopping.Load() {
-			return
+			continue
 		}
 		key := fmt.Sprintf("visit-%d", l.keys.Add(1))
 		first := n.answerOf(ctx, l.site.key, "POST", "/services/ledger/visits", key, `{"visit":"`+key+`"}`)
@@ -502,7 +565,7 @@
 		if first.outcome == string(garnetworks.OutcomeNotRun) && ran > 0 {
 			l.fault("node %s: call %s ran %d times behind not-run: %+v", id, key, ran, first)
 		}
-		other := l.site.nodes[l.otherNode(id)]
+		other := l.site.node(l.otherNode(id))
 		if other.stopping.Load() {
 			continue
 		}
@@ -518,8 +581,8 @@
 }
 
 func (l *load) otherNode(id garnetworks.NodeID) garnetworks.NodeID {
-	for other, n := range l.site.nodes {
-		if other != id && n.self.Zone != l.site.nodes[id].self.Zone {
+	for _, other := range l.site.names() {
+		if l.site.node(other).self.Zone != l.site.node(id).self.Zone {
 			return other
 		}
 	}
@@ -534,8 +597,8 @@
 			l.fault("the site draws %d W over its cap of %d W", draw, l.site.size.cap)
 		}
 		holders := make(map[string][]garnetworks.NodeID)
-		for id, n := range l.site.nodes {
-			for name, held := range n.leaseStates() {
+		for _, id := range l.site.names() {
+			for name, held := range l.site.node(id).leaseStates() {
 				if held {
 					holders[name] = append(holders[name], id)
 				}
