--- a/connector/link.go
+++ b/connector/link.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -44,21 +45,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.Silence, DefaultSilence)
-	setDefault(&o.MaxIdlePerAddress, DefaultMaxIdlePerAddress)
-	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.ConnectTimeout = cmp.Or(o.ConnectTimeout, DefaultConnectTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.Silence = cmp.Or(o.Silence, DefaultSilence)
+	o.MaxIdlePerAddress = cmp.Or(o.MaxIdlePerAddress, DefaultMaxIdlePerAddress)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // pool keeps one transport for each address, so that the connections to one
 // address can be dropped without those to others.
 type pool struct {
--- a/connector/link_test.go
+++ b/connector/link_test.go
@@ -20,18 +20,24 @@
 // dyingServer answers the first request on each connection, reads the second
 // one whole and then breaks the connection without an answer.
 type dyingServer struct {
-	net.Listener
-	mu sync.Mutex
+	address string
+	mu      sync.Mutex
 	// read holds the identifiers of the requests that arrived whole.
 	read []string
 }
 
 func newDyingServer(t *testing.T) *dyingServer {
+	s := &dyingServer{}
+	s.address = listen(t, s.serve)
+	return s
+}
+
+// listen serves each connection on a goroutine of its own until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &dyingServer{Listener: l}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -39,10 +45,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(c)
 		}
 	}()
-	return s
+	return l.Addr().String()
 }
 
 func (s *dyingServer) serve(c net.Conn) {
@@ -97,7 +103,7 @@
 			defer p.Close()
 			caller := &ServiceCaller{p}
 			call := func(id garnetworks.CallID) error {
-				_, err := caller.Call(t.Context(), s.Addr().String(), &garnetworks.ServiceCall{
+				_, err := caller.Call(t.Context(), s.address, &garnetworks.ServiceCall{
 					ID: id, Method: test.method, Path: "/parts", Body: []byte(test.body), Key: "key-" + string(id),
 				})
 				return err
@@ -123,7 +129,7 @@
 	s := newDyingServer(t)
 	p := newPool(Options{})
 	defer p.Close()
-	address := s.Addr().String()
+	address := s.address
 	send := func(id string) (*http.Response, error) {
 		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/parts", strings.NewReader("parts"))
 		if err != nil {
@@ -206,27 +212,13 @@
 // rawServer answers each connection with fixed text after it has read the
 // request's head.
 func rawServer(t *testing.T, answer string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(c, answer)
-				}
-			}()
+	return listen(t, func(c net.Conn) {
+		defer c.Close()
+		if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(c, answer)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // A caller gets half an answer, another caller's, or "not run" for a call that
--- a/connector/platform.go
+++ b/connector/platform.go
@@ -178,27 +178,24 @@
 
 // getJSON makes a call without effect and decodes its answer.
 func getJSON[T any](ctx context.Context, c client, x exchange) (T, error) {
-	var result T
 	x.method = http.MethodGet
-	a, err := c.do(ctx, x)
-	if err != nil {
-		return result, err
-	}
-	if err := json.Unmarshal(a.body, &result); err != nil {
-		return result, c.lost(x, garnetworks.PhaseBody, err)
-	}
-	return result, nil
+	return doJSON[T](ctx, c, x)
 }
 
 // postJSON makes a call with an effect and decodes its answer.
 func postJSON[T any](ctx context.Context, c client, x exchange, body any) (T, error) {
-	var result T
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		return result, garnetworks.WrapError(garnetworks.KindInvalidRequest, err, "the request can't be encoded")
+		var none T
+		return none, garnetworks.WrapError(garnetworks.KindInvalidRequest, err, "the request can't be encoded")
 	}
 	x.method, x.body, x.writes = http.MethodPost, encoded, true
 	x.header = http.Header{"Content-Type": {"application/json"}}
+	return doJSON[T](ctx, c, x)
+}
+
+func doJSON[T any](ctx context.Context, c client, x exchange) (T, error) {
+	var result T
 	a, err := c.do(ctx, x)
 	if err != nil {
 		return result, err
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -137,7 +138,7 @@
 	events *EventLimiter
 	pulses pulses
 	usual  usual
-	tasks  tasks
+	tasks  Tasks
 
 	budgetMu sync.Mutex
 	budget   *retrier.Budget
@@ -163,7 +164,7 @@
 
 // Wait returns when no attempt and no recording of an answer is left, or when
 // ctx ends. Calls whose callers went away are among them (rule F6).
-func (f *Forwarder) Wait(ctx context.Context) error { return f.tasks.wait(ctx) }
+func (f *Forwarder) Wait(ctx context.Context) error { return f.tasks.Wait(ctx) }
 
 // RetriesLeft returns the number of retries that the budget allows now.
 func (f *Forwarder) RetriesLeft() int {
@@ -186,73 +187,20 @@
 
 func (t Timeouts) withDefaults() Timeouts {
 	d := DefaultTimeouts()
-	setDefault(&t.FirstToken, d.FirstToken)
-	setDefault(&t.BetweenTokens, d.BetweenTokens)
-	setDefault(&t.Probe, d.Probe)
-	setDefault(&t.SlowFirstToken, d.SlowFirstToken)
-	setDefault(&t.SlowBetweenTokens, d.SlowBetweenTokens)
-	setDefault(&t.SlowCaller, d.SlowCaller)
-	setDefault(&t.Idle, d.Idle)
-	setDefault(&t.ResumeWait, d.ResumeWait)
-	setDefault(&t.Claim, d.Claim)
-	setDefault(&t.RecordWait, d.RecordWait)
-	setDefault(&t.Record, d.Record)
+	t.FirstToken = cmp.Or(t.FirstToken, d.FirstToken)
+	t.BetweenTokens = cmp.Or(t.BetweenTokens, d.BetweenTokens)
+	t.Probe = cmp.Or(t.Probe, d.Probe)
+	t.SlowFirstToken = cmp.Or(t.SlowFirstToken, d.SlowFirstToken)
+	t.SlowBetweenTokens = cmp.Or(t.SlowBetweenTokens, d.SlowBetweenTokens)
+	t.SlowCaller = cmp.Or(t.SlowCaller, d.SlowCaller)
+	t.Idle = cmp.Or(t.Idle, d.Idle)
+	t.ResumeWait = cmp.Or(t.ResumeWait, d.ResumeWait)
+	t.Claim = cmp.Or(t.Claim, d.Claim)
+	t.RecordWait = cmp.Or(t.RecordWait, d.RecordWait)
+	t.Record = cmp.Or(t.Record, d.Record)
 	return t
 }
 
-func setDefault(value *time.Duration, otherwise time.Duration) {
-	if *value == 0 {
-		*value = otherwise
-	}
-}
-
-// tasks counts goroutines that may outlive their calls. It is a WaitGroup whose
-// wait ends with a context and that may grow while it is waited for.
-type tasks struct {
-	mu    sync.Mutex
-	count int
-	idle  chan struct{}
-}
-
-func (t *tasks) run(task func()) {
-	t.mu.Lock()
-	t.count++
-	t.mu.Unlock()
-	go func() {
-		defer t.done()
-		task()
-	}()
-}
-
-func (t *tasks) done() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.count--
-	if t.count == 0 && t.idle != nil {
-		close(t.idle)
-		t.idle = nil
-	}
-}
-
-func (t *tasks) wait(ctx context.Context) error {
-	t.mu.Lock()
-	if t.count == 0 {
-		t.mu.Unlock()
-		return nil
-	}
-	if t.idle == nil {
-		t.idle = make(chan struct{})
-	}
-	idle := t.idle
-	t.mu.Unlock()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // guard runs an adapter and turns its panic into an error.
 //
 // Failure: an answer that nobody thought of makes an adapter panic. The attempt
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -91,7 +91,7 @@
 		history:    retrier.History{Repeatability: retrier.Repeatable, MaxAttempts: f.options.MaxAttempts},
 	}
 	result := make(chan error, 1)
-	f.tasks.run(func() {
+	f.tasks.Run(func() {
 		err := m.run(ctx)
 		m.ring.close()
 		result <- err
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -120,7 +120,7 @@
 			cancel(cause)
 		}
 	})
-	s.tasks.run(func() {
+	s.tasks.Run(func() {
 		defer cancel(nil)
 		defer stop()
 		answer, err := s.claimed(detachedCtx)
@@ -226,7 +226,7 @@
 func (s *serviceCall) record(ctx context.Context, claim garnetworks.Claim, answer *garnetworks.ServiceAnswer) {
 	recorded := make(chan struct{})
 	kept := *answer
-	s.tasks.run(func() {
+	s.tasks.Run(func() {
 		defer close(recorded)
 		s.keepRecording(context.WithoutCancel(ctx), claim, &kept)
 	})
@@ -253,7 +253,7 @@
 // abandon ends the claim without an answer, in the background.
 func (s *serviceCall) abandon(ctx context.Context, claim garnetworks.Claim, outcome garnetworks.Outcome) {
 	ctx = context.WithoutCancel(ctx)
-	s.tasks.run(func() {
+	s.tasks.Run(func() {
 		ctx, cancel := context.WithTimeout(ctx, s.options.Timeouts.Record)
 		defer cancel()
 		// If this never succeeds, the claim ends at Until as unknown, which is
--- a/server/call.go
+++ b/server/call.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -48,7 +49,7 @@
 		c.finish(err)
 		return
 	}
-	defer s.leave()
+	defer s.calls.End()
 	defer c.release()
 	c.finish(c.authenticated(run))
 }
@@ -229,13 +230,13 @@
 		return nil, err
 	}
 	limits := &c.options.Limits
-	setDefault(&request.MaxTokens, limits.DefaultTokens)
+	request.MaxTokens = cmp.Or(request.MaxTokens, limits.DefaultTokens)
 	if request.MaxTokens > limits.MaxTokens {
 		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "max_tokens must be at most %d", limits.MaxTokens)
 	}
 	deadline := c.workspace.Deadline
-	setDefault(&deadline.FirstToken, limits.FirstToken)
-	setDefault(&deadline.Total, limits.Total)
+	deadline.FirstToken = cmp.Or(deadline.FirstToken, limits.FirstToken)
+	deadline.Total = cmp.Or(deadline.Total, limits.Total)
 	c.report.Model = model
 	return &garnetworks.CallRequest{
 		ID:           c.id,
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -145,9 +146,8 @@
 	// leaving is set by Drain; draining once new calls are refused.
 	leaving  bool
 	draining bool
-	inFlight int
-	// idle is closed when inFlight falls to 0 while somebody waits.
-	idle chan struct{}
+	// calls are those in flight; none begins after draining is set.
+	calls forwarder.Tasks
 }
 
 // New returns a Server that is not ready yet.
@@ -231,11 +231,7 @@
 }
 
 // InFlight returns the number of calls in flight.
-func (s *Server) InFlight() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.inFlight
-}
+func (s *Server) InFlight() int { return s.calls.Count() }
 
 // Drain stops the server (rule H6). It drops the readiness, takes calls for
 // LameDuck more, then refuses them, and returns nil once none is in flight and
@@ -250,14 +246,14 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
-	if s.waitIdle(ctx) && s.options.Calls.Wait(ctx) == nil {
+	if s.calls.Wait(ctx) == nil && s.options.Calls.Wait(ctx) == nil {
 		return nil
 	}
 	cut := s.InFlight()
 	s.endGrace(forwarder.ErrGraceEnded)
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.CloseTime)
 	defer cancel()
-	s.waitIdle(closing)
+	_ = s.calls.Wait(closing)
 	if err := s.options.Calls.Wait(closing); err != nil {
 		return errors.Wrapf(err, "%d calls were cut off, and not all answers were recorded", cut)
 	}
@@ -287,40 +283,10 @@
 	if !s.opened {
 		return garnetworks.Errorf(garnetworks.KindNotReady, "this node is not ready yet")
 	}
-	s.inFlight++
+	s.calls.Begin()
 	return nil
 }
 
-func (s *Server) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-	if s.inFlight == 0 && s.idle != nil {
-		close(s.idle)
-		s.idle = nil
-	}
-}
-
-// waitIdle reports whether no call was in flight before ctx ended.
-func (s *Server) waitIdle(ctx context.Context) bool {
-	s.mu.Lock()
-	if s.inFlight == 0 {
-		s.mu.Unlock()
-		return true
-	}
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	idle := s.idle
-	s.mu.Unlock()
-	select {
-	case <-idle:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // closing reports whether connections should be closed after their answer.
 func (s *Server) closing() bool {
 	s.mu.Lock()
@@ -330,21 +296,14 @@
 
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
-	setDefault(&l.Body, d.Body)
-	setDefault(&l.Bodies, d.Bodies)
-	setDefault(&l.Header, d.Header)
-	setDefault(&l.BodyTime, d.BodyTime)
-	setDefault(&l.WriteTime, d.WriteTime)
-	setDefault(&l.MaxTokens, d.MaxTokens)
-	setDefault(&l.DefaultTokens, d.DefaultTokens)
-	setDefault(&l.FirstToken, d.FirstToken)
-	setDefault(&l.Total, d.Total)
+	l.Body = cmp.Or(l.Body, d.Body)
+	l.Bodies = cmp.Or(l.Bodies, d.Bodies)
+	l.Header = cmp.Or(l.Header, d.Header)
+	l.BodyTime = cmp.Or(l.BodyTime, d.BodyTime)
+	l.WriteTime = cmp.Or(l.WriteTime, d.WriteTime)
+	l.MaxTokens = cmp.Or(l.MaxTokens, d.MaxTokens)
+	l.DefaultTokens = cmp.Or(l.DefaultTokens, d.DefaultTokens)
+	l.FirstToken = cmp.Or(l.FirstToken, d.FirstToken)
+	l.Total = cmp.Or(l.Total, d.Total)
 	return l
 }
-
-func setDefault[T comparable](value *T, otherwise T) {
-	var zero T
-	if *value == zero {
-		*value = otherwise
-	}
-}
