Share one paced stream between the forwarder's tests

Cause: the tests of dead connections, of a lost zone and of a frozen engine each had their stream of tokens. Change: paced brings a token whenever its wait returns; no assertion changes.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -277,25 +277,24 @@
 }
 
 func (b *busy) Generate(ctx context.Context, _ string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
-	return &busyStream{b, ctx, call, call.ResumeFrom}, nil
+	return &paced{call, call.ResumeFrom, func(next int) error {
+		if call.Attempt == "c1.1" && next == b.after {
+			return sleep(ctx, time.Hour)
+		}
+		return sleep(ctx, 40*time.Millisecond)
+	}}, nil
 }
 
-type busyStream struct {
-	*busy
-	ctx  context.Context
+// paced brings a token whenever wait returns.
+type paced struct {
 	call *garnetworks.EngineCall
 	next int
+	wait func(next int) error
 }
 
-func (s *busyStream) Next(c *garnetworks.Chunk) error {
-	pause := 40 * time.Millisecond
-	if s.call.Attempt == "c1.1" && s.next == s.after {
-		pause = time.Hour
-	}
-	select {
-	case <-time.After(pause):
-	case <-s.ctx.Done():
-		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: s.ctx.Err()}
+func (s *paced) Next(c *garnetworks.Chunk) error {
+	if err := s.wait(s.next); err != nil {
+		return &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err}
 	}
 	*c = garnetworks.Chunk{Attempt: s.call.Attempt, Index: s.next, Text: "x", Tokens: 1}
 	s.next++
@@ -303,6 +302,17 @@
 	return nil
 }
 
+func (s *paced) Close() error { return nil }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // One connection to a busy engine dies, before or after its first token, while
 // those of other callers go on. The engine's status alone can't show it; that
 // the others go on does, long before the slow bounds of 5 s and 10 s.
@@ -341,8 +351,6 @@
 	}
 }
 
-func (s *busyStream) Close() error { return nil }
-
 func (b *busy) Finished(time.Time, *garnetworks.CallRequest, garnetworks.GroupID, garnetworks.AttemptResult) {
 }
 
@@ -378,7 +386,7 @@
 	if address == "g0" {
 		ctx = z.dark
 	}
-	return &busyStream{&z.busy, ctx, call, call.ResumeFrom}, nil
+	return z.busy.Generate(ctx, address, call)
 }
 
 // One of eight zones goes dark under the load of a node of the design size: 15
--- a/forwarder/frozen_test.go
+++ b/forwarder/frozen_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
-	"github.com/garnetworks/garnetworks/retrier"
 	"github.com/garnetworks/garnetworks/router"
 )
 
@@ -20,9 +20,7 @@
 	*router.Router
 	freezes, thaws time.Time
 	refuses        bool
-	mu             sync.Mutex
-	refused        int
-	attempts       int
+	refused        atomic.Int64
 }
 
 func newSite() *site {
@@ -50,23 +48,19 @@
 	}
 }
 
-// frozen reports whether what is sent to the address now stands still.
-func (s *site) frozen(address string) bool {
+// ill reports whether the engine at the address is not well now.
+func (s *site) ill(address string) bool {
 	now := time.Now()
 	return address == "g0" && !now.Before(s.freezes) && now.Before(s.thaws)
 }
 
 // work takes the given time, and longer while the engine is frozen.
 func (s *site) work(ctx context.Context, address string, d time.Duration) error {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-		return ctx.Err()
+	err := sleep(ctx, d)
+	if err == nil && s.ill(address) && !s.refuses {
+		err = sleep(ctx, time.Until(s.thaws))
 	}
-	if s.frozen(address) && !s.refuses {
-		return s.work(ctx, address, time.Until(s.thaws))
-	}
-	return nil
+	return err
 }
 
 func (s *site) Status(ctx context.Context, address string) (garnetworks.EngineStatus, error) {
@@ -76,46 +70,23 @@
 }
 
 func (s *site) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
-	s.mu.Lock()
-	s.attempts++
-	s.mu.Unlock()
-	if s.refuses && s.frozen(address) {
-		s.mu.Lock()
-		s.refused++
-		s.mu.Unlock()
+	if s.refuses && s.ill(address) {
+		s.refused.Add(1)
 		cause := garnetworks.Errorf(garnetworks.KindNotReady, "a member is missing")
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, Cause: cause}
 	}
-	return &siteStream{s, ctx, address, call, call.ResumeFrom}, nil
-}
-
-type siteStream struct {
-	*site
-	ctx     context.Context
-	address string
-	call    *garnetworks.EngineCall
-	next    int
-}
-
-func (s *siteStream) Next(c *garnetworks.Chunk) error {
-	step := 40 * time.Millisecond
-	if s.next == s.call.ResumeFrom {
+	return &paced{call, call.ResumeFrom, func(next int) error {
+		if next > call.ResumeFrom {
+			return s.work(ctx, address, 40*time.Millisecond)
+		}
 		// Prompts differ, and so do the times to the first token.
-		step = 80*time.Millisecond + time.Duration(s.call.Received.UnixNano()%97)*time.Millisecond
-	}
-	if err := s.work(s.ctx, s.address, step); err != nil {
-		return &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: err}
-	}
-	*c = garnetworks.Chunk{Attempt: s.call.Attempt, Index: s.next, Text: "x", Tokens: 1}
-	s.next++
-	c.End = s.next == s.call.MaxTokens
-	return nil
+		return s.work(ctx, address, time.Duration(80+call.Received.UnixNano()%97)*time.Millisecond)
+	}}, nil
 }
 
-func (s *siteStream) Close() error { return nil }
-
 // siteResult is what the callers saw of the calls that came while g0 was not well.
 type siteResult struct {
+	mu           sync.Mutex
 	whole, calls int
 	kinds        map[garnetworks.Kind]int
 	// firstTokens are sorted.
@@ -123,11 +94,11 @@
 }
 
 // callAll sends perSecond calls of one second each until g0 is well again.
-func (s *site) callAll(f *Forwarder, perSecond int) siteResult {
+func (s *site) callAll(f *Forwarder, perSecond int) *siteResult {
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { s.report(ctx) })
-	result := siteResult{kinds: map[garnetworks.Kind]int{}}
+	result := &siteResult{kinds: map[garnetworks.Kind]int{}}
 	var calls sync.WaitGroup
 	pause := time.Second/time.Duration(perSecond) + 1
 	for time.Now().Before(s.thaws) {
@@ -140,8 +111,8 @@
 			if !during {
 				return
 			}
-			s.mu.Lock()
-			defer s.mu.Unlock()
+			result.mu.Lock()
+			defer result.mu.Unlock()
 			result.calls++
 			result.kinds[garnetworks.KindOf(err)]++
 			if err == nil {
@@ -164,7 +135,7 @@
 func TestFrozenEngineDelaysFirstTokensLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite()
-		f := New(Options{Engines: s, Groups: s, Prober: s, Budget: retrier.DefaultBudgetLimits()})
+		f := New(Options{Engines: s, Groups: s, Prober: s})
 		got := s.callAll(f, 15)
 		count := len(got.firstTokens)
 		median, p95, longest := got.firstTokens[count/2], got.firstTokens[count*95/100], got.firstTokens[count-1]
@@ -185,7 +156,7 @@
 		s.refuses = true
 		f := New(Options{Engines: s, Groups: s, Prober: s})
 		got := s.callAll(f, 100)
-		t.Logf("%d of %d calls whole, %d refusals, kinds %v", got.whole, got.calls, s.refused, got.kinds)
+		t.Logf("%d of %d calls whole, %d refusals, kinds %v", got.whole, got.calls, s.refused.Load(), got.kinds)
 		if got.whole != got.calls {
 			t.Errorf("%d of %d calls whole, kinds %v", got.whole, got.calls, got.kinds)
 		}
