Free the lease at a stop though the last renewal's answer was lost

Cause: a node that stopped while a renewal was unclear did not free its record, so that the zone waited the lease out; TestHolderStopsInOrder met it now and then. Change: the node reads the record back before it frees it. The simulated machine answers until it is off; tests for a leaving member, for a term below the floor, for a holder that has read another one's lease.

--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -202,6 +202,10 @@
 			t.Errorf("the old holder still decides, under term %d", old.state.Term)
 		}
 		old.apiCut = false
+		s.pass(t, 15*time.Second)
+		if old.state.Phase != PhaseStandby {
+			t.Errorf("the old holder has seen another one's lease and is %s", old.state.Phase)
+		}
 		s.pass(t, time.Minute)
 		if s.serving() != 4 {
 			t.Errorf("%d groups serve after the old holder's return", s.serving())
@@ -437,6 +441,9 @@
 	if got := s.events[garnetworks.EventPowerOff]; off == 0 || got != off {
 		t.Errorf("%d orders to power off for %d instances that are off", got, off)
 	}
+	if got := s.events[garnetworks.EventPowerOn]; got != 0 {
+		t.Errorf("%d instances were powered on again on a site that began with all on", got)
+	}
 }
 
 // TestGoneInstanceIsForgotten: the platform takes an instance away for good. The
--- a/controller/sim_test.go
+++ b/controller/sim_test.go
@@ -524,7 +524,11 @@
 
 // Engines.
 
-func (e *simEngine) answers() bool { return e.power == garnetworks.PowerOn && !e.dark }
+// answers reports whether the engine's process runs; a machine that was told to
+// power off answers until it is off.
+func (e *simEngine) answers() bool {
+	return (e.power == garnetworks.PowerOn || e.power == garnetworks.PowerStopping) && !e.dark
+}
 
 func (e *simEngine) status() garnetworks.EngineStatus {
 	return garnetworks.EngineStatus{
--- a/grouper/grouper_test.go
+++ b/grouper/grouper_test.go
@@ -327,6 +327,30 @@
 	}
 }
 
+// TestLeavingMemberDrainsItsGroup: the list says that an instance is leaving; its
+// group takes no new call from that observation on (D9, rule G8).
+func TestLeavingMemberDrainsItsGroup(t *testing.T) {
+	a := admitted(t, 3, true)
+	id, err := a.Form(garnetworks.Group{Model: "m", Version: "v", Members: []garnetworks.InstanceID{"i00", "i01"}}, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := Statuses{"i02": idle(a.Instance("i02"))}
+	for _, m := range a.Group(id).Members {
+		fresh[m] = ready(a.Instance(m), a.Group(id))
+	}
+	o := Observation{Now: start, Fresh: fresh, Bounds: Bounds{Drain: time.Minute}}
+	a.Observe(o)
+	if got := a.Group(id).State; got != garnetworks.GroupServing {
+		t.Fatalf("the group is %s", got)
+	}
+	o.Leaving = garnetworks.NewSet[garnetworks.InstanceID]("i01")
+	a.Observe(o)
+	if g := a.Group(id); g.State != garnetworks.GroupDraining || !g.DrainUntil.Equal(start.Add(time.Minute)) {
+		t.Errorf("the group is %s until %s", g.State, g.DrainUntil)
+	}
+}
+
 // TestDomainStaysUnderTheObjectSize prints what a domain weighs in the object
 // API; the whole fleet would fit one object, so a domain always does.
 func TestDomainStaysUnderTheObjectSize(t *testing.T) {
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -170,16 +170,27 @@
 	l.noteLocked()
 }
 
-// stepDown frees the record, so that the successor need not wait it out. It
-// tries once: a lost answer only makes the successor wait.
+// stepDownTries bounds the calls of a node that stops: a read of what an unclear
+// write did, and the write that frees the record.
+const stepDownTries = 3
+
+// stepDown frees the record, so that the successor need not wait it out. It does
+// not try for long: a record that is not freed only makes the successor wait.
 func (l *Lease) stepDown() {
 	l.mu.Lock()
-	holding := l.state.Holding
 	l.state.Closing = true
-	action := l.state.Next(time.Now(), ulid.Make().String())
 	l.mu.Unlock()
-	if holding && action.Kind == ActionWrite {
-		l.write(context.Background(), action)
+	for range stepDownTries {
+		action := l.next()
+		switch action.Kind {
+		case ActionRead:
+			l.read(context.Background())
+		case ActionWrite:
+			l.write(context.Background(), action)
+			return
+		case ActionWait:
+			return
+		}
 	}
 }
 
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -98,6 +98,9 @@
 		w.write(rt, c, a, fate)
 	}
 	if _, ok := c.MayAct(c.clock(w.now), c.Settings.OrderBound); ok {
+		if c.Record.Term <= c.Floor {
+			rt.Fatalf("%s acts under term %d, which it must not use", c.id, c.Record.Term)
+		}
 		w.orders = append(w.orders, order{w.now.Add(c.Settings.OrderBound), c, c.Record.Term})
 	}
 }
