Let zones take turns with a new version

Cause: each zone rolled a new version out by itself, so sites with one group in each zone drained all of them at the same moment. Change: a zone holds a replacement that stands still while as many zones as an eighth of the model's groups (one at least) move or come first by name, by the fresh views of the other zones; a cut-off zone is not waited for; a replacement that forms beside the old group is never held. A version that can't be loaded stops in the first zone.

--- a/controller/doc.go
+++ b/controller/doc.go
@@ -33,4 +33,6 @@
 //	C9  An instance is powered on only if the zone's draw with it is at or under
 //	    its limit.
 //	C10 Soft changes wait for the next write, at most SoftWriteEvery.
+//	C11 Zones take turns with a new version where a zone's groups are a large
+//	    part of the site's: no more than one in movingPart stand still at once.
 package controller
--- a/controller/options.go
+++ b/controller/options.go
@@ -61,6 +61,9 @@
 	// Slowdowns tells how many times slower than its peers an instance is; it
 	// may be nil.
 	Slowdowns func() map[garnetworks.InstanceID]float64
+	// Others returns the fresh views of other zones; it may be nil, and zones
+	// then take no turns with a new version.
+	Others func() []garnetworks.ZoneView
 	// Lease is leaser.Defaults() if zero.
 	Lease leaser.Settings
 	// Times are DefaultTimes if zero.
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -34,6 +34,7 @@
 		StoreRate: p.storeShare(),
 		Instances: p.instanceObservations(),
 		Groups:    p.groupObservations(),
+		Held:      heldModels(manifest, p.Zone, p.o.Others),
 		State:     p.Plan.State,
 	})
 	p.planned = p.o.Now
--- a/controller/state.go
+++ b/controller/state.go
@@ -45,6 +45,8 @@
 	Manifest *garnetworks.AcceptedManifest
 	// Slowdowns may be nil.
 	Slowdowns map[garnetworks.InstanceID]float64
+	// Others are the fresh views of other zones.
+	Others []garnetworks.ZoneView
 }
 
 // DomainState is one fabric domain and what is decided about it.
--- /dev/null
+++ b/controller/turns.go
@@ -0,0 +1,60 @@
+package controller
+
+import "github.com/garnetworks/garnetworks"
+
+// movingPart is the part of a model's groups, over the site, that may stand
+// still for a new version at one time.
+const movingPart = 8
+
+// heldModels returns the models whose groups in this zone must not yet stand
+// still for a new version, because that is other zones' turn (C11). Others are
+// the fresh views of the other zones; a zone that is cut off is not waited for.
+//
+// Failure: each zone rolls a new version out by itself, and where zones have one
+// group each, all groups of the site drain at the same moment; callers see no
+// serving group until the first has loaded. A new version that can't be loaded
+// would take every group with it; with turns it stops in the first zone.
+func heldModels(manifest *garnetworks.Manifest, zone garnetworks.ZoneID, others []garnetworks.ZoneView) garnetworks.Set[garnetworks.ModelName] {
+	held := garnetworks.NewSet[garnetworks.ModelName]()
+	for i := range manifest.Models {
+		m := &manifest.Models[i]
+		turns := max(1, m.MaxGroups/movingPart)
+		if turns >= len(manifest.Site.Zones) {
+			continue // each zone moves one group at a time, which is few enough
+		}
+		if taken := turnsTaken(m, zone, others); taken >= turns {
+			held.Add(m.Name)
+		}
+	}
+	return held
+}
+
+// turnsTaken counts the zones that come before this one: those that have begun
+// with the version and not ended, and those with a lower name that have yet to
+// begin.
+func turnsTaken(m *garnetworks.ModelSpec, zone garnetworks.ZoneID, others []garnetworks.ZoneView) int {
+	taken := 0
+	for i := range others {
+		begun, ended := rollout(m, &others[i])
+		if !ended && (begun || others[i].Zone < zone) {
+			taken++
+		}
+	}
+	return taken
+}
+
+// rollout tells whether a zone has begun to serve the model's version, and
+// whether it has ended with it.
+func rollout(m *garnetworks.ModelSpec, view *garnetworks.ZoneView) (begun, ended bool) {
+	ended = true
+	for i := range view.Groups {
+		g := &view.Groups[i]
+		if g.Model != m.Name {
+			continue
+		}
+		newer := g.Version == m.Version
+		begun = begun || newer || g.State != garnetworks.GroupServing
+		ended = ended && newer && g.State == garnetworks.GroupServing && g.Confirmed
+	}
+	return begun, ended
+}
--- a/controller/zone.go
+++ b/controller/zone.go
@@ -132,6 +132,9 @@
 	if z.options.Slowdowns != nil {
 		o.Slowdowns = z.options.Slowdowns()
 	}
+	if z.options.Others != nil {
+		o.Others = z.options.Others()
+	}
 	o.Statuses = map[garnetworks.InstanceID]Witness{}
 	for _, id := range z.state.known() {
 		if status, at, ok := z.options.Statuses.Status(id); ok {
--- a/placer/replace.go
+++ b/placer/replace.go
@@ -100,6 +100,9 @@
 	}
 	whole, wholeCost, wholePossible := p.wholeReplacement(g)
 	parts, partsCost, partsPossible := p.preparedMembers(g, reason)
+	if reason == ReasonVersion && p.in.Held.Has(g.model.Name) {
+		partsPossible = false
+	}
 	if !wholePossible && !partsPossible {
 		return
 	}
--- a/placer/types.go
+++ b/placer/types.go
@@ -38,6 +38,9 @@
 	Instances map[garnetworks.InstanceID]InstanceObservation
 	// Groups holds what is known of groups' calls; a group may be absent.
 	Groups map[garnetworks.GroupID]GroupObservation
+	// Held are the models whose groups must not stand still for a new version
+	// now, since other zones do; one that forms beside the old group may.
+	Held garnetworks.Set[garnetworks.ModelName]
 	// State is the last Output's State, or empty.
 	State State
 }
--- a/runner/control.go
+++ b/runner/control.go
@@ -25,6 +25,7 @@
 		Recorder:  r.events,
 		Publish:   r.views.publish,
 		Slowdowns: r.reports.slowdowns,
+		Others:    r.views.others,
 		Times:     times,
 	})
 	if err != nil {
--- a/runner/faults_test.go
+++ b/runner/faults_test.go
@@ -306,6 +306,7 @@
 	"a new version is rolled out": {
 		story: "A manifest brings a new version of the model. Groups move to it one " +
 			"after the other; calls go on all the time.",
+		models: true,
 		run: func(s *virtualSite) {
 			if _, err := s.propose("zone-a-n0", "v2", 1, s.manifestText(virtualCap, "v2")); err != nil {
 				s.t.Fatal(err)
--- a/runner/views.go
+++ b/runner/views.go
@@ -149,6 +149,23 @@
 	return list
 }
 
+// otherBound is the age at which another zone's view no longer counts as fresh.
+const otherBound = 3 * garnetworks.ConfirmationBound
+
+// others returns the fresh views of the other zones.
+func (v *views) others() []garnetworks.ZoneView {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var fresh []garnetworks.ZoneView
+	for zone, j := range v.joined {
+		if zone != v.r.self.Zone && now.Sub(j.At) <= otherBound {
+			fresh = append(fresh, j.View)
+		}
+	}
+	return fresh
+}
+
 // refresh keeps probes and routes going by the node's own findings.
 func (v *views) refresh(now time.Time, nodes []garnetworks.NodeInfo) {
 	joined, ok := v.own()
