Let no word look young after a suspension

Cause: the property test, given suspensions, found words told by a node that had slept, and messages that had waited for it, to look up to the suspension too young: monotonic clocks stand still meanwhile. Change: a jump between wall and monotonic clock drops what is known of peers' clocks, lets words lapse, fails probes on their way and makes older echoes worthless. Conclusion: ages hold where the wall clock shows the suspension.

--- a/prober/exchange.go
+++ b/prober/exchange.go
@@ -126,6 +126,59 @@
 	echo, echoAt uint64
 }
 
+// sent returns a moment before which the peer has not read the stamp of a
+// message that is here now, by the wall clock of now, or false if none is known.
+// A message from the future shows that what is known of the clock is wrong.
+func (p *peer) sent(now time.Time, stamp time.Duration) (time.Time, bool) {
+	if !p.clock.known {
+		return time.Time{}, false
+	}
+	since := now.Sub(p.clock.earliest(stamp))
+	if since < 0 {
+		p.clock = clock{}
+		return time.Time{}, false
+	}
+	return now.Add(-since), true
+}
+
+// suspensionBound is the least jump between wall and monotonic clock that counts
+// as a suspension; between two messages, clocks that are being adjusted run apart
+// by less than a millisecond.
+const suspensionBound = 50 * time.Millisecond
+
+// jumped reports whether the clocks ran apart since the last look.
+func jumped(before, wall, monotonic time.Duration) bool {
+	apart := wall - monotonic - before
+	return max(apart, -apart) > suspensionBound
+}
+
+// watchClock forgets what is known of peers' clocks after a suspension; the
+// caller holds mu.
+//
+// Failure: this node's machine is suspended and its monotonic clock stands still,
+// while messages wait for it. Relations from before are then off by the
+// suspension and would make old messages look new, and words from before look
+// young, here and where they are told. It shows as a jump of the wall clock; from
+// then on only later words and echoes of later answers count.
+func (x *Exchange) watchClock(now time.Time) {
+	monotonic := now.Sub(x.started)
+	wall := now.Round(0).Sub(x.started.Round(0))
+	if jumped(x.apart, wall, monotonic) {
+		x.suspended(now)
+	}
+	x.apart = wall - monotonic
+}
+
+// suspended forgets all relations to peers' clocks and lets all words lapse; the
+// caller holds mu.
+func (x *Exchange) suspended(now time.Time) {
+	x.table.lapse(now)
+	x.steadySince = x.stamp(now) + 1 // an answer of this millisecond may be from before
+	for _, p := range x.peers {
+		p.clock = clock{}
+	}
+}
+
 // Outgoing is a request to be sent to a node.
 type Outgoing struct {
 	To      garnetworks.NodeInfo
@@ -144,7 +197,11 @@
 	incarnation uint64
 	table       *Table
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// apart is how far the wall clock is ahead of the monotonic one, counted from
+	// started; steadySince is the stamp of the last jump between the two.
+	apart       time.Duration
+	steadySince uint64
 	row, column []garnetworks.NodeInfo
 	// own are the instances that the node probes, ofRow those that its row does;
 	// both are sorted.
@@ -216,6 +273,7 @@
 func (x *Exchange) Outgoing(now time.Time) []Outgoing {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.watchClock(now)
 	out := make([]Outgoing, 0, len(x.row)+len(x.column))
 	out = x.tell(out, now, x.row, x.own, false)
 	return x.tell(out, now, x.column, x.ofRow, true)
@@ -257,22 +315,22 @@
 // instances whose word has changed.
 func (x *Exchange) Incoming(now time.Time, r *garnetworks.ConfirmRequest) (*garnetworks.ConfirmResponse, []garnetworks.InstanceID) {
 	x.mu.Lock()
+	x.watchClock(now)
 	p := x.peer(r.From, r.Incarnation)
 	held := p.take(r)
-	if r.EchoAt > 0 && r.EchoOf == x.incarnation {
+	if r.EchoAt > 0 && r.EchoOf == x.incarnation && r.Echo >= x.steadySince {
 		p.clock.observe(time.Duration(r.EchoAt)*time.Millisecond, x.started.Add(time.Duration(r.Echo)*time.Millisecond))
 	}
-	sender := p.clock
+	base, known := p.sent(now, time.Duration(r.Stamp)*time.Millisecond)
 	x.mu.Unlock()
 	answer := &garnetworks.ConfirmResponse{Incarnation: x.incarnation, Stamp: x.stamp(now), Holds: held.sum}
-	if held.sum != r.List || len(r.Ages) != len(held.statuses) || !sender.known {
+	if held.sum != r.List || len(r.Ages) != len(held.statuses) || !known {
 		// The ages are of other statuses than the ones held, or the sender's clock
 		// is not known yet: nothing is refreshed, and the next request, after the
 		// answer, brings what is missing.
 		return answer, nil
 	}
-	base := sender.earliest(time.Duration(r.Stamp) * time.Millisecond)
-	return answer, x.table.Merge(minTime(base, now), held.results(base, r))
+	return answer, x.table.Merge(base, held.results(base, r))
 }
 
 // take applies a request's difference to the list that the peer has sent before
@@ -335,13 +393,6 @@
 	}
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // snapshot returns what the table says of some sorted instances: a list, and
 // the ages and loads that go with it.
 func (t *Table) snapshot(now time.Time, ids []garnetworks.InstanceID) (l *list, ages []byte, loads []uint32) {
@@ -361,7 +412,7 @@
 		s.Load = garnetworks.EngineLoad{Capacity: s.Load.Capacity}
 		s.CacheEvents = 0
 		statuses = append(statuses, s)
-		ages = append(ages, ageByte(now.Sub(e.at)))
+		ages = append(ages, ageByte(e.age(now)))
 	}
 	return newList(statuses), ages, loads
 }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -215,6 +215,10 @@
 		// says nothing of the target.
 		err = garnetworks.Errorf(garnetworks.KindUnreachable, "%s answered at %s in place of %s", status.Instance, t.Address, t.Instance)
 	}
+	if now := time.Now(); err == nil && jumped(0, now.Round(0).Sub(sent.Round(0)), now.Sub(sent)) {
+		// The machine was suspended meanwhile, so the age can't be told.
+		err = garnetworks.Errorf(garnetworks.KindAnswerLost, "the clock jumped during the probe")
+	}
 	result := garnetworks.ProbeResult{Status: status}
 	if err != nil {
 		result = garnetworks.ProbeResult{Status: garnetworks.EngineStatus{Instance: t.Instance}, Failed: true}
--- a/prober/table.go
+++ b/prober/table.go
@@ -18,6 +18,14 @@
 	first uint64
 }
 
+// age returns the time since the word was asked for, by the clock that makes it
+// older. The monotonic clock of a suspended machine stands still, so that words
+// from before look young; the wall clock is set right after the suspension. If it
+// is set forward for another reason, words look old until the next round.
+func (e *entry) age(now time.Time) time.Duration {
+	return max(now.Sub(e.at), now.Round(0).Sub(e.at.Round(0)))
+}
+
 // Table holds the newest word of each instance. It is safe for concurrent use.
 type Table struct {
 	mu      sync.RWMutex
@@ -138,7 +146,7 @@
 // confirms reports whether the member's newest word is w.
 func (t *Table) confirms(now time.Time, m garnetworks.InstanceID, w *word) bool {
 	e, ok := t.entries[m]
-	if !ok || now.Sub(e.at) > garnetworks.ConfirmationBound {
+	if !ok || e.age(now) > garnetworks.ConfirmationBound {
 		return false
 	}
 	s := &e.status
@@ -175,6 +183,20 @@
 	return e.status, e.at, ok
 }
 
+// lapse makes all words too old to confirm anything or to be told, and keeps
+// them, so that older words are still known as such.
+func (t *Table) lapse(now time.Time) {
+	oldest := now.Add(-time.Hour)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		if e.at.After(oldest) {
+			e.at = oldest
+			t.entries[id] = e
+		}
+	}
+}
+
 // Keep forgets all instances that are not in the set: they are no longer part
 // of the site.
 func (t *Table) Keep(instances garnetworks.Set[garnetworks.InstanceID]) {
--- a/prober/table_test.go
+++ b/prober/table_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// A virtual machine is suspended: its monotonic clock stands still, and only the
+// jump of the wall clock shows it.
+func TestJumped(t *testing.T) {
+	tests := map[string]struct {
+		before, wall, monotonic time.Duration
+		want                    bool
+	}{
+		"steady":         {0, time.Hour, time.Hour, false},
+		"being adjusted": {time.Second, time.Hour + time.Second + time.Millisecond, time.Hour, false},
+		"suspended":      {time.Second, time.Hour + 2*time.Second, time.Hour, true},
+		"set back":       {time.Second, time.Hour, time.Hour, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := jumped(test.before, test.wall, test.monotonic); got != test.want {
+				t.Errorf("jumped = %v", got)
+			}
+		})
+	}
+}
+
 // A peer refreshes a list that the receiver does not hold: its message that
 // changed the list was lost. Members whose words have changed since would go on
 // confirming by the old words if the ages were taken.
