Test the end of a holding, drains that can't be written, and a start without grants

Cause: mutations of C2 for drains, C6, W5 and of a term used twice went unnoticed. Change: a test for each.

--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -504,3 +504,73 @@
 	count("manifest changed", func() { s.changeCap(16) }, 10)
 	count("holder restarted", func() { s.restart(s.holder("z0")) }, 20)
 }
+
+// TestHoldingEndsAndIsNotTakenUpAgain: each sign that another holder has been there
+// ends the holding at once, without one more order or view, and its term is never
+// used again, though the lease's record may still stand (C4, C6).
+func TestHoldingEndsAndIsNotTakenUpAgain(t *testing.T) {
+	for name, sign := range map[string]func(s *ZoneState, o *Observation){
+		"another node in the lease": func(_ *ZoneState, o *Observation) { o.Contested = true },
+		"a refused token":           func(s *ZoneState, _ *Observation) { s.refused = "test" },
+		"a higher term in a domain": func(s *ZoneState, _ *Observation) { s.sorted()[0].Stored.Term++ },
+		"a higher term in the statement": func(s *ZoneState, _ *Observation) {
+			s.Power.Stored.Term++
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settled(t, 17, true)
+			n := s.holder("z0")
+			term := n.state.Term
+			o := Observation{Now: s.now, Manifest: s.manifest, Statuses: n.table}
+			sign(n.state, &o)
+			e := n.state.Step(o)
+			if n.state.Phase != PhaseStandby || len(e.Orders)+len(e.Power)+len(e.Writes) > 0 || e.View.Present {
+				t.Errorf("the holder is %s and does %+v", n.state.Phase, e)
+			}
+			e = n.state.Step(Observation{Now: s.now, Term: term, Manifest: s.manifest, Statuses: n.table})
+			if n.state.Phase != PhaseStandby || e.RaiseFloor != term {
+				t.Errorf("the holder is %s again under term %d and raises the floor to %d", n.state.Phase, term, e.RaiseFloor)
+			}
+		})
+	}
+}
+
+// TestDrainIsWrittenFirst: the object API goes down and an instance says that it
+// is leaving, while the lease still lasts. Its engines ignore tokens. The drain
+// can't be written, so it must not be ordered: a successor would find a serving
+// group whose engines refuse every call (C2).
+func TestDrainIsWrittenFirst(t *testing.T) {
+	s := settled(t, 18, false)
+	s.apiDown = true
+	member, group := s.member("z0")
+	member.leaving = true
+	s.until(t, 6*time.Second, "routers hear of the drain", func() bool {
+		for _, g := range s.views["z0"].view.Groups {
+			if g.ID == group.ID {
+				return g.State == garnetworks.GroupDraining
+			}
+		}
+		return false
+	})
+	s.pass(t, 5*time.Second)
+	for _, m := range group.Members {
+		if s.engines[m].phase == garnetworks.EngineDraining {
+			t.Errorf("%s was ordered to drain", m)
+		}
+	}
+}
+
+// TestNothingIsPoweredBeforeTheFirstGrant: a site starts and its site controllers
+// can't run yet. Zones form groups of what is on, and power nothing off as unused:
+// without a grant they could not power it on again (W5).
+func TestNothingIsPoweredBeforeTheFirstGrant(t *testing.T) {
+	s := newSim(19, 2, 3, 2, 4, true, simManifest(2, 4, 16*simWatts, true))
+	for _, site := range s.sites {
+		site.cut = true
+	}
+	s.until(t, 3*time.Minute, "every group serves", func() bool { return s.serving() == 4 })
+	s.pass(t, 5*time.Minute)
+	if got := s.events[garnetworks.EventPowerOff] + s.events[garnetworks.EventPowerOn]; got != 0 {
+		t.Errorf("%d power orders without a grant", got)
+	}
+}
