Ask a cut off committing node less and less

Cause: a node that is listed as ready and can't be reached cost every claim of its shards up to 0.5 s, every 2 s. Change: the pause doubles up to 30 s.

--- a/claimer/worker.go
+++ b/claimer/worker.go
@@ -21,8 +21,11 @@
 	retryMax = 2 * time.Second
 	// forwardTimeout bounds the time that another node is given to commit.
 	forwardTimeout = 500 * time.Millisecond
-	// forwardPause is how long a node is not asked again after a failure.
-	forwardPause = 2 * time.Second
+	// forwardPause is how long a node is not asked again after a failure; it
+	// doubles with each further one up to forwardPauseMax, since a node can be
+	// listed as ready and be cut off from this one for long.
+	forwardPause    = 2 * time.Second
+	forwardPauseMax = 30 * time.Second
 	// moveInterval is the least distance between two moves to buckets.
 	moveInterval = time.Second
 	// cachedBytes bounds the buckets that a worker remembers, by their encoded
@@ -50,8 +53,10 @@
 	nextWrite time.Time
 	// conflicts counts conflicts in a row.
 	conflicts int
-	// forwardAfter is when the committing node may be asked again.
-	forwardAfter time.Time
+	// forwardAfter is when the committing node may be asked again; forwardFailures
+	// counts its failures in a row.
+	forwardAfter    time.Time
+	forwardFailures int
 	moveAfter    time.Time
 
 	writes, conflicted, failed, forwarded, moves atomic.Uint64
@@ -655,9 +660,12 @@
 	defer cancel()
 	results, err := w.claimer.options.Forwarder.Value.Commit(call, node, w.number, ops)
 	if err != nil || len(results) != len(ops) {
-		w.forwardAfter = time.Now().Add(forwardPause)
+		w.forwardFailures++
+		pause := min(forwardPause<<min(w.forwardFailures-1, 10), forwardPauseMax)
+		w.forwardAfter = time.Now().Add(pause)
 		return group
 	}
+	w.forwardFailures = 0
 	w.forwarded.Add(1)
 	for i, t := range own {
 		// The other node's answer ends its doubts, but for a claim that it
