--- a/claimer/worker.go
+++ b/claimer/worker.go
@@ -57,7 +57,7 @@
 	// counts its failures in a row.
 	forwardAfter    time.Time
 	forwardFailures int
-	moveAfter    time.Time
+	moveAfter       time.Time
 
 	writes, conflicted, failed, forwarded, moves atomic.Uint64
 	// bytes is the size of the shard's value when it was last written.
