--- /dev/null
+++ b/claimer/commit.go
@@ -0,0 +1,201 @@
+package claimer
+
+import (
+	"context"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// cachedBytes bounds the buckets that a worker remembers, by their encoded
+// sizes: a node that writes all shards for itself holds 32 MB at most.
+const cachedBytes = 2 << 20
+
+// commit applies a group to the shard and returns results that are proven to be
+// in the store.
+func (w *worker) commit(ctx context.Context, group []*ticket) ([]Result, error) {
+	ops := make([]Op, len(group))
+	newest := uint64(0)
+	for i, t := range group {
+		ops[i] = t.op
+		newest = max(newest, t.number)
+	}
+	if err := w.load(ctx, ops); err != nil {
+		return nil, err
+	}
+	next, results, changed := w.shard.Apply(time.Now(), w.lookup, ops)
+	if changed {
+		return results, w.write(ctx, next, group)
+	}
+	if w.readAt >= newest {
+		return results, nil
+	}
+	// Rule C7: nothing is to be written, but what is known may be out of date.
+	w.shard = nil
+	if err := w.load(ctx, ops); err != nil {
+		return nil, err
+	}
+	next, results, changed = w.shard.Apply(time.Now(), w.lookup, ops)
+	if changed {
+		return results, w.write(ctx, next, group)
+	}
+	return results, nil
+}
+
+// write replaces the shard's object if it has not changed. After an error the
+// shard is read again before the next try.
+func (w *worker) write(ctx context.Context, next *Shard, group []*ticket) error {
+	value, err := encode(next)
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, w.claimer.options.CallTimeout)
+	defer cancel()
+	newest := w.now()
+	w.paced()
+	revision, err := w.claimer.options.API.Put(call, shardKey(w.number), value, w.revision)
+	if err != nil {
+		w.doubt(err, group)
+		return err
+	}
+	w.writes.Add(1)
+	w.bytes.Store(int64(len(value)))
+	w.adopt(next, revision, newest)
+	return nil
+}
+
+// doubt draws the consequences of a failed write: unless it provably had no
+// effect, it may still land, also after its deadline.
+func (w *worker) doubt(err error, group []*ticket) {
+	if !garnetworks.IsKind(err, garnetworks.KindThrottled, garnetworks.KindObjectAPIDown) {
+		w.shard = nil // rule G11: read back
+	}
+	if harmless(err) {
+		return
+	}
+	for _, t := range group {
+		t.sent = true // rule C4
+	}
+}
+
+// harmless reports whether an error proves that a write had no effect and will
+// have none.
+func harmless(err error) bool {
+	return garnetworks.IsKind(err, garnetworks.KindConflict, garnetworks.KindThrottled,
+		garnetworks.KindTooLarge, garnetworks.KindObjectAPIDown)
+}
+
+// adopt takes a state that was in the store after the ticket number readAt.
+func (w *worker) adopt(s *Shard, revision garnetworks.Revision, readAt uint64) {
+	w.shard, w.revision, w.readAt, w.adopted = s, revision, readAt, time.Now()
+	w.highest = max(w.highest, revision)
+}
+
+// now returns the number of the newest ticket.
+func (w *worker) now() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counter
+}
+
+// load reads the shard if it is unknown, and the buckets of the operations' keys.
+func (w *worker) load(ctx context.Context, ops []Op) error {
+	if w.shard == nil || w.stale() {
+		if err := w.read(ctx); err != nil {
+			return err
+		}
+	}
+	w.trim()
+	for i := range ops {
+		if err := w.loadBucket(ctx, ops[i].Key.Bucket()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stale reports whether another node has probably written the shard since it
+// was read. A read then saves a write that would meet a conflict; the platform
+// takes several times as many reads as writes.
+func (w *worker) stale() bool {
+	return w.writers() > 1 && time.Since(w.adopted) > w.claimer.options.Interval/4
+}
+
+// read reads the shard.
+func (w *worker) read(ctx context.Context) error {
+	newest := w.now()
+	object, err := w.get(ctx, shardKey(w.number))
+	if garnetworks.IsKind(err, garnetworks.KindNotFound) {
+		object, err = garnetworks.Object{}, nil
+	}
+	if err != nil {
+		return err
+	}
+	// A store that was set back to a backup has lost claims. Giving their keys
+	// out again could run a call twice, so the node refuses claims instead.
+	if object.Revision < w.highest {
+		return garnetworks.Errorf(garnetworks.KindObjectAPIDown, "claims of shard %d went back from revision %d to %d", w.number, w.highest, object.Revision)
+	}
+	s := &Shard{Number: w.number}
+	if object.Revision > 0 {
+		if err := decode(object.Value, s); err != nil {
+			return err
+		}
+	}
+	w.adopt(s, object.Revision, newest)
+	return nil
+}
+
+func (w *worker) get(ctx context.Context, key string) (garnetworks.Object, error) {
+	call, cancel := context.WithTimeout(ctx, w.claimer.options.CallTimeout)
+	defer cancel()
+	return w.claimer.options.API.Get(call, key)
+}
+
+// trim bounds the memory for buckets; which ones go does not matter.
+func (w *worker) trim() {
+	total := 0
+	for _, known := range w.buckets {
+		total += known.bytes
+	}
+	for b, known := range w.buckets {
+		if total <= cachedBytes {
+			return
+		}
+		total -= known.bytes
+		delete(w.buckets, b)
+	}
+}
+
+// loadBucket reads a bucket unless a copy is known that the shard's mark allows
+// (rule C9).
+func (w *worker) loadBucket(ctx context.Context, b int) error {
+	mark := w.shard.Marks[b]
+	known, ok := w.buckets[b]
+	if mark == 0 || ok && known.revision >= mark {
+		return nil
+	}
+	object, err := w.get(ctx, bucketKey(w.number, b))
+	if err != nil {
+		return err
+	}
+	if object.Revision < mark {
+		return garnetworks.Errorf(garnetworks.KindObjectAPIDown, "bucket %d/%d is at revision %d, below %d", w.number, b, object.Revision, mark)
+	}
+	bucket := &Bucket{}
+	if err := decode(object.Value, bucket); err != nil {
+		return err
+	}
+	w.buckets[b] = cachedBucket{bucket, object.Revision, len(object.Value)}
+	return nil
+}
+
+// lookup finds a record in the loaded buckets.
+func (w *worker) lookup(key Digest) (Record, bool) {
+	b := key.Bucket()
+	known, ok := w.buckets[b]
+	if !ok || w.shard.Marks[b] == 0 {
+		return Record{}, false
+	}
+	return known.bucket.Find(key)
+}
--- a/claimer/mover.go
+++ b/claimer/mover.go
@@ -7,6 +7,9 @@
 	"github.com/garnetworks/garnetworks"
 )
 
+// moveInterval is the least distance between two moves to buckets.
+const moveInterval = time.Second
+
 // move hands the fullest bucket's records at rest over, if the shard is above
 // its target size. It runs right after a commit, so that what it moves is not
 // out of date. A failure leaves everything as it was, or a record in both
