Let idle nodes report, and measure callers that come back

Cause: a node without calls reported nothing, counted as silent after 15 s, and kept its equal share from the nodes that had the calls; and callers that obey Retry-After had not been measured. Change: an idle node reports one workspace with zero; the overload run lets refused callers come back.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -111,3 +111,13 @@
 		t.Errorf("got states %v and %v, want the late call refused and the other admitted", late.state, patient.state)
 	}
 }
+
+func TestIdleNodeReports(t *testing.T) {
+	// Half of the nodes get no calls. Without a report they count as silent, and
+	// half of each limit is kept for them.
+	g := newGate(Options{Node: "n1"})
+	g.setManifest(testStart, testManifest())
+	if d := g.demands(testStart); len(d) != 1 || d[0].RequestsPerSecond != 0 {
+		t.Errorf("got demands %v of an idle node, want one of zero", d)
+	}
+}
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -387,17 +387,22 @@
 	g.review(now, w.pool, false)
 }
 
-// demands returns the node's demand, sorted by workspace.
+// demands returns the node's demand, sorted by workspace. Workspaces without
+// demand are left out but for the first: a node that reported nothing would
+// count as silent, and its equal share be kept from those that need it (A3).
 func (g *gate) demands(now time.Time) []garnetworks.Demand {
-	var all []garnetworks.Demand
+	all := make([]garnetworks.Demand, 0, len(g.workspaces))
 	for _, w := range g.workspaces {
-		d := w.demand(now)
-		if d.InFlight > 0 || d.RequestsPerSecond > leastDemand {
-			all = append(all, d)
-		}
+		all = append(all, w.demand(now))
 	}
 	slices.SortFunc(all, func(a, b garnetworks.Demand) int { return compareNames(a.Workspace, b.Workspace) })
-	return all
+	kept := all[:0]
+	for i, d := range all {
+		if i == 0 || d.InFlight > 0 || d.RequestsPerSecond > leastDemand {
+			kept = append(kept, d)
+		}
+	}
+	return kept
 }
 
 // leastDemand is the rate below which a workspace is not reported.
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -55,6 +55,8 @@
 	started   time.Time
 	first     time.Time
 	output    int
+	// backs counts how often the caller came back.
+	backs int
 }
 
 type loadEngine struct {
@@ -83,6 +85,9 @@
 	waiters  map[*waiter]*loadCall
 	queued   int
 	manifest *garnetworks.Manifest
+	// comeBack lets refused callers send the call again when they are told to, at
+	// most so many times.
+	comeBack int
 }
 
 type loadEvent struct {
@@ -114,17 +119,17 @@
 }
 
 func runLoad(load float64, admit bool, nodes int) []loadCount {
-	return runCutOff(load, admit, nodes, nodes)
+	return (&loadRun{load: load, admit: admit}).run(nodes, nodes)
 }
 
-// runCutOff runs the load at some nodes of those on the rosters; the others can
-// reach neither them nor the engines.
-func runCutOff(load float64, admit bool, nodes, known int) []loadCount {
-	r := &loadRun{
-		now: testStart, random: rand.New(rand.NewPCG(3, 3)), admit: admit, load: load,
-		counts: make([]loadCount, len(loadWorkspaces)), waiters: map[*waiter]*loadCall{},
-		manifest: &garnetworks.Manifest{Models: []garnetworks.ModelSpec{{Name: "m"}}},
-	}
+// run runs the load at some nodes of those on the rosters; the others can reach
+// neither them nor the engines.
+func (r *loadRun) run(nodes, known int) []loadCount {
+	r.now = testStart
+	r.random = rand.New(rand.NewPCG(3, 3))
+	r.counts = make([]loadCount, len(loadWorkspaces))
+	r.waiters = map[*waiter]*loadCall{}
+	r.manifest = &garnetworks.Manifest{Models: []garnetworks.ModelSpec{{Name: "m"}}}
 	for _, w := range loadWorkspaces {
 		r.manifest.Workspaces = append(r.manifest.Workspaces, w.spec)
 	}
@@ -213,8 +218,14 @@
 		return
 	}
 	r.at(r.now.Add(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second))), func() { r.arrive(workspace) })
+	r.send(workspace, 0)
+}
+
+// send brings a call to a random node.
+func (r *loadRun) send(workspace, backs int) {
+	w := loadWorkspaces[workspace]
 	node := r.random.IntN(len(r.gates))
-	c := &loadCall{workspace: workspace, node: node, arrived: r.now, output: 50 + r.random.IntN(200)}
+	c := &loadCall{workspace: workspace, node: node, backs: backs, arrived: r.now, output: 50 + r.random.IntN(200)}
 	c.request = garnetworks.CallRequest{Workspace: w.spec.Name, Model: "m", Priority: w.spec.Priority}
 	if r.counted(c) {
 		r.counts[workspace].offered++
@@ -244,6 +255,10 @@
 }
 
 func (r *loadRun) refused(c *loadCall) {
+	if c.waiter != nil && c.backs < r.comeBack && !r.over() {
+		after := c.waiter.err.(*garnetworks.Error).RetryAfter
+		r.at(r.now.Add(after), func() { r.send(c.workspace, c.backs+1) })
+	}
 	if r.counted(c) {
 		r.counts[c.workspace].refused++
 		r.counts[c.workspace].refusalWait = max(r.counts[c.workspace].refusalWait, r.now.Sub(c.arrived))
@@ -410,7 +425,7 @@
 	if testing.Short() {
 		t.Skip("a measurement")
 	}
-	counts := runCutOff(1, true, 2, 6)
+	counts := (&loadRun{load: 1, admit: true}).run(2, 6)
 	logLoad(t, 1, true, counts)
 	if got := goodput(counts); got < 0.85 {
 		t.Errorf("got goodput %.3f, want 0.85 of the full rate", got)
@@ -443,3 +458,22 @@
 		t.Errorf("got limit %.0f after the cut, want %.0f at most", p.limit, before)
 	}
 }
+
+func TestCallersThatComeBack(t *testing.T) {
+	// Refused callers send their calls again when they are told to, up to three
+	// times. At one and a half times the full rate that makes up to three times the
+	// calls; it must not take slots from calls that are served.
+	if testing.Short() {
+		t.Skip("a measurement")
+	}
+	once := (&loadRun{load: 1.5, admit: true}).run(6, 6)
+	logLoad(t, 1.5, true, once)
+	again := (&loadRun{load: 1.5, admit: true, comeBack: 3}).run(6, 6)
+	logLoad(t, 1.5, true, again)
+	if goodput(again) < 0.95*goodput(once) {
+		t.Errorf("got goodput %.3f, want 95%% of %.3f", goodput(again), goodput(once))
+	}
+	if top := percent(again[0].good, again[0].offered); top < 95 {
+		t.Errorf("got %.1f%% of the top priority in time", top)
+	}
+}
