Show claims, lost events and dropped probes as metrics

Cause: three parts kept counters that no operator saw. Change: five more rows in the table of metrics, filled by the node's upkeep.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,10 @@
 	measures    *prometheus.GaugeVec
 	power       *prometheus.GaugeVec
 	events      *prometheus.CounterVec
+	claimWrites *prometheus.CounterVec
+	totals      map[string]prometheus.Counter
+	levels      map[string]prometheus.Gauge
+	seen        map[string]uint64
 }
 
 // Metric is a row of the table of metrics.
@@ -68,6 +72,11 @@
 	{"garnet_groups", "Replica groups in the node's view, by availability zone and state.", []string{"zone", "state"}},
 	{"garnet_measure_seconds", "The two measures, summed since the zone's controller started: group-downtime in group-seconds, stranded in instance-seconds.", []string{"zone", "measure"}},
 	{"garnet_power_watts", "Power of an availability zone: drawn (pessimistic) and limit (grant).", []string{"zone", "what"}},
+	{"garnet_claim_writes_total", "Writes of claims' shards by how they ended: written, conflict, failed, or forwarded to the committing node.", []string{"result"}},
+	{"garnet_claims_owed", "Outcomes of keyed calls that are not recorded yet.", nil},
+	{"garnet_claim_shards_refusing", "Shards whose claims are refused now, because the object API does not answer or the shard is full.", nil},
+	{"garnet_events_overwritten_total", "Events that gave way to newer ones before anybody may have read them.", nil},
+	{"garnet_probes_dropped_total", "Probe results that found the node's own channel full.", nil},
 	{"garnet_events_total", "Events recorded on the time line, by kind.", []string{"kind"}},
 }
 
@@ -116,6 +125,16 @@
 	m.measures = gauges("garnet_measure_seconds")
 	m.power = gauges("garnet_power_watts")
 	m.events = counter("garnet_events_total")
+	m.claimWrites = counter("garnet_claim_writes_total")
+	m.totals = map[string]prometheus.Counter{}
+	for _, name := range []string{"garnet_events_overwritten_total", "garnet_probes_dropped_total"} {
+		m.totals[name] = counter(name).WithLabelValues()
+	}
+	m.levels = map[string]prometheus.Gauge{}
+	for _, name := range []string{"garnet_claims_owed", "garnet_claim_shards_refusing"} {
+		m.levels[name] = gauges(name).WithLabelValues()
+	}
+	m.seen = map[string]uint64{}
 	return m
 }
 
@@ -165,6 +184,32 @@
 	m.peerCalls.WithLabelValues(direction).Add(float64(messages))
 }
 
+// Claims are the counters of a node's claims since its start, and their state.
+type Claims struct {
+	Written, Conflicts, Failed, Forwarded uint64
+	Owed, Refusing                        int
+}
+
+// Upkeep takes counters that other packages keep since their start. One
+// goroutine alone calls it.
+func (m *Meter) Upkeep(c Claims, overwritten, dropped uint64) {
+	for result, total := range map[string]uint64{"written": c.Written, "conflict": c.Conflicts, "failed": c.Failed, "forwarded": c.Forwarded} {
+		m.grow(m.claimWrites.WithLabelValues(result), "claims "+result, total)
+	}
+	m.grow(m.totals["garnet_events_overwritten_total"], "overwritten", overwritten)
+	m.grow(m.totals["garnet_probes_dropped_total"], "dropped", dropped)
+	m.levels["garnet_claims_owed"].Set(float64(c.Owed))
+	m.levels["garnet_claim_shards_refusing"].Set(float64(c.Refusing))
+}
+
+// grow brings a counter to a total that only grows.
+func (m *Meter) grow(counter prometheus.Counter, name string, total uint64) {
+	if last := m.seen[name]; total > last {
+		counter.Add(float64(total - last))
+		m.seen[name] = total
+	}
+}
+
 // View sets the gauges of one availability zone.
 func (m *Meter) View(view garnetworks.ZoneView) {
 	count := make(map[garnetworks.GroupState]int)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -40,6 +40,8 @@
 	m.BetweenTokens(time.Millisecond)
 	m.Peer("in", 10, 1)
 	m.Lease("site", true)
+	m.Upkeep(Claims{Written: 4, Owed: 2}, 1, 0)
+	m.Upkeep(Claims{Written: 7, Owed: 1}, 1, 0)
 	m.View(garnetworks.ZoneView{Zone: "a", Groups: []garnetworks.GroupView{{State: garnetworks.GroupServing}}})
 	m.Recorder(discard{}).Record(garnetworks.Event{Kind: garnetworks.EventLeaseTaken})
 
@@ -54,6 +56,8 @@
 		`garnet_object_api_calls_total{kind="",method="watch"} 1`,
 		`garnet_calls_total{kind="over-limit",outcome="not-run",target="model"} 1`,
 		`garnet_groups{state="serving",zone="a"} 1`,
+		`garnet_claim_writes_total{result="written"} 7`,
+		`garnet_claims_owed 1`,
 		`garnet_lease_held{lease="site"} 1`,
 	} {
 		if !strings.Contains(text, want) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -514,6 +514,15 @@
 	r.site.Lease().SetContenders(zoneNodes(nodes, ""))
 	r.meter.InFlight(r.server.InFlight())
 	r.countTraffic()
+	claims := r.claimer.Stats()
+	r.meter.Upkeep(meter.Claims{
+		Written:   claims.Writes,
+		Conflicts: claims.Conflicts,
+		Failed:    claims.Failures,
+		Forwarded: claims.Forwarded,
+		Owed:      claims.Owed,
+		Refusing:  claims.Down,
+	}, r.timeline.Overwritten(), r.prober.Dropped())
 }
 
 // nodes returns all known nodes, this one included.
