--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/grouper"
+	"github.com/garnetworks/garnetworks/placer"
 )
 
 // settled returns a simulated site on which every group serves.
@@ -574,3 +575,43 @@
 		t.Errorf("%d power orders without a grant", got)
 	}
 }
+
+// TestPowerOnIsRefused: a plan asks for power that the zone does not have, or while
+// the decision can't be written. The placer would not ask; the controller must not
+// depend on that, because one watt too many may trip the site (C5, C9).
+func TestPowerOnIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		room garnetworks.Watts
+		term uint32
+		want garnetworks.PowerState
+	}{
+		"above the limit":    {simWatts - 1, 1, garnetworks.PowerOff},
+		"beyond the lease":   {simWatts, 0, garnetworks.PowerOff},
+		"within both bounds": {simWatts, 1, garnetworks.PowerStarting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settled(t, 20, true)
+			s.until(t, time.Minute, "a spare is off", func() bool { return s.offIn("z0") != nil })
+			off := s.offIn("z0")
+			p := &deciding{ZoneState: s.holder("z0").state, o: Observation{Now: s.now, Term: c.term}, e: &Effects{}}
+			p.openDomains()
+			p.Limit = p.drawn() + c.room
+			p.apply(placer.PowerOn{Domain: off.row.Domain, Instance: off.row.ID})
+			if got := p.domain(off.row.Domain).Instance(off.row.ID).Power; got != c.want {
+				t.Errorf("the instance is %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// offIn returns an instance of the zone that the record holds as off.
+func (s *sim) offIn(zone garnetworks.ZoneID) *simEngine {
+	for _, id := range s.ids {
+		e := s.engines[id]
+		d := s.holder(zone).state.Domains[e.row.Domain]
+		if e.row.Zone == zone && d != nil && grouper.FindInstance(&d.Ahead, id).Power == garnetworks.PowerOff {
+			return e
+		}
+	}
+	return nil
+}
