Publish whole zones, so that a commit scales to 330 nodes

Change: a zone's reports are published when they are whole or hold a refusal, parts after 0.5 s; a delivered report is sent again after 3 s, an undelivered one after 0.2 s; other nodes' turns are longer than the distribution takes.

--- /dev/null
+++ b/committer/bench_test.go
@@ -0,0 +1,253 @@
+package committer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/committer"
+	"github.com/garnetworks/garnetworks/distributor"
+	"github.com/garnetworks/garnetworks/faker"
+	"github.com/garnetworks/garnetworks/messenger"
+)
+
+// wired is a node with real connections to the others.
+type wired struct {
+	garnetworks.PeerHandler
+	info        garnetworks.NodeInfo
+	committer   *committer.Committer
+	distributor *distributor.Distributor
+	client      *messenger.Client
+	traffic     messenger.Traffic
+
+	mu      sync.Mutex
+	applied map[garnetworks.Generation]time.Time
+}
+
+func (w *wired) Heartbeat(_ context.Context, request *garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error) {
+	response := &garnetworks.HeartbeatResponse{From: w.info}
+	w.distributor.FillResponse(request, response)
+	return response, nil
+}
+
+func (w *wired) Distribute(_ context.Context, request *garnetworks.DistributeRequest) (*garnetworks.DistributeResponse, error) {
+	return w.distributor.Handle(request), nil
+}
+
+func (w *wired) Fetch(_ context.Context, request *garnetworks.FetchRequest) (*garnetworks.FetchResponse, error) {
+	return w.distributor.HandleFetch(request), nil
+}
+
+func (w *wired) Report(ctx context.Context, request *garnetworks.ReportRequest) (*garnetworks.ReportResponse, error) {
+	return w.committer.Report(ctx, request)
+}
+
+// wiredSite is a site of nodes in one process, joined by loopback connections.
+type wiredSite struct {
+	objects *faker.Objects
+	nodes   []*wired
+	rosters []garnetworks.Roster
+}
+
+// startWired starts nodes in the zones of the example manifest; rosters are
+// given, since membership is not what is measured.
+func startWired(b *testing.B, nodes int) *wiredSite {
+	s := &wiredSite{objects: faker.NewObjects(faker.ObjectsOptions{})}
+	listeners := make([]net.Listener, nodes)
+	for i := range nodes {
+		var err error
+		if listeners[i], err = messenger.Listen("127.0.0.1:0", nil, false); err != nil {
+			b.Fatal(err)
+		}
+		zone := zoneNames[i%len(zoneNames)]
+		s.nodes = append(s.nodes, &wired{
+			info:    garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("%s-%03d", zone, i)), Incarnation: 1, Address: listeners[i].Addr().String(), Zone: zone, Region: "south"},
+			applied: map[garnetworks.Generation]time.Time{},
+		})
+	}
+	for _, zone := range zoneNames {
+		r := garnetworks.Roster{Zone: zone, Version: 1}
+		for _, n := range s.nodes {
+			if n.info.Zone == zone {
+				r.Nodes = append(r.Nodes, n.info)
+			}
+		}
+		s.rosters = append(s.rosters, r)
+	}
+	for i, n := range s.nodes {
+		s.join(b, n, listeners[i])
+	}
+	return s
+}
+
+// join starts one node's parts; they end with the benchmark.
+func (s *wiredSite) join(b *testing.B, n *wired, listener net.Listener) {
+	n.client = messenger.NewClient(messenger.ClientOptions{Traffic: &n.traffic})
+	n.distributor = distributor.New(distributor.Options{
+		Self: n.info, Peers: n.client, Nodes: s.infos,
+		Apply: func(u garnetworks.Update) { n.committer.OnUpdate(u) },
+	})
+	n.committer = committer.New(committer.Options{
+		Node: n.info.ID, Incarnation: 1, Zone: n.info.Zone, Objects: s.objects, Peers: n.client,
+		Rosters: func() []garnetworks.Roster { return s.rosters },
+		Publish: func(u garnetworks.Update) { _ = n.distributor.Publish(u) },
+		Applied: func(m *garnetworks.AcceptedManifest) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.applied[m.Generation] = time.Now()
+		},
+	})
+	server, err := messenger.NewServer(messenger.ServerOptions{Handler: n, Traffic: &n.traffic})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx, listener) })
+	group.Go(func() { n.distributor.Run(ctx) })
+	group.Go(func() { _ = n.committer.Run(ctx) })
+	group.Go(func() { s.beat(ctx, n) })
+	b.Cleanup(func() {
+		cancel()
+		group.Wait()
+		n.client.Close()
+	})
+}
+
+func (s *wiredSite) infos() []garnetworks.NodeInfo {
+	list := make([]garnetworks.NodeInfo, len(s.nodes))
+	for i, n := range s.nodes {
+		list[i] = n.info
+	}
+	return list
+}
+
+// beat compares with the next node each second, as the membership does.
+func (s *wiredSite) beat(ctx context.Context, n *wired) {
+	next := s.nodes[(slices.Index(s.nodes, n)+1)%len(s.nodes)].info.Address
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		request := &garnetworks.HeartbeatRequest{From: n.info}
+		n.distributor.FillRequest(request)
+		if response, err := n.client.Heartbeat(ctx, next, request); err == nil {
+			n.distributor.TakeResponse(ctx, next, response)
+		}
+	}
+}
+
+// BenchmarkCommit measures commits over real connections on one machine: until
+// the last node decides by it, and until the node that took it calls it in force.
+func BenchmarkCommit(b *testing.B) {
+	for _, size := range []int{6, 24, 96, 330} {
+		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
+			s := startWired(b, size)
+			waitFor(b, func() bool {
+				return !slices.ContainsFunc(s.nodes, func(n *wired) bool { return !n.committer.Status().Learned })
+			})
+			time.Sleep(3 * time.Second)
+			var last, inForce []time.Duration
+			before := s.spent()
+			b.ResetTimer()
+			for i := range b.N {
+				base := garnetworks.Generation(i)
+				at := s.nodes[(i*7)%size]
+				began := time.Now()
+				if _, err := at.committer.Propose(b.Context(), propose(fmt.Sprintf("c%d", i), base, text(80000+i))); err != nil {
+					b.Fatal(err)
+				}
+				waitFor(b, func() bool { return at.committer.Status().InForce == base+1 })
+				inForce = append(inForce, time.Since(began))
+				last = append(last, s.lastApplied(base+1).Sub(began))
+			}
+			b.StopTimer()
+			spent := s.spent()
+			slices.Sort(last)
+			slices.Sort(inForce)
+			nodesAndCommits := float64(size * b.N)
+			b.ReportMetric(float64(last[len(last)/2].Microseconds())/1000, "median-ms-to-last-node")
+			b.ReportMetric(float64(last[len(last)-1].Microseconds())/1000, "worst-ms-to-last-node")
+			b.ReportMetric(float64(inForce[len(inForce)/2].Microseconds())/1000, "median-ms-to-in-force")
+			b.ReportMetric(float64(inForce[len(inForce)-1].Microseconds())/1000, "worst-ms-to-in-force")
+			b.ReportMetric(float64(s.repaired())/float64(b.N), "repairs/commit")
+			b.ReportMetric(float64(spent.MessagesSent-before.MessagesSent)/nodesAndCommits, "messages/node/commit")
+			b.ReportMetric(float64(spent.BytesSent-before.BytesSent)/nodesAndCommits, "bytes/node/commit")
+		})
+	}
+}
+
+func (s *wiredSite) lastApplied(g garnetworks.Generation) time.Time {
+	var last time.Time
+	for _, n := range s.nodes {
+		n.mu.Lock()
+		if n.applied[g].After(last) {
+			last = n.applied[g]
+		}
+		n.mu.Unlock()
+	}
+	return last
+}
+
+// repaired counts the updates that the tree did not bring.
+func (s *wiredSite) repaired() uint64 {
+	sum := uint64(0)
+	for _, n := range s.nodes {
+		c := n.distributor.Counts()
+		sum += c.Repaired + c.Pushed
+	}
+	return sum
+}
+
+func (s *wiredSite) spent() messenger.TrafficCount {
+	var sum messenger.TrafficCount
+	for _, n := range s.nodes {
+		c := n.traffic.Count()
+		sum.MessagesSent += c.MessagesSent
+		sum.BytesSent += c.BytesSent
+	}
+	return sum
+}
+
+func waitFor(b *testing.B, done func() bool) {
+	b.Helper()
+	for range 60_000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.Fatal("nothing comes of it within a minute")
+}
+
+// BenchmarkStep measures what a node at the design size spends on one look at
+// what is due while nothing is.
+func BenchmarkStep(b *testing.B) {
+	const zones, perZone = 8, 41
+	now := time.Now()
+	s := committer.NewState(committer.Identity{Node: "zone-0-000", Incarnation: 1, Zone: "zone-0"})
+	var rosters []garnetworks.Roster
+	for z := range zones {
+		r := garnetworks.Roster{Zone: garnetworks.ZoneID(fmt.Sprintf("zone-%d", z)), Version: 1}
+		for i := range perZone {
+			n := garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("zone-%d-%03d", z, i)), Incarnation: 1}
+			r.Nodes = append(r.Nodes, n)
+			s.SeeReport(r.Zone, garnetworks.NodeReport{Node: n.ID, Incarnation: 1})
+		}
+		rosters = append(rosters, r)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.SeeRosters(rosters)
+		s.Step(now)
+	}
+}
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -315,6 +315,7 @@
 	response, err := c.options.Peers.Report(call, r.To.Address, request)
 	if err != nil {
 		c.options.Logger.Debug("report not delivered", "to", r.To.ID, "error", err)
+		c.see((*State).SeeUndelivered)
 		return
 	}
 	if response.Manifest > r.Report.Applied || response.Proposal > r.Report.Proposal {
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -344,6 +344,7 @@
 			_, err := nodes[2].Propose(t.Context(), propose("loser", 0, text(80000)))
 			lost <- err
 		}()
+		synctest.Wait()
 		if _, err := nodes[0].Propose(t.Context(), propose("winner", 0, text(90000))); err != nil {
 			t.Fatal(err)
 		}
--- a/committer/state.go
+++ b/committer/state.go
@@ -13,17 +13,28 @@
 )
 
 const (
-	// batchTime is how long a zone's reports are gathered before they are
-	// published as one.
-	batchTime = 20 * time.Millisecond
-	// turn is how long the next node waits for the one before it to publish or
-	// write (rule M8).
+	// partTime is how long the reports of a part of a zone's nodes are gathered
+	// before they are published. A published report goes to every node of the
+	// site, and only a whole one decides anything, so parts are kept rare.
+	partTime = 500 * time.Millisecond
+	// turn is how long the next node waits for the one before it to accept or
+	// refuse a proposal (rule M8).
 	turn = 500 * time.Millisecond
-	// relayTurn is the same for passing on what the object API told.
-	relayTurn = 100 * time.Millisecond
-	// reportAgain is how long a node waits for its report to be published before
-	// it sends it to the next node.
-	reportAgain = time.Second
+	// zoneTurn is the same for publishing a zone's reports, and relayTurn for
+	// passing on what the object API told. Both are above what the distribution
+	// takes, or one slow round would make every node publish.
+	zoneTurn  = 1500 * time.Millisecond
+	relayTurn = 500 * time.Millisecond
+	// reportAgain is how long a node waits for its report, once it was
+	// delivered, to be published before it sends it to the next node.
+	reportAgain = 3 * time.Second
+	// reportFailed is the same for a report that was not delivered.
+	reportFailed = 200 * time.Millisecond
+	// publishGap spaces what a node publishes of its zone. Failure: while rosters
+	// differ, two nodes each take themselves for the first and answer each
+	// other's joined report with one that differs, as fast as messages travel;
+	// the gap bounds that to a few messages a second until the rosters agree.
+	publishGap = 250 * time.Millisecond
 	// fetchAgain spaces reads of a manifest that could not be read.
 	fetchAgain = time.Second
 	// HoldAfter is the age at which a proposal that a zone has not staged is
@@ -102,7 +113,9 @@
 	version      garnetworks.UpdateVersion
 	spreadRoster uint64
 	// newsSince is when reports first held more than spread.
-	newsSince time.Time
+	// publishedAt is when this node last published the zone's reports.
+	publishedAt time.Time
+	newsSince   time.Time
 }
 
 // State is what one node knows of manifests. It does no I/O and is not safe for
@@ -519,6 +532,11 @@
 	return []Action{SendReport{To: to, Report: s.report()}}
 }
 
+// SeeUndelivered takes that a report did not reach its node.
+func (s *State) SeeUndelivered(now time.Time) {
+	s.reportAt = now.Add(reportFailed)
+}
+
 // publishZone publishes the joined reports of the node's zone if they hold
 // something new for so long that it is this node's turn (rule M8).
 func (s *State) publishZone(now time.Time) []Action {
@@ -531,10 +549,14 @@
 	if z.newsSince.IsZero() {
 		z.newsSince = now
 	}
-	if now.Before(z.newsSince.Add(batchTime + time.Duration(s.rank())*turn)) {
+	wait := time.Duration(s.rank()) * zoneTurn
+	if !s.whole(z, live) {
+		wait += partTime
+	}
+	if now.Before(z.newsSince.Add(wait)) || now.Before(z.publishedAt.Add(publishGap)) {
 		return nil
 	}
-	z.newsSince = time.Time{}
+	z.newsSince, z.publishedAt = time.Time{}, now
 	return []Action{Publish{s.zoneUpdate(z, live)}}
 }
 
@@ -548,6 +570,26 @@
 	return false
 }
 
+// whole reports whether nothing more is to be waited for in a zone: all of its
+// live nodes are as far as the one that is farthest, or one of them refuses the
+// newest proposal.
+func (s *State) whole(z *zoneState, live []garnetworks.NodeInfo) bool {
+	proposal, applied := uint64(0), garnetworks.Generation(0)
+	for _, n := range live {
+		r := z.reports[n.ID]
+		proposal, applied = max(proposal, r.Proposal), max(applied, r.Applied)
+	}
+	all := true
+	for _, n := range live {
+		r := z.reports[n.ID]
+		if r.Proposal == proposal && r.Refusal != "" {
+			return true
+		}
+		all = all && r.Proposal == proposal && r.Applied == applied
+	}
+	return all
+}
+
 // zoneUpdate returns the zone's report as an update and takes it as published.
 func (s *State) zoneUpdate(z *zoneState, live []garnetworks.NodeInfo) garnetworks.Update {
 	newest := reports{}
