Use cmp.Compare and one check of a claim's end

Cause: duplicates finds admitter.compareNames and router.compareIDs, which are cmp.Compare, and forwarder.holds, which is claimer.MayForward. Change: the copies are gone; the forwarder asks claimer.MayForward. Conclusion: no behaviour changes.

--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -395,7 +396,7 @@
 	for _, w := range g.workspaces {
 		all = append(all, w.demand(now))
 	}
-	slices.SortFunc(all, func(a, b garnetworks.Demand) int { return compareNames(a.Workspace, b.Workspace) })
+	slices.SortFunc(all, func(a, b garnetworks.Demand) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	kept := all[:0]
 	for i, d := range all {
 		if i == 0 || d.InFlight > 0 || d.RequestsPerSecond > leastDemand {
--- a/admitter/shares.go
+++ b/admitter/shares.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -60,7 +61,7 @@
 // Node returns a node's row.
 func (t *ShareTable) Node(id garnetworks.NodeID) (NodeShare, bool) {
 	i, ok := slices.BinarySearchFunc(t.Nodes, id, func(s NodeShare, id garnetworks.NodeID) int {
-		return compareNames(s.Node, id)
+		return cmp.Compare(s.Node, id)
 	})
 	if !ok {
 		return NodeShare{}, false
@@ -73,7 +74,7 @@
 // knows the same demands computes the same table.
 func Shares(workspaces []garnetworks.WorkspaceSpec, nodes []NodeDemand) ShareTable {
 	nodes = slices.Clone(nodes)
-	slices.SortFunc(nodes, func(a, b NodeDemand) int { return compareNames(a.Node, b.Node) })
+	slices.SortFunc(nodes, func(a, b NodeDemand) int { return cmp.Compare(a.Node, b.Node) })
 	table := ShareTable{Nodes: make([]NodeShare, len(nodes))}
 	for i, n := range nodes {
 		table.Nodes[i].Node = n.Node
@@ -95,7 +96,7 @@
 
 func sortedSpecs(workspaces []garnetworks.WorkspaceSpec) []garnetworks.WorkspaceSpec {
 	sorted := slices.Clone(workspaces)
-	slices.SortFunc(sorted, func(a, b garnetworks.WorkspaceSpec) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(sorted, func(a, b garnetworks.WorkspaceSpec) int { return cmp.Compare(a.Name, b.Name) })
 	return sorted
 }
 
@@ -210,13 +211,3 @@
 	}
 	return sum
 }
-
-func compareNames[T ~string](a, b T) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/claimer"
 	"github.com/garnetworks/garnetworks/retrier"
 	"github.com/pkg/errors"
 )
@@ -194,7 +195,7 @@
 	// Failure: the node is paused between claiming and forwarding, until after
 	// others have begun to answer "unknown" for the key. Running the call now
 	// would still be the first time, but nobody would wait for it any more.
-	if !holds(&claim, time.Now()) {
+	if !claimer.MayForward(time.Now(), &claim) {
 		return garnetworks.ServiceAnswer{}, garnetworks.Errorf(garnetworks.KindDeadline, "the claim ended before the call was sent")
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.spec.Timeout)
@@ -202,13 +203,6 @@
 	return s.run(ctx)
 }
 
-// holds reports whether the claim has not ended by the monotonic nor by the wall
-// clock: the first one stands still while a virtual machine is suspended, the
-// second one can be set back.
-func holds(claim *garnetworks.Claim, now time.Time) bool {
-	return now.Before(claim.Until) && now.Round(0).Before(claim.Until.Round(0))
-}
-
 // hashCall covers all that tells one call from another with the same key.
 func hashCall(call *garnetworks.ServiceCall) [sha256.Size]byte {
 	h := sha256.New()
--- a/router/capacity.go
+++ b/router/capacity.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,7 +16,7 @@
 			all = append(all, t.capacity(now, key.model, p))
 		}
 	}
-	slices.SortFunc(all, func(a, b garnetworks.ModelCapacity) int { return compareIDs(a.Model, b.Model) })
+	slices.SortFunc(all, func(a, b garnetworks.ModelCapacity) int { return cmp.Compare(a.Model, b.Model) })
 	return all
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -161,7 +162,7 @@
 			})
 		}
 	}
-	slices.SortFunc(stragglers, func(a, b Straggler) int { return compareIDs(a.Group, b.Group) })
+	slices.SortFunc(stragglers, func(a, b Straggler) int { return cmp.Compare(a.Group, b.Group) })
 	return stragglers
 }
 
--- a/router/servers.go
+++ b/router/servers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/garnetworks/garnetworks"
@@ -46,7 +47,7 @@
 	}
 	for _, s := range services {
 		slices.SortFunc(s.servers, func(a, b *server) int {
-			return compareIDs(a.view.Instance, b.view.Instance)
+			return cmp.Compare(a.view.Instance, b.view.Instance)
 		})
 	}
 	t.services = services
--- a/router/table.go
+++ b/router/table.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -286,7 +287,7 @@
 	for _, p := range t.pools {
 		for _, s := range []*scope{&p.zone, &p.region, &p.site} {
 			slices.SortFunc(s.entries, func(a, b entry) int {
-				return compareIDs(a.group.view.ID, b.group.view.ID)
+				return cmp.Compare(a.group.view.ID, b.group.view.ID)
 			})
 		}
 	}
@@ -294,16 +295,6 @@
 	t.judged = 0
 }
 
-func compareIDs[T ~string](a, b T) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 func (t *table) enter(g *group, adapter garnetworks.AdapterName) {
 	key := poolKey{g.view.Model, adapter}
 	p := t.pools[key]
