Let nodes end a proposal that none of them can read

Cause: a node that could not read a proposal did not know its zones, so it could not end it. If the newer node that had proposed it was gone, the proposal stood in the way of every commit until an operator superseded it by name. Change: the zones of a proposal are read without a look at the rest. With zones taken only from proposals that can be read, TestManifestOfNewerProgramIsRefused is red: the commit stays held. Conclusion: a refusal needs no newer node any more.

--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -356,3 +357,52 @@
 		}
 	})
 }
+
+// A node of a newer program proposes a manifest that this program does not know,
+// and dies. The others must end the proposal and say why; left pending, it would
+// stand in the way of every later commit, and applied in part it would be another
+// manifest.
+func TestManifestOfNewerProgramIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, nodes := threeZones(t)
+		defer s.haltAll()
+		if _, err := nodes[0].Propose(t.Context(), propose("c1", 0, text(90000))); err != nil {
+			t.Fatal(err)
+		}
+		await(t, nodes[0], "c1", garnetworks.CommitInForce, time.Second)
+		stored, err := s.objects.Get(t.Context(), committer.BodyKey("c1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := []byte(strings.Replace(string(stored.Value), `"format":1`, `"format":2`, 1))
+		if _, err := s.objects.Put(t.Context(), committer.BodyKey("newer"), body, 0); err != nil {
+			t.Fatal(err)
+		}
+		object, err := s.objects.Get(t.Context(), committer.HeadKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		heads := s.heads(t)
+		head, err := heads[len(heads)-1].Propose(committer.Proposal{
+			CommitID: "newer", Operator: "otto", Base: 1, Hash: hashOf(body), At: time.Now(),
+		}, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		value, _ := json.Marshal(head)
+		if _, err := s.objects.Put(t.Context(), committer.HeadKey, value, object.Revision); err != nil {
+			t.Fatal(err)
+		}
+		p := await(t, nodes[3], "newer", garnetworks.CommitRefused, 5*time.Second)
+		if !strings.Contains(p.Reason, "newer program") || !strings.Contains(p.Reason, "node south-") {
+			t.Errorf("the reason is %q", p.Reason)
+		}
+		if m, ok := nodes[3].Manifest(); !ok || m.CommitID != "c1" {
+			t.Error("the manifest in force has changed")
+		}
+		if _, err := nodes[4].Propose(t.Context(), propose("c2", 1, text(80000))); err != nil {
+			t.Fatal(err)
+		}
+		await(t, nodes[4], "c2", garnetworks.CommitInForce, time.Second)
+	})
+}
--- a/committer/progress.go
+++ b/committer/progress.go
@@ -46,11 +46,7 @@
 
 func (s *State) pendingProgress(now time.Time) (garnetworks.CommitProgress, bool) {
 	p := pendingProgress(&s.staged.Proposal)
-	if s.staged.manifest == nil {
-		p.Reason = "this node refuses it: " + s.staged.refusal
-		return p, true
-	}
-	p.Zones = s.zonesOf(s.staged.manifest, s.staged.Number, s.Applied()+1)
+	p.Zones = s.zonesOf(s.staged.zones, s.staged.Number, s.Applied()+1)
 	old := now.Sub(s.staged.at) >= HoldAfter
 	if reason := s.refusal(); reason != "" {
 		p.Reason = reason
@@ -69,7 +65,7 @@
 	if s.staged != nil && s.staged.CommitID == a.CommitID {
 		p.Proposal, p.ProposedAt = s.staged.Number, s.staged.At
 	}
-	p.Zones = s.zonesOf(&a.Manifest, p.Proposal, a.Generation)
+	p.Zones = s.zonesOf(a.Manifest.Site.Zones, p.Proposal, a.Generation)
 	if s.inForce == a.Generation {
 		p.State, p.InForceAt = garnetworks.CommitInForce, s.inForceAt
 		return p
@@ -78,11 +74,11 @@
 	return p
 }
 
-// zonesOf tells how far each zone of a manifest is with a proposal and the
+// zonesOf tells how far each zone is with a proposal and the
 // generation that it becomes.
-func (s *State) zonesOf(m *garnetworks.Manifest, number uint64, generation garnetworks.Generation) []garnetworks.ZoneProgress {
-	zones := make([]garnetworks.ZoneProgress, 0, len(m.Site.Zones))
-	for _, spec := range m.Site.Zones {
+func (s *State) zonesOf(specs []garnetworks.ZoneSpec, number uint64, generation garnetworks.Generation) []garnetworks.ZoneProgress {
+	zones := make([]garnetworks.ZoneProgress, 0, len(specs))
+	for _, spec := range specs {
 		zones = append(zones, s.zoneProgress(spec, number, generation))
 	}
 	slices.SortFunc(zones, func(a, b garnetworks.ZoneProgress) int { return cmp.Compare(a.Zone, b.Zone) })
--- a/committer/state.go
+++ b/committer/state.go
@@ -99,7 +99,11 @@
 	// manifest is nil if the node refuses the proposal.
 	manifest *garnetworks.Manifest
 	refusal  string
-	at       time.Time
+	// zones are the proposal's, also of one that the node refuses: it must still
+	// know whose reports count to end the proposal, or one that no node can read
+	// would stay pending.
+	zones []garnetworks.ZoneSpec
+	at    time.Time
 }
 
 // zoneState is what the node knows of one zone.
@@ -409,7 +413,7 @@
 	if s.staged != nil && m.Number <= s.staged.Number {
 		return
 	}
-	staged := &stagedProposal{proposalMessage: m, at: now}
+	staged := &stagedProposal{proposalMessage: m, at: now, zones: zonesIn(m.Manifest)}
 	manifest, err := parser.Decode(m.Manifest)
 	if err == nil {
 		err = parser.Check(manifest).Err()
@@ -428,6 +432,20 @@
 	s.readySince, s.decideAt = time.Time{}, time.Time{}
 }
 
+// zonesIn returns the zones that a manifest names, read without a look at the
+// rest; none if they can't be read.
+func zonesIn(body []byte) []garnetworks.ZoneSpec {
+	var m struct {
+		Site struct {
+			Zones []garnetworks.ZoneSpec `json:"zones"`
+		} `json:"site"`
+	}
+	if json.Unmarshal(body, &m) != nil {
+		return nil
+	}
+	return m.Site.Zones
+}
+
 func (s *State) note(kind garnetworks.EventKind, generation garnetworks.Generation, err garnetworks.Kind, detail string) {
 	s.notes = append(s.notes, garnetworks.Event{
 		Kind: kind, Zone: s.self.Zone, Generation: generation, Error: err, Detail: detail,
@@ -638,10 +656,10 @@
 	return []Action{action}
 }
 
-// awaited returns the zones that a manifest waits for.
-func awaited(m *garnetworks.Manifest) []garnetworks.ZoneID {
+// awaited returns the zones that are waited for.
+func awaited(specs []garnetworks.ZoneSpec) []garnetworks.ZoneID {
 	var zones []garnetworks.ZoneID
-	for _, z := range m.Site.Zones {
+	for _, z := range specs {
 		if !z.LeftOut {
 			zones = append(zones, z.Name)
 		}
@@ -651,7 +669,7 @@
 
 // allStaged reports whether rule M5 lets the staged proposal be accepted.
 func (s *State) allStaged() bool {
-	for _, id := range awaited(s.staged.manifest) {
+	for _, id := range awaited(s.staged.zones) {
 		if !s.confirmed(id, s.hasStaged) {
 			return false
 		}
@@ -683,13 +701,9 @@
 }
 
 // refusal returns why a live node of an awaited zone refuses the staged
-// proposal, or "". A node that can't read the proposal knows of its own refusal
-// only.
+// proposal, or "".
 func (s *State) refusal() string {
-	if s.staged.manifest == nil {
-		return ""
-	}
-	for _, id := range awaited(s.staged.manifest) {
+	for _, id := range awaited(s.staged.zones) {
 		for _, n := range s.live(id) {
 			r, ok := s.zone(id).reports[n.ID]
 			if ok && r.Incarnation >= n.Incarnation && r.Proposal == s.staged.Number && r.Refusal != "" {
@@ -705,7 +719,7 @@
 	if s.accepted == nil || s.inForce >= s.accepted.Generation {
 		return
 	}
-	for _, id := range awaited(&s.accepted.Manifest) {
+	for _, id := range awaited(s.accepted.Manifest.Site.Zones) {
 		if !s.confirmed(id, s.hasApplied) {
 			return
 		}
