Draw engines that ignore fencing tokens in the site's random failures

Cause: the whole site had run before engines that check tokens alone. Change: half of the random sequences run before engines that ignore them.

--- a/runner/random_test.go
+++ b/runner/random_test.go
@@ -45,7 +45,9 @@
 }
 
 func randomFailures(t *rapid.T) {
-	m := &machine{virtualSite: newVirtualSite(t, smallShape)}
+	size := smallShape
+	size.ignoresTokens = rapid.Bool().Draw(t, "engines ignore tokens")
+	m := &machine{virtualSite: newVirtualSite(t, size)}
 	defer m.close()
 	m.begin()
 	m.startLoad()
--- a/runner/virtual_test.go
+++ b/runner/virtual_test.go
@@ -89,6 +89,8 @@
 	// weight is the size of a version's weights on one engine, loaded at 1 GB/s
 	// over the site.
 	weight int64
+	// ignoresTokens makes the engines obey orders with old fencing tokens.
+	ignoresTokens bool
 }
 
 // smallShape has one group in each zone, with a powered spare and one that is
@@ -146,7 +148,7 @@
 			ListedInstance: garnetworks.ListedInstance{
 				ID: id, Address: string(id) + ":80", Zone: zone, Domain: garnetworks.DomainID(fmt.Sprintf("%s-d%d", zone, i/domainEngines)), Class: "big", State: garnetworks.ListedLive,
 			},
-			Watts: engineWatts, On: i < s.size.on, Boot: 5 * time.Second, ChecksFencing: true,
+			Watts: engineWatts, On: i < s.size.on, Boot: 5 * time.Second, ChecksFencing: !s.size.ignoresTokens,
 			FirstToken: 50 * time.Millisecond, PerToken: 20 * time.Millisecond,
 		})
 	}
@@ -390,6 +392,7 @@
 		return s.manifestText(powerCap, version)
 	}
 	text = strings.Replace(text, "power-cap-watts: 40000", fmt.Sprintf("power-cap-watts: %d", powerCap), 1)
+	text = strings.Replace(text, "checks-fencing: true", fmt.Sprintf("checks-fencing: %t", !s.size.ignoresTokens), 1)
 	text = strings.Replace(text, "version: v1", "version: "+version, 1)
 	text = strings.Replace(text, "min-groups: 3", fmt.Sprintf("min-groups: %d", s.size.groups), 1)
 	text = strings.Replace(text, "max-groups: 3", fmt.Sprintf("max-groups: %d", s.size.groups), 1)
