Hold what keyed calls were told against what their service ran

Cause: garnetload counted outcomes by the site's own words. Whether a call said to be not run had run, or a key had run twice, could not be seen from outside the process of the stand-ins.

--- a/cmd/garnetload/drive.go
+++ b/cmd/garnetload/drive.go
@@ -49,7 +49,7 @@
 		case <-timer.C:
 		}
 		if inFlight.Load() >= int64(f.MaxInFlight) {
-			results <- result{class: j.class, outcome: outcomeNotSent, kind: "--max-in-flight reached"}
+			results <- result{class: j.class, key: j.idempotencyKey, outcome: outcomeNotSent, kind: "--max-in-flight reached"}
 			continue
 		}
 		inFlight.Add(1)
--- a/cmd/garnetload/main.go
+++ b/cmd/garnetload/main.go
@@ -45,6 +45,7 @@
 	MaxInFlight  int           `help:"Most calls in flight; those beyond are counted as not sent." default:"4000"`
 	Direct       string        `help:"Control address of the stand-ins: every other call then goes to their engines directly, and the added latency is told." placeholder:"IP:PORT"`
 	Verify       bool          `help:"Compare each answer with what the stand-ins must answer."`
+	Executions   string        `help:"Control address of the stand-ins: after the run, the outcomes of keyed calls are held against what their service ran." placeholder:"IP:PORT"`
 	Output       string        `help:"How the result is printed: table or json." enum:"table,json" default:"table"`
 	Progress     time.Duration `help:"Time between progress lines on standard error; 0 prints none." default:"1s"`
 	AllowRemote  bool          `help:"Permit addresses beyond the loopback ones."`
@@ -70,6 +71,10 @@
 		return exitFailed
 	}
 	report := drive(ctx, f, p, s, stderr)
+	if err := report.compare(ctx, s); err != nil {
+		// The answers are counted all the same; what is missing is said.
+		_, _ = fmt.Fprintln(stderr, "garnetload:", err)
+	}
 	if f.Output == "json" {
 		err = report.writeJSON(stdout)
 	} else {
--- a/cmd/garnetload/main_test.go
+++ b/cmd/garnetload/main_test.go
@@ -176,6 +176,38 @@
 	}
 }
 
+// A site says "not run" of a call that its service has run, and its caller sends
+// it again: the load tool must tell that from the service's own counts.
+func TestExecutionsAreHeldAgainstOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		outcomes []string
+		ran      int
+		want     executionsBody
+	}{
+		"completed":               {[]string{outcomeCompleted}, 1, executionsBody{RanOnce: 1}},
+		"repeated":                {[]string{outcomeCompleted, outcomeCompleted}, 1, executionsBody{RanOnce: 1}},
+		"ran twice":               {[]string{outcomeCompleted, outcomeCompleted}, 2, executionsBody{RanAgain: 1}},
+		"not run":                 {[]string{outcomeNotRun}, 0, executionsBody{NeverRan: 1}},
+		"false not run":           {[]string{outcomeNotRun, outcomeNotRun}, 1, executionsBody{RanOnce: 1, NotRunButRan: 1}},
+		"false completed":         {[]string{outcomeCompleted}, 0, executionsBody{NeverRan: 1, CompletedOnly: 1}},
+		"unknown, then refused":   {[]string{"unknown", outcomeNotRun}, 1, executionsBody{RanOnce: 1}},
+		"refused, then completed": {[]string{outcomeNotRun, outcomeCompleted}, 1, executionsBody{RanOnce: 1}},
+		"no answer":               {[]string{outcomeNoAnswer}, 1, executionsBody{RanOnce: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newReport()
+			for _, outcome := range test.outcomes {
+				r.add(result{class: classService, key: "visit-7", outcome: outcome})
+			}
+			test.want.Keys = 1
+			if got := compareExecutions(r.keys, map[string]int{"visit-7": test.ran, "earlier": 2}); got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestBadFlagsAreNamed(t *testing.T) {
 	tests := map[string]struct {
 		change func(f *flags)
--- a/cmd/garnetload/plan.go
+++ b/cmd/garnetload/plan.go
@@ -104,8 +104,10 @@
 		}
 	}
 	addresses := append([]string(nil), f.URL...)
-	if f.Direct != "" {
-		addresses = append(addresses, "http://"+f.Direct)
+	for _, control := range []string{f.Direct, f.Executions} {
+		if control != "" {
+			addresses = append(addresses, "http://"+control)
+		}
 	}
 	for _, address := range addresses {
 		if err := f.checkAddress(address); err != nil {
--- a/cmd/garnetload/report.go
+++ b/cmd/garnetload/report.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,6 +23,10 @@
 type report struct {
 	Seconds float64          `json:"seconds"`
 	Classes map[class]*tally `json:"-"`
+	// keys are the keyed calls, and Executions what became of them; nil if nobody
+	// asked.
+	keys       map[string]*keyCalls
+	Executions *executionsBody `json:"executions,omitempty"`
 }
 
 // tally holds the results of one class.
@@ -38,7 +43,9 @@
 
 type outcomeKey struct{ outcome, kind string }
 
-func newReport() *report { return &report{Classes: make(map[class]*tally)} }
+func newReport() *report {
+	return &report{Classes: make(map[class]*tally), keys: make(map[string]*keyCalls)}
+}
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, highestMicros, digits) }
 
@@ -65,6 +72,7 @@
 		r.Classes[result.class] = t
 	}
 	t.calls++
+	r.addKey(result)
 	t.outcomes[outcomeKey{result.outcome, result.kind}]++
 	if result.retryAfter {
 		t.withDelay++
@@ -84,6 +92,30 @@
 	}
 }
 
+func (r *report) addKey(result result) {
+	if result.key == "" {
+		return
+	}
+	if r.keys[result.key] == nil {
+		r.keys[result.key] = &keyCalls{}
+	}
+	r.keys[result.key].add(result.outcome)
+}
+
+// compare enters what the stand-ins say of the keyed calls.
+func (r *report) compare(ctx context.Context, s *sender) error {
+	if s.Executions == "" {
+		return nil
+	}
+	ran, err := s.learnExecutions(ctx)
+	if err != nil {
+		return err
+	}
+	body := compareExecutions(r.keys, ran)
+	r.Executions = &body
+	return nil
+}
+
 func (r *report) progressLine(elapsed time.Duration, inFlight int64) string {
 	calls, completed, tokens := 0, 0, 0
 	for _, t := range r.Classes {
@@ -234,6 +266,9 @@
 			_, _ = fmt.Fprintf(t, "%s\tp%g\t%.2f ms\t%.2f ms\t%.2f\t\n", a.Time, a.Percentile, a.Through, a.Direct, a.Ratio)
 		}
 	}
+	if r.Executions != nil {
+		writeExecutions(t, *r.Executions)
+	}
 	return t.Flush()
 }
 
--- a/cmd/garnetload/sender.go
+++ b/cmd/garnetload/sender.go
@@ -23,6 +23,8 @@
 // result is what became of one call.
 type result struct {
 	class class
+	// key is the idempotency key, or empty.
+	key string
 	// outcome is the word of the answer, or one of the outcomes below.
 	outcome string
 	kind    string
@@ -94,7 +96,7 @@
 func (s *sender) send(ctx context.Context, j job, due time.Time) result {
 	ctx, cancel := context.WithDeadline(ctx, due.Add(s.Timeout))
 	defer cancel()
-	r := result{class: j.class, late: time.Since(due)}
+	r := result{class: j.class, key: j.idempotencyKey, late: time.Since(due)}
 	request, err := s.request(ctx, j)
 	if err != nil {
 		r.outcome, r.kind = outcomeNotSent, err.Error()
--- a/faker/control.go
+++ b/faker/control.go
@@ -141,6 +141,7 @@
 	r.Post("/engines/{engine}/{action}", c.serveEngine)
 	r.Get("/state", c.serveState)
 	r.Get("/groups", c.serveGroups)
+	r.Get("/services/{service}/keys", c.serveKeys)
 	return serve(address, r, &Faults{}, nil)
 }
 
@@ -260,6 +261,18 @@
 	return body
 }
 
+// serveKeys answers with the executions of each idempotency key, so that a load
+// from another process can be held against what ran.
+func (c *Control) serveKeys(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "service")
+	service := c.Services[name]
+	if service == nil {
+		replyProblem(w, garnetworks.Errorf(garnetworks.KindNotFound, "there is no service %q", name))
+		return
+	}
+	reply(w, r, service.ExecutionsByKeys(), nil)
+}
+
 // GroupBody is a group that serves now, by its first member's word.
 type GroupBody struct {
 	Group garnetworks.GroupID `json:"group"`
--- a/faker/control_test.go
+++ b/faker/control_test.go
@@ -43,7 +43,10 @@
 	defer f.Close()
 	e := f.Add(EngineSpec{ListedInstance: garnetworks.ListedInstance{ID: "e"}, On: true})
 	objects := NewObjects(ObjectsOptions{})
-	s, err := ServeControl(&Control{Targets: map[string]Faulty{"e": e, "objects": objects}, Fleet: f, Objects: objects})
+	ledger := NewService("ledger", 0)
+	ledger.note(&garnetworks.ServiceCall{Key: "visit-7"})
+	services := map[string]*Service{"ledger": ledger}
+	s, err := ServeControl(&Control{Targets: map[string]Faulty{"e": e, "objects": objects}, Fleet: f, Objects: objects, Services: services})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,6 +82,10 @@
 	send(http.MethodPost, "/engines/e/dance", "", http.StatusNotFound)
 	send(http.MethodPost, "/engines/e/slow-down?factor=0", "", http.StatusBadRequest)
 	send(http.MethodPost, "/engines/e/slow-down?factor=2", "", http.StatusOK)
+	if got := string(send(http.MethodGet, "/services/ledger/keys", "", http.StatusOK)); got != `{"visit-7":1}` {
+		t.Errorf("got executions %s, want one of visit-7", got)
+	}
+	send(http.MethodGet, "/services/nobody/keys", "", http.StatusNotFound)
 	var state StateBody
 	if err := json.Unmarshal(send(http.MethodGet, "/state", "", http.StatusOK), &state); err != nil {
 		t.Fatal(err)
--- a/faker/service.go
+++ b/faker/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/url"
 	"sync"
@@ -78,6 +79,13 @@
 	return s.byKey[key]
 }
 
+// ExecutionsByKeys returns the number of executions of each idempotency key.
+func (s *Service) ExecutionsByKeys() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.byKey)
+}
+
 // ExecutionsByBody returns the number of executions of each body.
 func (s *Service) ExecutionsByBody(body string) int {
 	s.mu.Lock()
