Let the stand-in engine keep the token of its release

The contract asked only for phase and group. That a repeated form order changes the rate of a running load was there and is held by the contract already.

--- a/checker/engine.go
+++ b/checker/engine.go
@@ -49,8 +49,8 @@
 			Story: "A group is formed on paper while its members serve something else.",
 			Run:   ordersForm,
 		},
-		"release makes the engine idle": {
-			Story: "A released instance stays with its old group and is a member of two.",
+		"release makes the engine idle under the release's token": {
+			Story: "A released instance stays with its old group and is a member of two; or it reports token 0, which is taken for an echo, and is lost to its zone.",
 			Run:   ordersRelease,
 		},
 		"drain takes no new calls": {
@@ -197,10 +197,21 @@
 	if err != nil {
 		return err
 	}
-	return steps(
-		func() error { return want("phase", status.Phase, garnetworks.EngineIdle) },
-		func() error { return want("group", status.Group, "") },
-	)
+	released := func(status garnetworks.EngineStatus) error {
+		return steps(
+			func() error { return want("phase", status.Phase, garnetworks.EngineIdle) },
+			func() error { return want("group", status.Group, "") },
+			func() error { return want("token", status.Token, 2) },
+		)
+	}
+	if err := released(status); err != nil {
+		return err
+	}
+	status, err = b.Orders.Status(ctx, b.Checking.Address)
+	if err != nil {
+		return errors.Wrap(err, "status")
+	}
+	return released(status)
 }
 
 func ordersDrain(ctx context.Context, b EngineOrdersBed) error {
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -299,6 +299,9 @@
 		return e.form(order)
 	case garnetworks.OrderRelease:
 		e.leave("the group was released")
+		// Statuses with a lower token than an earlier one are taken for echoes, so
+		// an engine that forgot the token would not be heard of after its release.
+		e.token = order.Token
 	case garnetworks.OrderDrain:
 		e.drain()
 	case garnetworks.OrderPreload:
--- a/faker/fleet_test.go
+++ b/faker/fleet_test.go
@@ -101,7 +101,7 @@
 			o.group, o.token, o.members, o.draining = order.Group, order.Token, order.Members, false
 		}
 	case garnetworks.OrderRelease:
-		o.group, o.token, o.members, o.draining = "", 0, nil, false
+		o.group, o.token, o.members, o.draining = "", order.Token, nil, false
 	case garnetworks.OrderDrain:
 		o.draining = o.group != ""
 	}
