Hold that no call is sent after its claim's end

Cause: with the forwarder's check taken out no test of it failed. Change: a node pauses between claiming and sending; the call must not be sent and its claim must end as not run. The half of the check that asks the wall clock is not held by a test: within one process the two clocks can't be made to differ.

--- /dev/null
+++ b/forwarder/service_test.go
@@ -0,0 +1,83 @@
+package forwarder
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// pausedNode is a claimer on a node that stands still for a time after the claim
+// was made, and the service behind it.
+type pausedNode struct {
+	pause    time.Duration
+	calls    int
+	outcomes []garnetworks.Outcome
+}
+
+func (p *pausedNode) Claim(_ context.Context, request garnetworks.ClaimRequest) (garnetworks.ClaimResult, error) {
+	time.Sleep(p.pause)
+	return garnetworks.ClaimResult{Claim: garnetworks.Claim{ClaimRequest: request}}, nil
+}
+
+func (p *pausedNode) Complete(context.Context, garnetworks.Claim, *garnetworks.ServiceAnswer) error {
+	return nil
+}
+
+func (p *pausedNode) Abandon(_ context.Context, _ garnetworks.Claim, outcome garnetworks.Outcome) error {
+	p.outcomes = append(p.outcomes, outcome)
+	return nil
+}
+
+func (p *pausedNode) Call(_ context.Context, _ string, call *garnetworks.ServiceCall) (garnetworks.ServiceAnswer, error) {
+	p.calls++
+	return garnetworks.ServiceAnswer{ID: call.ID, Status: 200}, nil
+}
+
+func (p *pausedNode) ChooseServer(time.Time, garnetworks.ServiceName, []garnetworks.InstanceID) (garnetworks.ServerView, error) {
+	return garnetworks.ServerView{Instance: "i1"}, nil
+}
+
+func (p *pausedNode) ServerStarted(time.Time, garnetworks.ServiceName, garnetworks.InstanceID) {}
+
+func (p *pausedNode) ServerFinished(time.Time, garnetworks.ServiceName, garnetworks.InstanceID, garnetworks.AttemptResult) {
+}
+
+func (p *pausedNode) Manifest() (*garnetworks.AcceptedManifest, bool) {
+	var m garnetworks.AcceptedManifest
+	m.Manifest.Services = []garnetworks.ServiceSpec{{Name: "visits", Timeout: 10 * time.Second}}
+	return &m, true
+}
+
+// A node is paused between claiming a key and sending the call. Its caller has
+// long asked another node, which may answer that the outcome is unknown, and the
+// tech has looked the visit up and logged it under a new key. If the first node
+// sends the call all the same when it resumes, the visit is logged twice.
+func TestNoCallAfterTheClaimsEnd(t *testing.T) {
+	tests := map[string]struct {
+		pause time.Duration
+		calls int
+	}{
+		"claimed in time": {time.Second, 1},
+		"paused too long": {time.Hour, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &pausedNode{pause: tt.pause}
+				f := New(Options{Services: p, Servers: p, Claims: p, Manifest: p})
+				call := &garnetworks.ServiceCall{ID: "c1", Service: "visits", Method: "POST", Path: "/visits", Key: "k1"}
+				_, err := f.CallService(t.Context(), call)
+				synctest.Wait()
+				if p.calls != tt.calls || (err == nil) != (tt.calls == 1) {
+					t.Errorf("sent %d times with error %v, want %d", p.calls, err, tt.calls)
+				}
+				if tt.calls == 0 && (len(p.outcomes) != 1 || p.outcomes[0] != garnetworks.OutcomeNotRun) {
+					t.Errorf("the claim ended as %v, want not-run", p.outcomes)
+				}
+			})
+		})
+	}
+}
