Refuse an empty instance list, and say how to go on from the stand-ins

And the stand-ins alone printed commands without a word on what they are. Conclusion: with the guard removed, check-no-fleet ends with exit code 2 and the manifest's problems in place of 1.

--- a/cmd/garnetctl/main_test.go
+++ b/cmd/garnetctl/main_test.go
@@ -55,6 +55,7 @@
 		"check-bad-json":     {args: []string{"manifest", "check", "testdata/bad.yaml", "--output=json"}, want: exitInvalid},
 		"check-good":         {stdin: parser.Example(), args: []string{"manifest", "check", "-"}},
 		"check-fleet":        {stdin: parser.Example(), args: []string{"manifest", "check", "-", "--fleet=testdata/fleet.json"}, want: exitInvalid},
+		"check-no-fleet":     {stdin: "null\n", args: []string{"manifest", "check", "testdata/bad.yaml", "--fleet=-"}, want: exitUsage},
 		"check-cut-off":      {stdin: parser.Example()[:2000], args: []string{"manifest", "check", "-"}, want: exitInvalid},
 		"check-no-file":      {args: []string{"manifest", "check", "testdata/none.yaml"}, want: exitUsage},
 		"plan":               {stdin: changed, args: []string{nodesFlag, "manifest", "plan", "-"}},
--- a/cmd/garnetctl/manifest.go
+++ b/cmd/garnetctl/manifest.go
@@ -105,6 +105,11 @@
 	if err := json.Unmarshal(data, &fleet); err != nil {
 		return nil, &exitError{exitUsage, fmt.Errorf("%s is not a list of instances: %w", c.Fleet, err)}
 	}
+	// An empty list mostly comes from a query that went wrong. To the parser it
+	// would mean that the fleet is not known, and nothing would be checked.
+	if len(fleet) == 0 {
+		return nil, &exitError{exitUsage, fmt.Errorf("%s holds no instances", c.Fleet)}
+	}
 	return fleet, nil
 }
 
--- a/cmd/garnetdemo/main.go
+++ b/cmd/garnetdemo/main.go
@@ -144,11 +144,18 @@
 	}
 	_, _ = fmt.Fprintf(stdout, "stand-ins' control: %s\n", s.control.Address)
 	_, _ = fmt.Fprintf(stdout, "workspace key: %s\n", s.key.Secret)
+	_, _ = fmt.Fprintln(stdout, "\nThe entry nodes, each in a shell of its own:")
 	for _, zone := range zones {
 		_, _ = fmt.Fprintf(stdout, "  go run ./cmd/garnetd --settings %s\n", filepath.Join(f.Dir, settingsName(zone)))
 	}
-	_, _ = fmt.Fprintf(stdout, "  go run ./cmd/garnetctl --nodes %s manifest commit %s\n",
-		peersAddress(f.FirstPort, 0), filepath.Join(f.Dir, "manifest.yaml"))
+	peers := peersAddress(f.FirstPort, 0)
+	_, _ = fmt.Fprintf(stdout, "Their first manifest, and the site afterwards:\n")
+	_, _ = fmt.Fprintf(stdout, "  go run ./cmd/garnetctl --nodes %s manifest commit --base 0 %s\n",
+		peers, filepath.Join(f.Dir, "manifest.yaml"))
+	_, _ = fmt.Fprintf(stdout, "  go run ./cmd/garnetctl --nodes %s status\n", peers)
+	_, _ = fmt.Fprintf(stdout, "Load on all nodes, checked against what the stand-ins did:\n")
+	_, _ = fmt.Fprintf(stdout, "  go run ./cmd/garnetload%s --key %s --service-share 0.3 --repeat 0.2 --verify --executions %s\n",
+		callersFlags(f.FirstPort), s.key.Secret, s.control.Address)
 	_, _ = fmt.Fprintln(stdout, "\nStop with ctrl-c.")
 	<-ctx.Done()
 	return nil
--- a/cmd/garnetdemo/nodes.go
+++ b/cmd/garnetdemo/nodes.go
@@ -180,6 +180,15 @@
 	return fmt.Sprintf("127.0.0.1:%d", firstPort+portsPerNode*node+1)
 }
 
+// callersFlags names the written settings' callers' addresses to garnetload.
+func callersFlags(firstPort int) string {
+	var text strings.Builder
+	for i := range zones {
+		_, _ = fmt.Fprintf(&text, " --url http://127.0.0.1:%d", firstPort+portsPerNode*i)
+	}
+	return text.String()
+}
+
 func settingsName(zone garnetworks.ZoneID) string { return "entry-" + string(zone) + ".yaml" }
 
 // settingsFiles returns a settings file for each zone's node, by name.
