Report at the zone's pace, and bound what a controller is told

Cause: (1) two nodes with different rosters answered each other's zone reports without a pause; the gap of 250 ms that stopped it cost each commit half a second. (2) The committer reported under the incarnation from before the join. (3) At 328 nodes the worst node, a zone's controller, spent 18.2 KB/s, in and out, much of it on 20 reports a second. Change: a gap of 20 ms; the committer asks the membership who it is; reports come every 150 ms times the zone's nodes, between 2 and 7 s.

--- a/committer/state.go
+++ b/committer/state.go
@@ -33,8 +33,8 @@
 	// publishGap spaces what a node publishes of its zone. Failure: while rosters
 	// differ, two nodes each take themselves for the first and answer each
 	// other's joined report with one that differs, as fast as messages travel;
-	// the gap bounds that to a few messages a second until the rosters agree.
-	publishGap = 250 * time.Millisecond
+	// the gap bounds that to some messages a second until the rosters agree.
+	publishGap = 20 * time.Millisecond
 	// fetchAgain spaces reads of a manifest that could not be read.
 	fetchAgain = time.Second
 	// HoldAfter is the age at which a proposal that a zone has not staged is
--- a/runner/reports.go
+++ b/runner/reports.go
@@ -12,8 +12,15 @@
 )
 
 const (
-	// ReportEvery is the time between two reports to the zone's controller.
-	ReportEvery = 2 * time.Second
+	// ReportLeast and ReportMost bound the time between two reports of a node to
+	// its zone's controller. Two reports fit into admitter.ShareBound, so that a
+	// lost one makes no node silent.
+	ReportLeast = 2 * time.Second
+	ReportMost  = 7 * time.Second
+	// reportShare is the time that one report takes up at the controller: reports
+	// of a larger zone come less often, so that the controller's traffic has a
+	// bound.
+	reportShare = 150 * time.Millisecond
 	// reportBound bounds one report.
 	reportBound = time.Second
 	// demandEvery is the time between two words of a zone's demand to the site.
@@ -41,15 +48,20 @@
 	}
 }
 
-// run reports once in ReportEvery.
+// reportEvery returns the time between two reports in a zone of some nodes.
+func reportEvery(nodes int) time.Duration {
+	return min(max(time.Duration(nodes)*reportShare, ReportLeast), ReportMost)
+}
+
+// run reports now and then (N4).
 func (p *reports) run(ctx context.Context) {
-	ticker := time.NewTicker(ReportEvery)
-	defer ticker.Stop()
 	for {
+		wait := time.NewTimer(reportEvery(len(zoneNodes(p.r.nodes(), p.r.self.Zone))))
 		select {
 		case <-ctx.Done():
+			wait.Stop()
 			return
-		case <-ticker.C:
+		case <-wait.C:
 			p.once(ctx)
 		}
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -10,9 +10,9 @@
 //	N3  A planned stop drops the readiness, lets calls in flight finish within
 //	    the grace period, records what is left to record, gives up leases, and
 //	    only then closes the connections. A second signal ends the grace period.
-//	N4  Nodes of a zone report to its controller once in ReportEvery: what they
-//	    are asked for and which groups are slow. The answer carries the node's
-//	    shares of the limits.
+//	N4  Nodes of a zone report to its controller now and then, in a larger zone
+//	    less often: what they are asked for and which groups are slow. The answer
+//	    carries the node's shares of the limits.
 //	N5  A node that hears no fresh pulse of its own zone for PulseSilence probes
 //	    all engines of the zone itself, so that its routers go on by its own
 //	    findings (rule G1) while a controller is replaced or the node is cut off.
@@ -303,6 +303,7 @@
 		Node:        r.self.ID,
 		Incarnation: r.self.Incarnation,
 		Zone:        r.self.Zone,
+		Self:        r.tracker.Self, // the tracker may raise the incarnation
 		Objects:     r.platform.Objects,
 		Peers:       r.client,
 		Rosters:     r.rosters,
