--- a/controller/doc.go
+++ b/controller/doc.go
@@ -1,7 +1,8 @@
 // Package controller runs an availability zone's backend servers and the site's
-// power from whichever entry node holds the lease. ZoneState.Step and
-// SiteState.Step are pure: observations and time in, writes, orders and the
-// view out. Zone and Site are the loops around them, which only carry out.
+// power from whichever entry node holds the lease. ZoneState.Step is pure:
+// observations and time in, writes, orders and the view out; for the site's power
+// granter.PlanSite is. Zone and Site are the loops around them, which only carry
+// out.
 //
 // Rules:
 //
