Divide three files by job

Cause: checker/engine.go held three suites in 910 lines, faker/engine.go an engine's life, its orders and its cache in 556, grouper/aggregate.go the transitions of instances, groups and power in 537. Change: one file for each; nothing but places changes. Figures: the sorted lines before and after are the same; faker, checker and grouper pass with -short.

--- /dev/null
+++ b/faker/orders.go
@@ -0,0 +1,152 @@
+package faker
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Order carries out an order.
+func (e *Engine) Order(ctx context.Context, order garnetworks.EngineOrder) (garnetworks.EngineStatus, error) {
+	if !e.on() {
+		return garnetworks.EngineStatus{}, errNoEngine(e.Spec().Address)
+	}
+	return apply(ctx, &e.Faults, MethodOrder, failedWrite(garnetworks.KindUnreachable), func() (garnetworks.EngineStatus, error) {
+		e.fleet.mu.Lock()
+		defer e.fleet.mu.Unlock()
+		if err := e.carryOut(order); err != nil {
+			return garnetworks.EngineStatus{}, err
+		}
+		return e.status(), nil
+	})
+}
+
+func (e *Engine) carryOut(order garnetworks.EngineOrder) error {
+	if e.spec.ChecksFencing && order.Token < e.highest {
+		return garnetworks.Errorf(garnetworks.KindStaleToken, "token %v is lower than %v", order.Token, e.highest)
+	}
+	if order.ID != "" && order.ID == e.lastOrder {
+		return nil
+	}
+	if err := e.obey(order); err != nil {
+		return err
+	}
+	e.highest = max(e.highest, order.Token)
+	e.lastOrder = order.ID
+	e.orders++
+	return nil
+}
+
+func (e *Engine) obey(order garnetworks.EngineOrder) error {
+	switch order.Kind {
+	case garnetworks.OrderForm:
+		return e.form(order)
+	case garnetworks.OrderRelease:
+		e.leave("the group was released")
+		// Statuses with a lower token than an earlier one are taken for echoes, so
+		// an engine that forgot the token would not be heard of after its release.
+		e.token = order.Token
+	case garnetworks.OrderDrain:
+		e.drain()
+	case garnetworks.OrderPreload:
+		e.load(order)
+	case garnetworks.OrderAdapters:
+		e.adapters = slices.Clone(order.Adapters)
+	default:
+		return garnetworks.Errorf(garnetworks.KindInvalidRequest, "unknown order %q", order.Kind)
+	}
+	return nil
+}
+
+// form joins a group. The same group and token again change only the rate of a
+// load that runs.
+func (e *Engine) form(order garnetworks.EngineOrder) error {
+	if !slices.Contains(order.Members, e.spec.ID) {
+		return garnetworks.Errorf(garnetworks.KindInvalidRequest, "%s is not among the members of group %s", e.spec.ID, order.Group)
+	}
+	if order.Group == e.group && order.Token == e.token {
+		e.load(order)
+		return nil
+	}
+	e.leave("the engine joined another group")
+	e.group, e.token = order.Group, order.Token
+	e.members = slices.Clone(order.Members)
+	e.model, e.version = order.Model, order.Version
+	e.adapters = slices.Clone(order.Adapters)
+	e.phase = garnetworks.EngineLoading
+	e.load(order)
+	return nil
+}
+
+func (e *Engine) leave(reason string) {
+	e.breakAll(reason)
+	e.cancelLoads()
+	e.phase = garnetworks.EngineIdle
+	e.group, e.token, e.members = "", 0, nil
+	e.model, e.version, e.adapters = "", "", nil
+}
+
+func (e *Engine) drain() {
+	if e.phase != garnetworks.EngineIdle {
+		e.phase = garnetworks.EngineDraining
+	}
+}
+
+func (e *Engine) cancelLoads() {
+	for _, l := range e.loads {
+		l.cancel()
+	}
+	e.loads = make(map[garnetworks.WeightID]*load)
+}
+
+// load reads weights in the background. A load that runs gets the order's rate.
+func (e *Engine) load(order garnetworks.EngineOrder) {
+	id := garnetworks.WeightID{Model: order.Model, Version: order.Version}
+	switch {
+	case slices.Contains(e.weights, id):
+		e.becomeReady()
+	case e.fleet.Store == nil:
+		e.loaded(id)
+	case e.loads[id] != nil:
+		e.fleet.Store.setRate(e.loads[id], order.LoadRate)
+	default:
+		ctx, cancel := context.WithCancel(e.fleet.ctx)
+		l := &load{asked: order.LoadRate, cancel: cancel}
+		e.loads[id] = l
+		go e.loadWeights(ctx, id, l)
+	}
+}
+
+func (e *Engine) loaded(id garnetworks.WeightID) {
+	e.weights = append(e.weights, id)
+	e.becomeReady()
+}
+
+// becomeReady ends the loading phase once the group's weights are there.
+func (e *Engine) becomeReady() {
+	id := garnetworks.WeightID{Model: e.model, Version: e.version}
+	if e.phase == garnetworks.EngineLoading && slices.Contains(e.weights, id) {
+		e.phase = garnetworks.EngineReady
+	}
+}
+
+// loadRetry is how long a failed load waits before it starts again.
+const loadRetry = 200 * time.Millisecond
+
+func (e *Engine) loadWeights(ctx context.Context, id garnetworks.WeightID, l *load) {
+	for e.fleet.Store.read(ctx, id, l) != nil {
+		if sleep(ctx, loadRetry) != nil {
+			return
+		}
+	}
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	l.cancel()
+	delete(e.loads, id)
+	e.loaded(id)
+}
