--- a/checker/doc.go
+++ b/checker/doc.go
@@ -63,7 +63,7 @@
 			t.Parallel()
 			bed := open(t)
 			if c.Able != nil && !c.Able(bed) {
-				t.Skip("the bed can't bring this about")
+				t.Skip("the bed can't bring this about") // rule K2
 			}
 			if err := c.attempt(t.Context(), bed, caseTimeout); err != nil {
 				t.Errorf("%v\nstory: %s", err, c.Story)
@@ -87,7 +87,7 @@
 }
 
 // Failures runs the cases and returns the names of those that fail, in order.
-// It is for showing that a suite notices a broken implementation.
+// It is for showing that a suite notices a broken implementation (rule K3).
 func Failures[B any](t *testing.T, open func(*testing.T) B, cases map[string]Case[B]) []string {
 	t.Helper()
 	var failed []string
@@ -104,7 +104,8 @@
 	return failed
 }
 
-// wantKind returns an error unless err is of one of the kinds.
+// wantKind returns an error unless err is of one of the kinds, where the contract
+// leaves the choice (rule K1).
 func wantKind(what string, err error, kinds ...garnetworks.Kind) error {
 	if garnetworks.IsKind(err, kinds...) {
 		return nil
--- a/claimer/commit.go
+++ b/claimer/commit.go
@@ -12,7 +12,7 @@
 const cachedBytes = 2 << 20
 
 // commit applies a group to the shard and returns results that are proven to be
-// in the store.
+// in the store (rule C1).
 func (w *worker) commit(ctx context.Context, group []*ticket) ([]Result, error) {
 	ops := make([]Op, len(group))
 	newest := uint64(0)
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -144,7 +144,7 @@
 }
 
 // Parse returns the settings in data, or an error of kind
-// garnetworks.KindInvalidSettings whose cause is Faults.
+// garnetworks.KindInvalidSettings whose cause is Faults (rule C4).
 func Parse(data []byte) (Settings, error) {
 	var tree map[string]any
 	if err := yaml.Unmarshal(data, &tree); err != nil {
--- a/configurer/fields.go
+++ b/configurer/fields.go
@@ -42,7 +42,7 @@
 	allowedDuration = "a duration between %s and %s, such as 30s"
 )
 
-// Fields is the table of settings, in the order of the printed example.
+// Fields is the table of settings, in the order of the printed example (rule C1).
 var Fields = []Field{
 	{Path: "node", Help: "The node's name, unique over the site.", Allowed: allowedName, Required: true, Example: "entry-a-1", set: setName(func(s *Settings, v string) { s.Node = garnetworks.NodeID(v) })},
 	{Path: "zone", Help: "The availability zone of this instance.", Allowed: allowedName, Required: true, Example: "zone-a", set: setName(func(s *Settings, v string) { s.Zone = garnetworks.ZoneID(v) })},
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -250,7 +250,7 @@
 	if s == nil {
 		return d.operatorsOn(id, "")
 	}
-	first := d.operatorsOn(id, s.zone)
+	first := d.operatorsOn(id, s.zone) // the earliest sign counts (rule D1)
 	for _, sign := range []struct {
 		Sign
 		mark
--- a/faker/faults.go
+++ b/faker/faults.go
@@ -38,7 +38,8 @@
 	Methods []string `json:"methods,omitempty"`
 }
 
-// Faults is embedded in each stand-in. The zero value does nothing wrong.
+// Faults is embedded in each stand-in (rule F1). The zero value does nothing
+// wrong.
 type Faults struct {
 	mu       sync.Mutex
 	plan     FaultPlan
--- a/granter/site.go
+++ b/granter/site.go
@@ -225,7 +225,7 @@
 func (p *sitePlan) output() SiteOutput {
 	sum := p.sum()
 	ledger := garnetworks.PowerLedger{
-		Cap:        max(p.Cap, sum),
+		Cap:        max(p.Cap, sum), // rule W6
 		Grants:     p.grants,
 		Term:       p.Term,
 		Sequence:   p.next,
--- a/keymaker/keymaker.go
+++ b/keymaker/keymaker.go
@@ -58,13 +58,13 @@
 func New() Key {
 	var random [randomBytes]byte
 	// The reader never fails: it ends the process instead, so that no key is
-	// ever made of fewer random bits.
+	// ever made of fewer random bits (rule K1).
 	rand.Read(random[:])
 	secret := Prefix + encoding.EncodeToString(random[:])
 	return Key{Secret: secret, Hash: Hash(secret)}
 }
 
-// Hash returns the hash of a key as it stands in the manifest.
+// Hash returns the hash of a key as it stands in the manifest (rule K2).
 func Hash(secret string) string {
 	sum := sha256.Sum256([]byte(secret))
 	return HashPrefix + hex.EncodeToString(sum[:])
@@ -114,7 +114,7 @@
 		return x
 	}
 	for _, w := range manifest.Workspaces {
-		for _, hash := range w.KeyHashes {
+		for _, hash := range w.KeyHashes { // rule K4
 			sum, ok := parseHash(hash)
 			if !ok {
 				continue
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -52,7 +52,7 @@
 	Serving int
 }
 
-// Down returns how many wanted groups don't serve.
+// Down returns how many wanted groups don't serve (rule M3).
 func (c ModelCount) Down() int { return max(0, c.Wanted-c.Serving) }
 
 // Snapshot is what an observation is made from.
@@ -60,7 +60,7 @@
 	At      time.Time
 	Domains []garnetworks.FabricDomain
 	Classes []garnetworks.InstanceClass
-	// Wanted comes from the last plan.
+	// Wanted comes from the last plan (rule M1).
 	Wanted []placer.ModelGroups
 	Limit  garnetworks.Watts
 	// Confirmed reports whether all members of a group are confirmed within
@@ -94,7 +94,7 @@
 	for i := range d.Groups {
 		g := &d.Groups[i]
 		if g.State != garnetworks.GroupServing || !confirmed(g.ID) {
-			continue
+			continue // rule M2
 		}
 		o.addServing(g.Model)
 		for _, m := range g.Members {
@@ -159,7 +159,7 @@
 func (a *Account) CountUntil(now time.Time) {
 	elapsed := now.Sub(a.last.At)
 	if !a.started || elapsed <= 0 {
-		return
+		return // rule M6
 	}
 	a.last.At = now
 	a.blind += max(0, elapsed-LongestGap)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -53,7 +53,8 @@
 	Name string
 	// Help is one sentence.
 	Help string
-	// Labels are the metric's labels in order.
+	// Labels are the metric's labels in order; no caller chooses a label's value
+	// (rule M2).
 	Labels []string
 }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -211,7 +211,7 @@
 	once := h.Repeatability != Repeatable && h.MayHaveRun
 	return Verdict{
 		Retry:   cell.Retry && !once && h.Attempts < h.MaxAttempts,
-		Resume:  f.Delivered,
+		Resume:  f.Delivered, // rule R4
 		Free:    f.free(),
 		Outcome: h.Outcome(),
 		Reason:  cell.Reason,
--- a/router/workload_test.go
+++ b/router/workload_test.go
@@ -15,9 +15,9 @@
 // instructions (templates), documents that are asked about again (a pump's
 // history, a contract, a league's roster), and conversations that go on.
 const (
-	simWorkspaces = 10
-	simTemplates  = 6
-	simSessions   = 2000
+	simWorkspaces    = 10
+	simTemplates     = 6
+	simConversations = 2000
 )
 
 // simShape varies the workload and the engines' caches.
@@ -46,13 +46,13 @@
 
 type simWorkload struct {
 	simShape
-	hotPrompt []uint64
-	random    *rand.Rand
-	templates [][]uint64
-	texts     [][]uint64
-	sessions  [][]uint64
-	owners    []int
-	nextBlock uint64
+	hotPrompt     []uint64
+	random        *rand.Rand
+	templates     [][]uint64
+	texts         [][]uint64
+	conversations [][]uint64
+	owners        []int
+	nextBlock     uint64
 }
 
 func newSimWorkload(shape simShape, seed uint64) *simWorkload {
@@ -93,21 +93,21 @@
 		c.request.Prompt = c.request.Prompt[:BlockBytes/2]
 		return c
 	}
-	if len(w.sessions) > 100 && w.random.Float64() < w.followUps {
+	if len(w.conversations) > 100 && w.random.Float64() < w.followUps {
 		// Callers go on with what they asked of late.
-		i := len(w.sessions) - 1 - w.zipf(len(w.sessions))
-		w.sessions[i] = append(w.sessions[i][:len(w.sessions[i]):len(w.sessions[i])], w.blocks(2)...)
-		return w.call(w.owners[i], w.sessions[i])
+		i := len(w.conversations) - 1 - w.zipf(len(w.conversations))
+		w.conversations[i] = append(w.conversations[i][:len(w.conversations[i]):len(w.conversations[i])], w.blocks(2)...)
+		return w.call(w.owners[i], w.conversations[i])
 	}
 	owner := w.zipf(simWorkspaces)
 	var raw []uint64
 	raw = append(raw, w.templates[owner*simTemplates+w.zipf(simTemplates)]...)
 	raw = append(raw, w.texts[owner*w.documents+w.zipf(w.documents)]...)
 	raw = append(raw, w.blocks(1)...)
-	w.sessions = append(w.sessions, raw)
+	w.conversations = append(w.conversations, raw)
 	w.owners = append(w.owners, owner)
-	if len(w.sessions) > simSessions {
-		w.sessions = w.sessions[1:]
+	if len(w.conversations) > simConversations {
+		w.conversations = w.conversations[1:]
 		w.owners = w.owners[1:]
 	}
 	return w.call(owner, raw)
--- a/server/problem.go
+++ b/server/problem.go
@@ -84,7 +84,7 @@
 // wholeSeconds rounds up, so that nobody comes back too early.
 func wholeSeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
 
-// writeProblem answers with the error's problem document.
+// writeProblem answers with the error's problem document (rule H1).
 func writeProblem(w http.ResponseWriter, call garnetworks.CallID, err error) {
 	p := NewProblem(call, err)
 	body, _ := json.Marshal(p)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Report takes a node's demand.
+// Report takes the demand of a node of the own zone (rule S1).
 func (k *Keeper) Report(now time.Time, node garnetworks.NodeID, demands []garnetworks.Demand) {
 	k.own[node] = word[[]garnetworks.Demand]{now, demands}
 }
--- a/tracker/beat.go
+++ b/tracker/beat.go
@@ -36,7 +36,7 @@
 		add(s.candidates()...)
 	}
 	if len(suspects) > 0 {
-		add(s.helpers()...)
+		add(s.witnesses()...)
 	}
 	if len(targets) == 0 || !s.heardAnyone(now) {
 		count := 1
@@ -126,19 +126,19 @@
 	return nodes[(start/7+turn/uint64(len(zones)))%uint64(len(nodes))], true
 }
 
-// helpers are nodes to ask about suspects: the nearest sound ones and one of
+// witnesses are nodes to ask about suspects: the nearest sound ones and one of
 // another zone.
-func (s *State) helpers() []garnetworks.NodeInfo {
-	var helpers []garnetworks.NodeInfo
+func (s *State) witnesses() []garnetworks.NodeInfo {
+	var witnesses []garnetworks.NodeInfo
 	for _, m := range s.ring() {
-		if m.suspected.IsZero() && len(helpers) < Neighbours {
-			helpers = append(helpers, m.info)
+		if m.suspected.IsZero() && len(witnesses) < Neighbours {
+			witnesses = append(witnesses, m.info)
 		}
 	}
 	if far, ok := s.farNode(s.beats); ok {
-		helpers = append(helpers, far)
+		witnesses = append(witnesses, far)
 	}
-	return helpers
+	return witnesses
 }
 
 // suspects are the nodes that this node suspects, as many as may be asked about
--- a/tracker/judge.go
+++ b/tracker/judge.go
@@ -51,7 +51,7 @@
 	if m.suspected.IsZero() || now.Sub(m.suspected) < s.confirmBound(now, m) {
 		return false
 	}
-	return m.denied || s.onlyOther(m)
+	return m.denied || s.onlyOther(m) // rules T3, T4
 }
 
 // confirmBound grows for nodes that come and go, so that a node at the edge of
