Tell an outage once at each node, not once for each shard

Cause: in a run over real processes the object API was down for 30 s, and each node's time line held 18 object-api-down and 18 object-api-back events, 16 of them from the shards of claims; they push older events out of the ring. Change: the first shard that refuses tells the outage, the last one that gives claims again its end. Figures: 16 and 16 events before, 1 and 1 after (TestOutageIsToldOnce). Conclusion: with the count removed the test fails with 16 and 16.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -68,6 +69,9 @@
 type Claimer struct {
 	options Options
 	workers [Shards]*worker
+	// refusing counts the workers that refuse claims, so that an outage stands on
+	// the time line once for a node and not once for each shard.
+	refusing atomic.Int32
 
 	mu    sync.Mutex
 	nodes []garnetworks.NodeInfo
--- a/claimer/faults_test.go
+++ b/claimer/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,3 +76,42 @@
 	}
 	return request(key, call)
 }
+
+// counter counts events by kind.
+type counter struct {
+	mu    sync.Mutex
+	kinds map[garnetworks.EventKind]int
+}
+
+func (c *counter) Record(event garnetworks.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kinds[event.Kind]++
+}
+
+// The object API is down for ten seconds while keyed calls of all shards arrive.
+// The operator reads the time line and finds sixteen outages and sixteen ends at
+// each node, as each shard tells its own, and older events are pushed out.
+func TestOutageIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		events := &counter{kinds: make(map[garnetworks.EventKind]int)}
+		node := New(Options{Node: garnetworks.NodeInfo{ID: "a", Zone: "z"}, API: newStore(faults{downTo: 10 * time.Second}, 1), Random: lockedRandom(1), Recorder: events})
+		go func() { _ = node.Run(ctx) }()
+		var calls sync.WaitGroup
+		for key := range 8 * Shards {
+			calls.Go(func() { _, _ = node.Claim(ctx, request(key, 1)) })
+		}
+		calls.Wait()
+		time.Sleep(20 * time.Second)
+		for key := range 8 * Shards {
+			if _, err := node.Claim(ctx, request(key, 2)); err != nil {
+				t.Errorf("key %d after the outage: %v", key, err)
+			}
+		}
+		if down, back := events.kinds[garnetworks.EventObjectAPIDown], events.kinds[garnetworks.EventObjectAPIBack]; down != 1 || back != 1 {
+			t.Errorf("got %d outages and %d ends on the time line, want 1 and 1", down, back)
+		}
+	})
+}
--- a/claimer/pace.go
+++ b/claimer/pace.go
@@ -55,7 +55,7 @@
 	w.failures = 0
 	w.retryAt = time.Time{}
 	w.mu.Unlock()
-	if down {
+	if down && w.claimer.refusing.Add(-1) == 0 {
 		w.record(garnetworks.Event{Kind: garnetworks.EventObjectAPIBack, Detail: "claims are given again"})
 	}
 }
@@ -84,7 +84,7 @@
 	for _, t := range refused {
 		t.refuse("the object API does not answer")
 	}
-	if gaveUp {
+	if gaveUp && w.claimer.refusing.Add(1) == 1 {
 		w.record(garnetworks.Event{Kind: garnetworks.EventObjectAPIDown, Error: garnetworks.KindOf(err), Detail: "claims are refused"})
 	}
 }
