Fear silence only after a pulse can have come

Cause: pulses come every 1.4 s on the controller's tick of 0.2 s, so up to 1.6 s apart, and nodes feared silence after 1.5 s. In a calm site of six processes each node logged a lost pulse 8 to 15 times in 80 s, and probed its zone's engines alone each time. Change: 1.9 s, which with one round of probes stays below the 3 s bound.

--- a/runner/views.go
+++ b/runner/views.go
@@ -13,9 +13,10 @@
 )
 
 // PulseSilence is how long a node waits for a pulse of its own zone before it
-// probes by itself (N5). With one round of probes it stays below
-// garnetworks.ConfirmationBound.
-const PulseSilence = 1500 * time.Millisecond
+// probes by itself (N5). It is longer than a pulse can take to come: the pulses'
+// interval, a tick of the controller that sends them, and the way. With one
+// round of probes it stays below garnetworks.ConfirmationBound.
+const PulseSilence = 1900 * time.Millisecond
 
 // views holds what the node knows of each zone's backend servers, and sends the
 // own zone's view while the node controls it.
