--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -2,17 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -154,62 +146,6 @@
 	}
 }
 
-// pipes is a network in memory whose connections can be forgotten: from then on
-// they take bytes and pass nothing, without being closed.
-type pipes struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	mu       sync.Mutex
-	// forgot is closed when the connections opened so far are forgotten.
-	forgot chan struct{}
-}
-
-func newPipes() *pipes {
-	return &pipes{accepted: make(chan net.Conn), closed: make(chan struct{}), forgot: make(chan struct{})}
-}
-
-func (p *pipes) forget() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	close(p.forgot)
-	p.forgot = make(chan struct{})
-}
-
-func (p *pipes) dial(context.Context, string) (net.Conn, error) {
-	p.mu.Lock()
-	forgot := p.forgot
-	p.mu.Unlock()
-	near, far := net.Pipe()
-	p.accepted <- &pipe{far, forgot}
-	return &pipe{near, forgot}, nil
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case conn := <-p.accepted:
-		return conn, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error   { close(p.closed); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
-type pipe struct {
-	net.Conn
-	forgot chan struct{}
-}
-
-func (p *pipe) Write(b []byte) (int, error) {
-	select {
-	case <-p.forgot:
-		return len(b), nil
-	default:
-		return p.Conn.Write(b)
-	}
-}
-
 // TestSilentConnectionIsReplaced: Something between two nodes loses track of
 // their open connections. Nothing is closed and no error shows; heartbeats over
 // the old connections would wait until their deadlines, one after the other,
@@ -415,123 +351,6 @@
 	}
 }
 
-// authority issues certificates for tests.
-type authority struct {
-	t           testing.TB
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	serial      int64
-}
-
-func newAuthority(t testing.TB) *authority {
-	a := &authority{t: t}
-	a.key = must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der := must(x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key))
-	a.certificate = must(x509.ParseCertificate(der))
-	return a
-}
-
-// issue writes a certificate for name and this authority into dir.
-func (a *authority) issue(dir, name string) Files {
-	a.serial++
-	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(100 + a.serial), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der := must(x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key))
-	files := Files{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authorities: filepath.Join(dir, "ca.pem")}
-	write := func(path, kind string, der []byte) {
-		if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-			a.t.Fatal(err)
-		}
-	}
-	write(files.Certificate, "CERTIFICATE", der)
-	write(files.Key, "PRIVATE KEY", must(x509.MarshalPKCS8PrivateKey(key)))
-	write(files.Authorities, "CERTIFICATE", a.certificate.Raw)
-	return files
-}
-
-func (a *authority) keys(name string) *Keys {
-	return must(LoadKeys(a.issue(a.t.TempDir(), name)))
-}
-
-func TestCertificates(t *testing.T) {
-	site, foreign := newAuthority(t), newAuthority(t)
-	address := serveTest(t, ServerOptions{Handler: &handler{}, Keys: site.keys(NodeName)})
-	heartbeat := func(c *Client) error {
-		_, err := c.Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{})
-		return err
-	}
-	events := func(c *Client) error {
-		_, err := c.Events(t.Context(), address, &garnetworks.EventsRequest{})
-		return err
-	}
-	tests := map[string]struct {
-		keys *Keys
-		call func(*Client) error
-		want garnetworks.Kind
-	}{
-		"node":                      {site.keys(NodeName), heartbeat, ""},
-		"operator reads events":     {site.keys(OperatorName), events, ""},
-		"operator as a node":        {site.keys(OperatorName), heartbeat, garnetworks.KindForbidden},
-		"certificate of other name": {site.keys("billing.example"), events, garnetworks.KindAnswerLost},
-		"foreign authority":         {foreign.keys(NodeName), heartbeat, garnetworks.KindUnreachable},
-		"no certificate":            {nil, heartbeat, garnetworks.KindAnswerLost},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := newTestClient(t, ClientOptions{Keys: test.keys})
-			if got := garnetworks.KindOf(test.call(c)); got != test.want {
-				t.Errorf("got %q, want %q", got, test.want)
-			}
-		})
-	}
-}
-
-// TestKeysAreReloaded: The operators' rotation replaces a node's certificate
-// and authority while the node runs. A half-written file in between must not
-// cut the node off, and the new files must count without a restart.
-func TestKeysAreReloaded(t *testing.T) {
-	before, after := newAuthority(t), newAuthority(t)
-	dir := t.TempDir()
-	files := before.issue(dir, NodeName)
-	keys := must(LoadKeys(files))
-	address := serveTest(t, ServerOptions{Handler: &handler{}, Keys: keys})
-	call := func(k *Keys) error {
-		_, err := newTestClient(t, ClientOptions{Keys: k}).Heartbeat(t.Context(), address, &garnetworks.HeartbeatRequest{})
-		return err
-	}
-	if err := call(before.keys(NodeName)); err != nil {
-		t.Fatal(err)
-	}
-	if err := os.WriteFile(files.Key, []byte("-----BEGIN PRIV"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if changed, err := keys.Reload(); changed || !garnetworks.IsKind(err, garnetworks.KindInvalidSettings) {
-		t.Errorf("a half-written key gave %v, %v", changed, err)
-	}
-	if err := call(before.keys(NodeName)); err != nil {
-		t.Errorf("a half-written key cut the node off: %v", err)
-	}
-	after.issue(dir, NodeName)
-	if changed, err := keys.Reload(); !changed || err != nil {
-		t.Fatalf("the new files gave %v, %v", changed, err)
-	}
-	if err := call(after.keys(NodeName)); err != nil {
-		t.Errorf("the new authority is refused: %v", err)
-	}
-	if err := call(before.keys(NodeName)); err == nil {
-		t.Error("the old authority is still accepted")
-	}
-}
-
 func FuzzUnmarshal(f *testing.F) {
 	for _, m := range []any{
 		&garnetworks.HeartbeatRequest{From: garnetworks.NodeInfo{ID: "entry-1"}},
