Tell the orders that engines carried out on the control path

Cause: that a woken node orders nothing could be seen only from its own events. Change: GET /state holds each engine's count.

--- a/faker/control.go
+++ b/faker/control.go
@@ -121,8 +121,10 @@
 	Draw    garnetworks.Watts          `json:"draw-watts"`
 	Engines []garnetworks.EngineStatus `json:"engines,omitempty"`
 	// Attempts and Refused count the calls that reached engines.
-	Attempts int `json:"attempts"`
-	Refused  int `json:"refused"`
+	// Orders are the orders that each engine carried out; repeats count once.
+	Orders   map[garnetworks.InstanceID]int `json:"orders,omitempty"`
+	Attempts int                            `json:"attempts"`
+	Refused  int                            `json:"refused"`
 	// Executions counts the plain services' executions.
 	Executions map[string]int `json:"executions,omitempty"`
 }
@@ -253,6 +255,10 @@
 		body.Draw = c.Fleet.Draw()
 		body.Engines = c.Fleet.statuses()
 		body.Attempts, body.Refused = c.Fleet.counts()
+		body.Orders = make(map[garnetworks.InstanceID]int)
+		for _, e := range c.Fleet.Engines() {
+			body.Orders[e.spec.ID] = e.Orders()
+		}
 	}
 	body.Executions = make(map[string]int, len(c.Services))
 	for name, s := range c.Services {
--- a/faker/control_test.go
+++ b/faker/control_test.go
@@ -90,6 +90,9 @@
 	if err := json.Unmarshal(send(http.MethodGet, "/state", "", http.StatusOK), &state); err != nil {
 		t.Fatal(err)
 	}
+	if orders, ok := state.Orders["e"]; !ok || orders != 0 {
+		t.Errorf("got orders %v, want none of e", state.Orders)
+	}
 	if len(state.Engines) != 1 || state.Engines[0].Incarnation != 2 {
 		t.Errorf("got state %+v, want one engine that has restarted", state)
 	}
