Read the fake's rounds under a lock

Cause: the race detector stops in garnetctl's TestFollowKeepsOrder: the fake of two nodes, which are read at the same time, counted rounds without a lock, and the second node's answer hung on the first one's count. Change: a count for each node, under a lock; the assertions are the same. Conclusion: a fault of the test, not of the reader.

--- a/cmd/garnetctl/main_test.go
+++ b/cmd/garnetctl/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,7 +154,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		nodes := &lateEvents{fakeNodes: &fakeNodes{}}
+		nodes := &lateEvents{fakeNodes: &fakeNodes{}, rounds: make(map[string]int)}
 		var stdout, stderr bytes.Buffer
 		code := run(ctx, []string{nodesFlag, "timeline", "--follow"}, nil, &stdout, &stderr,
 			func(tlsFlags) (garnetworks.PeerCaller, error) { return nodes, nil })
@@ -171,18 +172,26 @@
 // lateEvents has the first node's events arrive two rounds late.
 type lateEvents struct {
 	*fakeNodes
-	rounds int
+	mu sync.Mutex
+	// rounds counts the reads of each node; nodes are read at the same time.
+	rounds map[string]int
+}
+
+// round returns the number of the read of a node that begins now, from 1.
+func (l *lateEvents) round(address string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rounds[address]++
+	return l.rounds[address]
 }
 
 func (l *lateEvents) Events(ctx context.Context, address string, request *garnetworks.EventsRequest) (*garnetworks.EventsResponse, error) {
-	if address == infos[0].Address {
-		l.rounds++
-		if l.rounds < 2 {
-			return &garnetworks.EventsResponse{Node: infos[0].ID}, nil
-		}
+	late := l.round(address) < 2
+	if late && address == infos[0].Address {
+		return &garnetworks.EventsResponse{Node: infos[0].ID}, nil
 	}
 	response, err := l.fakeNodes.Events(ctx, address, request)
-	if l.rounds < 2 && err == nil && address == infos[1].Address {
+	if late && err == nil && address == infos[1].Address {
 		response.Events = response.Events[:1]
 	}
 	return response, err
--- a/runner/reports.go
+++ b/runner/reports.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// ReportLeast and ReportMost bound the time between two reports of a node to
-	// its zone's controller. Two reports fit into admitter.ShareBound, so that a
-	// lost one makes no node silent.
+	// ReportLeast is the shortest time between two reports of a node to its zone's
+	// controller. Two of the longest fit into admitter.ShareBound, so that a lost
+	// one makes no node silent.
 	ReportLeast = 2 * time.Second
-	ReportMost  = 7 * time.Second
+	// ReportMost is the longest time between two reports.
+	ReportMost = 7 * time.Second
 	// reportShare is the time that one report takes up at the controller: reports
 	// of a larger zone come less often, so that the controller's traffic has a
 	// bound.
