Keep a failed version in its zone, and don't wait for zones left out

Cause: a zone whose load has just failed shows no group and counted as ended with the rollout; a dark zone could hold the rollout for good. Change: a zone that misses a group and shows none is in the middle; zones that the manifest leaves out are not waited for.

--- a/controller/turns.go
+++ b/controller/turns.go
@@ -1,6 +1,10 @@
 package controller
 
-import "github.com/garnetworks/garnetworks"
+import (
+	"slices"
+
+	"github.com/garnetworks/garnetworks"
+)
 
 // movingPart is the part of a model's groups, over the site, that may stand
 // still for a new version at one time.
@@ -8,7 +12,8 @@
 
 // heldModels returns the models whose groups in this zone must not yet stand
 // still for a new version, because that is other zones' turn (C11). Others are
-// the fresh views of the other zones; a zone that is cut off is not waited for.
+// the fresh views of the other zones; a zone that is cut off, or that operators
+// have left out, is not waited for.
 //
 // Failure: each zone rolls a new version out by itself, and where zones have one
 // group each, all groups of the site drain at the same moment; callers see no
@@ -16,6 +21,7 @@
 // would take every group with it; with turns it stops in the first zone.
 func heldModels(manifest *garnetworks.Manifest, zone garnetworks.ZoneID, others []garnetworks.ZoneView) garnetworks.Set[garnetworks.ModelName] {
 	held := garnetworks.NewSet[garnetworks.ModelName]()
+	others = slices.DeleteFunc(slices.Clone(others), func(v garnetworks.ZoneView) bool { return leftOut(manifest, v.Zone) })
 	for i := range manifest.Models {
 		m := &manifest.Models[i]
 		turns := max(1, m.MaxGroups/movingPart)
@@ -29,6 +35,10 @@
 	return held
 }
 
+func leftOut(manifest *garnetworks.Manifest, zone garnetworks.ZoneID) bool {
+	return slices.ContainsFunc(manifest.Site.Zones, func(z garnetworks.ZoneSpec) bool { return z.Name == zone && z.LeftOut })
+}
+
 // turnsTaken counts the zones that come before this one: those that have begun
 // with the version and not ended, and those with a lower name that have yet to
 // begin.
@@ -44,8 +54,14 @@
 }
 
 // rollout tells whether a zone has begun to serve the model's version, and
-// whether it has ended with it.
+// whether it has ended with it. Views don't show broken groups: a zone without a
+// group that misses one counts as being in the middle, or a version that can't be
+// loaded would go on to the next zone whenever a try has failed.
 func rollout(m *garnetworks.ModelSpec, view *garnetworks.ZoneView) (begun, ended bool) {
+	if !slices.ContainsFunc(view.Groups, func(g garnetworks.GroupView) bool { return g.Model == m.Name }) {
+		down := view.Measures.GroupsDown > 0
+		return down, !down
+	}
 	ended = true
 	for i := range view.Groups {
 		g := &view.Groups[i]
