Read cache events as hints in small zones

Cause: the router takes cache events as hints, but no node read them. Change: a duty reads the own zone's groups' events each 2 s, where the zone has six groups at most; larger zones would cost each node more than its budget. Conclusion: kept for today's sizes.

--- a/runner/connect.go
+++ b/runner/connect.go
@@ -16,12 +16,14 @@
 func connect(s configurer.Settings) Platform {
 	var pooled connector.Options
 	fresh := connector.Options{FreshConnections: true}
+	orders := connector.NewEngineOrders(pooled)
 	return Platform{
 		Objects:   connector.NewObjectAPI(s.Platform.ObjectAPI, pooled),
 		Instances: connector.NewInstanceList(s.Platform.InstanceList, pooled),
 		Power:     connector.NewPowerSwitch(s.Platform.Power, pooled),
 		Weights:   connector.NewWeightStore(s.Platform.WeightStore, pooled),
-		Orders:    connector.NewEngineOrders(pooled),
+		Orders:    orders,
+		Cache:     orders,
 		Probes:    connector.NewEngineOrders(fresh),
 		Engines:   connector.NewEngineCaller(pooled),
 		Services:  connector.NewServiceCaller(pooled),
--- a/runner/faults_test.go
+++ b/runner/faults_test.go
@@ -51,6 +51,11 @@
 					s.t.Errorf("%d outcomes %q though nothing failed", n, what)
 				}
 			}
+			for _, id := range s.names() {
+				if s.node(id).eventReads.Load() == 0 {
+					s.t.Errorf("node %s read no cache events", id)
+				}
+			}
 		},
 	},
 	"a zone's controller crashes": {
--- /dev/null
+++ b/runner/hints.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// hintEvery is the time between two reads of a group's cache events.
+	hintEvery = 2 * time.Second
+	// hintGroups is the largest number of groups in the own zone whose events are
+	// read. They gain a few points of hit rate where caches are small; in a larger
+	// zone every node would read more than its control budget.
+	hintGroups = 6
+	// hintBound bounds one read.
+	hintBound = time.Second
+)
+
+// hintCursor is how far a group's events were read. A group with a new token
+// counts its events anew.
+type hintCursor struct {
+	token garnetworks.FencingToken
+	after uint64
+}
+
+// readHints brings the cache events of the own zone's groups to the router,
+// which drops a group's hints when its events have a gap. What can't be read is
+// left: hints only improve on the hash.
+func (r *Runner) readHints(ctx context.Context) {
+	if r.platform.Cache == nil {
+		<-ctx.Done()
+		return
+	}
+	cursors := make(map[garnetworks.GroupID]hintCursor)
+	ticker := time.NewTicker(hintEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			cursors = r.readHintsOnce(ctx, cursors)
+		}
+	}
+}
+
+// readHintsOnce reads each group's new events and returns how far it came.
+func (r *Runner) readHintsOnce(ctx context.Context, cursors map[garnetworks.GroupID]hintCursor) map[garnetworks.GroupID]hintCursor {
+	joined, ok := r.views.own()
+	next := make(map[garnetworks.GroupID]hintCursor)
+	if !ok || len(joined.View.Groups) > hintGroups {
+		return next
+	}
+	for i := range joined.View.Groups {
+		g := &joined.View.Groups[i]
+		if g.State != garnetworks.GroupServing || !g.Confirmed {
+			continue
+		}
+		cursor := cursors[g.ID]
+		if cursor.token != g.Token {
+			cursor = hintCursor{token: g.Token}
+		}
+		next[g.ID] = r.readGroupHints(ctx, g, cursor)
+	}
+	return next
+}
+
+func (r *Runner) readGroupHints(ctx context.Context, g *garnetworks.GroupView, cursor hintCursor) hintCursor {
+	ctx, cancel := context.WithTimeout(ctx, hintBound)
+	defer cancel()
+	events, err := r.platform.Cache.CacheEvents(ctx, g.Address, cursor.after)
+	if err != nil {
+		r.log.Debug("cache events not read", "group", g.ID, "error", err)
+		return cursor
+	}
+	if len(events) == 0 {
+		return cursor
+	}
+	r.router.CacheEvents(g.ID, events)
+	cursor.after = events[len(events)-1].Number
+	return cursor
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -81,7 +81,9 @@
 	Weights   garnetworks.WeightStore
 	Orders    garnetworks.EngineOrders
 	// Probes read engines' status on a new connection each time.
-	Probes   garnetworks.EngineOrders
+	Probes garnetworks.EngineOrders
+	// Cache reads engines' cache events; it may be nil.
+	Cache    garnetworks.CacheEvents
 	Engines  garnetworks.EngineCaller
 	Services garnetworks.ServiceCaller
 }
@@ -430,6 +432,7 @@
 		{"zone-controller", r.zone.Run},
 		{"site-controller", r.site.Run},
 		{"reports", plain(r.reports.run)},
+		{"cache-events", plain(r.readHints)},
 		{"upkeep", plain(r.upkeep)},
 	}
 	if r.keys != nil {
--- a/runner/virtual_test.go
+++ b/runner/virtual_test.go
@@ -51,6 +51,8 @@
 	// cut holds the zones whose backend servers the node can't reach; the empty
 	// name stands for the platform.
 	cut sync.Map
+	// eventReads counts the reads of engines' cache events.
+	eventReads atomic.Int64
 	// crashed nodes are heard by nobody until they are replaced.
 	crashed bool
 	stop    context.CancelFunc
@@ -172,7 +174,7 @@
 		Settings: settings,
 		Network:  garnetworks.Some(s.network.at(id)),
 		Platform: garnetworks.Some(Platform{
-			Objects: n.objects, Instances: cut, Power: cut, Weights: cut, Orders: cut, Probes: cut, Engines: cut, Services: cut,
+			Objects: n.objects, Instances: cut, Power: cut, Weights: cut, Orders: cut, Probes: cut, Cache: cut, Engines: cut, Services: cut,
 		}),
 		LameDuck: time.Second,
 	})
@@ -324,6 +326,14 @@
 	return c.site.fleet.Status(ctx, address)
 }
 
+func (c *cutPlatform) CacheEvents(ctx context.Context, address string, after uint64) ([]garnetworks.CacheEvent, error) {
+	if err := c.reach(ctx, address); err != nil {
+		return nil, err
+	}
+	c.node.eventReads.Add(1)
+	return c.site.fleet.CacheEvents(ctx, address, after)
+}
+
 func (c *cutPlatform) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
 	if err := c.reach(ctx, address); err != nil {
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
