--- /dev/null
+++ b/runner/join.go
@@ -0,0 +1,163 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/admitter"
+	"github.com/garnetworks/garnetworks/claimer"
+	"github.com/garnetworks/garnetworks/committer"
+	"github.com/garnetworks/garnetworks/distributor"
+	"github.com/garnetworks/garnetworks/drainer"
+	"github.com/garnetworks/garnetworks/forwarder"
+	"github.com/garnetworks/garnetworks/keymaker"
+	"github.com/garnetworks/garnetworks/messenger"
+	"github.com/garnetworks/garnetworks/prober"
+	"github.com/garnetworks/garnetworks/router"
+	"github.com/garnetworks/garnetworks/server"
+	"github.com/garnetworks/garnetworks/tracker"
+)
+
+// join makes the parts, from those that need nothing to those that need others.
+func (r *Runner) join(options Options) error {
+	r.client = messenger.NewClient(clientOptions(r, options.Network))
+	r.router = router.New(router.Options{Node: r.self.ID, Zone: r.self.Zone})
+	r.admitter = admitter.New(admitter.Options{Node: r.self.ID})
+	r.claimer = claimer.New(claimer.Options{
+		Node:      r.self,
+		API:       r.platform.Objects,
+		Forwarder: garnetworks.Some[claimer.Forwarder](claimer.PeerForwarder{Peers: r.client}),
+		Recorder:  r.events,
+	})
+	r.prober = prober.New(prober.Options{
+		Node:     r.self.ID,
+		Peers:    garnetworks.Some[garnetworks.ConfirmCaller](r.client),
+		Orders:   r.platform.Orders,
+		Recorder: r.events,
+	})
+	r.signs = drainer.NewShared(drainer.Options{})
+	r.views = newViews(r)
+	r.reports = newReports(r)
+	r.joinPeers()
+	r.joinCalls(options)
+	if err := r.joinControl(); err != nil {
+		return err
+	}
+	var err error
+	r.peerServer, err = messenger.NewServer(messenger.ServerOptions{
+		Handler: &peerHandler{r},
+		Keys:    r.keys,
+		Clock:   r.timeline,
+		Traffic: &r.traffic,
+		Log:     func(err error) { r.log.Debug("peer call", "error", err) },
+	})
+	return err
+}
+
+func clientOptions(r *Runner, network garnetworks.Option[Network]) messenger.ClientOptions {
+	o := messenger.ClientOptions{Keys: r.keys, Clock: r.timeline, Traffic: &r.traffic, Recorder: r.events}
+	if n, ok := network.Get(); ok {
+		o.Dial = n.Dial
+	}
+	return o
+}
+
+func (r *Runner) joinPeers() {
+	r.distributor = distributor.New(distributor.Options{
+		Self:  r.self,
+		Peers: r.client,
+		Nodes: func() []garnetworks.NodeInfo { return r.tracker.Peers() },
+		Apply: r.apply,
+		Log:   func(err error) { r.log.Debug("distribution", "error", err) },
+	})
+	r.tracker = tracker.New(tracker.Options{
+		Self:       r.self,
+		Seeds:      r.settings.Seeds,
+		Objects:    r.platform.Objects,
+		Peers:      r.client,
+		Recorder:   r.events,
+		Publish:    r.distributor.Publish,
+		Hold:       r.distributor.Hold,
+		Passengers: []tracker.Passenger{r.distributor},
+		Superseded: func() { close(r.superseded) },
+		Log:        func(err error) { r.log.Warn("membership", "error", err) },
+	})
+	r.committer = committer.New(committer.Options{
+		Node:        r.self.ID,
+		Incarnation: r.self.Incarnation,
+		Zone:        r.self.Zone,
+		Self:        r.tracker.Self, // the tracker may raise the incarnation
+		Objects:     r.platform.Objects,
+		Peers:       r.client,
+		Rosters:     r.rosters,
+		Seeds:       r.settings.Seeds,
+		Publish:     r.publish,
+		Applied:     r.applied,
+		Recorder:    r.events,
+		Logger:      r.log.Named("committer"),
+		Clock:       r.timeline.Now,
+	})
+}
+
+func (r *Runner) joinCalls(options Options) {
+	r.forwarder = forwarder.New(forwarder.Options{
+		Engines:  r.platform.Engines,
+		Services: r.platform.Services,
+		Groups:   r.router,
+		Servers:  r.router,
+		Claims:   r.claimer,
+		Prober:   r.platform.Probes,
+		Recorder: r.events,
+		Manifest: r.committer,
+	})
+	limits := server.DefaultLimits()
+	limits.Body = r.settings.Limits.BodyBytes
+	limits.Header = r.settings.Limits.HeaderBytes
+	r.server = server.New(server.Options{
+		Calls:       r.forwarder,
+		Manifest:    r.committer,
+		NewKeyIndex: func(m *garnetworks.Manifest) server.KeyIndex { return keymaker.NewIndex(m) },
+		Admitter:    r.admitter,
+		Recorder:    r.events,
+		Observer:    &callObserver{r.meter},
+		Limits:      limits,
+		LameDuck:    options.LameDuck,
+	})
+}
+
+// publish hands an update to the distribution. An update that is refused because
+// a newer one is held is no fault: another node was quicker.
+func (r *Runner) publish(u garnetworks.Update) {
+	if err := r.distributor.Publish(u); err != nil && !garnetworks.IsKind(err, garnetworks.KindConflict) {
+		r.log.Warn("update not published", "topic", u.Topic, "error", err)
+	}
+}
+
+// apply takes an update that the distribution brought, in the topic's order.
+func (r *Runner) apply(u garnetworks.Update) {
+	switch {
+	case committer.Topics(u.Topic):
+		r.committer.OnUpdate(u)
+	case r.views.take(u):
+	case r.reports.take(u):
+	default:
+		r.tracker.Apply(context.Background(), u)
+	}
+}
+
+// applied takes a manifest that the node begins to decide by.
+func (r *Runner) applied(m *garnetworks.AcceptedManifest) {
+	r.router.SetZones(m.Manifest.Site.Zones)
+	r.admitter.SetManifest(&m.Manifest)
+	r.meter.InForce(m.Generation)
+	r.log.Info("manifest in force", "generation", m.Generation, "operator", m.Operator)
+}
+
+func (r *Runner) rosters() []garnetworks.Roster {
+	view := r.tracker.View()
+	rosters := make([]garnetworks.Roster, 0, len(view.Rosters))
+	for _, roster := range view.Rosters {
+		rosters = append(rosters, roster)
+	}
+	return rosters
+}
