Hold a version that can't be loaded in one zone

Cause: nothing ran a whole site whose manifest names a version that the weight store lacks; the turns that zones take were proven by a table alone. Change: scenario "a version can't be loaded": v9 is committed, one zone's group loads in vain; then too few of its engines are left for a group, and they come back; then v1 is committed again. For over two minutes of the test clock the two other zones keep the very same groups and each call to a model completes. Conclusion: the guards hold over a whole site; no fault found. That a group which loads is given up after 15 min is not run here.

--- a/runner/faults_test.go
+++ b/runner/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
 	"testing"
@@ -46,7 +47,7 @@
 		story: "A minute without failures: every call completes.",
 		run: func(s *virtualSite) {
 			time.Sleep(time.Minute)
-			for what, n := range s.load.outcomes {
+			for what, n := range s.load.all() {
 				if !slices.Contains(outcomesWithoutFailure, what) {
 					s.t.Errorf("%d outcomes %q though nothing failed", n, what)
 				}
@@ -333,6 +334,114 @@
 			})
 		},
 	},
+	"a version can't be loaded": {
+		story: "A manifest names a version that the weight store lacks. One zone's " +
+			"group stops serving and loads in vain; the others serve the old version " +
+			"on, and each call completes. Its engines are restarted, and operators commit " +
+			"the old version again: no other group moves. Once an engine of the group " +
+			"that still loads is restarted, the zone is back.",
+		models: true,
+		run: func(s *virtualSite) {
+			before := s.groupsServing("v1")
+			if len(before) != groupsWanted {
+				s.t.Fatalf("groups that serve: %v", before)
+			}
+			if _, err := s.propose("zone-a-n0", "missing", 1, s.manifestText(virtualCap, "v9")); err != nil {
+				s.t.Fatal(err)
+			}
+			s.within(manifestMoves, "the manifest is in force", s.inForce("zone-b-n0", "missing"))
+			s.within(time.Minute, "a zone has left the old version", func() string {
+				if left := s.groupsServing("v1"); len(left) == groupsWanted {
+					return fmt.Sprint(left)
+				}
+				return ""
+			})
+			kept := s.groupsServing("v1")
+			s.staysFor(30*time.Second, kept)
+			if len(kept) != groupsWanted-1 {
+				s.t.Errorf("groups that still serve the old version: %v, want those of all zones but one of %v", kept, before)
+			}
+			left := s.zoneWithout(kept)
+			// With too few engines for a group the zone shows none.
+			away := s.enginesOf(left)[:s.size.engines-3]
+			for _, e := range away {
+				e.SetFaults(faker.FaultPlan{Down: true})
+			}
+			s.staysFor(30*time.Second, kept)
+			for _, e := range away {
+				e.SetFaults(faker.FaultPlan{})
+				e.Restart()
+			}
+			s.staysFor(time.Minute, kept)
+			if _, err := s.propose("zone-b-n0", "back", 2, s.manifestText(virtualCap, "v1")); err != nil {
+				s.t.Fatal(err)
+			}
+			s.within(manifestMoves, "the old version is in force", s.inForce("zone-c-n0", "back"))
+			s.staysFor(30*time.Second, kept)
+			s.fleet.Engine(s.memberIn(left)).Restart()
+			s.within(groupBack, "all groups serve the old version", func() string {
+				now := s.groupsServing("v1")
+				for zone, id := range kept {
+					if now[zone] != id {
+						s.t.Errorf("%s moved from group %s to %q", zone, id, now[zone])
+					}
+				}
+				if len(now) < groupsWanted {
+					return fmt.Sprint(now)
+				}
+				return ""
+			})
+			if s.load.completed("model") == 0 {
+				s.t.Error("no call to a model completed")
+			}
+		},
+	},
+}
+
+// groupsServing returns the confirmed groups that serve the version, by zone, as
+// each zone's own node sees them.
+func (s *virtualSite) groupsServing(version garnetworks.VersionName) map[garnetworks.ZoneID]garnetworks.GroupID {
+	found := make(map[garnetworks.ZoneID]garnetworks.GroupID)
+	for _, zone := range zones {
+		for _, view := range s.nodes[nodeName(zone, 0)].views.all() {
+			if view.Zone != zone {
+				continue
+			}
+			for i := range view.Groups {
+				if g := &view.Groups[i]; g.State == garnetworks.GroupServing && g.Confirmed && g.Version == version {
+					found[zone] = g.ID
+				}
+			}
+		}
+	}
+	return found
+}
+
+// enginesOf returns the engines of a zone.
+func (s *virtualSite) enginesOf(zone garnetworks.ZoneID) []*faker.Engine {
+	return slices.DeleteFunc(s.fleet.Engines(), func(e *faker.Engine) bool { return e.Spec().Zone != zone })
+}
+
+// zoneWithout returns the first zone that is not among the keys.
+func (s *virtualSite) zoneWithout(groups map[garnetworks.ZoneID]garnetworks.GroupID) garnetworks.ZoneID {
+	s.t.Helper()
+	for _, zone := range zones {
+		if groups[zone] == "" {
+			return zone
+		}
+	}
+	s.t.Fatalf("all zones are among %v", groups)
+	return ""
+}
+
+// staysFor fails unless the groups of the old version stay the same for a while.
+func (s *virtualSite) staysFor(while time.Duration, want map[garnetworks.ZoneID]garnetworks.GroupID) {
+	s.t.Helper()
+	for begun := time.Now(); time.Since(begun) < while; time.Sleep(time.Second) {
+		if got := s.groupsServing("v1"); !maps.Equal(got, want) {
+			s.t.Fatalf("%v on, the groups that serve the old version are %v, want %v", time.Since(begun), got, want)
+		}
+	}
 }
 
 // outcomesWithoutFailure are what callers see while nothing fails. Of two calls
