Free the lease of a node that stops; don't take a pause for silence

(2) A holder paused for 20 s took its own standstill for the engines' silence and gave its lease away (seen with SIGSTOP on a real process; a zone's only node then needs half a minute). (3) The site's load was read without its lock (race detector). Change: a stopping node waits short waits and reads on after a write that freed nothing, 2 s at most; a gap of 2 s between two steps starts silence anew; a locked copy.

--- a/controller/faults_test.go
+++ b/controller/faults_test.go
@@ -232,6 +232,31 @@
 	}
 }
 
+// TestPauseIsNotSilence: a zone's only node is paused for 20 s. When it wakes, all
+// confirmations it has are old; it must not take that for engines that are silent,
+// which would break its groups or give the lease away for half a minute.
+func TestPauseIsNotSilence(t *testing.T) {
+	s := settled(t, 4, true)
+	state := s.holder("z0").state
+	woken := Observation{Now: s.now.Add(20 * time.Second), Term: state.Term, Manifest: state.Manifest}
+	e := state.Step(woken)
+	if e.GiveAway {
+		t.Error("the node gives its lease away for its own pause")
+	}
+	for _, event := range e.Events {
+		t.Errorf("event %s for the node's own pause: %s", event.Kind, event.Detail)
+	}
+	// Engines that stay silent after that are believed to be.
+	gaveAway := false
+	for range 100 {
+		woken.Now = woken.Now.Add(200 * time.Millisecond)
+		gaveAway = gaveAway || state.Step(woken).GiveAway
+	}
+	if !gaveAway {
+		t.Error("a holder that hears nobody for 20 s after its pause keeps the lease")
+	}
+}
+
 // TestDarkZoneIsBelieved: every instance of a zone goes dark at once. No node can
 // tell that from its own partition; each gives the lease to the next one, and the
 // first one that gets it back believes it, so that the instances are powered off
--- a/controller/state.go
+++ b/controller/state.go
@@ -120,6 +120,8 @@
 	granted  bool
 	Measures garnetworks.Measures
 	measured time.Time
+	// stepped is the time of the last step.
+	stepped  time.Time
 	view     garnetworks.ZoneView
 	viewAt   time.Time
 	sequence uint64
--- a/controller/step.go
+++ b/controller/step.go
@@ -29,6 +29,7 @@
 		}
 		s.begin(o)
 	}
+	s.noticePause(o.Now)
 	s.readAround(o, &e)
 	switch s.Phase {
 	case PhaseLoading:
@@ -41,6 +42,25 @@
 	return e
 }
 
+// pauseGap is the time between two steps from which the process is taken to have
+// stood still; steps come each Times.Tick.
+const pauseGap = 2 * time.Second
+
+// noticePause lets silence begin to count anew after the process stood still.
+//
+// Failure: a paused holder wakes with confirmations that are all old, takes its
+// own standstill for the engines' silence, and gives its lease away or counts
+// every member as lost; a zone's only node then leaves the zone without a
+// controller for half a minute. What fell silent during the pause is found
+// Times.Loss later, as after a change of holder.
+func (s *ZoneState) noticePause(now time.Time) {
+	if gap := now.Sub(s.stepped); !s.stepped.IsZero() && gap > pauseGap {
+		s.HearFrom = now
+		s.heardAny = now
+	}
+	s.stepped = now
+}
+
 func (s *ZoneState) begin(o Observation) {
 	s.Term = o.Term
 	s.refused = ""
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -170,16 +170,26 @@
 	l.noteLocked()
 }
 
-// stepDownTries bounds the calls of a node that stops: a read of what an unclear
-// write did, and the write that frees the record.
-const stepDownTries = 3
+// Bounds of a node that stops: the calls that it makes to read what an unclear
+// write did and to free the record, and the time that it takes for them.
+const (
+	stepDownTries = 6
+	stepDownBound = 2 * time.Second
+)
 
 // stepDown frees the record, so that the successor need not wait it out. It does
 // not try for long: a record that is not freed only makes the successor wait.
+//
+// Failure: the node stops while a renewal is on its way whose answer gets lost.
+// The write that frees the record then meets a conflict, or the read that would
+// tell is not yet due; a node that gave up there left its successor waiting out
+// the whole lease. So a wait that is short is waited, and a write that did not
+// free the record is followed by a read.
 func (l *Lease) stepDown() {
 	l.mu.Lock()
 	l.state.Closing = true
 	l.mu.Unlock()
+	over := time.Now().Add(stepDownBound)
 	for range stepDownTries {
 		action := l.next()
 		switch action.Kind {
@@ -187,9 +197,11 @@
 			l.read(context.Background())
 		case ActionWrite:
 			l.write(context.Background(), action)
-			return
 		case ActionWait:
-			return
+			if action.At.After(over) {
+				return
+			}
+			l.wait(context.Background(), action.At)
 		}
 	}
 }
--- a/runner/virtual_test.go
+++ b/runner/virtual_test.go
@@ -673,6 +673,13 @@
 	s.t.Logf("outcomes: %v; %d attempts at engines; %v calls to the object API", s.load.outcomes, len(attempts), s.objects.Counts())
 }
 
+// all returns the outcomes up to now.
+func (l *load) all() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.outcomes)
+}
+
 // completed returns how many calls of a kind have completed.
 func (l *load) completed(what string) int {
 	l.mu.Lock()
