Put orders on the time line, and tell a silent peer once

Cause: the kind order-sent was never recorded, so the time line could not show which holder's order an engine had followed; a dead peer was told as a silent connection about once a second. Change: each order is recorded when it is first sent, with group, instance and token; a peer's silence is told once until it answers again. Figures: the scenario without failures now asserts that time lines hold orders.

--- a/controller/effects.go
+++ b/controller/effects.go
@@ -42,6 +42,8 @@
 	// BeyondLease says that the order may go out though the lease can't be
 	// renewed (rule C4).
 	BeyondLease bool
+	// Again says that the same order was sent before and showed no effect.
+	Again bool
 }
 
 // PowerEffect is a power order; after its acknowledgement an order to power off
--- a/controller/send.go
+++ b/controller/send.go
@@ -13,7 +13,8 @@
 		for _, order := range grouper.Orders(&d.Ahead, p.fresh, p.loads) {
 			beyond, ok := p.maySend(d.DomainState, order)
 			if ok && p.pace(order) {
-				p.e.Orders = append(p.e.Orders, EngineEffect{AddressedOrder: order, BeyondLease: beyond})
+				again := p.orders[order.Instance].first.Before(p.o.Now)
+				p.e.Orders = append(p.e.Orders, EngineEffect{AddressedOrder: order, BeyondLease: beyond, Again: again})
 			}
 		}
 	}
--- a/controller/zone.go
+++ b/controller/zone.go
@@ -321,6 +321,15 @@
 		return func(s *ZoneState) { s.OnOrder(sent, o, garnetworks.EngineStatus{}, err) }
 	}
 	defer cancel()
+	if !o.Again {
+		z.record(garnetworks.Event{
+			Kind:     garnetworks.EventOrderSent,
+			Zone:     z.options.Zone,
+			Group:    o.Group,
+			Instance: o.Instance,
+			Detail:   string(o.Kind) + " under token " + o.Token.String(),
+		})
+	}
 	status, err := z.options.Orders.Order(orderCtx, o.Address, o.EngineOrder)
 	return func(s *ZoneState) { s.OnOrder(sent, o, status, err) }
 }
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -32,8 +32,11 @@
 	options ClientOptions
 	clock   stamper
 
-	mu     sync.Mutex
-	pools  map[string]*pool
+	mu    sync.Mutex
+	pools map[string]*pool
+	// silent holds the addresses whose silence was told and that have not
+	// answered since.
+	silent garnetworks.Set[string]
 	swept  time.Time
 	closed bool
 }
@@ -51,7 +54,7 @@
 	if options.Dial == nil {
 		options.Dial = dialTCP
 	}
-	return &Client{options: options, clock: stamper{options.Clock}, pools: map[string]*pool{}, swept: time.Now()}
+	return &Client{options: options, clock: stamper{options.Clock}, pools: map[string]*pool{}, silent: garnetworks.NewSet[string](), swept: time.Now()}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -191,11 +194,13 @@
 	c.options.Traffic.add(r.name, len(request), size.read)
 	if err == nil {
 		c.options.Traffic.messagesReceived.Add(1)
+		c.heard(address)
 		c.giveBack(conn)
 		return answer, nil
 	}
 	if _, ok := decodeFailure(err); ok {
 		c.options.Traffic.messagesReceived.Add(1)
+		c.heard(address)
 		c.giveBack(conn)
 		return nil, err
 	}
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -199,18 +199,29 @@
 	_ = conn.Close()
 }
 
+// heard takes that an address has answered.
+func (c *Client) heard(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent.Remove(address)
+}
+
 // endSilent closes the idle connections to the address: what forgot one of
 // them has likely forgotten all.
 func (c *Client) endSilent(address string, p *pool) {
 	c.options.Traffic.silent.Add(1)
-	c.options.Recorder.Record(garnetworks.Event{
-		Kind:   garnetworks.EventSilentConnection,
-		Detail: "peer " + address,
-	})
 	c.mu.Lock()
 	idle := p.idle
 	p.idle = nil
+	told := c.silent.Has(address)
+	c.silent.Add(address)
 	c.mu.Unlock()
+	if !told { // a dead peer is called each second, and would fill the time line
+		c.options.Recorder.Record(garnetworks.Event{
+			Kind:   garnetworks.EventSilentConnection,
+			Detail: "peer " + address,
+		})
+	}
 	closeAll(idle)
 }
 
--- a/runner/faults_test.go
+++ b/runner/faults_test.go
@@ -52,6 +52,9 @@
 					s.t.Errorf("%d outcomes %q though nothing failed", n, what)
 				}
 			}
+			if s.recorded(garnetworks.EventOrderSent) == 0 || s.recorded(garnetworks.EventGroupFormed) == 0 {
+				s.t.Error("the time lines hold no orders or no groups")
+			}
 			for _, id := range s.names() {
 				if s.node(id).eventReads.Load() == 0 {
 					s.t.Errorf("node %s read no cache events", id)
@@ -444,6 +447,20 @@
 	}
 }
 
+// recorded counts the events of a kind on all nodes' time lines.
+func (s *virtualSite) recorded(kind garnetworks.EventKind) int {
+	count := 0
+	for _, id := range s.names() {
+		events, _ := s.node(id).timeline.Events(0, 0)
+		for _, e := range events {
+			if e.Kind == kind {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // outcomesWithoutFailure are what callers see while nothing fails. Of two calls
 // with one key at the same time, one may be told that the other is in progress.
 var outcomesWithoutFailure = []string{
