--- a/runner/site_test.go
+++ b/runner/site_test.go
@@ -35,6 +35,8 @@
 	nodes    map[garnetworks.ZoneID]*testNode
 	client   *messenger.Client
 	key      string
+	// adjust changes the settings of each node before it starts.
+	adjust []func(*configurer.Settings)
 }
 
 type testNode struct {
@@ -45,9 +47,9 @@
 
 const enginesPerZone = 6
 
-func newTestSite(t *testing.T) *testSite {
+func newTestSite(t *testing.T, adjust ...func(*configurer.Settings)) *testSite {
 	t.Helper()
-	s := &testSite{t: t, nodes: make(map[garnetworks.ZoneID]*testNode)}
+	s := &testSite{t: t, nodes: make(map[garnetworks.ZoneID]*testNode), adjust: adjust}
 	weights := faker.NewWeightStore(1<<30, map[garnetworks.WeightID]int64{{Model: "chat", Version: "v1"}: 1 << 20})
 	s.objects = faker.NewObjects(faker.ObjectsOptions{})
 	s.list = faker.NewInstanceList(0)
@@ -120,6 +122,9 @@
 		s.t.Fatal(err)
 	}
 	settings.Seeds = seeds
+	for _, adjust := range s.adjust {
+		adjust(&settings)
+	}
 	var logger hclog.Logger
 	if os.Getenv("SITE_LOG") != "" {
 		logger = hclog.New(&hclog.LoggerOptions{Name: string(settings.Node), Level: hclog.Debug})
