--- a/cmd/garnetctl/main.go
+++ b/cmd/garnetctl/main.go
@@ -97,6 +97,17 @@
 	Authorities string `help:"The authorities that vouch for nodes, a PEM file." env:"GARNETCTL_TLS_AUTHORITIES"`
 }
 
+// check returns an error that names the flag that is missing where only some are
+// given.
+func (f tlsFlags) check() error {
+	for name, value := range map[string]string{"--tls-certificate": f.Certificate, "--tls-key": f.Key, "--tls-authorities": f.Authorities} {
+		if value == "" {
+			return &exitError{exitUsage, garnetworks.Errorf(garnetworks.KindInvalidRequest, "%s is missing; give all three --tls flags or none", name)}
+		}
+	}
+	return nil
+}
+
 // cli is the grammar of the command line.
 type cli struct {
 	Nodes   []string      `help:"Peer addresses of entry nodes, ip:port; one that answers is enough." env:"GARNETCTL_NODES" placeholder:"IP:PORT,..."`
@@ -146,6 +157,9 @@
 	if f == (tlsFlags{}) {
 		return messenger.NewClient(messenger.ClientOptions{}), nil
 	}
+	if err := f.check(); err != nil {
+		return nil, err
+	}
 	keys, err := messenger.LoadKeys(messenger.Files{Certificate: f.Certificate, Key: f.Key, Authorities: f.Authorities})
 	if err != nil {
 		return nil, &exitError{exitUsage, err}
--- a/cmd/garnetctl/main_test.go
+++ b/cmd/garnetctl/main_test.go
@@ -196,3 +196,18 @@
 	}
 	return response, err
 }
+
+func TestTLSFlagsGoTogether(t *testing.T) {
+	for name, f := range map[string]tlsFlags{
+		"--tls-certificate": {Key: "k", Authorities: "a"},
+		"--tls-key":         {Certificate: "c", Authorities: "a"},
+		"--tls-authorities": {Certificate: "c", Key: "k"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := dial(f)
+			if err == nil || !strings.Contains(err.Error(), name+" is missing") {
+				t.Errorf("dial() error = %v", err)
+			}
+		})
+	}
+}
