Go on sharing probes while a controller is replaced

Cause: without a pulse for 1.9 s each node of a zone probed all its engines alone; at the design size 41 nodes would probe 75 engines each second for the ten seconds of a hand-over, some 38 KB/s a node. Change: a node does so only if no other node of its zone tells its probes either, that is when it is cut off.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,9 +13,10 @@
 //	N4  Nodes of a zone report to its controller now and then, in a larger zone
 //	    less often: what they are asked for and which groups are slow. The answer
 //	    carries the node's shares of the limits.
-//	N5  A node that hears no fresh pulse of its own zone for PulseSilence probes
-//	    all engines of the zone itself, so that its routers go on by its own
-//	    findings (rule G1) while a controller is replaced or the node is cut off.
+//	N5  A node that hears neither a fresh pulse of its own zone nor another node's
+//	    probes for PulseSilence is cut off and probes all engines of the zone
+//	    itself, so that its router goes on by its own findings (rule G1). While
+//	    only the controller is being replaced, the nodes' shared probes do.
 //	N6  A duty that ends before the node is stopped ends the node: a node that
 //	    only seems to work is worse than one that is replaced.
 package runner
--- a/runner/views.go
+++ b/runner/views.go
@@ -29,6 +29,8 @@
 	sender    *pulser.Sender
 	term      uint32
 	alone     bool
+	// heard is when a node of the zone last told what it has probed.
+	heard time.Time
 }
 
 func newViews(r *Runner) *views {
@@ -171,10 +173,11 @@
 func (v *views) refresh(now time.Time, nodes []garnetworks.NodeInfo) {
 	joined, ok := v.own()
 	silent := !ok || now.Sub(joined.At) > PulseSilence
-	if silent {
+	alone := silent && now.Sub(v.peersHeard()) > PulseSilence
+	if alone {
 		nodes = []garnetworks.NodeInfo{readySelf(v.r.self)} // N5
 	}
-	v.noteSilence(silent && ok)
+	v.noteAlone(alone && ok)
 	v.r.prober.SetRoster(nodes)
 	table := v.r.prober.Table()
 	for i := range joined.View.Groups {
@@ -186,6 +189,20 @@
 	}
 }
 
+// hearPeer notes that a node of the zone told what it has probed.
+func (v *views) hearPeer(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.heard = now
+}
+
+// peersHeard returns when a node of the zone last told what it has probed.
+func (v *views) peersHeard() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.heard
+}
+
 // readySelf makes the node the only one that probes; whether it takes calls
 // does not matter for that.
 func readySelf(self garnetworks.NodeInfo) garnetworks.NodeInfo {
@@ -208,13 +225,14 @@
 	return oldest
 }
 
-func (v *views) noteSilence(silent bool) {
+// noteAlone logs when the node begins to probe its zone alone.
+func (v *views) noteAlone(alone bool) {
 	v.mu.Lock()
-	changed := v.alone != silent
-	v.alone = silent
+	changed := v.alone != alone
+	v.alone = alone
 	v.mu.Unlock()
-	if changed && silent {
-		v.r.log.Info("no pulse of the own zone; probing its engines alone", "zone", v.r.self.Zone)
+	if changed && alone {
+		v.r.log.Info("no pulse and no other node of the own zone; probing its engines alone", "zone", v.r.self.Zone)
 	}
 }
 
--- a/runner/views_test.go
+++ b/runner/views_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/controller"
@@ -21,3 +23,36 @@
 		t.Errorf("silence of %v and one round of probes outlast the bound %v", PulseSilence, garnetworks.ConfirmationBound)
 	}
 }
+
+// TestNewControllerCausesNoStormOfProbes: a zone's controller dies, and for ten
+// seconds no pulse comes. The zone's other nodes go on sharing their probes; were
+// each to probe all engines alone, the probes would multiply with the nodes.
+func TestNewControllerCausesNoStormOfProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		size := smallShape
+		size.nodes, size.engines, size.on = 6, 12, 12
+		size.cap = engineWatts * 40
+		s := newVirtualSite(t, size)
+		defer s.close()
+		s.begin()
+		time.Sleep(10 * time.Second)
+		const window = 8 * time.Second
+		probes := func() (sum int64) {
+			for _, id := range s.names() {
+				if s.node(id).self.Zone == "zone-a" {
+					sum += s.node(id).probes.Load()
+				}
+			}
+			return sum
+		}
+		before := probes()
+		time.Sleep(window)
+		calm := probes() - before
+		s.crash(s.holder("zone-a"))
+		before = probes()
+		time.Sleep(window)
+		if storm := probes() - before; storm > calm*3/2 {
+			t.Errorf("%d probes in %v after the loss, %d before it", storm, window, calm)
+		}
+	})
+}
--- a/runner/virtual_test.go
+++ b/runner/virtual_test.go
@@ -53,6 +53,8 @@
 	cut sync.Map
 	// eventReads counts the reads of engines' cache events.
 	eventReads atomic.Int64
+	// probes counts the reads of engines' status.
+	probes atomic.Int64
 	// crashed nodes are heard by nobody until they are replaced.
 	crashed bool
 	stop    context.CancelFunc
@@ -323,6 +325,7 @@
 	if err := c.reach(ctx, address); err != nil {
 		return garnetworks.EngineStatus{}, err
 	}
+	c.node.probes.Add(1)
 	return c.site.fleet.Status(ctx, address)
 }
 
