--- a/meter/objects.go
+++ b/meter/objects.go
@@ -4,56 +4,58 @@
 	"context"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/garnetworks/garnetworks"
 )
 
 // ObjectAPI returns next with each call counted (M3).
 func (m *Meter) ObjectAPI(next garnetworks.ObjectAPI) garnetworks.ObjectAPI {
-	return &countingObjectAPI{next: next, calls: m.objectCalls}
+	return Observe(next, func(method string, err error) {
+		m.objectCalls.WithLabelValues(method, string(garnetworks.KindOf(err))).Inc()
+	})
 }
 
-type countingObjectAPI struct {
-	next  garnetworks.ObjectAPI
-	calls *prometheus.CounterVec
+// Observe returns next with note told of each call's method and error, once the
+// call has ended.
+func Observe(next garnetworks.ObjectAPI, note func(method string, err error)) garnetworks.ObjectAPI {
+	return &observedObjectAPI{next: next, note: note}
 }
 
-func (c *countingObjectAPI) count(method string, err error) {
-	c.calls.WithLabelValues(method, string(garnetworks.KindOf(err))).Inc()
+type observedObjectAPI struct {
+	next garnetworks.ObjectAPI
+	note func(method string, err error)
 }
 
 // Get implements garnetworks.ObjectAPI.
-func (c *countingObjectAPI) Get(ctx context.Context, key string) (garnetworks.Object, error) {
-	object, err := c.next.Get(ctx, key)
-	c.count("get", err)
+func (o *observedObjectAPI) Get(ctx context.Context, key string) (garnetworks.Object, error) {
+	object, err := o.next.Get(ctx, key)
+	o.note("get", err)
 	return object, err
 }
 
 // Put implements garnetworks.ObjectAPI.
-func (c *countingObjectAPI) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
-	revision, err := c.next.Put(ctx, key, value, after)
-	c.count("put", err)
+func (o *observedObjectAPI) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
+	revision, err := o.next.Put(ctx, key, value, after)
+	o.note("put", err)
 	return revision, err
 }
 
 // Delete implements garnetworks.ObjectAPI.
-func (c *countingObjectAPI) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
-	err := c.next.Delete(ctx, key, after)
-	c.count("delete", err)
+func (o *observedObjectAPI) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
+	err := o.next.Delete(ctx, key, after)
+	o.note("delete", err)
 	return err
 }
 
 // List implements garnetworks.ObjectAPI.
-func (c *countingObjectAPI) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
-	objects, revision, err := c.next.List(ctx, prefix)
-	c.count("list", err)
+func (o *observedObjectAPI) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	objects, revision, err := o.next.List(ctx, prefix)
+	o.note("list", err)
 	return objects, revision, err
 }
 
 // Watch implements garnetworks.ObjectAPI.
-func (c *countingObjectAPI) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
-	objects, revision, err := c.next.Watch(ctx, prefix, after, wait)
-	c.count("watch", err)
+func (o *observedObjectAPI) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	objects, revision, err := o.next.Watch(ctx, prefix, after, wait)
+	o.note("watch", err)
 	return objects, revision, err
 }
--- a/peer.go
+++ b/peer.go
@@ -47,7 +47,6 @@
 	TopicDemand    Topic = "demand/"
 	TopicRoster    Topic = "roster/"
 	TopicStaged    Topic = "staged/"
-	TopicZoneState Topic = "zone-state/"
 )
 
 // CutTopic returns what stands behind the topic's first part, such as a zone's
--- a/runner/connect.go
+++ b/runner/connect.go
@@ -1,9 +1,7 @@
 package runner
 
 import (
-	"context"
 	"net"
-	"time"
 
 	"golang.org/x/net/netutil"
 
@@ -39,12 +37,8 @@
 	return netutil.LimitListener(listener, most)
 }
 
-// watchHealth notes whether the object API answers, for status and events.
-func (r *Runner) watchHealth(next garnetworks.ObjectAPI) garnetworks.ObjectAPI {
-	return &healthObjectAPI{next: next, note: r.noteObjects}
-}
-
-func (r *Runner) noteObjects(err error) {
+// noteObjects notes whether the object API answers, for status and events.
+func (r *Runner) noteObjects(_ string, err error) {
 	down := garnetworks.IsKind(err, garnetworks.KindObjectAPIDown, garnetworks.KindUnreachable)
 	if !down && err != nil && !garnetworks.IsKind(err, garnetworks.KindNotFound, garnetworks.KindConflict, garnetworks.KindCompacted) {
 		return // says nothing of the object API's health
@@ -58,44 +52,3 @@
 	}
 	r.events.Record(garnetworks.Event{Kind: kind, Zone: r.self.Zone, Error: garnetworks.KindOf(err)})
 }
-
-// healthObjectAPI tells each call's error to note.
-type healthObjectAPI struct {
-	next garnetworks.ObjectAPI
-	note func(error)
-}
-
-// Get implements garnetworks.ObjectAPI.
-func (h *healthObjectAPI) Get(ctx context.Context, key string) (garnetworks.Object, error) {
-	object, err := h.next.Get(ctx, key)
-	h.note(err)
-	return object, err
-}
-
-// Put implements garnetworks.ObjectAPI.
-func (h *healthObjectAPI) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
-	revision, err := h.next.Put(ctx, key, value, after)
-	h.note(err)
-	return revision, err
-}
-
-// Delete implements garnetworks.ObjectAPI.
-func (h *healthObjectAPI) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
-	err := h.next.Delete(ctx, key, after)
-	h.note(err)
-	return err
-}
-
-// List implements garnetworks.ObjectAPI.
-func (h *healthObjectAPI) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
-	objects, revision, err := h.next.List(ctx, prefix)
-	h.note(err)
-	return objects, revision, err
-}
-
-// Watch implements garnetworks.ObjectAPI.
-func (h *healthObjectAPI) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
-	objects, revision, err := h.next.Watch(ctx, prefix, after, wait)
-	h.note(err)
-	return objects, revision, err
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -121,6 +121,8 @@
 	reports *reports
 	listed  *listCache
 
+	// expired is when servers were last forgotten; upkeep alone uses it.
+	expired time.Time
 	// counted is the traffic that the metrics hold; upkeep alone uses it.
 	counted messenger.TrafficCount
 
@@ -146,7 +148,7 @@
 	r.timeline = recorder.New(r.settings.Node, r.settings.EventRing)
 	r.events = r.meter.Recorder(r.timeline)
 	r.platform = options.Platform.Or(connect(r.settings))
-	r.platform.Objects = r.watchHealth(r.meter.ObjectAPI(r.platform.Objects))
+	r.platform.Objects = meter.Observe(r.meter.ObjectAPI(r.platform.Objects), r.noteObjects)
 	r.self = r.describe(options.Program)
 	if err := r.join(options); err != nil {
 		r.closeListeners()
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -14,6 +14,9 @@
 	flushBound = 5 * time.Second
 	// upkeepEvery is the time between two rounds of upkeep.
 	upkeepEvery = 250 * time.Millisecond
+	// expireEvery is the time between two looks for servers to forget; each makes
+	// a snapshot of all signs.
+	expireEvery = time.Minute
 )
 
 // upkeep carries what changes slowly between the parts.
@@ -44,7 +47,10 @@
 	r.claimer.SetRoster(nodes)
 	r.views.refresh(now, nodes)
 	r.views.takeOwnWords(now)
-	r.signs.Update(func(d *drainer.Drainer) { d.Expire(now) })
+	if now.Sub(r.expired) >= expireEvery {
+		r.expired = now
+		r.signs.Update(func(d *drainer.Drainer) { d.Expire(now) })
+	}
 	r.zone.Lease().SetContenders(zoneNodes(nodes, r.self.Zone))
 	r.site.Lease().SetContenders(zoneNodes(nodes, ""))
 	r.meter.InFlight(r.server.InFlight())
