Keep a group whose head left unannounced while it still gives events

Cause: a head that stops without having said so loses its entry and goes on with its calls. A group with a vanished member that is not its head was kept while it moved; the one without a head was not. Ruled out: the change of the configuration; the streams that were cut all belonged to this one group, and the log has the orders to leave before them. Change: only groups in which nothing moves are dissolved, whichever member vanished.

--- a/former/dissolution.go
+++ b/former/dissolution.go
@@ -18,12 +18,13 @@
 func (r *plan) followGroup(g *Group) {
 	head, ok := g.Head()
 	switch {
-	case !ok || r.abandoned.Has(g.ID) || head.Member.State == garnetworks.MemberBroken:
+	case r.abandoned.Has(g.ID) || ok && head.Member.State == garnetworks.MemberBroken:
 		r.dissolve(g)
 	case !g.Whole || r.hasDark(g):
-		// Failure: members are cut off from the store, or from this node, and the
-		// group serves on. Taking it for lost would cost its calls and the time of
-		// forming it anew. Where a member really is lost, nothing moves.
+		// Failure: members are cut off from the store or from this node, or the head
+		// stops without having said so, and the group serves on. Taking it for lost
+		// would cut its calls off and cost the time of forming it anew. Where a member
+		// really is lost, nothing moves.
 		if !r.Moving.Has(g.ID) {
 			r.dissolve(g)
 		}
--- a/former/planner_test.go
+++ b/former/planner_test.go
@@ -153,6 +153,28 @@
 	}
 }
 
+// Story: the head of a group stops without having said so: its entry is removed, and
+// it goes on answering the calls that it has. The other members were ordered to leave
+// at once, the head stood still, and its streams broke off in the middle.
+func TestHeadThatLeavesUnannouncedFinishesItsCalls(t *testing.T) {
+	w := newWorld(2, 11)
+	w.run(30 * time.Second)
+	head := w.member("large", 0)
+	w.moving = garnetworks.NewSet(head.Member.Group)
+	head.cut = true
+	w.left = 0
+	w.run(2 * time.Second)
+	if w.left != 0 {
+		t.Errorf("%d members were ordered to leave while the head gave events", w.left)
+	}
+	w.moving = nil
+	w.run(3 * time.Second)
+	check(t, w)
+	if got := w.serving(); got["large"] != 2 {
+		t.Errorf("serving %v after the head had ended", got)
+	}
+}
+
 // Story: an availability zone is cut off from the store, and its groups serve on.
 // When it is back, its engines still are in their groups; the holder of the lease
 // had taken the groups for gone and ordered the engines into others.
