Count retries in the span for which the site's bound is told

Cause: a group with some twenty streams of a node stands still, and the node may move six of them: its budget saved up 6.5 retries (a twelfth of 0.6 of the site's slack), whatever the seconds before had allowed. The rest broke off in the middle. Ruled out: a larger burst alone, which would add to the fraction in the same span and could exceed the bound. Change: retrier.Window counts calls and retries of the last span (rule R7). The bound is kept in every span, so nodes use 0.8 of it together in place of 0.6. A lower number of nodes counts only after five minutes, so that both sides of a partition don't divide the whole.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,9 +35,12 @@
 	// usualNodes is the number of nodes that share the site's retries at least: what
 	// other nodes don't use is not used by fewer nodes that each know of few.
 	usualNodes = 6
+	// nodesMemory is how long a number of nodes counts for sharing the site's retries
+	// after a lower one was heard; partitions last some minutes.
+	nodesMemory = 5 * time.Minute
 	// retryPart is the part of the site's bound on retries that nodes use
-	// together: their windows and the site's don't begin at the same time.
-	retryPart = 0.6
+	// together. A node that starts anew does not know what it used before.
+	retryPart = 0.8
 )
 
 // Options describe a gateway.
@@ -75,9 +78,11 @@
 	waiters   map[garnetworks.CallID]chan scheduler.Decision
 	heads     map[garnetworks.GroupID]head
 	progress  map[garnetworks.GroupID]time.Time
-	budgets   map[garnetworks.ServiceName]*retrier.Budget
-	// nodes is the number of nodes that share the site's retries, as last heard.
-	nodes int
+	retries   map[garnetworks.ServiceName]*retrier.Window
+	// nodes is the number of nodes that share the site's retries: the highest heard
+	// within nodesMemory, last at nodesSeen.
+	nodes     int
+	nodesSeen time.Time
 	// others is the last report on the other nodes.
 	others garnetworks.LoadReport
 }
@@ -94,7 +99,7 @@
 		waiters:   make(map[garnetworks.CallID]chan scheduler.Decision),
 		heads:     make(map[garnetworks.GroupID]head),
 		progress:  make(map[garnetworks.GroupID]time.Time),
-		budgets:   make(map[garnetworks.ServiceName]*retrier.Budget),
+		retries:   make(map[garnetworks.ServiceName]*retrier.Window),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -234,56 +239,71 @@
 func (g *Gateway) SetOthers(others garnetworks.LoadReport, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if nodes := others.Nodes + 1; known && nodes != g.nodes {
-		g.nodes = nodes
-		g.divideRetries()
+	if known {
+		g.countNodes(time.Now(), others.Nodes+1)
 	}
 	g.others = others
 	g.deliver(g.scheduler.SetOthers(time.Now(), others, known))
 }
 
-// budget returns the retries left for a service; g.mu is held.
-func (g *Gateway) budget(now time.Time, service garnetworks.ServiceName) *retrier.Budget {
-	b := g.budgets[service]
-	if b == nil {
-		b = retrier.NewBudget(g.retries(), now)
-		g.budgets[service] = b
-	}
-	return b
+// countNodes takes the number of nodes that share the site's retries; g.mu is held.
+//
+// Failure: an availability zone is cut off, and the nodes on each side divide the
+// site's retries among themselves; together they may use them twice. So a lower
+// number counts only once it has been the highest for nodesMemory.
+func (g *Gateway) countNodes(now time.Time, nodes int) {
+	if nodes < g.nodes && now.Sub(g.nodesSeen) < nodesMemory {
+		return
+	}
+	g.nodesSeen = now
+	if nodes != g.nodes {
+		g.nodes = nodes
+		g.divideRetries()
+	}
+}
+
+// window returns the count of a service's retries; g.mu is held.
+func (g *Gateway) window(now time.Time, service garnetworks.ServiceName) *retrier.Window {
+	w := g.retries[service]
+	if w == nil {
+		w = retrier.NewWindow(g.retryLimits(), now)
+		g.retries[service] = w
+	}
+	return w
 }
 
-// retries is this node's part of the site's bound; g.mu is held.
-func (g *Gateway) retries() retrier.BudgetLimits {
+// retryLimits is this node's part of the site's bound; g.mu is held.
+func (g *Gateway) retryLimits() retrier.WindowLimits {
 	bounds := g.bounds.Load()
-	slack := bounds.RetrySlack * retryPart / 2 / float64(max(g.nodes, usualNodes))
-	return retrier.BudgetLimits{
+	return retrier.WindowLimits{
+		Span:     bounds.RetryWindow,
 		Fraction: bounds.RetryRatio * retryPart,
-		Floor:    slack / bounds.RetryWindow.Seconds(),
-		Burst:    max(1, slack),
+		Slack:    bounds.RetrySlack * retryPart / float64(max(g.nodes, usualNodes)),
 	}
 }
 
-// divideRetries brings all budgets to the present number of nodes; g.mu is held.
+// divideRetries brings all services' limits to the present number of nodes; g.mu is
+// held.
 func (g *Gateway) divideRetries() {
-	limits := g.retries()
-	for _, b := range g.budgets {
-		b.SetLimits(limits)
+	limits := g.retryLimits()
+	for _, w := range g.retries {
+		w.SetLimits(limits)
 	}
 }
 
-// mayRetry takes a retry from the service's budget.
+// mayRetry takes a retry, if the service's calls of late allow it.
 func (g *Gateway) mayRetry(service garnetworks.ServiceName) bool {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(now, service).Take(now)
+	return g.window(now, service).Take(now)
 }
 
 func (g *Gateway) called(service garnetworks.ServiceName) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(now, service).Called(now)
+	g.window(now, service).Called(now)
 }
 
 // ServeHTTP serves one call.
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -33,16 +33,6 @@
 	return &Budget{limits: limits, balance: limits.Burst, at: now}
 }
 
-// SetLimits changes the limits. What is left stays, up to the new burst.
-//
-// Failure: the number of nodes that share a site's retries is told anew several
-// times a second. A budget that is made anew each time is full each time, and
-// bounds nothing.
-func (b *Budget) SetLimits(limits BudgetLimits) {
-	b.limits = limits
-	b.add(0)
-}
-
 // Called counts one call, not an attempt.
 func (b *Budget) Called(now time.Time) {
 	b.refill(now)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -21,6 +21,10 @@
 //	    call now (it is not ready, it leaves, the token is stale). A refusal for
 //	    load, or for no stated reason, is not free: the next server is probably
 //	    as busy. MaxAttempts bounds what is free all the same.
+//	R7  Where a site's bound is told for a span of time, the retries of a node in a
+//	    span that ends with one of them never exceed Fraction of its calls in that
+//	    span plus Slack; so the nodes together keep the bound, however the calls are
+//	    divided among them.
 package retrier
 
 import "github.com/garnetworks/garnetworks"
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -151,18 +151,3 @@
 		}
 	})
 }
-
-// Story: nodes come and go, and each time a node learns of it, it has a full budget
-// again: a failing service gets retries without end.
-func TestChangedLimitsRefillNothing(t *testing.T) {
-	now := time.Unix(0, 0)
-	b := NewBudget(BudgetLimits{Burst: 10}, now)
-	for b.Take(now) {
-	}
-	for nodes := range 100 {
-		b.SetLimits(BudgetLimits{Burst: float64(5 + nodes%7)})
-		if b.Take(now) {
-			t.Fatalf("a retry is left after %d changes", nodes)
-		}
-	}
-}
