End an attempt for its silence only when the call has a place elsewhere

Cause: a node ended a stream whose group gave no event for 0.55 s, and then looked for a retry and a place. Without them the answer broke off in the middle, though the group may go on, or says itself after its stall time that it has not begun the call. Calls to plain services that may be repeated were taken from a slow server after 0.45 of their time in the same way. Users got a broken answer for what was only slow. Ruled out: a longer time before the group counts as still; it only moves the moment. Change: the guard takes the retry and a free place first (scheduler.Elsewhere), and ends the attempt only then; without them it looks again each 0.1 s. The first attempt of a call to a plain service is ended only when it has a retry. Figures: TestStreamOfASilentGroupWaitsForAPlaceElsewhere and TestSlowServerKeepsACallThatHasNoRetry failed before (the answer broke off; 502).

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -26,6 +26,8 @@
 	// does that needs the memory for another call; 0 never does.
 	PreemptAfter int
 	Preempted    time.Duration
+	// Slow is how long a run of a plain service takes.
+	Slow time.Duration
 	// Unsigned leaves out the mark of a backend server.
 	Unsigned bool
 	// LoseAnswers is the number of next calls that run and are not answered.
@@ -249,6 +251,7 @@
 	case extra:
 		b.twice(w, id)
 	default:
+		b.hang.pause(r, f.Slow)
 		_, _ = io.WriteString(w, "answer of "+b.ID+" to "+id)
 	}
 }
--- a/faker/impersonator/hanger.go
+++ b/faker/impersonator/hanger.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // hanger holds calls that are never answered, until their clients leave or the
@@ -24,4 +25,16 @@
 	}
 }
 
+// pause holds a call for a while.
+func (h *hanger) pause(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-h.over:
+	case <-r.Context().Done():
+	}
+}
+
 func (h *hanger) end() { h.once.Do(func() { close(h.over) }) }
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -5,25 +5,46 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/scheduler"
 )
 
-// guard ends an attempt at a group that stands still.
+// moveAgain is the time between two looks for a place elsewhere while a group stands
+// still; places come free some ten times a second.
+const moveAgain = 100 * time.Millisecond
+
+// guard moves a call from a group that stands still to another one.
 //
 // Failure: a member of a group dies or is cut off. The head goes on accepting
 // calls and gives no more events until it breaks, seconds later; a client leaves
 // before. It shows as silence on all calls of the group at once: a group that
 // gives events to other calls is only slow with this one.
+//
+// Failure: a group stands still for a second and goes on, while no other group has a
+// place or the retries are used up. A call that is ended for the silence is lost
+// then, and would have been answered. So it is ended only when it has a place
+// elsewhere.
 type guard struct {
-	gateway *Gateway
-	group   garnetworks.GroupID
-	cancel  context.CancelCauseFunc
-	timer   *time.Timer
-	began   time.Time
-	limit   time.Duration
+	stream *stream
+	group  garnetworks.GroupID
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	began  time.Time
+	limit  time.Duration
+	// movable says that the route allows another attempt after this one, and work is
+	// what the call then asks the scheduler for.
+	movable bool
+	work    scheduler.Work
+	stopped bool
 }
 
+// guard begins to look after an attempt.
 func (s *stream) guard(group garnetworks.GroupID, cancel context.CancelCauseFunc) *guard {
-	g := &guard{gateway: s.Gateway, group: group, cancel: cancel, began: time.Now(), limit: stillFirst}
+	g := &guard{
+		stream: s, group: group, cancel: cancel, began: time.Now(), limit: stillFirst,
+		movable: s.route.Repeatable() && s.attempts+1 < s.route.Attempts,
+		work:    s.work(),
+	}
+	g.work.Resumed = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.timer = time.AfterFunc(quietTime, g.check)
@@ -33,40 +54,91 @@
 // event notes that the group gave an event.
 func (g *guard) event() {
 	now := time.Now()
-	g.gateway.mu.Lock()
-	defer g.gateway.mu.Unlock()
-	g.gateway.progress[g.group] = now
+	g.stream.mu.Lock()
+	defer g.stream.mu.Unlock()
+	g.stream.progress[g.group] = now
 	g.limit = stillTime
 	g.timer.Reset(quietTime)
 }
 
+// stop ends the guard; no place is taken after it.
 func (g *guard) stop() {
-	g.gateway.mu.Lock()
-	defer g.gateway.mu.Unlock()
+	g.stream.mu.Lock()
+	defer g.stream.mu.Unlock()
+	g.stopped = true
 	g.timer.Stop()
 }
 
 // check runs when this call has had no event for some time.
 func (g *guard) check() {
-	g.gateway.mu.Lock()
-	last := g.gateway.progress[g.group]
+	quiet, moved := g.judge(time.Now())
+	if quiet {
+		g.stream.options.Suspect(g.group)
+	}
+	if moved {
+		g.cancel(errStill)
+	}
+}
+
+// judge tells whether the group is quiet, and whether the call has a place elsewhere
+// for that; if not, it sets the timer anew.
+func (g *guard) judge(now time.Time) (quiet, moved bool) {
+	g.stream.mu.Lock()
+	defer g.stream.mu.Unlock()
+	if g.stopped {
+		return false, false
+	}
+	last := g.stream.progress[g.group]
 	if last.Before(g.began) {
 		last = g.began
 	}
-	quiet := time.Since(last)
-	left := g.limit - quiet
-	if quiet < quietTime {
-		left = quietTime - quiet
+	silence := now.Sub(last)
+	switch {
+	case silence < quietTime:
+		g.timer.Reset(quietTime - silence)
+		return false, false
+	case silence < g.limit:
+		g.timer.Reset(g.limit - silence)
+	case g.movable && g.stream.reserve(now, g.work):
+		return true, true
+	default:
+		g.timer.Reset(moveAgain)
+	}
+	return true, false
+}
+
+// reserve takes a place at another group and a retry, if there are both; the lock is
+// held.
+func (s *stream) reserve(now time.Time, work scheduler.Work) bool {
+	retries := s.window(now, s.service.Name)
+	if retries.Left(now) < 1 {
+		return false
 	}
-	if left > 0 {
-		g.timer.Reset(left)
+	group, ok := s.scheduler.Elsewhere(now, work)
+	if !ok {
+		return false
 	}
-	g.gateway.mu.Unlock()
-	if quiet < quietTime {
+	s.reserved = group
+	return retries.Take(now)
+}
+
+// takeReserved returns the place that was taken elsewhere, if there is one.
+func (s *stream) takeReserved() (scheduler.Decision, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	group := s.reserved
+	s.reserved = ""
+	return scheduler.Decision{Group: group}, group != ""
+}
+
+// giveBack gives a reserved place back that the call does not need, because its
+// group gave the end of the answer after all.
+func (s *stream) giveBack() {
+	d, ok := s.takeReserved()
+	if !ok {
 		return
 	}
-	g.gateway.options.Suspect(g.group)
-	if left <= 0 {
-		g.cancel(errStill)
-	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, false))
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -55,6 +55,7 @@
 // passOn passes a call to a plain service.
 func (x *exchange) passOn() {
 	history := retrier.History{Repeatability: x.repeatability(), MaxAttempts: x.route.Attempts}
+	repeatable := history.Repeatability == retrier.Repeatable
 	var tried []garnetworks.InstanceID
 	free := 0
 	for {
@@ -64,14 +65,14 @@
 			return
 		}
 		tried = append(tried, server.ID)
-		more := len(tried) < x.route.Attempts+free
-		answer, failure := x.attemptPlain(&server, history.Repeatability == retrier.Repeatable && more)
-		if failure == nil && (answer.Status < http.StatusInternalServerError || !more || history.Repeatability != retrier.Repeatable) {
+		more := repeatable && len(tried) < x.route.Attempts+free
+		answer, granted, failure := x.attemptPlain(&server, more)
+		if failure == nil && (answer.Status < http.StatusInternalServerError || !more) {
 			x.write(answer)
 			return
 		}
 		if failure == nil { // a failed run that may be repeated
-			if !x.mayRetry(x.service.Name) {
+			if !granted && !x.mayRetry(x.service.Name) {
 				x.write(answer)
 				return
 			}
@@ -83,7 +84,7 @@
 			continue
 		}
 		verdict := history.Failed(retrier.Failure{Phase: failure.Phase})
-		if x.ctx.Err() != nil || !verdict.Retry || !x.mayRetry(x.service.Name) {
+		if x.ctx.Err() != nil || !verdict.Retry || !granted && !x.mayRetry(x.service.Name) {
 			x.giveUp(history.MayHaveRun, garnetworks.KindBackendRefused, failure)
 			return
 		}
@@ -103,20 +104,33 @@
 	return x.picker.Pick(time.Now(), servers, tried)
 }
 
-// attemptPlain sends the call to one server and reads the whole answer.
-func (x *exchange) attemptPlain(server *garnetworks.RegisteredServer, bounded bool) (*whole, *garnetworks.AttemptError) {
+// errSlow says that an attempt was ended to leave time for another one.
+var errSlow = errors.New("the server takes too long")
+
+// attemptPlain sends the call to one server and reads the whole answer. If more
+// attempts are allowed, it ends a slow one once it has a retry, which it returns as
+// granted.
+//
+// Failure: servers are slow and the retries are used up. An attempt that is ended
+// all the same loses an answer that would have come in time.
+func (x *exchange) attemptPlain(server *garnetworks.RegisteredServer, more bool) (answer *whole, granted bool, failure *garnetworks.AttemptError) {
 	began := time.Now()
-	until := x.until
-	if bounded {
-		until = began.Add(time.Duration(float64(time.Until(x.until)) * firstAttemptPart))
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	if more {
+		part := time.Duration(float64(time.Until(x.until)) * firstAttemptPart)
+		slow := time.AfterFunc(part, func() {
+			if x.mayRetry(x.service.Name) {
+				cancel(errSlow)
+			}
+		})
+		defer slow.Stop()
 	}
-	ctx, cancel := context.WithDeadline(x.ctx, until)
-	defer cancel()
-	answer, err := x.options.Passer.Pass(ctx, server.Address, &garnetworks.PassedAttempt{
+	passed, err := x.options.Passer.Pass(ctx, server.Address, &garnetworks.PassedAttempt{
 		PassedCall: x.call, Instance: server.ID, Workspace: x.workspace, Until: x.until,
 		Once: !x.route.Repeatable(), ConnectTime: plainConnectTime,
 	})
-	result, failure := readWhole(answer, err)
+	answer, failure = readWhole(passed, err)
 	now := time.Now()
 	x.noteAttempt("", server.ID, began, failure)
 	x.mu.Lock()
@@ -126,7 +140,7 @@
 	if failure != nil && reachedNone(failure) {
 		x.picker.Unreachable(now, server.ID)
 	}
-	return result, failure
+	return answer, context.Cause(ctx) == errSlow, failure
 }
 
 // readWhole reads an answer's body and judges the answer.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,6 +51,9 @@
 	// attempts counts those that may have run, free those that surely did not.
 	attempts, free int
 	resuming       bool
+	// reserved is a place that was taken elsewhere for a call whose group stands
+	// still; the gateway's lock guards it.
+	reserved garnetworks.GroupID
 	// first is the time from the present attempt's start to its first event.
 	first time.Duration
 }
@@ -58,6 +61,7 @@
 // generate passes a call to a group, and on to another one if the first is lost.
 func (x *exchange) generate() {
 	s := &stream{exchange: x}
+	defer s.giveBack()
 	for {
 		asked := time.Now()
 		d, ok := s.place()
@@ -88,16 +92,26 @@
 	}
 }
 
-// place waits for a group. It returns false if the client left or time ran out.
-func (s *stream) place() (scheduler.Decision, bool) {
-	id := garnetworks.CallID(strconv.FormatUint(s.sequence.Add(1), 10))
-	work := scheduler.Work{
-		ID: id, Model: s.call.Model, Priority: s.priority, Arrived: s.call.Received,
+// work returns what the call asks the scheduler for.
+func (s *stream) work() scheduler.Work {
+	w := scheduler.Work{
+		ID:    garnetworks.CallID(strconv.FormatUint(s.sequence.Add(1), 10)),
+		Model: s.call.Model, Priority: s.priority, Arrived: s.call.Received,
 		Objective: s.route.Objective, Resumed: s.begun || s.resuming, Tried: s.tried,
 	}
-	if work.Resumed {
-		work.Arrived = time.Now()
+	if w.Resumed {
+		w.Arrived = time.Now()
+	}
+	return w
+}
+
+// place waits for a group. It returns false if the client left or time ran out.
+func (s *stream) place() (scheduler.Decision, bool) {
+	if d, ok := s.takeReserved(); ok {
+		return d, true
 	}
+	work := s.work()
+	id := work.ID
 	waiter := make(chan scheduler.Decision, 1)
 	s.mu.Lock()
 	d, decided := s.scheduler.Arrive(time.Now(), work)
@@ -193,7 +207,7 @@
 	s.mu.Unlock()
 	s.free++
 	err := errors.Errorf("%s refused with status %d because of %q", group, answer.Status, answer.Culprit)
-	return s.free <= maxFree && s.attempts < s.route.Attempts && s.mayRetry(s.service.Name), err
+	return s.free <= maxFree && s.attempts < s.route.Attempts && s.retry(), err
 }
 
 // failed takes the failure of an attempt before its answer.
@@ -228,7 +242,16 @@
 		return false, failure
 	}
 	s.resuming = true
-	return s.mayRetry(s.service.Name), failure
+	return s.retry(), failure
+}
+
+// retry reports whether the call has a retry: with the place that was taken for it,
+// or by the service's calls of late.
+func (s *stream) retry() bool {
+	s.mu.Lock()
+	reserved := s.reserved != ""
+	s.mu.Unlock()
+	return reserved || s.mayRetry(s.service.Name)
 }
 
 // error gives an engine's own error to the client, unless another group may try.
@@ -242,7 +265,7 @@
 	if s.begun {
 		return s.goOn(errors.Errorf("%s answered with status %d", group, answer.Status))
 	}
-	if answer.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.attempts < s.route.Attempts && s.mayRetry(s.service.Name) {
+	if answer.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.attempts < s.route.Attempts && s.retry() {
 		return true, errors.Errorf("%s answered with status %d", group, answer.Status)
 	}
 	s.write(result)
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
@@ -281,3 +282,57 @@
 		t.Errorf("got %+v", a)
 	}
 }
+
+// Story: a group stands still for a second, as when an engine on which it depends is
+// slow to take an order, and goes on. There is no other group. The node ended the
+// call after half a second of silence and broke the answer off in the middle.
+func TestStreamOfASilentGroupWaitsForAPlaceElsewhere(t *testing.T) {
+	s := open(t, 3)
+	s.serve(streamURL)
+	for _, e := range s.engines {
+		e.Faults(func(f *impersonator.BackendFaults) { f.PreemptAfter, f.Preempted = 2, time.Second })
+	}
+	if a := s.call(http.MethodPost, streamURL, nil); a.status != http.StatusOK || a.body != pieces(5) {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// Story: the same, with another group that has a place. The call goes on there
+// before its client has waited for the silent group's end.
+func TestStreamOfASilentGroupMoves(t *testing.T) {
+	s := open(t, 6)
+	s.serve(streamURL)
+	const silence = 2 * time.Second
+	first := s.head()
+	first.Faults(func(f *impersonator.BackendFaults) { f.PreemptAfter, f.Preempted = 2, silence })
+	s.eventually("a call is moved", func() bool {
+		a := s.call(http.MethodPost, streamURL, nil)
+		if a.status != http.StatusOK || a.body != pieces(5) {
+			t.Fatalf("got %+v", a)
+		}
+		for _, e := range s.engines {
+			for _, run := range e.Runs() {
+				if run.ResumeAfter == "2" {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// Story: the servers of a service are slow, and the site's retries are used up. A call
+// that may be repeated was taken from the first server before its time was over, got
+// no retry, and failed; the server would have answered it.
+func TestSlowServerKeepsACallThatHasNoRetry(t *testing.T) {
+	s := open(t, 3)
+	s.serve(safeURL)
+	s.node.Reload(garnetworks.SiteBounds{RevokeTime: 5 * time.Second, RetryWindow: 10 * time.Second})
+	for _, b := range s.services {
+		b.Faults(func(f *impersonator.BackendFaults) { f.Slow = 700 * time.Millisecond })
+	}
+	a := s.call(http.MethodGet, safeURL, func(r *http.Request) { r.Header.Set("Garnetworks-Deadline-Ms", "1400") })
+	if a.status != http.StatusOK {
+		t.Errorf("got %+v", a)
+	}
+}
--- a/launcher/site_test.go
+++ b/launcher/site_test.go
@@ -23,6 +23,7 @@
 type site struct {
 	t        *testing.T
 	store    *impersonator.Store
+	node     *launcher.Launcher
 	engines  []*impersonator.Backend
 	services []*impersonator.Backend
 	url      string
@@ -140,7 +141,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	s.stop, s.done = stop, done
+	s.node, s.stop, s.done = node, stop, done
 	go func() {
 		defer close(done)
 		if err := node.Run(ctx); err != nil {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -82,6 +82,19 @@
 	return best
 }
 
+// Elsewhere takes a place at another group for a call whose group stands still, if
+// one is free now (Q5). It does not wait: until there is a place, the call is better
+// off where it is, since a group that stands still may go on.
+func (s *Scheduler) Elsewhere(now time.Time, w Work) (garnetworks.GroupID, bool) {
+	p := s.pool(w.Model)
+	l := s.best(now, p, &w)
+	if l == nil {
+		return "", false
+	}
+	p.put(l)
+	return l.ID, true
+}
+
 // FirstEvent takes the time from a call's sending to its first event (Q2).
 func (s *Scheduler) FirstEvent(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took, objective time.Duration) {
 	p := s.pool(model)
