Let groups wait for no loads, and exchange groups between models

Cause: a domain that has lost one engine too many filled itself with small groups after loads of 12 s, or ordered a large group that waited 16 s for one load with eleven idle members. On the first grown site the large model fell from 6 groups to 3 within 22 s, while up to 70 of 140 engines served nobody. Change: hosts hold a second model besides the one in memory, all of them before the first call, where loads are quick. A group is formed only of instances that need no load (rule O7); free instances load what the domain lacks. A group is closed when its members complete one of another model, the site is worth more with it by the models' shares, and nobody has to load. A closed group whose members have left is not opened again.

--- /dev/null
+++ b/former/balance_test.go
@@ -0,0 +1,125 @@
+package former_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Story: two members of large groups are lost in one domain. The first one's place is
+// taken by the spare that was prepared for the large model; the second spare held the
+// small model only, and the group waited 16 s for its load.
+func TestSpareReplacesEitherModel(t *testing.T) {
+	w := newWorld(1, 11)
+	w.run(60 * time.Second)
+	for range 2 {
+		w.member("large", 1).dead = true
+		w.run(3 * time.Second)
+	}
+	check(t, w)
+	if got := w.serving(); got["large"] != 1 || got["small"] != 1 {
+		t.Errorf("serving %v three seconds after the second loss", got)
+	}
+}
+
+// grownWorld has domains with a large group, two small ones and three spares each.
+func grownWorld(domains int) *world {
+	w := newWorld(domains, 27)
+	w.profile.Models = []garnetworks.ModelProfile{
+		{Name: "large", Size: 12, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+	}
+	w.run(60 * time.Second)
+	return w
+}
+
+// Story: engines are lost for good, one after the other, until a domain has 23 of its
+// 27. Its large group lacked one member, and the eleven others became a small group
+// and five spares; the large model lost a group in each domain, and the small one,
+// which had enough, gained them.
+func TestLargeGroupIsCompletedByASmallOne(t *testing.T) {
+	w := grownWorld(2)
+	for range 4 {
+		w.memberOf("d0", "large", 1).dead = true
+		w.run(10 * time.Second)
+	}
+	w.run(10 * time.Second)
+	check(t, w)
+	if got := w.serving(); got["large"] != 2 || got["small"] != 3 {
+		t.Errorf("serving %v, want 2 large groups and 3 small ones", got)
+	}
+}
+
+// Story: a holder of the lease begins to exchange a group and is replaced. The closed
+// group must not stay closed.
+func TestExchangeOutlivesItsHolder(t *testing.T) {
+	w := grownWorld(2)
+	for range 4 {
+		w.memberOf("d0", "large", 1).dead = true
+		w.run(5 * time.Second)
+	}
+	for range 20 {
+		w.run(300 * time.Millisecond)
+		w.term++
+		w.tell()
+	}
+	w.run(60 * time.Second)
+	check(t, w)
+	if got := w.serving(); got["large"] != 2 || got["small"] != 3 {
+		t.Errorf("serving %v, want 2 large groups and 3 small ones", got)
+	}
+}
+
+// Story: a group is closed for the sake of another model, and its members leave it.
+// Their entries tell that some hundred milliseconds later. The holder of the lease took
+// the group for one that an earlier holder had left unopened, and ordered its old head
+// to open and to join the other group by turns, 200 times.
+func TestExchangedGroupIsNotOpenedAgain(t *testing.T) {
+	w := grownWorld(2)
+	for range 4 {
+		w.memberOf("d0", "large", 1).dead = true
+		for i := range 100 {
+			if i%5 == 0 {
+				w.tell()
+			}
+			w.step(100 * time.Millisecond)
+		}
+	}
+	w.run(10 * time.Second)
+	check(t, w)
+	if got := w.serving(); got["large"] != 2 {
+		t.Errorf("serving %v, want 2 large groups", got)
+	}
+	if w.unfit > 0 {
+		t.Errorf("%d orders to open did not fit", w.unfit)
+	}
+}
+
+// Story: a large group needs one more instance, and the only free one is new and has
+// no weights. The eleven others were ordered into a group with it and waited for its
+// load of 16 s, while a small group of the domain lost a member that any of them could
+// have replaced.
+func TestNobodyWaitsForALoad(t *testing.T) {
+	w := grownWorld(1)
+	for range 3 {
+		w.memberOf("d0", "large", 1).dead = true
+		w.run(5 * time.Second)
+	}
+	w.memberOf("d0", "large", 1).dead = true
+	w.add("i-new", "d0")
+	w.run(3 * time.Second)
+	w.memberOf("d0", "small", 1).dead = true
+	w.run(4 * time.Second)
+	check(t, w)
+	if got := w.serving(); got["small"] < 1 {
+		t.Errorf("serving %v four seconds after the loss", got)
+	}
+	if w.waits > 0 {
+		t.Errorf("%d joins waited for a load", w.waits)
+	}
+	w.run(30 * time.Second)
+	if got := w.serving(); got["large"] != 1 || got["small"] != 1 {
+		t.Errorf("serving %v in the end", got)
+	}
+}
--- a/former/dissolution.go
+++ b/former/dissolution.go
@@ -28,8 +28,10 @@
 		if !r.Moving.Has(g.ID) {
 			r.dissolve(g)
 		}
-	case g.Leaving:
-		r.closeLeaving(g, head)
+	case g.Leaving || r.exchanging(g.ID):
+		r.closeGroup(g, head)
+	case !r.together(g):
+		r.dissolve(g)
 	case g.AllIn(garnetworks.MemberReady): // rule O1: an earlier holder left it so.
 		r.send(garnetworks.GroupOrder{Kind: garnetworks.GroupOpen, Instance: head.ID, Address: head.Address, Group: g.ID, Epoch: g.Epoch})
 	case head.Member.State == garnetworks.MemberJoining || head.Member.State == garnetworks.MemberReady:
@@ -37,6 +39,12 @@
 	}
 }
 
+// together reports whether no member has left the group by its own word. Its entry
+// tells that later.
+func (r *plan) together(g *Group) bool {
+	return !slices.ContainsFunc(g.Members, func(s garnetworks.RegisteredServer) bool { return r.membership(&s).Group != g.ID })
+}
+
 func (r *plan) hasDark(g *Group) bool {
 	return slices.ContainsFunc(g.Members, func(s garnetworks.RegisteredServer) bool { return r.Dark.Has(s.ID) })
 }
@@ -81,11 +89,11 @@
 	return in
 }
 
-// closeLeaving lets a group finish its calls before a member stops (rule O6).
-func (r *plan) closeLeaving(g *Group, head garnetworks.RegisteredServer) {
+// closeGroup lets a group finish its calls before it is dissolved (rule O6).
+func (r *plan) closeGroup(g *Group, head garnetworks.RegisteredServer) {
 	switch head.Member.State {
 	case garnetworks.MemberOpen:
-		r.send(garnetworks.GroupOrder{Kind: garnetworks.GroupClose, Instance: head.ID, Address: head.Address, Group: g.ID, Epoch: g.Epoch})
+		r.close(head)
 	case garnetworks.MemberClosing:
 	default:
 		r.dissolve(g)
--- a/former/doc.go
+++ b/former/doc.go
@@ -17,4 +17,7 @@
 //	    those that complete a group go before those that prepare spares.
 //	O6  A group of which a member is leaving finishes its calls before it is
 //	    dissolved.
+//	O7  Once calls come, no instance waits in a group for another one's load. What a
+//	    group lacks is loaded by instances that are free meanwhile, and the group is
+//	    formed when all its members hold the model.
 package former
--- a/former/formation.go
+++ b/former/formation.go
@@ -157,6 +157,7 @@
 			delete(free, domain)
 		}
 	}
+	r.exchangeGroups(free, counts)
 	for {
 		domain, model := r.next(free, counts)
 		if model == nil {
@@ -208,6 +209,16 @@
 // of its members need no load, and among those in the one that it fills best, so
 // that whole gaps are left to larger models.
 func (r *plan) next(free map[garnetworks.DomainID][]garnetworks.RegisteredServer, counts map[garnetworks.ModelName]int) (garnetworks.DomainID, *garnetworks.ModelProfile) {
+	for _, m := range r.byNeed(counts) {
+		if domain, ok := r.bestDomain(free, m); ok {
+			return domain, m
+		}
+	}
+	return "", nil
+}
+
+// byNeed returns the models, those first whose next group would carry most work.
+func (r *plan) byNeed(counts map[garnetworks.ModelName]int) []*garnetworks.ModelProfile {
 	models := make([]*garnetworks.ModelProfile, 0, len(r.Profile.Models))
 	for i := range r.Profile.Models {
 		if r.Profile.Models[i].Size > 0 {
@@ -217,12 +228,7 @@
 	slices.SortStableFunc(models, func(a, b *garnetworks.ModelProfile) int {
 		return cmp.Compare(shareForNext(b, counts[b.Name]), shareForNext(a, counts[a.Name]))
 	})
-	for _, m := range models {
-		if domain, ok := r.bestDomain(free, m); ok {
-			return domain, m
-		}
-	}
-	return "", nil
+	return models
 }
 
 // shareForNext is the share of the work that one more group would carry, for
@@ -240,8 +246,11 @@
 			continue
 		}
 		loads := r.loadsOf(r.pick(servers, m), m)
-		if loads > r.loads {
-			continue // rule O5
+		if loads > r.loads || loads > 0 && !r.Unhurried {
+			continue // rules O5 and O7
+		}
+		if e := r.exchanges[domain]; e != nil && e.model != m.Name {
+			continue // a group is closed so that this one is complete
 		}
 		if !found || loads < bestLoads || loads == bestLoads && len(servers) < bestFree {
 			best, found, bestLoads, bestFree = domain, true, loads, len(servers)
@@ -295,6 +304,7 @@
 		}
 	}
 	r.formations[f.id] = f
+	delete(r.exchanges, members[0].Domain)
 	for i := range members {
 		r.send(r.joinOrder(f, members[i]))
 	}
--- a/former/former.go
+++ b/former/former.go
@@ -304,7 +304,7 @@
 	}
 	orders := p.Plan(now, Input{
 		Servers: servers, Service: service, Profile: profile, Dark: f.dark,
-		Term: term, Loads: loads, Moving: f.moving(),
+		Term: term, Loads: loads, Unhurried: first, Moving: f.moving(),
 	})
 	for _, o := range orders {
 		if !first {
--- a/former/planner.go
+++ b/former/planner.go
@@ -51,6 +51,8 @@
 	Moving garnetworks.Set[garnetworks.GroupID]
 	// Loads is the number of loads from the weight store that may begin now.
 	Loads int
+	// Unhurried says that no call has come yet, so that loads hold nothing up.
+	Unhurried bool
 }
 
 // formation is a group that was ordered and has not opened yet.
@@ -103,10 +105,20 @@
 	// domainOf holds the domains of the listed and the vanished servers.
 	domainOf map[garnetworks.InstanceID]garnetworks.DomainID
 	dark     garnetworks.Set[garnetworks.InstanceID]
+	// stages holds the last order to load a model onto each instance's host.
+	stages map[garnetworks.InstanceID]stagedLoad
+	// exchanges holds what each domain gives up a group for.
+	exchanges map[garnetworks.DomainID]*exchange
 	// unsure holds the domains whose groups are not dissolved before a time.
 	unsure map[garnetworks.DomainID]time.Time
 }
 
+// stagedLoad is an order to load a model onto a host.
+type stagedLoad struct {
+	model garnetworks.ModelName
+	at    time.Time
+}
+
 // NewPlanner returns a planner that has ordered nothing.
 func NewPlanner() *Planner {
 	return &Planner{
@@ -117,6 +129,8 @@
 		shun:       make(map[garnetworks.InstanceID]time.Time),
 		prepared:   make(map[garnetworks.InstanceID]garnetworks.ModelName),
 		abandoned:  make(garnetworks.Set[garnetworks.GroupID]),
+		stages:     make(map[garnetworks.InstanceID]stagedLoad),
+		exchanges:  make(map[garnetworks.DomainID]*exchange),
 		gone:       make(map[garnetworks.InstanceID]time.Time),
 		domainOf:   make(map[garnetworks.InstanceID]garnetworks.DomainID),
 		unsure:     make(map[garnetworks.DomainID]time.Time),
@@ -142,6 +156,8 @@
 		clear(p.sent)
 		clear(p.left)
 		clear(p.joined)
+		clear(p.stages)
+		clear(p.exchanges)
 	}
 	r := &plan{Planner: p, Input: in, now: now, loads: in.Loads}
 	r.notePartitions()
@@ -150,8 +166,10 @@
 	r.followGroups()
 	r.releaseGivenUp()
 	r.formGroups()
+	r.stageLacking()
 	r.stageSpares()
 	r.prepareSpares()
+	r.stageSecond()
 	r.forget()
 	return r.orders
 }
@@ -209,6 +227,11 @@
 			delete(r.sent, id)
 		}
 	}
+	for id := range r.stages {
+		if _, ok := r.Servers[id]; !ok {
+			delete(r.stages, id)
+		}
+	}
 	for id := range r.prepared {
 		if _, ok := r.Servers[id]; !ok {
 			delete(r.prepared, id)
--- a/former/spares.go
+++ b/former/spares.go
@@ -7,6 +7,54 @@
 	"github.com/garnetworks/garnetworks"
 )
 
+// stageLacking loads models onto the hosts of free instances that would be a group if
+// each of them held the model (rule O7).
+//
+// Failure: a group was ordered with members that had to load its model. Its other
+// members waited for 16 s, as free instances of no use to the groups of their domain
+// that lost a member meanwhile: up to 70 of 140 engines served nobody.
+func (r *plan) stageLacking() {
+	free := r.free()
+	counts := r.counts()
+	for _, domain := range sortedKeys(free) {
+		for _, m := range r.byNeed(counts) {
+			r.stageGroup(free[domain], m)
+		}
+	}
+}
+
+// stageGroup loads what free instances lack for one group of the model.
+func (r *plan) stageGroup(free []garnetworks.RegisteredServer, m *garnetworks.ModelProfile) {
+	if len(free) < m.Size {
+		return
+	}
+	ready := 0
+	var others []garnetworks.RegisteredServer
+	for i := range free {
+		s := &free[i]
+		switch {
+		case readiness(s, m) <= 1 || r.staging(s) == m.Name:
+			ready++
+		case r.staging(s) == "":
+			others = append(others, *s)
+		}
+	}
+	lacking := m.Size - ready
+	if lacking > len(others) {
+		return
+	}
+	// Empty hosts first, then those that hold nothing else than the memory does.
+	slices.SortFunc(others, func(a, b garnetworks.RegisteredServer) int {
+		return cmp.Or(cmp.Compare(len(a.Staged), len(b.Staged)), compareBool(holdsTwice(&b), holdsTwice(&a)), cmp.Compare(a.ID, b.ID))
+	})
+	for i := range max(0, lacking) {
+		if r.loads <= 0 {
+			return // rule O5
+		}
+		r.stage(&others[i], m)
+	}
+}
+
 // stageSpares loads a model onto the hosts of free instances, so that they can
 // join in the time of a warm start.
 func (r *plan) stageSpares() {
@@ -20,15 +68,12 @@
 	held := make(map[garnetworks.ModelName]int)
 	var empty []garnetworks.RegisteredServer
 	for _, s := range spares {
-		if len(s.Staged) > 0 {
-			held[s.Staged[len(s.Staged)-1]]++
-			continue
-		}
-		if last := r.sent[s.ID]; last != nil && last.order.Kind == garnetworks.GroupStage && r.now.Sub(last.at) < r.joinTime(last.order.Model)+joinMargin {
-			held[last.order.Model]++
-			continue
+		switch first := r.firstModel(&s); first {
+		case "":
+			empty = append(empty, s)
+		default:
+			held[first]++
 		}
-		empty = append(empty, s)
 	}
 	slices.SortFunc(empty, func(a, b garnetworks.RegisteredServer) int { return cmp.Compare(a.ID, b.ID) })
 	for _, s := range empty {
@@ -40,9 +85,17 @@
 			return
 		}
 		held[m.Name]++
-		r.loads--
-		r.send(garnetworks.GroupOrder{Kind: garnetworks.GroupStage, Instance: s.ID, Address: s.Address, Model: m.Name})
+		r.stage(&s, m)
+	}
+}
+
+// firstModel returns the model that a spare is for: the one in its memory, or that on
+// its host, or that which is being loaded.
+func (r *plan) firstModel(s *garnetworks.RegisteredServer) garnetworks.ModelName {
+	if len(s.Staged) > 0 {
+		return cmp.Or(s.Model, s.Staged[len(s.Staged)-1])
 	}
+	return cmp.Or(s.Model, r.staging(s))
 }
 
 // spareModel returns the model that the next spare of a domain is for: the one with
@@ -86,7 +139,7 @@
 		return
 	}
 	m := r.profile(s.Staged[len(s.Staged)-1])
-	if m == nil || s.Model == m.Name || r.prepared[s.ID] == m.Name {
+	if m == nil || s.Model != "" || r.prepared[s.ID] == m.Name {
 		return
 	}
 	r.sequence++
@@ -98,3 +151,14 @@
 	r.formations[f.id] = f
 	r.send(r.joinOrder(f, *s))
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
