Move calls that a group never begins, and give failing groups few calls

Ruled out: groups that stand still (the guard finds those); full engines (they refuse). Change: a call that has had no event for a second, or for four usual times to a first event, counts against its group and takes a place elsewhere, if there is one and a retry. A group of which more than a quarter of the last calls failed gets two calls at a time from each node (rule Q8). An engine's own errors count the same.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -30,6 +30,9 @@
 	timer  *time.Timer
 	began  time.Time
 	limit  time.Duration
+	// begun says that the call has had an event here, late that it has had none for
+	// the scheduler's BeginTime.
+	begun, late bool
 	// movable says that the route allows another attempt after this one, and work is
 	// what the call then asks the scheduler for.
 	movable bool
@@ -57,7 +60,7 @@
 	g.stream.mu.Lock()
 	defer g.stream.mu.Unlock()
 	g.stream.progress[g.group] = now
-	g.limit = stillTime
+	g.limit, g.begun = stillTime, true
 	g.timer.Reset(quietTime)
 }
 
@@ -93,6 +96,9 @@
 		last = g.began
 	}
 	silence := now.Sub(last)
+	if g.neverBegins(now) && g.movable && g.stream.reserve(now, g.work) {
+		return silence >= quietTime, true
+	}
 	switch {
 	case silence < quietTime:
 		g.timer.Reset(quietTime - silence)
@@ -107,6 +113,23 @@
 	return true, false
 }
 
+// neverBegins tells that the group has not begun the call for so long that it counts
+// as failed; the lock is held.
+//
+// Failure: an engine answers a part of its calls and never begins the others, while
+// its health is good and its group gives events. It shows as calls without a first
+// event; their clients left after two seconds, and new calls went there all the same.
+func (g *guard) neverBegins(now time.Time) bool {
+	if g.begun || now.Sub(g.began) < g.stream.scheduler.BeginTime(g.stream.call.Model) {
+		return false
+	}
+	if !g.late {
+		g.late = true
+		g.stream.scheduler.Failed(g.stream.call.Model, g.group)
+	}
+	return true
+}
+
 // reserve takes a place at another group and a retry, if there are both; the lock is
 // held.
 func (s *stream) reserve(now time.Time, work scheduler.Work) bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -265,6 +265,7 @@
 	if s.begun {
 		return s.goOn(errors.Errorf("%s answered with status %d", group, answer.Status))
 	}
+	s.failedThere(group, answer.Status)
 	if answer.Status >= http.StatusInternalServerError && s.route.Repeatable() && s.attempts < s.route.Attempts && s.retry() {
 		return true, errors.Errorf("%s answered with status %d", group, answer.Status)
 	}
@@ -272,6 +273,16 @@
 	return false, nil
 }
 
+// failedThere counts an engine's own failure against its group.
+func (s *stream) failedThere(group garnetworks.GroupID, status int) {
+	if status < http.StatusInternalServerError {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Failed(s.call.Model, group)
+}
+
 // relay gives the events on as they come.
 func (s *stream) relay(group garnetworks.GroupID, answer *garnetworks.PassedAnswer, began time.Time, guard *guard, cause func() error) (bool, error) {
 	buffer := make([]byte, readBytes)
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -30,4 +30,8 @@
 //	    the fewest calls, all would send theirs to it until the next news, and its
 //	    calls would wait for each other's prompts. So each call takes the better one
 //	    of a few groups drawn at random.
+//	Q8  A group that fails or never begins a part of its calls and answers the
+//	    others: its engine's health is good, and it gives events all the time. Each
+//	    such call counts against it, and while too many of its last ones did, a node
+//	    has few calls there at once, which show when it is well again.
 package scheduler
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -53,6 +53,9 @@
 		if p.expected(l)+1 > room || l.probing && l.inflight > 0 { // Q3
 			continue
 		}
+		if l.failing > failingPart && l.inflight >= failingCalls { // Q8
+			continue
+		}
 		free = append(free, l)
 	}
 	return s.choose(p, free)
@@ -105,6 +108,7 @@
 	}
 	l.probing = false
 	l.reading--
+	l.failing -= failureWeight * l.failing
 	if float64(took) > float64(objective)*TargetPart {
 		l.shrink(now, s.least(l))
 		return
@@ -137,6 +141,19 @@
 	}
 }
 
+// Failed takes a call that the group failed, or did not begin within BeginTime, though
+// it may answer others (Q8).
+func (s *Scheduler) Failed(model garnetworks.ModelName, group garnetworks.GroupID) {
+	if l := s.pool(model).places[group]; l != nil {
+		l.failing += failureWeight * (1 - l.failing)
+	}
+}
+
+// BeginTime returns how long a call may have no event before it counts as failed.
+func (s *Scheduler) BeginTime(model garnetworks.ModelName) time.Duration {
+	return max(beginLeast, beginFactor*s.pool(model).firstTime)
+}
+
 // Still takes a sign that a group stands still, refuses or can't be reached (Q3).
 func (s *Scheduler) Still(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) {
 	if l := s.pool(model).places[group]; l != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,19 @@
 	mirrored = 0.5
 	// drawn is the number of groups that a call is chosen from (Q7).
 	drawn = 2
+	// failureWeight is the weight of one call in the part of a group's calls that
+	// fail, so that two failures in a row, or a third of all calls, pass failingPart.
+	failureWeight = 0.15
+	// failingPart is the part of failing calls from which a group gets failingCalls at
+	// a time (Q8). Answers that get lost on their way, or break off, are a few in a
+	// hundred; of a failing engine's calls a third or more fail.
+	failingPart  = 0.25
+	failingCalls = 2
+	// beginFactor times the usual time to a first event, and beginLeast at least, is
+	// the time after which a call that has had no event counts as failed. Clients
+	// leave after two seconds without one.
+	beginFactor = 4
+	beginLeast  = time.Second
 	// queuedPart is the part of a group's slots that may be sent beyond them. News
 	// are a few calls old; with a few calls in the engine's queue no place of its
 	// batch stays empty for them.
@@ -127,8 +140,10 @@
 	// that it has not answered since.
 	restUntil time.Time
 	probing   bool
-	shrunk    time.Time
-	gone      bool
+	// failing is the part of the last calls there that failed or did not begin (Q8).
+	failing float64
+	shrunk  time.Time
+	gone    bool
 }
 
 // pool is a model's groups and the calls that wait for them.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -216,3 +217,46 @@
 		}
 	})
 }
+
+// Story: the engine of one of two groups fails a third of its calls and answers the
+// others in time. It kept half of all calls, and a sixth of them was lost. With few
+// calls at a time it gets some of them, and all of its part again once it is well.
+func TestFailingGroupGetsFewCalls(t *testing.T) {
+	s := scheduler.New("z", rand.New(rand.NewPCG(1, 1)).Float64)
+	s.SetGroups(start, groups(30, "grey", "well"))
+	now := start
+	// round places calls, ten at a time, and returns how many went to the grey group.
+	round := func(fails func(int) bool) int {
+		grey := 0
+		for range 60 {
+			var placed []garnetworks.GroupID
+			for range 10 {
+				if d, ok := s.Arrive(now, work("a")); ok && d.Group != "" {
+					placed = append(placed, d.Group)
+				}
+			}
+			now = now.Add(200 * time.Millisecond)
+			for _, g := range placed {
+				if g != "grey" {
+					s.FirstEvent(now, "m", g, 200*time.Millisecond, time.Second)
+					s.Finished(now, "m", g, true)
+					continue
+				}
+				grey++
+				if fails(grey) {
+					s.Failed("m", g)
+					s.Finished(now, "m", g, false)
+					continue
+				}
+				s.FirstEvent(now, "m", g, 200*time.Millisecond, time.Second)
+				s.Finished(now, "m", g, true)
+			}
+		}
+		return grey
+	}
+	failing := round(func(n int) bool { return n%3 == 0 })
+	well := round(func(int) bool { return false })
+	if failing > well/2 || failing == 0 {
+		t.Errorf("of 600 calls, %d went to the group while it failed, and %d when it was well", failing, well)
+	}
+}
