Catch SIGHUP until the process ends

The platform sent it SIGHUP in its grace period. The follower of the settings stopped catching the signal once the node was told to stop, so the signal ended the process. Ruled out: a panic (no such line), the grace period (8 s), the calls' groups. Change: the signal is caught from the program's first step to its end.

--- a/cmd/garnetd/platform.go
+++ b/cmd/garnetd/platform.go
@@ -19,6 +19,7 @@
 
 // servePlatform runs the node on the users' platform.
 func servePlatform(f flags, stdout, stderr io.Writer) int {
+	hangups := catchHangups()
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		_, _ = fmt.Fprintf(stderr, "settings: the environment variable %s names no file\n", platform.SettingsVariable)
@@ -57,7 +58,7 @@
 	}
 	stop, _, release := signals()
 	defer release()
-	settings := newSettingsFollower(path, logger, func(site garnetworks.SiteNode) { node.Reload(site.Bounds) })
+	settings := newSettingsFollower(path, hangups, logger, func(site garnetworks.SiteNode) { node.Reload(site.Bounds) })
 	go settings.run(stop)
 	if err := node.Run(stop); err != nil {
 		logger.Error("node failed", "error", err)
--- a/cmd/garnetd/reload.go
+++ b/cmd/garnetd/reload.go
@@ -21,7 +21,8 @@
 // settingsFollower applies the settings file whenever it has changed.
 //
 // Failure: the platform sends SIGHUP when the file has changed. A process that does
-// not catch the signal is ended by it, with all calls in flight.
+// not catch the signal is ended by it, with all calls in flight. That holds for a node
+// that is stopping as well, so the signal is caught until the process ends.
 type settingsFollower struct {
 	path   string
 	last   []byte
@@ -30,14 +31,20 @@
 	signal chan os.Signal
 }
 
-// newSettingsFollower catches SIGHUP from now on.
-func newSettingsFollower(path string, logger hclog.Logger, apply func(garnetworks.SiteNode)) *settingsFollower {
-	f := &settingsFollower{path: path, logger: logger, apply: apply, signal: make(chan os.Signal, 1)}
+// catchHangups catches SIGHUP from now on.
+func catchHangups() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// newSettingsFollower reads the file once, and again at each of the hangups.
+func newSettingsFollower(path string, hangups chan os.Signal, logger hclog.Logger, apply func(garnetworks.SiteNode)) *settingsFollower {
+	f := &settingsFollower{path: path, logger: logger, apply: apply, signal: hangups}
 	var err error
 	if f.last, err = os.ReadFile(path); err != nil {
 		logger.Error("settings-refused", "error", err.Error())
 	}
-	signal.Notify(f.signal, syscall.SIGHUP)
 	return f
 }
 
@@ -45,7 +52,6 @@
 func (f *settingsFollower) run(ctx context.Context) {
 	ticker := time.NewTicker(readSettingsEvery)
 	defer ticker.Stop()
-	defer signal.Stop(f.signal)
 	for {
 		select {
 		case <-ctx.Done():
--- a/cmd/garnetd/reload_test.go
+++ b/cmd/garnetd/reload_test.go
@@ -27,7 +27,7 @@
 	}
 	write(settingsText + "5000}\n")
 	applied := make(chan garnetworks.SiteNode, 1)
-	f := newSettingsFollower(path, hclog.NewNullLogger(), func(site garnetworks.SiteNode) { applied <- site })
+	f := newSettingsFollower(path, catchHangups(), hclog.NewNullLogger(), func(site garnetworks.SiteNode) { applied <- site })
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); f.run(ctx) }()
@@ -46,7 +46,7 @@
 // was in force stays.
 func TestBadSettingsChangeNothing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "boot.yaml")
-	f := newSettingsFollower(path, hclog.NewNullLogger(), func(garnetworks.SiteNode) { t.Error("applied") })
+	f := newSettingsFollower(path, catchHangups(), hclog.NewNullLogger(), func(garnetworks.SiteNode) { t.Error("applied") })
 	defer f.run(stopped())
 	f.read(true)
 	if err := os.WriteFile(path, []byte("node: ["), 0o600); err != nil {
@@ -61,3 +61,24 @@
 	stop()
 	return ctx
 }
+
+// Story: a node is stopped as planned and finishes its calls. Meanwhile the platform
+// tells all nodes by SIGHUP that their settings have changed. The node no longer caught
+// the signal and was ended by it, half a second into its grace period.
+func TestHangupDoesNotEndAStoppingNode(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.yaml")
+	if err := os.WriteFile(path, []byte(settingsText+"1000}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f := newSettingsFollower(path, catchHangups(), hclog.NewNullLogger(), func(garnetworks.SiteNode) {})
+	stopping, stop := context.WithCancel(t.Context())
+	stop()
+	f.run(stopping)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	// The signal is delivered before this one returns, or ends the test.
+	for len(f.signal) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
