Tell clients that left from engines that timed out

An engineer would look at the engines. Handlers that panic were logged below the level that is written. Change: a call whose client left ends as cancelled, with an unknown outcome. The HTTP servers' own log is written as warnings.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -118,6 +118,9 @@
 	return b.running
 }
 
+// Holding returns the number of calls that hang.
+func (b *Backend) Holding() int { return int(b.hang.held.Load()) }
+
 // Orders returns the orders that were taken, such as "join m.1".
 func (b *Backend) Orders() []string {
 	b.mu.Lock()
--- a/faker/impersonator/hanger.go
+++ b/faker/impersonator/hanger.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,11 +13,15 @@
 type hanger struct {
 	once sync.Once
 	over chan struct{}
+	// held is the number of calls that are being held.
+	held atomic.Int64
 }
 
 func newHanger() *hanger { return &hanger{over: make(chan struct{})} }
 
 func (h *hanger) wait(r *http.Request) {
+	h.held.Add(1)
+	defer h.held.Add(-1)
 	// A server sees that its client left only once the body has been read.
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -111,7 +111,7 @@
 // outcomeOf is what an answer of the node's own says of the call.
 func outcomeOf(status int) garnetworks.Outcome {
 	switch status {
-	case http.StatusBadGateway, http.StatusGatewayTimeout, 0:
+	case http.StatusBadGateway, http.StatusGatewayTimeout, garnetworks.KindAnswer(garnetworks.KindCancelled).Status, 0:
 		return garnetworks.OutcomeUnknown
 	}
 	return garnetworks.OutcomeNotRun
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -208,12 +208,22 @@
 	return h
 }
 
+// endOf returns the error kind of a call whose context has ended: the client has left,
+// or the time is over. Logs that take the one for the other send engineers to servers
+// that did nothing wrong.
+func endOf(err error) garnetworks.Kind {
+	if errors.Is(err, context.Canceled) {
+		return garnetworks.KindCancelled
+	}
+	return garnetworks.KindBackendTimeout
+}
+
 // giveUp answers a call that got no answer from a server (rules W2 and W6).
 func (x *exchange) giveUp(mayHaveRun bool, kind garnetworks.Kind, cause error) {
 	if mayHaveRun {
 		kind = garnetworks.KindBackendLost
-		if x.ctx.Err() != nil {
-			kind = garnetworks.KindBackendTimeout
+		if err := x.ctx.Err(); err != nil {
+			kind = endOf(err)
 		}
 	}
 	x.refuse(x.w, x, garnetworks.WrapError(kind, cause, "the call got no answer"))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -222,7 +222,8 @@
 func (l *Launcher) server(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTime, MaxHeaderBytes: headerBytes,
-		ErrorLog: l.options.Logger.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		// A handler that panics shows as a closed connection and in this log only.
+		ErrorLog: l.options.Logger.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
 }
 
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -218,6 +218,29 @@
 	s.eventually("the call runs", func() bool { return head.Running() > 0 || len(head.Runs()) > before && head.Running() > 0 })
 	leave()
 	s.eventually("the engine has stopped", func() bool { return head.Running() == 0 })
+	s.eventually("the log tells that the client left", func() bool { return strings.Contains(s.logs.String(), `"kind":"cancelled"`) })
+}
+
+// Story: a client leaves before the first event. The log told that the engine had
+// timed out, and engineers looked for what was wrong with the engine.
+func TestClientThatLeavesEarlyIsToldFromATimeout(t *testing.T) {
+	s := open(t, 3)
+	s.serve(streamURL)
+	head := s.head()
+	for _, e := range s.engines {
+		e.Faults(func(f *impersonator.BackendFaults) { f.Still = true })
+	}
+	before := len(head.Runs())
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		s.call(http.MethodPost, streamURL, func(r *http.Request) { *r = *r.WithContext(ctx) })
+	}()
+	s.eventually("the call is with the engine", func() bool { return head.Holding() > 0 })
+	leave()
+	s.eventually("the log tells that the client left", func() bool { return strings.Contains(s.logs.String(), `"kind":"cancelled"`) })
+	if strings.Contains(s.logs.String(), "backend-timeout") || len(head.Runs()) != before {
+		t.Error("the log tells of a timeout")
+	}
 }
 
 // Story: a node is stopped as planned while calls are in flight. They get their
