Replay losses of engines in the lab, with a naive rebuild as baseline, and draw plots

Cause: the time that a lost group is away was compared with a derived figure, and the lab printed tables only.

--- a/cmd/garnetlab/main.go
+++ b/cmd/garnetlab/main.go
@@ -20,12 +20,18 @@
 	Policy  []string `short:"o" help:"Policies to compare; all if none is named."`
 	Seed    uint64   `short:"s" help:"Seed of the arrivals." default:"1"`
 	Kinds   bool     `short:"k" help:"Print each kind of request, its largest tenth and each workspace, too."`
+	Groups  bool     `short:"g" help:"Replay losses of engines against the policies for groups, in place of loads."`
+	Plot    string   `help:"Directory to write plots to, as SVG; none if it is empty." type:"existingdir"`
 }
 
 func main() {
 	var f flags
 	kong.Parse(&f, kong.Name("garnetlab"), kong.Description("Replays load patterns against policies."), kong.UsageOnError())
-	if err := run(f, os.Stdout); err != nil {
+	replay := run
+	if f.Groups {
+		replay = runGroups
+	}
+	if err := replay(f, os.Stdout); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -42,6 +48,7 @@
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tkind\tasked\ton time\tlate\trefused\tfailed\tworth\tfirst p50 ms\tp95\tp99")
+	shares := make(map[string][]float64)
 	for _, name := range f.Pattern {
 		pattern, ok := patterns[name]
 		if !ok {
@@ -52,9 +59,49 @@
 			if err != nil {
 				return err
 			}
+			shares[policy] = append(shares[policy], results[""].Share())
 			print(table, name, policy, results, f.Kinds)
 		}
 	}
+	if f.Plot != "" {
+		if err := plotLoad(f.Plot, f.Pattern, shares); err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
+
+// runGroups replays each pattern of losses against each policy for groups.
+func runGroups(f flags, out io.Writer) error {
+	patterns := experimenter.GroupPatterns()
+	if len(f.Pattern) == 0 {
+		f.Pattern = slices.Sorted(maps.Keys(patterns))
+	}
+	if len(f.Policy) == 0 {
+		f.Policy = experimenter.GroupPolicyNames()
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tlosses\tdown p50 ms\tp75\tworst\tidle engine-seconds")
+	for _, name := range f.Pattern {
+		pattern, ok := patterns[name]
+		if !ok {
+			return fmt.Errorf("no pattern %q; there are %v", name, slices.Sorted(maps.Keys(patterns)))
+		}
+		results := make(map[string]*experimenter.GroupResult)
+		for _, policy := range f.Policy {
+			result, err := experimenter.RunGroups(&pattern, policy, f.Seed)
+			if err != nil {
+				return err
+			}
+			results[policy] = result
+			_, _ = fmt.Fprint(table, groupsLine(name, policy, result))
+		}
+		if f.Plot != "" {
+			if err := plotGroups(f.Plot, name, results); err != nil {
+				return err
+			}
+		}
+	}
 	return table.Flush()
 }
 
--- /dev/null
+++ b/cmd/garnetlab/plot.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"path/filepath"
+	"slices"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/experimenter"
+)
+
+// Size of a plot on paper.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// plotGroups draws the numbers of serving groups over time, a line for each policy and
+// model, to a file named after the pattern.
+func plotGroups(dir, pattern string, results map[string]*experimenter.GroupResult) error {
+	p := plot.New()
+	p.Title.Text = pattern + ": groups that serve"
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "groups"
+	p.Y.Min = 0
+	p.Legend.Left = true
+	var lines []any
+	for _, policy := range slices.Sorted(maps.Keys(results)) {
+		for _, model := range models(results[policy]) {
+			lines = append(lines, policy+", "+string(model), points(results[policy], model))
+		}
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return errors.Wrap(err, "the lines can't be drawn")
+	}
+	file := filepath.Join(dir, pattern+".svg")
+	return errors.Wrapf(p.Save(plotWidth, plotHeight, file), "%s can't be written", file)
+}
+
+// plotLoad draws the share of the worth that each policy earned of each pattern.
+func plotLoad(dir string, patterns []string, shares map[string][]float64) error {
+	p := plot.New()
+	p.Title.Text = "part of the worth that was earned"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.NominalX(patterns...)
+	p.Legend.Top = true
+	const width = vg.Length(20)
+	for i, policy := range slices.Sorted(maps.Keys(shares)) {
+		bars, err := plotter.NewBarChart(plotter.Values(shares[policy]), width)
+		if err != nil {
+			return errors.Wrap(err, "the bars can't be drawn")
+		}
+		bars.Color = plotutil.Color(i)
+		bars.Offset = (vg.Length(i) - vg.Length(len(shares)-1)/2) * width
+		p.Add(bars)
+		p.Legend.Add(policy, bars)
+	}
+	file := filepath.Join(dir, "load.svg")
+	return errors.Wrapf(p.Save(plotWidth, plotHeight, file), "%s can't be written", file)
+}
+
+func models(r *experimenter.GroupResult) []garnetworks.ModelName {
+	names := make(garnetworks.Set[garnetworks.ModelName])
+	for _, s := range r.Samples {
+		for m := range s.Serving {
+			names.Add(m)
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+func points(r *experimenter.GroupResult, model garnetworks.ModelName) plotter.XYs {
+	xys := make(plotter.XYs, 0, len(r.Samples))
+	for _, s := range r.Samples {
+		xys = append(xys, plotter.XY{X: s.At.Seconds(), Y: float64(s.Serving[model])})
+	}
+	return xys
+}
+
+// groupsLine is one line of the table of losses.
+func groupsLine(pattern, policy string, r *experimenter.GroupResult) string {
+	const median, quartile = 50, 75
+	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%.0f\n", pattern, policy, r.Losses,
+		r.Down.ValueAtQuantile(median), r.Down.ValueAtQuantile(quartile), r.Down.Max(), r.Idle.Seconds())
+}
--- a/experimenter/doc.go
+++ b/experimenter/doc.go
@@ -11,4 +11,7 @@
 //	    time follows EngineProfile. An event is what a pass makes for a call.
 //	E4  Worth counts as users value it: the whole for an answer whose first event
 //	    and pauses keep the objective, a part for a later one, nothing for none.
+//	E5  Losses of engines are replayed against the policies for groups with engines
+//	    that carry orders out by their published times, a store that tells of them
+//	    late, and entries that lapse; nothing of it knows the policy.
 package experimenter
--- /dev/null
+++ b/experimenter/fleet.go
@@ -0,0 +1,260 @@
+package experimenter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/follower"
+	"github.com/garnetworks/garnetworks/former"
+)
+
+// service is the name of the one service of a fleet.
+const service garnetworks.ServiceName = "llm"
+
+// engine is an engine with what it does at the moment.
+type engine struct {
+	garnetworks.RegisteredServer
+	// readyAt ends a join, openAt an opening, stagedAt a load onto the host.
+	readyAt, openAt, stagedAt time.Duration
+	staging                   garnetworks.ModelName
+	// lostAt is when it was lost; negative while it lives.
+	lostAt time.Duration
+}
+
+// fleet is the engines of a pattern, which carry orders out by their published times.
+type fleet struct {
+	pattern *GroupPattern
+	now     time.Duration
+	engines map[garnetworks.InstanceID]*engine
+	// opened are the models of the groups that began to serve in this step.
+	opened []garnetworks.ModelName
+	// lists are the last lists that the store could give, by their times.
+	lists []timedList
+}
+
+type timedList struct {
+	at      time.Duration
+	servers follower.Servers
+}
+
+const alive = time.Duration(-1)
+
+func newFleet(pattern *GroupPattern) *fleet {
+	f := &fleet{pattern: pattern, engines: make(map[garnetworks.InstanceID]*engine)}
+	for d := range pattern.Domains {
+		for range pattern.Each {
+			f.add(d)
+		}
+	}
+	return f
+}
+
+func (f *fleet) add(domain int) {
+	e := &engine{lostAt: alive, openAt: alive}
+	e.ID = garnetworks.InstanceID(fmt.Sprintf("i-%d-%03d", domain, len(f.engines)))
+	e.Service, e.State, e.Address = service, garnetworks.ListedLive, string(e.ID)
+	e.Domain = garnetworks.DomainID(fmt.Sprintf("d%d", domain))
+	f.engines[e.ID] = e
+}
+
+// advance ends what is due.
+func (f *fleet) advance() {
+	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
+		e := f.engines[id]
+		if e.staging != "" && f.now >= e.stagedAt {
+			e.Staged, e.staging = []garnetworks.ModelName{e.staging}, ""
+		}
+		if e.Member.State == garnetworks.MemberJoining && f.now >= e.readyAt {
+			f.joined(e)
+		}
+		if e.openAt != alive && f.now >= e.openAt {
+			e.openAt, e.Member.State = alive, garnetworks.MemberOpen
+			if f.whole(e) {
+				f.opened = append(f.opened, e.Model)
+			}
+		}
+	}
+	f.lists = append(f.lists, timedList{f.now, f.snapshot()})
+	if len(f.lists) > 1 && f.lists[1].at <= f.now-listLag {
+		f.lists = f.lists[1:]
+	}
+}
+
+func (f *fleet) joined(e *engine) {
+	model := former.GroupModel(e.Member.Group)
+	if e.Model != model && !slices.Contains(e.Staged, model) {
+		e.Staged = []garnetworks.ModelName{model}
+	}
+	e.Model, e.Member.State = model, garnetworks.MemberReady
+}
+
+// snapshot is what the store tells now: lost engines stay until their entry lapses.
+func (f *fleet) snapshot() follower.Servers {
+	servers := make(follower.Servers, len(f.engines))
+	for id, e := range f.engines {
+		if e.lostAt == alive || f.now-e.lostAt < lapseTime {
+			servers[id] = e.RegisteredServer
+		}
+	}
+	return servers
+}
+
+// list returns the newest list that is not newer than a time.
+func (f *fleet) list(at time.Duration) follower.Servers {
+	servers := f.lists[0].servers
+	for _, l := range f.lists {
+		if l.at <= at {
+			servers = l.servers
+		}
+	}
+	return servers
+}
+
+// dark returns the lost engines that probes have found.
+func (f *fleet) dark(notices bool) garnetworks.Set[garnetworks.InstanceID] {
+	dark := make(garnetworks.Set[garnetworks.InstanceID])
+	for id, e := range f.engines {
+		if notices && e.lostAt != alive && f.now-e.lostAt >= suspectTime {
+			dark.Add(id)
+		}
+	}
+	return dark
+}
+
+// carryOut does what an engine does with an order.
+func (f *fleet) carryOut(o *garnetworks.GroupOrder) error {
+	e := f.engines[o.Instance]
+	if e == nil || e.lostAt != alive {
+		return garnetworks.Errorf(garnetworks.KindUnreachable, "the engine is lost")
+	}
+	same := e.Member.Group == o.Group && e.Member.Epoch == o.Epoch
+	switch o.Kind {
+	case garnetworks.GroupStage:
+		if !slices.Contains(e.Staged, o.Model) && e.staging == "" {
+			e.staging, e.stagedAt = o.Model, f.now+f.loadTime(o.Model)
+		}
+		return nil
+	case garnetworks.GroupJoin:
+		if !same {
+			f.join(e, o)
+		}
+		return nil
+	}
+	if !same {
+		return garnetworks.Errorf(garnetworks.KindConflict, "the engine is not in the group")
+	}
+	f.change(e, o.Kind)
+	return nil
+}
+
+// change opens, closes or leaves the engine's group.
+func (f *fleet) change(e *engine, kind garnetworks.GroupOrderKind) {
+	switch kind {
+	case garnetworks.GroupOpen:
+		if e.Member.State == garnetworks.MemberReady && e.openAt == alive {
+			e.openAt = f.now + f.pattern.Profile.FormTime
+		}
+	case garnetworks.GroupClose:
+		e.Member.State = garnetworks.MemberReady
+	case garnetworks.GroupLeave:
+		e.Member, e.openAt = garnetworks.Membership{}, alive
+	}
+}
+
+func (f *fleet) join(e *engine, o *garnetworks.GroupOrder) {
+	e.openAt = alive
+	e.Member = garnetworks.Membership{
+		Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, e.ID), State: garnetworks.MemberJoining,
+	}
+	took := f.loadTime(o.Model)
+	if slices.Contains(e.Staged, o.Model) {
+		took = f.model(o.Model).WarmTime
+	}
+	if e.Model == o.Model {
+		took = rejoinTime
+	}
+	e.readyAt = f.now + took
+}
+
+// loadTime is the time of a load that begins now: longer the more run at once.
+func (f *fleet) loadTime(model garnetworks.ModelName) time.Duration {
+	took := f.model(model).LoadTime
+	if f.now < firstCall {
+		return took / firstLoadPart
+	}
+	running := 1
+	for _, e := range f.engines {
+		if e.staging != "" || e.Member.State == garnetworks.MemberJoining && e.readyAt-f.now > f.model(model).WarmTime {
+			running++
+		}
+	}
+	return time.Duration(float64(took) * max(1, float64(running)/float64(f.pattern.Profile.LoadsAtOnce)))
+}
+
+func (f *fleet) model(name garnetworks.ModelName) *garnetworks.ModelProfile {
+	for i := range f.pattern.Profile.Models {
+		if f.pattern.Profile.Models[i].Name == name {
+			return &f.pattern.Profile.Models[i]
+		}
+	}
+	return &garnetworks.ModelProfile{Size: 1}
+}
+
+// whole reports whether all members of the engine's group live.
+func (f *fleet) whole(head *engine) bool {
+	n := 0
+	for _, e := range f.engines {
+		if e.lostAt == alive && e.Member.Group == head.Member.Group && e.Member.Epoch == head.Member.Epoch {
+			n++
+		}
+	}
+	return n == f.model(former.GroupModel(head.Member.Group)).Size
+}
+
+// heads returns the heads of the groups that serve.
+func (f *fleet) heads() []*engine {
+	var heads []*engine
+	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
+		if e := f.engines[id]; e.lostAt == alive && e.Member.State == garnetworks.MemberOpen && f.whole(e) {
+			heads = append(heads, e)
+		}
+	}
+	return heads
+}
+
+func (f *fleet) serving() map[garnetworks.ModelName]int {
+	counts := make(map[garnetworks.ModelName]int)
+	for _, h := range f.heads() {
+		counts[h.Model]++
+	}
+	return counts
+}
+
+// members returns the members of the groups that serve.
+func (f *fleet) members() []*engine {
+	serving := make(garnetworks.Set[garnetworks.GroupID])
+	for _, h := range f.heads() {
+		serving.Add(h.Member.Group)
+	}
+	var members []*engine
+	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
+		if e := f.engines[id]; e.lostAt == alive && serving.Has(e.Member.Group) {
+			members = append(members, e)
+		}
+	}
+	return members
+}
+
+// idle counts the living engines that are in no group that serves.
+func (f *fleet) idle() int {
+	living := 0
+	for _, e := range f.engines {
+		if e.lostAt == alive {
+			living++
+		}
+	}
+	return living - len(f.members())
+}
--- /dev/null
+++ b/experimenter/naive.go
@@ -0,0 +1,101 @@
+package experimenter
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/former"
+)
+
+// naive is the baseline for groups: a group is given up when an entry of it has
+// lapsed, its members leave, and any free instances of a domain become a group of the
+// model with the fewest groups, whatever they hold. It prepares no spares.
+type naive struct {
+	sequence uint32
+	// bound are the instances that were ordered into a group, until their entries
+	// tell of it.
+	bound map[garnetworks.InstanceID]garnetworks.FencingToken
+}
+
+// Answered implements groupPolicy; the baseline learns by the list alone.
+func (n *naive) Answered(time.Time, garnetworks.GroupOrder, error) {}
+
+// Plan implements groupPolicy.
+func (n *naive) Plan(_ time.Time, in former.Input) []garnetworks.GroupOrder {
+	if n.bound == nil {
+		n.bound = make(map[garnetworks.InstanceID]garnetworks.FencingToken)
+	}
+	var orders []garnetworks.GroupOrder
+	counts := make(map[garnetworks.ModelName]int)
+	for _, g := range former.Observe(in.Servers, former.Sizes(in.Profile)) {
+		counts[g.Model]++
+		switch head, ok := g.Head(); {
+		case g.AllIn(garnetworks.MemberReady):
+			orders = append(orders, garnetworks.GroupOrder{Kind: garnetworks.GroupOpen, Instance: head.ID, Group: g.ID, Epoch: g.Epoch})
+		case (!g.Whole || !ok) && !n.forming(&g):
+			for _, m := range g.Members {
+				orders = append(orders, garnetworks.GroupOrder{Kind: garnetworks.GroupLeave, Instance: m.ID, Group: g.ID, Epoch: g.Epoch})
+			}
+		}
+	}
+	return append(orders, n.form(&in, counts)...)
+}
+
+// forming reports whether entries of the group's members are still to come.
+func (n *naive) forming(g *former.Group) bool {
+	for _, epoch := range n.bound {
+		if epoch == g.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// form orders groups of free instances, by their identifiers.
+func (n *naive) form(in *former.Input, counts map[garnetworks.ModelName]int) []garnetworks.GroupOrder {
+	free := make(map[garnetworks.DomainID][]garnetworks.InstanceID)
+	for _, id := range slices.Sorted(maps.Keys(in.Servers)) {
+		s := in.Servers[id]
+		if s.Member.Epoch >= n.bound[id] && s.Member.Group != "" {
+			delete(n.bound, id)
+		}
+		if _, bound := n.bound[id]; s.Member.Group == "" && !bound {
+			free[s.Domain] = append(free[s.Domain], id)
+		}
+	}
+	var orders []garnetworks.GroupOrder
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		for m := n.next(in.Profile, counts, len(free[domain])); m != nil; m = n.next(in.Profile, counts, len(free[domain])) {
+			orders = append(orders, n.join(m, free[domain][:m.Size])...)
+			free[domain] = free[domain][m.Size:]
+			counts[m.Name]++
+		}
+	}
+	return orders
+}
+
+func (n *naive) next(profile *garnetworks.EngineProfile, counts map[garnetworks.ModelName]int, free int) *garnetworks.ModelProfile {
+	var best *garnetworks.ModelProfile
+	for i := range profile.Models {
+		m := &profile.Models[i]
+		if m.Size <= free && (best == nil || counts[m.Name] < counts[best.Name]) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (n *naive) join(m *garnetworks.ModelProfile, members []garnetworks.InstanceID) []garnetworks.GroupOrder {
+	n.sequence++
+	epoch := garnetworks.NewFencingToken(1, n.sequence)
+	var orders []garnetworks.GroupOrder
+	for _, id := range members {
+		n.bound[id] = epoch
+		orders = append(orders, garnetworks.GroupOrder{
+			Kind: garnetworks.GroupJoin, Instance: id, Group: former.GroupName(m.Name, epoch), Epoch: epoch, Model: m.Name, Members: members,
+		})
+	}
+	return orders
+}
--- /dev/null
+++ b/experimenter/regroup.go
@@ -0,0 +1,204 @@
+package experimenter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/former"
+)
+
+// Times of the site in which groups are lost.
+const (
+	// planEvery is the time between two plans, listLag how old the store's list is.
+	planEvery = 50 * time.Millisecond
+	listLag   = 50 * time.Millisecond
+	// suspectTime is the time from a loss to its confirmation where silence is noticed:
+	// 0.3 s without events and two probes of 0.15 s.
+	suspectTime = 600 * time.Millisecond
+	// lapseTime is the time after which a lost engine's entry is gone: three heartbeats
+	// of 1.2 s.
+	lapseTime = 3600 * time.Millisecond
+	// rejoinTime is the time of a join of the model in memory.
+	rejoinTime = 200 * time.Millisecond
+	// firstCall is when the first call comes; loads take a tenth of the time before.
+	firstCall     = 10 * time.Second
+	firstLoadPart = 10
+	sampleEvery   = 500 * time.Millisecond
+)
+
+// GroupPattern is a site whose engines are lost for good, one after the other, and
+// replaced by new ones without weights.
+type GroupPattern struct {
+	Name    string
+	Profile garnetworks.EngineProfile
+	// Domains of Each engines stand at the start.
+	Domains, Each int
+	Length        time.Duration
+	// LossEvery and AddEvery are the times between two losses and two additions;
+	// losses hit members of serving groups.
+	LossEvery, AddEvery time.Duration
+}
+
+// GroupPatterns returns the patterns of losses.
+func GroupPatterns() map[string]GroupPattern {
+	profile := engines()
+	profile.LoadsPerSecond, profile.LoadsAtOnce, profile.FormTime = 5.5, 8, 300*time.Millisecond
+	profile.Models = []garnetworks.ModelProfile{
+		{Name: "large", Size: 6, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		{Name: "small", Size: 3, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+	}
+	grown := profile
+	grown.LoadsPerSecond, grown.LoadsAtOnce = 14, 20
+	grown.Models = []garnetworks.ModelProfile{
+		{Name: "large", Size: 12, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+	}
+	return map[string]GroupPattern{
+		"lost-engines":       {"lost-engines", profile, 6, 11, time.Minute, 3 * time.Second, 4 * time.Second},
+		"lost-engines-grown": {"lost-engines-grown", grown, 6, 27, time.Minute, time.Second, 1400 * time.Millisecond},
+	}
+}
+
+// Sample is the number of serving groups of each model at a time.
+type Sample struct {
+	At      time.Duration
+	Serving map[garnetworks.ModelName]int
+}
+
+// GroupResult is what a policy made of a pattern of losses.
+type GroupResult struct {
+	Losses int
+	// Down holds the milliseconds from the loss of a group to the first call of the
+	// group that takes its place; a group that nothing takes the place of counts until
+	// the end.
+	Down *hdrhistogram.Histogram
+	// Idle is the time that living engines spent in no serving group, added up.
+	Idle    time.Duration
+	Samples []Sample
+}
+
+// groupPolicy decides which groups exist.
+type groupPolicy interface {
+	Plan(now time.Time, in former.Input) []garnetworks.GroupOrder
+	Answered(now time.Time, order garnetworks.GroupOrder, err error)
+}
+
+// groupPolicies are the policies by name; notices says whether silence of a group is
+// noticed, or only the lapse of an entry.
+var groupPolicies = map[string]struct {
+	policy  func() groupPolicy
+	notices bool
+}{
+	"former": {func() groupPolicy { return former.NewPlanner() }, true},
+	"naive":  {func() groupPolicy { return &naive{} }, false},
+}
+
+// GroupPolicyNames returns the names of the policies for groups.
+func GroupPolicyNames() []string { return []string{"former", "naive"} }
+
+// RunGroups replays losses against a policy.
+func RunGroups(pattern *GroupPattern, policyName string, seed uint64) (*GroupResult, error) {
+	p, ok := groupPolicies[policyName]
+	if !ok {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "no policy %q; there are %v", policyName, GroupPolicyNames())
+	}
+	const mostMS, digits, stream = 120000, 2, 11
+	r := &regrouping{
+		fleet: newFleet(pattern), policy: p.policy(), notices: p.notices,
+		random: rand.New(rand.NewPCG(seed, stream)),
+		result: &GroupResult{Down: hdrhistogram.New(1, mostMS, digits)},
+	}
+	for now := time.Duration(0); now < pattern.Length; now += planEvery {
+		r.step(now)
+	}
+	r.settle(pattern.Length)
+	return r.result, nil
+}
+
+// regrouping is one replay of losses.
+type regrouping struct {
+	*fleet
+	policy  groupPolicy
+	notices bool
+	random  *rand.Rand
+	result  *GroupResult
+	// down holds the times since which groups are missing, oldest first.
+	down map[garnetworks.ModelName][]time.Duration
+	// added and lost count the engines so far.
+	added, lost int
+}
+
+func (r *regrouping) step(now time.Duration) {
+	r.now = now
+	r.advance()
+	if now >= firstCall {
+		r.strike()
+	}
+	in := former.Input{
+		Servers: r.list(now - listLag), Service: service, Profile: &r.pattern.Profile, Dark: r.dark(r.notices),
+		Term: 1, Loads: r.pattern.Profile.LoadsAtOnce, Unhurried: now < firstCall,
+	}
+	for _, o := range r.policy.Plan(instant(now), in) {
+		r.policy.Answered(instant(now), o, r.carryOut(&o))
+	}
+	r.match()
+	if now >= firstCall {
+		r.result.Idle += time.Duration(r.idle()) * planEvery
+		if now%sampleEvery == 0 {
+			r.result.Samples = append(r.result.Samples, Sample{now, r.serving()})
+		}
+	}
+}
+
+// strike loses a member of a serving group when it is due, and adds an engine.
+func (r *regrouping) strike() {
+	since := r.now - firstCall
+	for r.pattern.AddEvery > 0 && since >= time.Duration(r.added+1)*r.pattern.AddEvery {
+		r.added++
+		r.add(r.added % r.pattern.Domains)
+	}
+	for since >= time.Duration(r.lost+1)*r.pattern.LossEvery {
+		r.lost++
+		members := r.members()
+		if len(members) == 0 {
+			continue
+		}
+		e := members[r.random.IntN(len(members))]
+		e.lostAt = r.now
+		r.result.Losses++
+		if r.down == nil {
+			r.down = make(map[garnetworks.ModelName][]time.Duration)
+		}
+		r.down[former.GroupModel(e.Member.Group)] = append(r.down[former.GroupModel(e.Member.Group)], r.now)
+	}
+}
+
+// match takes the groups that opened as replacements of those lost longest ago.
+func (r *regrouping) match() {
+	for _, model := range r.opened {
+		waiting := r.down[model]
+		if len(waiting) == 0 {
+			continue
+		}
+		r.record(r.now - waiting[0])
+		r.down[model] = slices.Delete(waiting, 0, 1)
+	}
+	r.opened = nil
+}
+
+func (r *regrouping) record(down time.Duration) {
+	_ = r.result.Down.RecordValue(down.Milliseconds()) // beyond the range
+}
+
+// settle counts the groups that were not replaced.
+func (r *regrouping) settle(end time.Duration) {
+	for _, waiting := range r.down {
+		for _, since := range waiting {
+			r.record(end - since)
+		}
+	}
+}
--- /dev/null
+++ b/experimenter/regroup_test.go
@@ -0,0 +1,45 @@
+package experimenter_test
+
+import (
+	"testing"
+
+	"github.com/garnetworks/garnetworks/experimenter"
+)
+
+// Story: engines are lost for good every few seconds, and new ones come without
+// weights. A lost group must be back within the time of a warm start (silence and two
+// probes 0.6 s, the join 1.6 s, the opening 0.3 s), not after a load.
+func TestGroupsUnderLosses(t *testing.T) {
+	const median = 50
+	for name, pattern := range experimenter.GroupPatterns() {
+		t.Run(name, func(t *testing.T) {
+			ours, err := experimenter.RunGroups(&pattern, "former", 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			base, err := experimenter.RunGroups(&pattern, "naive", 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for policy, r := range map[string]*experimenter.GroupResult{"former": ours, "naive": base} {
+				t.Logf("%s: %d losses, down p50 %d ms, p75 %d, worst %d, idle %s", policy, r.Losses,
+					r.Down.ValueAtQuantile(median), r.Down.ValueAtQuantile(75), r.Down.Max(), r.Idle)
+			}
+			const warm = 2500
+			got, naive := ours.Down.ValueAtQuantile(median), base.Down.ValueAtQuantile(median)
+			if got > warm || got > naive/2 {
+				t.Errorf("a lost group is away for %d ms in the median, %d with the baseline", got, naive)
+			}
+			if ours.Idle >= base.Idle {
+				t.Errorf("engines are idle for %s, and for %s with the baseline", ours.Idle, base.Idle)
+			}
+		})
+	}
+}
+
+func TestUnknownGroupPolicy(t *testing.T) {
+	pattern := experimenter.GroupPatterns()["lost-engines"]
+	if _, err := experimenter.RunGroups(&pattern, "none", 1); err == nil {
+		t.Error("it ran")
+	}
+}
