Drop fields that nothing reads, and remember events of groups without a listed head

Cause: formation.began and place.since were set and not read; Moving took the lock twice. The last event of a group was forgotten whenever its head was not listed, so that a group whose head left unannounced seemed to stand still for a moment. Change: the fields are gone, Moving takes one lock, events are remembered for 10 s.

--- a/former/formation.go
+++ b/former/formation.go
@@ -106,7 +106,7 @@
 
 // adopt goes on with a group that an earlier holder ordered.
 func (r *plan) adopt(g *Group) {
-	f := &formation{id: g.ID, epoch: g.Epoch, model: g.Model, began: r.now, until: r.now.Add(r.joinTime(g.Model) + joinMargin)}
+	f := &formation{id: g.ID, epoch: g.Epoch, model: g.Model, until: r.now.Add(r.joinTime(g.Model) + joinMargin)}
 	for i := range g.Members {
 		f.members = append(f.members, g.Members[i].ID)
 	}
@@ -296,7 +296,7 @@
 	r.loads -= r.loadsOf(members, m)
 	r.sequence++
 	epoch := garnetworks.NewFencingToken(r.Term, r.sequence)
-	f := &formation{id: GroupName(m.Name, epoch), epoch: epoch, model: m.Name, began: r.now, until: r.now.Add(m.LoadTime + joinMargin)}
+	f := &formation{id: GroupName(m.Name, epoch), epoch: epoch, model: m.Name, until: r.now.Add(m.LoadTime + joinMargin)}
 	for i := range members {
 		f.members = append(f.members, members[i].ID)
 		if readiness(&members[i], m) > 1 {
--- a/former/planner.go
+++ b/former/planner.go
@@ -61,7 +61,6 @@
 	epoch   garnetworks.FencingToken
 	model   garnetworks.ModelName
 	members []garnetworks.InstanceID
-	began   time.Time
 	// until is when it is given up.
 	until time.Time
 	// prepares says that the group is of one spare alone and never opens: it takes the
--- a/former/spares.go
+++ b/former/spares.go
@@ -146,7 +146,7 @@
 	epoch := garnetworks.NewFencingToken(r.Term, r.sequence)
 	f := &formation{
 		id: GroupName(m.Name, epoch), epoch: epoch, model: m.Name, members: []garnetworks.InstanceID{s.ID},
-		began: r.now, until: r.now.Add(m.WarmTime + joinMargin), prepares: true,
+		until: r.now.Add(m.WarmTime + joinMargin), prepares: true,
 	}
 	r.formations[f.id] = f
 	r.send(r.joinOrder(f, *s))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -29,6 +30,9 @@
 	// than the time in which a lost member is found, so that no group is kept for
 	// what it gave before its loss.
 	movingTime = 250 * time.Millisecond
+	// progressMemory is how long a group's last event is remembered. It is longer than
+	// any silence that makes a difference.
+	progressMemory = 10 * time.Second
 	// revokeMargin is the part of RevokeTime after which keys are no longer
 	// honoured; the rest covers the way of a call to its server.
 	revokeMargin = 0.9
@@ -170,11 +174,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id := range g.progress {
-		if _, ok := heads[id]; !ok {
-			delete(g.progress, id)
-		}
-	}
+	// A group whose head's entry has gone may still give events.
+	maps.DeleteFunc(g.progress, func(_ garnetworks.GroupID, at time.Time) bool { return now.Sub(at) > progressMemory })
 	for id := range g.heads {
 		if _, ok := heads[id]; !ok {
 			g.options.Meter.ForgetGroup(id)
@@ -205,9 +206,13 @@
 
 // Load returns what the node has at each group, for the other nodes.
 func (g *Gateway) Load() garnetworks.LoadReport {
-	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.load(time.Now())
+}
+
+// load is Load; g.mu is held.
+func (g *Gateway) load(now time.Time) garnetworks.LoadReport {
 	report := g.scheduler.Load(now)
 	for i := range report.Places {
 		if now.Sub(g.progress[report.Places[i].Group]) < movingTime {
@@ -220,11 +225,10 @@
 // Moving returns the groups that gave an event to some node a moment ago. Nothing
 // moves in a group of which a member is lost.
 func (g *Gateway) Moving() garnetworks.Set[garnetworks.GroupID] {
-	moving := make(garnetworks.Set[garnetworks.GroupID])
-	own := g.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, report := range []garnetworks.LoadReport{own, g.others} {
+	moving := make(garnetworks.Set[garnetworks.GroupID])
+	for _, report := range []garnetworks.LoadReport{g.load(time.Now()), g.others} {
 		for _, p := range report.Places {
 			if p.Moving > 0 {
 				moving.Add(p.Group)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -134,8 +134,6 @@
 	// reading is the number of this node's calls there that have had no event yet:
 	// the group reads their prompts before it answers a later one.
 	reading int
-	// since is when the group was first seen.
-	since time.Time
 	// restUntil is when a group that stood still is tried again; probing says
 	// that it has not answered since.
 	restUntil time.Time
@@ -200,7 +198,7 @@
 			old.Group, old.gone = g, false
 			continue
 		}
-		p.places[g.ID] = &place{Group: g, window: s.firstWindow(g.Slots), since: now}
+		p.places[g.ID] = &place{Group: g, window: s.firstWindow(g.Slots)}
 	}
 	for _, p := range s.pools {
 		for id, l := range p.places {
