--- a/cmd/garnetlab/main.go
+++ b/cmd/garnetlab/main.go
@@ -37,11 +37,26 @@
 	}
 }
 
+// selected returns the named patterns, or all of them if none is named.
+func selected[P any](names []string, patterns map[string]P) ([]string, error) {
+	all := slices.Sorted(maps.Keys(patterns))
+	if len(names) == 0 {
+		return all, nil
+	}
+	for _, name := range names {
+		if _, ok := patterns[name]; !ok {
+			return nil, fmt.Errorf("no pattern %q; there are %v", name, all)
+		}
+	}
+	return names, nil
+}
+
 // run replays each pattern against each policy.
 func run(f flags, out io.Writer) error {
 	patterns := experimenter.Patterns()
-	if len(f.Pattern) == 0 {
-		f.Pattern = slices.Sorted(maps.Keys(patterns))
+	names, err := selected(f.Pattern, patterns)
+	if err != nil {
+		return err
 	}
 	if len(f.Policy) == 0 {
 		f.Policy = experimenter.PolicyNames()
@@ -49,11 +64,8 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tkind\tasked\ton time\tlate\trefused\tfailed\tworth\tfirst p50 ms\tp95\tp99")
 	shares := make(map[string][]float64)
-	for _, name := range f.Pattern {
-		pattern, ok := patterns[name]
-		if !ok {
-			return fmt.Errorf("no pattern %q; there are %v", name, slices.Sorted(maps.Keys(patterns)))
-		}
+	for _, name := range names {
+		pattern := patterns[name]
 		for _, policy := range f.Policy {
 			results, err := experimenter.Run(&pattern, policy, f.Seed)
 			if err != nil {
@@ -64,7 +76,7 @@
 		}
 	}
 	if f.Plot != "" {
-		if err := plotLoad(f.Plot, f.Pattern, shares); err != nil {
+		if err := plotLoad(f.Plot, names, shares); err != nil {
 			return err
 		}
 	}
@@ -74,19 +86,17 @@
 // runGroups replays each pattern of losses against each policy for groups.
 func runGroups(f flags, out io.Writer) error {
 	patterns := experimenter.GroupPatterns()
-	if len(f.Pattern) == 0 {
-		f.Pattern = slices.Sorted(maps.Keys(patterns))
+	names, err := selected(f.Pattern, patterns)
+	if err != nil {
+		return err
 	}
 	if len(f.Policy) == 0 {
 		f.Policy = experimenter.GroupPolicyNames()
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tlosses\tdown p50 ms\tp75\tworst\tidle engine-seconds")
-	for _, name := range f.Pattern {
-		pattern, ok := patterns[name]
-		if !ok {
-			return fmt.Errorf("no pattern %q; there are %v", name, slices.Sorted(maps.Keys(patterns)))
-		}
+	for _, name := range names {
+		pattern := patterns[name]
 		results := make(map[string]*experimenter.GroupResult)
 		for _, policy := range f.Policy {
 			result, err := experimenter.RunGroups(&pattern, policy, f.Seed)
