Tell in each call's line why it was late

Cause: the line of a late call held only the end of each attempt. Whether the call had waited, its group was slow to begin, the stream paused or the group was lost, and how long each step of a move took, could not be told; nor how large the call was or what its route allowed.

Change: lines of calls that may have been late or did not end well hold size, priority, terms of the route, first event and longest pause as the client saw them, the node's own stalls and slow writes, and for each attempt what it was for, the time to its place, its pause, its silence before the end, and the calls and unread prompt tokens at the group before it. A refusal tells how many places were free at other models' groups. Lines of calls that were surely on time are told in short, one in 20 in full. An error no longer repeats what its last attempt tells.

--- a/gateway/account.go
+++ b/gateway/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -16,19 +17,57 @@
 	EndedBadly = 20
 )
 
+// detailPart is the part of the objective, or of the allowed pause, from which a call's
+// line tells details. It is below 1, since the client measures a little more than the
+// node: the way of its request and of the events.
+const detailPart = 0.9
+
+// leastWriting is the time from which a write to the client is told. Shorter ones are
+// the socket's buffer being filled.
+const leastWriting = 10 * time.Millisecond
+
+// sampled is the number of calls of which one is told in detail though it was on time,
+// so that the others' lines have something to be held against, and the terms of routes
+// without any late call are told as well. One in 20 adds 2 in 100 to the log.
+const sampled = 20
+
 // trial is one attempt in a call's line.
 type trial struct {
 	Group    garnetworks.GroupID    `json:"group,omitempty"`
 	Instance garnetworks.InstanceID `json:"instance,omitempty"`
 	// Phase is how far the attempt came; done for a whole answer.
-	Phase garnetworks.CallPhase `json:"phase"`
+	Phase garnetworks.CallPhase `json:"phase,omitempty"`
+	// Why says what the attempt is for; empty for a call's first one.
+	Why trialReason `json:"why,omitempty"`
+	// PlacedMS is the time from the end of the attempt before to this one's start.
+	PlacedMS int64 `json:"placed-ms,omitempty"`
 	// FirstMS is the time to its first event, TookMS that to its end.
-	FirstMS int64  `json:"first-ms,omitempty"`
-	TookMS  int64  `json:"took-ms"`
-	Events  int    `json:"events,omitempty"`
+	FirstMS int64 `json:"first-ms,omitempty"`
+	TookMS  int64 `json:"took-ms,omitempty"`
+	Events  int   `json:"events,omitempty"`
+	// PauseMS is the longest pause between two of its events. SilentMS is the time
+	// from its last event, or from its start, to its end, if it failed.
+	PauseMS  int64 `json:"pause-ms,omitempty"`
+	SilentMS int64 `json:"silent-ms,omitempty"`
+	// Calls is the number of calls that the group had before this one, those of other
+	// nodes as last heard; Reading the prompt tokens of this node that it had not
+	// read yet.
+	Calls   int    `json:"calls,omitempty"`
+	Reading int    `json:"reading,omitempty"`
 	Cause   string `json:"cause,omitempty"`
 }
 
+// trialReason says what a later attempt of a call is for.
+type trialReason string
+
+const (
+	// trialMoved attempts have a place that was taken for them while the group
+	// before stood still.
+	trialMoved trialReason = "moved"
+	// trialRepeated attempts follow one that ended.
+	trialRepeated trialReason = "repeated"
+)
+
 // account gathers what one call's line tells.
 type account struct {
 	trials []trial
@@ -40,6 +79,16 @@
 	// before the call that was known to be the newest one.
 	routing   uint64
 	confirmed time.Duration
+	// first is the time from the call's receipt to its first event; 0 before it.
+	first time.Duration
+	// lastEvent is when the last event was with the client, pause the longest time
+	// between two, over all attempts.
+	lastEvent time.Time
+	pause     time.Duration
+	// writing is the longest time that an event took to be written.
+	writing time.Duration
+	// stalled is what the node's stalls came to when the call was received.
+	stalled time.Duration
 }
 
 func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
@@ -55,6 +104,18 @@
 	return &a.trials[len(a.trials)-1]
 }
 
+// event notes that an event is with the client, whose write began at a time.
+func (a *account) event(received, began time.Time) {
+	now := time.Now()
+	a.writing = max(a.writing, now.Sub(began))
+	if a.lastEvent.IsZero() {
+		a.first = now.Sub(received)
+	} else {
+		a.pause = max(a.pause, now.Sub(a.lastEvent))
+	}
+	a.lastEvent = now
+}
+
 // ended writes the call's line and counts it. A call that ended well has one line
 // at most; lines of calls that did not are bounded by their cause.
 func (x *exchange) ended(status int, outcome garnetworks.Outcome, err error) {
@@ -75,32 +136,29 @@
 	x.options.Logger.Info("call-ended", x.fields(status, outcome, err, folded)...)
 }
 
-// fields are the line's fields; docs/OPERATIONS.md explains them.
+// fields are the line's fields; docs/OPERATIONS.md explains them. A call that was
+// surely on time is told in short, so that the log's volume goes to the others.
 func (x *exchange) fields(status int, outcome garnetworks.Outcome, err error, folded int) []any {
 	list := []any{"status", status, "outcome", outcome}
+	detailed := err != nil || status >= http.StatusBadRequest || x.nearlyLate() || x.told.Add(1)%sampled == 0
 	if x.call != nil {
-		list = append(list, "call", x.call.ID, "took-ms", milliseconds(time.Since(x.call.Received)))
-		if !x.until.IsZero() {
-			list = append(list, "left-ms", milliseconds(time.Until(x.until)))
-		}
-		if x.call.Model != "" {
-			list = append(list, "model", x.call.Model, "waited-ms", milliseconds(x.waited))
-		}
+		list = x.appendCall(list, detailed)
 	}
 	if x.route != nil {
-		list = append(list, "route", x.route.Name, "routing", x.routing, "routing-age-ms", milliseconds(x.confirmed))
+		list = x.appendRoute(list, detailed)
 	}
 	if x.workspace != "" {
 		list = append(list, "workspace", x.workspace)
 	}
 	if d := &x.decision; d.Kind != "" {
-		list = append(list, "ahead", d.Ahead, "expected-wait-ms", milliseconds(d.Expected), "may-wait-ms", milliseconds(d.Patience), "groups", d.Groups)
+		list = append(list, "ahead", d.Ahead, "expected-wait-ms", milliseconds(d.Expected), "may-wait-ms", milliseconds(d.Patience),
+			"groups", d.Groups, "spare", d.Spare)
 	}
 	if len(x.trials) > 0 {
-		list = append(list, "attempts", x.trials)
+		list = append(list, "attempts", attempts(x.trials, detailed))
 	}
 	if err != nil {
-		list = append(list, "kind", garnetworks.KindOf(err), "error", err.Error())
+		list = append(list, "kind", garnetworks.KindOf(err), "error", x.errorText(err))
 	}
 	if folded > 0 {
 		list = append(list, "folded", folded)
@@ -108,6 +166,88 @@
 	return list
 }
 
+// nearlyLate reports whether the client may have found the answer late.
+func (x *exchange) nearlyLate() bool {
+	first := x.first
+	if first == 0 { // the answer came whole
+		first = time.Since(x.call.Received)
+	}
+	if float64(first) > detailPart*float64(x.route.Objective) || len(x.trials) > 1 {
+		return true
+	}
+	return x.route.MaxGap > 0 && float64(x.pause) > detailPart*float64(x.route.MaxGap)
+}
+
+// appendCall appends what the call asked for and how long it took.
+func (x *exchange) appendCall(list []any, detailed bool) []any {
+	list = append(list, "call", x.call.ID, "took-ms", milliseconds(time.Since(x.call.Received)))
+	if x.first > 0 {
+		list = append(list, "first-ms", milliseconds(x.first))
+	}
+	if x.call.Model != "" {
+		list = append(list, "model", x.call.Model, "prompt", x.call.PromptTokens, "answer", x.call.ExpectedTokens())
+	} else if len(x.call.Body) > 0 {
+		list = append(list, "body", len(x.call.Body))
+	}
+	if !detailed {
+		return list
+	}
+	list = append(list, "waited-ms", milliseconds(x.waited))
+	if !x.until.IsZero() {
+		list = append(list, "left-ms", milliseconds(time.Until(x.until)))
+	}
+	if !x.call.Deadline.IsZero() {
+		list = append(list, "deadline-ms", milliseconds(x.call.Deadline.Sub(x.call.Received)))
+	}
+	if x.pause > 0 {
+		list = append(list, "pause-ms", milliseconds(x.pause))
+	}
+	if x.writing >= leastWriting {
+		list = append(list, "write-ms", milliseconds(x.writing))
+	}
+	if stalled := x.stalls.total() - x.stalled; stalled > 0 {
+		list = append(list, "stalled-ms", milliseconds(stalled))
+	}
+	return list
+}
+
+// appendRoute appends the route and its terms.
+func (x *exchange) appendRoute(list []any, detailed bool) []any {
+	list = append(list, "route", x.route.Name, "routing", x.routing)
+	if !detailed {
+		return list
+	}
+	list = append(list, "routing-age-ms", milliseconds(x.confirmed), "priority", x.priority,
+		"objective-ms", milliseconds(x.route.Objective), "timeout-ms", milliseconds(x.route.Timeout))
+	if x.route.MaxGap > 0 {
+		list = append(list, "max-pause-ms", milliseconds(x.route.MaxGap))
+	}
+	if !x.route.Repeatable() {
+		list = append(list, "once", true)
+	}
+	return list
+}
+
+// attempts are those that the line tells: of a call that was on time only who
+// answered.
+func attempts(trials []trial, detailed bool) []trial {
+	if detailed {
+		return trials
+	}
+	last := trials[len(trials)-1]
+	return []trial{{Group: last.Group, Instance: last.Instance, Events: last.Events}}
+}
+
+// errorText is the error's text without the cause that the last attempt tells.
+func (x *exchange) errorText(err error) string {
+	text := err.Error()
+	if n := len(x.trials); n > 0 && x.trials[n-1].Cause != "" {
+		text = strings.TrimSuffix(text, x.trials[n-1].Cause)
+		text = strings.TrimSuffix(text, ": ")
+	}
+	return text
+}
+
 // outcomeOf is what an answer of the node's own says of the call.
 func outcomeOf(status int) garnetworks.Outcome {
 	switch status {
--- /dev/null
+++ b/gateway/account_test.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/meter"
+	"github.com/garnetworks/garnetworks/scheduler"
+)
+
+// newAccounted returns a stream to a group, whose line can be read.
+func newAccounted(t *testing.T) *stream {
+	t.Helper()
+	_, s := newGuarded(t)
+	s.Gateway.reading = make(reading)
+	s.heads = map[garnetworks.GroupID]head{"a-grey": {instance: "i"}, "b-well": {instance: "j"}}
+	s.route.MaxGap = 200 * time.Millisecond
+	s.route.Name, s.route.Timeout = "r", 6*time.Second
+	s.call.ID, s.call.PromptTokens, s.call.LikelyTokens = "c", 1400, 90
+	s.until = s.call.Received.Add(s.route.Timeout)
+	return s
+}
+
+// line returns the fields of the call's line by their names.
+func line(x *exchange, status int, err error) map[string]any {
+	list := x.fields(status, garnetworks.OutcomeCompleted, err, 0)
+	fields := make(map[string]any)
+	for i := 0; i < len(list); i += 2 {
+		fields[list[i].(string)] = list[i+1]
+	}
+	return fields
+}
+
+// give lets the present attempt's group give events, each after a pause.
+func (s *stream) give(pauses ...time.Duration) {
+	for _, p := range pauses {
+		time.Sleep(p)
+		s.run.event(time.Now())
+		s.event(s.call.Received, time.Now())
+	}
+}
+
+// Story: a user complains that an answer was late, or stood still. The engineer on call
+// needs to see in one line whether the call waited for a place, its group was slow to
+// begin, it paused, or the group was lost and how long each step of the move took.
+func TestLineTellsWhyACallWasLate(t *testing.T) {
+	const step = 50 * time.Millisecond
+	cases := map[string]struct {
+		play   func(*stream)
+		absent []string
+		want   map[string]any
+	}{
+		"on time, in short": {
+			play: func(s *stream) {
+				s.enter("a-grey")
+				s.give(step, step, step)
+				s.noteAttempt("a-grey", "i", s.run.began, nil)
+			},
+			absent: []string{"waited-ms", "objective-ms", "pause-ms"},
+			want:   map[string]any{"prompt": 1400, "answer": 90, "first-ms": int64(50)},
+		},
+		"waited for a place": {
+			play: func(s *stream) {
+				s.waited = 380 * time.Millisecond
+				time.Sleep(s.waited)
+				s.enter("a-grey")
+				s.give(step)
+				s.run.describe(s.noteAttempt("a-grey", "i", s.run.began, nil), 1, false)
+			},
+			want: map[string]any{
+				"waited-ms": int64(380), "first-ms": int64(430), "objective-ms": int64(400),
+				"max-pause-ms": int64(200), "timeout-ms": int64(6000), "priority": 0,
+			},
+		},
+		"paused": {
+			play: func(s *stream) {
+				s.enter("a-grey")
+				s.give(step, 300*time.Millisecond, step)
+				s.run.describe(s.noteAttempt("a-grey", "i", s.run.began, nil), 3, false)
+			},
+			want: map[string]any{"pause-ms": int64(300), "waited-ms": int64(0)},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newAccounted(t)
+				s.options.Meter = meter.New()
+				c.play(s)
+				fields := line(s.exchange, 200, nil)
+				for _, field := range c.absent {
+					if _, ok := fields[field]; ok {
+						t.Errorf("%s is told of a call that was on time", field)
+					}
+				}
+				for field, want := range c.want {
+					if fields[field] != want {
+						t.Errorf("%s is %v, not %v", field, fields[field], want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Story: a group is lost under a stream, which goes on at another one. Its line tells
+// how long the loss took to be seen, how long the next place took to be found, and how
+// long the prompt took to be read again.
+func TestLineTellsTheStepsOfAMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccounted(t)
+		s.options.Meter = meter.New()
+		s.enter("a-grey")
+		s.give(100*time.Millisecond, 40*time.Millisecond)
+		time.Sleep(550 * time.Millisecond)
+		failure := &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: errStill}
+		s.run.describe(s.noteAttempt("a-grey", "i", s.run.began, failure), 2, true)
+		s.leave("a-grey")
+
+		s.reserved = "b-well"
+		d, ok := s.place()
+		if !ok || d.Group != "b-well" {
+			t.Fatalf("the call was placed at %+v", d)
+		}
+		s.run = s.newRun(d.Group, 30*time.Millisecond)
+		s.enter("b-well")
+		s.give(160*time.Millisecond, 40*time.Millisecond)
+		s.run.describe(s.noteAttempt("b-well", "j", s.run.began, nil), 2, false)
+
+		fields := line(s.exchange, 200, nil)
+		if fields["pause-ms"] != int64(710) {
+			t.Errorf("the client saw a pause of %v ms", fields["pause-ms"])
+		}
+		told := fields["attempts"].([]trial)
+		lost, next := told[0], told[1]
+		if lost.SilentMS != 550 || lost.PauseMS != 40 || lost.FirstMS != 100 || lost.Phase != garnetworks.PhaseWait {
+			t.Errorf("the lost attempt is told as %+v", lost)
+		}
+		if next.Why != trialMoved || next.PlacedMS != 30 || next.FirstMS != 160 || next.Phase != garnetworks.PhaseDone {
+			t.Errorf("the next attempt is told as %+v", next)
+		}
+	})
+}
+
+// Story: first events of one group are late, and nobody waits. The line of a late call
+// tells how many calls and how many prompt tokens the group had before it.
+func TestLineTellsWhatTheGroupHadBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccounted(t)
+		before := &stream{exchange: &exchange{Gateway: s.Gateway, call: &garnetworks.PassedCall{Model: "m", PromptTokens: 5900}, route: s.route, service: s.service}}
+		if _, decided := s.scheduler.Arrive(time.Now(), scheduler.Work{ID: "other", Model: "m", Arrived: time.Now(), Objective: time.Second, Tried: []garnetworks.GroupID{"b-well"}}); !decided {
+			t.Fatal("the other call was not placed")
+		}
+		before.enter("a-grey")
+		s.enter("a-grey")
+		if s.run.calls != 1 || s.run.reading != 5900 {
+			t.Errorf("the group had %d calls and %d prompt tokens before", s.run.calls, s.run.reading)
+		}
+		before.run.event(time.Now().Add(time.Millisecond))
+		before.reading.end("a-grey", 5900)
+		before.leave("a-grey")
+		s.leave("a-grey")
+		if len(s.reading) != 0 {
+			t.Errorf("prompts stay counted: %v", s.reading)
+		}
+	})
+}
+
+// Story: a log holds the same cause twice in each line of a failed call, and is full
+// sooner. The attempt tells the cause; the call's error leaves it out.
+func TestErrorLeavesOutWhatTheAttemptTells(t *testing.T) {
+	x := &exchange{}
+	failure := &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: errors.New("i/o timeout")}
+	err := garnetworks.WrapError(garnetworks.KindBackendLost, failure, "the call got no answer")
+	if x.errorText(err) != err.Error() {
+		t.Errorf("without an attempt the error is %q", x.errorText(err))
+	}
+	x.trials = []trial{{Cause: failure.Error()}}
+	if got := x.errorText(err); got != "backend-lost: the call got no answer" {
+		t.Errorf("the error is %q", got)
+	}
+}
+
+// Story: an instance was frozen for two seconds, and all its calls were late. Their
+// lines must say so, or engineers look for the cause at the groups.
+func TestStallOfTheNodeIsCounted(t *testing.T) {
+	var s stalls
+	s.tick(25*time.Millisecond, advanceEvery)
+	s.tick(90*time.Millisecond, advanceEvery)
+	if s.total() != 0 {
+		t.Errorf("ticks a little late count as a stall of %s", s.total())
+	}
+	s.tick(2*time.Second+advanceEvery, advanceEvery)
+	if s.total() != 2*time.Second {
+		t.Errorf("a stall of two seconds counts as %s", s.total())
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,9 @@
 	sequence atomic.Uint64
 	// well and badly bound the lines of calls.
 	well, badly *emitter.Folder
+	stalls      stalls
+	// told counts the calls that were on time, for sampled.
+	told atomic.Uint64
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
@@ -82,6 +85,7 @@
 	waiters   map[garnetworks.CallID]chan scheduler.Decision
 	heads     map[garnetworks.GroupID]head
 	progress  map[garnetworks.GroupID]time.Time
+	reading   reading
 	retries   map[garnetworks.ServiceName]*retrier.Window
 	// nodes is the number of nodes that share the site's retries: the highest heard
 	// within nodesMemory, last at nodesSeen.
@@ -103,6 +107,7 @@
 		waiters:   make(map[garnetworks.CallID]chan scheduler.Decision),
 		heads:     make(map[garnetworks.GroupID]head),
 		progress:  make(map[garnetworks.GroupID]time.Time),
+		reading:   make(reading),
 		retries:   make(map[garnetworks.ServiceName]*retrier.Window),
 	}
 	g.bounds.Store(&options.Bounds)
@@ -122,13 +127,17 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	ticker := time.NewTicker(advanceEvery)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-g.changed:
 			g.refresh(time.Now())
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			g.stalls.tick(now.Sub(last), advanceEvery)
+			last = now
 			g.advance(now)
 		}
 	}
@@ -345,6 +354,7 @@
 // read finds out what a request asks for.
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*exchange, error) {
 	x := &exchange{Gateway: g, w: w}
+	x.stalled = g.stalls.total()
 	index := g.options.Follower.Index()
 	if index == nil {
 		return x, garnetworks.Errorf(garnetworks.KindNotReady, "the node knows no routing yet")
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,11 +51,50 @@
 	// attempts counts those that may have run, free those that surely did not.
 	attempts, free int
 	resuming       bool
+	// moved says that the present place was taken while the group before stood still.
+	moved bool
 	// reserved is a place that was taken elsewhere for a call whose group stands
 	// still; the gateway's lock guards it.
 	reserved garnetworks.GroupID
-	// first is the time from the present attempt's start to its first event.
+	// run is the present attempt.
+	run run
+}
+
+// run is what is known of an attempt while it runs.
+type run struct {
+	group garnetworks.GroupID
+	began time.Time
+	// first is the time to its first event, 0 before it; last is when the last one
+	// came, or the start, and pause the longest time between two.
 	first time.Duration
+	last  time.Time
+	pause time.Duration
+	// calls and reading are what the group had before the attempt: calls, and
+	// prompt tokens of this node.
+	calls, reading int
+	why            trialReason
+	// placed is the time from the end of the attempt before to the start.
+	placed time.Duration
+}
+
+// event notes that an event came.
+func (r *run) event(now time.Time) {
+	if r.first == 0 {
+		r.first = now.Sub(r.began)
+	} else {
+		r.pause = max(r.pause, now.Sub(r.last))
+	}
+	r.last = now
+}
+
+// describe takes the attempt into the call's line.
+func (r *run) describe(t *trial, events int, failed bool) {
+	t.Why, t.PlacedMS = r.why, milliseconds(r.placed)
+	t.FirstMS, t.PauseMS, t.Events = milliseconds(r.first), milliseconds(r.pause), events
+	t.Calls, t.Reading = r.calls, r.reading
+	if failed {
+		t.SilentMS = milliseconds(time.Since(r.last))
+	}
 }
 
 // generate passes a call to a group, and on to another one if the first is lost.
@@ -70,6 +109,7 @@
 			s.waited = time.Since(asked)
 			x.options.Meter.Waited(x.call.Model, s.waited)
 		}
+		s.run = s.newRun(d.Group, time.Since(asked))
 		if !ok {
 			s.end(garnetworks.KindCancelled, x.ctx.Err())
 			return
@@ -92,6 +132,18 @@
 	}
 }
 
+// newRun returns the state of the next attempt, whose place took some time.
+func (s *stream) newRun(group garnetworks.GroupID, took time.Duration) run {
+	if len(s.trials) == 0 {
+		return run{group: group}
+	}
+	r := run{group: group, placed: took, why: trialRepeated}
+	if s.moved {
+		r.why = trialMoved
+	}
+	return r
+}
+
 // work returns what the call asks the scheduler for.
 func (s *stream) work() scheduler.Work {
 	w := scheduler.Work{
@@ -107,7 +159,9 @@
 
 // place waits for a group. It returns false if the client left or time ran out.
 func (s *stream) place() (scheduler.Decision, bool) {
-	if d, ok := s.takeReserved(); ok {
+	d, ok := s.takeReserved()
+	s.moved = ok
+	if ok {
 		return d, true
 	}
 	work := s.work()
@@ -145,15 +199,8 @@
 // attempt runs the call at one group. It returns no failure if the client has got
 // its answer, and otherwise whether another group may go on.
 func (s *stream) attempt(group garnetworks.GroupID) (again bool, failure error) {
-	s.first = 0
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, group, s.first > 0))
-	}()
-	s.mu.Lock()
-	h, ok := s.heads[group]
-	s.mu.Unlock()
+	defer s.leave(group)
+	h, ok := s.enter(group)
 	s.tried = append(s.tried, group)
 	if !ok {
 		s.free++
@@ -163,11 +210,10 @@
 	defer cancel(nil)
 	guard := s.guard(group, cancel)
 	defer guard.stop()
-	began := time.Now()
 	before := s.splicer.Events
 	defer func() {
-		t := s.noteAttempt(group, h.instance, began, asFailure(failure))
-		t.FirstMS, t.Events = milliseconds(s.first), s.splicer.Events-before
+		t := s.noteAttempt(group, h.instance, s.run.began, asFailure(failure))
+		s.run.describe(t, s.splicer.Events-before, failure != nil)
 	}()
 	urgency := urgencyFirst
 	resumeAfter := s.call.LastEvent
@@ -191,7 +237,29 @@
 		return s.error(group, answer)
 	}
 	s.attempts++
-	return s.relay(group, answer, began, guard, func() error { return context.Cause(ctx) })
+	return s.relay(group, answer, guard, func() error { return context.Cause(ctx) })
+}
+
+// enter counts the call at a group, and returns the group's head if it has one.
+func (s *stream) enter(group garnetworks.GroupID) (head, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.run.began, s.run.last = now, now
+	s.run.calls = max(0, s.scheduler.Calls(s.call.Model, group)-1)
+	s.run.reading = s.reading.begin(group, s.call.PromptTokens)
+	h, ok := s.heads[group]
+	return h, ok
+}
+
+// leave gives the call's place at a group back.
+func (s *stream) leave(group garnetworks.GroupID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.run.first == 0 {
+		s.reading.end(group, s.call.PromptTokens)
+	}
+	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, group, s.run.first > 0))
 }
 
 // refused takes an engine's word that it did not begin the call.
@@ -284,11 +352,10 @@
 }
 
 // relay gives the events on as they come.
-func (s *stream) relay(group garnetworks.GroupID, answer *garnetworks.PassedAnswer, began time.Time, guard *guard, cause func() error) (bool, error) {
+func (s *stream) relay(group garnetworks.GroupID, answer *garnetworks.PassedAnswer, guard *guard, cause func() error) (bool, error) {
 	buffer := make([]byte, readBytes)
 	var events []byte
 	s.splicer.Resume()
-	first := true
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
@@ -299,9 +366,10 @@
 			}
 			if len(events) > 0 {
 				guard.event()
+				first := s.run.first == 0
+				s.run.event(time.Now())
 				if first {
-					first = false
-					s.firstEvent(group, time.Since(began))
+					s.firstEvent(group, s.run.first)
 				}
 				if failure := s.send(answer, events); failure != nil {
 					return false, failure
@@ -318,12 +386,12 @@
 }
 
 func (s *stream) firstEvent(group garnetworks.GroupID, took time.Duration) {
-	s.first = took
 	if s.splicer.Events <= 1 {
 		s.options.Meter.FirstEvent(s.route.Name, time.Since(s.call.Received))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reading.end(group, s.call.PromptTokens)
 	s.scheduler.FirstEvent(time.Now(), s.call.Model, group, took, s.route.Objective)
 }
 
@@ -352,12 +420,14 @@
 
 func (s *stream) send(answer *garnetworks.PassedAnswer, events []byte) error {
 	s.begin(answer)
+	began := time.Now()
 	if _, err := s.w.Write(events); err != nil {
 		return errors.Wrap(err, "the client has left")
 	}
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return errors.Wrap(err, "the client has left")
 	}
+	s.event(s.call.Received, began)
 	return nil
 }
 
--- a/passing.go
+++ b/passing.go
@@ -38,6 +38,15 @@
 	LastEvent string
 }
 
+// ExpectedTokens is the number of tokens that the answer is expected to have: the
+// client's estimate, or the most that are generated if it gave none.
+func (c *PassedCall) ExpectedTokens() int {
+	if c.LikelyTokens > 0 {
+		return c.LikelyTokens
+	}
+	return c.MaxTokens
+}
+
 // PassedAttempt is one attempt of a call at one backend server.
 type PassedAttempt struct {
 	*PassedCall
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,6 +119,8 @@
 	Ahead              int
 	Expected, Patience time.Duration
 	Groups             int
+	// Spare is the number of places that were free at groups of other models.
+	Spare int
 }
 
 // place is a group with what the node knows of it.
@@ -229,12 +231,39 @@
 		}
 	}
 	if d, refused := p.refusal(now, &w); refused {
+		d.Spare = s.spare(now, p)
 		return d, true
 	}
 	p.insert(&w)
 	return Decision{}, false
 }
 
+// Calls returns the number of calls that a group has, those of other nodes as last
+// heard.
+func (s *Scheduler) Calls(model garnetworks.ModelName, group garnetworks.GroupID) int {
+	if l := s.pool(model).places[group]; l != nil {
+		return l.inflight + l.others
+	}
+	return 0
+}
+
+// spare returns the number of free places at groups of other models than p's. Where
+// calls are turned away beside them, the models' numbers of groups are wrong.
+func (s *Scheduler) spare(now time.Time, p *pool) int {
+	free := 0
+	for _, other := range s.pools {
+		if other == p {
+			continue
+		}
+		for _, l := range other.places {
+			if !l.gone && !now.Before(l.restUntil) {
+				free += int(max(0, l.window-other.expected(l)))
+			}
+		}
+	}
+	return free
+}
+
 // Finished gives a place back and returns the calls that can be placed now; read
 // says whether the call had an event there.
 func (s *Scheduler) Finished(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, read bool) []Decision {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -260,3 +260,45 @@
 		t.Errorf("of 600 calls, %d went to the group while it failed, and %d when it was well", failing, well)
 	}
 }
+
+// Story: calls for one model are turned away while the groups of another stand half
+// empty. Whoever reads the log must see that the numbers of groups are wrong, and not
+// order more engines.
+func TestRefusalTellsPlacesOfOtherModels(t *testing.T) {
+	s := scheduler.New("z", fixed)
+	others := groups(10, "other-a", "other-b")
+	for i := range others {
+		others[i].Model = "other"
+	}
+	s.SetGroups(start, append(others, groups(6, "g")...))
+	fill(s)
+	for i := range 40 {
+		d, decided := s.Arrive(start, work(fmt.Sprint("late", i)))
+		if !decided || d.Kind != garnetworks.KindOverloaded {
+			continue
+		}
+		if d.Spare < 5 {
+			t.Errorf("%d places are told to be free at the other model's groups", d.Spare)
+		}
+		return
+	}
+	// Nothing was turned away on arrival: what waits is, once its time is over.
+	for _, d := range s.Advance(start.Add(time.Second)) {
+		if d.Kind != "" && d.Spare < 5 {
+			t.Errorf("%d places are told to be free at the other model's groups", d.Spare)
+		}
+	}
+}
+
+func TestCallsOfAGroup(t *testing.T) {
+	s := scheduler.New("z", fixed)
+	s.SetGroups(start, groups(6, "g"))
+	s.Arrive(start, work("a"))
+	s.SetOthers(start, garnetworks.LoadReport{Nodes: 1, Places: []garnetworks.PlaceLoad{{Group: "g", Running: 3}}}, true)
+	if n := s.Calls("m", "g"); n != 4 {
+		t.Errorf("the group has %d calls, not its one and the others' three", n)
+	}
+	if n := s.Calls("m", "gone"); n != 0 {
+		t.Errorf("an unknown group has %d calls", n)
+	}
+}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -126,10 +126,10 @@
 		groups, wait := p.serving(now, w), p.wait(now, len(kept)+1)
 		switch {
 		case groups == 0:
-			decisions = append(decisions, Decision{Call: w.ID, Kind: garnetworks.KindNoGroup, RetryAfter: noGroupRetry, Ahead: len(kept)})
+			decisions = append(decisions, Decision{Call: w.ID, Kind: garnetworks.KindNoGroup, RetryAfter: noGroupRetry, Ahead: len(kept), Spare: s.spare(now, p)})
 		case p.patience(now, w) <= 0:
 			decisions = append(decisions, Decision{
-				Call: w.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(wait), Ahead: len(kept), Expected: wait, Groups: groups,
+				Call: w.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(wait), Ahead: len(kept), Expected: wait, Groups: groups, Spare: s.spare(now, p),
 			})
 		default:
 			kept = append(kept, w)
