Say from log lines why each request was not served in time

The lines told each call's end, and nobody added them up by cause.

Change: package diagnoser reads the nodes' lines, also cut, foreign and out of order, joins the calls of one request, and gives each request that missed one cause of a closed list, with what the cause cost and the steps of moves after a lost group. garnetctl causes prints it as tables or JSON and draws it over time with groups and losses. Lines of calls without a model tell body and target, which mark their work.

Ruled out: counting calls whose lines were held back as requests (refusals under a flood are mostly returns of the same ones; 850 refused against 487); telling returns by the client's stated deadline (clients state 0.85 to 1.0 of it from the start).

--- a/cmd/garnetctl/main.go
+++ b/cmd/garnetctl/main.go
@@ -122,6 +122,7 @@
 	Power    powerCommand     `cmd:"" help:"Show the draw, the grants and the two measures by zone."`
 	NodeList nodesCommand     `cmd:"" name:"nodes" help:"Show the entry nodes."`
 	Timeline timelineCommand  `cmd:"" help:"Show the events of all nodes in causal order."`
+	Causes   causesCommand    `cmd:"" help:"Say from the nodes' log lines why requests were not served in time."`
 	Codes    codesCommand     `cmd:"" name:"exit-codes" help:"Show what each exit code means."`
 }
 
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -186,8 +186,8 @@
 	}
 	if x.call.Model != "" {
 		list = append(list, "model", x.call.Model, "prompt", x.call.PromptTokens, "answer", x.call.ExpectedTokens())
-	} else if len(x.call.Body) > 0 {
-		list = append(list, "body", len(x.call.Body))
+	} else {
+		list = append(list, "body", len(x.call.Body), "target", x.call.Target)
 	}
 	if !detailed {
 		return list
