--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,8 +25,11 @@
 	stillTime = 550 * time.Millisecond
 	// stillFirst is the same for a call that has no event yet.
 	stillFirst = 1200 * time.Millisecond
-	// streamConnectTime bounds a connect to a group's head.
-	streamConnectTime = 250 * time.Millisecond
+	// streamConnectTime bounds a connect to a group's head. Within a site one takes
+	// some milliseconds; a lost packet is sent again after a second only, so that
+	// waiting for it helps nobody. A call whose connect fails after 0.1 s can still
+	// begin in time elsewhere, as first events take 0.2 s.
+	streamConnectTime = 100 * time.Millisecond
 	// readBytes is the size of a read from a stream; an event is smaller.
 	readBytes = 4 << 10
 	// Urgencies at the engine: a resumed stream's client waits between two events.
