--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,6 +30,10 @@
 	// waiting for it helps nobody. A call whose connect fails after 0.1 s can still
 	// begin in time elsewhere, as first events take 0.2 s.
 	streamConnectTime = 100 * time.Millisecond
+	// streamAckTime is how long the bytes of a call that may be repeated can stay
+	// unacknowledged. A live host acknowledges within some milliseconds, and a lost
+	// packet is sent again after 0.2 s.
+	streamAckTime = 300 * time.Millisecond
 	// readBytes is the size of a read from a stream; an event is smaller.
 	readBytes = 4 << 10
 	// Urgencies at the engine: a resumed stream's client waits between two events.
@@ -223,9 +227,13 @@
 	if s.begun {
 		urgency, resumeAfter = urgencyResumed, s.splicer.LastID
 	}
+	ackTime := time.Duration(0)
+	if s.route.Repeatable() {
+		ackTime = streamAckTime
+	}
 	answer, err := s.options.Passer.Pass(ctx, h.address, &garnetworks.PassedAttempt{
 		PassedCall: s.call, Instance: h.instance, Workspace: s.workspace, Until: s.until,
-		Urgency: urgency, ResumeAfter: resumeAfter, Once: !s.route.Repeatable(), ConnectTime: streamConnectTime,
+		Urgency: urgency, ResumeAfter: resumeAfter, Once: !s.route.Repeatable(), ConnectTime: streamConnectTime, AckTime: ackTime,
 	})
 	if err != nil {
 		return s.failed(group, asAttempt(err), context.Cause(ctx))
--- a/passing.go
+++ b/passing.go
@@ -63,8 +63,9 @@
 	// Once says that the call must not run twice, so that only a connection that
 	// is surely alive may carry it.
 	Once bool
-	// ConnectTime bounds the time to open a connection.
-	ConnectTime time.Duration
+	// ConnectTime bounds the time to open a connection, AckTime that for which sent
+	// bytes may stay unacknowledged; 0 leaves either to the adapter.
+	ConnectTime, AckTime time.Duration
 }
 
 // PassedAnswer is a backend server's answer whose headers have come.
