--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -302,3 +302,48 @@
 		t.Errorf("an unknown group has %d calls", n)
 	}
 }
+
+// Story: a member of a group is lost, and for half a second nobody knows. Each new call
+// that was sent there found it out for itself: its connect or its first event did not
+// come, and it was late when it began elsewhere.
+func TestNewCallsAvoidASilentGroup(t *testing.T) {
+	cases := map[string]struct {
+		silence time.Duration
+		other   int
+		avoids  bool
+	}{
+		"heard a moment ago":  {silence: 50 * time.Millisecond},
+		"silent":              {silence: 400 * time.Millisecond, avoids: true},
+		"silent, others full": {silence: 400 * time.Millisecond, other: 100},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", fixed)
+			s.SetGroups(start, groups(20, "lost", "well"))
+			now := start
+			for _, group := range []garnetworks.GroupID{"lost", "well"} {
+				w := work("on " + string(group))
+				w.Tried = []garnetworks.GroupID{map[garnetworks.GroupID]garnetworks.GroupID{"lost": "well", "well": "lost"}[group]}
+				s.Arrive(now, w)
+				s.Event(now, "m", group)
+				s.FirstEvent(now, "m", group, 100*time.Millisecond, 400*time.Millisecond)
+			}
+			if c.other > 0 {
+				s.SetOthers(now, garnetworks.LoadReport{Nodes: 1, Places: []garnetworks.PlaceLoad{{Group: "well", Running: c.other}}}, true)
+			}
+			now = now.Add(c.silence)
+			s.Event(now, "m", "well")
+			there := 0
+			for i := range 3 {
+				w := work(fmt.Sprint("new", i))
+				w.Arrived = now
+				if d, decided := s.Arrive(now, w); decided && d.Group == "lost" {
+					there++
+				}
+			}
+			if (there == 0) != c.avoids {
+				t.Errorf("%d of 3 calls were sent to the group", there)
+			}
+		})
+	}
+}
