Replay a site with small domains in the lab, and tell how much of the work is served

The lab had no such site, and told only how long lost groups were away.

Change: pattern small-domains (6 domains of 8, losses, additions, two domains that begin anew), and the part of the work that the serving groups could take, against the first sample.

--- a/cmd/garnetlab/main.go
+++ b/cmd/garnetlab/main.go
@@ -94,7 +94,7 @@
 		f.Policy = experimenter.GroupPolicyNames()
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tlosses\tdown p50 ms\tp75\tworst\tidle engine-seconds")
+	_, _ = fmt.Fprintln(table, "pattern\tpolicy\tlosses\tdown p50 ms\tp75\tworst\tidle engine-seconds\tserved")
 	for _, name := range names {
 		pattern := patterns[name]
 		results := make(map[string]*experimenter.GroupResult)
--- a/experimenter/regroup.go
+++ b/experimenter/regroup.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -41,6 +42,9 @@
 	// LossEvery and AddEvery are the times between two losses and two additions;
 	// losses hit members of serving groups.
 	LossEvery, AddEvery time.Duration
+	// RestartAt are times at which all engines of the first domains, one domain for each
+	// time, begin anew: with their hosts' models, without groups or memory.
+	RestartAt []time.Duration
 }
 
 // GroupPatterns returns the patterns of losses.
@@ -57,9 +61,25 @@
 		{Name: "large", Size: 12, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
 		{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
 	}
+	small := profile
+	small.LoadsPerSecond, small.LoadsAtOnce = 4, 6
+	small.Models = []garnetworks.ModelProfile{
+		{Name: "large", Size: 4, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		{Name: "small", Size: 2, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+	}
 	return map[string]GroupPattern{
-		"lost-engines":       {"lost-engines", profile, 6, 11, time.Minute, 3 * time.Second, 4 * time.Second},
-		"lost-engines-grown": {"lost-engines-grown", grown, 6, 27, time.Minute, time.Second, 1400 * time.Millisecond},
+		"lost-engines": {
+			Name: "lost-engines", Profile: profile, Domains: 6, Each: 11, Length: time.Minute,
+			LossEvery: 3 * time.Second, AddEvery: 4 * time.Second,
+		},
+		"lost-engines-grown": {
+			Name: "lost-engines-grown", Profile: grown, Domains: 6, Each: 27, Length: time.Minute,
+			LossEvery: time.Second, AddEvery: 1400 * time.Millisecond,
+		},
+		"small-domains": {
+			Name: "small-domains", Profile: small, Domains: 6, Each: 8, Length: time.Minute,
+			LossEvery: 3 * time.Second, AddEvery: 3500 * time.Millisecond, RestartAt: []time.Duration{15 * time.Second, 30 * time.Second},
+		},
 	}
 }
 
@@ -79,6 +99,9 @@
 	// Idle is the time that living engines spent in no serving group, added up.
 	Idle    time.Duration
 	Samples []Sample
+	// Served is the mean part of the work that the serving groups could take: of each
+	// model, at most its part at the first sample.
+	Served float64
 }
 
 // groupPolicy decides which groups exist.
@@ -116,6 +139,9 @@
 		r.step(now)
 	}
 	r.settle(pattern.Length)
+	for _, sample := range r.result.Samples {
+		r.result.Served += r.served(sample) / float64(len(r.result.Samples))
+	}
 	return r.result, nil
 }
 
@@ -128,8 +154,8 @@
 	result  *GroupResult
 	// down holds the times since which groups are missing, oldest first.
 	down map[garnetworks.ModelName][]time.Duration
-	// added and lost count the engines so far.
-	added, lost int
+	// added, lost and restarted count the engines, and the domains, so far.
+	added, lost, restarted int
 }
 
 func (r *regrouping) step(now time.Duration) {
@@ -137,6 +163,7 @@
 	r.advance()
 	if now >= firstCall {
 		r.strike()
+		r.restart()
 	}
 	in := former.Input{
 		Servers: r.list(now - listLag), Service: service, Profile: &r.pattern.Profile, Dark: r.dark(r.notices),
@@ -177,6 +204,32 @@
 	}
 }
 
+// restart lets a domain begin anew when it is due.
+func (r *regrouping) restart() {
+	if r.restarted >= len(r.pattern.RestartAt) || r.now < r.pattern.RestartAt[r.restarted] {
+		return
+	}
+	domain := garnetworks.DomainID(fmt.Sprintf("d%d", r.restarted))
+	r.restarted++
+	for _, e := range r.engines {
+		if e.Domain == domain && e.lostAt == alive {
+			e.Member, e.Model, e.openAt = garnetworks.Membership{}, "", alive
+		}
+	}
+}
+
+// served is the part of the work that the groups of a sample could take.
+func (r *regrouping) served(s Sample) float64 {
+	first := r.result.Samples[0].Serving
+	sum := 0.0
+	for _, m := range r.pattern.Profile.Models {
+		if n := first[m.Name]; n > 0 {
+			sum += m.Share * min(1, float64(s.Serving[m.Name])/float64(n))
+		}
+	}
+	return sum
+}
+
 // match takes the groups that opened as replacements of those lost longest ago.
 func (r *regrouping) match() {
 	for _, model := range r.opened {
