Count served work in the lab against what the calls need

Cause: the lab's part of served work took a model's first number of groups for its need, so that spare groups counted like needed ones; and engines that began anew kept their names, which no engine does: the planner waited for their joins for 16 s.

Change: patterns state the groups that the calls need; engines that begin anew have new names.

--- a/experimenter/fleet.go
+++ b/experimenter/fleet.go
@@ -52,12 +52,16 @@
 	return f
 }
 
-func (f *fleet) add(domain int) {
+func domainName(n int) garnetworks.DomainID { return garnetworks.DomainID(fmt.Sprintf("d%d", n)) }
+
+// add adds an engine without weights to a domain.
+func (f *fleet) add(domain int) *engine {
 	e := &engine{lostAt: alive, openAt: alive}
 	e.ID = garnetworks.InstanceID(fmt.Sprintf("i-%d-%03d", domain, len(f.engines)))
 	e.Service, e.State, e.Address = service, garnetworks.ListedLive, string(e.ID)
-	e.Domain = garnetworks.DomainID(fmt.Sprintf("d%d", domain))
+	e.Domain = domainName(domain)
 	f.engines[e.ID] = e
+	return e
 }
 
 // advance ends what is due.
--- a/experimenter/regroup.go
+++ b/experimenter/regroup.go
@@ -1,7 +1,7 @@
 package experimenter
 
 import (
-	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -42,6 +42,8 @@
 	// LossEvery and AddEvery are the times between two losses and two additions;
 	// losses hit members of serving groups.
 	LossEvery, AddEvery time.Duration
+	// Needs is the number of groups that each model's calls need.
+	Needs map[garnetworks.ModelName]float64
 	// RestartAt are times at which all engines of the first domains, one domain for each
 	// time, begin anew: with their hosts' models, without groups or memory.
 	RestartAt []time.Duration
@@ -71,14 +73,17 @@
 		"lost-engines": {
 			Name: "lost-engines", Profile: profile, Domains: 6, Each: 11, Length: time.Minute,
 			LossEvery: 3 * time.Second, AddEvery: 4 * time.Second,
+			Needs: map[garnetworks.ModelName]float64{"large": 4, "small": 4},
 		},
 		"lost-engines-grown": {
 			Name: "lost-engines-grown", Profile: grown, Domains: 6, Each: 27, Length: time.Minute,
 			LossEvery: time.Second, AddEvery: 1400 * time.Millisecond,
+			Needs: map[garnetworks.ModelName]float64{"large": 5, "small": 8},
 		},
 		"small-domains": {
 			Name: "small-domains", Profile: small, Domains: 6, Each: 8, Length: time.Minute,
-			LossEvery: 3 * time.Second, AddEvery: 3500 * time.Millisecond, RestartAt: []time.Duration{15 * time.Second, 30 * time.Second},
+			LossEvery: 3 * time.Second, AddEvery: 3500 * time.Millisecond,
+			Needs: map[garnetworks.ModelName]float64{"large": 6, "small": 6}, RestartAt: []time.Duration{15 * time.Second, 30 * time.Second},
 		},
 	}
 }
@@ -100,7 +105,7 @@
 	Idle    time.Duration
 	Samples []Sample
 	// Served is the mean part of the work that the serving groups could take: of each
-	// model, at most its part at the first sample.
+	// model, at most what its calls need.
 	Served float64
 }
 
@@ -204,28 +209,28 @@
 	}
 }
 
-// restart lets a domain begin anew when it is due.
+// restart lets a domain begin anew when it is due: its engines come back under other
+// names, with what their hosts hold.
 func (r *regrouping) restart() {
 	if r.restarted >= len(r.pattern.RestartAt) || r.now < r.pattern.RestartAt[r.restarted] {
 		return
 	}
-	domain := garnetworks.DomainID(fmt.Sprintf("d%d", r.restarted))
+	domain := r.restarted
 	r.restarted++
-	for _, e := range r.engines {
-		if e.Domain == domain && e.lostAt == alive {
-			e.Member, e.Model, e.openAt = garnetworks.Membership{}, "", alive
+	for _, id := range slices.Sorted(maps.Keys(r.engines)) {
+		old := r.engines[id]
+		if old.Domain == domainName(domain) && old.lostAt == alive {
+			old.lostAt = r.now - lapseTime
+			r.add(domain).Staged = old.Staged
 		}
 	}
 }
 
 // served is the part of the work that the groups of a sample could take.
 func (r *regrouping) served(s Sample) float64 {
-	first := r.result.Samples[0].Serving
 	sum := 0.0
 	for _, m := range r.pattern.Profile.Models {
-		if n := first[m.Name]; n > 0 {
-			sum += m.Share * min(1, float64(s.Serving[m.Name])/float64(n))
-		}
+		sum += m.Share * min(1, float64(s.Serving[m.Name])/r.pattern.Needs[m.Name])
 	}
 	return sum
 }
