--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -280,11 +280,7 @@
 	if g.down {
 		return
 	}
-	worked := slices.Clone(g.running)
 	first, done := g.end(r.now)
-	for _, t := range worked {
-		r.nodes[t.node].event(r.now, t)
-	}
 	for _, t := range first {
 		for _, result := range r.counted(t.call) {
 			_ = result.First.RecordValue((r.now - t.first).Milliseconds()) // beyond the range
--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -20,8 +20,6 @@
 // policy decides at one node.
 type policy interface {
 	arrive(now time.Duration, c *call) []verdict
-	// event tells of each event, first of a call's first one.
-	event(now time.Duration, t *task)
 	first(now time.Duration, t *task)
 	finished(now time.Duration, t *task) []verdict
 	groups(now time.Duration, list []scheduler.Group) []verdict
@@ -76,10 +74,6 @@
 	s.FirstEvent(instant(now), t.kind.Model, t.place, now-t.sent, t.kind.Objective)
 }
 
-func (s *scheduled) event(now time.Duration, t *task) {
-	s.Event(instant(now), t.kind.Model, t.place)
-}
-
 func (s *scheduled) finished(now time.Duration, t *task) []verdict {
 	if !t.begun {
 		s.Still(instant(now), t.kind.Model, t.place)
@@ -121,8 +115,6 @@
 	return []verdict{{c, best, time.Second}}
 }
 
-func (l *leastRunning) event(time.Duration, *task) {}
-
 func (l *leastRunning) first(time.Duration, *task) {}
 
 func (l *leastRunning) finished(_ time.Duration, t *task) []verdict {
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -60,7 +60,6 @@
 	g.stream.mu.Lock()
 	defer g.stream.mu.Unlock()
 	g.stream.progress[g.group] = now
-	g.stream.scheduler.Event(now, g.stream.call.Model, g.group)
 	g.limit, g.begun = stillTime, true
 	g.timer.Reset(quietTime)
 }
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -34,8 +34,4 @@
 //	    others: its engine's health is good, and it gives events all the time. Each
 //	    such call counts against it, and while too many of its last ones did, a node
 //	    has few calls there at once, which show when it is well again.
-//	Q9  A group whose head or a member is lost, in the moments before anybody knows.
-//	    All its calls are silent at once. A call that comes then goes to a group that
-//	    was heard of, if one has a place: it costs nothing where the silence was only a
-//	    long prompt, and saves the call the time to find out where it was not.
 package scheduler
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -19,10 +19,7 @@
 func mostWindow(slots int) float64 { return float64(slots) * (1 + queuedPart) }
 
 // put counts a call at a place.
-func (p *pool) put(now time.Time, l *place) {
-	if l.inflight == 0 {
-		l.heard = now
-	}
+func (p *pool) put(l *place) {
 	l.inflight++
 	l.placed++
 	l.reading++
@@ -61,28 +58,7 @@
 		}
 		free = append(free, l)
 	}
-	return s.choose(p, preferHeard(now, p, free))
-}
-
-// preferHeard leaves out the groups that are silent, unless all are (Q9).
-func preferHeard(now time.Time, p *pool, free []*place) []*place {
-	heard := slices.DeleteFunc(slices.Clone(free), func(l *place) bool { return p.silent(now, l) })
-	if len(heard) == 0 {
-		return free
-	}
-	return heard
-}
-
-// silent reports whether the group should have given this node an event by now.
-func (p *pool) silent(now time.Time, l *place) bool {
-	if l.inflight == 0 {
-		return false
-	}
-	limit := max(silentLeast, silentFactor*p.passTime)
-	if l.reading >= l.inflight {
-		limit = max(limit, time.Duration(silentFirst*float64(p.firstTime)))
-	}
-	return now.Sub(l.heard) > limit
+	return s.choose(p, free)
 }
 
 // choose returns the better one of a few groups drawn at random (Q7), or nil if
@@ -118,23 +94,10 @@
 	if l == nil {
 		return "", false
 	}
-	p.put(now, l)
+	p.put(l)
 	return l.ID, true
 }
 
-// Event takes that a group gave an event to a call of this node (Q9).
-func (s *Scheduler) Event(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) {
-	p := s.pool(model)
-	l := p.places[group]
-	if l == nil {
-		return
-	}
-	if took := now.Sub(l.heard); took >= passLeast && l.reading < l.inflight {
-		p.passTime += time.Duration(passWeight * float64(took-p.passTime))
-	}
-	l.heard = now
-}
-
 // FirstEvent takes the time from a call's sending to its first event (Q2).
 func (s *Scheduler) FirstEvent(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took, objective time.Duration) {
 	p := s.pool(model)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,19 +68,6 @@
 	// leave after two seconds without one.
 	beginFactor = 4
 	beginLeast  = time.Second
-	// silentFactor times the usual time between two passes of a model's groups, and
-	// silentLeast at least, is how long a group that works on calls of this node may
-	// give none of them an event before other groups are preferred (Q9).
-	silentFactor = 3
-	silentLeast  = 120 * time.Millisecond
-	// silentFirst times the usual time to a first event is the same for a group whose
-	// calls of this node have had no event yet.
-	silentFirst = 1.5
-	// passWeight is the weight of a new pass in the usual time between two, and
-	// passLeast the time within which events are taken to be of one pass: they come
-	// together, some milliseconds apart.
-	passWeight = 0.05
-	passLeast  = 10 * time.Millisecond
 	// queuedPart is the part of a group's slots that may be sent beyond them. News
 	// are a few calls old; with a few calls in the engine's queue no place of its
 	// batch stays empty for them.
@@ -149,9 +136,6 @@
 	// reading is the number of this node's calls there that have had no event yet:
 	// the group reads their prompts before it answers a later one.
 	reading int
-	// heard is when the group last gave an event to a call of this node, or got the
-	// first one of those that it has now.
-	heard time.Time
 	// restUntil is when a group that stood still is tried again; probing says
 	// that it has not answered since.
 	restUntil time.Time
@@ -169,9 +153,8 @@
 	// rate is the number of places that come free in a second.
 	rate   float64
 	rateAt time.Time
-	// firstTime is the usual time from a call's sending to its first event, and
-	// passTime that between two passes of a group.
-	firstTime, passTime time.Duration
+	// firstTime is the usual time from a call's sending to its first event.
+	firstTime time.Duration
 	// arrivals is the decayed number of calls that came, at arrivedAt.
 	arrivals  float64
 	arrivedAt time.Time
@@ -243,7 +226,7 @@
 	p.arrived(now)
 	if len(p.waiting) == 0 || w.Resumed {
 		if l := s.best(now, p, &w); l != nil {
-			p.put(now, l)
+			p.put(l)
 			return Decision{Call: w.ID, Group: l.ID}, true
 		}
 	}
