--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -54,6 +54,7 @@
 	s.calls[id] = c
 	d, decided := s.Arrive(instant(now), scheduler.Work{
 		ID: id, Model: c.kind.Model, Arrived: instant(c.arrived), Objective: c.kind.Objective,
+		Prompt: c.prompt, MaxPause: c.kind.MaxGap,
 	})
 	if !decided {
 		return nil
@@ -71,11 +72,13 @@
 }
 
 func (s *scheduled) first(now time.Duration, t *task) {
+	s.Read(t.kind.Model, t.place, t.prompt)
 	s.FirstEvent(instant(now), t.kind.Model, t.place, now-t.sent, t.kind.Objective)
 }
 
 func (s *scheduled) finished(now time.Duration, t *task) []verdict {
 	if !t.begun {
+		s.Read(t.kind.Model, t.place, t.prompt)
 		s.Still(instant(now), t.kind.Model, t.place)
 	}
 	return s.verdicts(s.Finished(instant(now), t.kind.Model, t.place, t.begun))
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -16,7 +16,6 @@
 func newAccounted(t *testing.T) *stream {
 	t.Helper()
 	_, s := newGuarded(t)
-	s.Gateway.reading = make(reading)
 	s.heads = map[garnetworks.GroupID]head{"a-grey": {instance: "i"}, "b-well": {instance: "j"}}
 	s.route.MaxGap = 200 * time.Millisecond
 	s.route.Name, s.route.Timeout = "r", 6*time.Second
@@ -151,8 +150,9 @@
 func TestLineTellsWhatTheGroupHadBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newAccounted(t)
+		s.call.PromptTokens = 0 // it was placed before it had a size
 		before := &stream{exchange: &exchange{Gateway: s.Gateway, call: &garnetworks.PassedCall{Model: "m", PromptTokens: 5900}, route: s.route, service: s.service}}
-		if _, decided := s.scheduler.Arrive(time.Now(), scheduler.Work{ID: "other", Model: "m", Arrived: time.Now(), Objective: time.Second, Tried: []garnetworks.GroupID{"b-well"}}); !decided {
+		if _, decided := s.scheduler.Arrive(time.Now(), scheduler.Work{ID: "other", Model: "m", Prompt: 5900, Arrived: time.Now(), Objective: time.Second, Tried: []garnetworks.GroupID{"b-well"}}); !decided {
 			t.Fatal("the other call was not placed")
 		}
 		before.enter("a-grey")
@@ -161,11 +161,11 @@
 			t.Errorf("the group had %d calls and %d prompt tokens before", s.run.calls, s.run.reading)
 		}
 		before.run.event(time.Now().Add(time.Millisecond))
-		before.reading.end("a-grey", 5900)
+		before.scheduler.Read("m", "a-grey", 5900)
 		before.leave("a-grey")
 		s.leave("a-grey")
-		if len(s.reading) != 0 {
-			t.Errorf("prompts stay counted: %v", s.reading)
+		if left := s.scheduler.Unread("m", "a-grey"); left != 0 {
+			t.Errorf("%d prompt tokens stay counted", left)
 		}
 	})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,6 @@
 	waiters   map[garnetworks.CallID]chan scheduler.Decision
 	heads     map[garnetworks.GroupID]head
 	progress  map[garnetworks.GroupID]time.Time
-	reading   reading
 	retries   map[garnetworks.ServiceName]*retrier.Window
 	// nodes is the number of nodes that share the site's retries: the highest heard
 	// within nodesMemory, last at nodesSeen.
@@ -107,7 +106,6 @@
 		waiters:   make(map[garnetworks.CallID]chan scheduler.Decision),
 		heads:     make(map[garnetworks.GroupID]head),
 		progress:  make(map[garnetworks.GroupID]time.Time),
-		reading:   make(reading),
 		retries:   make(map[garnetworks.ServiceName]*retrier.Window),
 	}
 	g.bounds.Store(&options.Bounds)
@@ -178,7 +176,7 @@
 				continue
 			}
 			heads[group.ID] = head{h.ID, h.Address}
-			serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots})
+			serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, ReadRate: readRate(&profile, group.Model)})
 		}
 	}
 	g.mu.Lock()
@@ -195,6 +193,16 @@
 	g.deliver(g.scheduler.SetGroups(now, serving))
 }
 
+// readRate returns the prompt tokens that a group of the model reads in a second.
+func readRate(profile *garnetworks.EngineProfile, model garnetworks.ModelName) float64 {
+	for i := range profile.Models {
+		if m := &profile.Models[i]; m.Name == model && m.Pace > 0 {
+			return profile.ReadRate / m.Pace
+		}
+	}
+	return 0
+}
+
 func (g *Gateway) advance(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -163,5 +163,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.scheduler.Read(s.call.Model, d.Group, s.call.PromptTokens)
 	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, false))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -160,7 +160,7 @@
 	w := scheduler.Work{
 		ID:    garnetworks.CallID(strconv.FormatUint(s.sequence.Add(1), 10)),
 		Model: s.call.Model, Priority: s.priority, Arrived: s.call.Received,
-		Objective: s.route.Objective, Resumed: s.begun || s.resuming, Tried: s.tried,
+		Objective: s.route.Objective, Prompt: s.call.PromptTokens, MaxPause: s.route.MaxGap, Resumed: s.begun || s.resuming, Tried: s.tried,
 	}
 	if w.Resumed {
 		w.Arrived = time.Now()
@@ -199,6 +199,7 @@
 		case d := <-waiter:
 			// The decision crossed the client's leaving; its place goes back.
 			if d.Group != "" {
+				s.scheduler.Read(s.call.Model, d.Group, s.call.PromptTokens)
 				s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, false))
 			}
 		default:
@@ -262,7 +263,7 @@
 	now := time.Now()
 	s.run.began, s.run.last = now, now
 	s.run.calls = max(0, s.scheduler.Calls(s.call.Model, group)-1)
-	s.run.reading = s.reading.begin(group, s.call.PromptTokens)
+	s.run.reading = max(0, s.scheduler.Unread(s.call.Model, group)-s.call.PromptTokens)
 	h, ok := s.heads[group]
 	return h, ok
 }
@@ -283,7 +284,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.run.first == 0 {
-		s.reading.end(group, s.call.PromptTokens)
+		s.scheduler.Read(s.call.Model, group, s.call.PromptTokens)
 	}
 	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, group, s.run.first > 0))
 }
@@ -417,7 +418,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reading.end(group, s.call.PromptTokens)
+	s.scheduler.Read(s.call.Model, group, s.call.PromptTokens)
 	s.scheduler.FirstEvent(time.Now(), s.call.Model, group, took, s.route.Objective)
 }
 
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -34,4 +34,9 @@
 //	    others: its engine's health is good, and it gives events all the time. Each
 //	    such call counts against it, and while too many of its last ones did, a node
 //	    has few calls there at once, which show when it is well again.
+//	Q9  Many prompts at once at one group: it has just opened and is the emptiest, or
+//	    calls of a lost group move there. It reads them between two events of its
+//	    other calls, which are late then, all of them. So a node lets a group read its
+//	    part of what can be read within the pause that clients allow, and its next
+//	    call goes elsewhere or waits until that is read.
 package scheduler
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -19,8 +19,9 @@
 func mostWindow(slots int) float64 { return float64(slots) * (1 + queuedPart) }
 
 // put counts a call at a place.
-func (p *pool) put(l *place) {
+func (p *pool) put(l *place, w *Work) {
 	l.inflight++
+	l.unread += w.Prompt
 	l.placed++
 	l.reading++
 	p.allowance--
@@ -56,6 +57,9 @@
 		if l.failing > failingPart && l.inflight >= failingCalls { // Q8
 			continue
 		}
+		if !p.reads(l, w) { // Q9
+			continue
+		}
 		free = append(free, l)
 	}
 	return s.choose(p, free)
@@ -85,6 +89,36 @@
 	return best
 }
 
+// reads reports whether the group can read the call's prompt beside those that it reads
+// for this node, within the node's part of what keeps its other calls in time (Q9). A
+// single prompt is always read, however long it is.
+func (p *pool) reads(l *place, w *Work) bool {
+	if l.unread == 0 || l.ReadRate <= 0 || w.MaxPause <= 0 {
+		return true
+	}
+	most := l.ReadRate * readPart * w.MaxPause.Seconds()
+	if p.share > 0 {
+		most *= p.share
+	}
+	return float64(l.unread+w.Prompt) <= most
+}
+
+// Unread returns the prompt tokens of this node's calls that a group has not read.
+func (s *Scheduler) Unread(model garnetworks.ModelName, group garnetworks.GroupID) int {
+	if l := s.pool(model).places[group]; l != nil {
+		return l.unread
+	}
+	return 0
+}
+
+// Read takes that a group has read a prompt, or that its call ended before. It is called
+// once for each call that was placed.
+func (s *Scheduler) Read(model garnetworks.ModelName, group garnetworks.GroupID, tokens int) {
+	if l := s.pool(model).places[group]; l != nil {
+		l.unread = max(0, l.unread-tokens)
+	}
+}
+
 // Elsewhere takes a place at another group for a call whose group stands still, if
 // one is free now (Q5). It does not wait: until there is a place, the call is better
 // off where it is, since a group that stands still may go on.
@@ -94,7 +128,7 @@
 	if l == nil {
 		return "", false
 	}
-	p.put(l)
+	p.put(l, &w)
 	return l.ID, true
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,6 +68,9 @@
 	// leave after two seconds without one.
 	beginFactor = 4
 	beginLeast  = time.Second
+	// readPart is the part of the pause that clients allow in which a group may read new
+	// prompts (Q9); in the other part its other calls get their next event.
+	readPart = 0.5
 	// queuedPart is the part of a group's slots that may be sent beyond them. News
 	// are a few calls old; with a few calls in the engine's queue no place of its
 	// batch stays empty for them.
@@ -87,6 +90,9 @@
 	Zone  garnetworks.ZoneID
 	// Slots is the number of calls that the group works on together.
 	Slots int
+	// ReadRate is the number of prompt tokens that it reads in a second; 0 if that is
+	// not known.
+	ReadRate float64
 }
 
 // Work is a call that asks for a group.
@@ -98,6 +104,10 @@
 	Arrived time.Time
 	// Objective is the time from Arrived to the first event that is on time.
 	Objective time.Duration
+	// Prompt is the number of prompt tokens, MaxPause the longest pause between two
+	// events that the client allows; 0 if it states none.
+	Prompt   int
+	MaxPause time.Duration
 	// Resumed says that the call was cut off with its group (Q5).
 	Resumed bool
 	// Tried holds the groups that failed the call; they are not chosen again.
@@ -136,6 +146,8 @@
 	// reading is the number of this node's calls there that have had no event yet:
 	// the group reads their prompts before it answers a later one.
 	reading int
+	// unread is the number of prompt tokens of those calls.
+	unread int
 	// restUntil is when a group that stood still is tried again; probing says
 	// that it has not answered since.
 	restUntil time.Time
@@ -226,7 +238,7 @@
 	p.arrived(now)
 	if len(p.waiting) == 0 || w.Resumed {
 		if l := s.best(now, p, &w); l != nil {
-			p.put(l)
+			p.put(l, &w)
 			return Decision{Call: w.ID, Group: l.ID}, true
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -302,3 +302,48 @@
 		t.Errorf("an unknown group has %d calls", n)
 	}
 }
+
+// Story: a group has just opened and is the emptiest of all, so that each node sends it
+// its next calls, ten prompts within a moment. It reads them between two events of its
+// other calls, and all of them pause for longer than their clients allow.
+func TestPromptsAreSpreadOverTime(t *testing.T) {
+	const rate, prompt = 50_000, 1400
+	cases := map[string]struct {
+		rate   float64
+		pause  time.Duration
+		placed int
+	}{
+		// Half of 200 ms at 50 tokens a ms is 5,000 tokens: three prompts.
+		"within half a pause": {rate: rate, pause: 200 * time.Millisecond, placed: 3},
+		"one prompt at least": {rate: rate, pause: 10 * time.Millisecond, placed: 1},
+		"rate is not known":   {pause: 200 * time.Millisecond, placed: 10},
+		"no pause is stated":  {rate: rate, placed: 10},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", fixed)
+			s.SetOthers(start, garnetworks.LoadReport{}, true)
+			s.SetGroups(start, []scheduler.Group{{ID: "g", Model: "m", Zone: "z", Slots: 26, ReadRate: c.rate}})
+			s.SetOthers(start, garnetworks.LoadReport{}, true)
+			placed := 0
+			for i := range 10 {
+				w := work(fmt.Sprint("call", i))
+				w.Prompt, w.MaxPause = prompt, c.pause
+				if d, decided := s.Arrive(start, w); decided && d.Group == "g" {
+					placed++
+				}
+			}
+			if placed != c.placed {
+				t.Errorf("%d prompts were sent at once, not %d", placed, c.placed)
+			}
+			if placed == 10 {
+				return
+			}
+			s.Read("m", "g", prompt)
+			s.FirstEvent(start, "m", "g", 100*time.Millisecond, 400*time.Millisecond)
+			if list := s.Advance(start); len(list) != 1 || list[0].Group != "g" {
+				t.Errorf("after one prompt was read, %+v was decided", list)
+			}
+		})
+	}
+}
