--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -23,6 +23,9 @@
 	// call that may be repeated gets: a server that hangs then leaves time for
 	// another one.
 	firstAttemptPart = 0.45
+	// plainConnectTime bounds a connect to a plain service. Within a site a server
+	// that lives accepts within milliseconds.
+	plainConnectTime = 200 * time.Millisecond
 )
 
 // whole is an answer that was read to its end.
@@ -125,7 +128,7 @@
 	}
 	passed, err := x.options.Passer.Pass(ctx, server.Address, &garnetworks.PassedAttempt{
 		PassedCall: x.call, Instance: server.ID, Workspace: x.workspace, Until: x.until,
-		Once: !x.route.Repeatable(), ConnectTime: connectTime,
+		Once: !x.route.Repeatable(), ConnectTime: plainConnectTime,
 	})
 	answer, failure = readWhole(passed, err)
 	now := time.Now()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,12 +25,11 @@
 	stillTime = 550 * time.Millisecond
 	// stillFirst is the same for a call that has no event yet.
 	stillFirst = 1200 * time.Millisecond
-	// connectTime bounds a connect to a server. Within a site one takes some
-	// milliseconds, ten times less than this; a lost packet is sent again after a second
-	// only, so that waiting for it helps nobody. A call whose connect fails has not run,
-	// and can still begin in time elsewhere: first events take 0.2 s of an objective of
-	// 0.3 s and more, whole answers of plain services some tens of milliseconds of 0.1 s.
-	connectTime = 60 * time.Millisecond
+	// streamConnectTime bounds a connect to a group's head. Within a site one takes
+	// some milliseconds; a lost packet is sent again after a second only, so that
+	// waiting for it helps nobody. A call whose connect fails after 0.1 s can still
+	// begin in time elsewhere, as first events take 0.2 s.
+	streamConnectTime = 100 * time.Millisecond
 	// streamAckTime is how long the bytes of a call that may be repeated can stay
 	// unacknowledged. A live host acknowledges within some milliseconds, and a lost
 	// packet is sent again after 0.2 s.
@@ -238,7 +237,7 @@
 	}
 	answer, err := s.options.Passer.Pass(ctx, h.address, &garnetworks.PassedAttempt{
 		PassedCall: s.call, Instance: h.instance, Workspace: s.workspace, Until: s.until,
-		Urgency: urgency, ResumeAfter: resumeAfter, Once: !s.route.Repeatable(), Fresh: !s.heard(group), ConnectTime: connectTime, AckTime: ackTime,
+		Urgency: urgency, ResumeAfter: resumeAfter, Once: !s.route.Repeatable(), Fresh: !s.heard(group), ConnectTime: streamConnectTime, AckTime: ackTime,
 	})
 	if err != nil {
 		return s.failed(group, asAttempt(err), context.Cause(ctx))
@@ -272,7 +271,7 @@
 //
 // Failure: a group's head is gone. A call on a kept connection to it learns that after
 // streamAckTime, when it is too late to begin elsewhere in time; a connect tells it after
-// connectTime.
+// streamConnectTime.
 func (s *stream) heard(group garnetworks.GroupID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
