--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,9 +34,6 @@
 	// unacknowledged. A live host acknowledges within some milliseconds, and a lost
 	// packet is sent again after 0.2 s.
 	streamAckTime = 300 * time.Millisecond
-	// heardTime is how long ago a group must have given this node an event for a kept
-	// connection to its head to be used. Groups give one every 50 ms to 0.1 s.
-	heardTime = 150 * time.Millisecond
 	// readBytes is the size of a read from a stream; an event is smaller.
 	readBytes = 4 << 10
 	// Urgencies at the engine: a resumed stream's client waits between two events.
@@ -237,7 +234,7 @@
 	}
 	answer, err := s.options.Passer.Pass(ctx, h.address, &garnetworks.PassedAttempt{
 		PassedCall: s.call, Instance: h.instance, Workspace: s.workspace, Until: s.until,
-		Urgency: urgency, ResumeAfter: resumeAfter, Once: !s.route.Repeatable(), Fresh: !s.heard(group), ConnectTime: streamConnectTime, AckTime: ackTime,
+		Urgency: urgency, ResumeAfter: resumeAfter, Once: !s.route.Repeatable(), ConnectTime: streamConnectTime, AckTime: ackTime,
 	})
 	if err != nil {
 		return s.failed(group, asAttempt(err), context.Cause(ctx))
@@ -267,17 +264,6 @@
 	return h, ok
 }
 
-// heard reports whether the group gave this node an event a moment ago.
-//
-// Failure: a group's head is gone. A call on a kept connection to it learns that after
-// streamAckTime, when it is too late to begin elsewhere in time; a connect tells it after
-// streamConnectTime.
-func (s *stream) heard(group garnetworks.GroupID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Since(s.progress[group]) < heardTime
-}
-
 // leave gives the call's place at a group back.
 func (s *stream) leave(group garnetworks.GroupID) {
 	s.mu.Lock()
--- a/passing.go
+++ b/passing.go
@@ -63,10 +63,6 @@
 	// Once says that the call must not run twice, so that only a connection that
 	// is surely alive may carry it.
 	Once bool
-	// Fresh asks for a new connection: a server that is gone shows at once in that it
-	// does not answer the connect, and on a kept connection only when what was sent
-	// stays unacknowledged.
-	Fresh bool
 	// ConnectTime bounds the time to open a connection, AckTime that for which sent
 	// bytes may stay unacknowledged; 0 leaves either to the adapter.
 	ConnectTime, AckTime time.Duration
