--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -297,7 +296,10 @@
 		s.mayHaveRun = s.mayHaveRun || failure.Phase != garnetworks.PhaseConnect
 		return false, failure
 	}
-	s.setBack(group, failure)
+	s.mu.Lock()
+	s.scheduler.Still(time.Now(), s.call.Model, group)
+	s.mu.Unlock()
+	s.options.Suspect(group)
 	if failure.Phase == garnetworks.PhaseConnect {
 		s.free++
 		return s.free <= maxFree, failure
@@ -307,33 +309,6 @@
 	return s.goOn(errors.Wrap(failure, causeText(cause)))
 }
 
-// setBack lets a group that failed a call rest, or have fewer calls if it only sheds them.
-//
-// Failure: an engine whose queue is long resets connections beyond a number. Taken for
-// lost, its group got no call of this node for 0.7 s and one at a time after that, though
-// it served all that it had; the calls went to groups that were as full, or were turned
-// away.
-func (s *stream) setBack(group garnetworks.GroupID, failure *garnetworks.AttemptError) {
-	now := time.Now()
-	s.mu.Lock()
-	shed := sheds(failure)
-	if shed {
-		s.scheduler.Full(now, s.call.Model, group)
-	} else {
-		s.scheduler.Still(now, s.call.Model, group)
-	}
-	s.mu.Unlock()
-	if !shed {
-		s.options.Suspect(group)
-	}
-}
-
-// sheds reports whether a server reset the connection without a byte of an answer: its
-// host lives, and a server that has ended refuses the next connect.
-func sheds(failure *garnetworks.AttemptError) bool {
-	return failure.Phase == garnetworks.PhaseWait && errors.Is(failure, syscall.ECONNRESET)
-}
-
 func causeText(cause error) string {
 	if cause == nil {
 		return "attempt failed"
