--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -125,7 +125,7 @@
 		if !ok || d.Group != "b-well" {
 			t.Fatalf("the call was placed at %+v", d)
 		}
-		s.run = s.newRun(d.Group, 30*time.Millisecond)
+		s.run = s.newRun(30 * time.Millisecond)
 		s.enter("b-well")
 		s.give(160*time.Millisecond, 40*time.Millisecond)
 		s.run.describe(s.noteAttempt("b-well", "j", s.run.began, nil), 2, false)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,7 +69,6 @@
 
 // run is what is known of an attempt while it runs.
 type run struct {
-	group garnetworks.GroupID
 	began time.Time
 	// first is the time to its first event, 0 before it; last is when the last one
 	// came, or the start, and pause the longest time between two.
@@ -116,7 +115,7 @@
 			s.waited = time.Since(asked)
 			x.options.Meter.Waited(x.call.Model, s.waited)
 		}
-		s.run = s.newRun(d.Group, time.Since(asked))
+		s.run = s.newRun(time.Since(asked))
 		if !ok {
 			s.end(garnetworks.KindCancelled, x.ctx.Err())
 			return
@@ -140,11 +139,11 @@
 }
 
 // newRun returns the state of the next attempt, whose place took some time.
-func (s *stream) newRun(group garnetworks.GroupID, took time.Duration) run {
+func (s *stream) newRun(took time.Duration) run {
 	if len(s.trials) == 0 {
-		return run{group: group}
+		return run{}
 	}
-	r := run{group: group, placed: took, why: trialRepeated}
+	r := run{placed: took, why: trialRepeated}
 	if s.moved {
 		r.why = trialMoved
 	}
