--- a/former/balance.go
+++ b/former/balance.go
@@ -26,6 +26,10 @@
 	// even after the spares are used up. Where a domain of 27 loses one each 6 s, eight
 	// last for 48 s, the time of three loads.
 	outsideReady = 8
+	// secondLoadsPart is the part of the loads that the weight store carries at once
+	// which second models may take. Beyond that number each load takes longer; the
+	// other half is left to what a domain lacks.
+	secondLoadsPart = 0.5
 )
 
 // exchange is what a domain closes so that its instances suffice for a group of another
@@ -265,17 +269,14 @@
 // stageSecond loads a second model onto hosts: of all spares, and of members of other
 // models' groups until outsideReady instances of each domain outside a model's groups
 // hold it, or all of them before the first call comes. It takes what first loads leave
-// of the budget (rule O5), up to what the weight store carries at once: beyond that each
-// load takes longer. Where engines are lost every three seconds in domains of eight, half
-// as many let the large model run out of instances that hold it: part of the work that
-// the groups could take, mean over eight seeds of the lab, 0.896 with half, 0.909 with all.
+// of the budget (rule O5).
 //
 // An instance keeps the model that it has in memory besides the one on its host. So a
 // spare replaces a lost member of either of two models, of one in 0.2 s and of the
 // other in the warm time.
 func (r *plan) stageSecond() {
 	if !r.Unhurried {
-		r.loads = min(r.loads, r.Profile.LoadsAtOnce-r.loading())
+		r.loads = min(r.loads, int(float64(r.Profile.LoadsAtOnce)*secondLoadsPart)-r.loading())
 	}
 	domains := make(map[garnetworks.DomainID][]garnetworks.RegisteredServer)
 	for _, s := range r.Servers {
