--- a/platform/garnetcompare/statistics.go
+++ b/estimator/estimator.go
@@ -1,6 +1,9 @@
-package main
+// Package estimator tells from paired measurements which of two versions is better. It is
+// pure, and its random draws repeat.
+package estimator
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -17,34 +20,34 @@
 	// tail is the part of the comparisons in which the truth lies beyond each end of the
 	// interval.
 	tail = 0.025
-	// leastPairs is the number of pairs below which no interval is given: the ends
+	// LeastPairs is the number of pairs below which no interval is given: the ends
 	// would be those of the differences themselves. A commit's three pairs with itself
 	// agreed in sign on 2 of 12 days.
-	leastPairs = 6
+	LeastPairs = 6
 )
 
-// estimate is the mean of paired differences.
-type estimate struct {
+// Estimate is the mean of paired differences.
+type Estimate struct {
 	Pairs int     `json:"pairs"`
 	Old   float64 `json:"old"`
 	New   float64 `json:"new"`
 	// Difference is the mean of new less old.
 	Difference float64 `json:"difference"`
 	// Low and High are the ends of its confidence interval; both absent with fewer
-	// than leastPairs pairs.
+	// than LeastPairs pairs.
 	Low  *float64 `json:"low,omitempty"`
 	High *float64 `json:"high,omitempty"`
 }
 
-// newEstimate estimates the difference of values that are paired by their index.
-func newEstimate(before, after []float64) estimate {
-	e := estimate{Pairs: len(before)}
+// New estimates the difference of values that are paired by their index.
+func New(before, after []float64) Estimate {
+	e := Estimate{Pairs: len(before)}
 	if e.Pairs == 0 {
 		return e
 	}
 	e.Old, e.New = stat.Mean(before, nil), stat.Mean(after, nil)
 	e.Difference = e.New - e.Old
-	if e.Pairs < leastPairs {
+	if e.Pairs < LeastPairs {
 		return e
 	}
 	differences := make([]float64, e.Pairs)
@@ -95,6 +98,27 @@
 func (u uniformIndex) Rand() float64 { return float64(u.random.IntN(u.n)) }
 
 // holdsZero reports whether the interval leaves the sign open.
-func (e *estimate) holdsZero() bool {
+func (e *Estimate) holdsZero() bool {
 	return e.Low == nil || *e.Low <= 0 && *e.High >= 0
 }
+
+// Interval is the confidence interval as text.
+func (e *Estimate) Interval(digits int) string {
+	if e.Low == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%+.*f to %+.*f", digits, *e.Low, digits, *e.High)
+}
+
+// Verdict says which version is better, if the pairs tell.
+func (e *Estimate) Verdict() string {
+	switch {
+	case e.Low == nil:
+		return "too few pairs"
+	case e.holdsZero():
+		return "not told apart"
+	case e.Difference > 0:
+		return "new is better"
+	}
+	return "old is better"
+}
--- a/platform/garnetcompare/statistics_test.go
+++ b/estimator/estimator_test.go
@@ -1,8 +1,10 @@
-package main
+package estimator_test
 
 import (
 	"math/rand/v2"
 	"testing"
+
+	"github.com/garnetworks/garnetworks/estimator"
 )
 
 // Story: a change that does nothing is kept, since its interval was too narrow, or one
@@ -11,7 +13,7 @@
 // as with many.
 func TestIntervalHoldsTheTruth(t *testing.T) {
 	const comparisons, truth, spread = 400, 0.01, 0.05
-	cases := map[string]int{"least pairs": leastPairs, "eight": 8, "twenty": 20}
+	cases := map[string]int{"least pairs": estimator.LeastPairs, "eight": 8, "twenty": 20}
 	for name, pairs := range cases {
 		t.Run(name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(3, 4))
@@ -22,7 +24,7 @@
 					before[i] = 0.7 + 0.1*random.NormFloat64()
 					after[i] = before[i] + truth + spread*random.NormFloat64()
 				}
-				e := newEstimate(before, after)
+				e := estimator.New(before, after)
 				if *e.Low <= truth && truth <= *e.High {
 					held++
 				}
@@ -50,12 +52,12 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			e := newEstimate(c.before, c.after)
+			e := estimator.New(c.before, c.after)
 			if off := e.Difference - c.difference; off > 1e-9 || off < -1e-9 {
 				t.Errorf("the difference is %g", e.Difference)
 			}
-			if (e.Low != nil) != c.interval || e.verdict() != c.verdict {
-				t.Errorf("interval %v, verdict %q", e.interval(4), e.verdict())
+			if (e.Low != nil) != c.interval || e.Verdict() != c.verdict {
+				t.Errorf("interval %v, verdict %q", e.Interval(4), e.Verdict())
 			}
 		})
 	}
