Keep the form of an attempt in a log line once

Cause: the gateway wrote it and the diagnoser read it by two structs of the same fields; one that is changed alone makes the account lose what the line tells.

Change: emitter.Attempt is written by the gateway and read by the diagnoser, and the line's message is named once. No field, name or value of the line changes; the tests are as they were but for the types' names.

--- a/diagnoser/call.go
+++ b/diagnoser/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/emitter"
 )
 
 // Terms are what a route promises.
@@ -101,7 +102,7 @@
 	d.calls = append(d.calls, c)
 }
 
-func (d *Diagnoser) newAttempt(a *attemptLine) Attempt {
+func (d *Diagnoser) newAttempt(a *emitter.Attempt) Attempt {
 	return Attempt{
 		Group: intern(d.names, a.Group), Instance: intern(d.names, a.Instance), Phase: intern(d.names, a.Phase),
 		Placed: duration(a.PlacedMS), First: duration(a.FirstMS), Took: duration(a.TookMS), Events: a.Events,
--- a/diagnoser/line.go
+++ b/diagnoser/line.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/emitter"
 )
 
 // maxLine bounds a log line; a longer one is counted as cut.
@@ -50,31 +51,12 @@
 	Priority  int    `json:"priority"`
 	Once      bool   `json:"once"`
 
-	Groups   int           `json:"groups"`
-	Spare    int           `json:"spare"`
-	Attempts []attemptLine `json:"attempts"`
-	Folded   int           `json:"folded"`
+	Groups   int               `json:"groups"`
+	Spare    int               `json:"spare"`
+	Attempts []emitter.Attempt `json:"attempts"`
+	Folded   int               `json:"folded"`
 }
 
-type attemptLine struct {
-	Group    garnetworks.GroupID    `json:"group"`
-	Instance garnetworks.InstanceID `json:"instance"`
-	Phase    garnetworks.CallPhase  `json:"phase"`
-	Why      string                 `json:"why"`
-	PlacedMS int64                  `json:"placed-ms"`
-	FirstMS  int64                  `json:"first-ms"`
-	TookMS   int64                  `json:"took-ms"`
-	Events   int                    `json:"events"`
-	PauseMS  int64                  `json:"pause-ms"`
-	SilentMS int64                  `json:"silent-ms"`
-	Calls    int                    `json:"calls"`
-	Reading  int                    `json:"reading"`
-	Cause    string                 `json:"cause"`
-}
-
-// callEnded is the message of a call's line.
-const callEnded = "call-ended"
-
 // read takes all lines of one source.
 func (d *Diagnoser) read(source io.Reader) error {
 	reader := bufio.NewReaderSize(source, maxLine)
@@ -123,7 +105,7 @@
 	switch {
 	case l.Node == "" || l.At.IsZero():
 		d.lines.Foreign++
-	case l.Message == callEnded:
+	case l.Message == emitter.CallEnded:
 		d.takeCall(&l)
 	default:
 		d.takeEvent(&l)
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/scheduler"
 )
 
@@ -31,46 +32,9 @@
 // without any late call are told as well. One in 20 adds 2 in 100 to the log.
 const sampled = 20
 
-// trial is one attempt in a call's line.
-type trial struct {
-	Group    garnetworks.GroupID    `json:"group,omitempty"`
-	Instance garnetworks.InstanceID `json:"instance,omitempty"`
-	// Phase is how far the attempt came; done for a whole answer.
-	Phase garnetworks.CallPhase `json:"phase,omitempty"`
-	// Why says what the attempt is for; empty for a call's first one.
-	Why trialReason `json:"why,omitempty"`
-	// PlacedMS is the time from the end of the attempt before to this one's start.
-	PlacedMS int64 `json:"placed-ms,omitempty"`
-	// FirstMS is the time to its first event, TookMS that to its end.
-	FirstMS int64 `json:"first-ms,omitempty"`
-	TookMS  int64 `json:"took-ms,omitempty"`
-	Events  int   `json:"events,omitempty"`
-	// PauseMS is the longest pause between two of its events. SilentMS is the time
-	// from its last event, or from its start, to its end, if it failed.
-	PauseMS  int64 `json:"pause-ms,omitempty"`
-	SilentMS int64 `json:"silent-ms,omitempty"`
-	// Calls is the number of calls that the group had before this one, those of other
-	// nodes as last heard; Reading the prompt tokens of this node that it had not
-	// read yet.
-	Calls   int    `json:"calls,omitempty"`
-	Reading int    `json:"reading,omitempty"`
-	Cause   string `json:"cause,omitempty"`
-}
-
-// trialReason says what a later attempt of a call is for.
-type trialReason string
-
-const (
-	// trialMoved attempts have a place that was taken for them while the group
-	// before stood still.
-	trialMoved trialReason = "moved"
-	// trialRepeated attempts follow one that ended.
-	trialRepeated trialReason = "repeated"
-)
-
 // account gathers what one call's line tells.
 type account struct {
-	trials []trial
+	trials []emitter.Attempt
 	// waited is how long the call waited for its first place.
 	waited time.Duration
 	// decision is the last one of the scheduler.
@@ -94,8 +58,8 @@
 func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
 
 // tried notes the end of an attempt.
-func (a *account) tried(group garnetworks.GroupID, instance garnetworks.InstanceID, began time.Time, failure error) *trial {
-	t := trial{Group: group, Instance: instance, Phase: garnetworks.PhaseDone, TookMS: milliseconds(time.Since(began))}
+func (a *account) tried(group garnetworks.GroupID, instance garnetworks.InstanceID, began time.Time, failure error) *emitter.Attempt {
+	t := emitter.Attempt{Group: group, Instance: instance, Phase: garnetworks.PhaseDone, TookMS: milliseconds(time.Since(began))}
 	if failure != nil {
 		t.Phase = asAttempt(failure).Phase
 		t.Cause = failure.Error()
@@ -133,7 +97,7 @@
 	if !ok {
 		return
 	}
-	x.options.Logger.Info("call-ended", x.fields(status, outcome, err, folded)...)
+	x.options.Logger.Info(emitter.CallEnded, x.fields(status, outcome, err, folded)...)
 }
 
 // fields are the line's fields; docs/OPERATIONS.md explains them. A call that was
@@ -230,12 +194,12 @@
 
 // attempts are those that the line tells: of a call that was on time only who
 // answered.
-func attempts(trials []trial, detailed bool) []trial {
+func attempts(trials []emitter.Attempt, detailed bool) []emitter.Attempt {
 	if detailed {
 		return trials
 	}
 	last := trials[len(trials)-1]
-	return []trial{{Group: last.Group, Instance: last.Instance, Events: last.Events}}
+	return []emitter.Attempt{{Group: last.Group, Instance: last.Instance, Events: last.Events}}
 }
 
 // errorText is the error's text without the cause that the last attempt tells.
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/meter"
 	"github.com/garnetworks/garnetworks/scheduler"
 )
@@ -134,12 +135,12 @@
 		if fields["pause-ms"] != int64(710) {
 			t.Errorf("the client saw a pause of %v ms", fields["pause-ms"])
 		}
-		told := fields["attempts"].([]trial)
+		told := fields["attempts"].([]emitter.Attempt)
 		lost, next := told[0], told[1]
 		if lost.SilentMS != 550 || lost.PauseMS != 40 || lost.FirstMS != 100 || lost.Phase != garnetworks.PhaseWait {
 			t.Errorf("the lost attempt is told as %+v", lost)
 		}
-		if next.Why != trialMoved || next.PlacedMS != 30 || next.FirstMS != 160 || next.Phase != garnetworks.PhaseDone {
+		if next.Why != emitter.AttemptMoved || next.PlacedMS != 30 || next.FirstMS != 160 || next.Phase != garnetworks.PhaseDone {
 			t.Errorf("the next attempt is told as %+v", next)
 		}
 	})
@@ -179,7 +180,7 @@
 	if x.errorText(err) != err.Error() {
 		t.Errorf("without an attempt the error is %q", x.errorText(err))
 	}
-	x.trials = []trial{{Cause: failure.Error()}}
+	x.trials = []emitter.Attempt{{Cause: failure.Error()}}
 	if got := x.errorText(err); got != "backend-lost: the call got no answer" {
 		t.Errorf("the error is %q", got)
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/retrier"
 )
 
@@ -183,7 +184,7 @@
 }
 
 // noteAttempt takes the end of an attempt into the call's line and the metrics.
-func (x *exchange) noteAttempt(group garnetworks.GroupID, instance garnetworks.InstanceID, began time.Time, failure *garnetworks.AttemptError) *trial {
+func (x *exchange) noteAttempt(group garnetworks.GroupID, instance garnetworks.InstanceID, began time.Time, failure *garnetworks.AttemptError) *emitter.Attempt {
 	var err error
 	if failure != nil {
 		err = failure
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/scheduler"
 	"github.com/garnetworks/garnetworks/splicer"
 )
@@ -78,7 +79,7 @@
 	// calls and reading are what the group had before the attempt: calls, and
 	// prompt tokens of this node.
 	calls, reading int
-	why            trialReason
+	why            emitter.AttemptReason
 	// placed is the time from the end of the attempt before to the start.
 	placed time.Duration
 }
@@ -94,7 +95,7 @@
 }
 
 // describe takes the attempt into the call's line.
-func (r *run) describe(t *trial, events int, failed bool) {
+func (r *run) describe(t *emitter.Attempt, events int, failed bool) {
 	t.Why, t.PlacedMS = r.why, milliseconds(r.placed)
 	t.FirstMS, t.PauseMS, t.Events = milliseconds(r.first), milliseconds(r.pause), events
 	t.Calls, t.Reading = r.calls, r.reading
@@ -143,9 +144,9 @@
 	if len(s.trials) == 0 {
 		return run{}
 	}
-	r := run{placed: took, why: trialRepeated}
+	r := run{placed: took, why: emitter.AttemptRepeated}
 	if s.moved {
-		r.why = trialMoved
+		r.why = emitter.AttemptMoved
 	}
 	return r
 }
