--- a/diagnoser/diagnoser_test.go
+++ b/diagnoser/diagnoser_test.go
@@ -375,6 +375,18 @@
 	}
 }
 
+// Story: several plays of a day are told as one. A cause that came in one of two costs
+// half of what it cost there, and one for which nobody missed is left out.
+func TestMeanOfAccounts(t *testing.T) {
+	with := report(t, at(1000, "call-ended", "n", refused("overloaded", fields{"spare": 3})))
+	without := report(t, at(1000, "call-ended", "n", refused("unauthenticated", fields{"status": 401})))
+	means := diagnoser.MeanCauses([]*diagnoser.Report{with, without})
+	want := diagnoser.MeanCause{Cause: diagnoser.CauseNoTime, Refused: 0.5, Lost: 0.5, Spare: 0.5}
+	if len(means) != 1 || means[0] != want {
+		t.Errorf("the means are %+v", means)
+	}
+}
+
 // FuzzRead holds that no line ends the account, and that each request has one cause at
 // most.
 func FuzzRead(f *testing.F) {
