--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -81,15 +81,16 @@
 }
 
 func order(key string, nodes []garnetworks.NodeInfo) []garnetworks.NodeInfo {
-	ids := make([]garnetworks.NodeID, 0, len(nodes))
+	byID := make(map[garnetworks.NodeID]garnetworks.NodeInfo, len(nodes))
+	contenders := make([]leaser.Contender, 0, len(nodes))
 	for _, n := range nodes {
-		ids = append(ids, n.ID)
+		byID[n.ID] = n
+		contenders = append(contenders, leaser.Contender{ID: n.ID, Zone: n.Zone, Processor: n.Processor})
+	}
+	sorted := make([]garnetworks.NodeInfo, 0, len(nodes))
+	for _, n := range leaser.Order(key, contenders) {
+		sorted = append(sorted, byID[n.ID])
 	}
-	ids = leaser.Order(key, ids)
-	sorted := slices.Clone(nodes)
-	slices.SortFunc(sorted, func(a, b garnetworks.NodeInfo) int {
-		return slices.Index(ids, a.ID) - slices.Index(ids, b.ID)
-	})
 	return sorted
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -59,6 +59,9 @@
 	// sweepEvery is how often unused connections and the nodes that contend for the
 	// lease are looked through.
 	sweepEvery = 2 * time.Second
+	// contendersEvery is how often the lease is told which nodes there are: before
+	// firstPatience is over, and soon enough for a candidate that is lost.
+	contendersEvery = 700 * time.Millisecond
 )
 
 // leaseSettings pass the lease on within about 3 s of its holder's loss. A group
@@ -74,6 +77,19 @@
 	}
 }
 
+// firstPatience is how long no node takes the lease after the site's first start. Nodes
+// know of each other within a second; servers register for some seconds, so that nothing
+// is ordered in that time anyway.
+const firstPatience = 1500 * time.Millisecond
+
+// patience returns how long a node that starts leaves the lease to others.
+func patience(site *garnetworks.SiteNode) time.Duration {
+	if !site.FirstStart {
+		return 0
+	}
+	return firstPatience
+}
+
 // Listeners take calls, the balancer's questions and the operators' reading of
 // metrics.
 type Listeners struct {
@@ -135,7 +151,8 @@
 		Acting: func() bool { return l.peers.leading() },
 	})
 	l.lease, err = leaser.New(leaser.Options{
-		Self: site.Node, Key: leaseKey, Objects: objects, Settings: leaseSettings(), Recorder: events, Zone: site.Zone,
+		Self: site.Node, Key: leaseKey, Objects: objects, Settings: leaseSettings(), Recorder: events, Zone: site.Zone, Processor: site.Processor,
+		Patience: patience(site),
 	})
 	if err != nil {
 		return nil, err
@@ -288,13 +305,16 @@
 func (l *Launcher) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
+	contenders := time.NewTicker(contendersEvery)
+	defer contenders.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-contenders.C:
+			l.lease.SetContenders(l.contenders())
 		case now := <-ticker.C:
 			l.options.Sweep(now)
-			l.lease.SetContenders(l.contenders())
 			if l.options.LinesDropped != nil {
 				l.meter.LinesDropped(l.options.LinesDropped())
 			}
@@ -303,10 +323,10 @@
 }
 
 // contenders returns all nodes, so that few of them read the lease often.
-func (l *Launcher) contenders() []garnetworks.NodeID {
-	nodes := []garnetworks.NodeID{l.options.Site.Node}
-	for _, n := range l.peers.tracker.Peers() {
-		nodes = append(nodes, n.ID)
+func (l *Launcher) contenders() []leaser.Contender {
+	var nodes []leaser.Contender
+	for _, n := range append(l.peers.tracker.Peers(), l.peers.self) {
+		nodes = append(nodes, leaser.Contender{ID: n.ID, Zone: n.Zone, Processor: n.Processor})
 	}
 	return nodes
 }
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -39,6 +39,7 @@
 		timeline: timeline,
 		self: garnetworks.NodeInfo{
 			ID: site.Node, Incarnation: uint64(time.Now().UnixNano()), Address: site.Peers, Zone: site.Zone, Region: site.Region, Program: options.Program,
+			Processor: site.Processor,
 		},
 	}
 	p.client = messenger.NewClient(messenger.ClientOptions{Clock: timeline, Recorder: events})
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -32,6 +32,20 @@
 	Recorder garnetworks.Recorder
 	// Zone is recorded with the lease's events.
 	Zone garnetworks.ZoneID
+	// Processor is the part of a core that the node may use, in thousandths; 0 if it is
+	// not known.
+	Processor int
+	// Patience is how long the node does not contend after its start, where all nodes
+	// start at once: none of them knows yet which others there are, and the first one
+	// that asks would hold the lease, whatever its processor.
+	Patience time.Duration
+}
+
+// Contender is a node that may take a lease.
+type Contender struct {
+	ID        garnetworks.NodeID
+	Zone      garnetworks.ZoneID
+	Processor int
 }
 
 // Lease contends for a lease in the object API. It is safe for concurrent use.
@@ -62,6 +76,9 @@
 	}
 	state := NewState(options.Self, options.Settings)
 	state.Candidates = options.Candidates
+	if options.Patience > 0 {
+		state.nextRead = time.Now().Add(options.Patience)
+	}
 	return &Lease{
 		options: options,
 		state:   state,
@@ -73,11 +90,11 @@
 // SetContenders tells the lease which nodes contend, from the zone's roster, so
 // that only the first few in rendezvous order read the record often (L7). A
 // node that is missing from its own roster counts itself in.
-func (l *Lease) SetContenders(nodes []garnetworks.NodeID) {
-	rank := Rank(l.options.Key, l.options.Self, nodes)
+func (l *Lease) SetContenders(nodes []Contender) {
+	rank := Rank(l.options.Key, Contender{l.options.Self, l.options.Zone, l.options.Processor}, nodes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.state.Rank >= l.state.Candidates && rank < l.state.Candidates {
+	if l.state.Rank >= l.state.Candidates && rank < l.state.Candidates && l.state.Known {
 		// The nodes before this one are gone: read soon in place of at the end of
 		// the long interval.
 		l.state.nextRead = time.Time{}
@@ -86,30 +103,40 @@
 	l.state.Rank = rank
 }
 
-// Rank returns the number of nodes that come before self in the rendezvous
-// order of key.
-func Rank(key string, self garnetworks.NodeID, nodes []garnetworks.NodeID) int {
-	own := weight(key, self)
-	rank := 0
-	for _, n := range nodes {
-		if n == self {
-			continue
-		}
-		w := weight(key, n)
-		if w > own || (w == own && n < self) {
-			rank++
-		}
-	}
-	return rank
+// Rank returns the number of nodes that come before self in the order of key.
+func Rank(key string, self Contender, nodes []Contender) int {
+	others := slices.DeleteFunc(slices.Clone(nodes), func(n Contender) bool { return n.ID == self.ID })
+	return slices.IndexFunc(Order(key, append(others, self)), func(n Contender) bool { return n.ID == self.ID })
 }
 
-// Order returns the nodes in the rendezvous order of key, the first one first.
-func Order(key string, nodes []garnetworks.NodeID) []garnetworks.NodeID {
-	order := slices.Clone(nodes)
-	slices.SortFunc(order, func(a, b garnetworks.NodeID) int {
-		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
+// Order returns the nodes in the order of key, the first one first (rule L8).
+func Order(key string, nodes []Contender) []Contender {
+	type place struct {
+		Contender
+		weight uint64
+		// turn is the number of nodes of the same zone that come before it.
+		turn int
+	}
+	order := make([]place, len(nodes))
+	for i, n := range nodes {
+		order[i] = place{Contender: n, weight: weight(key, n.ID)}
+	}
+	slices.SortFunc(order, func(a, b place) int {
+		return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(b.weight, a.weight), cmp.Compare(a.ID, b.ID))
 	})
-	return order
+	turns := make(map[garnetworks.ZoneID]int)
+	for i := range order {
+		order[i].turn = turns[order[i].Zone]
+		turns[order[i].Zone]++
+	}
+	slices.SortStableFunc(order, func(a, b place) int {
+		return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(a.turn, b.turn))
+	})
+	sorted := make([]Contender, len(order))
+	for i := range order {
+		sorted[i] = order[i].Contender
+	}
+	return sorted
 }
 
 func weight(key string, node garnetworks.NodeID) uint64 {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -18,8 +18,11 @@
 //	    writes a term that is not above every term it knows of.
 //	L6  A holder that steps down leaves the record without a holder, and only
 //	    after its caller has ended all orders.
-//	L7  Only the first few nodes in rendezvous order read the record often; the
-//	    others read it rarely, and stand in when the first ones are gone.
+//	L7  Only the first few nodes in order read the record often; the others read
+//	    it rarely, and stand in when the first ones are gone.
+//	L8  Nodes with more processor come first, and among equals those of different
+//	    zones, in rendezvous order. A holder that can't do the work is late with all
+//	    of it, and candidates of one zone are lost together.
 //
 // Assumptions. Clocks of two nodes run at rates that differ by less than
 // DriftBound over one lease. A stopped process's monotonic clock goes on, so
@@ -120,7 +123,7 @@
 	Self garnetworks.NodeID
 	// Settings passed Check.
 	Settings Settings
-	// Rank is the node's place in rendezvous order; below Candidates it reads
+	// Rank is the node's place in the order of L8; below Candidates it reads
 	// often (L7).
 	Rank       int
 	Candidates int
--- a/peer.go
+++ b/peer.go
@@ -21,6 +21,9 @@
 	Ready bool `json:"ready" cbor:"6,keyasint"`
 	// Program is the node's program version.
 	Program string `json:"program" cbor:"7,keyasint"`
+	// Processor is the part of a core that the node may use, in thousandths; 0 if it is
+	// not known.
+	Processor int `json:"processor,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Roster is the list of a zone's entry nodes, an object of its own.
--- a/routing.go
+++ b/routing.go
@@ -282,6 +282,9 @@
 	// FirstStart is set when the whole site starts for the first time.
 	FirstStart bool
 	// MemoryBytes is the most memory that the process may take.
+	// Processor is the part of a core that the node may use, in thousandths; 0 if it is
+	// not known.
+	Processor   int
 	MemoryBytes int64
 	Bounds      SiteBounds
 }
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -6,6 +6,7 @@
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/drainer"
+	"github.com/garnetworks/garnetworks/leaser"
 	"github.com/garnetworks/garnetworks/meter"
 )
 
@@ -75,12 +76,12 @@
 }
 
 // zoneNodes returns the names of the zone's nodes, or of all if zone is empty.
-func zoneNodes(nodes []garnetworks.NodeInfo, zone garnetworks.ZoneID) []garnetworks.NodeID {
-	var ids []garnetworks.NodeID
+func zoneNodes(nodes []garnetworks.NodeInfo, zone garnetworks.ZoneID) []leaser.Contender {
+	var contenders []leaser.Contender
 	for _, n := range nodes {
 		if zone == "" || n.Zone == zone {
-			ids = append(ids, n.ID)
+			contenders = append(contenders, leaser.Contender{ID: n.ID, Zone: n.Zone, Processor: n.Processor})
 		}
 	}
-	return ids
+	return contenders
 }
