Order a head to open once, and find unsettled domains once a plan

And each plan looked through all sent orders once for each domain.

Change: an open that was taken is repeated only after the group's opening time and two waits; the domains are found in one pass.

--- a/former/balance.go
+++ b/former/balance.go
@@ -75,7 +75,7 @@
 func (r *plan) exchangeGroups(free map[garnetworks.DomainID][]garnetworks.RegisteredServer, counts map[garnetworks.ModelName]int) {
 	r.followExchanges(counts)
 	for _, domain := range r.listedDomains() {
-		if r.exchanges[domain] != nil || r.unsettled(domain) || r.now.Before(r.unsure[domain]) {
+		if r.exchanges[domain] != nil || r.unsettled.Has(domain) || r.now.Before(r.unsure[domain]) {
 			continue
 		}
 		closed, model := r.bestExchange(free[domain], domain, counts)
--- a/former/formation.go
+++ b/former/formation.go
@@ -157,7 +157,7 @@
 	counts := r.counts()
 	free := r.free()
 	for domain := range free {
-		if r.unsettled(domain) {
+		if r.unsettled.Has(domain) {
 			delete(free, domain)
 		}
 	}
@@ -174,27 +174,27 @@
 	}
 }
 
-// unsettled reports whether instances of the domain were told to leave a moment
-// ago and have not answered yet.
+// noteUnsettled finds the domains of which instances were told to leave a moment ago and
+// have not answered yet, or are to be told now.
 //
 // Failure: the answers of a broken group's members come one after the other. With
 // the first few of them a group of a smaller model is formed, and the instances
 // that are left are too few for the model that was lost.
-func (r *plan) unsettled(domain garnetworks.DomainID) bool {
+func (r *plan) noteUnsettled() {
+	r.unsettled = make(garnetworks.Set[garnetworks.DomainID])
 	for i := range r.orders {
-		if o := &r.orders[i]; o.Kind == garnetworks.GroupLeave && r.Servers[o.Life.Instance].Domain == domain {
-			return true
+		if o := &r.orders[i]; o.Kind == garnetworks.GroupLeave {
+			r.unsettled.Add(r.Servers[o.Life.Instance].Domain)
 		}
 	}
 	for id, s := range r.sent {
 		if s.order.Kind != garnetworks.GroupLeave || s.taken || r.now.Sub(s.at) >= orderAgain {
 			continue
 		}
-		if server, ok := r.server(id); ok && server.Domain == domain && r.usable(&server) && !r.released(&server) {
-			return true
+		if server, ok := r.server(id); ok && r.usable(&server) && !r.released(&server) {
+			r.unsettled.Add(server.Domain)
 		}
 	}
-	return false
 }
 
 // counts returns the groups of each model that serve or are on their way.
--- a/former/planner.go
+++ b/former/planner.go
@@ -150,6 +150,8 @@
 	ordered garnetworks.Set[garnetworks.Life]
 	stages  map[garnetworks.Life]garnetworks.ModelName
 	loads   int
+	// unsettled are the domains in which answers to orders to leave are awaited.
+	unsettled garnetworks.Set[garnetworks.DomainID]
 }
 
 // urgency is the place of an order among those that wait to be sent: what lets callers
@@ -199,6 +201,7 @@
 	r.followFormations()
 	r.followGroups()
 	r.releaseGivenUp()
+	r.noteUnsettled()
 	r.formGroups()
 	r.stageLacking()
 	r.stageSpares()
@@ -266,13 +269,23 @@
 // send adds an order unless the same one was sent a moment ago, or the plan has another
 // one for the instance.
 func (r *plan) send(u urgency, o garnetworks.GroupOrder) {
-	if s := r.sent[o.Life]; s != nil && sameOrder(&s.order, &o) && r.now.Sub(s.at) < orderAgain || r.ordered.Has(o.Life) {
+	if s := r.sent[o.Life]; s != nil && sameOrder(&s.order, &o) && r.now.Sub(s.at) < r.again(s) || r.ordered.Has(o.Life) {
 		return
 	}
 	r.ordered.Add(o.Life)
 	r.add(u, o)
 }
 
+// again returns how long an order may go without effect before it is sent again. A head
+// that has taken the order to open says so by its entry after its own time only; without
+// this each group was ordered to open twice or more.
+func (r *plan) again(s *sentOrder) time.Duration {
+	if s.taken && s.order.Kind == garnetworks.GroupOpen {
+		return r.Profile.FormTime + 2*orderAgain
+	}
+	return orderAgain
+}
+
 func (r *plan) add(u urgency, o garnetworks.GroupOrder) {
 	o.Token = garnetworks.NewFencingToken(r.Term, 0)
 	r.orders = append(r.orders, urgentOrder{o, u})
--- a/former/spares.go
+++ b/former/spares.go
@@ -125,7 +125,7 @@
 func (r *plan) prepareSpares() {
 	free := r.free()
 	for _, domain := range sortedKeys(free) {
-		if r.unsettled(domain) || r.now.Before(r.unsure[domain]) {
+		if r.unsettled.Has(domain) || r.now.Before(r.unsure[domain]) {
 			continue
 		}
 		for _, s := range free[domain] {
