--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -45,17 +45,16 @@
 // Cell returns the name of the node's cell, and the cell's nodes in order of
 // preference (X1). The node itself is among them.
 func Cell(self garnetworks.NodeInfo, peers []garnetworks.NodeInfo) (string, []garnetworks.NodeInfo) {
-	cells := Cells(self, peers)
-	name := cellName(self, append([]garnetworks.NodeInfo{self}, peers...))
-	return name, cells[name]
+	name := cellName(self, sizes(self, peers))
+	return name, Cells(self, peers)[name]
 }
 
 // Cells returns all cells of the site that the node knows of.
 func Cells(self garnetworks.NodeInfo, peers []garnetworks.NodeInfo) map[string][]garnetworks.NodeInfo {
-	all := append([]garnetworks.NodeInfo{self}, peers...)
+	regions := sizes(self, peers)
 	cells := make(map[string][]garnetworks.NodeInfo)
-	for _, n := range all {
-		name := cellName(n, all)
+	for _, n := range append([]garnetworks.NodeInfo{self}, peers...) {
+		name := cellName(n, regions)
 		cells[name] = append(cells[name], n)
 	}
 	for name, nodes := range cells {
@@ -64,17 +63,41 @@
 	return cells
 }
 
-// cellName returns the zone, or the region where the region's zones are small.
-func cellName(n garnetworks.NodeInfo, all []garnetworks.NodeInfo) string {
-	zones := make(map[garnetworks.ZoneID]int)
-	nodes := 0
-	for _, other := range all {
-		if other.Region == n.Region {
-			zones[other.Zone]++
-			nodes++
+// Heads returns the first nodes of all cells of the node's region, in order of
+// preference.
+func Heads(self garnetworks.NodeInfo, peers []garnetworks.NodeInfo) []garnetworks.NodeInfo {
+	var heads []garnetworks.NodeInfo
+	for _, nodes := range Cells(self, peers) {
+		if nodes[0].Region == self.Region {
+			heads = append(heads, nodes[0])
+		}
+	}
+	return order("region/"+string(self.Region), heads)
+}
+
+// regionSize counts the nodes of a region and its zones.
+type regionSize struct {
+	nodes int
+	zones garnetworks.Set[garnetworks.ZoneID]
+}
+
+func sizes(self garnetworks.NodeInfo, peers []garnetworks.NodeInfo) map[garnetworks.RegionID]*regionSize {
+	regions := make(map[garnetworks.RegionID]*regionSize)
+	for _, n := range append([]garnetworks.NodeInfo{self}, peers...) {
+		r := regions[n.Region]
+		if r == nil {
+			r = &regionSize{zones: garnetworks.NewSet[garnetworks.ZoneID]()}
+			regions[n.Region] = r
 		}
+		r.nodes++
+		r.zones.Add(n.Zone)
 	}
-	if nodes < SmallCell*len(zones) {
+	return regions
+}
+
+// cellName returns the zone, or the region where the region's zones are small.
+func cellName(n garnetworks.NodeInfo, regions map[garnetworks.RegionID]*regionSize) string {
+	if r := regions[n.Region]; r.nodes < SmallCell*len(r.zones) {
 		return "region/" + string(n.Region)
 	}
 	return "zone/" + string(n.Zone)
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,6 +31,7 @@
 	exchanger   *exchanger.Exchanger
 	// leading reports whether the node holds the lease.
 	leading func() bool
+	asks    atomic.Pointer[chain]
 }
 
 // newPeers joins the parts. The exchanger is added once its users are there.
@@ -57,23 +59,56 @@
 		Publish: p.distributor.Publish, Hold: p.distributor.Hold,
 		Passengers: []tracker.Passenger{p.distributor}, Log: log("membership"),
 	})
-	p.relayer = relayer.New(relayer.Options{Objects: objects, Peers: p.client, Relays: p.relays, Woke: woke, Prefixes: prefixes})
+	p.relayer = relayer.New(relayer.Options{Objects: objects, Peers: p.client, Relays: p.relays, Chained: p.chained, Woke: woke, Prefixes: prefixes})
 	var err error
 	p.server, err = messenger.NewServer(messenger.ServerOptions{Handler: &peerHandler{p}, Clock: timeline, Log: log("peer call")})
 	return p, err
 }
 
-// relays returns the nodes before this one in its cell; at most two of them, since
-// a node that finds both gone reads for itself. The holder of the lease reads for
-// itself: it acts on what it reads, and each step on the way makes that later.
+// relays returns the nodes before this one in its cell, and for the first one of a cell
+// those before it among the first ones of the region's cells; at most two of them, since
+// a node that finds both gone reads for itself. So one node reads for a region. The
+// holder of the lease reads for itself: it acts on what it reads, and each step on the
+// way makes that later.
 func (p *peers) relays() []string {
-	const most = 2
 	if p.leading() {
 		return nil
 	}
-	_, cell := exchanger.Cell(p.tracker.Self(), p.tracker.Peers())
+	return p.chain().relays
+}
+
+// chainEvery is how often the nodes to ask are found anew. Each question needs them, and
+// lost nodes are found by membership within some seconds only.
+const chainEvery = 300 * time.Millisecond
+
+// chain is whom a node asks for what the object API holds.
+type chain struct {
+	at     time.Time
+	relays []string
+	// several says that the region has several cells.
+	several bool
+}
+
+func (p *peers) chain() *chain {
+	if c := p.asks.Load(); c != nil && time.Since(c.at) < chainEvery {
+		return c
+	}
+	self, others := p.tracker.Self(), p.tracker.Peers()
+	_, cell := exchanger.Cell(self, others)
+	heads := exchanger.Heads(self, others)
+	c := &chain{at: time.Now(), relays: p.before(cell), several: len(heads) > 1}
+	if len(c.relays) == 0 {
+		c.relays = p.before(heads)
+	}
+	p.asks.Store(c)
+	return c
+}
+
+// before returns the addresses of the nodes before this one; two at most.
+func (p *peers) before(nodes []garnetworks.NodeInfo) []string {
+	const most = 2
 	var addresses []string
-	for _, n := range cell {
+	for _, n := range nodes {
 		if n.ID == p.self.ID || len(addresses) == most {
 			break
 		}
@@ -82,6 +117,10 @@
 	return addresses
 }
 
+// chained reports whether a region has several cells, so that what its reader knows
+// passes through two nodes.
+func (p *peers) chained() bool { return p.chain().several }
+
 // run serves and calls other nodes until ctx ends.
 func (p *peers) run(ctx context.Context, listener net.Listener) error {
 	duties, ctx := errgroup.WithContext(ctx)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -39,8 +39,11 @@
 	connections = 2
 	// FailedFor is how long a node that did not answer is not asked again.
 	FailedFor = 2 * time.Second
-	// readWait bounds the wait of a watch, and so how old a node's contents get.
-	readWait = 500 * time.Millisecond
+	// readWait bounds the wait of a watch, and so how old a node's contents get: two
+	// waits. chainedWait is the same for a node whose contents pass through two others,
+	// each of which adds askWait: 0.5 s and twice 0.3 s are below MaxAge.
+	readWait    = 500 * time.Millisecond
+	chainedWait = 250 * time.Millisecond
 	// askWait bounds the wait of an answer, and so how late a reader finds that a
 	// node does not answer.
 	askWait = 300 * time.Millisecond
@@ -56,6 +59,9 @@
 	// Relays returns the addresses of the nodes to ask, best first; none if this
 	// node is to read the object API.
 	Relays func() []string
+	// Chained reports whether those that ask this node are asked by others in turn; it
+	// may be nil.
+	Chained func() bool
 	// Woke returns when the instance was last found to have been suspended.
 	Woke func(now time.Time) time.Time
 	// Prefixes are those that are read for others.
@@ -160,7 +166,11 @@
 
 // watch watches the object API itself.
 func (r *Relayer) watch(ctx context.Context, c *cache, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
-	if !r.Alone() {
+	switch {
+	case r.Alone():
+	case r.options.Chained != nil && r.options.Chained():
+		wait = min(wait, chainedWait)
+	default:
 		wait = min(wait, readWait)
 	}
 	sent := time.Now()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -293,6 +293,67 @@
 	})
 }
 
+// Story: each of five zones had a node that read the store for the others, and the calls
+// grew with the zones. Now one node reads for the region; what it knows passes through the
+// zone's first node. Ages add up, and stay below the bound at the end of the chain.
+func TestOneNodeReadsForARegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("servers/a", "1")
+		n := &network{nodes: make(map[string]*relayer.Relayer), cut: make(map[string]bool)}
+		chain := map[string][]string{"region": nil, "zone": {"region"}, "node": {"zone"}}
+		var mu sync.Mutex
+		var running sync.WaitGroup
+		known := make(map[string]map[string]string)
+		ctx, stop := context.WithCancel(t.Context())
+		for _, name := range []string{"region", "zone", "node"} {
+			n.nodes[name] = relayer.New(relayer.Options{
+				Objects: s, Peers: n, Prefixes: []string{prefix}, Woke: awake,
+				Relays: func() []string { return chain[name] }, Chained: func() bool { return true },
+			})
+			known[name] = make(map[string]string)
+			running.Go(func() { follow(ctx, n.nodes[name], known[name], &mu) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		oldest := time.Duration(0)
+		const rounds, round = 600, 100 * time.Millisecond
+		s.mu.Lock()
+		before := s.calls
+		s.mu.Unlock()
+		for range rounds {
+			time.Sleep(round)
+			oldest = max(oldest, time.Since(n.nodes["node"].Confirmed(prefix)))
+		}
+		s.mu.Lock()
+		calls := s.calls - before
+		s.mu.Unlock()
+		if most := rounds*int(round/time.Millisecond)/250 + 1; calls > most {
+			t.Errorf("three nodes made %d calls in a minute, one makes %d", calls, most)
+		}
+		if oldest > relayer.MaxAge {
+			t.Errorf("what the last node knows was %s old", oldest)
+		}
+		s.put("servers/b", "2")
+		time.Sleep(10 * time.Millisecond)
+		mu.Lock()
+		if known["node"]["servers/b"] != "2" {
+			t.Errorf("the last node knows %v", known["node"])
+		}
+		mu.Unlock()
+		// The region's node is lost: the zone's reads for itself within a second.
+		n.cut["region"] = true
+		s.put("servers/b", "3")
+		time.Sleep(time.Second)
+		mu.Lock()
+		if known["node"]["servers/b"] != "3" {
+			t.Errorf("the last node knows %v a second after the region's reader was lost", known["node"])
+		}
+		mu.Unlock()
+		stop()
+		running.Wait()
+	})
+}
+
 // Story: a sixth of a site's nodes is cut off from the others and reaches the store. Each
 // of them asked the store twice a second for itself, as if twenty nodes relied on it. Once
 // another node asks it, it reads as often as one that reads for others.
