--- a/follower/follower.go
+++ b/follower/follower.go
@@ -62,9 +62,10 @@
 	ListTime = 2 * time.Second
 	// Retries wait between these bounds: the first is far above the store's usual
 	// answer of some milliseconds, the last lets a node be back well within a
-	// second of the store's return.
+	// second of the store's return, also where it learns of that from another node,
+	// which learns of it from a third.
 	retryMin = 60 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	retryMax = 300 * time.Millisecond
 	// ReturnTime is how long after the store's return living servers' entries may
 	// take to be back (rule F2). The platform says about two seconds.
 	ReturnTime = 2300 * time.Millisecond
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,11 +13,14 @@
 //	    reads the object API itself.
 //	Y4  Objects keep their revisions. A reader that is behind what a node
 //	    remembers gets all objects instead of changes.
+//	Y5  While the object API fails a node that has others to ask, it calls it rarely
+//	    and goes on asking them: the reader finds its return for all.
 package relayer
 
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -47,6 +50,10 @@
 	// askWait bounds the wait of an answer, and so how late a reader finds that a
 	// node does not answer.
 	askWait = 300 * time.Millisecond
+	// outageWait is the mean time between two calls of a node to an object API that
+	// failed it, while it has others to ask. It bounds how late a node finds that it
+	// alone is served again; otherwise the reader finds that within its own retries.
+	outageWait = 2500 * time.Millisecond
 	// maxGone bounds the deletions that are remembered of a prefix.
 	maxGone = 1024
 )
@@ -92,6 +99,8 @@
 	revision garnetworks.Revision
 	// confirmed is a time at which the cache was the newest state for certain.
 	confirmed time.Time
+	// restUntil is until when the node leaves the object API alone (rule Y5).
+	restUntil time.Time
 	changed   chan struct{}
 }
 
@@ -110,20 +119,52 @@
 	if c == nil {
 		return r.ObjectAPI.List(ctx, prefix)
 	}
-	if relays := r.relays(); len(relays) > 0 {
+	if relays := r.relays(c); len(relays) > 0 {
 		if answer, confirmed, ok := r.ask(ctx, relays[0], prefix, 0, 0); ok && answer.Listed {
 			r.listed(c, answer.Objects, answer.Revision, confirmed)
 			return answer.Objects, answer.Revision, nil
 		}
 	}
+	if r.resting(c) {
+		return nil, 0, errResting
+	}
 	sent := time.Now()
 	objects, revision, err := r.ObjectAPI.List(ctx, prefix)
+	r.called(ctx, c, err)
 	if err == nil {
 		r.listed(c, objects, revision, sent)
 	}
 	return objects, revision, err
 }
 
+// errResting is the end of a call that was not made (rule Y5).
+var errResting = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "the object API failed a moment ago, and no node that was asked reaches it either")
+
+// resting reports whether the node leaves the object API alone now.
+func (r *Relayer) resting(c *cache) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(c.restUntil)
+}
+
+// called notes the end of a call to the object API itself (rule Y5).
+//
+// Load pattern: the object API is away for eight seconds, and each of 95 nodes calls it
+// for two prefixes, up to eight times a second in all: some 500 calls a second that find
+// nothing, and as many in the moment of its return.
+func (r *Relayer) called(ctx context.Context, c *cache, err error) {
+	others := len(r.options.Relays()) > 0
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil, garnetworks.IsKind(err, garnetworks.KindCompacted):
+		c.restUntil = time.Time{}
+	case others && ctx.Err() == nil:
+		part := 0.5 + rand.Float64()
+		c.restUntil = time.Now().Add(time.Duration(part * float64(outageWait)))
+	}
+}
+
 // Watch implements garnetworks.ObjectAPI.
 func (r *Relayer) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
 	c := r.caches[prefix]
@@ -133,7 +174,7 @@
 	// Failure: two nodes that read for the others are cut off at once. Asking one
 	// after the other takes longer than a change may take, so one is asked, and the
 	// object API next.
-	if relays := r.relays(); len(relays) > 0 {
+	if relays := r.relays(c); len(relays) > 0 {
 		address := relays[0]
 		answer, confirmed, ok := r.ask(ctx, address, prefix, after, min(wait, askWait))
 		if !ok {
@@ -156,16 +197,18 @@
 // API. Each of them read as often as one that reads for twenty: 7 cut nodes of 20 made
 // some 40 of 55 calls a second. Nobody waits for what such a node reads but itself.
 func (r *Relayer) Alone() bool {
-	if len(r.options.Relays()) == 0 || len(r.relays()) > 0 {
-		return false
-	}
+	all := r.options.Relays()
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.asked) > FailedFor
+	return len(all) > 0 && len(r.untriedLocked(now, all)) == 0 && now.Sub(r.asked) > FailedFor
 }
 
 // watch watches the object API itself.
 func (r *Relayer) watch(ctx context.Context, c *cache, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	if r.resting(c) {
+		return nil, 0, errResting
+	}
 	switch {
 	case r.Alone():
 	case r.options.Chained != nil && r.options.Chained():
@@ -175,6 +218,7 @@
 	}
 	sent := time.Now()
 	objects, revision, err := r.ObjectAPI.Watch(ctx, prefix, after, wait)
+	r.called(ctx, c, err)
 	if err == nil {
 		r.changed(c, objects, revision, sent)
 	}
@@ -193,12 +237,21 @@
 	return c.confirmed
 }
 
-// relays returns the nodes to ask now.
-func (r *Relayer) relays() []string {
+// relays returns the nodes to ask now for what the cache holds: also those that did not
+// help a moment ago while the object API itself is left alone.
+func (r *Relayer) relays(c *cache) []string {
 	now := time.Now()
 	all := r.options.Relays()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if now.Before(c.restUntil) {
+		return all
+	}
+	return r.untriedLocked(now, all)
+}
+
+// untriedLocked returns the nodes that have not failed to help a moment ago.
+func (r *Relayer) untriedLocked(now time.Time, all []string) []string {
 	for address, until := range r.failed {
 		if now.After(until) {
 			delete(r.failed, address)
@@ -270,7 +323,9 @@
 
 // advance takes a newer state; the relayer's lock is held.
 func (c *cache) advance(revision garnetworks.Revision, confirmed time.Time) {
-	if revision > c.revision {
+	// Who waits for an answer is told of changes, and that what did not change has become
+	// certain again after an outage.
+	if revision > c.revision || confirmed.Sub(c.confirmed) > MaxAge {
 		c.revision = revision
 		close(c.changed)
 		c.changed = make(chan struct{})
@@ -290,14 +345,17 @@
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, askWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	stale := false
 	for over := wait <= 0; ; {
 		r.mu.Lock()
 		r.asked = began
+		back := stale && time.Since(c.confirmed) < MaxAge
+		stale = time.Since(c.confirmed) >= MaxAge
 		changed := c.changed
 		answer, ready := c.answer(request.After)
 		confirmed := c.confirmed
 		r.mu.Unlock()
-		if ready || over {
+		if ready || over || back {
 			return r.finish(answer, began, confirmed)
 		}
 		select {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -354,6 +354,48 @@
 	})
 }
 
+// Story: the store is away for eight seconds. Each of 95 nodes called it up to eight times
+// a second for two kinds of objects, and all of them at once at its return. Now the
+// reader's calls find its return, and the others know of it within the next second.
+func TestOutageIsWaitedOutByTheReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, outage = 20, 8 * time.Second
+		s := newStore()
+		s.put("servers/a", "1")
+		_, nodes := star(s, count, awake)
+		ctx, stop := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		var running sync.WaitGroup
+		for _, r := range nodes {
+			running.Go(func() { follow(ctx, r, make(map[string]string), &mu) })
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		s.mu.Lock()
+		before := s.calls
+		s.mu.Unlock()
+		s.setDown(true)
+		time.Sleep(outage)
+		s.mu.Lock()
+		calls := s.calls - before
+		s.mu.Unlock()
+		// The reader retries every 50 ms here; each other node calls once in 2.5 s.
+		if most := int(outage/(50*time.Millisecond)) + count*8; calls > most {
+			t.Errorf("%d calls in an outage of %s", calls, outage)
+		}
+		s.setDown(false)
+		returned := time.Now()
+		time.Sleep(time.Second)
+		for i, r := range nodes {
+			if !r.Confirmed(prefix).After(returned.Add(-relayer.MaxAge)) {
+				t.Errorf("node %d does not know the store's contents for certain a second after its return", i)
+			}
+		}
+		stop()
+		running.Wait()
+	})
+}
+
 // Story: a sixth of a site's nodes is cut off from the others and reaches the store. Each
 // of them asked the store twice a second for itself, as if twenty nodes relied on it. Once
 // another node asks it, it reads as often as one that reads for others.
