--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -141,10 +141,14 @@
 var errResting = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "the object API failed a moment ago, and no node that was asked reaches it either")
 
 // resting reports whether the node leaves the object API alone now.
+//
+// Failure: the store is back, and a node takes the lease that had rested as one of many.
+// As the holder it asks nobody else, and its first plan waited for the end of its rest.
 func (r *Relayer) resting(c *cache) bool {
+	others := len(r.options.Relays()) > 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(c.restUntil)
+	return others && time.Now().Before(c.restUntil)
 }
 
 // called notes the end of a call to the object API itself (rule Y5).
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -396,6 +396,32 @@
 	})
 }
 
+// Story: a node rests from a store that failed it, as one of many, and takes the lease a
+// moment after the store's return. It must read at once, since it has nobody to ask now.
+func TestNodeThatMustReadItselfDoesNotRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("servers/a", "1")
+		s.setDown(true)
+		n := &network{nodes: make(map[string]*relayer.Relayer), cut: map[string]bool{"0": true}}
+		relays := []string{"0"}
+		r := relayer.New(relayer.Options{
+			Objects: s, Peers: n, Prefixes: []string{prefix}, Woke: awake, Relays: func() []string { return relays },
+		})
+		if _, _, err := r.List(t.Context(), prefix); !garnetworks.IsKind(err, garnetworks.KindObjectAPIDown) {
+			t.Fatalf("got %v from a store that is down", err)
+		}
+		s.setDown(false)
+		if _, _, err := r.List(t.Context(), prefix); err == nil {
+			t.Error("a node that has others to ask called the store at once")
+		}
+		relays = nil
+		if _, _, err := r.List(t.Context(), prefix); err != nil {
+			t.Errorf("a node that has nobody to ask got %v", err)
+		}
+	})
+}
+
 // Story: a sixth of a site's nodes is cut off from the others and reaches the store. Each
 // of them asked the store twice a second for itself, as if twenty nodes relied on it. Once
 // another node asks it, it reads as often as one that reads for others.
