--- /dev/null
+++ b/committer/step.go
@@ -0,0 +1,290 @@
+package committer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// pending reports whether the staged proposal may still become a generation, as
+// far as the node knows.
+func (s *State) pending() bool {
+	if s.staged == nil || s.staged.Base != s.Applied() {
+		return false
+	}
+	// A head that was read after the proposal was made knows better.
+	if s.head.Proposals >= s.staged.Number {
+		return s.head.Pending != nil && s.head.Pending.Number == s.staged.Number
+	}
+	return true
+}
+
+// Busy reports whether something will be due within a turn.
+func (s *State) Busy() bool {
+	return !s.zone(s.self.Zone).newsSince.IsZero() || !s.readySince.IsZero() || len(s.relaySince) > 0
+}
+
+// Step returns what is to be done now.
+func (s *State) Step(now time.Time) []Action {
+	s.zone(s.self.Zone).reports.add(s.report())
+	var actions []Action
+	actions = append(actions, s.fetch(now)...)
+	actions = append(actions, s.relay(now)...)
+	actions = append(actions, s.sendReport(now)...)
+	actions = append(actions, s.publishZone(now)...)
+	actions = append(actions, s.decide(now)...)
+	s.judgeInForce(now)
+	for _, e := range s.notes {
+		actions = append(actions, Note{e})
+	}
+	s.notes = nil
+	return actions
+}
+
+// fetch asks for the bodies that the head names and the node lacks.
+func (s *State) fetch(now time.Time) []Action {
+	if now.Before(s.fetchAt) {
+		return nil
+	}
+	var actions []Action
+	if a := s.head.Accepted; a.Generation > max(s.Applied(), s.unreadable) {
+		actions = append(actions, FetchBody{a.CommitID, s.head.Hash})
+	}
+	if p := s.head.Pending; p != nil && (s.staged == nil || s.staged.Number < p.Number) {
+		actions = append(actions, FetchBody{p.CommitID, p.Hash})
+	}
+	if len(actions) > 0 {
+		s.fetchAt = now.Add(fetchAgain)
+	}
+	return actions
+}
+
+// relay passes on what the object API told and the distribution did not bring.
+func (s *State) relay(now time.Time) []Action {
+	var actions []Action
+	wait := time.Duration(s.place()) * relayTurn
+	due := func(topic garnetworks.Topic) bool {
+		since, marked := s.relaySince[topic]
+		return marked && !now.Before(since.Add(wait))
+	}
+	send := func(u garnetworks.Update) {
+		delete(s.relaySince, u.Topic)
+		s.spread[u.Topic] = u.Version
+		actions = append(actions, Publish{u})
+	}
+	if due(garnetworks.TopicProposal) && s.staged != nil {
+		send(s.staged.update())
+	}
+	if due(garnetworks.TopicManifest) && s.message != nil {
+		send(s.message.update())
+	}
+	return actions
+}
+
+// sendReport sends the node's report until the zone's published report holds
+// it, to another node of the zone each time.
+func (s *State) sendReport(now time.Time) []Action {
+	z := s.zone(s.self.Zone)
+	if !z.spread.lacks(s.report()) {
+		return nil
+	}
+	if s.report() != s.reportSent {
+		s.reportSent, s.reportAt, s.reportTries = s.report(), now, 0
+	}
+	if now.Before(s.reportAt) {
+		return nil
+	}
+	nodes := s.live(s.self.Zone)
+	to := nodes[s.reportTries%len(nodes)]
+	s.reportTries++
+	s.reportAt = now.Add(reportAgain)
+	if to.ID == s.self.Node {
+		return nil
+	}
+	return []Action{SendReport{To: to, Report: s.report()}}
+}
+
+// SeeUndelivered takes that a report did not reach its node.
+func (s *State) SeeUndelivered(now time.Time) {
+	s.reportAt = now.Add(reportFailed)
+}
+
+// publishZone publishes the joined reports of the node's zone if they hold
+// something new for so long that it is this node's turn (rule M8).
+func (s *State) publishZone(now time.Time) []Action {
+	z := s.zone(s.self.Zone)
+	live := s.live(s.self.Zone)
+	if !s.hasNews(z, live) {
+		z.newsSince = time.Time{}
+		return nil
+	}
+	if z.newsSince.IsZero() {
+		z.newsSince = now
+	}
+	wait := time.Duration(s.rank()) * zoneTurn
+	if !s.whole(z, live) {
+		wait += partTime
+	}
+	if now.Before(z.newsSince.Add(wait)) || now.Before(z.publishedAt.Add(publishGap)) {
+		return nil
+	}
+	z.newsSince, z.publishedAt = time.Time{}, now
+	return []Action{Publish{s.zoneUpdate(z, live)}}
+}
+
+// hasNews reports whether a live node's report is newer than the published one.
+func (s *State) hasNews(z *zoneState, live []garnetworks.NodeInfo) bool {
+	for _, n := range live {
+		if r, ok := z.reports[n.ID]; ok && z.spread.lacks(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// whole reports whether nothing more is to be waited for in a zone: all of its
+// live nodes are as far as the one that is farthest, or one of them refuses the
+// newest proposal.
+func (s *State) whole(z *zoneState, live []garnetworks.NodeInfo) bool {
+	proposal, applied := uint64(0), garnetworks.Generation(0)
+	for _, n := range live {
+		r := z.reports[n.ID]
+		proposal, applied = max(proposal, r.Proposal), max(applied, r.Applied)
+	}
+	all := true
+	for _, n := range live {
+		r := z.reports[n.ID]
+		if r.Proposal == proposal && r.Refusal != "" {
+			return true
+		}
+		all = all && r.Proposal == proposal && r.Applied == applied
+	}
+	return all
+}
+
+// zoneUpdate returns the zone's report as an update and takes it as published.
+func (s *State) zoneUpdate(z *zoneState, live []garnetworks.NodeInfo) garnetworks.Update {
+	newest := reports{}
+	for _, n := range live {
+		if r, ok := z.reports[n.ID]; ok {
+			newest[n.ID] = r
+		}
+	}
+	z.spread = newest
+	z.version = stagedVersion(z.version, s.self.Node)
+	z.spreadRoster = max(z.spreadRoster, z.roster.Version)
+	body, _ := json.Marshal(garnetworks.ZoneReport{Zone: s.self.Zone, Roster: z.spreadRoster, Nodes: newest.sorted()})
+	topic := garnetworks.TopicStaged + garnetworks.Topic(s.self.Zone)
+	s.spread[topic] = z.version
+	return garnetworks.Update{Topic: topic, Version: z.version, Body: body}
+}
+
+// decide asks for the acceptance or the end of the pending proposal once it is
+// this node's turn (rules M5 and M8).
+func (s *State) decide(now time.Time) []Action {
+	if !s.pending() {
+		s.readySince = time.Time{}
+		return nil
+	}
+	var action Action
+	if reason := s.refusal(); reason != "" {
+		action = Refuse{Number: s.staged.Number, CommitID: s.staged.CommitID, Reason: reason}
+	} else if s.staged.manifest != nil && s.allStaged() {
+		action = Accept{Number: s.staged.Number, CommitID: s.staged.CommitID}
+	}
+	if action == nil {
+		s.readySince = time.Time{}
+		return nil
+	}
+	if s.readySince.IsZero() {
+		s.readySince = now
+	}
+	place := s.place() + 1
+	if s.own == s.staged.Number {
+		place = 0
+	}
+	if now.Before(s.readySince.Add(time.Duration(place)*turn)) || now.Before(s.decideAt) {
+		return nil
+	}
+	s.decideAt = now.Add(2 * turn)
+	return []Action{action}
+}
+
+// awaited returns the zones that are waited for.
+func awaited(specs []garnetworks.ZoneSpec) []garnetworks.ZoneID {
+	var zones []garnetworks.ZoneID
+	for _, z := range specs {
+		if !z.LeftOut {
+			zones = append(zones, z.Name)
+		}
+	}
+	return zones
+}
+
+// allStaged reports whether rule M5 lets the staged proposal be accepted.
+func (s *State) allStaged() bool {
+	for _, id := range awaited(s.staged.zones) {
+		if !s.confirmed(id, s.hasStaged) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) hasStaged(r garnetworks.NodeReport) bool {
+	return r.Proposal == s.staged.Number && r.Refusal == ""
+}
+
+// confirmed reports whether every live node of a zone has sent a report that
+// passes. A zone without known nodes has confirmed nothing (rule M6), and with
+// a roster older than the one behind the zone's report not all nodes are known.
+func (s *State) confirmed(id garnetworks.ZoneID, passes func(garnetworks.NodeReport) bool) bool {
+	z := s.zone(id)
+	live := s.live(id)
+	if len(live) == 0 || z.roster.Version < z.spreadRoster {
+		return false
+	}
+	for _, n := range live {
+		r, ok := z.reports[n.ID]
+		// Rule M7: a report of an earlier incarnation says nothing of this one.
+		if !ok || r.Incarnation < n.Incarnation || !passes(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// refusal returns why a live node of an awaited zone refuses the staged
+// proposal, or "".
+func (s *State) refusal() string {
+	for _, id := range awaited(s.staged.zones) {
+		for _, n := range s.live(id) {
+			r, ok := s.zone(id).reports[n.ID]
+			if ok && r.Incarnation >= n.Incarnation && r.Proposal == s.staged.Number && r.Refusal != "" {
+				return "node " + string(n.ID) + " of zone " + string(id) + " refuses it: " + r.Refusal
+			}
+		}
+	}
+	return ""
+}
+
+// judgeInForce notes when the applied generation has come into force (rule M7).
+func (s *State) judgeInForce(now time.Time) {
+	if s.accepted == nil || s.inForce >= s.accepted.Generation {
+		return
+	}
+	for _, id := range awaited(s.accepted.Manifest.Site.Zones) {
+		if !s.confirmed(id, s.hasApplied) {
+			return
+		}
+	}
+	s.inForce, s.inForceAt = s.accepted.Generation, now
+	if s.rank() == 0 {
+		s.note(garnetworks.EventManifestInForce, s.inForce, "", "confirmed by every live node of every zone that is not left out")
+	}
+}
+
+func (s *State) hasApplied(r garnetworks.NodeReport) bool {
+	return r.Applied >= s.accepted.Generation
+}
--- /dev/null
+++ b/former/orders.go
@@ -0,0 +1,129 @@
+package former
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// sentOrder is the last order to an instance.
+type sentOrder struct {
+	order garnetworks.GroupOrder
+	// at is when it was sent.
+	at    time.Time
+	tries int
+	// taken says that the engine accepted it.
+	taken bool
+}
+
+// stagedLoad is an order to load a model onto a host.
+type stagedLoad struct {
+	model garnetworks.ModelName
+	at    time.Time
+}
+
+// urgency is the place of an order among those that wait to be sent: what lets callers
+// be served goes before what tidies up, and that before what prepares for losses
+// (rule O8).
+type urgency int
+
+const (
+	// urgentOpening lets a group serve that is ready now.
+	urgentOpening urgency = iota
+	// urgentForming brings instances from a group that can't serve into one that will.
+	urgentForming
+	// urgentLacking loads what a group lacks.
+	urgentLacking
+	// urgentTidying takes instances out of groups that were given up, and prepares
+	// spares.
+	urgentTidying
+	// urgentSpare loads models onto hosts that no group lacks now.
+	urgentSpare
+)
+
+type urgentOrder struct {
+	garnetworks.GroupOrder
+	urgency urgency
+}
+
+// byUrgency returns the plan's orders in the order of sending. Those of one group stay
+// together, so that it is ordered whole before the next one begins.
+func (r *plan) byUrgency() []garnetworks.GroupOrder {
+	slices.SortStableFunc(r.orders, func(a, b urgentOrder) int { return cmp.Compare(a.urgency, b.urgency) })
+	orders := make([]garnetworks.GroupOrder, len(r.orders))
+	for i := range r.orders {
+		orders[i] = r.orders[i].GroupOrder
+	}
+	return orders
+}
+
+// Sent notes that an order of the newest plan is sent now, from when its time counts.
+//
+// Failure: the times of orders counted from the plan. Where hundreds were due at once,
+// those at the end were sent again, and their instances left out for not having taken
+// them, before they had been sent at all.
+func (p *Planner) Sent(now time.Time, o garnetworks.GroupOrder) {
+	switch o.Kind {
+	case garnetworks.GroupStage:
+		p.staged[o.Life] = stagedLoad{o.Model, now}
+		return
+	case garnetworks.GroupJoin:
+		p.joined[o.Life] = garnetworks.Membership{Group: o.Group, Epoch: o.Epoch}
+	}
+	tries := 1
+	if s := p.sent[o.Life]; s != nil && sameOrder(&s.order, &o) {
+		tries = s.tries + 1
+	}
+	p.sent[o.Life] = &sentOrder{order: o, at: now, tries: tries}
+}
+
+func sameOrder(a, b *garnetworks.GroupOrder) bool {
+	return a.Kind == b.Kind && a.Group == b.Group && a.Model == b.Model
+}
+
+// Answered takes the engine's answer to an order.
+func (p *Planner) Answered(now time.Time, order garnetworks.GroupOrder, err error) {
+	s := p.sent[order.Life]
+	if s != nil && s.order.Kind == order.Kind && s.order.Group == order.Group {
+		s.taken = err == nil
+	}
+	gone := garnetworks.IsKind(err, garnetworks.KindNotFound)
+	switch order.Kind {
+	case garnetworks.GroupLeave:
+		// A conflict says that the engine is not in the group any more.
+		if err == nil || garnetworks.IsKind(err, garnetworks.KindConflict) {
+			p.left[order.Life] = garnetworks.Membership{Group: order.Group, Epoch: order.Epoch}
+		}
+	case garnetworks.GroupJoin:
+		if gone || garnetworks.IsKind(err, garnetworks.KindStaleToken, garnetworks.KindConflict) {
+			p.giveUp(now, order.Group, order.Life)
+		}
+	}
+}
+
+// send adds an order unless the same one was sent a moment ago, or the plan has another
+// one for the instance.
+func (r *plan) send(u urgency, o garnetworks.GroupOrder) {
+	if s := r.sent[o.Life]; s != nil && sameOrder(&s.order, &o) && r.now.Sub(s.at) < r.again(s) || r.ordered.Has(o.Life) {
+		return
+	}
+	r.ordered.Add(o.Life)
+	r.add(u, o)
+}
+
+// again returns how long an order may go without effect before it is sent again. A head
+// that has taken the order to open says so by its entry after its own time only; without
+// this each group was ordered to open twice or more.
+func (r *plan) again(s *sentOrder) time.Duration {
+	if s.taken && s.order.Kind == garnetworks.GroupOpen {
+		return r.Profile.FormTime + 2*orderAgain
+	}
+	return orderAgain
+}
+
+func (r *plan) add(u urgency, o garnetworks.GroupOrder) {
+	o.Token = garnetworks.NewFencingToken(r.Term, 0)
+	r.orders = append(r.orders, urgentOrder{o, u})
+}
