--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -104,16 +104,35 @@
 
 // network lets nodes ask each other by name.
 type network struct {
+	mu    sync.Mutex
 	nodes map[string]*relayer.Relayer
 	cut   map[string]bool
 }
 
 func (n *network) Follow(ctx context.Context, address string, request *garnetworks.FollowRequest) (*garnetworks.FollowResponse, error) {
-	if n.cut[address] || n.nodes[address] == nil {
+	n.mu.Lock()
+	node := n.nodes[address]
+	if n.cut[address] {
+		node = nil
+	}
+	n.mu.Unlock()
+	if node == nil {
 		<-ctx.Done()
 		return nil, garnetworks.Errorf(garnetworks.KindUnreachable, "cut")
 	}
-	return n.nodes[address].Follow(ctx, request)
+	return node.Follow(ctx, request)
+}
+
+func (n *network) add(name string, r *relayer.Relayer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[name] = r
+}
+
+func (n *network) cutOff(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[name] = true
 }
 
 const prefix = "servers/"
@@ -307,12 +326,14 @@
 		known := make(map[string]map[string]string)
 		ctx, stop := context.WithCancel(t.Context())
 		for _, name := range []string{"region", "zone", "node"} {
-			n.nodes[name] = relayer.New(relayer.Options{
+			r := relayer.New(relayer.Options{
 				Objects: s, Peers: n, Prefixes: []string{prefix}, Woke: awake,
 				Relays: func() []string { return chain[name] }, Chained: func() bool { return true },
 			})
+			n.add(name, r)
 			known[name] = make(map[string]string)
-			running.Go(func() { follow(ctx, n.nodes[name], known[name], &mu) })
+			mine := known[name]
+			running.Go(func() { follow(ctx, r, mine, &mu) })
 			time.Sleep(100 * time.Millisecond)
 		}
 		oldest := time.Duration(0)
@@ -341,7 +362,7 @@
 		}
 		mu.Unlock()
 		// The region's node is lost: the zone's reads for itself within a second.
-		n.cut["region"] = true
+		n.cutOff("region")
 		s.put("servers/b", "3")
 		time.Sleep(time.Second)
 		mu.Lock()
