Order nodes by what membership tells of them, without a type of their own

Cause: leaser.Contender held three fields of garnetworks.NodeInfo, and launcher, runner and exchanger each had a loop that copied one into the other; exchanger also looked the nodes up again by their names afterwards.

No order changes: the same tests pass with the type's name replaced.

Figures: none are claimed; tests of leaser, exchanger, launcher and runner pass.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -58,7 +58,7 @@
 		cells[name] = append(cells[name], n)
 	}
 	for name, nodes := range cells {
-		cells[name] = order(name, nodes)
+		cells[name] = leaser.Order(name, nodes)
 	}
 	return cells
 }
@@ -72,7 +72,7 @@
 			heads = append(heads, nodes[0])
 		}
 	}
-	return order("region/"+string(self.Region), heads)
+	return leaser.Order("region/"+string(self.Region), heads)
 }
 
 // regionSize counts the nodes of a region and its zones.
@@ -103,20 +103,6 @@
 	return "zone/" + string(n.Zone)
 }
 
-func order(key string, nodes []garnetworks.NodeInfo) []garnetworks.NodeInfo {
-	byID := make(map[garnetworks.NodeID]garnetworks.NodeInfo, len(nodes))
-	contenders := make([]leaser.Contender, 0, len(nodes))
-	for _, n := range nodes {
-		byID[n.ID] = n
-		contenders = append(contenders, leaser.Contender{ID: n.ID, Zone: n.Zone, Processor: n.Processor})
-	}
-	sorted := make([]garnetworks.NodeInfo, 0, len(nodes))
-	for _, n := range leaser.Order(key, contenders) {
-		sorted = append(sorted, byID[n.ID])
-	}
-	return sorted
-}
-
 // received is a report of another node or cell.
 type received struct {
 	report garnetworks.LoadReport
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -312,7 +312,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-contenders.C:
-			l.lease.SetContenders(l.contenders())
+			l.lease.SetContenders(l.peers.tracker.Peers())
 		case now := <-ticker.C:
 			l.options.Sweep(now)
 			if l.options.LinesDropped != nil {
@@ -322,15 +322,6 @@
 	}
 }
 
-// contenders returns all nodes, so that few of them read the lease often.
-func (l *Launcher) contenders() []leaser.Contender {
-	var nodes []leaser.Contender
-	for _, n := range append(l.peers.tracker.Peers(), l.peers.self) {
-		nodes = append(nodes, leaser.Contender{ID: n.ID, Zone: n.Zone, Processor: n.Processor})
-	}
-	return nodes
-}
-
 func ignoreClosed(err error) error {
 	if err == http.ErrServerClosed {
 		return nil
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -41,13 +41,6 @@
 	Patience time.Duration
 }
 
-// Contender is a node that may take a lease.
-type Contender struct {
-	ID        garnetworks.NodeID
-	Zone      garnetworks.ZoneID
-	Processor int
-}
-
 // Lease contends for a lease in the object API. It is safe for concurrent use.
 type Lease struct {
 	options Options
@@ -90,8 +83,9 @@
 // SetContenders tells the lease which nodes contend, from the zone's roster, so
 // that only the first few in rendezvous order read the record often (L7). A
 // node that is missing from its own roster counts itself in.
-func (l *Lease) SetContenders(nodes []Contender) {
-	rank := Rank(l.options.Key, Contender{l.options.Self, l.options.Zone, l.options.Processor}, nodes)
+func (l *Lease) SetContenders(nodes []garnetworks.NodeInfo) {
+	self := garnetworks.NodeInfo{ID: l.options.Self, Zone: l.options.Zone, Processor: l.options.Processor}
+	rank := Rank(l.options.Key, self, nodes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.state.Rank >= l.state.Candidates && rank < l.state.Candidates && l.state.Known {
@@ -104,22 +98,23 @@
 }
 
 // Rank returns the number of nodes that come before self in the order of key.
-func Rank(key string, self Contender, nodes []Contender) int {
-	others := slices.DeleteFunc(slices.Clone(nodes), func(n Contender) bool { return n.ID == self.ID })
-	return slices.IndexFunc(Order(key, append(others, self)), func(n Contender) bool { return n.ID == self.ID })
+func Rank(key string, self garnetworks.NodeInfo, nodes []garnetworks.NodeInfo) int {
+	isSelf := func(n garnetworks.NodeInfo) bool { return n.ID == self.ID }
+	others := slices.DeleteFunc(slices.Clone(nodes), isSelf)
+	return slices.IndexFunc(Order(key, append(others, self)), isSelf)
 }
 
 // Order returns the nodes in the order of key, the first one first (rule L8).
-func Order(key string, nodes []Contender) []Contender {
+func Order(key string, nodes []garnetworks.NodeInfo) []garnetworks.NodeInfo {
 	type place struct {
-		Contender
+		garnetworks.NodeInfo
 		weight uint64
 		// turn is the number of nodes of the same zone that come before it.
 		turn int
 	}
 	order := make([]place, len(nodes))
 	for i, n := range nodes {
-		order[i] = place{Contender: n, weight: weight(key, n.ID)}
+		order[i] = place{NodeInfo: n, weight: weight(key, n.ID)}
 	}
 	slices.SortFunc(order, func(a, b place) int {
 		return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(b.weight, a.weight), cmp.Compare(a.ID, b.ID))
@@ -132,9 +127,9 @@
 	slices.SortStableFunc(order, func(a, b place) int {
 		return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(a.turn, b.turn))
 	})
-	sorted := make([]Contender, len(order))
+	sorted := make([]garnetworks.NodeInfo, len(order))
 	for i := range order {
-		sorted[i] = order[i].Contender
+		sorted[i] = order[i].NodeInfo
 	}
 	return sorted
 }
--- a/leaser/order_test.go
+++ b/leaser/order_test.go
@@ -12,14 +12,14 @@
 // lease. It was late with all orders to 880 engines. The three nodes that read the lease
 // often were of one zone, and when that was cut off nobody took it for 20 s.
 func TestStrongNodesOfSeveralZonesComeFirst(t *testing.T) {
-	var nodes []leaser.Contender
+	var nodes []garnetworks.NodeInfo
 	for z := range 5 {
 		for n := range 19 {
 			processor := 192
 			if n < 3 {
 				processor = 800
 			}
-			nodes = append(nodes, leaser.Contender{
+			nodes = append(nodes, garnetworks.NodeInfo{
 				ID: garnetworks.NodeID(fmt.Sprintf("n-%d-%d", z, n)), Zone: garnetworks.ZoneID(fmt.Sprintf("z%d", z)), Processor: processor,
 			})
 		}
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/drainer"
-	"github.com/garnetworks/garnetworks/leaser"
 	"github.com/garnetworks/garnetworks/meter"
 )
 
@@ -53,7 +53,7 @@
 		r.signs.Update(func(d *drainer.Drainer) { d.Expire(now) })
 	}
 	r.zone.Lease().SetContenders(zoneNodes(nodes, r.self.Zone))
-	r.site.Lease().SetContenders(zoneNodes(nodes, ""))
+	r.site.Lease().SetContenders(nodes)
 	r.meter.InFlight(r.server.InFlight())
 	r.countTraffic()
 	claims := r.claimer.Stats()
@@ -75,13 +75,7 @@
 	return append(nodes, r.tracker.Self())
 }
 
-// zoneNodes returns the names of the zone's nodes, or of all if zone is empty.
-func zoneNodes(nodes []garnetworks.NodeInfo, zone garnetworks.ZoneID) []leaser.Contender {
-	var contenders []leaser.Contender
-	for _, n := range nodes {
-		if zone == "" || n.Zone == zone {
-			contenders = append(contenders, leaser.Contender{ID: n.ID, Zone: n.Zone, Processor: n.Processor})
-		}
-	}
-	return contenders
+// zoneNodes returns the nodes of a zone.
+func zoneNodes(nodes []garnetworks.NodeInfo, zone garnetworks.ZoneID) []garnetworks.NodeInfo {
+	return slices.DeleteFunc(slices.Clone(nodes), func(n garnetworks.NodeInfo) bool { return n.Zone != zone })
 }
