Take engines that start again together for no partition, and epoch 0 for a number like any

An entry replaced by a later life of the same instance counted as vanished, so that four of them in a domain within 4 s were taken for a partition and groups that are lost for certain were left alone for 2.3 s. And a group in epoch 0 was found in a map of ended epochs that did not name it, whose zero value is the same. Ruled out: leaving the wait to the members' own Lost mark in dissolve, which would skip it for real partitions too.

Change: an instance that is listed is not vanished; the ended epochs are looked up with their presence.

--- a/former/life_test.go
+++ b/former/life_test.go
@@ -39,6 +39,52 @@
 	}
 }
 
+// Story: five engines of a domain crash and are back under their identifiers within a
+// heartbeat, as after a short loss of power. Their entries of before counted as vanished,
+// the domain as cut off, and its lost groups were left alone for 2.3 s.
+func TestEnginesThatStartAgainTogetherAreNoPartition(t *testing.T) {
+	w := newWorld(1, 23)
+	w.run(settled)
+	before := w.serving()
+	struck := 0
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		if e := w.engines[id]; struck < 5 && e.Member.Group != "" {
+			e.startAgain()
+			struck++
+		}
+	}
+	w.left = 0
+	w.run(500 * time.Millisecond)
+	check(t, w)
+	if w.left == 0 {
+		t.Error("no member was ordered to leave a group that has lost others for certain")
+	}
+	w.run(5 * time.Second)
+	if got := w.serving(); got["large"] < before["large"] {
+		t.Errorf("serving %v five seconds after the crash, before it %v", got, before)
+	}
+}
+
+// Story: an entry tells of a group in epoch 0. No other one has ended in that epoch, and
+// the group counted as lost.
+func TestGroupInEpochZeroIsNotLost(t *testing.T) {
+	w := newWorld(1, 11)
+	w.run(settled)
+	w.tell()
+	group := w.member("large", 0).Member.Group
+	for id, s := range w.told {
+		if s.Member.Group == group {
+			s.Member.Epoch = 0
+			w.told[id] = s
+		}
+	}
+	for _, g := range former.Observe(w.told, "llm", former.Sizes(w.profile)) {
+		if g.ID == group && g.Lost {
+			t.Error("the group counts as lost")
+		}
+	}
+}
+
 // Story: an engine takes the order to join a group, and crashes before the group opens.
 // What the earlier life had taken counted for the new one, which knows nothing of the
 // group: the head opened without a member, or the others waited for it for 20 s.
--- a/former/observe.go
+++ b/former/observe.go
@@ -97,7 +97,9 @@
 	groups := make([]Group, 0, len(byName))
 	for _, g := range byName {
 		g.finish(sizes[g.Model])
-		g.Lost = g.Lost || ended[g.ID] == g.Epoch
+		if epoch, ok := ended[g.ID]; ok && epoch == g.Epoch {
+			g.Lost = true
+		}
 		groups = append(groups, *g)
 	}
 	slices.SortFunc(groups, func(a, b Group) int { return cmp.Compare(a.ID, b.ID) })
--- a/former/partitions.go
+++ b/former/partitions.go
@@ -15,12 +15,15 @@
 // moment its zone came back.
 func (r *plan) notePartitions() {
 	vanished := make(map[garnetworks.DomainID]int)
-	for _, s := range r.seen {
-		if !r.listed(s.Life()) {
-			r.gone[s.Life()] = r.now
-			if s.State == garnetworks.ListedLive {
-				vanished[s.Domain]++
-			}
+	for id, s := range r.seen {
+		// An instance that is listed under a later life has started again; its earlier
+		// one is no entry that a partition hides.
+		if _, listed := r.Servers[id]; listed {
+			continue
+		}
+		r.gone[s.Life()] = r.now
+		if s.State == garnetworks.ListedLive {
+			vanished[s.Domain]++
 		}
 	}
 	for id, at := range r.gone {
