Let the watcher alone say since when what was told is certain

Where ages come from the relayer, the follower asked the relayer past the watcher, so that a list that is read anew counted as soon as it had come, some milliseconds before it was told; a new holder's first plan waits for just that. Ruled out: holding the follower's lock over a list, which would stop all calls of the node for the time of 880 entries.

Change: the watcher takes the age of an answer when it comes (Options.Certain) and counts it after the last object was told, of lists and of watches. The follower's second look at the relayer is gone, with the prefix that it needed.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -121,14 +121,23 @@
 		RetryMin: retryMin, RetryMax: retryMax, Recorder: options.Recorder,
 	}
 	routing, servers := common, common
-	routing.Wait = RoutingWait
-	servers.Wait = ServersWait
+	routing.Wait, routing.Certain = RoutingWait, f.certainOf(options.Reader.RoutingKey())
+	servers.Wait, servers.Certain = ServersWait, f.certainOf(options.Reader.ServerPrefix())
 	servers.Pause = f.pause
 	f.routing = watcher.New(options.Objects, options.Reader.RoutingKey(), routing)
 	f.servers = watcher.New(options.Objects, options.Reader.ServerPrefix(), servers)
 	return f
 }
 
+// certainOf returns what tells since when an answer about a prefix is certain; nil if
+// that is by when it was asked for.
+func (f *Follower) certainOf(prefix string) func() time.Time {
+	if f.options.Confirmed == nil {
+		return nil
+	}
+	return func() time.Time { return f.options.Confirmed(prefix) }
+}
+
 // pause is the time between two reads of servers that change.
 func (f *Follower) pause() time.Duration {
 	if f.options.Acting != nil && f.options.Acting() {
@@ -154,16 +163,13 @@
 // Confirmed returns a time at which the routing was the newest one for certain
 // (rule F4).
 func (f *Follower) Confirmed() time.Time {
-	return f.certain(f.routing, f.options.Reader.RoutingKey())
+	return f.certain(f.routing)
 }
 
 // certain returns since when a prefix's contents are certain; zero if the instance
 // was suspended since, because ages are then understated.
-func (f *Follower) certain(w *watcher.Watcher, prefix string) time.Time {
+func (f *Follower) certain(w *watcher.Watcher) time.Time {
 	confirmed := w.Confirmed()
-	if f.options.Confirmed != nil && !confirmed.IsZero() {
-		confirmed = f.options.Confirmed(prefix)
-	}
 	if f.options.Woke != nil && !confirmed.After(f.options.Woke(time.Now())) {
 		return time.Time{}
 	}
@@ -176,7 +182,7 @@
 // ServersConfirmed returns a time at which the servers were the newest ones for
 // certain.
 func (f *Follower) ServersConfirmed() time.Time {
-	return f.certain(f.servers, f.options.Reader.ServerPrefix())
+	return f.certain(f.servers)
 }
 
 // Servers returns the registered servers.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -35,6 +35,10 @@
 	// Pause returns what is waited after an answer with changes, so that changes that
 	// come in a row cost one call together; nil asks again at once.
 	Pause func() time.Duration
+	// Certain returns since when the contents of the answer that has just come are
+	// certain, where the object API knows better than by when it was asked: answers that
+	// pass through other nodes are older. Nil takes the time at which the call was sent.
+	Certain func() time.Time
 	// Recorder may be nil.
 	Recorder garnetworks.Recorder
 	// Random returns values in [0, 1); nil takes the runtime's generator.
@@ -198,17 +202,33 @@
 	if err != nil {
 		return err
 	}
+	certain := w.certain(sent)
 	told, newer := w.state.Listed(objects, revision)
 	if !newer {
 		return garnetworks.Errorf(garnetworks.KindCompacted, "list of %q reflects revision %d, older than %d", w.prefix, revision, w.state.After)
 	}
-	// Failure: a node counted as ready, and what it knew as confirmed, while the list was
-	// still being told. A call met a part of the servers, and was given up for want of one.
-	for _, o := range told {
+	w.tell(told, certain, tell)
+	return nil
+}
+
+// certain returns since when the contents of an answer are certain.
+func (w *Watcher) certain(sent time.Time) time.Time {
+	if w.options.Certain != nil {
+		return w.options.Certain()
+	}
+	return sent
+}
+
+// tell tells the objects of an answer, and counts it after the last of them.
+//
+// Failure: a node counted as ready, and what it knew as confirmed, while a list was still
+// being told. A call met a part of the servers, and was given up for want of one; a new
+// holder of the lease could have planned with such a part.
+func (w *Watcher) tell(objects []garnetworks.Object, certain time.Time, tell func(garnetworks.Object)) {
+	for _, o := range objects {
 		tell(o)
 	}
-	w.succeeded(sent)
-	return nil
+	w.succeeded(certain)
 }
 
 // watch waits for one watch's answer and tells it.
@@ -229,11 +249,9 @@
 		}
 		return err
 	}
-	w.succeeded(sent)
+	certain := w.certain(sent)
 	changed := w.state.Changed(objects, revision)
-	for _, o := range changed {
-		tell(o)
-	}
+	w.tell(changed, certain, tell)
 	if len(changed) > 0 && w.options.Pause != nil {
 		sleep(ctx, w.options.Pause())
 	}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -342,3 +342,41 @@
 		}
 	})
 }
+
+// Story: a node takes the lease and reads the list anew before it plans. What it knew
+// counted as new once the list had come, while engines of it still stood as they had
+// before; a plan in that moment could have ordered one into a second group. The same with
+// a watch's answer, and where the answer is older than the question.
+func TestAnswersCountOnceTheyWereTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		s.write("k/a", "1", false)
+		// Each answer is certain since a time of its own.
+		began, answers := time.Now(), 0
+		at := func(n int) time.Time { return began.Add(time.Duration(n) * time.Minute) }
+		w := New(s, "k/", Options{Wait: time.Second, Certain: func() time.Time { answers++; return at(answers) }})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		told := 0
+		go func() {
+			defer close(done)
+			_ = w.Run(ctx, func(garnetworks.Object) {
+				told++
+				if w.Confirmed().Equal(at(answers)) {
+					t.Errorf("answer %d counts while it is told", answers)
+				}
+			})
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		s.write("k/a", "2", false) // comes by the watch
+		time.Sleep(1500 * time.Millisecond)
+		w.Relist()
+		s.write("k/a", "3", false)
+		time.Sleep(time.Second)
+		stop()
+		<-done
+		if told != 3 || !w.Confirmed().Equal(at(answers)) {
+			t.Errorf("%d objects were told, the last of %d answers does not count", told, answers)
+		}
+	})
+}
