Count once how many members of each group can join another model's

Cause: found by reading the change. For each group that may be closed for a model, enough counted the members of all others that can join without a load, twice in each comparison of its sort, by a copy of the members each time. Ruled out: keeping the counts between plans, which would be state that each entry's change makes stale.

Change: they are counted once for each model and domain (offer); the function needs no plan any more.

--- a/former/balance.go
+++ b/former/balance.go
@@ -152,11 +152,13 @@
 	bestGain := 0.0
 	for k := range r.Profile.Models {
 		m := &r.Profile.Models[k]
-		if len(soon(free, m)) >= m.Size {
+		ready := len(soon(free, m))
+		if ready >= m.Size {
 			continue // it is complete without any exchange
 		}
-		for first := range sound {
-			groups := r.enough(free, sound, first, m)
+		offers := offersOf(sound, m)
+		for i := range offers {
+			groups := enough(ready, offers, i, m)
 			if groups == nil || len(groups) > 1 && (r.exchangingSeveral() || !r.pays(groups, m, free, counts)) {
 				continue
 			}
@@ -185,24 +187,35 @@
 	return g.Serves() && g.Whole && !r.hasDark(g) && r.formations[g.ID] == nil
 }
 
-// enough returns groups of other models, beginning with one of them, whose members
-// complete a group of the model together with the free instances, without a load; nil if
-// they don't. After the first one it takes those with the most members that count.
-func (r *plan) enough(free []garnetworks.RegisteredServer, sound []*Group, first int, m *garnetworks.ModelProfile) []*Group {
-	if sound[first].Model == m.Name {
-		return nil
+// offer is a group of another model that may be closed for one of a model.
+type offer struct {
+	group *Group
+	// ready is the number of its members that can join without a load.
+	ready int
+}
+
+// offersOf returns the groups of other models.
+func offersOf(sound []*Group, m *garnetworks.ModelProfile) []offer {
+	var offers []offer
+	for _, g := range sound {
+		if g.Model != m.Name {
+			offers = append(offers, offer{g, len(soon(g.Members, m))})
+		}
 	}
-	others := slices.DeleteFunc(slices.Clone(sound), func(g *Group) bool {
-		return g.Model == m.Name || g == sound[first] || len(soon(g.Members, m)) == 0
-	})
-	slices.SortStableFunc(others, func(a, b *Group) int {
-		return cmp.Compare(len(soon(b.Members, m)), len(soon(a.Members, m)))
-	})
-	ready := len(soon(free, m))
+	return offers
+}
+
+// enough returns groups, beginning with one of the offers, whose members complete a group
+// of the model together with some that are ready, without a load; nil if they don't.
+// After the first one it takes those with the most members that count.
+func enough(ready int, offers []offer, first int, m *garnetworks.ModelProfile) []*Group {
+	others := slices.Clone(offers)
+	others = slices.DeleteFunc(slices.Delete(others, first, first+1), func(o offer) bool { return o.ready == 0 })
+	slices.SortStableFunc(others, func(a, b offer) int { return cmp.Compare(b.ready, a.ready) })
 	var groups []*Group
-	for _, g := range append([]*Group{sound[first]}, others...) {
-		groups = append(groups, g)
-		if ready += len(soon(g.Members, m)); ready >= m.Size {
+	for _, o := range append([]offer{offers[first]}, others...) {
+		groups = append(groups, o.group)
+		if ready += o.ready; ready >= m.Size {
 			return groups
 		}
 	}
