Count a span's store calls in one place of the relayer's tests

Cause: found by reading the change: four tests each took the counter under the lock, waited, and took it again. Ruled out: an atomic counter, which the two single looks at it don't need.

Change: store.callsIn serves three of them; the fourth looks at ages meanwhile and stays. No assertion changes.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -43,6 +43,17 @@
 	s.wake = make(chan struct{})
 }
 
+// callsIn returns the calls that are made while time passes.
+func (s *store) callsIn(while time.Duration) int {
+	s.mu.Lock()
+	before := s.calls
+	s.mu.Unlock()
+	time.Sleep(while)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls - before
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,14 +232,8 @@
 			}
 		}
 		mu.Unlock()
-		s.mu.Lock()
-		before := s.calls
-		s.mu.Unlock()
 		const minute = time.Minute
-		time.Sleep(minute)
-		s.mu.Lock()
-		calls := s.calls - before
-		s.mu.Unlock()
+		calls := s.callsIn(minute)
 		if most := int(minute/(500*time.Millisecond)) + 1; calls > most {
 			t.Errorf("three nodes made %d calls in a minute, one makes %d", calls, most)
 		}
@@ -392,14 +397,8 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
-		s.mu.Lock()
-		before := s.calls
-		s.mu.Unlock()
 		s.setDown(true)
-		time.Sleep(outage)
-		s.mu.Lock()
-		calls := s.calls - before
-		s.mu.Unlock()
+		calls := s.callsIn(outage)
 		// The reader retries every 50 ms here; each other node calls once in 2.5 s.
 		if most := int(outage/(50*time.Millisecond)) + count*8; calls > most {
 			t.Errorf("%d calls in an outage of %s", calls, outage)
@@ -456,18 +455,9 @@
 		var mu sync.Mutex
 		var running sync.WaitGroup
 		running.Go(func() { follow(ctx, nodes[1], make(map[string]string), &mu) })
-		count := func() int {
-			const while = 30 * time.Second
-			s.mu.Lock()
-			before := s.calls
-			s.mu.Unlock()
-			time.Sleep(while)
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.calls - before
-		}
+		const while = 30 * time.Second
 		time.Sleep(5 * time.Second)
-		if calls := count(); calls > 30 {
+		if calls := s.callsIn(while); calls > 30 {
 			t.Errorf("a node that reads for itself made %d calls in 30 s", calls)
 		}
 		running.Go(func() {
@@ -477,7 +467,7 @@
 		})
 		time.Sleep(5 * time.Second)
 		// It asks the lost node every two seconds, for most of a second.
-		if calls := count(); calls < 36 {
+		if calls := s.callsIn(while); calls < 36 {
 			t.Errorf("a node that another one asks made %d calls in 30 s", calls)
 		}
 		if age := time.Since(nodes[1].Confirmed(prefix)); age > relayer.MaxAge {
