State the lab's sizes in one line each, and call a node's upstream by that name

Cause: found by reading the change: four profiles of the lab repeated the same two models with other sizes, and launcher's chain was a type, a method and a field asks at once.

Change: withModels takes what differs; upstream is what a node asks for the object API's contents.

--- a/experimenter/regroup.go
+++ b/experimenter/regroup.go
@@ -51,30 +51,10 @@
 
 // GroupPatterns returns the patterns of losses.
 func GroupPatterns() map[string]GroupPattern {
-	profile := engines()
-	profile.LoadsPerSecond, profile.LoadsAtOnce, profile.FormTime = 5.5, 8, 300*time.Millisecond
-	profile.Models = []garnetworks.ModelProfile{
-		{Name: "large", Size: 6, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
-		{Name: "small", Size: 3, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
-	}
-	grown := profile
-	grown.LoadsPerSecond, grown.LoadsAtOnce = 14, 20
-	grown.Models = []garnetworks.ModelProfile{
-		{Name: "large", Size: 12, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
-		{Name: "small", Size: 6, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
-	}
-	small := profile
-	small.LoadsPerSecond, small.LoadsAtOnce = 4, 6
-	small.Models = []garnetworks.ModelProfile{
-		{Name: "large", Size: 4, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
-		{Name: "small", Size: 2, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
-	}
-	hundreds := profile
-	hundreds.LoadsPerSecond, hundreds.LoadsAtOnce = 73, 109
-	hundreds.Models = []garnetworks.ModelProfile{
-		{Name: "large", Size: 16, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
-		{Name: "small", Size: 4, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
-	}
+	profile := withModels(6, 3, 0.67, 5.5, 8)
+	grown := withModels(12, 6, 0.5, 14, 20)
+	small := withModels(4, 2, 0.67, 4, 6)
+	hundreds := withModels(16, 4, 0.5, 73, 109)
 	return map[string]GroupPattern{
 		"hundreds": {
 			Name: "hundreds", Profile: hundreds, Domains: 25, Each: 35, Length: time.Minute,
@@ -99,6 +79,19 @@
 	}
 }
 
+// withModels returns engines that form groups of a large and a small model, of the large
+// one's share of the work, and what their weight store carries: loads in a second, and at
+// once.
+func withModels(large, small int, largeShare, loadsPerSecond float64, loadsAtOnce int) garnetworks.EngineProfile {
+	profile := engines()
+	profile.LoadsPerSecond, profile.LoadsAtOnce, profile.FormTime = loadsPerSecond, loadsAtOnce, 300*time.Millisecond
+	profile.Models = []garnetworks.ModelProfile{
+		{Name: "large", Size: large, Share: largeShare, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		{Name: "small", Size: small, Share: 1 - largeShare, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+	}
+	return profile
+}
+
 // Sample is the number of serving groups of each model at a time.
 type Sample struct {
 	At      time.Duration
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -31,7 +31,8 @@
 	exchanger   *exchanger.Exchanger
 	// leading reports whether the node holds the lease.
 	leading func() bool
-	asks    atomic.Pointer[chain]
+	// upstream is whom the node asks, as found last.
+	upstream atomic.Pointer[upstream]
 }
 
 // newPeers joins the parts. The exchanger is added once its users are there.
@@ -74,34 +75,34 @@
 	if p.leading() {
 		return nil
 	}
-	return p.chain().relays
+	return p.findUpstream().relays
 }
 
-// chainEvery is how often the nodes to ask are found anew. Each question needs them, and
+// upstreamEvery is how often the nodes to ask are found anew. Each question needs them, and
 // lost nodes are found by membership within some seconds only.
-const chainEvery = 300 * time.Millisecond
+const upstreamEvery = 300 * time.Millisecond
 
-// chain is whom a node asks for what the object API holds.
-type chain struct {
+// upstream is whom a node asks for what the object API holds.
+type upstream struct {
 	at     time.Time
 	relays []string
 	// several says that the region has several cells.
 	several bool
 }
 
-func (p *peers) chain() *chain {
-	if c := p.asks.Load(); c != nil && time.Since(c.at) < chainEvery {
-		return c
+func (p *peers) findUpstream() *upstream {
+	if u := p.upstream.Load(); u != nil && time.Since(u.at) < upstreamEvery {
+		return u
 	}
 	self, others := p.tracker.Self(), p.tracker.Peers()
 	_, cell := exchanger.Cell(self, others)
 	heads := exchanger.Heads(self, others)
-	c := &chain{at: time.Now(), relays: p.before(cell), several: len(heads) > 1}
-	if len(c.relays) == 0 {
-		c.relays = p.before(heads)
+	u := &upstream{at: time.Now(), relays: p.before(cell), several: len(heads) > 1}
+	if len(u.relays) == 0 {
+		u.relays = p.before(heads)
 	}
-	p.asks.Store(c)
-	return c
+	p.upstream.Store(u)
+	return u
 }
 
 // before returns the addresses of the nodes before this one; two at most.
@@ -119,7 +120,7 @@
 
 // chained reports whether a region has several cells, so that what its reader knows
 // passes through two nodes.
-func (p *peers) chained() bool { return p.chain().several }
+func (p *peers) chained() bool { return p.findUpstream().several }
 
 // run serves and calls other nodes until ctx ends.
 func (p *peers) run(ctx context.Context, listener net.Listener) error {
