Tell in the log when the holder presumes its own fault

Change: one event own-fault-presumed at the beginning of each doubt, with the zone and the instance that brought it, counted like the others. Ruled out: a line for each probe, which would grow with the engines.

Figures: 40 silences of two zones tell it once and no instance as silent (TestPresumedOwnFaultIsTold; there was no such event before). Decisions are unchanged.

--- a/event.go
+++ b/event.go
@@ -68,6 +68,7 @@
 	EventServerGone       EventKind = "server-gone"
 	EventInstanceSilent   EventKind = "instance-silent"
 	EventInstanceAnswers  EventKind = "instance-answers"
+	EventOwnFault         EventKind = "own-fault-presumed"
 	EventGroupSuspected   EventKind = "group-suspected"
 	EventObjectAPIDown    EventKind = "object-api-down"
 	EventObjectAPIBack    EventKind = "object-api-back"
--- a/former/flight_test.go
+++ b/former/flight_test.go
@@ -122,3 +122,29 @@
 		}
 	}
 }
+
+// Story: the holder of the lease is cut off from the engines of all zones. On-call
+// engineers found no line that told why it did not give them up at once.
+func TestPresumedOwnFaultIsTold(t *testing.T) {
+	told := &told{}
+	f := &Former{options: Options{Recorder: told}, prober: newProber(100)}
+	for i := range 40 {
+		f.takeProbe(probed{
+			life: garnetworks.Life{Instance: garnetworks.InstanceID(rune('a' + i))}, zone: garnetworks.ZoneID([]string{"a", "b"}[i%2]),
+			err: garnetworks.Errorf(garnetworks.KindUnreachable, "no answer"), took: probeTime,
+		})
+	}
+	if told.kinds[garnetworks.EventOwnFault] != 1 || told.kinds[garnetworks.EventInstanceSilent] != 0 {
+		t.Errorf("told %v", told.kinds)
+	}
+}
+
+// told counts events by kind.
+type told struct{ kinds map[garnetworks.EventKind]int }
+
+func (t *told) Record(e garnetworks.Event) {
+	if t.kinds == nil {
+		t.kinds = make(map[garnetworks.EventKind]int)
+	}
+	t.kinds[e.Kind]++
+}
--- a/former/prober.go
+++ b/former/prober.go
@@ -164,13 +164,26 @@
 		f.doubt(p.life)
 		return
 	}
-	if f.silence.note(now, p.zone, true) && !f.dark.Has(p.life) {
+	if f.presumesOwnFault(now, &p) && !f.dark.Has(p.life) {
 		f.doubt(p.life)
 		return
 	}
 	f.miss(p.life)
 }
 
+// presumesOwnFault notes an instance's silence, and tells when a doubt begins.
+func (f *Former) presumesOwnFault(now time.Time, p *probed) bool {
+	before := f.silence.since
+	own := f.silence.note(now, p.zone, true)
+	if f.silence.since != before {
+		f.options.Recorder.Record(garnetworks.Event{
+			Kind: garnetworks.EventOwnFault, Zone: p.zone, Instance: p.life.Instance,
+			Detail: "most instances of several zones are silent at once; none counts as silent for " + doubtFor.String(),
+		})
+	}
+	return own
+}
+
 func (f *Former) alive(id garnetworks.Life) {
 	if f.dark.Has(id) {
 		f.stale = true
