Prove lives on the whole path, for older entries, probes and orders

Nothing of the product changes.

Not found: an object of an older revision in a newer list, which no store gives.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -83,6 +83,8 @@
 	epoch   uint64
 	// token is the highest fencing token seen; orders with a lower one are refused.
 	token uint64
+	// born is the start that it tells, in Unix milliseconds; 0 tells none.
+	born  int64
 	ended bool
 }
 
@@ -154,6 +156,17 @@
 	b.Server.Close()
 }
 
+// StartAgain lets the backend crash and start again at once under its identifier, at a
+// time in Unix milliseconds: calls break off, and it knows nothing of before but what its
+// host holds.
+func (b *Backend) StartAgain(born int64) {
+	b.CloseClientConnections()
+	b.mu.Lock()
+	b.member, b.model, b.epoch, b.token, b.born = Member{}, "", 0, 0, born
+	b.mu.Unlock()
+	b.register()
+}
+
 // register writes the backend's entry.
 func (b *Backend) register() {
 	if b.store == nil {
@@ -171,6 +184,9 @@
 		"service": b.Service, "address": b.Address(), "zone": b.Zone, "version": "v1", "slots": 4,
 		"state": b.state, "cold-remaining-ms": 0, "sequence": 1, "domain": b.Domain, "staged": slices.Clone(b.staged), "unknown-field": 1,
 	}
+	if b.born != 0 {
+		entry["born"] = b.born
+	}
 	if b.model != "" {
 		entry["models"] = []map[string]any{{"name": b.model, "version": 1}}
 	}
@@ -193,12 +209,22 @@
 	case "/v1/order":
 		b.order(w, r)
 	case "/v1/report":
-		reply(w, http.StatusOK, map[string]any{"busy": false, "queued": 0, "running": 0})
+		b.report(w)
 	default:
 		b.call(w, r, &f)
 	}
 }
 
+func (b *Backend) report(w http.ResponseWriter) {
+	b.mu.Lock()
+	report := map[string]any{"busy": false, "queued": 0, "running": 0}
+	if b.born != 0 {
+		report["born"] = b.born
+	}
+	b.mu.Unlock()
+	reply(w, http.StatusOK, report)
+}
+
 // call serves a client's call.
 func (b *Backend) call(w http.ResponseWriter, r *http.Request, f *BackendFaults) {
 	id := r.Header.Get("Garnetworks-Request-Id")
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -253,6 +253,63 @@
 	}
 }
 
+// script is a store that answers lists as they were written down, newer or older ones, and
+// has always forgotten its history.
+type script struct {
+	garnetworks.ObjectAPI
+	mu    sync.Mutex
+	lists []garnetworks.Object
+}
+
+func (s *script) List(_ context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	if prefix != "servers/" {
+		return nil, 1, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.lists[0]
+	if len(s.lists) > 1 {
+		s.lists = s.lists[1:]
+	}
+	return []garnetworks.Object{o}, o.Revision, nil
+}
+
+func (s *script) Watch(context.Context, string, garnetworks.Revision, time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	return nil, 0, garnetworks.Errorf(garnetworks.KindCompacted, "gone")
+}
+
+// Story: an engine has started again, and a replica of the store that lags, or a node that
+// reads for others and is behind, tells the entry of its earlier life once more. The
+// engine was taken for a member of its old group again.
+func TestOlderEntryBringsNoLifeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry := func(value string, revision garnetworks.Revision) garnetworks.Object {
+			return garnetworks.Object{Key: "servers/a", Value: []byte(value), Revision: revision}
+		}
+		s := &script{lists: []garnetworks.Object{
+			entry("live m@1", 10), entry("live@22", 20), entry("live m@1", 10), entry("live m@1", 15), entry("live@22", 20),
+		}}
+		f := follower.New(follower.Options{Objects: s, Reader: reader{}, Recorder: &events{}})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = f.Run(ctx) }()
+		restarted := false
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			a := f.Servers()["a"]
+			restarted = restarted || a.Born == 2
+			if restarted && (a.Born != 2 || a.Member.Group != "" || a.Ended.Group != "g-m") {
+				t.Fatalf("after the later life came, the entry is %+v", a)
+			}
+		}
+		if !restarted {
+			t.Error("the later life never came")
+		}
+		stop()
+		<-done
+	})
+}
+
 // Story: another program writes over a server's entry, again and again. Calls went to
 // what the entry said before; nobody knows who answers there now. The other servers are
 // used on, the server is used again once it has written its entry, and the log has one
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -365,3 +366,35 @@
 		t.Errorf("got %+v", a)
 	}
 }
+
+// Story: engines of an open group, first a member and then the head, crash and are back
+// under their identifiers before their entries lapse. There is no spare. Calls went on to
+// a head that nothing moves at; now the group is formed anew with the later lives, and
+// calls are answered whole.
+func TestGroupWithEnginesThatStartedAgainServes(t *testing.T) {
+	s := open(t, 3)
+	s.serve(streamURL)
+	head := s.head()
+	for round, again := range []*impersonator.Backend{other(s.engines, head), head} {
+		before := len(again.Orders())
+		again.StartAgain(int64(1764720000000 + round))
+		s.eventually("a call succeeds at a group of the later life", func() bool {
+			a := s.call(http.MethodPost, streamURL, nil)
+			return a.status == http.StatusOK && a.body == pieces(5)
+		})
+		since := again.Orders()[before:]
+		if !slices.ContainsFunc(since, func(order string) bool { return strings.HasPrefix(order, "join ") }) {
+			t.Errorf("round %d: the later life was ordered %v", round, since)
+		}
+	}
+}
+
+// other returns an engine that is not the given one.
+func other(engines []*impersonator.Backend, not *impersonator.Backend) *impersonator.Backend {
+	for _, e := range engines {
+		if e != not {
+			return e
+		}
+	}
+	return nil
+}
