Tell in a call's line what it asks for, so that copies of one call are known

Cause: the log named calls by the client's identifier, new for each copy, so that a call that ends engines could not be told from the victims beside it. Change: a digest of workspace, host, target and body in detailed lines. No decision uses it.

--- /dev/null
+++ b/content.go
@@ -0,0 +1,31 @@
+package garnetworks
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// ContentDigest tells what a call asks for, and for whom: calls of one workspace with the
+// same host, target and body have the same one, whichever node takes them and whatever
+// identifiers clients give them. It is lower-case hex of contentBytes bytes.
+type ContentDigest string
+
+// contentBytes is the length of a digest's bytes. A caller that could make up a body with
+// another workspace's digest could have that workspace's call taken for its own; against
+// 128 bits of SHA-256 it can't.
+const contentBytes = 16
+
+// Content returns the call's digest, for the workspace whose key it has; empty for a call
+// that needs no key.
+func (c *PassedCall) Content(workspace WorkspaceName) ContentDigest {
+	h := sha256.New()
+	for _, part := range []string{string(workspace), c.Host, c.Target} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = h.Write(length[:]) // a hash takes all bytes
+		_, _ = h.Write([]byte(part))
+	}
+	_, _ = h.Write(c.Body)
+	return ContentDigest(hex.EncodeToString(h.Sum(nil)[:contentBytes]))
+}
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -156,6 +156,9 @@
 	if !detailed {
 		return list
 	}
+	if x.content != "" {
+		list = append(list, "content", x.content)
+	}
 	list = append(list, "waited-ms", milliseconds(x.waited))
 	if !x.until.IsZero() {
 		list = append(list, "left-ms", milliseconds(time.Until(x.until)))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -353,6 +353,7 @@
 	call      *garnetworks.PassedCall
 	route     *garnetworks.Route
 	workspace garnetworks.WorkspaceName
+	content   garnetworks.ContentDigest
 	priority  int
 	service   *garnetworks.RoutedService
 	// until is when the call is given up at the latest.
@@ -379,6 +380,7 @@
 	if call.Body, err = readBody(w, r, index.Limits.BodyBytes); err != nil {
 		return x, err
 	}
+	x.content = call.Content(x.workspace)
 	target, ok := matcher.Target(x.route, random())
 	if ok {
 		x.service, ok = index.Service(target)
