Failing tests: a call that ends its engines reaches three of them, at all nodes

Cause (reproduced): nothing remembers under which calls engines ended. With stand-ins that crash under a certain body: 10 engines and 6 plain servers end under 12 copies at one node (3 allowed), 12 engines under copies at three nodes (6 allowed), and sound calls are refused since no group is left.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -39,6 +39,8 @@
 	ExtraAnswers int
 	// LoseOrders is the number of next orders that are taken and not answered.
 	LoseOrders int
+	// CrashOn is the body of calls under which the backend crashes; empty is none.
+	CrashOn string
 }
 
 // Run is a call that a backend ran.
@@ -150,6 +152,30 @@
 	}
 }
 
+// crashedEntryTime is how long the entry of a backend that crashed stays.
+const crashedEntryTime = 300 * time.Millisecond
+
+// Crash ends the backend as its process's end does: connections break off, nobody listens
+// at its address, and its entry lapses later.
+func (b *Backend) Crash() {
+	b.mu.Lock()
+	b.ended = true
+	b.mu.Unlock()
+	_ = b.Listener.Close() // Close closes it again
+	b.CloseClientConnections()
+	b.Close()
+	if b.store != nil {
+		time.AfterFunc(crashedEntryTime, func() { b.store.Remove("servers", b.ID) })
+	}
+}
+
+// Ended reports whether the backend has died or crashed.
+func (b *Backend) Ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
 // Close ends the backend and all calls that hang in it.
 func (b *Backend) Close() {
 	b.hang.end()
@@ -268,6 +294,11 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	if f.CrashOn != "" && run.Body == f.CrashOn {
+		go b.Crash()
+		<-r.Context().Done()
+		return
+	}
 	if !f.Unsigned {
 		w.Header().Set("Garnetworks-Response-Stamp", "stamp."+b.ID)
 	}
--- /dev/null
+++ b/launcher/quarantine_test.go
@@ -0,0 +1,149 @@
+package launcher_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker/impersonator"
+)
+
+const (
+	// crashing is the body of a call under which each server that runs it crashes.
+	crashing = "ends its server"
+	// mostEnded is the number of servers after which it shall reach no other one, and
+	// mostKnown the same where it comes at several nodes: three more may end by then.
+	mostEnded = 3
+	mostKnown = 2 * mostEnded
+	// spreadTime is how long nodes are given to hear of each other what they know; sites
+	// expect it within three seconds.
+	spreadTime = time.Second
+	// title is what a caller is told of a call that is kept from servers.
+	title = "The call has ended the backend servers that ran it"
+)
+
+// openCrashing starts a site in which engines crash under a call.
+func openCrashing(t *testing.T) *site {
+	t.Helper()
+	const engines, services, groups = 18, 6, 6
+	s := open(t, engines)
+	for i := len(s.services); i < services; i++ {
+		b := impersonator.NewBackend(s.store, fmt.Sprintf("s-%d", i), "svc", "z1", "")
+		t.Cleanup(b.Close)
+		s.services = append(s.services, b)
+	}
+	for _, b := range append(append([]*impersonator.Backend(nil), s.engines...), s.services...) {
+		b.Faults(func(f *impersonator.BackendFaults) { f.CrashOn = crashing })
+	}
+	s.eventually("all groups serve", func() bool {
+		open := 0
+		for _, e := range s.engines {
+			if slices.ContainsFunc(e.Orders(), func(order string) bool { return strings.HasPrefix(order, "open ") }) {
+				open++
+			}
+		}
+		return open >= groups
+	})
+	s.serve(streamURL)
+	return s
+}
+
+// send sends a call with a body, and returns its identifier and its answer.
+func (s *site) send(target, body string) (string, answer) {
+	id := ""
+	a := s.call(http.MethodPost, target, func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+		id = r.Header.Get("Garnetworks-Request-Id")
+	})
+	return id, a
+}
+
+// ranCrashing returns the identifiers of the calls under which engines crashed.
+func (s *site) ranCrashing() (ids []string) {
+	for _, b := range append(append([]*impersonator.Backend(nil), s.engines...), s.services...) {
+		for _, run := range b.Runs() {
+			if run.Body == crashing {
+				ids = append(ids, run.ID)
+			}
+		}
+	}
+	return ids
+}
+
+// refusals sends copies of the crashing call and checks that each that is said not to have
+// run has not. It returns the number of copies that were kept from servers.
+func (s *site) refusals(target string, copies int) (refused int) {
+	s.t.Helper()
+	for range copies {
+		id, a := s.send(target, crashing)
+		if a.status != http.StatusServiceUnavailable {
+			continue
+		}
+		if strings.Contains(a.body, title) {
+			refused++
+		}
+		if a.header.Get("Retry-After") == "" {
+			s.t.Errorf("a refusal does not say when to come back: %+v", a)
+		}
+		if garnetworks.NewSet(s.ranCrashing()...).Has(id) {
+			s.t.Errorf("the call %s ran and is told not to have run", id)
+		}
+	}
+	return refused
+}
+
+// Story: a call ends each engine that begins to run it, and its caller sends it again and
+// again. The node took each copy for a new call and each end for a loss like any other:
+// two engines ended for each copy ("backend-lost", twice "unexpected EOF" before any event
+// in its line), 28 and 34 of them in all, and every second sound call beside them failed.
+// The cause: nothing remembered under which calls engines had ended.
+func TestCallThatEndsItsEnginesIsKeptFromOthers(t *testing.T) {
+	for name, target := range map[string]string{"model": streamURL, "plain service": safeURL} {
+		t.Run(name, func(t *testing.T) {
+			s := openCrashing(t)
+			const copies = 12
+			s.refusals(target, copies)
+			if ran := s.ranCrashing(); len(ran) > mostEnded {
+				t.Errorf("%d servers ended, want %d at most", len(ran), mostEnded)
+			}
+			for i := range copies {
+				if _, a := s.send(streamURL, fmt.Sprint("sound ", i)); a.status != http.StatusOK {
+					t.Errorf("a sound call got %+v", a)
+				}
+			}
+		})
+	}
+}
+
+// Story: the copies of such a call come at other nodes, and at nodes that started after
+// the engines had ended, when those that saw it are gone. Each node on its own would end
+// three more engines.
+func TestCallThatEndsItsEnginesIsKnownAtOtherNodes(t *testing.T) {
+	s := openCrashing(t)
+	second := s.join("n2")
+	second.serve(streamURL)
+	time.Sleep(spreadTime)
+	s.eventually("the first node refuses the call", func() bool { return s.refusals(streamURL, 1) == 1 || len(s.ranCrashing()) > mostKnown })
+	time.Sleep(spreadTime)
+	if second.refusals(streamURL, 1) != 1 {
+		t.Error("the second node does not refuse the call")
+	}
+	for _, node := range []*site{s, second} {
+		node.stop()
+		<-node.done
+	}
+	third := s.join("n3")
+	third.serve(safeURL)
+	time.Sleep(spreadTime)
+	if third.refusals(streamURL, 1) != 1 {
+		t.Error("a node that starts anew does not refuse the call")
+	}
+	if ran := s.ranCrashing(); len(ran) > mostKnown {
+		t.Errorf("%d engines ended, want %d at most", len(ran), mostKnown)
+	}
+}
