Keep calls under which engines end from others on the product's own interface too

Cause: the same as on the users' platform, found by reading: package forwarder repeats a call at up to three engines and remembers nothing of its earlier copies. Ruled out: a watch at each node (330 waiting watches; the manifest has two a zone). Change: the forwarder asks the same quarantine before each attempt (F9); two nodes of each zone watch the object, and it is spread as an update. A group's life is its token. Before: 30 engines ended under ten copies (forwarder), all of a site's groups again and again (runner, the option left out). After: three, all nodes and later ones refuse it.

--- a/call.go
+++ b/call.go
@@ -116,6 +116,16 @@
 	PhaseDone CallPhase = "done"
 )
 
+// BrokeOff reports whether an attempt that ended in the phase was with its server and got
+// no whole answer, so that the server may have ended under it.
+func (p CallPhase) BrokeOff() bool {
+	switch p {
+	case PhaseWrite, PhaseWait, PhaseHeaders, PhaseBody:
+		return true
+	}
+	return false
+}
+
 // AttemptError is the failure of one attempt; adapters of EngineCaller and
 // ServiceCaller return it and nothing else.
 type AttemptError struct {
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -467,7 +467,7 @@
 // watches follows the head while the node is one of those that watch.
 func (c *Committer) watches(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !c.shallWatch() {
+		if !c.Watches() {
 			_ = pause(ctx, time.Second)
 			continue
 		}
@@ -476,7 +476,8 @@
 	return ctx.Err()
 }
 
-func (c *Committer) shallWatch() bool {
+// Watches reports whether the node is one of those of its zone that watch the object API.
+func (c *Committer) Watches() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.state.Watches()
@@ -488,7 +489,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		for pause(ctx, time.Second) == nil && c.shallWatch() {
+		for pause(ctx, time.Second) == nil && c.Watches() {
 		}
 	}()
 	w := watcher.New(c.options.Objects, HeadKey, c.options.Watcher)
--- a/content.go
+++ b/content.go
@@ -19,13 +19,29 @@
 // Content returns the call's digest, for the workspace whose key it has; empty for a call
 // that needs no key.
 func (c *PassedCall) Content(workspace WorkspaceName) ContentDigest {
+	return contentOf(c.Body, string(workspace), c.Host, c.Target)
+}
+
+// Content returns the call's digest.
+func (c *CallRequest) Content() ContentDigest {
+	return contentOf([]byte(c.Prompt), string(c.Workspace), string(c.Model), string(c.Adapter))
+}
+
+// Content returns the call's digest.
+func (c *ServiceCall) Content() ContentDigest {
+	return contentOf(c.Body, string(c.Workspace), string(c.Service), c.Path)
+}
+
+// contentOf returns the digest of some names and a body. Each name stands behind its
+// length, so that nothing moves from one to the next.
+func contentOf(body []byte, names ...string) ContentDigest {
 	h := sha256.New()
-	for _, part := range []string{string(workspace), c.Host, c.Target} {
+	for _, name := range names {
 		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(length[:], uint64(len(name)))
 		_, _ = h.Write(length[:]) // a hash takes all bytes
-		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte(name))
 	}
-	_, _ = h.Write(c.Body)
+	_, _ = h.Write(body)
 	return ContentDigest(hex.EncodeToString(h.Sum(nil)[:contentBytes]))
 }
--- a/faker/batch.go
+++ b/faker/batch.go
@@ -77,6 +77,10 @@
 		e.batch.stepping = true
 		go e.steps()
 	}
+	if e.crashOn != "" && call.Prompt == e.crashOn {
+		e.crashes++
+		go e.Restart()
+	}
 	return s, nil
 }
 
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -81,6 +81,9 @@
 	// loads are the running loads of weights.
 	loads    map[garnetworks.WeightID]*load
 	slowdown float64
+	// crashOn is the prompt of calls under which the process ends; crashes counts them.
+	crashOn string
+	crashes int
 	// downSince is when the engine stopped taking part; zero while it does.
 	downSince time.Time
 	batch     batch
@@ -217,6 +220,21 @@
 	e.slowdown = factor
 }
 
+// SetCrashOn makes the engine's process end, and start again, under each call with the
+// prompt; an empty one ends it under none.
+func (e *Engine) SetCrashOn(prompt string) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.crashOn = prompt
+}
+
+// Crashes returns how often the process ended under a call.
+func (e *Engine) Crashes() int {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.crashes
+}
+
 // SetEventGap makes every gap-th cache event get lost; 0 loses none.
 func (e *Engine) SetEventGap(gap uint64) {
 	e.fleet.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,6 +26,8 @@
 //	F8  A retry takes from the node's budget unless it is free (rules R5, R6).
 //	    Calls without delivered tokens don't wait for the budget; broken streams
 //	    wait up to ResumeWait.
+//	F9  A call under which servers end is kept from further ones; package quarantiner
+//	    decides that. It is asked before each attempt.
 package forwarder
 
 import (
@@ -123,7 +125,9 @@
 	// Recorder may be nil.
 	Recorder garnetworks.Recorder
 	Manifest garnetworks.ManifestSource
-	Timeouts Timeouts
+	// Quarantine may be nil; no call is then kept from servers (rule F9).
+	Quarantine garnetworks.Quarantine
+	Timeouts   Timeouts
 	// Budget with a Burst of 0 means retrier.DefaultBudgetLimits.
 	Budget retrier.BudgetLimits
 	// MaxAttempts of 0 means DefaultMaxAttempts.
--- /dev/null
+++ b/forwarder/hold_test.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/quarantiner"
+)
+
+// crashing is engines that end under each call with a certain prompt, and are back at once
+// under another token.
+type crashing struct {
+	quick
+	ended int
+}
+
+func (c *crashing) Choose(_ time.Time, _ *garnetworks.CallRequest, tried []garnetworks.GroupID) (garnetworks.GroupView, error) {
+	for n := range 8 {
+		if id := garnetworks.GroupID(fmt.Sprint("g", n)); !slices.Contains(tried, id) {
+			return garnetworks.GroupView{ID: id, Token: garnetworks.FencingToken(1 + c.ended), Members: []garnetworks.InstanceID{"i"}}, nil
+		}
+	}
+	return garnetworks.GroupView{}, garnetworks.Errorf(garnetworks.KindNoGroup, "none is left")
+}
+
+func (c *crashing) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
+	if call.Prompt == "crash" {
+		c.ended++
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseWait}
+	}
+	c.sent = 0
+	return c.quick.Generate(ctx, address, call)
+}
+
+// A call ended each engine that began to run it, and each copy of it ended as many as a
+// call has attempts, three, since nothing remembered the copies before it.
+func TestCallThatEndsEnginesReachesThree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &crashing{}
+		quarantine := quarantiner.New(quarantiner.Options{
+			Prove:   func(context.Context, garnetworks.Life, bool) garnetworks.EndState { return garnetworks.EndProven },
+			Objects: nowhere{}, Reads: func() bool { return false },
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = quarantine.Run(ctx) }()
+		f := New(Options{Engines: c, Groups: c, Quarantine: quarantine})
+		generate := func(prompt string) error {
+			call := callFor(time.Minute)
+			call.Prompt, call.MaxTokens = prompt, quickTokens
+			_, err := f.Generate(t.Context(), call, &stuckSink{})
+			time.Sleep(time.Second)
+			return err
+		}
+		for n := range 10 {
+			err := generate("crash")
+			if ran := n == 0; ran != garnetworks.IsKind(err, garnetworks.KindBackendLost) || !ran && !garnetworks.IsKind(err, garnetworks.KindCallHeld) {
+				t.Errorf("copy %d ended with %v", n, err)
+			}
+		}
+		if c.ended != quarantiner.MostEnds {
+			t.Errorf("%d engines ended, want %d", c.ended, quarantiner.MostEnds)
+		}
+		if err := generate("sound"); garnetworks.IsKind(err, garnetworks.KindCallHeld) {
+			t.Errorf("a sound call ended with %v", err)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+// nowhere is an object API that can't be reached.
+type nowhere struct{ garnetworks.ObjectAPI }
+
+func (nowhere) Get(context.Context, string) (garnetworks.Object, error) {
+	return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindObjectAPIDown, "nowhere")
+}
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -49,6 +49,7 @@
 type modelCall struct {
 	*Forwarder
 	call       *garnetworks.CallRequest
+	content    garnetworks.ContentDigest
 	ring       *ring
 	transcript transcript
 	history    retrier.History
@@ -86,6 +87,7 @@
 	m := &modelCall{
 		Forwarder:  f,
 		call:       call,
+		content:    call.Content(),
 		ring:       newRing(),
 		transcript: transcript{maxTokens: call.MaxTokens},
 		history:    retrier.History{Repeatability: retrier.Repeatable, MaxAttempts: f.options.MaxAttempts},
@@ -156,11 +158,15 @@
 // run makes attempts until the answer is whole or the call is given up.
 func (m *modelCall) run(ctx context.Context) error {
 	for {
+		if err := m.heldBack(ctx, m.content); err != nil {
+			return m.giveUp(ctx, err)
+		}
 		group, err := m.choose(ctx)
 		if err != nil {
 			return m.giveUp(ctx, err)
 		}
 		m.last = m.attempt(ctx, &group)
+		m.tellEnd(ctx, m.content, lifeOf(&group), m.last)
 		if m.last == nil {
 			return nil
 		}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -24,6 +24,7 @@
 type serviceCall struct {
 	*Forwarder
 	call    *garnetworks.ServiceCall
+	content garnetworks.ContentDigest
 	spec    *garnetworks.ServiceSpec
 	history retrier.History
 	tried   []garnetworks.InstanceID
@@ -73,6 +74,7 @@
 	return &serviceCall{
 		Forwarder: f,
 		call:      call,
+		content:   call.Content(),
 		spec:      spec,
 		history:   retrier.History{Repeatability: repeatability, MaxAttempts: f.options.MaxAttempts},
 	}, nil
@@ -278,6 +280,9 @@
 		if ctx.Err() != nil {
 			return garnetworks.ServiceAnswer{}, s.stopped(ctx)
 		}
+		if err := s.heldBack(ctx, s.content); err != nil {
+			return garnetworks.ServiceAnswer{}, endError(&s.history, s.last, err)
+		}
 		server, err := s.choose()
 		if err != nil {
 			return garnetworks.ServiceAnswer{}, endError(&s.history, s.last, err)
@@ -286,6 +291,7 @@
 		attemptCtx, cancel := s.bound(ctx)
 		answer, s.last = s.attempt(attemptCtx, &server)
 		cancel()
+		s.tellEnd(ctx, s.content, garnetworks.Life{Instance: server.Instance}, s.last)
 		if s.last == nil {
 			return answer, nil
 		}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -10,7 +10,7 @@
 	if !held {
 		return nil
 	}
-	return &garnetworks.Error{Kind: garnetworks.KindCallHeld, Detail: "servers ended under calls with this content", RetryAfter: left}
+	return garnetworks.HeldError(left)
 }
 
 // endHeld answers a call that is held back: as one that did not run only if that is so
@@ -23,15 +23,12 @@
 	x.refuse(x.w, x, held)
 }
 
-// broke are the phases in which an attempt was with its server when it failed.
-var broke = garnetworks.NewSet(garnetworks.PhaseWrite, garnetworks.PhaseWait, garnetworks.PhaseHeaders, garnetworks.PhaseBody)
-
 // brokeOff tells the quarantine of an attempt that got no whole answer, unless the client
 // or the time ended it, or the server was known to leave: one that is stopped as planned
 // ends under calls that have no part in it. A later life at the server's identifier is no
 // such sign; it shows that the asked one has ended.
 func (x *exchange) brokeOff(life garnetworks.Life, failure *garnetworks.AttemptError) {
-	if x.ctx.Err() != nil || !broke.Has(failure.Phase) {
+	if x.ctx.Err() != nil || !failure.Phase.BrokeOff() {
 		return
 	}
 	s, ok := x.options.Follower.Servers()[life.Instance]
--- a/launcher/quarantine_test.go
+++ b/launcher/quarantine_test.go
@@ -99,7 +99,7 @@
 	return refused
 }
 
-// Story: a call ends each engine that begins to run it, and its caller sends it again and
+// A call ended each engine that began to run it, and its caller sent it again and
 // again. The node took each copy for a new call and each end for a loss like any other:
 // two engines ended for each copy ("backend-lost", twice "unexpected EOF" before any event
 // in its line), 28 and 34 of them in all, and every second sound call beside them failed.
@@ -122,7 +122,7 @@
 	}
 }
 
-// Story: the copies of such a call come at other nodes, and at nodes that started after
+// The copies of such a call came at other nodes, and at nodes that started after
 // the engines had ended, when those that saw it are gone. Each node on its own would end
 // three more engines.
 func TestCallThatEndsItsEnginesIsKnownAtOtherNodes(t *testing.T) {
@@ -150,7 +150,7 @@
 	}
 }
 
-// Story: sound calls are in flight at the engines that end, and meet the call that ends
+// Sound calls are in flight at the engines that end, and meet the call that ends
 // them again at the engine that they go on at. None of them is taken for it: each is
 // answered whole in the end, when its client sends it again as clients do.
 func TestSoundCallsBesideOneThatEndsEnginesAreServed(t *testing.T) {
@@ -186,7 +186,7 @@
 	}
 }
 
-// Story: servers are stopped as planned, one after the other, with the same long call in
+// Servers are stopped as planned, one after the other, with the same long call in
 // flight. They were told to leave, so the call is not blamed for their ends.
 func TestCallIsNotBlamedForServersThatLeave(t *testing.T) {
 	s := openCrashing(t)
--- a/peer.go
+++ b/peer.go
@@ -50,6 +50,7 @@
 	TopicDemand    Topic = "demand/"
 	TopicRoster    Topic = "roster/"
 	TopicStaged    Topic = "staged/"
+	TopicHeldCalls Topic = "held-calls"
 )
 
 // CutTopic returns what stands behind the topic's first part, such as a zone's
--- a/quarantine.go
+++ b/quarantine.go
@@ -56,6 +56,11 @@
 	Answered(content ContentDigest)
 }
 
+// HeldError returns the error of a call that is kept from servers for some time.
+func HeldError(left time.Duration) error {
+	return &Error{Kind: KindCallHeld, Detail: "servers ended under calls with this content", RetryAfter: left}
+}
+
 // ContentRecords are a node's records, for exchange with other nodes.
 type ContentRecords interface {
 	// Sum is the same at nodes that know the same of contents under which two servers or
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -19,9 +19,9 @@
 
 // Times of reading and writing it.
 const (
-	// readWait is the longest wait of the watch: one call in two seconds for a cell of
-	// nodes. A path that has gone silent is found after it.
-	readWait = 2 * time.Second
+	// DefaultReadWait is the longest wait of the watch where one node reads for a cell: one
+	// call in two seconds. A path that has gone silent is found after it.
+	DefaultReadWait = 2 * time.Second
 	// readMargin is how long past its wait the watch may take to answer.
 	readMargin = 700 * time.Millisecond
 	// callTime bounds other calls.
@@ -146,21 +146,28 @@
 		defer cancel()
 		return q.options.Objects.List(ctx, objectPrefix)
 	}
-	ctx, cancel := context.WithTimeout(ctx, readWait+readMargin)
+	ctx, cancel := context.WithTimeout(ctx, q.options.ReadWait+readMargin)
 	defer cancel()
-	return q.options.Objects.Watch(ctx, objectPrefix, after, readWait)
+	return q.options.Objects.Watch(ctx, objectPrefix, after, q.options.ReadWait)
 }
 
 func (q *Quarantiner) takeObjects(objects []garnetworks.Object) {
 	for _, o := range objects {
 		if o.Key == objectKey && !o.Deleted {
-			q.takeObject(o.Value)
+			q.TakeObject(o.Value)
+			q.publish(o.Value, o.Revision)
 		}
 	}
 }
 
-// takeObject joins what the object tells.
-func (q *Quarantiner) takeObject(value []byte) {
+func (q *Quarantiner) publish(value []byte, revision garnetworks.Revision) {
+	if q.options.Publish != nil {
+		q.options.Publish(value, revision)
+	}
+}
+
+// TakeObject joins what the object tells.
+func (q *Quarantiner) TakeObject(value []byte) {
 	records, err := decode(time.Now(), value)
 	if err != nil {
 		// The next write replaces what another program wrote there.
@@ -241,7 +248,7 @@
 	case err != nil:
 		return err
 	default:
-		q.takeObject(object.Value)
+		q.TakeObject(object.Value)
 	}
 	if !q.unstored() {
 		return nil
@@ -252,9 +259,11 @@
 	if err != nil {
 		return err
 	}
-	if _, err := q.options.Objects.Put(call, objectKey, value, object.Revision); err != nil {
+	revision, err := q.options.Objects.Put(call, objectKey, value, object.Revision)
+	if err != nil {
 		return err
 	}
+	q.publish(value, revision)
 	stored := make(map[garnetworks.ContentDigest]uint64)
 	for i := range records {
 		stored[records[i].Content] = sumOf(&records[i])
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -43,6 +43,11 @@
 	Objects garnetworks.ObjectAPI
 	// Reads reports whether the node reads the object API for others, or reaches none.
 	Reads func() bool
+	// ReadWait is the longest wait of the watch; DefaultReadWait if it is 0.
+	ReadWait time.Duration
+	// Publish gets the object's value, with its revision, whenever the node has read or
+	// written it, to spread it to others that take it by TakeObject; it may be nil.
+	Publish func(value []byte, revision garnetworks.Revision)
 	// Recorder is told which contents are held and which are no longer; it may be nil.
 	Recorder garnetworks.Recorder
 }
@@ -70,6 +75,7 @@
 
 // New returns a quarantiner that holds nothing.
 func New(options Options) *Quarantiner {
+	options.ReadWait = cmp.Or(options.ReadWait, DefaultReadWait)
 	return &Quarantiner{
 		options: options, asking: make(chan struct{}, 1), storing: make(chan struct{}, 1),
 		records: make(map[garnetworks.ContentDigest]*record), held: make(map[garnetworks.ContentDigest]time.Time),
--- /dev/null
+++ b/runner/held_test.go
@@ -0,0 +1,60 @@
+package runner
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/quarantiner"
+)
+
+// A call ended each engine that began to run it, at all nodes, and its caller sent it once
+// a second. Groups were formed anew only to be lost again, and sound calls found none. The
+// engines that it ended are three, all nodes know it, and so do nodes that start later.
+func TestCallThatEndsEnginesIsKnownAtAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const prompt, copies = "ends its engine", 10
+		body := strings.Replace(virtualBody, "the pump at well 9 has failed", prompt, 1)
+		s := newVirtualSite(t, smallShape)
+		defer s.close()
+		s.begin()
+		for _, e := range s.fleet.Engines() {
+			e.SetCrashOn(prompt)
+		}
+		ended := func() (sum int) {
+			for _, e := range s.fleet.Engines() {
+				sum += e.Crashes()
+			}
+			return sum
+		}
+		nodes := s.names()
+		for range copies {
+			s.node(nodes[0]).answerOf(t.Context(), s.key, "POST", "/v1/completions", "", body)
+			time.Sleep(time.Second)
+		}
+		held := func(id garnetworks.NodeID) {
+			a := s.node(id).answerOf(t.Context(), s.key, "POST", "/v1/completions", "", body)
+			if a.kind != string(garnetworks.KindCallHeld) || a.outcome != string(garnetworks.OutcomeNotRun) {
+				t.Errorf("node %s answered %+v", id, a)
+			}
+		}
+		for _, id := range nodes {
+			held(id)
+		}
+		for _, id := range nodes {
+			s.replace(id)
+		}
+		time.Sleep(time.Minute)
+		for _, id := range nodes {
+			held(id)
+			if a := s.node(id).answerOf(t.Context(), s.key, "POST", "/v1/completions", "", virtualBody); a.outcome != string(garnetworks.OutcomeCompleted) {
+				t.Errorf("a sound call at node %s got %+v", id, a)
+			}
+		}
+		if n := ended(); n > quarantiner.MostEnds {
+			t.Errorf("%d engines ended, want %d", n, quarantiner.MostEnds)
+		}
+	})
+}
--- a/runner/join.go
+++ b/runner/join.go
@@ -13,9 +13,11 @@
 	"github.com/garnetworks/garnetworks/keymaker"
 	"github.com/garnetworks/garnetworks/messenger"
 	"github.com/garnetworks/garnetworks/prober"
+	"github.com/garnetworks/garnetworks/quarantiner"
 	"github.com/garnetworks/garnetworks/router"
 	"github.com/garnetworks/garnetworks/server"
 	"github.com/garnetworks/garnetworks/tracker"
+	"github.com/garnetworks/garnetworks/watcher"
 )
 
 // join makes the parts, from those that need nothing to those that need others.
@@ -100,6 +102,13 @@
 }
 
 func (r *Runner) joinCalls(options Options) {
+	r.quarantine = quarantiner.New(quarantiner.Options{
+		Prove: r.prove, Objects: r.platform.Objects, Recorder: r.events,
+		Reads: r.committer.Watches, ReadWait: watcher.DefaultWait,
+		Publish: func(value []byte, revision garnetworks.Revision) {
+			r.publish(garnetworks.Update{Topic: garnetworks.TopicHeldCalls, Version: garnetworks.UpdateVersion{Sequence: uint64(revision)}, Body: value})
+		},
+	})
 	r.forwarder = forwarder.New(forwarder.Options{
 		Engines:  r.platform.Engines,
 		Services: r.platform.Services,
@@ -109,6 +118,8 @@
 		Prober:   r.platform.Probes,
 		Recorder: r.events,
 		Manifest: r.committer,
+
+		Quarantine: r.quarantine,
 	})
 	limits := server.DefaultLimits()
 	limits.Body = r.settings.Limits.BodyBytes
@@ -138,6 +149,8 @@
 	switch {
 	case committer.Topics(u.Topic):
 		r.committer.OnUpdate(u)
+	case u.Topic == garnetworks.TopicHeldCalls:
+		r.quarantine.TakeObject(u.Body)
 	case r.views.take(u):
 	case r.reports.take(u):
 	default:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,6 +43,7 @@
 	"github.com/garnetworks/garnetworks/messenger"
 	"github.com/garnetworks/garnetworks/meter"
 	"github.com/garnetworks/garnetworks/prober"
+	"github.com/garnetworks/garnetworks/quarantiner"
 	"github.com/garnetworks/garnetworks/recorder"
 	"github.com/garnetworks/garnetworks/router"
 	"github.com/garnetworks/garnetworks/server"
@@ -111,6 +112,7 @@
 	claimer     *claimer.Claimer
 	prober      *prober.Prober
 	forwarder   *forwarder.Forwarder
+	quarantine  *quarantiner.Quarantiner
 	server      *server.Server
 	zone        *controller.Zone
 	site        *controller.Site
@@ -237,6 +239,7 @@
 		{"distribution", plain(r.distributor.Run)},
 		{"manifest", r.committer.Run},
 		{"claims", r.claimer.Run},
+		{"quarantine", r.quarantine.Run},
 		{"probes", r.prober.Run},
 		{"zone-controller", r.zone.Run},
 		{"site-controller", r.site.Run},
