--- a/diagnoser/cause.go
+++ b/diagnoser/cause.go
@@ -44,6 +44,7 @@
 	CauseServerSilent Cause = "server-silent"
 	CauseSlowAnswer   Cause = "slow-answer"
 	CauseClientLeft   Cause = "client-left"
+	CauseHeld         Cause = "held"
 	CauseNotAllowed   Cause = "not-allowed"
 	CauseUnexplained  Cause = "unexplained"
 )
@@ -69,6 +70,7 @@
 	{CauseServerSilent, "a server of a plain service gave no answer, or its connection broke"},
 	{CauseSlowAnswer, "a server of a plain service answered late"},
 	{CauseClientLeft, "the client left before it had reason to"},
+	{CauseHeld, "turned away, since servers had ended under calls for the same"},
 	{CauseNotAllowed, "asked for a route that there is not, or without a valid key"},
 	{CauseUnexplained, "the lines don't tell"},
 }
@@ -135,6 +137,8 @@
 		return CauseNotReady
 	case garnetworks.KindBackendRefused:
 		return CauseRefusedThere
+	case garnetworks.KindCallHeld:
+		return CauseHeld
 	}
 	return ""
 }
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -178,16 +178,21 @@
 		return
 	}
 	q.Merge(records)
-	stored := make(map[garnetworks.ContentDigest]uint64)
-	for i := range records {
-		stored[records[i].Content] = sumOf(&records[i])
-	}
+	stored := sumsOf(records)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.stored = stored
 }
 
-// sumOf is the sum of a record as it was told.
+// sumsOf returns the sums of records as they were told.
+func sumsOf(records []garnetworks.ContentRecord) map[garnetworks.ContentDigest]uint64 {
+	sums := make(map[garnetworks.ContentDigest]uint64)
+	for i := range records {
+		sums[records[i].Content] = sumOf(&records[i])
+	}
+	return sums
+}
+
 func sumOf(told *garnetworks.ContentRecord) uint64 {
 	r := record{runs: make(map[garnetworks.Life]run)}
 	now := time.Now()
@@ -264,10 +269,7 @@
 		return err
 	}
 	q.publish(value, revision)
-	stored := make(map[garnetworks.ContentDigest]uint64)
-	for i := range records {
-		stored[records[i].Content] = sumOf(&records[i])
-	}
+	stored := sumsOf(records)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	maps.Copy(q.stored, stored)
