Records beyond what the object API keeps are not written and sent again and again

Cause, by reading: more contents with two ends than are kept (two domains lost one after the other) left some unstored for good, so that each node wrote every 0.7 s, and the sums of nodes that left out different ones differed for good. Change: what lasts is chosen by the same order at all nodes; only that is stored and summed; the sum is kept until something changes; records are judged once a message. Test: TestMoreThanIsKeptCostsNoMoreAtRest, no write in a minute at rest.

--- a/quarantiner/asker.go
+++ b/quarantiner/asker.go
@@ -98,15 +98,21 @@
 	if state == garnetworks.EndSuspected {
 		return
 	}
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	news := false
 	for content, r := range q.records {
 		x, ok := r.runs[life]
 		if !ok || state == garnetworks.EndRefuted && x.at.After(began) {
 			continue
 		}
 		if r.join(life, x.at, state) {
-			q.learnt(time.Now(), content, r)
+			q.learnt(now, content, r)
+			news = true
 		}
 	}
+	if news {
+		q.judge(now)
+	}
 }
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -232,13 +233,11 @@
 	reads := q.options.Reads()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for content, r := range q.records {
+	return slices.ContainsFunc(q.lasting(), func(content garnetworks.ContentDigest) bool {
+		r := q.records[content]
 		mine := r.seen || reads && now.Sub(r.changed) > othersTime
-		if mine && r.lasting() && q.stored[content] != r.sum(content) {
-			return true
-		}
-	}
-	return false
+		return mine && q.stored[content] != r.sum(content)
+	})
 }
 
 // write joins the object with what the node knows. Its failure is told by the meter of the
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -69,6 +69,9 @@
 	order []garnetworks.ContentDigest
 	// stored are the sums of the records that the object API is known to have.
 	stored map[garnetworks.ContentDigest]uint64
+	// sum is what Sum returns, if summed; each message between nodes asks for it.
+	sum    uint64
+	summed bool
 	// news is closed, and made anew, whenever anything is learnt.
 	news chan struct{}
 }
@@ -138,6 +141,7 @@
 	r.seen = true
 	if r.join(life, now, garnetworks.EndSuspected) {
 		q.learnt(now, content, r)
+		q.judge(now)
 	}
 }
 
@@ -156,6 +160,7 @@
 	}
 	if r := q.records[content]; r != nil {
 		q.learnt(now, content, r)
+		q.judge(now)
 	}
 }
 
@@ -196,7 +201,7 @@
 	delete(q.records, least)
 }
 
-// learnt takes that something new is known of a content; q.mu is held.
+// learnt takes that something new is known of a content, before it is judged; q.mu is held.
 func (q *Quarantiner) learnt(now time.Time, content garnetworks.ContentDigest, r *record) {
 	if at := q.sound[content]; at.After(r.answered) && now.Sub(at) < SoundTime {
 		r.answered = at
@@ -206,13 +211,13 @@
 		signal(q.asking)
 		signal(q.storing)
 	}
-	q.judge(now)
-	close(q.news)
-	q.news = make(chan struct{})
 }
 
 // judge decides anew what is held (Z3); q.mu is held.
 func (q *Quarantiner) judge(now time.Time) {
+	close(q.news)
+	q.news = make(chan struct{})
+	q.summed = false
 	var suspects []suspect
 	for content, r := range q.records {
 		if len(r.runs) < MostEnds {
@@ -250,18 +255,23 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	news := false
 	for i := range records {
-		q.merge(now, &records[i])
+		news = q.merge(now, &records[i]) || news
+	}
+	if news {
+		q.judge(now)
 	}
 }
 
-// merge takes another node's record (Z5); q.mu is held.
-func (q *Quarantiner) merge(now time.Time, told *garnetworks.ContentRecord) {
+// merge takes another node's record (Z5), and reports whether it tells anything new; q.mu
+// is held.
+func (q *Quarantiner) merge(now time.Time, told *garnetworks.ContentRecord) bool {
 	age := func(ms int64) time.Time { return now.Add(-time.Duration(max(0, ms)) * time.Millisecond) }
 	news := false
 	r := q.records[told.Content]
 	if r == nil && len(told.Runs) == 0 {
-		return
+		return false
 	}
 	if r == nil {
 		r = q.record(told.Content)
@@ -276,43 +286,57 @@
 		r.answered = age(told.AnsweredMS)
 		news = true
 	}
-	switch {
-	case r.until().Before(now):
+	if r.until().Before(now) {
 		delete(q.records, told.Content)
-	case news:
+		q.summed = false
+		return false
+	}
+	if news {
 		q.learnt(now, told.Content, r)
 	}
+	return news
 }
 
 // Recent implements garnetworks.ContentRecords.
 func (q *Quarantiner) Recent() []garnetworks.ContentRecord {
 	now := time.Now()
-	return q.told(mostTold, func(r *record) bool { return now.Sub(r.changed) < recentTime })
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.told(now, q.chosen(mostTold, func(r *record) bool { return now.Sub(r.changed) < recentTime }))
 }
 
 // Lasting implements garnetworks.ContentRecords.
 func (q *Quarantiner) Lasting() []garnetworks.ContentRecord {
-	return q.told(MostStored, (*record).lasting)
-}
-
-// told returns the records that are chosen: those with the most runs first, the newest of
-// them before the others.
-func (q *Quarantiner) told(most int, choose func(*record) bool) []garnetworks.ContentRecord {
-	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var chosen []garnetworks.ContentDigest
+	return q.told(time.Now(), q.lasting())
+}
+
+// lasting returns the contents whose records last; q.mu is held.
+func (q *Quarantiner) lasting() []garnetworks.ContentDigest {
+	return q.chosen(MostStored, (*record).lasting)
+}
+
+// chosen returns the contents of which something holds, those with the most runs first;
+// q.mu is held. The order is the same at all nodes that know the same, so that they leave
+// the same ones out.
+func (q *Quarantiner) chosen(most int, holds func(*record) bool) []garnetworks.ContentDigest {
+	var list []garnetworks.ContentDigest
 	for content, r := range q.records {
-		if choose(r) {
-			chosen = append(chosen, content)
+		if holds(r) {
+			list = append(list, content)
 		}
 	}
-	slices.SortFunc(chosen, func(a, b garnetworks.ContentDigest) int {
-		x, y := q.records[a], q.records[b]
-		return cmp.Or(cmp.Compare(len(y.runs), len(x.runs)), y.last().Compare(x.last()), compareContents(a, b))
+	slices.SortFunc(list, func(a, b garnetworks.ContentDigest) int {
+		return cmp.Or(cmp.Compare(len(q.records[b].runs), len(q.records[a].runs)), compareContents(a, b))
 	})
+	return list[:min(len(list), most)]
+}
+
+// told returns the records of contents; q.mu is held.
+func (q *Quarantiner) told(now time.Time, contents []garnetworks.ContentDigest) []garnetworks.ContentRecord {
 	var list []garnetworks.ContentRecord
-	for _, content := range chosen[:min(len(chosen), most)] {
+	for _, content := range contents {
 		list = append(list, q.records[content].tell(content, now))
 	}
 	return list
@@ -322,13 +346,13 @@
 func (q *Quarantiner) Sum() uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var sum uint64
-	for content, r := range q.records {
-		if r.lasting() {
-			sum ^= r.sum(content)
+	if !q.summed {
+		q.sum, q.summed = 0, true
+		for _, content := range q.lasting() {
+			q.sum ^= q.records[content].sum(content)
 		}
 	}
-	return sum
+	return q.sum
 }
 
 // forget drops what is no longer needed (Z7).
--- a/quarantiner/site_test.go
+++ b/quarantiner/site_test.go
@@ -355,6 +355,34 @@
 	}
 }
 
+// Story: two domains are lost one after the other, and hundreds of sound calls are broken
+// off twice. More of them than the object API keeps must not be written again and again,
+// nor sent to and fro, by nodes that each find some of them missing there.
+func TestMoreThanIsKeptCostsNoMoreAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 10)
+		for i, n := range s.all() {
+			for c := range 20 {
+				content := garnetworks.ContentDigest(fmt.Sprint("c", i, ".", c))
+				n.Broke(content, garnetworks.Life{Instance: "a"})
+				n.Broke(content, garnetworks.Life{Instance: "b"})
+			}
+		}
+		time.Sleep(time.Minute)
+		before := s.objects.Counts()
+		time.Sleep(time.Minute)
+		if puts := s.objects.Counts()[faker.MethodPut] - before[faker.MethodPut]; puts > 0 {
+			t.Errorf("%d writes in a minute at rest", puts)
+		}
+		for _, n := range s.all() {
+			if n.Sum() != s.all()[0].Sum() {
+				t.Errorf("%s does not know what others know", n.info.ID)
+			}
+		}
+		s.close()
+	})
+}
+
 // At rest, what is kept costs one call in two seconds for each cell, whatever the number
 // of its nodes, and no message more.
 func TestRestCostsLittle(t *testing.T) {
