Each node that lacks records of calls is told all of them in its turn

Cause: found by a test under the race detector (three of 30 nodes never heard of some records): the first node of a cell told all records once a second to whichever asked first. Ruled out: the order of what is kept, which is the same at all nodes. Change: a turn a second for each node or cell that differs.

--- a/exchanger/contents.go
+++ b/exchanger/contents.go
@@ -6,41 +6,53 @@
 	"github.com/garnetworks/garnetworks"
 )
 
-// contents returns the records of calls for a message, and their sum (X5).
-func (e *Exchanger) contents() ([]garnetworks.ContentRecord, uint64) {
+// contents returns the records of calls for a message to a node or cell, and their sum (X5).
+func (e *Exchanger) contents(peer string) ([]garnetworks.ContentRecord, uint64) {
 	if e.options.Contents == nil {
 		return nil, 0
 	}
 	sum := e.options.Contents.Sum()
-	if e.takeAll(time.Now()) {
+	if e.takeAll(time.Now(), peer) {
 		return e.options.Contents.Lasting(), sum
 	}
 	return e.options.Contents.Recent(), sum
 }
 
-// takeAll reports whether the next message shall bring all records that last.
-func (e *Exchanger) takeAll(now time.Time) bool {
+// takeAll reports whether the next message to the peer shall bring all records that last.
+//
+// Failure: several nodes differ from the first one of their cell, which told all records to
+// one of them a second, each time the one that asked first. The others never heard of what
+// they had missed. So each peer has its turn.
+func (e *Exchanger) takeAll(now time.Time, peer string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.differs || now.Sub(e.allAt) < allEvery {
+	told, differs := e.differing[peer]
+	if !differs || now.Sub(told) < allEvery {
 		return false
 	}
-	e.differs, e.allAt = false, now
+	e.differing[peer] = now
 	return true
 }
 
-// takeContents joins the records of another node.
-func (e *Exchanger) takeContents(records []garnetworks.ContentRecord, sum uint64) {
+// takeContents joins the records of another node or cell.
+func (e *Exchanger) takeContents(peer string, records []garnetworks.ContentRecord, sum uint64) {
 	if e.options.Contents == nil {
 		return
 	}
 	e.options.Contents.Merge(records)
-	if e.options.Contents.Sum() == sum {
-		return
-	}
+	differs := e.options.Contents.Sum() != sum
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.differs = true
+	if !differs {
+		delete(e.differing, peer)
+		return
+	}
+	if len(e.differing) > maxDiffering {
+		clear(e.differing)
+	}
+	if _, known := e.differing[peer]; !known {
+		e.differing[peer] = time.Time{}
+	}
 }
 
 // Reads reports whether the node is the one of its cell that reads for the others, or
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -43,9 +43,12 @@
 	SmallCell = 8
 	// maxSuspects bounds the suspicions in a report.
 	maxSuspects = 16
-	// allEvery is the least time between two messages of a node with all records of calls
+	// allEvery is the least time between two messages to a node with all records of calls
 	// that last (X5): sums differ for some intervals while something new spreads.
 	allEvery = time.Second
+	// maxDiffering bounds the names of nodes that differ, of which some are gone; the design
+	// size has 330 nodes.
+	maxDiffering = 1024
 )
 
 // Cell returns the name of the node's cell, and the cell's nodes in order of
@@ -148,17 +151,16 @@
 	led    time.Time
 	failed map[string]time.Time
 	wake   chan struct{}
-	// differs says that a node has told another sum of records, and allAt is when all
-	// were sent last.
-	differs bool
-	allAt   time.Time
+	// differing are the nodes and cells that told another sum of records, with the time at
+	// which all of them were last sent there.
+	differing map[string]time.Time
 }
 
 // New returns an exchanger; Run starts its work.
 func New(options Options) *Exchanger {
 	return &Exchanger{
 		options: options, nodes: make(map[string]received), cells: make(map[string]received),
-		heard: make(map[garnetworks.GroupID]time.Time), failed: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		heard: make(map[garnetworks.GroupID]time.Time), failed: make(map[string]time.Time), differing: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -228,10 +230,10 @@
 	call, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	request := &garnetworks.ExchangeRequest{From: from, Cell: cell, Report: report}
-	request.Contents, request.ContentSum = e.contents()
+	request.Contents, request.ContentSum = e.contents(n.Address)
 	answer, err := e.options.Peers.Exchange(call, n.Address, request)
 	if err == nil {
-		e.takeContents(answer.Contents, answer.ContentSum)
+		e.takeContents(n.Address, answer.Contents, answer.ContentSum)
 		return answer, true
 	}
 	e.mu.Lock()
@@ -312,9 +314,9 @@
 		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "a report names nobody")
 	}
 	e.suspect(time.Now(), request.Report.Suspects)
-	e.takeContents(request.Contents, request.ContentSum)
+	e.takeContents(request.From, request.Contents, request.ContentSum)
 	response := &garnetworks.ExchangeResponse{}
-	response.Contents, response.ContentSum = e.contents()
+	response.Contents, response.ContentSum = e.contents(request.From)
 	own := e.options.Load()
 	own.Nodes, own.Suspects = 1, e.recent()
 	if request.Cell {
