Refused connections prove no end by themselves, and are withdrawn once the server answers

A zone's cut reset and refused connections to three engines, which the node took for their end. Change: a state of its own for what refused connections tell; it counts only while another server of the zone answers, and lives in it are asked again until they answer or their entry is gone.

--- a/quarantine.go
+++ b/quarantine.go
@@ -12,10 +12,12 @@
 const (
 	// EndSuspected: the call broke off; whether the server ended is not known.
 	EndSuspected EndState = iota
+	// EndRefused: its host refuses connections, while another one answers: nobody listens
+	// there. A partition can look the same to one node, so it is asked again.
+	EndRefused
 	// EndRefuted: the life answered afterwards, so it did not end under the call.
 	EndRefuted
-	// EndProven: nobody listens at its address, another life answers there, or its entry
-	// is gone.
+	// EndProven: another life answers at its address, or its entry is gone.
 	EndProven
 )
 
--- a/quarantiner/asker.go
+++ b/quarantiner/asker.go
@@ -60,6 +60,11 @@
 // doubts returns the lives that matter and are due: those under which a content broke off
 // that has others, of contents that this node saw. So a loss costs no question, since the
 // calls that it breaks off have one life each.
+//
+// Failure: a zone is cut off in such a way that its nodes' connections are refused. The
+// servers beyond the cut were taken for ended, and a sound call that had met three of them
+// was held at all nodes. So a life that only refuses connections is asked again until it
+// answers, which releases the call, or its entry is gone.
 func (q *Quarantiner) doubts(now time.Time) []doubt {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -70,10 +75,10 @@
 		}
 		for _, life := range r.lives(garnetworks.EndSuspected) {
 			x := r.runs[life]
-			if x.state != garnetworks.EndSuspected || now.Sub(x.askedAt) < againAfter(x.asked) || len(due) == mostAtOnce {
+			if x.state > garnetworks.EndRefused || now.Sub(x.askedAt) < againAfter(x.asked) || len(due) == mostAtOnce {
 				continue
 			}
-			due[life] = due[life] || x.asked < mostAsked
+			due[life] = due[life] || x.asked < mostAsked || x.state == garnetworks.EndRefused
 			x.asked++
 			x.askedAt = now
 			r.runs[life] = x
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -63,7 +63,7 @@
 
 // stateNames are the states as they are stored.
 var stateNames = map[garnetworks.EndState]string{
-	garnetworks.EndSuspected: "suspected", garnetworks.EndRefuted: "refuted", garnetworks.EndProven: "proven",
+	garnetworks.EndSuspected: "suspected", garnetworks.EndRefused: "refused", garnetworks.EndRefuted: "refuted", garnetworks.EndProven: "proven",
 }
 
 func stateOf(name string) (garnetworks.EndState, bool) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -223,14 +223,14 @@
 		if len(r.runs) < MostEnds {
 			continue
 		}
-		if ends := r.lives(garnetworks.EndProven); len(ends) >= MostEnds {
+		if ends := r.lives(garnetworks.EndRefused); len(ends) >= MostEnds {
 			suspects = append(suspects, suspect{content, ends})
 		}
 	}
 	held := make(map[garnetworks.ContentDigest]time.Time)
 	for _, content := range blame(suspects) {
 		r := q.records[content]
-		ends := r.lives(garnetworks.EndProven)
+		ends := r.lives(garnetworks.EndRefused)
 		held[content] = r.last().Add(hold(len(ends)))
 		if held[content].After(now) && !q.held[content].Equal(held[content]) {
 			q.tell(garnetworks.EventCallHeld, fmt.Sprintf("content %s is held for %s: %d servers ended under it, among them %s", content, held[content].Sub(now).Round(time.Second), len(ends), ends[len(ends)-1].Instance))
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -93,6 +93,43 @@
 	})
 }
 
+// Story: a zone is cut off, and its node's connections to three engines in others are reset
+// and then refused. A sound call that met them was held for ten minutes at all nodes, though
+// they answered again when the cut was over ("call-held" at six nodes, "connection reset by
+// peer" in each of its attempts).
+func TestRefusedConnectionsAreWithdrawnOnceTheServersAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cut := true
+		node, other := newQuiet(), newQuiet()
+		node.options.Prove = func(context.Context, garnetworks.Life, bool) garnetworks.EndState {
+			if cut {
+				return garnetworks.EndRefused
+			}
+			return garnetworks.EndRefuted
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go node.ask(ctx)
+		for n := range 3 {
+			node.Broke("sound", life(n))
+		}
+		time.Sleep(time.Second)
+		other.Merge(node.Recent())
+		cut = false
+		time.Sleep(5 * time.Second)
+		other.Merge(node.Lasting())
+		other.Merge(node.Recent())
+		if node.holds("sound") {
+			t.Error("the call is held though its servers answer")
+		}
+		time.Sleep(longestAgain)
+		if other.Merge(node.told(time.Now(), []garnetworks.ContentDigest{"sound"})); other.holds("sound") {
+			t.Error("another node holds it")
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Story: the third engine has ended, and its end is proven 5 ms later. In between the call
 // was repeated at a fourth one.
 func TestCallWaitsForTheProofThatWouldHoldIt(t *testing.T) {
@@ -182,7 +219,7 @@
 			for range rapid.IntRange(1, 3).Draw(t, "runs") {
 				r.Runs = append(r.Runs, garnetworks.BrokenRun{
 					Instance: life(rapid.IntRange(0, 6).Draw(t, "life")).Instance, AgeMS: 5,
-					State: garnetworks.EndState(rapid.IntRange(0, 2).Draw(t, "state")),
+					State: garnetworks.EndState(rapid.IntRange(0, 3).Draw(t, "state")),
 				})
 			}
 			told = append(told, r)
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -99,7 +99,7 @@
 // pending reports whether the content would be held if the lives in doubt had ended.
 func (r *record) pending() bool {
 	all := len(r.lives(garnetworks.EndSuspected))
-	return all >= MostEnds && len(r.lives(garnetworks.EndProven)) < all
+	return all >= MostEnds && len(r.lives(garnetworks.EndRefused)) < all
 }
 
 // last is when the content last broke off.
@@ -122,7 +122,7 @@
 // until is when the record may be forgotten. That of a content that was held outlives the
 // hold, so that its next end is not taken for its first one.
 func (r *record) until() time.Time {
-	if ends := len(r.lives(garnetworks.EndProven)); ends >= MostEnds {
+	if ends := len(r.lives(garnetworks.EndRefused)); ends >= MostEnds {
 		return r.last().Add(2 * hold(ends))
 	}
 	return r.last().Add(memory)
--- a/runner/prover.go
+++ b/runner/prover.go
@@ -33,8 +33,10 @@
 	switch {
 	case err == nil && status.Instance == life.Instance && int64(status.Token) == life.Born:
 		return garnetworks.EndRefuted
-	case err == nil, errors.Is(err, unix.ECONNREFUSED):
+	case err == nil:
 		return garnetworks.EndProven
+	case errors.Is(err, unix.ECONNREFUSED):
+		return garnetworks.EndRefused
 	}
 	return garnetworks.EndSuspected
 }
@@ -79,7 +81,7 @@
 		_ = c.Close()
 		return garnetworks.EndRefuted
 	case errors.Is(err, unix.ECONNREFUSED):
-		return garnetworks.EndProven
+		return garnetworks.EndRefused
 	}
 	return garnetworks.EndSuspected
 }
