What was refuted or answered lasts, so that no node goes on with what it took for an end

Change: every record with two runs lasts; sums tell what counts of each run. Tests: the check that such a record is not kept is replaced: a node that took the lives for ended must give that up on reading it from the object API, and one that has better proof must not; two nodes that differ so must tell different sums. Failed before in both.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -207,7 +207,7 @@
 		r.answered = at
 	}
 	r.changed = now
-	if len(r.lives(garnetworks.EndSuspected)) >= StoredEnds {
+	if r.lasting() {
 		signal(q.asking)
 		signal(q.storing)
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,8 +80,23 @@
 		if q.holds("x") {
 			t.Error("a content is held under which no server ended")
 		}
-		if n := len(q.Lasting()); n != 0 {
-			t.Errorf("%d records of no end are kept in the object API", n)
+		// A node that took them for ended hears of it, also by way of the object API.
+		later := newQuiet()
+		later.ended("x", 0, 1, 2)
+		value, err := encode(time.Now(), q.Lasting())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if later.TakeObject(value); !later.holds("x") {
+			t.Error("what is proven by more than refused connections is withdrawn")
+		}
+		refused := newQuiet()
+		for n := range 3 {
+			refused.Broke("x", life(n))
+			refused.settle(time.Now(), life(n), garnetworks.EndRefused)
+		}
+		if refused.TakeObject(value); refused.holds("x") {
+			t.Error("a node goes on with what was refuted")
 		}
 		// An answer to a question from before the break proves nothing.
 		time.Sleep(time.Second)
@@ -99,13 +115,13 @@
 // peer" in each of its attempts).
 func TestRefusedConnectionsAreWithdrawnOnceTheServersAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cut := true
+		var over atomic.Bool
 		node, other := newQuiet(), newQuiet()
 		node.options.Prove = func(context.Context, garnetworks.Life, bool) garnetworks.EndState {
-			if cut {
-				return garnetworks.EndRefused
+			if over.Load() {
+				return garnetworks.EndRefuted
 			}
-			return garnetworks.EndRefuted
+			return garnetworks.EndRefused
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		go node.ask(ctx)
@@ -113,16 +129,16 @@
 			node.Broke("sound", life(n))
 		}
 		time.Sleep(time.Second)
-		other.Merge(node.Recent())
-		cut = false
-		time.Sleep(5 * time.Second)
 		other.Merge(node.Lasting())
-		other.Merge(node.Recent())
+		over.Store(true)
+		time.Sleep(2 * longestAgain)
 		if node.holds("sound") {
 			t.Error("the call is held though its servers answer")
 		}
-		time.Sleep(longestAgain)
-		if other.Merge(node.told(time.Now(), []garnetworks.ContentDigest{"sound"})); other.holds("sound") {
+		if node.Sum() == other.Sum() {
+			t.Error("nodes that know different things tell the same sum")
+		}
+		if other.Merge(node.Lasting()); other.holds("sound") {
 			t.Error("another node holds it")
 		}
 		stop()
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -128,18 +129,19 @@
 	return r.last().Add(memory)
 }
 
-// lasting reports whether the record is kept in the object API (Z6).
-func (r *record) lasting() bool {
-	return len(r.runs) >= StoredEnds && len(r.lives(garnetworks.EndSuspected)) >= StoredEnds
-}
+// lasting reports whether the record is kept in the object API (Z6). What was refuted or
+// answered since lasts as well: nodes that read it there must not go on with what was taken
+// for an end before.
+func (r *record) lasting() bool { return len(r.runs) >= StoredEnds }
 
 // sum is a digest of what the record tells, without times: they differ between nodes by
 // the way of the messages.
 func (r *record) sum(content garnetworks.ContentDigest) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(content)) // a hash takes all bytes
-	for _, l := range r.lives(garnetworks.EndSuspected) {
+	for _, l := range slices.SortedFunc(maps.Keys(r.runs), garnetworks.Life.Compare) {
 		text := strconv.AppendInt([]byte(l.Instance), l.Born, 10)
+		text = strconv.AppendBool(text, r.counts(r.runs[l]))
 		_, _ = h.Write(append(text, byte(r.runs[l].state)))
 	}
 	return h.Sum64()
