An entry that is gone proves no end: what answers in its place does

Cause: a missing entry counted as a proven end, which nothing refutes. Entries of a zone that is cut off lapse while its servers live. The same cause stood in the product's own interface, where a later fencing token counted as the end of a group's head, and refused connections counted without asking whether the zone is reached; and a record of another node could name a life newer than this node's view, which counted as ended. Ruled out: withdrawing provisional ends only (it holds sound calls for the cut's length). Change: the life's last address is remembered (rule F7) and asked; only another life that answers there proves an end; refusals count until the life answers, and it is asked again whenever its entry is there; what ends a minute after the break is not put down to it. New: TestWhatProvesAnEnd, 15 cases; TestEndsFoundOutAfterACut, 3 cases.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -14,6 +14,9 @@
 //	F6  What is remembered of a server is of one life of it. A server that starts
 //	    again under its identifier replaces the earlier life at once, and the group
 //	    that the earlier one was in has lost a member.
+//	F7  An entry that is gone tells nothing of the server's life: those of a zone that is
+//	    cut off lapse together while their servers serve on. So the address of a life
+//	    that went is remembered, for those who need to ask it.
 //	F4  How old the routing may be is known at each moment: a node that can't ask
 //	    the store must stop honouring keys in time.
 package follower
@@ -71,6 +74,9 @@
 	ReturnTime = 2300 * time.Millisecond
 )
 
+// mostPast bounds the lives that are remembered: those of a large zone that is cut off.
+const mostPast = 512
+
 // Servers is a view of the registered servers. Nobody changes it.
 type Servers map[garnetworks.InstanceID]garnetworks.RegisteredServer
 
@@ -105,6 +111,10 @@
 	// view is a copy of known for readers; it is nil while known is newer.
 	view   Servers
 	lapsed map[garnetworks.InstanceID]bool
+	// past are the lives that were known and are not any more, at most mostPast of them;
+	// pastOrder holds them by when they went.
+	past      map[garnetworks.Life]garnetworks.RegisteredServer
+	pastOrder []garnetworks.Life
 	// refused holds why the newest entries of some servers can't be decoded.
 	refused map[garnetworks.InstanceID]string
 	// fresh are the servers that registered since fresh ones were last told of.
@@ -115,7 +125,10 @@
 
 // New returns a follower that knows nothing until Run runs.
 func New(options Options) *Follower {
-	f := &Follower{options: options, known: make(Servers), lapsed: make(map[garnetworks.InstanceID]bool), refused: make(map[garnetworks.InstanceID]string)}
+	f := &Follower{
+		options: options, known: make(Servers), lapsed: make(map[garnetworks.InstanceID]bool), refused: make(map[garnetworks.InstanceID]string),
+		past: make(map[garnetworks.Life]garnetworks.RegisteredServer),
+	}
 	common := watcher.Options{
 		Margin: AnswerMargin, ListTimeout: ListTime,
 		RetryMin: retryMin, RetryMax: retryMax, Recorder: options.Recorder,
@@ -195,6 +208,28 @@
 	return f.view
 }
 
+// Past returns the last entry of a life that is known no more: whether it has ended is
+// asked at the address that it had (rule F7).
+func (f *Follower) Past(life garnetworks.Life) (garnetworks.RegisteredServer, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.past[life]
+	return s, ok
+}
+
+// pass remembers a life that is known no more; f.mu is held.
+func (f *Follower) pass(s *garnetworks.RegisteredServer) {
+	life := s.Life()
+	if _, again := f.past[life]; !again {
+		f.pastOrder = append(f.pastOrder, life)
+	}
+	f.past[life] = *s
+	if len(f.pastOrder) > mostPast {
+		delete(f.past, f.pastOrder[0])
+		f.pastOrder = f.pastOrder[1:]
+	}
+}
+
 // Ready reports whether routing and servers are known.
 func (f *Follower) Ready() bool { return f.Index() != nil && !f.servers.Confirmed().IsZero() }
 
@@ -259,6 +294,7 @@
 	if old.Life() == s.Life() {
 		return
 	}
+	f.pass(old)
 	f.record(garnetworks.Event{
 		Kind: garnetworks.EventServerRestarted, Instance: s.ID, Zone: s.Zone, Group: old.Member.Group,
 		Detail: fmt.Sprintf("it started at %d, the one known before at %d; what was known of that one is dropped", s.Born, old.Born),
@@ -274,9 +310,11 @@
 		f.refused[id] = err.Error()
 		f.record(garnetworks.Event{Kind: garnetworks.EventServerRefused, Instance: id, Error: garnetworks.KindOf(err), Detail: "its entry names no server: " + err.Error()})
 	}
-	if _, ok := f.known[id]; !ok {
+	s, ok := f.known[id]
+	if !ok {
 		return
 	}
+	f.pass(&s)
 	delete(f.known, id)
 	delete(f.lapsed, id)
 	f.publish()
@@ -289,7 +327,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.refused, id)
-	if _, ok := f.known[id]; !ok {
+	s, ok := f.known[id]
+	if !ok {
 		return
 	}
 	if !up || time.Since(recovered) < ReturnTime {
@@ -298,6 +337,7 @@
 		return
 	}
 	f.record(garnetworks.Event{Kind: garnetworks.EventServerGone, Instance: id, Detail: "its entry was removed"})
+	f.pass(&s)
 	delete(f.known, id)
 	f.publish()
 }
@@ -328,6 +368,9 @@
 	}
 	for id := range f.lapsed {
 		f.record(garnetworks.Event{Kind: garnetworks.EventServerGone, Instance: id, Detail: fmt.Sprintf("its entry is not back %s after the object API's return", time.Since(recovered).Round(time.Millisecond))})
+		if s, ok := f.known[id]; ok {
+			f.pass(&s)
+		}
 		delete(f.known, id)
 	}
 	clear(f.lapsed)
--- a/launcher/prover.go
+++ b/launcher/prover.go
@@ -7,39 +7,42 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/quarantiner"
 )
 
 // proveTime bounds a question to a server. One that lives answers within milliseconds, and
 // a host whose process has ended refuses as fast.
 const proveTime = 200 * time.Millisecond
 
-// mostReached is the number of other servers that are asked whether the node reaches a zone;
-// one or two of them may have ended as well.
-const mostReached = 3
-
-// prove finds out whether a server's life has ended: by its entry, and if ask is set by
-// asking the server. A host that does not answer proves nothing.
+// prove finds out whether a server's life has ended, by asking in its place. A life whose
+// entry is there is asked; one whose entry is gone only if ask is set. A host that does not
+// answer proves nothing.
+//
+// Failure: a zone is cut off, and its servers' entries lapse though they live. Calls that
+// broke off there were taken for what ended them, and kept from all servers. An entry that
+// is gone is so no proof, nor is one of another start that an old view shows: only what
+// answers at the address tells lives apart.
 func (l *Launcher) prove(ctx context.Context, life garnetworks.Life, ask bool) garnetworks.EndState {
 	servers := l.follower.Servers()
-	s, ok := servers[life.Instance]
-	switch {
-	case !ok:
-		// Before its first list a node knows of no server, and none of them has ended.
-		if l.follower.ServersConfirmed().IsZero() {
+	s, listed := servers[life.Instance]
+	if !listed {
+		var known bool
+		if s, known = l.follower.Past(life); !known || !ask {
 			return garnetworks.EndSuspected
 		}
+	}
+	taken := addressTaken(servers, &s)
+	if !listed && taken && life.Born == 0 {
 		return garnetworks.EndProven
-	case s.Life() != life:
-		return garnetworks.EndProven
-	case !ask:
-		return garnetworks.EndSuspected
 	}
 	ctx, cancel := context.WithTimeout(ctx, proveTime)
 	defer cancel()
 	err := l.options.Orders.Probe(ctx, s.Address, life)
+	// Without a start, whoever listens at the address answers alike.
+	anyone := taken || life.Born == 0 && (!listed || s.Life() != life)
 	switch {
-	case err == nil && addressTaken(servers, &s):
-		return garnetworks.EndSuspected // whoever answered
+	case err == nil && anyone:
+		return garnetworks.EndSuspected
 	case err == nil:
 		return garnetworks.EndRefuted
 	case garnetworks.IsKind(err, garnetworks.KindNotFound):
@@ -51,24 +54,18 @@
 }
 
 // reaches reports whether another server of the zone answers the node.
-//
-// Failure: the node is cut off from a zone in such a way that its connections there are
-// refused. It shows at all servers of the zone alike, and says nothing of any of them.
 func (l *Launcher) reaches(ctx context.Context, servers map[garnetworks.InstanceID]garnetworks.RegisteredServer, s *garnetworks.RegisteredServer) bool {
-	tries := 0
+	var others []garnetworks.RegisteredServer
 	for id := range servers {
-		other := servers[id]
-		if id == s.ID || other.Zone != s.Zone || other.Address == s.Address || tries == mostReached {
-			continue
+		if other := servers[id]; id != s.ID && other.Zone == s.Zone && other.Address != s.Address {
+			others = append(others, other)
 		}
-		tries++
+	}
+	return quarantiner.AnyAnswers(others, func(other garnetworks.RegisteredServer) bool {
 		err := l.options.Orders.Probe(ctx, other.Address, other.Life())
 		// A plain server answers that it has no such report.
-		if err == nil || garnetworks.IsKind(err, garnetworks.KindNotFound, garnetworks.KindInvalidRequest) {
-			return true
-		}
-	}
-	return false
+		return err == nil || garnetworks.IsKind(err, garnetworks.KindNotFound, garnetworks.KindInvalidRequest)
+	})
 }
 
 // addressTaken reports whether another server is registered at the server's address: it
--- a/launcher/prover_test.go
+++ b/launcher/prover_test.go
@@ -2,44 +2,123 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
+	"github.com/garnetworks/garnetworks/follower"
+	"github.com/garnetworks/garnetworks/recorder"
 )
 
-// refusing answers probes of some servers and refuses connections to all others.
-type refusing struct {
+// hosts answer probes by address: with the start of the process that listens there. Others
+// refuse connections, or give no answer if they are dark.
+type hosts struct {
 	garnetworks.GroupOrders
-	answers garnetworks.Set[garnetworks.InstanceID]
+	born map[string]int64
+	dark garnetworks.Set[string]
 }
 
-func (r refusing) Probe(_ context.Context, _ string, life garnetworks.Life) error {
-	if r.answers.Has(life.Instance) {
-		return nil
+func (h *hosts) Probe(ctx context.Context, address string, life garnetworks.Life) error {
+	born, listens := h.born[address]
+	switch {
+	case h.dark.Has(address):
+		<-ctx.Done()
+		return garnetworks.WrapError(garnetworks.KindUnreachable, ctx.Err(), "no answer")
+	case !listens:
+		return garnetworks.WrapError(garnetworks.KindUnreachable, syscall.ECONNREFUSED, "refused")
+	case life.Born != 0 && born != life.Born:
+		return garnetworks.Errorf(garnetworks.KindNotFound, "started at %d", born)
 	}
-	return garnetworks.WrapError(garnetworks.KindUnreachable, syscall.ECONNREFUSED, "refused")
+	return nil
 }
 
-// A node was cut off from a zone, where its connections were refused, and took the servers
-// there for ended. Refusals count only while another server of the zone answers.
-func TestRefusalsOfAWholeZoneProveNothing(t *testing.T) {
-	servers := make(map[garnetworks.InstanceID]garnetworks.RegisteredServer)
-	for id, zone := range map[garnetworks.InstanceID]garnetworks.ZoneID{"asked": "far", "beside": "far", "here": "near"} {
-		servers[id] = garnetworks.RegisteredServer{ListedInstance: garnetworks.ListedInstance{ID: id, Address: string(id), Zone: zone}}
-	}
-	asked := servers["asked"]
+// lineReader reads entries that are "zone address start".
+type lineReader struct{ garnetworks.SiteReader }
+
+func (lineReader) RoutingKey() string   { return "routing" }
+func (lineReader) ServerPrefix() string { return "servers/" }
+
+func (lineReader) ReadServer(id garnetworks.InstanceID, value []byte) (garnetworks.RegisteredServer, error) {
+	s := garnetworks.RegisteredServer{ListedInstance: garnetworks.ListedInstance{ID: id}}
+	_, err := fmt.Fscan(strings.NewReader(string(value)), &s.Zone, &s.Address, &s.Born)
+	return s, err
+}
+
+// Story: a zone was cut off. Its servers' entries lapsed, connections to it were refused or
+// not answered, and calls that had broken off there were taken for what ended the servers.
+// The node asks in the server's place, and only another life there proves an end.
+func TestWhatProvesAnEnd(t *testing.T) {
+	const asked, beside = "far:1", "far:2"
+	life := garnetworks.Life{Instance: "asked", Born: 10}
+	plain := garnetworks.Life{Instance: "plain"}
 	cases := map[string]struct {
-		answers garnetworks.Set[garnetworks.InstanceID]
-		want    bool
+		life garnetworks.Life
+		// later are entries written after the first list; an empty one removes.
+		later map[string]string
+		born  map[string]int64
+		dark  []string
+		ask   bool
+		want  garnetworks.EndState
 	}{
-		"cut off from the zone": {garnetworks.NewSet[garnetworks.InstanceID]("here"), false},
-		"one server has ended":  {garnetworks.NewSet[garnetworks.InstanceID]("here", "beside"), true},
+		"it answers":                       {life: life, born: map[string]int64{asked: 10}, want: garnetworks.EndRefuted},
+		"another life answers":             {life: life, born: map[string]int64{asked: 11}, want: garnetworks.EndProven},
+		"its host refuses":                 {life: life, born: map[string]int64{beside: 1}, want: garnetworks.EndRefused},
+		"all of its zone refuse":           {life: life, want: garnetworks.EndSuspected},
+		"no answer":                        {life: life, born: map[string]int64{beside: 1}, dark: []string{asked}, want: garnetworks.EndSuspected},
+		"its entry lapsed, cut off":        {life: life, later: map[string]string{"asked": ""}, dark: []string{asked, beside}, ask: true, want: garnetworks.EndSuspected},
+		"its entry lapsed, it answers":     {life: life, later: map[string]string{"asked": ""}, born: map[string]int64{asked: 10}, ask: true, want: garnetworks.EndRefuted},
+		"its entry lapsed, not to ask":     {life: life, later: map[string]string{"asked": ""}, born: map[string]int64{asked: 11}, want: garnetworks.EndSuspected},
+		"its entry lapsed, refused":        {life: life, later: map[string]string{"asked": ""}, born: map[string]int64{beside: 1}, ask: true, want: garnetworks.EndRefused},
+		"started again elsewhere":          {life: life, later: map[string]string{"asked": "far far:9 11"}, born: map[string]int64{"far:9": 11}, want: garnetworks.EndProven},
+		"the view is behind":               {life: garnetworks.Life{Instance: "asked", Born: 12}, born: map[string]int64{asked: 12}, want: garnetworks.EndRefuted},
+		"an old entry is back":             {life: garnetworks.Life{Instance: "asked", Born: 12}, born: map[string]int64{asked: 10}, want: garnetworks.EndProven},
+		"never heard of":                   {life: garnetworks.Life{Instance: "other", Born: 3}, ask: true, want: garnetworks.EndSuspected},
+		"no start, entry gone, answered":   {life: plain, later: map[string]string{"plain": ""}, born: map[string]int64{"far:3": 0}, ask: true, want: garnetworks.EndSuspected},
+		"no start, its address was reused": {life: plain, later: map[string]string{"plain": "", "next": "far far:3 0"}, ask: true, want: garnetworks.EndProven},
 	}
 	for name, c := range cases {
-		l := &Launcher{options: Options{Orders: refusing{answers: c.answers}}}
-		if got := l.reaches(t.Context(), servers, &asked); got != c.want {
-			t.Errorf("%s: the zone is reached: %t", name, got)
-		}
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				objects := faker.NewObjects(faker.ObjectsOptions{})
+				write := func(id, entry string) {
+					object, _ := objects.Get(t.Context(), "servers/"+id)
+					if entry == "" {
+						if err := objects.Delete(t.Context(), "servers/"+id, object.Revision); err != nil {
+							t.Fatal(err)
+						}
+						return
+					}
+					if _, err := objects.Put(t.Context(), "servers/"+id, []byte(entry), object.Revision); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for id, entry := range map[string]string{"asked": "far far:1 10", "beside": "far far:2 1", "plain": "far far:3 0", "here": "near near:1 1"} {
+					write(id, entry)
+				}
+				h := &hosts{born: map[string]int64{"near:1": 1}, dark: garnetworks.NewSet(c.dark...)}
+				for address, born := range c.born {
+					h.born[address] = born
+				}
+				f := follower.New(follower.Options{Objects: objects, Reader: lineReader{}, Recorder: recorder.New("n", 0)})
+				ctx, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				go func() { _ = f.Run(ctx) }()
+				time.Sleep(2 * follower.ReturnTime)
+				for id, entry := range c.later {
+					write(id, entry)
+				}
+				time.Sleep(2 * follower.ReturnTime)
+				l := &Launcher{options: Options{Orders: h}, follower: f}
+				if got := l.prove(t.Context(), c.life, c.ask); got != c.want {
+					t.Errorf("state %d, want %d", got, c.want)
+				}
+			})
+		})
 	}
 }
--- a/quarantine.go
+++ b/quarantine.go
@@ -17,7 +17,8 @@
 	EndRefused
 	// EndRefuted: the life answered afterwards, so it did not end under the call.
 	EndRefuted
-	// EndProven: another life answers at its address, or its entry is gone.
+	// EndProven: another life answers in its place. A partition can't make this, as it can
+	// make an entry go, or connections be refused.
 	EndProven
 )
 
--- a/quarantiner/asker.go
+++ b/quarantiner/asker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,13 +13,16 @@
 	// askEvery is how often lives that are in doubt are looked through.
 	askEvery = 100 * time.Millisecond
 	// askAgain is the time to the second question, and doubles with each. A host that does
-	// not answer is dark or cut off, and the entry of a server that ended goes within
-	// seconds.
+	// not answer is dark or cut off.
 	askAgain = 150 * time.Millisecond
-	// longestAgain bounds that time, from where on the entry alone is looked at.
+	// longestAgain bounds that time.
 	longestAgain = 2 * time.Second
-	// mostAsked is the number of questions to a server.
+	// mostAsked is the number of questions to a server whose entry is gone: nothing new is
+	// to be learnt of it before its entry, or that of its next life, is back.
 	mostAsked = 3
+	// longestDoubt is how long after a call broke off the server's end is put down to it: a
+	// partition lasts seconds, and so does a start. One that ends later may have any cause.
+	longestDoubt = time.Minute
 	// mostAtOnce bounds the questions in flight.
 	mostAtOnce = 8
 	// forgetEvery is how often old records are looked for.
@@ -53,7 +57,7 @@
 // doubt is a life of which it shall be found out whether it has ended.
 type doubt struct {
 	life garnetworks.Life
-	// ask says that the server itself shall be asked.
+	// ask says that the server shall be asked also if its entry is gone.
 	ask bool
 }
 
@@ -63,8 +67,8 @@
 //
 // Failure: a zone is cut off in such a way that its nodes' connections are refused. The
 // servers beyond the cut were taken for ended, and a sound call that had met three of them
-// was held at all nodes. So a life that only refuses connections is asked again until it
-// answers, which releases the call, or its entry is gone.
+// was held at all nodes. So a life that only refuses connections is asked again whenever
+// its entry is there; its answer releases the call.
 func (q *Quarantiner) doubts(now time.Time) []doubt {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -75,10 +79,11 @@
 		}
 		for _, life := range r.lives(garnetworks.EndSuspected) {
 			x := r.runs[life]
-			if x.state > garnetworks.EndRefused || now.Sub(x.askedAt) < againAfter(x.asked) || len(due) == mostAtOnce {
+			settled := x.state > garnetworks.EndRefused || x.state == garnetworks.EndSuspected && now.Sub(x.at) > longestDoubt
+			if settled || now.Sub(x.askedAt) < againAfter(x.asked) || len(due) == mostAtOnce {
 				continue
 			}
-			due[life] = due[life] || x.asked < mostAsked || x.state == garnetworks.EndRefused
+			due[life] = due[life] || x.asked < mostAsked
 			x.asked++
 			x.askedAt = now
 			r.runs[life] = x
@@ -121,3 +126,15 @@
 		q.judge(now)
 	}
 }
+
+// mostReached is the number of others that are asked whether a zone is reached; one or two
+// of them may have ended as well.
+const mostReached = 3
+
+// AnyAnswers reports whether any of a few of the others beside a server answers.
+//
+// Failure: a node is cut off from a zone in such a way that its connections there are
+// refused. It shows at all servers of the zone alike, and says nothing of any of them.
+func AnyAnswers[T any](others []T, answers func(T) bool) bool {
+	return slices.ContainsFunc(others[:min(len(others), mostReached)], answers)
+}
--- /dev/null
+++ b/quarantiner/asker_test.go
@@ -0,0 +1,91 @@
+package quarantiner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// world answers questions about lives.
+type world struct {
+	mu     sync.Mutex
+	states map[garnetworks.Life]garnetworks.EndState
+	asked  int
+}
+
+func (w *world) prove(_ context.Context, l garnetworks.Life, _ bool) garnetworks.EndState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked++
+	return w.states[l]
+}
+
+func (w *world) set(state garnetworks.EndState, lives ...int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range lives {
+		w.states[life(n)] = state
+	}
+}
+
+// Story: a call ends two servers, and their zone is cut off before anybody has asked after
+// them; a third one ends elsewhere. Or a sound call breaks off at three servers when their
+// zone is cut off, and all of them are replaced as planned minutes later. What is found out
+// soon after a cut counts, and what comes later does not.
+func TestEndsFoundOutAfterACut(t *testing.T) {
+	cases := map[string]struct {
+		play func(q *Quarantiner, w *world)
+		want bool
+	}{
+		"two ends fall into a cut": {func(q *Quarantiner, w *world) {
+			q.Broke("x", life(1))
+			q.Broke("x", life(2))
+			time.Sleep(8 * time.Second)
+			w.set(garnetworks.EndProven, 1, 2)
+			time.Sleep(2 * longestAgain)
+			w.set(garnetworks.EndRefused, 3)
+			q.Broke("x", life(3))
+		}, true},
+		"servers that were cut off are replaced later": {func(q *Quarantiner, w *world) {
+			for n := range 3 {
+				q.Broke("x", life(n))
+			}
+			time.Sleep(longestDoubt + time.Second)
+			w.set(garnetworks.EndProven, 0, 1, 2)
+		}, false},
+		"refused by a part of a zone that is cut off, and back": {func(q *Quarantiner, w *world) {
+			w.set(garnetworks.EndRefused, 0, 1, 2)
+			for n := range 3 {
+				q.Broke("x", life(n))
+			}
+			time.Sleep(2 * longestDoubt)
+			w.set(garnetworks.EndRefuted, 0)
+		}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{states: make(map[garnetworks.Life]garnetworks.EndState)}
+				q := New(Options{Prove: w.prove})
+				ctx, stop := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer stop()
+				go q.ask(ctx)
+				c.play(q, w)
+				time.Sleep(2 * longestAgain)
+				if got := q.holds("x"); got != c.want {
+					t.Errorf("held: %t", got)
+				}
+				before := w.asked
+				time.Sleep(time.Minute)
+				if more := w.asked - before; more > 3*int(time.Minute/longestAgain) {
+					t.Errorf("%d questions in a minute", more)
+				}
+			})
+		})
+	}
+}
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -12,8 +12,9 @@
 //	Z1  A call is known by its content (garnetworks.ContentDigest), and a server by its
 //	    life. The same life counts once for a content, whoever tells of it.
 //	Z2  Only a life whose end was found out counts: a connection that breaks off may be the
-//	    network's fault, and silence that of a member or of the node itself. What was found
-//	    out by refused connections alone is withdrawn once the life answers.
+//	    network's fault, silence that of a member or of the node itself, and an entry may
+//	    go because its server is cut off. What was found out by refused connections alone
+//	    is withdrawn once the life answers; only another life in its place is a proof.
 //	Z3  A content is held once MostEnds lives have ended under it that no other held
 //	    content explains. All calls at a server end with it, but only one of them is in
 //	    flight wherever a server ends. While several contents have the same ends, none is
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -36,8 +36,8 @@
 
 // Options describe a quarantiner.
 type Options struct {
-	// Prove finds out whether a life has ended: from what the node knows, and if ask is set
-	// by asking the server. EndSuspected means that it can't be told.
+	// Prove finds out whether a life has ended, by asking the server; if its entry is gone
+	// only if ask is set. EndSuspected means that it can't be told.
 	Prove func(ctx context.Context, life garnetworks.Life, ask bool) garnetworks.EndState
 	// Objects is the object API itself.
 	Objects garnetworks.ObjectAPI
--- a/runner/prover.go
+++ b/runner/prover.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/quarantiner"
 )
 
 // proveTime bounds a question to a server. One that lives answers within milliseconds.
@@ -16,15 +18,12 @@
 
 // prove finds out whether the head of a group, under the group's token, or a plain server,
 // which has none, has ended.
-func (r *Runner) prove(ctx context.Context, life garnetworks.Life, ask bool) garnetworks.EndState {
+func (r *Runner) prove(ctx context.Context, life garnetworks.Life, _ bool) garnetworks.EndState {
 	if life.Born == 0 {
-		return r.proveServer(ctx, life.Instance, ask)
+		return r.proveServer(ctx, life.Instance)
 	}
-	address := r.addressOf(life)
-	if status, _, heard := r.prober.Table().Status(life.Instance); heard && uint64(life.Born) < uint64(status.Token) {
-		return garnetworks.EndProven
-	}
-	if !ask || address == "" {
+	address, zone := r.addressOf(life)
+	if address == "" {
 		return garnetworks.EndSuspected
 	}
 	ctx, cancel := context.WithTimeout(ctx, proveTime)
@@ -33,55 +32,88 @@
 	switch {
 	case err == nil && status.Instance == life.Instance && int64(status.Token) == life.Born:
 		return garnetworks.EndRefuted
+	case err == nil && status.Instance == life.Instance && int64(status.Token) > life.Born:
+		// A group that is cut off gets its members back under a later token, though none
+		// of them has ended.
+		return garnetworks.EndSuspected
 	case err == nil:
 		return garnetworks.EndProven
-	case errors.Is(err, unix.ECONNREFUSED):
+	case errors.Is(err, unix.ECONNREFUSED) && r.reaches(ctx, zone, address):
 		return garnetworks.EndRefused
 	}
 	return garnetworks.EndSuspected
 }
 
-// addressOf returns where the head of a group is, as far as a view tells it.
-func (r *Runner) addressOf(life garnetworks.Life) string {
+// addressOf returns where the head of a group is, and in which zone, as far as a view tells
+// it.
+func (r *Runner) addressOf(life garnetworks.Life) (string, garnetworks.ZoneID) {
 	for _, view := range r.views.all() {
 		for i := range view.Groups {
 			g := &view.Groups[i]
 			if int64(g.Token) == life.Born && len(g.Members) > 0 && g.Members[0] == life.Instance {
-				return g.Address
+				return g.Address, view.Zone
 			}
 		}
 		for _, e := range view.Engines {
 			if e.Instance == life.Instance {
-				return e.Address
+				return e.Address, view.Zone
 			}
 		}
 	}
-	return ""
+	return "", ""
 }
 
 // proveServer asks a plain server by a new connection: its host refuses one once its
 // process has ended. One that starts again at its address meanwhile is not told apart, and
 // counts as the one that lived.
-func (r *Runner) proveServer(ctx context.Context, instance garnetworks.InstanceID, ask bool) garnetworks.EndState {
-	address := ""
+func (r *Runner) proveServer(ctx context.Context, instance garnetworks.InstanceID) garnetworks.EndState {
+	address, zone := "", garnetworks.ZoneID("")
 	for _, view := range r.views.all() {
 		for _, s := range view.Servers {
 			if s.Instance == instance && !s.Leaving {
-				address = s.Address
+				address, zone = s.Address, view.Zone
 			}
 		}
 	}
-	if !ask || address == "" {
+	if address == "" {
 		return garnetworks.EndSuspected
 	}
-	dialer := net.Dialer{Timeout: proveTime}
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, proveTime)
+	defer cancel()
+	err := dial(ctx, address)
 	switch {
 	case err == nil:
-		_ = c.Close()
 		return garnetworks.EndRefuted
-	case errors.Is(err, unix.ECONNREFUSED):
+	case errors.Is(err, unix.ECONNREFUSED) && r.reaches(ctx, zone, address):
 		return garnetworks.EndRefused
 	}
 	return garnetworks.EndSuspected
 }
+
+// reaches reports whether another server of the zone answers the node.
+func (r *Runner) reaches(ctx context.Context, zone garnetworks.ZoneID, not string) bool {
+	var others []string
+	for _, view := range r.views.all() {
+		if view.Zone != zone {
+			continue
+		}
+		for _, e := range view.Engines {
+			others = append(others, e.Address)
+		}
+		for _, s := range view.Servers {
+			others = append(others, s.Address)
+		}
+	}
+	others = slices.DeleteFunc(others, func(address string) bool { return address == not })
+	return quarantiner.AnyAnswers(others, func(address string) bool { return dial(ctx, address) == nil })
+}
+
+// dial opens a connection and closes it again.
+func dial(ctx context.Context, address string) error {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
