--- a/meter/meter.go
+++ b/meter/meter.go
@@ -71,7 +71,7 @@
 	{"garnet_first_token_seconds", "Time from the receipt of a call to its first token.", nil},
 	{"garnet_between_tokens_seconds", "Mean time between two tokens of one answer.", nil},
 	{"garnet_calls_in_flight", "Calls admitted and not ended.", nil},
-	{"garnet_object_api_calls_total", "Calls to the object API, by method and error kind (empty if answered).", []string{"method", "kind"}},
+	{"garnet_object_api_calls_total", "Calls to the object API, by method, purpose (the first part of the key) and error kind (empty if answered).", []string{"method", "purpose", "kind"}},
 	{"garnet_peer_bytes_total", "Bytes exchanged with other nodes, by direction.", []string{"direction"}},
 	{"garnet_peer_calls_total", "Messages exchanged with other nodes, by direction.", []string{"direction"}},
 	{"garnet_manifest_generation", "Generation of the manifest in force at the node.", nil},
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -31,8 +31,8 @@
 func TestEachMetricIsServed(t *testing.T) {
 	m := New()
 	api := m.ObjectAPI(lostAnswers{})
-	_, _ = api.Put(context.Background(), "k", nil, 0)
-	_, _, _ = api.Watch(context.Background(), "k", 0, 0)
+	_, _ = api.Put(context.Background(), "leases/site", nil, 0)
+	_, _, _ = api.Watch(context.Background(), "manifest", 0, 0)
 	m.PassedCall("r", garnetworks.OutcomeNotRun, garnetworks.KindOverloaded)
 	m.FirstEvent("r", time.Second)
 	m.Waited("m", time.Millisecond)
@@ -57,8 +57,8 @@
 		}
 	}
 	for _, want := range []string{
-		`garnet_object_api_calls_total{kind="answer-lost",method="put"} 1`,
-		`garnet_object_api_calls_total{kind="",method="watch"} 1`,
+		`garnet_object_api_calls_total{kind="answer-lost",method="put",purpose="leases"} 1`,
+		`garnet_object_api_calls_total{kind="",method="watch",purpose="manifest"} 1`,
 		`garnet_calls_total{kind="over-limit",outcome="not-run",target="model"} 1`,
 		`garnet_groups{state="serving",zone="a"} 1`,
 		`garnet_claim_writes_total{result="written"} 7`,
--- a/meter/objects.go
+++ b/meter/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -12,30 +13,37 @@
 
 // ObjectAPI returns next with each call counted (M3).
 func (m *Meter) ObjectAPI(next garnetworks.ObjectAPI) garnetworks.ObjectAPI {
-	return Observe(next, func(method string, took time.Duration, err error) {
-		m.objectCalls.WithLabelValues(method, string(garnetworks.KindOf(err))).Inc()
+	return Observe(next, func(method, key string, took time.Duration, err error) {
+		m.objectCalls.WithLabelValues(method, PurposeOf(key), string(garnetworks.KindOf(err))).Inc()
 		if method != methodWatch {
 			m.objectTime.WithLabelValues(method).Observe(took.Seconds())
 		}
 	})
 }
 
-// Observe returns next with note told of each call's method, time and error, once
-// the call has ended.
-func Observe(next garnetworks.ObjectAPI, note func(method string, took time.Duration, err error)) garnetworks.ObjectAPI {
+// PurposeOf returns what a call to the object API is for: the first part of the key, which
+// no caller chooses (M2).
+func PurposeOf(key string) string {
+	purpose, _, _ := strings.Cut(key, "/")
+	return purpose
+}
+
+// Observe returns next with note told of each call's method, key or prefix, time and error,
+// once the call has ended.
+func Observe(next garnetworks.ObjectAPI, note func(method, key string, took time.Duration, err error)) garnetworks.ObjectAPI {
 	return &observedObjectAPI{next: next, note: note}
 }
 
 type observedObjectAPI struct {
 	next garnetworks.ObjectAPI
-	note func(method string, took time.Duration, err error)
+	note func(method, key string, took time.Duration, err error)
 }
 
 // Get implements garnetworks.ObjectAPI.
 func (o *observedObjectAPI) Get(ctx context.Context, key string) (garnetworks.Object, error) {
 	sent := time.Now()
 	object, err := o.next.Get(ctx, key)
-	o.note("get", time.Since(sent), err)
+	o.note("get", key, time.Since(sent), err)
 	return object, err
 }
 
@@ -43,7 +51,7 @@
 func (o *observedObjectAPI) Put(ctx context.Context, key string, value []byte, after garnetworks.Revision) (garnetworks.Revision, error) {
 	sent := time.Now()
 	revision, err := o.next.Put(ctx, key, value, after)
-	o.note("put", time.Since(sent), err)
+	o.note("put", key, time.Since(sent), err)
 	return revision, err
 }
 
@@ -51,7 +59,7 @@
 func (o *observedObjectAPI) Delete(ctx context.Context, key string, after garnetworks.Revision) error {
 	sent := time.Now()
 	err := o.next.Delete(ctx, key, after)
-	o.note("delete", time.Since(sent), err)
+	o.note("delete", key, time.Since(sent), err)
 	return err
 }
 
@@ -59,7 +67,7 @@
 func (o *observedObjectAPI) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
 	sent := time.Now()
 	objects, revision, err := o.next.List(ctx, prefix)
-	o.note("list", time.Since(sent), err)
+	o.note("list", prefix, time.Since(sent), err)
 	return objects, revision, err
 }
 
@@ -67,6 +75,6 @@
 func (o *observedObjectAPI) Watch(ctx context.Context, prefix string, after garnetworks.Revision, wait time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
 	sent := time.Now()
 	objects, revision, err := o.next.Watch(ctx, prefix, after, wait)
-	o.note(methodWatch, time.Since(sent), err)
+	o.note(methodWatch, prefix, time.Since(sent), err)
 	return objects, revision, err
 }
--- a/runner/connect.go
+++ b/runner/connect.go
@@ -39,7 +39,7 @@
 }
 
 // noteObjects notes whether the object API answers, for status and events.
-func (r *Runner) noteObjects(_ string, _ time.Duration, err error) {
+func (r *Runner) noteObjects(_, _ string, _ time.Duration, err error) {
 	down := garnetworks.IsKind(err, garnetworks.KindObjectAPIDown, garnetworks.KindUnreachable)
 	if !down && err != nil && !garnetworks.IsKind(err, garnetworks.KindNotFound, garnetworks.KindConflict, garnetworks.KindCompacted) {
 		return // says nothing of the object API's health
