A zone that is cut off from a node rests as a whole (rule Q10)

Cause: a cut zone's groups are listed until their entries lapse, for four seconds. Ruled out: shorter bounds alone, which find each group by itself all the same. Change: two groups of a zone without a sign of life, and nothing heard from it since, and the zone gets one call at a time, at growing intervals, until anything is heard. If all zones seem cut off, none is left out.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -60,6 +60,7 @@
 	g.stream.mu.Lock()
 	defer g.stream.mu.Unlock()
 	g.stream.progress[g.group] = now
+	g.stream.scheduler.Heard(g.stream.call.Model, g.group)
 	g.limit, g.begun = stillTime, true
 	g.timer.Reset(quietTime)
 }
@@ -96,6 +97,9 @@
 		last = g.began
 	}
 	silence := now.Sub(last)
+	if silence >= quietTime {
+		g.stream.scheduler.Unreached(now, g.stream.call.Model, g.group)
+	}
 	if g.neverBegins(now) && g.movable && g.stream.reserve(now, g.work) {
 		return silence >= quietTime, true
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -302,10 +302,7 @@
 		s.mayHaveRun = s.mayHaveRun || failure.Phase != garnetworks.PhaseConnect
 		return false, failure
 	}
-	s.mu.Lock()
-	s.scheduler.Still(time.Now(), s.call.Model, group)
-	s.mu.Unlock()
-	s.options.Suspect(group)
+	s.still(group)
 	if failure.Phase == garnetworks.PhaseConnect {
 		s.free++
 		return s.free <= maxFree, failure
@@ -315,6 +312,16 @@
 	return s.goOn(errors.Wrap(failure, causeText(cause)))
 }
 
+// still takes that a group gave no answer, or broke one off.
+func (s *stream) still(group garnetworks.GroupID) {
+	now := time.Now()
+	s.mu.Lock()
+	s.scheduler.Still(now, s.call.Model, group)
+	s.scheduler.Unreached(now, s.call.Model, group)
+	s.mu.Unlock()
+	s.options.Suspect(group)
+}
+
 func causeText(cause error) string {
 	if cause == nil {
 		return "attempt failed"
@@ -421,10 +428,7 @@
 	if s.ctx.Err() != nil {
 		return false, err
 	}
-	s.mu.Lock()
-	s.scheduler.Still(time.Now(), s.call.Model, group)
-	s.mu.Unlock()
-	s.options.Suspect(group)
+	s.still(group)
 	return s.goOn(errors.Wrap(err, causeText(cause)))
 }
 
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -39,4 +39,8 @@
 //	    other calls, which are late then, all of them. So a node lets a group read its
 //	    part of what can be read within the pause that clients allow, and its next
 //	    call goes elsewhere or waits until that is read.
+//	Q10 A zone that is cut off from the node: for four seconds its groups are listed, and
+//	    a third of the calls went there, each to wait for a connection in vain. Several
+//	    groups give no sign of life, and nothing is heard from the zone. So the whole zone
+//	    rests, and one call at a time tries the way again, unless no zone is reached.
 package scheduler
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -55,7 +55,7 @@
 		demands[d.Model] = d.PerSecond
 	}
 	for model, p := range s.pools {
-		p.hear(now, running, demands[model], others.Nodes+1)
+		s.hear(now, p, running, demands[model], others.Nodes+1)
 	}
 	return s.Advance(now)
 }
@@ -72,11 +72,11 @@
 }
 
 // hear takes the other nodes' calls and divides the places that are free.
-func (p *pool) hear(now time.Time, running map[garnetworks.GroupID]int, demand float64, nodes int) {
+func (s *Scheduler) hear(now time.Time, p *pool, running map[garnetworks.GroupID]int, demand float64, nodes int) {
 	free := 0.0
 	for _, l := range p.places {
 		l.others, l.placed = running[l.ID], 0
-		if !l.gone && !now.Before(l.restUntil) {
+		if !l.gone && !now.Before(l.restUntil) && !s.cutOff(now, l.Zone) {
 			free += max(0, l.window-float64(l.others+l.inflight))
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -19,7 +19,8 @@
 func mostWindow(slots int) float64 { return float64(slots) * (1 + queuedPart) }
 
 // put counts a call at a place.
-func (p *pool) put(l *place, w *Work) {
+func (s *Scheduler) put(now time.Time, p *pool, l *place, w *Work) {
+	s.tries(now, l.Zone)
 	l.inflight++
 	l.unread += w.Prompt
 	l.placed++
@@ -43,7 +44,11 @@
 		return nil
 	}
 	var free []*place
+	elsewhere := s.reachedElsewhere(now, p)
 	for _, l := range p.places {
+		if elsewhere && s.cutOff(now, l.Zone) { // Q10
+			continue
+		}
 		if l.gone || now.Before(l.restUntil) || slices.Contains(w.Tried, l.ID) {
 			continue
 		}
@@ -131,7 +136,7 @@
 	if l == nil {
 		return "", false
 	}
-	p.put(l, &w)
+	s.put(now, p, l, &w)
 	return l.ID, true
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -181,6 +181,8 @@
 type Scheduler struct {
 	zone  garnetworks.ZoneID
 	pools map[garnetworks.ModelName]*pool
+	// ways holds the zones whose groups gave no sign of life of late.
+	ways map[garnetworks.ZoneID]*way
 	// known says that the calls of other nodes are known.
 	known  bool
 	random func() float64
@@ -189,7 +191,7 @@
 // New returns a scheduler of a node in a zone, without groups; random returns
 // values in [0, 1).
 func New(zone garnetworks.ZoneID, random func() float64) *Scheduler {
-	return &Scheduler{zone: zone, random: random, pools: make(map[garnetworks.ModelName]*pool)}
+	return &Scheduler{zone: zone, random: random, pools: make(map[garnetworks.ModelName]*pool), ways: make(map[garnetworks.ZoneID]*way)}
 }
 
 func (s *Scheduler) pool(model garnetworks.ModelName) *pool {
@@ -238,7 +240,7 @@
 	p.arrived(now)
 	if len(p.waiting) == 0 || w.Resumed {
 		if l := s.best(now, p, &w); l != nil {
-			p.put(l, &w)
+			s.put(now, p, l, &w)
 			return Decision{Call: w.ID, Group: l.ID}, true
 		}
 	}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -119,7 +119,7 @@
 	kept := p.waiting[:0]
 	for _, w := range p.waiting {
 		if l := s.best(now, p, w); l != nil {
-			p.put(l, w)
+			s.put(now, p, l, w)
 			decisions = append(decisions, Decision{Call: w.ID, Group: l.ID})
 			continue
 		}
