Only ends that were found out go into the object API; its watch waits longer

Cause: a record was written once a content had broken off at two servers, ended or not. Ruled out: fewer writers (each node saw other calls). Change: records of which two ends were found out, or that the object has; a watch of 8 s in place of 2; a node that starts leaves the first read to others for a second. Before: TestWhatIsOnlySuspectedIsNotWritten 107 reads and 105 writes, wanted none; TestRestCostsLittle now asks for a quarter.

--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -20,9 +20,13 @@
 
 // Times of reading and writing it.
 const (
-	// DefaultReadWait is the longest wait of the watch where one node reads for a cell: one
-	// call in two seconds. A path that has gone silent is found after it.
-	DefaultReadWait = 2 * time.Second
+	// DefaultReadWait is the longest wait of the watch where one node reads for a cell. A
+	// change ends it at once, and a path that has gone silent is found after it; nodes in
+	// touch hear of records from each other long before.
+	DefaultReadWait = 8 * time.Second
+	// firstReadTime is how long a node that starts leaves the object to others: nodes know
+	// of each other within it, and those that were there before tell what they know.
+	firstReadTime = time.Second
 	// readMargin is how long past its wait the watch may take to answer.
 	readMargin = 700 * time.Millisecond
 	// callTime bounds other calls.
@@ -120,6 +124,7 @@
 func (q *Quarantiner) follow(ctx context.Context) {
 	var revision garnetworks.Revision
 	listed, failures := false, 0
+	wait(ctx, firstReadTime)
 	for ctx.Err() == nil {
 		if !q.options.Reads() {
 			wait(ctx, readsEvery)
@@ -227,13 +232,34 @@
 	}
 }
 
+// storable returns the contents whose records belong into the object (Z6): those under
+// which servers were found to have ended, and those that it has.
+//
+// Load pattern: a zone is cut off, and hundreds of sound calls break off twice there. Their
+// records were written one after the other by all nodes, a fifth of a day's calls to the
+// object API, though nothing was known but that a way was cut.
+func (q *Quarantiner) storable() []garnetworks.ContentDigest {
+	list := q.chosen(len(q.records), func(r *record) bool { return r.lasting() })
+	list = slices.DeleteFunc(list, func(content garnetworks.ContentDigest) bool {
+		_, has := q.stored[content]
+		return !has && len(q.records[content].lives(garnetworks.EndRefused)) < StoredEnds
+	})
+	return list[:min(len(list), MostStored)]
+}
+
+func (q *Quarantiner) toStore() []garnetworks.ContentRecord {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.told(time.Now(), q.storable())
+}
+
 // unstored reports whether there is anything that this node is to write.
 func (q *Quarantiner) unstored() bool {
 	now := time.Now()
 	reads := q.options.Reads()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(q.lasting(), func(content garnetworks.ContentDigest) bool {
+	return slices.ContainsFunc(q.storable(), func(content garnetworks.ContentDigest) bool {
 		r := q.records[content]
 		mine := r.seen || reads && now.Sub(r.changed) > othersTime
 		return mine && q.stored[content] != r.sum(content)
@@ -258,7 +284,7 @@
 		return nil
 	}
 	now := time.Now()
-	records := q.Lasting()
+	records := q.toStore()
 	value, err := encode(now, records)
 	if err != nil {
 		return err
--- a/quarantiner/site_test.go
+++ b/quarantiner/site_test.go
@@ -27,6 +27,8 @@
 	next  int
 	// probes counts the questions to servers, ended the servers that ended.
 	probes, ended int
+	// silent servers give no answer to questions.
+	silent bool
 }
 
 type node struct {
@@ -111,12 +113,15 @@
 
 // prove tells of each server that it has ended.
 func (s *site) prove(_ context.Context, _ garnetworks.Life, ask bool) garnetworks.EndState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !ask {
 		return garnetworks.EndSuspected
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.probes++
+	if s.silent {
+		return garnetworks.EndSuspected
+	}
 	return garnetworks.EndProven
 }
 
@@ -383,7 +388,32 @@
 	})
 }
 
-// At rest, what is kept costs one call in two seconds for each cell, whatever the number
+// Story: a zone is cut off, and sound calls of all nodes break off twice, at servers of
+// which nothing can be found out. Their records filled the object API: 650 reads and 160
+// writes in ten seconds of a day of 88 nodes. What is only suspected is not written.
+func TestWhatIsOnlySuspectedIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 8)
+		s.silent = true
+		before := s.objects.Counts()
+		for i, n := range s.all() {
+			for c := range 10 {
+				content := garnetworks.ContentDigest(fmt.Sprint("c", i, ".", c))
+				n.Broke(content, garnetworks.Life{Instance: "a"})
+				n.Broke(content, garnetworks.Life{Instance: "b"})
+			}
+		}
+		time.Sleep(10 * time.Second)
+		for _, method := range []string{faker.MethodGet, faker.MethodPut} {
+			if n := s.objects.Counts()[method] - before[method]; n > 0 {
+				t.Errorf("%d calls of method %s", n, method)
+			}
+		}
+		s.close()
+	})
+}
+
+// At rest, what is kept costs one call in eight seconds for each cell, whatever the number
 // of its nodes, and no message more.
 func TestRestCostsLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -398,7 +428,7 @@
 		for method, n := range after {
 			most := uint64(0)
 			if method == faker.MethodWatch {
-				most = 3 * (span/2 + 1)
+				most = 3 * (span/8 + 1)
 			}
 			if n-before[method] > most {
 				t.Errorf("%d calls of method %s in %d s, want %d at most", n-before[method], method, span, most)
