Nodes that are no candidates for the lease don't read it at their start

Ruled out: no reads at all: the long interval stays as the backstop. Change: a node hears which nodes there are after 0.2 s, and reads then only if it is a candidate; the long interval is a minute. A node that starts leaves the lease to others for 0.25 s, which is a tenth of the time that it takes to pass on. Test: 88 nodes start; 88 reads before in the first second, candidates only now.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -60,9 +60,11 @@
 	// sweepEvery is how often unused connections and the nodes that contend for the
 	// lease are looked through.
 	sweepEvery = 2 * time.Second
-	// contendersEvery is how often the lease is told which nodes there are: before
-	// firstPatience is over, and soon enough for a candidate that is lost.
+	// contendersEvery is how often the lease is told which nodes there are: soon enough
+	// for a candidate that is lost. It is told first after firstContenders, before the
+	// patience of a node that starts is over.
 	contendersEvery = 700 * time.Millisecond
+	firstContenders = 200 * time.Millisecond
 )
 
 // leaseSettings pass the lease on within about 3 s of its holder's loss. A group
@@ -74,19 +76,23 @@
 		OrderBound:    600 * time.Millisecond,
 		DriftBound:    50 * time.Millisecond,
 		ReadEvery:     time.Second,
-		RareReadEvery: 20 * time.Second,
+		RareReadEvery: time.Minute,
 	}
 }
 
 // firstPatience is how long no node takes the lease after the site's first start. Nodes
 // know of each other within a second; servers register for some seconds, so that nothing
-// is ordered in that time anyway.
-const firstPatience = 1500 * time.Millisecond
+// is ordered in that time anyway. startPatience is the same for a node that starts later:
+// it hears of the others, who may come before it.
+const (
+	firstPatience = 1500 * time.Millisecond
+	startPatience = 250 * time.Millisecond
+)
 
 // patience returns how long a node that starts leaves the lease to others.
 func patience(site *garnetworks.SiteNode) time.Duration {
 	if !site.FirstStart {
-		return 0
+		return startPatience
 	}
 	return firstPatience
 }
@@ -312,7 +318,7 @@
 func (l *Launcher) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
-	contenders := time.NewTicker(contendersEvery)
+	contenders := time.NewTicker(firstContenders)
 	defer contenders.Stop()
 	for {
 		select {
@@ -320,6 +326,7 @@
 			return nil
 		case <-contenders.C:
 			l.lease.SetContenders(l.peers.tracker.Peers())
+			contenders.Reset(contendersEvery)
 		case now := <-ticker.C:
 			l.options.Sweep(now)
 			l.meter.HeldContents(l.quarantine.Count())
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -88,13 +88,9 @@
 	rank := Rank(l.options.Key, self, nodes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.state.Rank >= l.state.Candidates && rank < l.state.Candidates && l.state.Known {
-		// The nodes before this one are gone: read soon in place of at the end of
-		// the long interval.
-		l.state.nextRead = time.Time{}
+	if l.state.setRank(time.Now(), rank, rand.Float64()) {
 		signal(l.wake)
 	}
-	l.state.Rank = rank
 }
 
 // Rank returns the number of nodes that come before self in the order of key.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -335,6 +335,26 @@
 	}
 }
 
+// setRank takes the node's place in the order of L8, and reports whether it is to read
+// sooner for that: the nodes before it are gone.
+//
+// Load pattern: hundreds of nodes start at once, and each read the record only to find that
+// others come before it. One that has read nothing yet, and is no candidate, leaves it at
+// the long interval.
+func (s *State) setRank(now time.Time, rank int, jitter float64) (sooner bool) {
+	before := s.Rank < s.Candidates
+	s.Rank = rank
+	candidate := rank < s.Candidates
+	switch {
+	case candidate && !before:
+		s.nextRead = time.Time{}
+		return true
+	case !candidate && before && s.ReadAt.IsZero() && len(s.sent) == 0:
+		s.nextRead = now.Add(s.spread(s.Settings.RareReadEvery, jitter))
+	}
+	return false
+}
+
 func (s *State) readEvery() time.Duration {
 	if s.Rank < s.Candidates {
 		return s.Settings.ReadEvery
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -283,3 +283,31 @@
 		t.Errorf("%d nodes read %d times in %d s, want %d at most", nodes, reads, seconds, most)
 	}
 }
+
+// Story: 88 nodes start at once. Each read the lease, and 84 of them found only that
+// others come before them; the platform counts each read.
+func TestNodesThatAreNoCandidatesReadNothingAtTheirStart(t *testing.T) {
+	const nodes = 88
+	reads := 0
+	for n := range nodes {
+		c := NewState("n", Defaults())
+		now := time.Unix(1_000_000, 0)
+		c.nextRead = now.Add(250 * time.Millisecond)
+		for i := range 200 {
+			if i == 4 {
+				c.setRank(now, n, 0.5)
+			}
+			if a := c.Next(now, "w"); a.Kind == ActionRead {
+				reads++
+				c.OnRead(now, garnetworks.LeaseRecord{Holder: "other"}, 1, nil, 0.5)
+			}
+			now = now.Add(50 * time.Millisecond)
+		}
+		if n == nodes-1 && !c.setRank(now, 0, 0.5) {
+			t.Error("a node that becomes a candidate does not read at once")
+		}
+	}
+	if most := DefaultCandidates * 5; reads > most {
+		t.Errorf("%d reads in ten seconds, want %d at most", reads, most)
+	}
+}
