Groups of each model follow the observed work; the stated shares are the start

Cause: the shares that a site states were the only word on how its instances are divided. Ruled out: shares as a setting alone, which are old by the time they matter; no stated shares, which leaves nothing to begin with. An exchange counts all groups that the closed one's instances make, and each must pay for the time in which they serve nobody.

--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -81,7 +81,7 @@
 		s.Read(t.kind.Model, t.place, t.prompt)
 		s.Still(instant(now), t.kind.Model, t.place)
 	}
-	return s.verdicts(s.Finished(instant(now), t.kind.Model, t.place, t.begun))
+	return s.verdicts(s.Finished(instant(now), t.kind.Model, t.place, now-t.sent, t.begun))
 }
 
 func (s *scheduled) groups(now time.Duration, list []scheduler.Group) []verdict {
--- a/experimenter/regroup.go
+++ b/experimenter/regroup.go
@@ -71,6 +71,11 @@
 			LossEvery: time.Second, AddEvery: 1400 * time.Millisecond,
 			Needs: map[garnetworks.ModelName]float64{"large": 5, "small": 8},
 		},
+		"old-shares": {
+			Name: "old-shares", Profile: withModels(8, 2, 0.5, 14, 20), Domains: 9, Each: 18, Length: time.Minute,
+			LossEvery: 1500 * time.Millisecond, AddEvery: 2 * time.Second,
+			Needs: map[garnetworks.ModelName]float64{"large": 3, "small": 50},
+		},
 		"small-domains": {
 			Name: "small-domains", Profile: small, Domains: 6, Each: 8, Length: time.Minute,
 			LossEvery: 3 * time.Second, AddEvery: 3500 * time.Millisecond,
@@ -92,6 +97,15 @@
 	return profile
 }
 
+// work returns the calls that need the groups that the pattern says.
+func (p *GroupPattern) work() map[garnetworks.ModelName]float64 {
+	calls := make(map[garnetworks.ModelName]float64)
+	for model, groups := range p.Needs {
+		calls[model] = groups * float64(p.Profile.Slots)
+	}
+	return calls
+}
+
 // Sample is the number of serving groups of each model at a time.
 type Sample struct {
 	At      time.Duration
@@ -121,17 +135,19 @@
 }
 
 // groupPolicies are the policies by name; notices says whether silence of a group is
-// noticed, or only the lapse of an entry.
+// noticed, or only the lapse of an entry, and observes whether the models' work is known
+// beside their stated shares.
 var groupPolicies = map[string]struct {
-	policy  func() groupPolicy
-	notices bool
+	policy            func() groupPolicy
+	notices, observes bool
 }{
-	"former": {func() groupPolicy { return former.NewPlanner() }, true},
-	"naive":  {func() groupPolicy { return &naive{} }, false},
+	"former": {func() groupPolicy { return former.NewPlanner() }, true, true},
+	"stated": {func() groupPolicy { return former.NewPlanner() }, true, false},
+	"naive":  {func() groupPolicy { return &naive{} }, false, false},
 }
 
 // GroupPolicyNames returns the names of the policies for groups.
-func GroupPolicyNames() []string { return []string{"former", "naive"} }
+func GroupPolicyNames() []string { return []string{"former", "stated", "naive"} }
 
 // RunGroups replays losses against a policy.
 func RunGroups(pattern *GroupPattern, policyName string, seed uint64) (*GroupResult, error) {
@@ -141,7 +157,7 @@
 	}
 	const mostMS, digits, stream = 120000, 2, 11
 	r := &regrouping{
-		fleet: newFleet(pattern), policy: p.policy(), notices: p.notices,
+		fleet: newFleet(pattern), policy: p.policy(), notices: p.notices, observes: p.observes,
 		random: rand.New(rand.NewPCG(seed, stream)),
 		result: &GroupResult{Down: hdrhistogram.New(1, mostMS, digits)},
 	}
@@ -160,8 +176,10 @@
 	*fleet
 	policy  groupPolicy
 	notices bool
-	random  *rand.Rand
-	result  *GroupResult
+	// observes says that the policy is told of the models' work.
+	observes bool
+	random   *rand.Rand
+	result   *GroupResult
 	// down holds the times since which groups are missing, oldest first.
 	down map[garnetworks.ModelName][]time.Duration
 	// added, lost and restarted count the engines, and the domains, so far.
@@ -179,6 +197,9 @@
 		Servers: r.list(now - listLag), Service: service, Profile: &r.pattern.Profile, Dark: r.dark(r.notices),
 		Term: 1, Loads: r.pattern.Profile.LoadsAtOnce, Unhurried: now < firstCall,
 	}
+	if r.observes && now >= firstCall {
+		in.Work = r.pattern.work()
+	}
 	for _, o := range r.policy.Plan(instant(now), in) {
 		r.policy.Sent(instant(now), o)
 		r.policy.Answered(instant(now), o, r.carryOut(&o))
--- a/former/balance.go
+++ b/former/balance.go
@@ -159,7 +159,7 @@
 		offers := offersOf(sound, m)
 		for i := range offers {
 			groups := enough(ready, offers, i, m)
-			if groups == nil || len(groups) > 1 && (r.exchangingSeveral() || !r.pays(groups, m, free, counts)) {
+			if groups == nil || len(groups) > 1 && r.exchangingSeveral() || !r.pays(groups, m, free, counts) {
 				continue
 			}
 			if gain := r.exchangeGain(free, groups, m, counts); gain > bestGain {
@@ -222,8 +222,8 @@
 	return nil
 }
 
-// exchangeGain is what the site gains by a group of the model in place of some of
-// others, against what the free instances can become without that; neither counts
+// exchangeGain is what the site gains by the groups of the model that its instances make in
+// place of some of others, against what the free instances can become without that; neither counts
 // groups that wait for a load.
 func (r *plan) exchangeGain(free []garnetworks.RegisteredServer, closed []*Group, m *garnetworks.ModelProfile, counts map[garnetworks.ModelName]int) float64 {
 	with, unchanged := maps.Clone(counts), maps.Clone(counts)
@@ -232,8 +232,10 @@
 		all = append(all, g.Members...)
 		with[g.Model]--
 	}
-	with[m.Name]++
-	r.addGroups(with, without(all, r.pick(all, m)), closed)
+	ready := soon(all, m)
+	n := max(1, len(ready)/m.Size)
+	with[m.Name] += n
+	r.addGroups(with, without(all, r.pick(all, m, n)), closed)
 	r.addGroups(unchanged, free, closed)
 	return worthOf(r.Profile, with) - worthOf(r.Profile, unchanged)
 }
--- a/former/formation.go
+++ b/former/formation.go
@@ -167,7 +167,7 @@
 		if model == nil {
 			return
 		}
-		members := r.pick(free[domain], model)
+		members := r.pick(free[domain], model, 1)
 		free[domain] = without(free[domain], members)
 		counts[model.Name]++
 		r.form(model, members)
@@ -254,7 +254,7 @@
 		if len(servers) < m.Size {
 			continue
 		}
-		loads := r.loadsOf(r.pick(servers, m), m)
+		loads := r.loadsOf(r.pick(servers, m, 1), m)
 		if loads > r.loads || loads > 0 && !r.Unhurried {
 			continue // rules O5 and O7
 		}
@@ -281,13 +281,13 @@
 	return 3
 }
 
-// pick returns the instances that would join soonest.
-func (r *plan) pick(servers []garnetworks.RegisteredServer, m *garnetworks.ModelProfile) []garnetworks.RegisteredServer {
+// pick returns the instances for some groups that would join soonest.
+func (r *plan) pick(servers []garnetworks.RegisteredServer, m *garnetworks.ModelProfile, groups int) []garnetworks.RegisteredServer {
 	sorted := slices.Clone(servers)
 	slices.SortFunc(sorted, func(a, b garnetworks.RegisteredServer) int {
 		return cmp.Or(cmp.Compare(readiness(&a, m), readiness(&b, m)), cmp.Compare(a.ID, b.ID))
 	})
-	return sorted[:m.Size]
+	return sorted[:groups*m.Size]
 }
 
 func (r *plan) loadsOf(servers []garnetworks.RegisteredServer, m *garnetworks.ModelProfile) int {
--- a/former/former.go
+++ b/former/former.go
@@ -51,6 +51,9 @@
 	// Moving returns the groups that gave an event to some node a moment ago; it may
 	// be nil.
 	Moving func() garnetworks.Set[garnetworks.GroupID]
+	// Work returns the number of calls of each model that are or could be running at the
+	// site; it may be nil.
+	Work func() map[garnetworks.ModelName]float64
 	// Recorder is told of orders and of what is believed of instances.
 	Recorder garnetworks.Recorder
 }
@@ -235,13 +238,20 @@
 	}
 	orders := p.Plan(now, Input{
 		Servers: servers, Service: service, Profile: profile, Dark: f.dark,
-		Term: term, Loads: loads, Unhurried: first, Moving: f.moving(),
+		Term: term, Loads: loads, Unhurried: first, Moving: f.moving(), Work: f.work(),
 	})
 	for _, o := range orders {
 		f.queue = append(f.queue, queuedOrder{service, o, !first})
 	}
 }
 
+func (f *Former) work() map[garnetworks.ModelName]float64 {
+	if f.options.Work == nil {
+		return nil
+	}
+	return f.options.Work()
+}
+
 func (f *Former) moving() garnetworks.Set[garnetworks.GroupID] {
 	if f.options.Moving == nil {
 		return nil
--- a/former/planner.go
+++ b/former/planner.go
@@ -52,6 +52,9 @@
 	Moving garnetworks.Set[garnetworks.GroupID]
 	// Loads is the number of loads from the weight store that may begin now.
 	Loads int
+	// Work is the number of calls of each model that are or could be running, as observed;
+	// empty if nothing is known.
+	Work map[garnetworks.ModelName]float64
 	// Unhurried says that no call has come yet, so that loads hold nothing up.
 	Unhurried bool
 }
@@ -100,6 +103,7 @@
 	staged map[garnetworks.Life]stagedLoad
 	// exchanges holds what each domain gives up a group for.
 	exchanges map[garnetworks.DomainID]*exchange
+	work   workload
 	// unsure holds the domains whose groups are not dissolved before a time.
 	unsure map[garnetworks.DomainID]time.Time
 }
@@ -156,6 +160,8 @@
 		Planner: p, Input: in, now: now, loads: in.Loads,
 		ordered: make(garnetworks.Set[garnetworks.Life]), stages: make(map[garnetworks.Life]garnetworks.ModelName),
 	}
+	r.work.take(now, in.Work)
+	r.Profile = observedProfile(in.Profile, r.work.calls)
 	r.notePartitions()
 	r.groups = Observe(in.Servers, in.Service, Sizes(in.Profile))
 	r.followFormations()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -256,6 +256,13 @@
 	return moving
 }
 
+// Work returns the number of calls that each model's arrivals would keep running.
+func (g *Gateway) Work() map[garnetworks.ModelName]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Work(time.Now())
+}
+
 // SetOthers takes what the other nodes have at each group; known is false if
 // nothing is known of them.
 func (g *Gateway) SetOthers(others garnetworks.LoadReport, known bool) {
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -168,5 +168,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scheduler.Read(s.call.Model, d.Group, s.call.PromptTokens)
-	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, false))
+	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, 0, false))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -197,7 +197,7 @@
 			// The decision crossed the client's leaving; its place goes back.
 			if d.Group != "" {
 				s.scheduler.Read(s.call.Model, d.Group, s.call.PromptTokens)
-				s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, false))
+				s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, 0, false))
 			}
 		default:
 		}
@@ -277,7 +277,8 @@
 	if s.run.first == 0 {
 		s.scheduler.Read(s.call.Model, group, s.call.PromptTokens)
 	}
-	s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, group, s.run.first > 0))
+	now := time.Now()
+	s.deliver(s.scheduler.Finished(now, s.call.Model, group, now.Sub(s.run.began), s.run.first > 0))
 }
 
 // refused takes an engine's word that it did not begin the call.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -170,6 +170,7 @@
 	l.former = former.New(former.Options{
 		Follower: l.follower, Orders: options.Orders, Lease: l.lease, Bounds: site.Bounds, FirstStart: site.FirstStart, Recorder: events,
 		Moving: func() garnetworks.Set[garnetworks.GroupID] { return l.gateway.Moving() },
+		Work:   func() map[garnetworks.ModelName]float64 { return l.gateway.Work() },
 	})
 	l.quarantine = quarantiner.New(quarantiner.Options{
 		Prove: l.prove, Objects: objects, Reads: func() bool { return l.peers.exchanger.Reads() }, Recorder: events,
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -24,6 +24,27 @@
 	return report
 }
 
+// Work returns the number of calls that each model's arrivals would keep running, if all of
+// them were served: those of all nodes, as last heard, times the time that a call is at a
+// group. Models of which no call has been served are left out.
+func (s *Scheduler) Work(now time.Time) map[garnetworks.ModelName]float64 {
+	work := make(map[garnetworks.ModelName]float64)
+	for model, p := range s.pools {
+		if p.heldTime > 0 {
+			work[model] = (p.demand(now) + p.othersDemand) * p.heldTime.Seconds()
+		}
+	}
+	return work
+}
+
+// held takes how long a call was at a group.
+func (p *pool) held(took time.Duration) {
+	if p.heldTime == 0 {
+		p.heldTime = took
+	}
+	p.heldTime += time.Duration(heldTimeWeight * float64(took-p.heldTime))
+}
+
 func (p *pool) demand(now time.Time) float64 {
 	if p.arrivedAt.IsZero() {
 		return 0
@@ -44,6 +65,9 @@
 		s.resetWindows()
 	}
 	if !known {
+		for _, p := range s.pools {
+			p.othersDemand = 0
+		}
 		return s.Advance(now)
 	}
 	running := make(map[garnetworks.GroupID]int, len(others.Places))
@@ -81,6 +105,7 @@
 		}
 	}
 	own := p.demand(now)
+	p.othersDemand = demand
 	p.share = 1
 	if own+demand > 0 {
 		p.share = own / (own + demand)
--- a/scheduler/reach_test.go
+++ b/scheduler/reach_test.go
@@ -30,7 +30,7 @@
 		if d.Group == "far0" || d.Group == "far1" {
 			n++
 		}
-		defer s.Finished(now, "m", d.Group, true)
+		defer s.Finished(now, "m", d.Group, 0, true)
 	}
 	return n
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 	usualFirstTime = 150 * time.Millisecond
 	// firstTimeWeight is the weight of a new first event in the usual time.
 	firstTimeWeight = 0.1
+	// heldTimeWeight is the weight of a new call in the usual time at a group.
+	heldTimeWeight = 0.05
 	// aloneWindowPart is the part of a group's slots that a window begins with while
 	// nothing is known of other nodes.
 	aloneWindowPart = 0.34
@@ -170,6 +172,11 @@
 	// arrivals is the decayed number of calls that came, at arrivedAt.
 	arrivals  float64
 	arrivedAt time.Time
+	// othersDemand is the number of calls a second that come to the other nodes, as last
+	// heard.
+	othersDemand float64
+	// heldTime is the usual time of a call at a group; 0 before one has ended.
+	heldTime time.Duration
 	// share is the part of the site's calls for the model that come to this node.
 	share float64
 	// allowance is the number of places that this node may still take until it
@@ -279,9 +286,12 @@
 }
 
 // Finished gives a place back and returns the calls that can be placed now; read
-// says whether the call had an event there.
-func (s *Scheduler) Finished(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, read bool) []Decision {
+// says whether the call had an event there, and took how long it was there.
+func (s *Scheduler) Finished(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took time.Duration, read bool) []Decision {
 	p := s.pool(model)
+	if read {
+		p.held(took)
+	}
 	if l := p.places[group]; l != nil {
 		l.inflight--
 		if !read {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -78,7 +78,7 @@
 		s.FirstEvent(now, "m", "g", time.Second, 400*time.Millisecond)
 	}
 	for range before {
-		s.Finished(now, "m", "g", true)
+		s.Finished(now, "m", "g", 0, true)
 	}
 	if after := fill(s); after >= before {
 		t.Errorf("%d calls were placed before first events were late, %d after", before, after)
@@ -115,7 +115,7 @@
 		s := scheduler.New("z", fixed)
 		s.SetGroups(start, groups(slots, "g"))
 		s.Arrive(start, work("own"))
-		s.Finished(start, "m", "g", true)
+		s.Finished(start, "m", "g", 0, true)
 		others := garnetworks.LoadReport{Nodes: nodes - 1, Demands: []garnetworks.ModelDemand{{Model: "m", PerSecond: 0.5 * (nodes - 1)}}}
 		s.SetOthers(start, others, true)
 		placed += fill(s)
@@ -137,7 +137,7 @@
 	if d, decided := s.Arrive(start, resumed); decided && d.Group == "" {
 		t.Fatalf("the resumed call was turned away: %+v", d)
 	}
-	for _, d := range s.Finished(start, "m", "g", true) {
+	for _, d := range s.Finished(start, "m", "g", 0, true) {
 		if d.Call != "resumed" && d.Call != "waiting" {
 			t.Errorf("%s was placed", d.Call)
 		}
@@ -183,7 +183,7 @@
 			case 2:
 				for id, g := range running {
 					delete(running, id)
-					take(s.Finished(now, "m", g, rapid.Bool().Draw(t, "read")))
+					take(s.Finished(now, "m", g, 0, rapid.Bool().Draw(t, "read")))
 					break
 				}
 			case 3:
@@ -209,7 +209,7 @@
 		}
 		for id, g := range running {
 			delete(running, id)
-			take(s.Finished(now, "m", g, true))
+			take(s.Finished(now, "m", g, 0, true))
 		}
 		take(s.Advance(now.Add(time.Minute)))
 		if s.Waiting() != 0 {
@@ -239,17 +239,17 @@
 			for _, g := range placed {
 				if g != "grey" {
 					s.FirstEvent(now, "m", g, 200*time.Millisecond, time.Second)
-					s.Finished(now, "m", g, true)
+					s.Finished(now, "m", g, 0, true)
 					continue
 				}
 				grey++
 				if fails(grey) {
 					s.Failed("m", g)
-					s.Finished(now, "m", g, false)
+					s.Finished(now, "m", g, 0, false)
 					continue
 				}
 				s.FirstEvent(now, "m", g, 200*time.Millisecond, time.Second)
-				s.Finished(now, "m", g, true)
+				s.Finished(now, "m", g, 0, true)
 			}
 		}
 		return grey
