--- a/former/planner.go
+++ b/former/planner.go
@@ -103,7 +103,7 @@
 	staged map[garnetworks.Life]stagedLoad
 	// exchanges holds what each domain gives up a group for.
 	exchanges map[garnetworks.DomainID]*exchange
-	work   workload
+	work      workload
 	// unsure holds the domains whose groups are not dissolved before a time.
 	unsure map[garnetworks.DomainID]time.Time
 }
