Groups that the holder of the lease found lost are known to all nodes (rules X6, Q11)

Suspicions travelled, but only the holder used them, to probe. Change: the holder tells which listed groups have an instance that its probes found dark and give no node an event; no node sends them calls, unless it just had an event from there, and calls that are silent there move after 0.3 s in place of 0.55 and 1.2 s. Tests: scheduler, exchanger.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -15,6 +15,8 @@
 //	X5  Records of calls under which servers ended travel with the reports while they
 //	    are new, and all that last where two nodes' sums of them differ: after a
 //	    partition, and to a node that has started.
+//	X6  Groups that the holder of the lease knows to be lost travel with its reports, so
+//	    that no node finds each of them by calls of its own.
 package exchanger
 
 import (
@@ -41,8 +43,10 @@
 	// SmallCell is the number of nodes in a zone under which the whole region is
 	// one cell: the first node of a cell then serves few others.
 	SmallCell = 8
-	// maxSuspects bounds the suspicions in a report.
+	// maxSuspects bounds the suspicions in a report, maxLost the lost groups: those of a
+	// large domain, or of a few, that went dark.
 	maxSuspects = 16
+	maxLost     = 128
 	// allEvery is the least time between two messages to a node with all records of calls
 	// that last (X5): sums differ for some intervals while something new spreads.
 	allEvery = time.Second
@@ -388,6 +392,11 @@
 				sum.Suspects = append(sum.Suspects, g)
 			}
 		}
+		for _, g := range r.Lost {
+			if !slices.Contains(sum.Lost, g) && len(sum.Lost) < maxLost {
+				sum.Lost = append(sum.Lost, g)
+			}
+		}
 	}
 	for _, p := range places {
 		sum.Places = append(sum.Places, p)
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -26,7 +26,9 @@
 	others   int
 	known    bool
 	suspects []garnetworks.GroupID
-	cut      bool
+	// finds are the lost groups that the node tells, lost those that it hears of.
+	finds, lost []garnetworks.GroupID
+	cut         bool
 }
 
 func (s *site) Exchange(ctx context.Context, address string, request *garnetworks.ExchangeRequest) (*garnetworks.ExchangeResponse, error) {
@@ -71,12 +73,14 @@
 				Self:  func() garnetworks.NodeInfo { return n.info },
 				Nodes: func() []garnetworks.NodeInfo { return s.infos(address) },
 				Load: func() garnetworks.LoadReport {
-					return garnetworks.LoadReport{Places: []garnetworks.PlaceLoad{{Group: "g", Running: n.running}}}
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					return garnetworks.LoadReport{Places: []garnetworks.PlaceLoad{{Group: "g", Running: n.running}}, Lost: n.finds}
 				},
 				Take: func(others garnetworks.LoadReport, known bool) {
 					s.mu.Lock()
 					defer s.mu.Unlock()
-					n.others, n.known = 0, known
+					n.others, n.known, n.lost = 0, known, others.Lost
 					for _, p := range others.Places {
 						n.others += p.Running
 					}
@@ -179,3 +183,28 @@
 		synctest.Wait()
 	})
 }
+
+// Story: the holder of the lease has found a group lost. All nodes hear of it within half a
+// second, once each, and no longer once it is found again.
+func TestLostGroupsAreKnownToAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		s := newSite(ctx, 3, 10)
+		time.Sleep(time.Second)
+		for _, finds := range [][]garnetworks.GroupID{{"g", "h"}, nil} {
+			s.mu.Lock()
+			s.nodes["n7"].finds = finds
+			s.mu.Unlock()
+			time.Sleep(500 * time.Millisecond)
+			s.mu.Lock()
+			for address, n := range s.nodes {
+				if address != "n7" && len(n.lost) != len(finds) {
+					t.Errorf("%s hears of %v, want %v", address, n.lost, finds)
+				}
+			}
+			s.mu.Unlock()
+		}
+		stop()
+		synctest.Wait()
+	})
+}
--- a/follow.go
+++ b/follow.go
@@ -62,6 +62,9 @@
 	Demands []ModelDemand
 	// Suspects are groups that seem to stand still, newly since the last report.
 	Suspects []GroupID
+	// Lost are groups of which an instance was found dark, as long as it is. Only the
+	// holder of the lease tells them.
+	Lost []GroupID
 	// Nodes is the number of nodes that the report covers.
 	Nodes int
 }
--- a/former/former.go
+++ b/former/former.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +66,8 @@
 	bounds   atomic.Pointer[garnetworks.SiteBounds]
 	started  time.Time
 	planners map[garnetworks.ServiceName]*Planner
+	// lost are the groups that have a dark instance, while the node holds the lease.
+	lost atomic.Pointer[[]garnetworks.GroupID]
 	prober
 	answers  chan answered
 	suspects chan garnetworks.GroupID
@@ -185,6 +189,7 @@
 	now := time.Now()
 	term := f.options.Lease.Term(now)
 	f.queue = f.queue[:0]
+	f.lost.Store(nil)
 	if term != f.term {
 		f.term, f.held, f.loads = term, now, loadBudget{}
 		if term != 0 {
@@ -203,6 +208,7 @@
 	}
 	f.planned = servers
 	f.forget(servers)
+	f.noteLost(servers)
 	f.probeDark(servers)
 	f.probeDoubted(servers)
 	for i := range x.Services {
@@ -212,6 +218,27 @@
 	}
 }
 
+// Lost returns the groups that are known to be lost, while the node holds the lease.
+func (f *Former) Lost() []garnetworks.GroupID {
+	if lost := f.lost.Load(); lost != nil {
+		return *lost
+	}
+	return nil
+}
+
+// noteLost finds the groups that have a dark instance and give no node any event.
+func (f *Former) noteLost(servers follower.Servers) {
+	moving := f.moving()
+	lost := make(garnetworks.Set[garnetworks.GroupID])
+	for life := range f.dark {
+		if s, ok := serverOf(servers, life); ok && s.Member.Group != "" && !moving.Has(s.Member.Group) {
+			lost.Add(s.Member.Group)
+		}
+	}
+	list := slices.Sorted(maps.Keys(lost))
+	f.lost.Store(&list)
+}
+
 // settled reports whether the servers that start with the site have registered.
 func (f *Former) settled(now time.Time, count int) bool {
 	if count > f.count {
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -60,7 +60,7 @@
 	g.stream.mu.Lock()
 	defer g.stream.mu.Unlock()
 	g.stream.progress[g.group] = now
-	g.stream.scheduler.Heard(g.stream.call.Model, g.group)
+	g.stream.scheduler.Heard(now, g.stream.call.Model, g.group)
 	g.limit, g.begun = stillTime, true
 	g.timer.Reset(quietTime)
 }
@@ -103,12 +103,16 @@
 	if g.neverBegins(now) && g.movable && g.stream.reserve(now, g.work) {
 		return silence >= quietTime, true
 	}
+	limit := g.limit
+	if g.stream.scheduler.Lost(now, g.stream.call.Model, g.group) {
+		limit = quietTime
+	}
 	switch {
 	case silence < quietTime:
 		g.timer.Reset(quietTime - silence)
 		return false, false
-	case silence < g.limit:
-		g.timer.Reset(g.limit - silence)
+	case silence < limit:
+		g.timer.Reset(min(moveAgain, limit-silence))
 	case g.movable && g.stream.reserve(now, g.work):
 		return true, true
 	default:
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -181,11 +182,25 @@
 	})
 	l.peers.exchanger = exchanger.New(exchanger.Options{
 		Peers: l.peers.client, Self: l.peers.tracker.Self, Nodes: l.peers.tracker.Peers,
-		Load: l.gateway.Load, Take: l.gateway.SetOthers, Suspect: l.former.Suspect, Contents: l.quarantine,
+		Load: l.load, Take: l.takeOthers, Suspect: l.former.Suspect, Contents: l.quarantine,
 	})
 	return l, nil
 }
 
+// load is what the node tells of its calls, and as the holder of the lease of lost groups.
+func (l *Launcher) load() garnetworks.LoadReport {
+	report := l.gateway.Load()
+	report.Lost = l.former.Lost()
+	return report
+}
+
+// takeOthers takes what the other nodes tell. What the node itself tells of lost groups is
+// not among it.
+func (l *Launcher) takeOthers(others garnetworks.LoadReport, known bool) {
+	others.Lost = append(slices.Clone(others.Lost), l.former.Lost()...)
+	l.gateway.SetOthers(others, known)
+}
+
 // suspect tells of a group that seems to stand still: the node itself, which may
 // hold the lease, and the others.
 func (l *Launcher) suspect(group garnetworks.GroupID) {
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -43,4 +43,8 @@
 //	    a third of the calls went there, each to wait for a connection in vain. Several
 //	    groups give no sign of life, and nothing is heard from the zone. So the whole zone
 //	    rests, and one call at a time tries the way again, unless no zone is reached.
+//	Q11 A group whose instances all went dark: nothing changes in the list until their
+//	    entries lapse, four seconds later, and meanwhile each node sent it its calls and
+//	    found it by itself. So what the holder of the lease has found by probes counts at
+//	    all nodes, but where a group just gave an event.
 package scheduler
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -67,6 +67,9 @@
 	if !known {
 		for _, p := range s.pools {
 			p.othersDemand = 0
+			for _, l := range p.places {
+				l.lost = false
+			}
 		}
 		return s.Advance(now)
 	}
@@ -78,7 +81,11 @@
 	for _, d := range others.Demands {
 		demands[d.Model] = d.PerSecond
 	}
+	lost := garnetworks.NewSet(others.Lost...)
 	for model, p := range s.pools {
+		for id, l := range p.places {
+			l.lost = lost.Has(id)
+		}
 		s.hear(now, p, running, demands[model], others.Nodes+1)
 	}
 	return s.Advance(now)
@@ -100,7 +107,7 @@
 	free := 0.0
 	for _, l := range p.places {
 		l.others, l.placed = running[l.ID], 0
-		if !l.gone && !now.Before(l.restUntil) && !s.cutOff(now, l.Zone) {
+		if !l.gone && !now.Before(l.restUntil) && !s.cutOff(now, l.Zone) && !l.isLost(now) {
 			free += max(0, l.window-float64(l.others+l.inflight))
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -49,7 +49,7 @@
 		if elsewhere && s.cutOff(now, l.Zone) { // Q10
 			continue
 		}
-		if l.gone || now.Before(l.restUntil) || slices.Contains(w.Tried, l.ID) {
+		if l.gone || now.Before(l.restUntil) || l.isLost(now) || slices.Contains(w.Tried, l.ID) {
 			continue
 		}
 		room := l.window
@@ -140,6 +140,16 @@
 	return l.ID, true
 }
 
+// isLost reports whether nothing shall be sent to the group for what others know of it
+// (Q11).
+func (l *place) isLost(now time.Time) bool { return l.lost && now.Sub(l.heard) > heardTime }
+
+// Lost reports whether the group is known to be lost, and gave this node no event since.
+func (s *Scheduler) Lost(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) bool {
+	l := s.pool(model).places[group]
+	return l != nil && l.isLost(now)
+}
+
 // FirstEvent takes the time from a call's sending to its first event (Q2).
 func (s *Scheduler) FirstEvent(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took, objective time.Duration) {
 	p := s.pool(model)
--- a/scheduler/reach.go
+++ b/scheduler/reach.go
@@ -13,6 +13,9 @@
 	unreachedGroups = 2
 	// unreachedTime is the time within which they fail.
 	unreachedTime = 3 * time.Second
+	// heardTime is how long an event speaks for a group that is said to be lost; a group
+	// gives its calls one each 0.1 s or sooner.
+	heardTime = 300 * time.Millisecond
 	// mostZoneRest bounds the time between two calls that try the way again. Entries of a
 	// zone that the platform does not reach either lapse within four seconds.
 	mostZoneRest = 4 * restTime
@@ -32,12 +35,13 @@
 	tried bool
 }
 
-// Heard takes a sign of life of a group: the way to its zone is sound.
-func (s *Scheduler) Heard(model garnetworks.ModelName, group garnetworks.GroupID) {
+// Heard takes an event of a group: it lives, and the way to its zone is sound.
+func (s *Scheduler) Heard(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) {
 	l := s.pool(model).places[group]
 	if l == nil {
 		return
 	}
+	l.heard = now
 	delete(s.ways, l.Zone)
 }
 
--- a/scheduler/reach_test.go
+++ b/scheduler/reach_test.go
@@ -66,7 +66,7 @@
 	if tried == 0 || tried > 3 {
 		t.Errorf("the way was tried %d times in four seconds, want 1 to 3", tried)
 	}
-	s.Heard("m", "far1")
+	s.Heard(now, "m", "far1")
 	if n := toFar(s, now); n < 2 {
 		t.Errorf("%d calls go to a zone that was heard again", n)
 	}
@@ -82,7 +82,7 @@
 		},
 		"an event between": func(s *scheduler.Scheduler, now time.Time) {
 			s.Unreached(now, "m", "far0")
-			s.Heard("m", "far1")
+			s.Heard(now, "m", "far1")
 			s.Unreached(now, "m", "far1")
 		},
 		"long ago": func(s *scheduler.Scheduler, now time.Time) {
@@ -107,3 +107,33 @@
 		})
 	}
 }
+
+// Story: both instances of a group go dark at once. Nobody is left to change the list, and
+// for four seconds each of 88 nodes sent the group calls of its own until one found it
+// (some 40 calls a group, half of them late). What the holder of the lease has found counts
+// at all nodes at once; where the group still gives events, or nobody says so any more, it
+// does not.
+func TestGroupThatIsToldLostGetsNoCalls(t *testing.T) {
+	lost := garnetworks.LoadReport{Lost: []garnetworks.GroupID{"far0", "far1"}}
+	now := start.Add(time.Second)
+	cases := map[string]struct {
+		play func(s *scheduler.Scheduler)
+		want bool
+	}{
+		"told":             {func(s *scheduler.Scheduler) { s.SetOthers(now, lost, true) }, false},
+		"told no more":     {func(s *scheduler.Scheduler) { s.SetOthers(now, lost, true); s.SetOthers(now, garnetworks.LoadReport{}, true) }, true},
+		"nothing is known": {func(s *scheduler.Scheduler) { s.SetOthers(now, lost, true); s.SetOthers(now, garnetworks.LoadReport{}, false) }, true},
+		"it gives events":  {func(s *scheduler.Scheduler) { s.SetOthers(now, lost, true); s.Heard(now, "m", "far1") }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", rand.New(rand.NewPCG(1, 1)).Float64)
+			s.SetGroups(start, threeZones())
+			s.SetOthers(start, garnetworks.LoadReport{}, true)
+			c.play(s)
+			if got := toFar(s, now) > 0; got != c.want {
+				t.Errorf("calls are sent there: %t", got)
+			}
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -158,6 +158,10 @@
 	failing float64
 	shrunk  time.Time
 	gone    bool
+	// lost says that an instance of the group is known to be dark, heard when this node
+	// last had an event from the group.
+	lost  bool
+	heard time.Time
 }
 
 // pool is a model's groups and the calls that wait for them.
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -44,7 +44,7 @@
 func (p *pool) serving(now time.Time, w *Work) int {
 	n := 0
 	for _, l := range p.places {
-		if !l.gone && !slices.Contains(w.Tried, l.ID) && (!now.Before(l.restUntil) || l.probing) {
+		if !l.gone && !l.isLost(now) && !slices.Contains(w.Tried, l.ID) && (!now.Before(l.restUntil) || l.probing) {
 			n++
 		}
 	}
