The first read of the quarantine's records waits at the first start only

Cause: with a wait of 2 s at each start, a node that started alone did not know for so long which calls to keep from servers; TestCallThatEndsItsEnginesIsKnownAtOtherNodes found it. Change: 2.5 s at the site's first start, none otherwise.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -90,6 +90,19 @@
 	startPatience = 250 * time.Millisecond
 )
 
+// firstQuarantineRead is how long the node leaves the records of calls under which servers
+// ended to others at the site's first start: it knows by then who reads for others, and
+// calls come much later.
+const firstQuarantineRead = 2500 * time.Millisecond
+
+// firstRead returns how long a node that starts leaves those records to others.
+func firstRead(site *garnetworks.SiteNode) time.Duration {
+	if !site.FirstStart {
+		return 0
+	}
+	return firstQuarantineRead
+}
+
 // patience returns how long a node that starts leaves the lease to others.
 func patience(site *garnetworks.SiteNode) time.Duration {
 	if !site.FirstStart {
@@ -175,6 +188,7 @@
 	})
 	l.quarantine = quarantiner.New(quarantiner.Options{
 		Prove: l.prove, Objects: objects, Reads: func() bool { return l.peers.exchanger.Reads() }, Recorder: events,
+		FirstRead: firstRead(site),
 	})
 	l.gateway = gateway.New(gateway.Options{
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Passer: options.Passer,
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -24,9 +24,6 @@
 	// change ends it at once, and a path that has gone silent is found after it; nodes in
 	// touch hear of records from each other long before.
 	DefaultReadWait = 8 * time.Second
-	// firstReadTime is how long a node that starts leaves the object to others: nodes know
-	// of each other within it, and those that were there before tell what they know.
-	firstReadTime = 2 * time.Second
 	// readMargin is how long past its wait the watch may take to answer.
 	readMargin = 700 * time.Millisecond
 	// callTime bounds other calls.
@@ -124,7 +121,7 @@
 func (q *Quarantiner) follow(ctx context.Context) {
 	var revision garnetworks.Revision
 	listed, failures := false, 0
-	wait(ctx, firstReadTime)
+	wait(ctx, q.options.FirstRead)
 	for ctx.Err() == nil {
 		if !q.options.Reads() {
 			wait(ctx, readsEvery)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -43,6 +43,9 @@
 	Objects garnetworks.ObjectAPI
 	// Reads reports whether the node reads the object API for others, or reaches none.
 	Reads func() bool
+	// FirstRead is how long a node that starts leaves the object to others, of which it
+	// hears meanwhile.
+	FirstRead time.Duration
 	// ReadWait is the longest wait of the watch; DefaultReadWait if it is 0.
 	ReadWait time.Duration
 	// Publish gets the object's value, with its revision, whenever the node has read or
