The stated shares hold while calls find their places with them

Change: the shares go over to the observed ones as far as a model's calls would fill its groups by the stated ones: none of it at 0.6 of the places, all of it at all.

--- a/former/work.go
+++ b/former/work.go
@@ -11,6 +11,13 @@
 	// workMemory is the time over which observed work is averaged: waves of some seconds
 	// shall not close groups.
 	workMemory = 5 * time.Second
+	// easyUse and fullUse are the parts of a model's places that its calls fill, if groups
+	// are divided by the stated shares: up to the first one the stated shares hold, from the
+	// second one on the observed ones, and between them a mean of both. Groups beyond what
+	// the calls need are the reserve that the next loss asks for, and can't be had back as
+	// fast as they are given up.
+	easyUse = 0.6
+	fullUse = 1.0
 	// statedGroups is the weight of the stated shares beside the observed work, as the work
 	// of so many groups of the mean size: they count while little comes.
 	statedGroups = 1
@@ -30,8 +37,8 @@
 }
 
 // take averages what is observed now, and changes the shares if they no longer fit.
-func (w *workload) take(now time.Time, profile *garnetworks.EngineProfile, observed map[garnetworks.ModelName]float64) {
-	if len(observed) == 0 {
+func (w *workload) take(now time.Time, profile *garnetworks.EngineProfile, observed map[garnetworks.ModelName]float64, instances int) {
+	if len(observed) == 0 || instances == 0 {
 		return
 	}
 	if w.calls == nil {
@@ -45,7 +52,7 @@
 	for model, calls := range observed {
 		w.calls[model] += part * (calls - w.calls[model])
 	}
-	if shares := observedShares(profile, w.calls); differ(shares, w.profile(profile)) {
+	if shares := fittingShares(profile, w.calls, instances); differ(shares, w.profile(profile)) {
 		w.shares = shares
 	}
 }
@@ -70,6 +77,36 @@
 	return &used
 }
 
+// fittingShares returns the stated shares where the models' calls find their places with
+// them, and goes over to the observed ones as they don't.
+func fittingShares(profile *garnetworks.EngineProfile, calls map[garnetworks.ModelName]float64, instances int) map[garnetworks.ModelName]float64 {
+	observed := observedShares(profile, calls)
+	if observed == nil {
+		return nil
+	}
+	stated, use := 0.0, 0.0
+	for i := range profile.Models {
+		stated += profile.Models[i].Share
+	}
+	for i := range profile.Models {
+		m := &profile.Models[i]
+		places := m.Share / stated * float64(instances) / float64(m.Size) * float64(profile.Slots)
+		use = max(use, calls[m.Name]/max(places, 1))
+	}
+	weight := min(max((use-easyUse)/(fullUse-easyUse), 0), 1)
+	total := 0.0
+	shares := make(map[garnetworks.ModelName]float64)
+	for i := range profile.Models {
+		m := &profile.Models[i]
+		shares[m.Name] = math.Pow(m.Share/stated, 1-weight) * math.Pow(observed[m.Name], weight)
+		total += shares[m.Name]
+	}
+	for model := range shares {
+		shares[model] /= total
+	}
+	return shares
+}
+
 // observedShares returns the models' shares by the calls that they keep running, and by the
 // stated shares as far as these count. A call takes a slot of a group, and so as many
 // instances as the group has; a model's share is that of the instances that its calls need.
