Scarcity is judged by the groups that there are

Cause: how full a model's groups are was judged by those that the stated shares would give it. Change: by the groups that serve or form; work is averaged over 3 s, not 5; the observed shares count from 0.7 of the places on, wholly from 1.5 times the places.

--- a/former/planner.go
+++ b/former/planner.go
@@ -160,10 +160,10 @@
 		Planner: p, Input: in, now: now, loads: in.Loads,
 		ordered: make(garnetworks.Set[garnetworks.Life]), stages: make(map[garnetworks.Life]garnetworks.ModelName),
 	}
-	r.work.take(now, in.Profile, in.Work, r.instances())
-	r.Profile = r.work.profile(in.Profile)
 	r.notePartitions()
 	r.groups = Observe(in.Servers, in.Service, Sizes(in.Profile))
+	r.work.take(now, in.Profile, in.Work, r.counts())
+	r.Profile = r.work.profile(in.Profile)
 	r.followFormations()
 	r.followGroups()
 	r.releaseGivenUp()
@@ -177,17 +177,6 @@
 	return r.byUrgency()
 }
 
-// instances returns the number of the service's instances that are registered.
-func (r *plan) instances() int {
-	n := 0
-	for _, s := range r.Servers {
-		if s.Service == r.Service {
-			n++
-		}
-	}
-	return n
-}
-
 func (r *plan) usable(s *garnetworks.RegisteredServer) bool {
 	return s.Service == r.Service && s.State == garnetworks.ListedLive && !r.Dark.Has(s.Life()) && !r.now.Before(r.shun[s.Life()])
 }
--- a/former/work.go
+++ b/former/work.go
@@ -10,14 +10,14 @@
 const (
 	// workMemory is the time over which observed work is averaged: waves of some seconds
 	// shall not close groups.
-	workMemory = 5 * time.Second
-	// easyUse and fullUse are the parts of a model's places that its calls fill, if groups
-	// are divided by the stated shares: up to the first one the stated shares hold, from the
-	// second one on the observed ones, and between them a mean of both. Groups beyond what
-	// the calls need are the reserve that the next loss asks for, and can't be had back as
-	// fast as they are given up.
-	easyUse = 0.6
-	fullUse = 1.0
+	workMemory = 3 * time.Second
+	// easyUse and fullUse are the parts of the places of a model's groups that its calls
+	// would fill: up to the first one the stated shares hold, from the second one on the
+	// observed ones, and between them a mean of both. Groups beyond what the calls need are
+	// the reserve that the next loss asks for, and can't be had back as fast as they are
+	// given up.
+	easyUse = 0.7
+	fullUse = 1.5
 	// statedGroups is the weight of the stated shares beside the observed work, as the work
 	// of so many groups of the mean size: they count while little comes.
 	statedGroups = 1
@@ -37,8 +37,8 @@
 }
 
 // take averages what is observed now, and changes the shares if they no longer fit.
-func (w *workload) take(now time.Time, profile *garnetworks.EngineProfile, observed map[garnetworks.ModelName]float64, instances int) {
-	if len(observed) == 0 || instances == 0 {
+func (w *workload) take(now time.Time, profile *garnetworks.EngineProfile, observed map[garnetworks.ModelName]float64, groups map[garnetworks.ModelName]int) {
+	if len(observed) == 0 {
 		return
 	}
 	if w.calls == nil {
@@ -52,7 +52,7 @@
 	for model, calls := range observed {
 		w.calls[model] += part * (calls - w.calls[model])
 	}
-	if shares := fittingShares(profile, w.calls, instances); differ(shares, w.profile(profile)) {
+	if shares := fittingShares(profile, w.calls, groups); differ(shares, w.profile(profile)) {
 		w.shares = shares
 	}
 }
@@ -79,7 +79,7 @@
 
 // fittingShares returns the stated shares where the models' calls find their places with
 // them, and goes over to the observed ones as they don't.
-func fittingShares(profile *garnetworks.EngineProfile, calls map[garnetworks.ModelName]float64, instances int) map[garnetworks.ModelName]float64 {
+func fittingShares(profile *garnetworks.EngineProfile, calls map[garnetworks.ModelName]float64, groups map[garnetworks.ModelName]int) map[garnetworks.ModelName]float64 {
 	observed := observedShares(profile, calls)
 	if observed == nil {
 		return nil
@@ -90,8 +90,8 @@
 	}
 	for i := range profile.Models {
 		m := &profile.Models[i]
-		places := m.Share / stated * float64(instances) / float64(m.Size) * float64(profile.Slots)
-		use = max(use, calls[m.Name]/max(places, 1))
+		places := max(groups[m.Name], 1) * profile.Slots
+		use = max(use, calls[m.Name]/float64(max(places, 1)))
 	}
 	weight := min(max((use-easyUse)/(fullUse-easyUse), 0), 1)
 	total := 0.0
