--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -55,9 +55,9 @@
 	// it is collected more often.
 	memoryPart = 0.6
 	// heapGrowth is how far the heap grows between two collections, in percent.
-	// The live heap is a few MB, so collections would else cost more than they
-	// save.
-	heapGrowth = 400
+	// The live heap is a few MB, so that a collection costs little, and more of them
+	// halve the memory that a node holds.
+	heapGrowth = 150
 	// sweepEvery is how often unused connections and the nodes that contend for the
 	// lease are looked through.
 	sweepEvery = 2 * time.Second
