Tests of lost groups: what the holder tells, and calls that leave them

Story of each in its test; the first fails without noteLost's look at lives and events, the second without the shorter bound (a call stays 0.55 s and 1.2 s).

--- /dev/null
+++ b/former/lost_test.go
@@ -0,0 +1,32 @@
+package former
+
+import (
+	"testing"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/follower"
+)
+
+// Story: both instances of a group go dark. The holder of the lease finds it by its probes;
+// what it tells the other nodes is the group, unless some node just had an event from it,
+// or the dark instance is of an earlier life, or in no group.
+func TestHolderTellsWhichGroupsAreLost(t *testing.T) {
+	server := func(id garnetworks.InstanceID, born int64, group garnetworks.GroupID) garnetworks.RegisteredServer {
+		s := garnetworks.RegisteredServer{ListedInstance: garnetworks.ListedInstance{ID: id}, Born: born}
+		s.Member.Group = group
+		return s
+	}
+	servers := follower.Servers{
+		"a": server("a", 1, "gone"), "b": server("b", 1, "gone"), "c": server("c", 1, "moving"),
+		"d": server("d", 2, "again"), "e": server("e", 1, ""), "f": server("f", 1, "sound"),
+	}
+	f := &Former{options: Options{Moving: func() garnetworks.Set[garnetworks.GroupID] { return garnetworks.NewSet[garnetworks.GroupID]("moving") }}}
+	f.dark = make(garnetworks.Set[garnetworks.Life])
+	for _, id := range []garnetworks.InstanceID{"a", "b", "c", "d", "e"} {
+		f.dark.Add(garnetworks.Life{Instance: id, Born: 1})
+	}
+	f.noteLost(servers)
+	if got := f.Lost(); len(got) != 1 || got[0] != "gone" {
+		t.Errorf("lost are %v", got)
+	}
+}
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -105,3 +105,41 @@
 		}
 	})
 }
+
+// Story: a group's instances all went dark, and the holder of the lease has told so. Calls
+// without an event there waited for 1.2 s, those in the middle for 0.55, as if only this
+// node's view spoke; a call that still gets events there stays.
+func TestCallLeavesAGroupThatIsToldLost(t *testing.T) {
+	cases := map[string]struct {
+		told, events bool
+		within       time.Duration
+		moves        bool
+	}{
+		"told":                  {told: true, within: quietTime + moveAgain, moves: true},
+		"told, but gives event": {told: true, events: true, within: quietTime + moveAgain},
+		"not told":              {within: quietTime + moveAgain},
+		"not told, for long":    {within: stillFirst + moveAgain, moves: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, s := newGuarded(t)
+				ctx, cancel := context.WithCancelCause(t.Context())
+				guard := s.guard("a-grey", cancel)
+				defer guard.stop()
+				if c.told {
+					g.SetOthers(garnetworks.LoadReport{Lost: []garnetworks.GroupID{"a-grey"}}, true)
+				}
+				for end := time.Now().Add(c.within); time.Now().Before(end); time.Sleep(moveAgain / 2) {
+					if c.events {
+						guard.event()
+					}
+				}
+				synctest.Wait()
+				if moved := context.Cause(ctx) == errStill; moved != c.moves {
+					t.Errorf("the call has moved: %t", moved)
+				}
+			})
+		})
+	}
+}
