A node that leaves the object API alone asks nodes that have not just failed it

Change: its relays without those that failed a moment ago; all of them, the longest ago first, only if none is left.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -315,17 +315,24 @@
 	return c.confirmed
 }
 
-// relays returns the nodes to ask now for what the cache holds: also those that did not
-// help a moment ago while the object API itself is left alone.
+// relays returns the nodes to ask now for what the cache holds, best first. While the object
+// API itself is left alone and none is left, it is all of them, the one that failed to help
+// longest ago first.
+//
+// Failure: the node that is asked first is cut off, and a node that left the object API
+// alone asked it again and again, until its rest was over; it used a routing that was 4.7 s
+// old, while another node would have told it the newest one.
 func (r *Relayer) relays(c *cache) []string {
 	now := time.Now()
-	all := r.options.Relays()
+	all := slices.Clone(r.options.Relays())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Before(c.restUntil) {
-		return all
+	untried := r.untriedLocked(now, all)
+	if len(untried) > 0 || !now.Before(c.restUntil) {
+		return untried
 	}
-	return r.untriedLocked(now, all)
+	slices.SortStableFunc(all, func(a, b string) int { return r.failed[a].Compare(r.failed[b]) })
+	return all
 }
 
 // untriedLocked returns the nodes that have not failed to help a moment ago.
