Lost groups are told without a gap at each plan; one loop for lists of groups

Cause, found by reading: a plan dropped what was lost before it had found it again, so that a report made in those milliseconds told nothing, and other nodes sent calls there until the next. Change: dropped only where the node may not plan. Comments reflowed.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -372,6 +372,16 @@
 	return list
 }
 
+// join adds the groups that are not in a list yet, as long as it has fewer than most.
+func join(list, more []garnetworks.GroupID, most int) []garnetworks.GroupID {
+	for _, g := range more {
+		if len(list) < most && !slices.Contains(list, g) {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
 // Sum adds reports up.
 func Sum(reports ...garnetworks.LoadReport) garnetworks.LoadReport {
 	places := make(map[garnetworks.GroupID]garnetworks.PlaceLoad)
@@ -387,16 +397,8 @@
 		for _, d := range r.Demands {
 			demand[d.Model] += d.PerSecond
 		}
-		for _, g := range r.Suspects {
-			if !slices.Contains(sum.Suspects, g) && len(sum.Suspects) < maxSuspects {
-				sum.Suspects = append(sum.Suspects, g)
-			}
-		}
-		for _, g := range r.Lost {
-			if !slices.Contains(sum.Lost, g) && len(sum.Lost) < maxLost {
-				sum.Lost = append(sum.Lost, g)
-			}
-		}
+		sum.Suspects = join(sum.Suspects, r.Suspects, maxSuspects)
+		sum.Lost = join(sum.Lost, r.Lost, maxLost)
 	}
 	for _, p := range places {
 		sum.Places = append(sum.Places, p)
--- a/former/balance.go
+++ b/former/balance.go
@@ -226,9 +226,9 @@
 	return nil
 }
 
-// exchangeGain is what the site gains by the groups of the model that its instances make in
-// place of some of others, against what the free instances can become without that; neither counts
-// groups that wait for a load.
+// exchangeGain is what the site gains by the groups of the model that the instances make in
+// place of some of others, against what the free instances can become without that; neither
+// counts groups that wait for a load.
 func (r *plan) exchangeGain(free []garnetworks.RegisteredServer, closed []*Group, m *garnetworks.ModelProfile, counts map[garnetworks.ModelName]int) float64 {
 	with, unchanged := maps.Clone(counts), maps.Clone(counts)
 	all := slices.Clone(free)
--- a/former/former.go
+++ b/former/former.go
@@ -189,7 +189,6 @@
 	now := time.Now()
 	term := f.options.Lease.Term(now)
 	f.queue = f.queue[:0]
-	f.lost.Store(nil)
 	if term != f.term {
 		f.term, f.held, f.loads = term, now, loadBudget{}
 		if term != 0 {
@@ -200,10 +199,12 @@
 	// Failure: a view from before the lease shows engines as free that the last
 	// holder has ordered into a group since. So a new holder reads the store first.
 	if term == 0 || f.options.Follower.ServersConfirmed().Before(f.held) || x == nil || !f.options.Follower.Ready() {
+		f.lost.Store(nil)
 		return
 	}
 	servers := f.options.Follower.Servers()
 	if !f.settled(now, len(servers)) {
+		f.lost.Store(nil)
 		return
 	}
 	f.planned = servers
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -25,8 +25,8 @@
 //	Z5  What is known is a set of lives for each content; sets are joined. So nodes that
 //	    heard the same in any order, twice or through others decide the same.
 //	Z6  A content under which StoredEnds lives were found to have ended is in the object
-//	    API, so that it outlives all nodes, and reaches those that no other node reaches. The node that
-//	    saw the last end writes it, or else one that reads it.
+//	    API, so that it outlives all nodes, and reaches those that no other node reaches.
+//	    The node that saw the last end writes it, or else one that reads it.
 //	Z7  All is bounded: MostRecords contents with MostRuns lives each at a node, MostStored
 //	    in the object API, and a hold that doubles with each further end up to LongestHold.
 package quarantiner
