--- a/cmd/garnetlab/main_test.go
+++ b/cmd/garnetlab/main_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/garnetworks/garnetworks/experimenter"
 )
 
 func TestRun(t *testing.T) {
@@ -39,7 +41,7 @@
 		plots []string
 		ok    bool
 	}{
-		"all policies":    {flags{Pattern: []string{"lost-engines"}, Seed: 1}, 3, nil, true},
+		"all policies":    {flags{Pattern: []string{"lost-engines"}, Seed: 1}, 1 + len(experimenter.GroupPolicyNames()), nil, true},
 		"with a plot":     {flags{Pattern: []string{"lost-engines"}, Policy: []string{"naive"}, Seed: 1}, 2, []string{"lost-engines.svg"}, true},
 		"unknown pattern": {flags{Pattern: []string{"calm"}}, 0, nil, false},
 		"unknown policy":  {flags{Pattern: []string{"lost-engines"}, Policy: []string{"scheduler"}}, 0, nil, false},
