--- a/quarantiner/asker_test.go
+++ b/quarantiner/asker_test.go
@@ -24,6 +24,13 @@
 	return w.states[l]
 }
 
+// count returns the number of questions so far.
+func (w *world) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.asked
+}
+
 func (w *world) set(state garnetworks.EndState, lives ...int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -80,9 +87,9 @@
 				if got := q.holds("x"); got != c.want {
 					t.Errorf("held: %t", got)
 				}
-				before := w.asked
+				before := w.count()
 				time.Sleep(time.Minute)
-				if more := w.asked - before; more > 3*int(time.Minute/longestAgain) {
+				if more := w.count() - before; more > 3*int(time.Minute/longestAgain) {
 					t.Errorf("%d questions in a minute", more)
 				}
 			})
