Refused calls tell by which routing, and how old, they were decided

What on-call saw: the line of a call answered 404 held neither the version nor the age of the routing, so that a refusal by an old configuration could not be told from a true one; and no metric showed how old a node's routing is.

No decision changes.

TestRefusalTellsItsRouting/unknown_route failed before: the line had no routing.

--- a/gateway/account.go
+++ b/gateway/account.go
@@ -39,10 +39,11 @@
 	waited time.Duration
 	// decision is the last one of the scheduler.
 	decision scheduler.Decision
-	// routing is the version that the call was matched by, confirmed how long
-	// before the call that was known to be the newest one.
-	routing   uint64
-	confirmed time.Duration
+	// matched says that the node knew a routing when the call came: version routing,
+	// last known to be the newest one routingAge before.
+	matched    bool
+	routing    uint64
+	routingAge time.Duration
 	// first is the time from the call's receipt to its first event; 0 before it.
 	first time.Duration
 	// lastEvent is when the last event was with the client, pause the longest time
@@ -108,6 +109,9 @@
 	if x.call != nil {
 		list = x.appendCall(list, detailed)
 	}
+	if x.matched {
+		list = x.appendRouting(list, detailed)
+	}
 	if x.route != nil {
 		list = x.appendRoute(list, detailed)
 	}
@@ -178,13 +182,22 @@
 	return list
 }
 
+// appendRouting appends which routing the call was matched by.
+func (x *exchange) appendRouting(list []any, detailed bool) []any {
+	list = append(list, "routing", x.routing)
+	if !detailed {
+		return list
+	}
+	return append(list, "routing-age-ms", milliseconds(x.routingAge))
+}
+
 // appendRoute appends the route and its terms.
 func (x *exchange) appendRoute(list []any, detailed bool) []any {
-	list = append(list, "route", x.route.Name, "routing", x.routing)
+	list = append(list, "route", x.route.Name)
 	if !detailed {
 		return list
 	}
-	list = append(list, "routing-age-ms", milliseconds(x.confirmed), "priority", x.priority,
+	list = append(list, "priority", x.priority,
 		"objective-ms", milliseconds(x.route.Objective), "timeout-ms", milliseconds(x.route.Timeout))
 	if x.route.MaxGap > 0 {
 		list = append(list, "max-pause-ms", milliseconds(x.route.MaxGap))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,13 +148,16 @@
 // Ready reports whether the node should get new connections: it knows the
 // routing, and may honour keys.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.options.Follower.Ready() && g.fresh(time.Now())
+	return !g.stopping.Load() && g.options.Follower.Ready() && g.fresh()
 }
 
+// RoutingAge returns how long ago the routing was last known to be the newest one.
+func (g *Gateway) RoutingAge() time.Duration { return time.Since(g.options.Follower.Confirmed()) }
+
 // fresh reports whether the routing is new enough to honour keys (rule W4).
-func (g *Gateway) fresh(now time.Time) bool {
+func (g *Gateway) fresh() bool {
 	bound := time.Duration(float64(g.bounds.Load().RevokeTime) * revokeMargin)
-	return now.Sub(g.options.Follower.Confirmed()) < bound
+	return g.RoutingAge() < bound
 }
 
 // refresh takes the groups that serve now.
@@ -376,12 +379,12 @@
 	if index == nil {
 		return x, garnetworks.Errorf(garnetworks.KindNotReady, "the node knows no routing yet")
 	}
+	x.matched, x.routing, x.routingAge = true, index.Version, g.RoutingAge()
 	call, err := g.options.Reader.ReadCall(r)
 	if err != nil {
 		return x, err
 	}
 	x.call = call
-	x.routing, x.confirmed = index.Version, call.Received.Sub(g.options.Follower.Confirmed())
 	if err := x.authorize(index); err != nil {
 		return x, err
 	}
@@ -418,7 +421,7 @@
 	if route.Public {
 		return nil
 	}
-	if !x.fresh(time.Now()) { // rule W4
+	if !x.fresh() { // rule W4
 		return garnetworks.Errorf(garnetworks.KindNotReady, "the node can't tell whether the key is still valid")
 	}
 	workspace, ok := index.Workspace(x.call.Key)
--- a/launcher/cause_test.go
+++ b/launcher/cause_test.go
@@ -118,3 +118,29 @@
 		t.Errorf("the line tells %v", line)
 	}
 }
+
+// Guards against refusals of which nobody can say by which routing, and how old, they were decided.
+func TestRefusalTellsItsRouting(t *testing.T) {
+	s := open(t, 0)
+	s.serve(onceURL)
+	cases := map[string]struct {
+		change func(*http.Request)
+		kind   string
+	}{
+		"unknown route": {func(r *http.Request) { r.Host = "b.example" }, "unknown-service"},
+		"unknown key":   {func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, "unauthenticated"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			id := newID()
+			s.call(http.MethodPost, onceURL, func(r *http.Request) {
+				r.Header.Set("Garnetworks-Request-Id", id)
+				c.change(r)
+			})
+			line := s.line(id)
+			if _, told := line["routing-age-ms"].(float64); line["kind"] != c.kind || line["routing"] != 1.0 || !told {
+				t.Errorf("the line tells %v", line)
+			}
+		})
+	}
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -194,6 +194,7 @@
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Passer: options.Passer,
 		Meter: l.meter, Suspect: l.suspect, Quarantine: l.quarantine, Logger: options.Logger,
 	})
+	l.meter.ShowRoutingAge(l.gateway.RoutingAge)
 	l.peers.exchanger = exchanger.New(exchanger.Options{
 		Peers: l.peers.client, Self: l.peers.tracker.Self, Nodes: l.peers.tracker.Peers,
 		Load: l.load, Take: l.takeOthers, Suspect: l.former.Suspect, Contents: l.quarantine,
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -26,6 +26,7 @@
 // Meter holds a node's metrics.
 type Meter struct {
 	registry *prometheus.Registry
+	rows     map[string]Metric
 
 	calls       *prometheus.CounterVec
 	tokens      *prometheus.CounterVec
@@ -88,6 +89,7 @@
 	{"garnet_passed_first_event_seconds", "Time from the receipt of a call that is passed on to the first event of its stream, by route.", []string{"route"}},
 	{"garnet_passed_wait_seconds", "Time that calls that are passed on waited for a place, by model.", []string{"model"}},
 	{"garnet_held_contents", "Contents of calls that are kept from servers, since servers ended under them.", nil},
+	{"garnet_routing_age_seconds", "Time since the node's routing was last known to be the newest one; over 9e9 while that is not known.", nil},
 	{"garnet_attempts_total", "Attempts of calls that are passed on, by service, group (empty for plain services) and the phase in which they ended.", []string{"service", "group", "phase"}},
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
@@ -107,8 +109,8 @@
 
 // New returns a meter with its own registry.
 func New() *Meter {
-	m := &Meter{registry: prometheus.NewRegistry()}
 	rows := make(map[string]Metric, len(Metrics))
+	m := &Meter{registry: prometheus.NewRegistry(), rows: rows}
 	for _, row := range Metrics {
 		rows[row.Name] = row
 	}
@@ -218,6 +220,14 @@
 // HeldContents takes the number of contents that are kept from servers.
 func (m *Meter) HeldContents(n int) { m.levels["garnet_held_contents"].Set(float64(n)) }
 
+// ShowRoutingAge makes the metrics show how long ago the routing was last known to be the
+// newest one, as of each reading. It is called once at most.
+func (m *Meter) ShowRoutingAge(age func() time.Duration) {
+	const name = "garnet_routing_age_seconds"
+	options := prometheus.GaugeOpts{Name: name, Help: m.rows[name].Help}
+	m.registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 { return age().Seconds() }))
+}
+
 // Tokens counts tokens delivered to a workspace's callers.
 func (m *Meter) Tokens(workspace garnetworks.WorkspaceName, n int) {
 	m.tokens.WithLabelValues(string(workspace)).Add(float64(n))
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -38,6 +38,7 @@
 	m.Waited("m", time.Millisecond)
 	m.Attempt("s", "g", garnetworks.PhaseDone, time.Second)
 	m.LinesDropped(2)
+	m.ShowRoutingAge(func() time.Duration { return 1500 * time.Millisecond })
 	m.InFlight(3)
 	m.CallEnded("model", garnetworks.OutcomeNotRun, garnetworks.KindOverLimit)
 	m.Tokens("w", 3)
@@ -63,6 +64,7 @@
 		`garnet_groups{state="serving",zone="a"} 1`,
 		`garnet_claim_writes_total{result="written"} 7`,
 		`garnet_claims_owed 1`,
+		`garnet_routing_age_seconds 1.5`,
 		`garnet_lease_held{lease="site"} 1`,
 	} {
 		if !strings.Contains(text, want) {
