A test of definite refusals by a node whose routing is old; known red

Five of fifteen cases fail: unknown host, path and key and a body over the limit, at an age of 3 s and 20 s of a routing whose changes are to be used within 2 s. Known routes and keys are served at the ages at which they are served today; those cases pass.

--- /dev/null
+++ b/gateway/age_test.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/follower"
+	"github.com/garnetworks/garnetworks/meter"
+)
+
+// objects is an object API that holds one routing and one server, and can be cut off.
+type objects struct {
+	garnetworks.ObjectAPI
+	cut atomic.Bool
+}
+
+func (o *objects) answer(wait time.Duration) error {
+	time.Sleep(wait)
+	if o.cut.Load() {
+		return garnetworks.Errorf(garnetworks.KindObjectAPIDown, "cut")
+	}
+	return nil
+}
+
+func (o *objects) List(_ context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
+	key := prefix
+	if strings.HasSuffix(prefix, "/") {
+		key += "s"
+	}
+	return []garnetworks.Object{{Key: key, Revision: 1}}, 1, o.answer(0)
+}
+
+func (o *objects) Watch(context.Context, string, garnetworks.Revision, time.Duration) ([]garnetworks.Object, garnetworks.Revision, error) {
+	const often = 100 * time.Millisecond
+	return nil, 1, o.answer(often)
+}
+
+// siteReader reads the same routing and server from each object.
+type siteReader struct{}
+
+func (siteReader) RoutingKey() string   { return "routing" }
+func (siteReader) ServerPrefix() string { return "servers/" }
+
+func (siteReader) ReadRouting([]byte) (*garnetworks.Routing, error) {
+	route := func(name, prefix string, public bool) garnetworks.Route {
+		return garnetworks.Route{
+			Name: name, Host: "a.example", PathPrefix: prefix, Kind: garnetworks.RouteSafe, Timeout: time.Second, Attempts: 1, Public: public,
+			Targets: []garnetworks.RouteTarget{{Service: "svc", Weight: 1}},
+		}
+	}
+	return &garnetworks.Routing{
+		Version:    7,
+		Routes:     []garnetworks.Route{route("keyed", "/keyed/", false), route("public", "/public/", true)},
+		Services:   []garnetworks.RoutedService{{Name: "svc", MaxConnections: 1}},
+		Workspaces: []garnetworks.RoutedWorkspace{{Name: "w", Keys: []string{"k"}}},
+		Limits:     garnetworks.RequestLimits{BodyBytes: 4},
+	}, nil
+}
+
+func (siteReader) ReadServer(id garnetworks.InstanceID, _ []byte) (garnetworks.RegisteredServer, error) {
+	s := garnetworks.RegisteredServer{}
+	s.ID, s.Service, s.State = id, "svc", garnetworks.ListedLive
+	return s, nil
+}
+
+// callReader takes the key from the header Key.
+type callReader struct{}
+
+func (callReader) ReadCall(r *http.Request) (*garnetworks.PassedCall, error) {
+	return &garnetworks.PassedCall{ID: "c", Method: r.Method, Host: r.Host, Target: r.URL.Path, Key: r.Header.Get("Key"), Received: time.Now()}, nil
+}
+
+// passer answers each call with success.
+type passer struct{}
+
+func (passer) Pass(context.Context, string, *garnetworks.PassedAttempt) (*garnetworks.PassedAnswer, error) {
+	return &garnetworks.PassedAnswer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x")), Signed: true}, nil
+}
+
+// unheld is a quarantine that keeps nothing from servers.
+type unheld struct{}
+
+func (unheld) Held(context.Context, garnetworks.ContentDigest) (time.Duration, bool) { return 0, false }
+func (unheld) Broke(garnetworks.ContentDigest, garnetworks.Life)                     {}
+func (unheld) Answered(garnetworks.ContentDigest)                                    {}
+
+type unrecorded struct{}
+
+func (unrecorded) Record(garnetworks.Event) {}
+
+// newFollowing returns a gateway whose follower reads the object API until ctx ends.
+func newFollowing(ctx context.Context, api garnetworks.ObjectAPI, bounds garnetworks.SiteBounds) *Gateway {
+	f := follower.New(follower.Options{Objects: api, Reader: siteReader{}, Recorder: unrecorded{}})
+	g := New(Options{
+		Bounds: bounds, Follower: f, Reader: callReader{}, Passer: passer{}, Meter: meter.New(), Quarantine: unheld{}, Logger: hclog.NewNullLogger(),
+	})
+	go func() { _ = f.Run(ctx) }() // ends with ctx
+	return g
+}
+
+// Guards against a definite refusal of a call that a newer routing than the node's allows.
+func TestOldRoutingRefusesNothingForGood(t *testing.T) {
+	const (
+		young = time.Second
+		old   = 3 * time.Second
+		aged  = 20 * time.Second
+	)
+	cases := map[string]struct {
+		cutFor     time.Duration
+		host, path string
+		key, body  string
+		want       int
+	}{
+		"unknown host, young":         {young, "b.example", "/keyed/x", "k", "", http.StatusNotFound},
+		"unknown host, old":           {old, "b.example", "/keyed/x", "k", "", http.StatusServiceUnavailable},
+		"unknown path, old":           {old, "a.example", "/none/x", "k", "", http.StatusServiceUnavailable},
+		"unknown path, aged":          {aged, "a.example", "/none/x", "k", "", http.StatusServiceUnavailable},
+		"unknown key, young":          {young, "a.example", "/keyed/x", "other", "", http.StatusUnauthorized},
+		"unknown key, old":            {old, "a.example", "/keyed/x", "other", "", http.StatusServiceUnavailable},
+		"body over the limit, young":  {young, "a.example", "/keyed/x", "k", "longer", http.StatusRequestEntityTooLarge},
+		"body over the limit, old":    {old, "a.example", "/keyed/x", "k", "longer", http.StatusServiceUnavailable},
+		"known key, young":            {young, "a.example", "/keyed/x", "k", "", http.StatusOK},
+		"known key, old":              {old, "a.example", "/keyed/x", "k", "", http.StatusOK},
+		"known key, aged":             {aged, "a.example", "/keyed/x", "k", "", http.StatusServiceUnavailable},
+		"known route, no key, old":    {old, "a.example", "/public/x", "", "", http.StatusOK},
+		"known route, no key, aged":   {aged, "a.example", "/public/x", "", "", http.StatusOK},
+		"public, unknown key, aged":   {aged, "a.example", "/public/x", "other", "", http.StatusOK},
+		"unknown host, no key, young": {young, "b.example", "/x", "", "", http.StatusNotFound},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				api := &objects{}
+				ctx, stop := context.WithCancel(t.Context())
+				g := newFollowing(ctx, api, garnetworks.SiteBounds{ApplyTime: 2 * time.Second, RevokeTime: 5 * time.Second})
+				time.Sleep(time.Second)
+				api.cut.Store(true)
+				time.Sleep(c.cutFor)
+				r := httptest.NewRequest(http.MethodPost, c.path, strings.NewReader(c.body))
+				r.Host = c.host
+				r.Header.Set("Key", c.key)
+				w := httptest.NewRecorder()
+				g.ServeHTTP(w, r)
+				if w.Code != c.want {
+					t.Errorf("status %d, want %d", w.Code, c.want)
+				}
+				if again := w.Header().Get("Retry-After") != ""; again != (c.want == http.StatusServiceUnavailable) {
+					t.Errorf("status %d with Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+				}
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
