An old routing refuses no call for good

What callers saw: 404 from a node to a route that had been acknowledged 3.8 and 4.4 s before; a client does not retry a 404, and other nodes served the route.

Cause: gateway.authorize answered from the routing that it held, whatever its age, though the age was known one line before. Its class: a definite negative answer from state of unknown age.

Change: rules A1 to A5 in gateway/doc.go say what a node may do with what it reads from the routing at which age. What the routing lacks (a route, a key, room for a body) refuses a call for good only while the routing is known to have been the newest one within the site's time for changes; older, the call is refused as stale-routing: 503, not run, 1 s to come back. Found beside it: the age was read after the routing, so that a routing that was replaced in between counted as fresh, for keys too; the age is read first now, once for all of a call.

Why it works: a node's routing holds every change acknowledged before (now - age). With the age below the time for changes, what the routing lacks was lacking, or acknowledged too recently to be owed. Known routes and keys are served as before.

The second way, to ask another node within the call's time, is not taken: the node has asked its relays all the while, and a client that is told to come back gets a node that knows.

--- a/diagnoser/cause.go
+++ b/diagnoser/cause.go
@@ -39,6 +39,7 @@
 	CauseNodeBack     Cause = "turned-away-just-back"
 	CauseNotReady     Cause = "node-not-ready"
 	CauseStoreAway    Cause = "keys-not-checkable"
+	CauseStaleRouting Cause = "stale-routing"
 	CauseNodeSlow     Cause = "node-slow"
 	CauseServerFailed Cause = "server-failed"
 	CauseServerSilent Cause = "server-silent"
@@ -65,6 +66,7 @@
 	{CauseNodeBack, "turned away for want of a place by a node that had just started, or had just reached the object API again"},
 	{CauseNotReady, "turned away by a node that knew no routing yet, or was stopping"},
 	{CauseStoreAway, "turned away, since the node could not reach the object API for so long that it can't vouch for keys"},
+	{CauseStaleRouting, "turned away, since the node's routing was too old to say for good that it does not allow the call"},
 	{CauseNodeSlow, "the node's process stood still, or could not write to the client"},
 	{CauseServerFailed, "a server of a plain service answered with its own failure, or an engine did"},
 	{CauseServerSilent, "a server of a plain service gave no answer, or its connection broke"},
@@ -135,6 +137,8 @@
 		return CauseNoTime
 	case garnetworks.KindShuttingDown, garnetworks.KindNotReady:
 		return CauseNotReady
+	case garnetworks.KindStaleRouting:
+		return CauseStaleRouting
 	case garnetworks.KindBackendRefused:
 		return CauseRefusedThere
 	case garnetworks.KindCallHeld:
--- a/diagnoser/diagnoser_test.go
+++ b/diagnoser/diagnoser_test.go
@@ -184,6 +184,10 @@
 			lines:   []string{at(1000, "call-ended", "n", refused("not-ready", fields{"routing-age-ms": 4700}))},
 			outcome: diagnoser.Refused, cause: diagnoser.CauseStoreAway,
 		},
+		"routing too old to refuse for good": {
+			lines:   []string{at(1000, "call-ended", "n", refused("stale-routing", fields{"routing": 14, "routing-age-ms": 3800}))},
+			outcome: diagnoser.Refused, cause: diagnoser.CauseStaleRouting,
+		},
 		"server's own failure": {
 			lines:   []string{at(1000, "call-ended", "n", plain(fields{"status": 500}))},
 			outcome: diagnoser.Failed, cause: diagnoser.CauseServerFailed,
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -15,4 +15,17 @@
 //	W5  Once a client has left, its call is ended at the server at once.
 //	W6  A call that is given up gets its answer at once, with the time after which
 //	    to come back if it did not run.
+//
+// What a node may do with the routing depends on the routing's age, the time since it was
+// last known to be the newest one:
+//
+//	A1  Routes, their targets, weights, timeouts, objectives and priorities, and services
+//	    are used at any age: a node that is cut off serves on.
+//	A2  A key is honoured as rule W4 says.
+//	A3  That the routing has no such route or key, or that a body is over its limit,
+//	    refuses a call for good only below ApplyTime. An older routing refuses it as not
+//	    run, with a time to come back: other nodes may use one that allows the call.
+//	A4  A node that never knew a routing refuses all calls as not ready.
+//	A5  The age is read before the routing that it is held against, so that a routing
+//	    that is replaced meanwhile never counts as younger than it is.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"strconv"
@@ -148,16 +149,24 @@
 // Ready reports whether the node should get new connections: it knows the
 // routing, and may honour keys.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.options.Follower.Ready() && g.fresh()
+	return !g.stopping.Load() && g.options.Follower.Ready() && g.honoursKeys(g.RoutingAge())
 }
 
 // RoutingAge returns how long ago the routing was last known to be the newest one.
 func (g *Gateway) RoutingAge() time.Duration { return time.Since(g.options.Follower.Confirmed()) }
 
-// fresh reports whether the routing is new enough to honour keys (rule W4).
-func (g *Gateway) fresh() bool {
-	bound := time.Duration(float64(g.bounds.Load().RevokeTime) * revokeMargin)
-	return g.RoutingAge() < bound
+// honoursKeys reports whether keys are honoured by a routing of an age (rule W4).
+func (g *Gateway) honoursKeys(age time.Duration) bool {
+	return age < time.Duration(float64(g.bounds.Load().RevokeTime)*revokeMargin)
+}
+
+// refusesForGood reports whether what a routing of an age lacks refuses a call for good (rule
+// A3). A site that states no time for changes has the one in which keys are to be dead.
+func (g *Gateway) refusesForGood(age time.Duration) bool {
+	if bound := g.bounds.Load().ApplyTime; bound > 0 {
+		return age < bound
+	}
+	return g.honoursKeys(age)
 }
 
 // refresh takes the groups that serve now.
@@ -375,11 +384,12 @@
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*exchange, error) {
 	x := &exchange{Gateway: g, w: w}
 	x.stalled = g.stalls.total()
+	age := g.RoutingAge() // rule A5
 	index := g.options.Follower.Index()
-	if index == nil {
+	if index == nil { // rule A4
 		return x, garnetworks.Errorf(garnetworks.KindNotReady, "the node knows no routing yet")
 	}
-	x.matched, x.routing, x.routingAge = true, index.Version, g.RoutingAge()
+	x.matched, x.routing, x.routingAge = true, index.Version, age
 	call, err := g.options.Reader.ReadCall(r)
 	if err != nil {
 		return x, err
@@ -388,7 +398,9 @@
 	if err := x.authorize(index); err != nil {
 		return x, err
 	}
-	if call.Body, err = readBody(w, r, index.Limits.BodyBytes); err != nil {
+	if call.Body, err = readBody(w, r, index.Limits.BodyBytes); garnetworks.IsKind(err, garnetworks.KindTooLarge) {
+		return x, x.lacking(err)
+	} else if err != nil {
 		return x, err
 	}
 	x.content = call.Content(x.workspace)
@@ -415,24 +427,33 @@
 func (x *exchange) authorize(index *matcher.Index) error {
 	route, ok := index.Route(x.call.Host, x.call.Target)
 	if !ok {
-		return garnetworks.Errorf(garnetworks.KindUnknownService, "no route leads there")
+		return x.lacking(garnetworks.Errorf(garnetworks.KindUnknownService, "no route leads there"))
 	}
 	x.route, x.priority = route, route.Priority
 	if route.Public {
 		return nil
 	}
-	if !x.fresh() { // rule W4
+	if !x.honoursKeys(x.routingAge) {
 		return garnetworks.Errorf(garnetworks.KindNotReady, "the node can't tell whether the key is still valid")
 	}
 	workspace, ok := index.Workspace(x.call.Key)
 	if !ok {
-		return garnetworks.Errorf(garnetworks.KindUnauthenticated, "no workspace has the key")
+		return x.lacking(garnetworks.Errorf(garnetworks.KindUnauthenticated, "no workspace has the key"))
 	}
 	x.workspace = workspace.Name
 	x.priority = workspace.Priority.Or(route.Priority)
 	return nil
 }
 
+// lacking returns the refusal of a call whose routing does not allow it: for good, or for now
+// (rule A3).
+func (x *exchange) lacking(refusal error) error {
+	if x.refusesForGood(x.routingAge) {
+		return refusal
+	}
+	return garnetworks.WrapError(garnetworks.KindStaleRouting, refusal, fmt.Sprintf("routing %d was last known to be the newest one %s ago", x.routing, x.routingAge.Round(time.Millisecond)))
+}
+
 // refuse answers a call that was not passed on.
 func (g *Gateway) refuse(w http.ResponseWriter, x *exchange, err error) {
 	kind := garnetworks.KindOf(err)
--- a/kinds.go
+++ b/kinds.go
@@ -37,6 +37,7 @@
 	KindCancelled         Kind = "cancelled"
 	KindShuttingDown      Kind = "shutting-down"
 	KindNotReady          Kind = "not-ready"
+	KindStaleRouting      Kind = "stale-routing"
 	KindInternal          Kind = "internal"
 )
 
@@ -108,6 +109,7 @@
 	{KindCancelled, 499, "The caller cancelled the call", OutcomeUnknown, false, 0},
 	{KindShuttingDown, http.StatusServiceUnavailable, "The node is shutting down", OutcomeNotRun, true, time.Second},
 	{KindNotReady, http.StatusServiceUnavailable, "The node is not ready", OutcomeNotRun, true, time.Second},
+	{KindStaleRouting, http.StatusServiceUnavailable, "The node's routing may be out of date", OutcomeNotRun, true, time.Second},
 	{KindInternal, http.StatusInternalServerError, "The system failed", OutcomeUnknown, false, 0},
 
 	{KindNotFound, http.StatusNotFound, "No such object", OutcomeNotRun, false, 0},
