Whom a node asks is found by one pure function; random pauses can be drawn by a test

exchanger.FindUpstream takes what launcher/peers.go decided, so that a model can use the same. Relayer and follower take a generator. No behaviour changes.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -88,6 +88,43 @@
 	return leaser.Order("region/"+string(self.Region), heads)
 }
 
+// Upstream is whom a node asks for what the object API holds.
+type Upstream struct {
+	// Relays are the addresses of the nodes to ask, first to last.
+	Relays []string
+	// Several says that the region has several cells, so that what its reader knows passes
+	// through two nodes.
+	Several bool
+}
+
+// maxRelays bounds the nodes to ask: a node that reaches none of them reads for itself.
+const maxRelays = 2
+
+// FindUpstream returns the nodes before this one in its cell, and for the first node of a
+// cell those before it among the first ones of the region's cells. So one node reads the
+// object API for a region.
+func FindUpstream(self garnetworks.NodeInfo, peers []garnetworks.NodeInfo) Upstream {
+	_, cell := Cell(self, peers)
+	heads := Heads(self, peers)
+	relays := before(self, cell)
+	if len(relays) == 0 {
+		relays = before(self, heads)
+	}
+	return Upstream{Relays: relays, Several: len(heads) > 1}
+}
+
+// before returns the addresses of the nodes before the node; maxRelays at most.
+func before(self garnetworks.NodeInfo, nodes []garnetworks.NodeInfo) []string {
+	var addresses []string
+	for _, n := range nodes {
+		if n.ID == self.ID || len(addresses) == maxRelays {
+			break
+		}
+		addresses = append(addresses, n.Address)
+	}
+	return addresses
+}
+
 // regionSize counts the nodes of a region and its zones.
 type regionSize struct {
 	nodes int
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -97,6 +97,8 @@
 	Alone func() bool
 	// Recorder is told what changes in the node's view.
 	Recorder garnetworks.Recorder
+	// Random returns values in [0, 1); nil takes the runtime's generator.
+	Random func() float64
 }
 
 // Follower follows the store. Its views may be read by any goroutine.
@@ -131,7 +133,7 @@
 	}
 	common := watcher.Options{
 		Margin: AnswerMargin, ListTimeout: ListTime,
-		RetryMin: retryMin, RetryMax: retryMax, Recorder: options.Recorder,
+		RetryMin: retryMin, RetryMax: retryMax, Recorder: options.Recorder, Random: options.Random,
 	}
 	routing, servers := common, common
 	routing.Wait, routing.Certain = RoutingWait, f.certainOf(options.Reader.RoutingKey())
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -32,7 +32,7 @@
 	// leading reports whether the node holds the lease.
 	leading func() bool
 	// upstream is whom the node asks, as found last.
-	upstream atomic.Pointer[upstream]
+	upstream atomic.Pointer[foundUpstream]
 }
 
 // newPeers joins the parts. The exchanger is added once its users are there.
@@ -66,61 +66,36 @@
 	return p, err
 }
 
-// relays returns the nodes before this one in its cell, and for the first one of a cell
-// those before it among the first ones of the region's cells; at most two of them, since
-// a node that finds both gone reads for itself. So one node reads for a region. The
-// holder of the lease reads for itself: it acts on what it reads, and each step on the
-// way makes that later.
+// relays returns the nodes to ask. The holder of the lease reads for itself: it acts on what
+// it reads, and each step on the way makes that later.
 func (p *peers) relays() []string {
 	if p.leading() {
 		return nil
 	}
-	return p.findUpstream().relays
+	return p.findUpstream().Relays
 }
 
 // upstreamEvery is how often the nodes to ask are found anew. Each question needs them, and
 // lost nodes are found by membership within some seconds only.
 const upstreamEvery = 300 * time.Millisecond
 
-// upstream is whom a node asks for what the object API holds.
-type upstream struct {
-	at     time.Time
-	relays []string
-	// several says that the region has several cells.
-	several bool
+// foundUpstream is whom the node asks, and since when.
+type foundUpstream struct {
+	exchanger.Upstream
+	at time.Time
 }
 
-func (p *peers) findUpstream() *upstream {
+func (p *peers) findUpstream() *exchanger.Upstream {
 	if u := p.upstream.Load(); u != nil && time.Since(u.at) < upstreamEvery {
-		return u
-	}
-	self, others := p.tracker.Self(), p.tracker.Peers()
-	_, cell := exchanger.Cell(self, others)
-	heads := exchanger.Heads(self, others)
-	u := &upstream{at: time.Now(), relays: p.before(cell), several: len(heads) > 1}
-	if len(u.relays) == 0 {
-		u.relays = p.before(heads)
+		return &u.Upstream
 	}
+	u := &foundUpstream{exchanger.FindUpstream(p.tracker.Self(), p.tracker.Peers()), time.Now()}
 	p.upstream.Store(u)
-	return u
-}
-
-// before returns the addresses of the nodes before this one; two at most.
-func (p *peers) before(nodes []garnetworks.NodeInfo) []string {
-	const most = 2
-	var addresses []string
-	for _, n := range nodes {
-		if n.ID == p.self.ID || len(addresses) == most {
-			break
-		}
-		addresses = append(addresses, n.Address)
-	}
-	return addresses
+	return &u.Upstream
 }
 
-// chained reports whether a region has several cells, so that what its reader knows
-// passes through two nodes.
-func (p *peers) chained() bool { return p.findUpstream().several }
+// chained reports whether what a region's reader knows passes through two nodes.
+func (p *peers) chained() bool { return p.findUpstream().Several }
 
 // run serves and calls other nodes until ctx ends.
 func (p *peers) run(ctx context.Context, listener net.Listener) error {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -91,6 +91,8 @@
 	FirstStart bool
 	// Prefixes are those that are read for others.
 	Prefixes []string
+	// Random returns values in [0, 1); nil takes the runtime's generator.
+	Random func() float64
 }
 
 // Relayer is an object API whose lists and watches of some prefixes go through
@@ -126,6 +128,9 @@
 
 // New returns a relayer.
 func New(options Options) *Relayer {
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
 	r := &Relayer{ObjectAPI: options.Objects, options: options, caches: make(map[string]*cache), failed: make(map[string]time.Time), started: time.Now()}
 	for _, prefix := range options.Prefixes {
 		r.caches[prefix] = &cache{changed: make(chan struct{})}
@@ -231,7 +236,7 @@
 	case err == nil, garnetworks.IsKind(err, garnetworks.KindCompacted):
 		c.restUntil = time.Time{}
 	case others && ctx.Err() == nil:
-		part := 0.5 + rand.Float64()
+		part := 0.5 + r.options.Random()
 		c.restUntil = time.Now().Add(time.Duration(part * float64(outageWait)))
 	}
 }
