--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -49,6 +49,8 @@
 	// each of which adds askWait: 0.5 s and twice 0.3 s are below MaxAge.
 	readWait    = 500 * time.Millisecond
 	chainedWait = 250 * time.Millisecond
+	// watchMargin is how long past its wait a watch of the object API may take to answer.
+	watchMargin = 700 * time.Millisecond
 	// soonWait is the wait of a watch whose answer is wanted at once.
 	soonWait = 10 * time.Millisecond
 	// askWait bounds the wait of an answer, and so how late a reader finds that a
@@ -295,8 +297,12 @@
 	default:
 		wait = min(wait, readWait)
 	}
+	// A watch that gets no answer would otherwise hang for as long as its caller's wait, of
+	// which this node asks for a part.
+	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
 	sent := time.Now()
-	objects, revision, err := r.ObjectAPI.Watch(ctx, prefix, after, wait)
+	objects, revision, err := r.ObjectAPI.Watch(call, prefix, after, wait)
 	r.called(ctx, c, err)
 	if err == nil {
 		r.changed(c, objects, revision, sent)
