A node whose contents are too old asks for a short answer, also if nobody relies on it

A node that is behind now asks for an answer at once, whoever relies on it, as others did; and a watch is given 0.45 s past its wait (0.7).

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -64,7 +64,7 @@
 	readWait    = 500 * time.Millisecond
 	chainedWait = 250 * time.Millisecond
 	// watchMargin is how long past its wait a watch of the object API may take to answer.
-	watchMargin = 700 * time.Millisecond
+	watchMargin = 450 * time.Millisecond
 	// listTime is how long a list of the object API may take while other nodes may help.
 	listTime = time.Second
 	// soonWait is the wait of a watch whose answer is wanted at once.
@@ -402,10 +402,10 @@
 		return nil, 0, errResting
 	}
 	switch {
-	case r.Alone():
 	case time.Since(r.confirmed(c)) > MaxAge:
-		// Those that ask this node wait for what it knows to be certain again.
+		// What the node knows is to be certain again soon, for those that ask it as well.
 		wait = min(wait, soonWait)
+	case r.Alone():
 	case r.options.Chained != nil && r.options.Chained():
 		wait = min(wait, chainedWait)
 	default:
