--- /dev/null
+++ b/relayer/backoff.go
@@ -0,0 +1,89 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// failing reports whether the object API failed the last call.
+func (r *Relayer) failing(c *cache) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c.failures > 0
+}
+
+// errBackingOff is the error of a call that was not made (rule Y5).
+var errBackingOff = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "the object API failed a moment ago, and no node that was asked reaches it either")
+
+// backingOff reports whether the node backs off from the object API now (rule Y5): the relay
+// that it asked last answered, or a spare has just helped it.
+//
+// Failure: a node's relays are lost, or refused by the object API as well, and after one failed
+// call it waited for seconds for others to detect the object API's return.
+func (r *Relayer) backingOff(c *cache) bool {
+	relies := len(r.options.Relays()) > 0
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(c.backoffUntil) {
+		return false
+	}
+	return relies && r.answered || now.Sub(c.helped) < MaxAge
+}
+
+// called notes the end of a call to the object API itself (rule Y5).
+//
+// Load pattern: the object API is away for eight seconds, and each of 95 nodes calls it
+// for two prefixes, up to eight times a second in all: some 500 calls a second that find
+// nothing, and as many in the moment of its return.
+//
+// The call had the time of call, a part of its caller's ctx.
+func (r *Relayer) called(ctx, call context.Context, c *cache, err error) {
+	relies := len(r.options.Relays()) > 0
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil, garnetworks.IsKind(err, garnetworks.KindCompacted):
+		c.failures, c.backoffUntil, c.helper = 0, time.Time{}, ""
+	case !errors.Is(ctx.Err(), context.Canceled):
+		if c.failures == 0 {
+			c.failedSince = now
+		}
+		c.failures++
+		if errors.Is(call.Err(), context.DeadlineExceeded) {
+			c.failures = max(c.failures, failuresAway)
+		}
+		mean := outageWait
+		if !relies {
+			mean = readerWait
+		}
+		part := 0.5 + r.options.Random()
+		c.backoffUntil = now.Add(time.Duration(part * float64(mean)))
+	}
+}
+
+// helpedBy notes that a node gave contents, which are certain since a time.
+func (r *Relayer) helpedBy(c *cache, address string, confirmed time.Time) {
+	spare := !slices.Contains(r.options.Relays(), address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.helper = ""
+	if spare {
+		c.helper = address
+	}
+	if c.failures > 0 && confirmed.After(c.failedSince) {
+		c.helped = time.Now()
+	}
+}
+
+// helpedBySpare reports whether what the cache holds came from a spare.
+func (r *Relayer) helpedBySpare(c *cache) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c.helper != ""
+}
--- /dev/null
+++ b/relayer/follow.go
@@ -0,0 +1,56 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// Follow implements garnetworks.FollowHandler.
+func (r *Relayer) Follow(ctx context.Context, request *garnetworks.FollowRequest) (*garnetworks.FollowResponse, error) {
+	c := r.caches[request.Prefix]
+	if c == nil {
+		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the node does not follow %q", request.Prefix)
+	}
+	began := time.Now()
+	wait := min(time.Duration(request.WaitMS)*time.Millisecond, askWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	if r.helpedBySpare(c) {
+		return nil, garnetworks.Errorf(garnetworks.KindNotReady, "the node has its contents from others (rule Y7)")
+	}
+	stale := false
+	for over := wait <= 0; ; {
+		r.mu.Lock()
+		r.asked = began
+		back := stale && time.Since(c.confirmed) < MaxAge
+		stale = time.Since(c.confirmed) >= MaxAge
+		changed := c.changed
+		answer, ready := c.answer(request.After)
+		confirmed := c.confirmed
+		r.mu.Unlock()
+		if ready || over || back {
+			return r.finish(answer, began, confirmed)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return nil, garnetworks.WrapError(garnetworks.KindCancelled, ctx.Err(), "the call ended")
+		}
+	}
+}
+
+// finish adds the ages to an answer.
+func (r *Relayer) finish(answer *garnetworks.FollowResponse, began, confirmed time.Time) (*garnetworks.FollowResponse, error) {
+	now := time.Now()
+	if answer.Revision == 0 || !confirmed.After(r.options.Woke(now)) {
+		return nil, garnetworks.Errorf(garnetworks.KindNotReady, "the node knows nothing yet, or was suspended since it did")
+	}
+	answer.HeldMS = now.Sub(began).Milliseconds()
+	// Rounded up, so that no age is understated.
+	answer.AgeMS = now.Sub(confirmed).Milliseconds() + 1
+	return answer, nil
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -689,8 +689,8 @@
 	})
 }
 
-// Guards against a node that leaves the store alone while nobody whom it asks answers.
-func TestNodeThatNobodyAnswersDoesNotRest(t *testing.T) {
+// Guards against a node that backs off from the store while no relay answers it.
+func TestNodeThatNoRelayAnswersDoesNotBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.put("servers/a", "1")
@@ -716,8 +716,7 @@
 	})
 }
 
-// Guards against a node that the store refuses, and that asks only nodes that it relies on, of
-// which there are none for the reader and lost ones for others, while any other node could help.
+// Guards against a node that the store refuses polling only its relays while other nodes know more.
 func TestNodeThatTheStoreRefusesAsksAnyOther(t *testing.T) {
 	cases := map[string][]string{
 		"the reader":              nil,
