A stale node refuses a question in place of sending objects that its asker drops

By reading, while nodes were made to poll more of the others: a node whose contents are older than the asker takes sent all its objects with each answer, some hundred kilobytes on a large site, several times a second to each poller for as long as the object API was away. It now refuses (rule Y3), as the asker would; TestStaleNodeSendsNoObjects failed before.

--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -43,12 +43,18 @@
 	}
 }
 
-// finish adds the ages to an answer.
+// finish adds the ages to an answer, or refuses to answer with stale contents (rule Y3).
+//
+// Load pattern: the object API is away for all, and each node polls others several times a
+// second; each answer held all objects, which the asker dropped for their age.
 func (r *Relayer) finish(answer *garnetworks.FollowResponse, began, confirmed time.Time) (*garnetworks.FollowResponse, error) {
 	now := time.Now()
 	if answer.Revision == 0 || !confirmed.After(r.options.Woke(now)) {
 		return nil, garnetworks.Errorf(garnetworks.KindNotReady, "the node knows nothing yet, or was suspended since it did")
 	}
+	if age := now.Sub(confirmed); age >= MaxAge {
+		return nil, garnetworks.Errorf(garnetworks.KindNotReady, "the node's contents are %s old", age)
+	}
 	answer.HeldMS = now.Sub(began).Milliseconds()
 	// Rounded up, so that no age is understated.
 	answer.AgeMS = now.Sub(confirmed).Milliseconds() + 1
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -761,3 +761,25 @@
 		})
 	}
 }
+
+// Guards against stale nodes that send all their objects to each node that polls them in an outage.
+func TestStaleNodeSendsNoObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("servers/a", "1")
+		_, nodes := star(s, 1, awake)
+		if _, _, err := nodes[0].List(t.Context(), prefix); err != nil {
+			t.Fatal(err)
+		}
+		for age, fresh := range map[time.Duration]bool{0: true, relayer.MaxAge: false} {
+			time.Sleep(age)
+			answer, err := nodes[0].Follow(t.Context(), &garnetworks.FollowRequest{Prefix: prefix})
+			if fresh && (err != nil || len(answer.Objects) != 1) || !fresh && !garnetworks.IsKind(err, garnetworks.KindNotReady) {
+				t.Errorf("after %s: got %v, %v", age, answer, err)
+			}
+			if _, _, err := nodes[0].List(t.Context(), prefix); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
