One place forgets a server; contents are compared by cmp alone

A server whose entry is removed while it counts as lapsed is no longer listed as lapsed as well; it was recorded as gone twice.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -311,14 +311,20 @@
 		f.refused[id] = err.Error()
 		f.record(garnetworks.Event{Kind: garnetworks.EventServerRefused, Instance: id, Error: garnetworks.KindOf(err), Detail: "its entry names no server: " + err.Error()})
 	}
-	s, ok := f.known[id]
-	if !ok {
-		return
+	if _, ok := f.known[id]; ok {
+		f.drop(id)
+		f.publish()
+	}
+}
+
+// drop forgets a server, and remembers the incarnation that was known of it (rule F7); f.mu is
+// held.
+func (f *Follower) drop(id garnetworks.InstanceID) {
+	if s, ok := f.known[id]; ok {
+		f.pass(&s)
 	}
-	f.pass(&s)
 	delete(f.known, id)
 	delete(f.lapsed, id)
-	f.publish()
 }
 
 // serverGone drops a server, or holds it until it is clear that its entry did
@@ -328,8 +334,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.refused, id)
-	s, ok := f.known[id]
-	if !ok {
+	if _, ok := f.known[id]; !ok {
 		return
 	}
 	if !up || time.Since(recovered) < ReturnTime {
@@ -338,8 +343,7 @@
 		return
 	}
 	f.record(garnetworks.Event{Kind: garnetworks.EventServerGone, Instance: id, Detail: "its entry was removed"})
-	f.pass(&s)
-	delete(f.known, id)
+	f.drop(id)
 	f.publish()
 }
 
@@ -369,12 +373,8 @@
 	}
 	for id := range f.lapsed {
 		f.record(garnetworks.Event{Kind: garnetworks.EventServerGone, Instance: id, Detail: fmt.Sprintf("its entry is not back %s after the object API's return", time.Since(recovered).Round(time.Millisecond))})
-		if s, ok := f.known[id]; ok {
-			f.pass(&s)
-		}
-		delete(f.known, id)
+		f.drop(id)
 	}
-	clear(f.lapsed)
 	f.publish()
 }
 
--- a/quarantiner/blamer.go
+++ b/quarantiner/blamer.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/garnetworks/garnetworks"
@@ -67,7 +68,7 @@
 		if d := slices.CompareFunc(a.ends, b.ends, garnetworks.Life.Compare); d != 0 {
 			return d
 		}
-		return compareContents(a.content, b.content)
+		return cmp.Compare(a.content, b.content)
 	})
 	for len(suspects) > 0 {
 		same := 1
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -199,7 +199,7 @@
 	}
 	least := slices.MinFunc(slices.Collect(maps.Keys(q.records)), func(a, b garnetworks.ContentDigest) int {
 		x, y := q.records[a], q.records[b]
-		return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), x.changed.Compare(y.changed), compareContents(a, b))
+		return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), x.changed.Compare(y.changed), cmp.Compare(a, b))
 	})
 	delete(q.records, least)
 }
@@ -331,7 +331,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b garnetworks.ContentDigest) int {
-		return cmp.Or(cmp.Compare(len(q.records[b].runs), len(q.records[a].runs)), compareContents(a, b))
+		return cmp.Or(cmp.Compare(len(q.records[b].runs), len(q.records[a].runs)), cmp.Compare(a, b))
 	})
 	return list[:min(len(list), most)]
 }
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"cmp"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -159,5 +158,3 @@
 	slices.SortFunc(told.Runs, func(a, b garnetworks.BrokenRun) int { return a.Life().Compare(b.Life()) })
 	return told
 }
-
-func compareContents(a, b garnetworks.ContentDigest) int { return cmp.Compare(a, b) }
