A test of whom nodes ask; the model's schedules in a file of their own

exchanger.FindUpstream had no test of its own: one node reads for a region, and each node may ask all of its cell and the first ones of the other cells, none twice and never itself.

--- /dev/null
+++ b/exchanger/upstream_test.go
@@ -0,0 +1,61 @@
+package exchanger_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/exchanger"
+)
+
+// nodesOf returns nodes of one region, each times in each of the zones.
+func nodesOf(zones, each int) []garnetworks.NodeInfo {
+	var nodes []garnetworks.NodeInfo
+	for i := range zones * each {
+		nodes = append(nodes, garnetworks.NodeInfo{
+			ID: garnetworks.NodeID(fmt.Sprintf("n%d", i)), Address: fmt.Sprint(i), Zone: garnetworks.ZoneID(fmt.Sprintf("z%d", i%zones)), Region: "r",
+		})
+	}
+	return nodes
+}
+
+func TestUpstream(t *testing.T) {
+	cases := map[string]struct {
+		zones, each int
+		several     bool
+		// asked is the number of other nodes that each may ask: those of its cell, and the
+		// first ones of the other cells.
+		asked int
+	}{
+		"one node":       {1, 1, false, 0},
+		"one small cell": {3, 3, false, 8},
+		"a cell a zone":  {3, 8, true, 9},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			nodes := nodesOf(c.zones, c.each)
+			readers := 0
+			for i, self := range nodes {
+				peers := slices.Delete(slices.Clone(nodes), i, i+1)
+				u := exchanger.FindUpstream(self, peers)
+				if len(u.Relays) == 0 {
+					readers++
+				}
+				if u.Several != c.several {
+					t.Errorf("%s: several cells: %t", self.ID, u.Several)
+				}
+				asked := slices.Concat(u.Relays, u.Spares)
+				if slices.Contains(asked, self.Address) || len(garnetworks.NewSet(asked...)) != len(asked) {
+					t.Errorf("%s asks itself, or a node twice: %v", self.ID, asked)
+				}
+				if len(asked) != c.asked {
+					t.Errorf("%s may ask %v, want %d nodes", self.ID, asked, c.asked)
+				}
+			}
+			if readers != 1 {
+				t.Errorf("%d nodes read the object API for the region", readers)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/relayer/schedule_test.go
@@ -0,0 +1,203 @@
+package relayer_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Kinds of faults in a schedule.
+const (
+	faultKill    = "kill"    // node: its process ends; it starts anew after the span
+	faultSuspend = "suspend" // node: it stands still
+	faultRefuse  = "refuse"  // node: the object API refuses its calls
+	faultSilent  = "silent"  // node: the object API gives it no answers
+	faultCutOut  = "cut-out" // node, other: what node sends other gets lost
+	faultCutOff  = "cut-off" // node: it reaches no node, and none reaches it
+	faultZone    = "zone"    // node's zone: it reaches neither other zones nor the object API
+	faultLossy   = "lossy"   // node: three in ten of its messages are lost
+	faultDown    = "down"    // the object API refuses all calls
+	faultMute    = "mute"    // the object API gives no answers at all
+	faultSlow    = "slow"    // the object API takes 50 times as long
+	faultForget  = "forget"  // watches get nothing, then the history is dropped and they are cut
+)
+
+var faultKinds = []string{
+	faultKill, faultKill, faultSuspend, faultRefuse, faultRefuse, faultSilent, faultCutOut, faultCutOff, faultZone, faultLossy, faultDown, faultMute, faultSlow,
+	faultForget, faultForget,
+}
+
+// fault is one entry of a schedule.
+type fault struct {
+	kind        string
+	at, span    time.Duration
+	node, other int
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("fault %s %s %s %d %d", f.kind, f.at, f.span, f.node, f.other)
+}
+
+// disturbs reports whether the fault disturbs a node, or its way to other nodes.
+func (f *fault) disturbs(s *schedule, node int) bool {
+	switch f.kind {
+	case faultKill, faultSuspend, faultCutOff, faultLossy:
+		return f.node == node
+	case faultZone:
+		return s.zone(f.node) == s.zone(node)
+	case faultCutOut:
+		return f.node == node || f.other == node
+	}
+	return false
+}
+
+// keepsOut reports whether the fault disturbs a node's way to the object API. A drop of the
+// history counts as an outage of the object API, as for the site's rules.
+func (f *fault) keepsOut(s *schedule, node int) bool {
+	switch f.kind {
+	case faultForget:
+		return !s.drops
+	case faultDown, faultMute, faultSlow:
+		return true
+	case faultRefuse, faultSilent:
+		return f.node == node
+	case faultZone:
+		return s.zone(f.node) == s.zone(node)
+	}
+	return false
+}
+
+// schedule is what happens in one run.
+type schedule struct {
+	seed         uint64
+	nodes, zones int
+	// leader reads the object API for itself, as the holder of the lease does.
+	leader  int
+	changes []time.Duration
+	faults  []fault
+	// drops says that nodes are judged beside drops of the history as at other times.
+	drops bool
+}
+
+func (s *schedule) zone(node int) int { return node % s.zones }
+
+func (s *schedule) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "site %d nodes %d zones leader %d seed %d\n", s.nodes, s.zones, s.leader, s.seed)
+	type entry struct {
+		at   time.Duration
+		text string
+	}
+	var entries []entry
+	for _, c := range s.changes {
+		entries = append(entries, entry{c, fmt.Sprintf("change %s", c)})
+	}
+	for _, f := range s.faults {
+		entries = append(entries, entry{f.at, f.String()})
+	}
+	slices.SortStableFunc(entries, func(x, y entry) int { return cmp.Compare(x.at, y.at) })
+	for _, e := range entries {
+		b.WriteString(e.text + "\n")
+	}
+	return b.String()
+}
+
+// end is when the last change has been judged.
+func (s *schedule) end() time.Duration {
+	last := settleTime
+	for _, c := range s.changes {
+		last = max(last, c)
+	}
+	return last + applyTime + time.Second
+}
+
+// parseSchedule reads what String writes. Errors name the line.
+func parseSchedule(text string) (*schedule, error) {
+	s := &schedule{drops: *drops}
+	for i, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		if err := s.parseLine(strings.Fields(line)); err != nil {
+			return nil, fmt.Errorf("line %d, %q: %w", i+1, line, err)
+		}
+	}
+	if s.nodes < 1 || s.zones < 1 || s.leader >= s.nodes {
+		return nil, fmt.Errorf("line 1: a site needs nodes and zones, and a leader among the nodes")
+	}
+	for _, f := range s.faults {
+		if f.node < 0 || f.node >= s.nodes || f.other < 0 || f.other >= s.nodes {
+			return nil, fmt.Errorf("%q names a node that there is not", f)
+		}
+	}
+	return s, nil
+}
+
+func (s *schedule) parseLine(words []string) error {
+	var err error
+	number := func(i int) int {
+		n, e := strconv.Atoi(words[i])
+		err = cmp.Or(err, e)
+		return n
+	}
+	span := func(i int) time.Duration {
+		d, e := time.ParseDuration(words[i])
+		err = cmp.Or(err, e)
+		return d
+	}
+	switch {
+	case len(words) == 9 && words[0] == "site":
+		s.nodes, s.zones, s.leader, s.seed = number(1), number(3), number(6), uint64(number(8))
+	case len(words) == 2 && words[0] == "change":
+		s.changes = append(s.changes, span(1))
+	case len(words) == 6 && words[0] == "fault" && slices.Contains(faultKinds, words[1]):
+		s.faults = append(s.faults, fault{kind: words[1], at: span(2), span: span(3), node: number(4), other: number(5)})
+	default:
+		return fmt.Errorf("no site, change or fault")
+	}
+	return err
+}
+
+// drawSchedule draws a schedule from a seed.
+func drawSchedule(seed uint64) *schedule {
+	r := rand.New(rand.NewPCG(seed, 0))
+	const tick = 50 * time.Millisecond
+	s := &schedule{seed: seed, zones: 1 + r.IntN(3), nodes: 3 + r.IntN(7), drops: *drops}
+	s.leader = r.IntN(s.nodes+1) - 1 // -1: no node holds the lease
+	length := 8 * time.Second
+	at := func() time.Duration { return settleTime + time.Duration(r.Int64N(int64(length/tick)))*tick }
+	for range 1 + r.IntN(4) {
+		s.changes = append(s.changes, at())
+	}
+	for range 1 + r.IntN(6) {
+		f := fault{kind: faultKinds[r.IntN(len(faultKinds))], at: at(), span: time.Duration(4+r.IntN(100)) * tick, node: r.IntN(s.nodes), other: r.IntN(s.nodes)}
+		if f.kind == faultForget {
+			f.span = forgetTime
+		}
+		s.faults = append(s.faults, f)
+	}
+	return s
+}
+
+// Guards against a schedule file that is read as something else than it says.
+func TestScheduleIsReadAsWritten(t *testing.T) {
+	for seed := range uint64(50) {
+		s := drawSchedule(seed)
+		read, err := parseSchedule(s.String())
+		if err != nil || read.String() != s.String() {
+			t.Errorf("read %v, %v\nwant %v", read, err, s)
+		}
+	}
+	for name, text := range map[string]string{
+		"no site":       "change 5s\n",
+		"unknown fault": "site 3 nodes 1 zones leader 0 seed 1\nfault flood 5s 1s 0 0\n",
+		"no duration":   "site 3 nodes 1 zones leader 0 seed 1\nchange five\n",
+		"no such node":  "site 3 nodes 1 zones leader 0 seed 1\nfault kill 5s 1s 7 0\n",
+	} {
+		if _, err := parseSchedule(text); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %v, want one line", name, err)
+		}
+	}
+}
