A node that looks for a spare does not count as one that follows; readers retry sooner

Cause, from a trace of each call with its reason: (1) a question for a spare counted as a node that relies on the asked one, so that no node read for itself only any more, and all watched four times a second; (2) whether a node reads for itself only was decided over all prefixes, though nodes are now given up by prefix; (3) such nodes, whose contents are 1.8 s old in the end of each cycle, took that for being stale and asked twice; (4) the first node of a zone, its watch cut once, took its contents from a spare for up to 3.75 s and refused all that follow it for as long.

Change: only questions that wait count as following; the rest is decided by prefix; a node that read for itself the last time waits as before; a node that reads for others tries the object API once more before spares, and backs off for 0.8 s in the mean (2.5).

--- a/relayer/ask.go
+++ b/relayer/ask.go
@@ -44,22 +44,28 @@
 	return nil, 0, false
 }
 
-// Alone reports whether the node reads for itself only: there are nodes to ask, none of
-// them answers, and none has asked this one for a while.
+// Alone reports whether the node reads some prefix for itself only: there are nodes to ask,
+// none of them answers, and none has asked this one for a while.
 //
 // Load pattern: a sixth of the nodes is cut off from the others and reaches the object
 // API. Each of them read as often as one that reads for twenty: 7 cut nodes of 20 made
 // some 40 of 55 calls a second. No other node waits for what such a node reads.
 func (r *Relayer) Alone() bool {
+	for _, c := range r.caches {
+		if r.alone(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// alone is Alone for one prefix.
+func (r *Relayer) alone(c *cache) bool {
 	all := r.options.Relays()
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reached := false
-	for _, c := range r.caches {
-		reached = reached || len(r.untriedLocked(now, c, all)) > 0
-	}
-	return len(all) > 0 && !reached && now.Sub(r.asked) > FailedFor
+	return len(all) > 0 && len(r.untriedLocked(now, c, all)) == 0 && now.Sub(r.asked) > FailedFor
 }
 
 // whom returns the node to ask now for what the cache holds, if there is one: a relay that has
@@ -85,7 +91,7 @@
 	if !backsOff {
 		return "", false
 	}
-	if len(relays) == 0 && c.failures < failuresAway {
+	if r.readsLocked(now, relays) && c.failures < failuresAway {
 		spares = nil
 	}
 	if untried := r.untriedLocked(now, c, spares); len(untried) > 0 {
--- a/relayer/backoff.go
+++ b/relayer/backoff.go
@@ -43,13 +43,13 @@
 //
 // The call had the time of call, a part of its caller's ctx.
 func (r *Relayer) called(ctx, call context.Context, c *cache, err error) {
-	relies := len(r.options.Relays()) > 0
+	relays := r.options.Relays()
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case err == nil, garnetworks.IsKind(err, garnetworks.KindCompacted):
-		c.failures, c.backoffUntil, c.helper = 0, time.Time{}, ""
+		c.failures, c.backoffUntil, c.helper, c.own = 0, time.Time{}, "", true
 	case !errors.Is(ctx.Err(), context.Canceled):
 		if c.failures == 0 {
 			c.failedSince = now
@@ -59,7 +59,7 @@
 			c.failures = max(c.failures, failuresAway)
 		}
 		mean := outageWait
-		if !relies {
+		if r.readsLocked(now, relays) {
 			mean = readerWait
 		}
 		part := 0.5 + r.options.Random()
@@ -67,12 +67,18 @@
 	}
 }
 
+// readsLocked reports whether the node reads the object API for others: it has no relays, or
+// nodes follow it.
+func (r *Relayer) readsLocked(now time.Time, relays []string) bool {
+	return len(relays) == 0 || now.Sub(r.asked) < FailedFor
+}
+
 // helpedBy notes that a node gave contents, which are certain since a time.
 func (r *Relayer) helpedBy(c *cache, address string, confirmed time.Time) {
 	spare := !slices.Contains(r.options.Relays(), address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.helper = ""
+	c.helper, c.own = "", false
 	if spare {
 		c.helper = address
 	}
--- a/relayer/cache.go
+++ b/relayer/cache.go
@@ -19,8 +19,10 @@
 	// revision is the object API's that the cache reflects; 0 before the first
 	// list.
 	revision garnetworks.Revision
-	// confirmed is a time at which the cache was the newest state for certain.
+	// confirmed is a time at which the cache was the newest state for certain, own says that
+	// the node knows that from the object API itself.
 	confirmed time.Time
+	own       bool
 	// failures counts the calls that the object API failed in a row, backoffUntil is the end
 	// of the node's backoff after the last one (rule Y5).
 	failures     int
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -23,7 +23,9 @@
 	stale := false
 	for over := wait <= 0; ; {
 		r.mu.Lock()
-		r.asked = began
+		if wait > 0 { // a node that follows this one, not one that only looks for a spare
+			r.asked = began
+		}
 		back := stale && time.Since(c.confirmed) < MaxAge
 		stale = time.Since(c.confirmed) >= MaxAge
 		changed := c.changed
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -20,8 +20,8 @@
 	// connections is the number of connections that a question may take: a kept one
 	// may have gone silent, and the messenger then opens another in the time left.
 	connections = 2
-	// failuresAway is the number of failed calls in a row from which a node without relays
-	// asks spares. One can be a watch that was cut, and an unanswered one counts for as many.
+	// failuresAway is the number of failed calls in a row from which a node that reads for
+	// others asks spares. One can be a watch that was cut, and an unanswered one counts for as many.
 	failuresAway = 2
 	// askedAtOnce bounds the nodes that are asked one after the other for all objects.
 	askedAtOnce = 3
@@ -59,7 +59,7 @@
 	// bounds how late a node detects that it alone is served again; otherwise the reader
 	// detects that within its own retries.
 	outageWait = 2500 * time.Millisecond
-	// readerWait is the same for a node without relays, which others rely on.
+	// readerWait is the same for a node that reads for others.
 	readerWait = 800 * time.Millisecond
 	// maxGone bounds the deletions that are remembered of a prefix.
 	maxGone = 1024
@@ -223,11 +223,12 @@
 	if r.backingOff(c) {
 		return nil, 0, errBackingOff
 	}
+	alone := r.alone(c)
 	switch {
-	case time.Since(r.confirmed(c)) > MaxAge:
+	case r.stale(c, alone):
 		// A stale node, and its askers, must learn changes at once.
 		wait = min(wait, soonWait)
-	case r.Alone():
+	case alone:
 	case r.options.Chained != nil && r.options.Chained():
 		wait = min(wait, chainedWait)
 	default:
@@ -245,6 +246,14 @@
 	return objects, revision, err
 }
 
+// stale reports whether a watch is to answer at once, since what the node knows is too old. A
+// node that reads for itself only, and did so the last time, waits as long as it always does.
+func (r *Relayer) stale(c *cache, alone bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(c.confirmed) > MaxAge && !(alone && c.own)
+}
+
 // Confirmed returns a time at which what was last read of the prefix was the
 // newest state for certain; zero before the first list.
 func (r *Relayer) Confirmed(prefix string) time.Time {
