--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -19,5 +19,6 @@
 //	    the first reading to those that it will ask.
 //	Y7  While the object API fails a node, and no relay helps, it asks its spares, any
 //	    other nodes, one at random until one helps, and that one from then on. It does
-//	    not pass on what it has from a spare: the spare may be asking it.
+//	    not pass on what it has from a spare: the spare may be asking it. A node that
+//	    reads for others tries the object API once more first.
 package relayer
