--- a/launcher/cause_test.go
+++ b/launcher/cause_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// Guards against refusals of which nobody can say by which routing, and how old, they were decided.
+// Guards against refusals whose lines lack the routing that decided them, and its age.
 func TestRefusalTellsItsRouting(t *testing.T) {
 	s := open(t, 0)
 	s.serve(onceURL)
--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -34,7 +34,7 @@
 	applyTime = 2 * time.Second
 	// calmTime is how long a node has been undisturbed before its routing is judged.
 	calmTime = 3 * time.Second
-	// lossTime is how long a node that is gone stays in the others' views.
+	// lossTime is how long a killed node stays in the others' views.
 	lossTime = 4 * time.Second
 	// forgetTime is how long watches get nothing before the history is dropped.
 	forgetTime = time.Second
@@ -108,7 +108,7 @@
 	}
 }
 
-// peers returns the nodes that a node knows: those that are up, or not known to be gone.
+// peers returns the nodes in a node's view: those that run, or ended less than lossTime ago.
 func (w *world) peers(self int) []garnetworks.NodeInfo {
 	var list []garnetworks.NodeInfo
 	now := w.now()
@@ -201,9 +201,9 @@
 		return false
 	})
 	n.mu.Lock()
-	dark := n.nodes[to] == nil && n.schedule.seed%2 == 0 // its machine lost power, too
+	unpowered := n.nodes[to] == nil && n.schedule.seed%2 == 0 // the instance lost power with it
 	n.mu.Unlock()
-	if lost || dark {
+	if lost || unpowered {
 		<-ctx.Done()
 		return garnetworks.Errorf(garnetworks.KindUnreachable, "lost")
 	}
@@ -547,8 +547,7 @@
 	return least
 }
 
-// Guards against combinations of faults under which a node that reaches the object API learns
-// of a change too late, goes back, or takes an old routing for the newest one.
+// Guards against combinations of faults under which a node learns of a change too late, or goes back.
 func TestEachChangeIsInForceInTime(t *testing.T) {
 	if *scheduleFile != "" {
 		text, err := os.ReadFile(*scheduleFile)
@@ -592,8 +591,7 @@
 	}
 }
 
-// Guards against a change in the moment in which watches get nothing, before the history is
-// dropped, that reaches a node late beside further faults.
+// Guards against a change just before a drop of the history reaching a node late beside further faults.
 func TestChangeBesideADroppedHistoryIsInForceInTime(t *testing.T) {
 	const plays = 5 // goroutines of one moment run in any order
 	for range plays {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -658,20 +658,10 @@
 		s, away := newStore(), &silentStore{}
 		away.store = s
 		s.put("servers/a", "1")
-		n := &network{nodes: make(map[string]*relayer.Relayer), cut: make(map[string]bool)}
-		n.cutOff("cut")
-		ctx, stop := context.WithCancel(t.Context())
-		var mu sync.Mutex
-		var running sync.WaitGroup
-		known := make(map[string]string)
-		start := func(name string, objects garnetworks.ObjectAPI, into map[string]string, relays ...string) *relayer.Relayer {
-			r := relayer.New(relayer.Options{Objects: objects, Peers: n, Prefixes: []string{prefix}, Woke: awake, Relays: func() []string { return relays }})
-			n.add(name, r)
-			running.Go(func() { follow(ctx, r, into, &mu) })
-			return r
-		}
-		start("reader", s, make(map[string]string))
-		start("late", away, known, "cut", "reader")
+		site := newFollowing(t)
+		site.n.cutOff("cut")
+		site.start("reader", s, nil, nil)
+		known := site.start("late", away, []string{"cut", "reader"}, nil)
 		time.Sleep(3 * time.Second)
 		s.setDown(true)
 		away.set(true)
@@ -679,16 +669,52 @@
 		s.setDown(false)
 		s.put("servers/b", "2")
 		time.Sleep(1500 * time.Millisecond)
-		mu.Lock()
-		if known["servers/b"] != "2" {
-			t.Errorf("1.5 s after the store's return the node knows %v", known)
+		if value := site.value(known, "servers/b"); value != "2" {
+			t.Errorf("1.5 s after the store's return the node knows %q", value)
 		}
-		mu.Unlock()
-		stop()
-		running.Wait()
+		site.end()
 	})
 }
 
+// following is a site whose nodes follow each other.
+type following struct {
+	n       *network
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	mu      sync.Mutex
+}
+
+func newFollowing(t *testing.T) *following {
+	f := &following{n: &network{nodes: make(map[string]*relayer.Relayer), cut: make(map[string]bool)}}
+	f.ctx, f.stop = context.WithCancel(t.Context())
+	return f
+}
+
+// start starts a node, and returns what it will know.
+func (f *following) start(name string, objects garnetworks.ObjectAPI, relays, spares []string) map[string]string {
+	known := make(map[string]string)
+	r := relayer.New(relayer.Options{
+		Objects: objects, Peers: f.n, Prefixes: []string{prefix}, Woke: awake,
+		Relays: func() []string { return relays }, Spares: func() []string { return spares },
+	})
+	f.n.add(name, r)
+	f.running.Go(func() { follow(f.ctx, r, known, &f.mu) })
+	return known
+}
+
+// value returns what a node knows of a key.
+func (f *following) value(known map[string]string, key string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return known[key]
+}
+
+func (f *following) end() {
+	f.stop()
+	f.running.Wait()
+}
+
 // Guards against a node that backs off from the store while no relay answers it.
 func TestNodeThatNoRelayAnswersDoesNotBackOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -729,34 +755,21 @@
 				s, refusing := newStore(), &silentStore{}
 				refusing.store = s
 				s.put("servers/a", "1")
-				n := &network{nodes: make(map[string]*relayer.Relayer), cut: map[string]bool{"lost-1": true, "lost-2": true}}
-				ctx, stop := context.WithCancel(t.Context())
-				var mu sync.Mutex
-				var running sync.WaitGroup
-				known := make(map[string]string)
-				start := func(name string, objects garnetworks.ObjectAPI, into map[string]string, relays, spares []string) {
-					r := relayer.New(relayer.Options{
-						Objects: objects, Peers: n, Prefixes: []string{prefix}, Woke: awake,
-						Relays: func() []string { return relays }, Spares: func() []string { return spares },
-					})
-					n.add(name, r)
-					running.Go(func() { follow(ctx, r, into, &mu) })
-				}
-				start("refused", refusing, make(map[string]string), nil, nil)
-				start("well", s, make(map[string]string), []string{"refused"}, nil)
-				start("asked", refusing, known, relays, []string{"refused", "well"})
+				site := newFollowing(t)
+				site.n.cutOff("lost-1")
+				site.n.cutOff("lost-2")
+				site.start("refused", refusing, nil, nil)
+				site.start("well", s, []string{"refused"}, nil)
+				known := site.start("asked", refusing, relays, []string{"refused", "well"})
 				time.Sleep(3 * time.Second)
 				refusing.set(true)
 				time.Sleep(4 * time.Second)
 				s.put("servers/b", "2")
 				time.Sleep(2 * time.Second)
-				mu.Lock()
-				if known["servers/b"] != "2" {
-					t.Errorf("2 s after a change the node knows %v", known)
+				if value := site.value(known, "servers/b"); value != "2" {
+					t.Errorf("2 s after a change the node knows %q", value)
 				}
-				mu.Unlock()
-				stop()
-				running.Wait()
+				site.end()
 			})
 		})
 	}
