A test's reader keeps what it knew while a list fails, as a watcher does

Cause: the test's own reader forgot all objects at the start of a list, also of one that failed; read in that moment, a node that had learned the change knew nothing.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -178,10 +178,11 @@
 		var objects []garnetworks.Object
 		var err error
 		if after == 0 {
-			objects, after, err = r.List(ctx, prefix)
-			mu.Lock()
-			clear(known)
-			mu.Unlock()
+			if objects, after, err = r.List(ctx, prefix); err == nil {
+				mu.Lock()
+				clear(known)
+				mu.Unlock()
+			}
 		} else {
 			var next garnetworks.Revision
 			if objects, next, err = r.Watch(ctx, prefix, after, 1200*time.Millisecond); err == nil {
