gateway, meter: the limit that a server names is logged and counted

The header is decoded at the platform's boundary (a value that is no number of calls names none) and still reaches the client; the attempt's log entry and a counter show it. No decision reads it. The stand-in engine can name a limit.

--- a/emitter/call.go
+++ b/emitter/call.go
@@ -26,9 +26,12 @@
 	// Calls is the number of calls that the group already had, including those last reported
 	// by other nodes. Reading is the number of prompt tokens of this node that the group
 	// had not processed yet.
-	Calls   int    `json:"calls,omitempty"`
-	Reading int    `json:"reading,omitempty"`
-	Cause   string `json:"cause,omitempty"`
+	Calls   int `json:"calls,omitempty"`
+	Reading int `json:"reading,omitempty"`
+	// Limit is the number of calls per second that the server named in its answer; nil if it
+	// named none.
+	Limit *float64 `json:"limit,omitempty"`
+	Cause string   `json:"cause,omitempty"`
 }
 
 // AttemptReason is the reason for a later attempt of a call.
--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/garnetworks/garnetworks"
 )
 
 // BackendFaults are the injectable faults of a Backend.
@@ -40,6 +42,8 @@
 	ExtraResponses int
 	// LoseOrders is the number of following orders that are executed without a response.
 	LoseOrders int
+	// CallLimit, if present, is the limit of calls per second that each response to a call names.
+	CallLimit garnetworks.Option[float64]
 	// CrashBody is the body of calls that crash the backend; empty matches none.
 	CrashBody string
 }
@@ -273,6 +277,9 @@
 func (b *Backend) call(w http.ResponseWriter, r *http.Request, f *BackendFaults) {
 	id := r.Header.Get("Garnetworks-Request-Id")
 	w.Header().Set("Garnetworks-Request-Id", id)
+	if limit, ok := f.CallLimit.Get(); ok {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if want := r.Header.Get("Garnetworks-Expect-Instance"); want != "" && want != b.ID {
 		w.Header().Set("Garnetworks-Instance-Id", b.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -48,6 +48,8 @@
 	// between two events over all attempts.
 	lastEvent time.Time
 	maxPause  time.Duration
+	// callLimit is the limit that the server named in its last answer.
+	callLimit garnetworks.Option[float64]
 	// maxWrite is the longest time that writing an event took.
 	maxWrite time.Duration
 	// stallsBefore is the node's total stall time when the call was received.
@@ -63,6 +65,10 @@
 		attempt.Phase = asAttemptError(failure).Phase
 		attempt.Cause = failure.Error()
 	}
+	if limit, ok := a.callLimit.Get(); ok {
+		attempt.Limit = &limit
+	}
+	a.callLimit = garnetworks.Option[float64]{}
 	a.attemptLog = append(a.attemptLog, attempt)
 	return &a.attemptLog[len(a.attemptLog)-1]
 }
@@ -212,7 +218,7 @@
 		return attempts
 	}
 	last := attempts[len(attempts)-1]
-	return []emitter.Attempt{{Group: last.Group, Instance: last.Instance, Events: last.Events}}
+	return []emitter.Attempt{{Group: last.Group, Instance: last.Instance, Events: last.Events, Limit: last.Limit}}
 }
 
 // errorText returns the error's text without the cause, which the last attempt already has.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -142,6 +142,7 @@
 		ProxiedCall: x.call, Instance: server.ID, Workspace: x.workspace, ServerDeadline: x.deadline,
 		AtMostOnce: !x.route.Idempotent(), ConnectTime: plainConnectTime,
 	})
+	x.recordAnswer(response, err)
 	answer, failure = readResponse(response, err)
 	now := time.Now()
 	x.recordAttempt("", server.ID, started, failure)
@@ -210,6 +211,15 @@
 	return attempt
 }
 
+// recordAnswer records what a server says of itself in the headers of an answer.
+func (x *exchange) recordAnswer(answer *garnetworks.ProxiedResponse, err error) {
+	if err != nil || !answer.CallLimit.Present {
+		return
+	}
+	x.callLimit = answer.CallLimit
+	x.options.Meter.LimitedAnswer(x.service.Name)
+}
+
 // copyHeader copies a response's headers.
 func (x *exchange) copyHeader(from http.Header) http.Header {
 	h := x.w.Header()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -27,30 +27,31 @@
 	registry *prometheus.Registry
 	byName   map[string]Metric
 
-	calls         *prometheus.CounterVec
-	tokens        *prometheus.CounterVec
-	firstToken    prometheus.Histogram
-	betweenTokens prometheus.Histogram
-	inFlight      prometheus.Gauge
-	objectCalls   *prometheus.CounterVec
-	peerBytes     *prometheus.CounterVec
-	peerCalls     *prometheus.CounterVec
-	generation    prometheus.Gauge
-	lease         *prometheus.GaugeVec
-	groups        *prometheus.GaugeVec
-	measures      *prometheus.GaugeVec
-	power         *prometheus.GaugeVec
-	events        *prometheus.CounterVec
-	claimWrites   *prometheus.CounterVec
-	proxiedCalls  *prometheus.CounterVec
-	firstEvent    *prometheus.HistogramVec
-	queueWait     *prometheus.HistogramVec
-	attempts      *prometheus.CounterVec
-	attemptTime   *prometheus.HistogramVec
-	objectTime    *prometheus.HistogramVec
-	counters      map[string]prometheus.Counter
-	gauges        map[string]prometheus.Gauge
-	lastTotals    map[string]uint64
+	calls          *prometheus.CounterVec
+	tokens         *prometheus.CounterVec
+	firstToken     prometheus.Histogram
+	betweenTokens  prometheus.Histogram
+	inFlight       prometheus.Gauge
+	objectCalls    *prometheus.CounterVec
+	peerBytes      *prometheus.CounterVec
+	peerCalls      *prometheus.CounterVec
+	generation     prometheus.Gauge
+	lease          *prometheus.GaugeVec
+	groups         *prometheus.GaugeVec
+	measures       *prometheus.GaugeVec
+	power          *prometheus.GaugeVec
+	events         *prometheus.CounterVec
+	claimWrites    *prometheus.CounterVec
+	proxiedCalls   *prometheus.CounterVec
+	firstEvent     *prometheus.HistogramVec
+	queueWait      *prometheus.HistogramVec
+	attempts       *prometheus.CounterVec
+	limitedAnswers *prometheus.CounterVec
+	attemptTime    *prometheus.HistogramVec
+	objectTime     *prometheus.HistogramVec
+	counters       map[string]prometheus.Counter
+	gauges         map[string]prometheus.Gauge
+	lastTotals     map[string]uint64
 }
 
 // Metric is a row of the table Metrics.
@@ -92,6 +93,7 @@
 	{"garnet_routing_age_seconds", "Time since the node's routing was last known to be the newest one; over 9e9 while that is not known.", nil},
 	{"garnet_attempts_total", "Attempts of calls that are passed on, by service, group (empty for plain services) and the phase in which they ended.", []string{"service", "group", "phase"}},
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
+	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
 	{"garnet_log_lines_dropped_total", "Log lines that found the ring to the writer full.", nil},
 	{"garnet_events_total", "Events recorded on the time line, by kind.", []string{"kind"}},
@@ -139,6 +141,7 @@
 	m.firstEvent = histograms("garnet_passed_first_event_seconds", firstTokenBuckets)
 	m.queueWait = histograms("garnet_passed_wait_seconds", attemptBuckets)
 	m.attempts = counter("garnet_attempts_total")
+	m.limitedAnswers = counter("garnet_limited_answers_total")
 	m.attemptTime = histograms("garnet_attempt_seconds", attemptBuckets)
 	m.objectTime = histograms("garnet_object_api_seconds", objectBuckets)
 	m.calls = counter("garnet_calls_total")
@@ -205,6 +208,11 @@
 	m.attemptTime.WithLabelValues(string(service)).Observe(took.Seconds())
 }
 
+// LimitedAnswer counts an answer in which a server of the service named a limit of calls.
+func (m *Meter) LimitedAnswer(service garnetworks.ServiceName) {
+	m.limitedAnswers.WithLabelValues(string(service)).Inc()
+}
+
 // ForgetGroup deletes a group's counters, so that groups that come and go don't grow the
 // node's memory (rule M2).
 func (m *Meter) ForgetGroup(group garnetworks.GroupID) {
--- a/passing.go
+++ b/passing.go
@@ -81,6 +81,9 @@
 	NotRun bool
 	// FaultyInstance is the instance because of which the server refused, if it named one.
 	FaultyInstance InstanceID
+	// CallLimit is the number of calls per second that the server takes from all nodes
+	// together, if it named one; at least 0.
+	CallLimit Option[float64]
 }
 
 // CallProxy forwards calls to backend servers. Errors are *AttemptError.
