limiter: what a node may send to one server, taken out of warmer; no change of behaviour

Which nodes may call a cold server, and how often, is needed for servers that name a limit as well. Limit, Calls, the ranking of nodes, MaxViews and SettleTime move from warmer to a package of their own; what is particular to cold servers stays.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,12 +15,12 @@
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/follower"
+	"github.com/garnetworks/garnetworks/limiter"
 	"github.com/garnetworks/garnetworks/matcher"
 	"github.com/garnetworks/garnetworks/meter"
 	"github.com/garnetworks/garnetworks/picker"
 	"github.com/garnetworks/garnetworks/retrier"
 	"github.com/garnetworks/garnetworks/scheduler"
-	"github.com/garnetworks/garnetworks/warmer"
 )
 
 const (
@@ -104,9 +104,9 @@
 	nodesUpdated time.Time
 	// peers is the last load report of the other nodes.
 	peers garnetworks.LoadReport
-	// started is when the gateway was created; coldCalls are the calls to plain servers.
-	started   time.Time
-	coldCalls warmer.Calls
+	// started is when the gateway was created; limitedCalls are the calls to plain servers.
+	started      time.Time
+	limitedCalls limiter.Calls
 }
 
 // New returns a gateway. It must be called before the follower runs.
@@ -125,7 +125,7 @@
 		lastGroupEvent: make(map[garnetworks.GroupID]time.Time),
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
 		started:        time.Now(),
-		coldCalls:      make(warmer.Calls),
+		limitedCalls:   make(limiter.Calls),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -217,7 +217,7 @@
 		}
 		profile, _ := service.Engines.Get()
 		heads[group.ID] = head{h.Incarnation(), h.Address}
-		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model), Cold: g.coldLimit(now, service, &h)})
+		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model), Limit: g.coldLimit(now, service, &h)})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -234,7 +234,7 @@
 		return ok && s.Incarnation() == l
 	}
 	g.picker.Retain(listed)
-	g.coldCalls.Retain(listed)
+	g.limitedCalls.Retain(listed)
 	g.deliver(g.scheduler.SetGroups(now, serving))
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -106,13 +106,13 @@
 		if s.State != garnetworks.ListedLive || evacuated.Has(s.Zone) { // rule E1
 			continue
 		}
-		if x.coldCalls.Allows(now, s.Incarnation(), x.coldLimit(now, x.service, &s)) {
+		if x.limitedCalls.Allows(now, s.Incarnation(), x.coldLimit(now, x.service, &s)) {
 			servers = append(servers, s)
 		}
 	}
 	s, ok := x.picker.Pick(now, servers, tried)
 	if ok {
-		x.coldCalls.Record(now, s.Incarnation(), x.coldLimit(now, x.service, &s))
+		x.limitedCalls.Record(now, s.Incarnation(), x.coldLimit(now, x.service, &s))
 	}
 	return s, ok
 }
--- a/scheduler/cold_test.go
+++ b/scheduler/cold_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
 	"github.com/garnetworks/garnetworks/scheduler"
-	"github.com/garnetworks/garnetworks/warmer"
 )
 
 const (
@@ -19,7 +19,7 @@
 func coldGroups(interval time.Duration, warm ...garnetworks.GroupID) []scheduler.Group {
 	const slots = 20
 	list := groups(slots, append(warm, coldName)...)
-	list[len(list)-1].Cold = warmer.Limit{WarmAt: start.Add(coldTime), Interval: interval}
+	list[len(list)-1].Limit = limiter.Limit{Until: start.Add(coldTime), Interval: interval}
 	return list
 }
 
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -46,6 +46,6 @@
 //	    lapsed. Failures that the lease holder finds by probes count at all nodes,
 //	    except at a node that has just received an event from the group.
 //	Q12 A group whose head is cold, as all groups of an availability zone that returns.
-//	    It gets no more calls from this node than warmer.Limit allows, and its other
+//	    It gets no more calls from this node than limiter.Limit allows, and its other
 //	    slots count neither as free nor in the expected wait.
 package scheduler
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -115,7 +115,7 @@
 	for _, g := range p.groups {
 		g.peerCalls, g.placed = running[g.ID], 0
 		runningCalls += float64(g.peerCalls + g.inflight)
-		if !g.gone && !now.Before(g.cooldownUntil) && !s.zoneUnreachable(now, g.Zone) && !g.isLost(now) && !g.Cold.Cold(now) {
+		if !g.gone && !now.Before(g.cooldownUntil) && !s.zoneUnreachable(now, g.Zone) && !g.isLost(now) && !g.Limit.Active(now) {
 			freeSlots += max(0, g.window-float64(g.peerCalls+g.inflight))
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -26,8 +26,8 @@
 	g.placed++
 	g.prefilling++
 	p.allowance--
-	if g.Cold.Cold(now) {
-		g.lastColdCall = now
+	if g.Limit.Active(now) {
+		g.lastLimitedCall = now
 	}
 }
 
@@ -65,7 +65,7 @@
 		if g.failureRate > maxFailureRate && g.inflight >= maxFailingCalls { // Q8
 			continue
 		}
-		if !g.Cold.Allows(now, g.lastColdCall) { // Q12
+		if !g.Limit.Allows(now, g.lastLimitedCall) { // Q12
 			continue
 		}
 		if !p.canPrefill(g, c) { // Q9
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
-	"github.com/garnetworks/garnetworks/warmer"
+	"github.com/garnetworks/garnetworks/limiter"
 )
 
 // Limits of queueing and placement.
@@ -102,8 +102,8 @@
 	// PrefillRate is the number of prompt tokens that the group processes per second; 0 if
 	// unknown.
 	PrefillRate float64
-	// Cold limits the calls while the group's head is cold.
-	Cold warmer.Limit
+	// Limit limits the calls while the group's head is cold.
+	Limit limiter.Limit
 }
 
 // Call is a call to be placed at a group.
@@ -171,8 +171,8 @@
 	// the last event that this node received from the group.
 	lost      bool
 	lastEvent time.Time
-	// lastColdCall is when the last call was placed while the head was cold.
-	lastColdCall time.Time
+	// lastLimitedCall is when the last call was placed while the group was limited.
+	lastLimitedCall time.Time
 }
 
 // pool holds the groups of a model and the calls that wait for them.
@@ -294,7 +294,7 @@
 			continue
 		}
 		for _, g := range other.groups {
-			if !g.gone && !now.Before(g.cooldownUntil) && !g.Cold.Cold(now) {
+			if !g.gone && !now.Before(g.cooldownUntil) && !g.Limit.Active(now) {
 				free += int(max(0, g.window-other.expectedCalls(g)))
 			}
 		}
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -45,8 +45,8 @@
 func (p *pool) noGroupRetry(now time.Time) time.Duration {
 	delay := noGroupRetry
 	for _, g := range p.groups {
-		if !g.gone && g.Cold.Cold(now) {
-			delay = min(delay, g.Cold.WarmAt.Sub(now))
+		if !g.gone && g.Limit.Active(now) {
+			delay = min(delay, g.Limit.Until.Sub(now))
 		}
 	}
 	return max(delay, minRetryAfter)
@@ -58,7 +58,7 @@
 	n := 0
 	warmBy := now.Add(p.patience(now, c))
 	for _, g := range p.groups {
-		if g.Cold.Cold(warmBy) && g.Cold.Interval == 0 {
+		if g.Limit.Active(warmBy) && g.Limit.Interval == 0 {
 			continue
 		}
 		if !g.gone && !g.isLost(now) && !slices.Contains(c.Tried, g.ID) && (!now.Before(g.cooldownUntil) || g.probing) {
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
 	"github.com/garnetworks/garnetworks/warmer"
 )
 
@@ -36,10 +37,10 @@
 	var calls []time.Time
 	for _, view := range views {
 		for i, n := range view {
-			limit := warmer.Limit{WarmAt: start.Add(coldTime), Interval: warmer.Interval(n.ID, view, server, perSecond)}
-			sent := make(warmer.Calls)
+			limit := limiter.Limit{Until: start.Add(coldTime), Interval: warmer.Interval(n.ID, view, server, perSecond)}
+			sent := make(limiter.Calls)
 			offset := time.Duration(i) * time.Millisecond
-			for now := start.Add(offset); limit.Cold(now); now = now.Add(tick) {
+			for now := start.Add(offset); limit.Active(now); now = now.Add(tick) {
 				if sent.Allows(now, server, limit) {
 					sent.Record(now, server, limit)
 					calls = append(calls, now)
@@ -64,7 +65,7 @@
 // waiting, at any number of nodes and in partitions.
 func TestColdServerGetsFewCallsFromAllNodesTogether(t *testing.T) {
 	for _, count := range []int{6, 69, 89, 986, 1972} {
-		for views := 1; views <= warmer.MaxViews; views++ {
+		for views := 1; views <= limiter.MaxViews; views++ {
 			t.Run(fmt.Sprintf("%d nodes in %d views", count, views), func(t *testing.T) {
 				all := nodes(count)
 				var parts [][]garnetworks.NodeInfo
@@ -92,15 +93,15 @@
 // Guards against a warm server that gets no calls.
 func TestWarmServerIsNotLimited(t *testing.T) {
 	cases := map[string]struct {
-		limit warmer.Limit
+		limit limiter.Limit
 		at    time.Duration
 		want  bool
 	}{
-		"no limit":              {warmer.Limit{}, 0, true},
-		"cold, not chosen":      {warmer.Limit{WarmAt: start.Add(coldTime)}, 0, false},
-		"warm again":            {warmer.Limit{WarmAt: start.Add(coldTime)}, coldTime, true},
-		"chosen, just called":   {warmer.Limit{WarmAt: start.Add(coldTime), Interval: time.Second}, 900 * time.Millisecond, false},
-		"chosen, called before": {warmer.Limit{WarmAt: start.Add(coldTime), Interval: time.Second}, time.Second, true},
+		"no limit":              {limiter.Limit{}, 0, true},
+		"cold, not chosen":      {limiter.Limit{Until: start.Add(coldTime)}, 0, false},
+		"warm again":            {limiter.Limit{Until: start.Add(coldTime)}, coldTime, true},
+		"chosen, just called":   {limiter.Limit{Until: start.Add(coldTime), Interval: time.Second}, 900 * time.Millisecond, false},
+		"chosen, called before": {limiter.Limit{Until: start.Add(coldTime), Interval: time.Second}, time.Second, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
