limiter: nodes together keep the limit that a server names

Cause: no node read the limit; calls were placed by free slots alone. Class: a bound over all nodes that no node, or each for itself, keeps. That each node keeps it for itself is what a plain reading of the header would have led to; the test holds for that as well.

Change: the limit is a property of a server's incarnation. Few nodes, chosen by rendezvous hashing among all that are listed, call the server, each one call per interval, so that the total is the same with 6 and with 986 nodes and even two sets of nodes that know nothing of each other stay below what servers tolerate. It is checked where a call takes its place, under the lock that counts it: first attempts, waiting calls, retries, moved and resumed streams go through scheduler.pickGroup, plain services through Gateway.pick; there is no other way to a server. Nodes report what servers told them with their load, so that those that were not told keep the limit too and learn of its end. A call that only limited servers could take, and that they can't take in time, is rejected at once.

After the limits ended all servers get their share again.

--- a/event.go
+++ b/event.go
@@ -67,6 +67,8 @@
 	EventZoneReturned         EventKind = "zone-returned"
 	EventServerListed         EventKind = "server-listed"
 	EventServerRefused        EventKind = "server-refused"
+	EventServerLimited        EventKind = "server-limited"
+	EventServerLimitEnded     EventKind = "server-limit-ended"
 	EventServerRestarted      EventKind = "server-restarted"
 	EventServerLapsed         EventKind = "server-lapsed"
 	EventServerGone           EventKind = "server-gone"
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -17,9 +17,12 @@
 //	    differ, as after a partition or a start.
 //	X6  Groups that the lease holder knows to be lost are sent with its reports, so
 //	    that no node has to find each of them by calls of its own.
+//	X7  What servers told a node about their limits is sent with its reports and the sums
+//	    over them for a short time, and not by nodes that learned it from a report.
 package exchanger
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -47,6 +50,8 @@
 	// failure of a large fabric domain or a few small ones.
 	maxSuspects = 16
 	maxLost     = 128
+	// maxLimits limits the limits of servers in a sum.
+	maxLimits = 256
 	// fullSyncInterval is the minimum time between two messages to a peer with all retained
 	// records (X5). Checksums differ for a few intervals while new records spread.
 	fullSyncInterval = time.Second
@@ -445,11 +450,29 @@
 	return list
 }
 
+// newestLimits returns the newest limit of each server, up to maxLimits of the newest ones. It
+// reorders list.
+func newestLimits(list []garnetworks.ServerLimit) []garnetworks.ServerLimit {
+	slices.SortFunc(list, func(a, b garnetworks.ServerLimit) int {
+		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), a.Incarnation().Compare(b.Incarnation()))
+	})
+	seen := make(garnetworks.Set[garnetworks.Incarnation], len(list))
+	newest := list[:0]
+	for _, l := range list {
+		if !seen.Has(l.Incarnation()) && len(newest) < maxLimits {
+			seen.Add(l.Incarnation())
+			newest = append(newest, l)
+		}
+	}
+	return newest
+}
+
 // Sum adds up reports.
 func Sum(reports ...garnetworks.LoadReport) garnetworks.LoadReport {
 	groups := make(map[garnetworks.GroupID]garnetworks.GroupLoad)
 	demands := make(map[garnetworks.ModelName]float64)
 	sum := garnetworks.LoadReport{}
+	var limits []garnetworks.ServerLimit
 	for _, r := range reports {
 		sum.Nodes += r.Nodes
 		for _, g := range r.Groups {
@@ -462,7 +485,9 @@
 		}
 		sum.Suspects = appendUnique(sum.Suspects, r.Suspects, maxSuspects)
 		sum.Lost = appendUnique(sum.Lost, r.Lost, maxLost)
+		limits = append(limits, r.Limits...)
 	}
+	sum.Limits = newestLimits(limits)
 	for _, g := range groups {
 		sum.Groups = append(sum.Groups, g)
 	}
--- a/exchanger/total_test.go
+++ b/exchanger/total_test.go
@@ -53,3 +53,22 @@
 		}
 	})
 }
+
+// Guards against an old limit of a server that replaces a newer one in a sum, and against sums
+// that grow with the nodes that report the same server.
+func TestSumHoldsTheNewestLimits(t *testing.T) {
+	report := func(perSecond float64, age int64, instance garnetworks.InstanceID) garnetworks.LoadReport {
+		return garnetworks.LoadReport{Limits: []garnetworks.ServerLimit{{Instance: instance, CallsPerSecond: perSecond, AgeMS: age}}}
+	}
+	sum := Sum(report(2, 300, "a"), report(-1, 100, "a"), report(3, 400, "a"), report(5, 200, "b"))
+	if len(sum.Limits) != 2 || sum.Limits[0].CallsPerSecond != -1 || sum.Limits[1].Instance != "b" {
+		t.Errorf("the sum is %+v", sum.Limits)
+	}
+	var many []garnetworks.LoadReport
+	for i := range 2 * maxLimits {
+		many = append(many, report(1, 0, garnetworks.InstanceID(fmt.Sprint(i))))
+	}
+	if got := len(Sum(many...).Limits); got != maxLimits {
+		t.Errorf("the sum has %d limits", got)
+	}
+}
--- a/follow.go
+++ b/follow.go
@@ -69,6 +69,27 @@
 	Lost []GroupID
 	// Nodes is the number of nodes that the report covers.
 	Nodes int
+	// Limits are the limits that servers recently named, or ceased to name, to the nodes that
+	// the report covers.
+	Limits []ServerLimit
+}
+
+// ServerLimit is the limit of calls that a server named in an answer. Fields are encoded by
+// position, because it is sent between nodes.
+type ServerLimit struct {
+	_        struct{} `cbor:",toarray"`
+	Instance InstanceID
+	StartMS  int64
+	// CallsPerSecond is what the server takes from all nodes together; below 0 if it names no
+	// limit any more.
+	CallsPerSecond float64
+	// AgeMS is how long ago the answer arrived, in milliseconds; at least 0.
+	AgeMS int64
+}
+
+// Incarnation returns the incarnation of the server.
+func (l *ServerLimit) Incarnation() Incarnation {
+	return Incarnation{Instance: l.Instance, StartMS: l.StartMS}
 }
 
 // ExchangeRequest carries a load report and asks for the sum of all others.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,15 +62,20 @@
 	Quarantine garnetworks.Quarantine
 	// Self is the node, and Nodes returns the other nodes of the site that it knows; it may be
 	// nil.
-	Self   garnetworks.NodeID
-	Nodes  func() []garnetworks.NodeInfo
+	Self  garnetworks.NodeID
+	Nodes func() []garnetworks.NodeInfo
+	// Alone says that the site is known to have no other node.
+	Alone  bool
 	Logger hclog.Logger
 }
 
-// head is the address and incarnation of a group's head, which takes the group's calls.
+// head is the head of a group, which takes the group's calls.
 type head struct {
 	incarnation garnetworks.Incarnation
 	address     string
+	model       garnetworks.ModelName
+	// cold limits the calls while the head is cold.
+	cold limiter.Limit
 }
 
 // Gateway is the HTTP handler for client calls.
@@ -104,7 +109,11 @@
 	nodesUpdated time.Time
 	// peers is the last load report of the other nodes.
 	peers garnetworks.LoadReport
-	// started is when the gateway was created; limitedCalls are the calls to plain servers.
+	// limits are the limits that servers named; limitsApplied is when the groups got theirs.
+	limits        *limiter.Limits
+	limitsApplied time.Time
+	// started is when the gateway was created; limitedCalls are the calls to plain servers that
+	// were limited.
 	started      time.Time
 	limitedCalls limiter.Calls
 }
@@ -126,6 +135,7 @@
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
 		started:        time.Now(),
 		limitedCalls:   make(limiter.Calls),
+		limits:         limiter.NewLimits(random),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -158,6 +168,7 @@
 			now := time.Now()
 			g.stalls.tick(now.Sub(last), interval)
 			last = now
+			g.refreshLimits(now)
 			if !g.advance(now) {
 				next = idleInterval
 			}
@@ -216,8 +227,8 @@
 			continue
 		}
 		profile, _ := service.Engines.Get()
-		heads[group.ID] = head{h.Incarnation(), h.Address}
-		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model), Limit: g.coldLimit(now, service, &h)})
+		heads[group.ID] = head{h.Incarnation(), h.Address, group.Model, g.coldLimit(now, service, &h)}
+		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model)})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -235,6 +246,12 @@
 	}
 	g.picker.Retain(listed)
 	g.limitedCalls.Retain(listed)
+	g.limits.Retain(now, listed)
+	view := g.view(now)
+	for i := range serving {
+		h := heads[serving[i].ID]
+		serving[i].Limit = g.serverLimit(now, &view, h.incarnation, h.cold)
+	}
 	g.deliver(g.scheduler.SetGroups(now, serving))
 }
 
@@ -273,7 +290,10 @@
 func (g *Gateway) Load() garnetworks.LoadReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.load(time.Now())
+	now := time.Now()
+	report := g.load(now)
+	report.Limits = g.limits.Report(now)
+	return report
 }
 
 // load implements Load; g.mu is held.
@@ -315,11 +335,15 @@
 func (g *Gateway) SetPeerLoad(peers garnetworks.LoadReport, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	if known {
-		g.setNodeCount(time.Now(), peers.Nodes+1)
+		g.setNodeCount(now, peers.Nodes+1)
+		if g.limits.Merge(now, peers.Limits) {
+			g.applyLimits(now)
+		}
 	}
 	g.peers = peers
-	g.deliver(g.scheduler.SetPeerLoad(time.Now(), peers, known))
+	g.deliver(g.scheduler.SetPeerLoad(now, peers, known))
 }
 
 // setNodeCount sets the number of nodes that share the site's retries; g.mu is held.
--- /dev/null
+++ b/gateway/limit.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
+)
+
+// limitsInterval is the time between two updates of the groups' limits, which change with the
+// nodes of the site and with the age of what is known of a server.
+const limitsInterval = 200 * time.Millisecond
+
+// view returns what the node knows of the site's nodes.
+func (g *Gateway) view(now time.Time) limiter.View {
+	v := limiter.View{Self: g.options.Self}
+	if g.options.Nodes != nil {
+		v.Others = g.options.Nodes()
+	}
+	v.Settled = now.Sub(g.started) >= limiter.SettleTime && (len(v.Others) > 0 || g.options.Alone)
+	return v
+}
+
+// serverLimit returns what this node may send to a server; g.mu is held.
+func (g *Gateway) serverLimit(now time.Time, view *limiter.View, server garnetworks.Incarnation, cold limiter.Limit) limiter.Limit {
+	return limiter.Stricter(now, cold, g.limits.Limit(now, server, view))
+}
+
+// applyLimits updates the groups' limits; g.mu is held.
+func (g *Gateway) applyLimits(now time.Time) {
+	g.limitsApplied = now
+	view := g.view(now)
+	for id, h := range g.heads {
+		g.scheduler.SetLimit(h.model, id, g.serverLimit(now, &view, h.incarnation, h.cold))
+	}
+	g.options.Meter.LimitedServers(g.limits.Count())
+}
+
+// refreshLimits updates the groups' limits once per limitsInterval while there are any.
+func (g *Gateway) refreshLimits(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limits.Count() > 0 && now.Sub(g.limitsApplied) >= limitsInterval {
+		g.applyLimits(now)
+	}
+}
+
+// observeLimit records what a server's answer to a call that was sent at sent says of its limit.
+// Only a success shows that the server names none: an error may come from a part of it that knows
+// no limit.
+func (g *Gateway) observeLimit(server garnetworks.Incarnation, sent time.Time, answer *garnetworks.ProxiedResponse) {
+	if !answer.CallLimit.Present && !(answer.FromServer && answer.Status < 300) {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	changed := g.limits.Observe(now, sent, server, answer.CallLimit)
+	if changed {
+		g.applyLimits(now)
+	}
+	g.mu.Unlock()
+	if changed {
+		g.options.Logger.Info(string(limitEvent(answer.CallLimit.Present)), "instance", server.Instance, "limit", answer.CallLimit.Or(0))
+	}
+}
+
+func limitEvent(begun bool) garnetworks.EventKind {
+	if begun {
+		return garnetworks.EventServerLimited
+	}
+	return garnetworks.EventServerLimitEnded
+}
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -36,11 +36,11 @@
 	// siteEngines and siteServers are the numbers of engines, each a group of its own, and of
 	// servers of the plain service.
 	siteEngines, siteServers = 12, 3
-	// siteCalls is the number of calls per second at all nodes together.
+	// siteCalls is the number of calls per second at all nodes together, at least one a node.
 	siteCalls = 400
 	// limitsFrom and limitsUntil are the time for which servers name limits, from the start.
 	limitsFrom, limitsUntil = 8 * time.Second, 22 * time.Second
-	siteTime                = 32 * time.Second
+	siteTime                = 44 * time.Second
 )
 
 // namedLimits are the limits of the servers that name one.
@@ -318,7 +318,7 @@
 	time.Sleep(warmUp)
 	ticker := time.NewTicker(exchanger.Interval)
 	defer ticker.Stop()
-	pause := time.Second / siteCalls
+	pause := time.Second / time.Duration(max(siteCalls, len(s.nodes)))
 	var calls sync.WaitGroup
 	for n := 0; time.Since(s.servers.start) < siteTime; n++ {
 		path := "/stream/x"
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/emitter"
+	"github.com/garnetworks/garnetworks/limiter"
 	"github.com/garnetworks/garnetworks/retrier"
 )
 
@@ -101,18 +103,28 @@
 	evacuated := x.options.Follower.Evacuated()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	view := x.view(now)
+	limitOf := func(s *garnetworks.RegisteredServer) limiter.Limit {
+		return x.serverLimit(now, &view, s.Incarnation(), x.coldLimit(now, x.service, s))
+	}
 	var servers []garnetworks.RegisteredServer
 	for _, s := range x.options.Follower.ServersOf(x.service.Name) {
 		if s.State != garnetworks.ListedLive || evacuated.Has(s.Zone) { // rule E1
 			continue
 		}
-		if x.limitedCalls.Allows(now, s.Incarnation(), x.coldLimit(now, x.service, &s)) {
-			servers = append(servers, s)
+		limit := limitOf(&s)
+		if slices.Contains(tried, s.Incarnation()) || !x.limitedCalls.Allows(now, s.Incarnation(), limit) {
+			continue
+		}
+		if limit.Overdue {
+			servers = []garnetworks.RegisteredServer{s}
+			break
 		}
+		servers = append(servers, s)
 	}
 	s, ok := x.picker.Pick(now, servers, tried)
 	if ok {
-		x.limitedCalls.Record(now, s.Incarnation(), x.coldLimit(now, x.service, &s))
+		x.limitedCalls.Record(now, s.Incarnation(), limitOf(&s))
 	}
 	return s, ok
 }
@@ -142,7 +154,7 @@
 		ProxiedCall: x.call, Instance: server.ID, Workspace: x.workspace, ServerDeadline: x.deadline,
 		AtMostOnce: !x.route.Idempotent(), ConnectTime: plainConnectTime,
 	})
-	x.recordAnswer(response, err)
+	x.recordAnswer(server.Incarnation(), started, response, err)
 	answer, failure = readResponse(response, err)
 	now := time.Now()
 	x.recordAttempt("", server.ID, started, failure)
@@ -211,13 +223,17 @@
 	return attempt
 }
 
-// recordAnswer records what a server says of itself in the headers of an answer.
-func (x *exchange) recordAnswer(answer *garnetworks.ProxiedResponse, err error) {
-	if err != nil || !answer.CallLimit.Present {
+// recordAnswer records what a server says of itself in the headers of an answer to a call that
+// was sent at sent.
+func (x *exchange) recordAnswer(server garnetworks.Incarnation, sent time.Time, answer *garnetworks.ProxiedResponse, err error) {
+	if err != nil || answer.Status == http.StatusMisdirectedRequest {
 		return
 	}
-	x.callLimit = answer.CallLimit
-	x.options.Meter.LimitedAnswer(x.service.Name)
+	x.observeLimit(server, sent, answer)
+	if answer.CallLimit.Present {
+		x.callLimit = answer.CallLimit
+		x.options.Meter.LimitedAnswer(x.service.Name)
+	}
 }
 
 // copyHeader copies a response's headers.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -241,7 +241,7 @@
 		ProxiedCall: s.call, Instance: h.incarnation.Instance, Workspace: s.workspace, ServerDeadline: s.deadline,
 		Urgency: urgency, ResumeAfter: resumeAfter, AtMostOnce: !s.route.Idempotent(), ConnectTime: streamConnectTime, AckTime: ackTime,
 	})
-	s.recordAnswer(answer, err)
+	s.recordAnswer(h.incarnation, s.current.started, answer, err)
 	if err != nil {
 		s.reportInterrupted(s.current.incarnation, asAttemptError(err))
 		return s.handleFailure(group, asAttemptError(err), context.Cause(ctx))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -200,7 +200,7 @@
 	l.gateway = gateway.New(gateway.Options{
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Proxy: options.Proxy,
 		Meter: l.meter, Suspect: l.suspect, Quarantine: l.quarantine,
-		Self: site.Node, Nodes: l.peers.tracker.Peers, Logger: options.Logger,
+		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), Logger: options.Logger,
 	})
 	l.meter.RegisterRoutingAge(l.gateway.RoutingAge)
 	l.peers.exchanger = exchanger.New(exchanger.Options{
@@ -210,6 +210,11 @@
 	return l, nil
 }
 
+// knowsNoOther reports whether a node's settings name no other node of the site.
+func knowsNoOther(site *garnetworks.NodeSettings) bool {
+	return !slices.ContainsFunc(site.Seeds, func(address string) bool { return address != site.PeerAddress })
+}
+
 // loadReport returns the node's load and, if it holds the lease, the groups known to be lost.
 func (l *Launcher) loadReport() garnetworks.LoadReport {
 	report := l.gateway.Load()
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -425,3 +425,32 @@
 		})
 	}
 }
+
+// Guards against a server's limit that only the node knows that was told.
+func TestServerLimitIsKnownAtOtherNodes(t *testing.T) {
+	for name, target := range map[string]string{"model": streamURL, "plain service": safeURL} {
+		t.Run(name, func(t *testing.T) {
+			const perSecond = 5
+			s := newSite(t, 6)
+			s.awaitSuccess(target)
+			second := s.join("n2")
+			second.awaitSuccess(target)
+			for _, b := range append(slices.Clone(s.engines), s.services...) {
+				b.UpdateFaults(func(f *impersonator.BackendFaults) { f.CallLimit = garnetworks.Some(float64(perSecond)) })
+			}
+			s.eventually("the first node logs a limit", func() bool {
+				s.call(http.MethodPost, target, nil)
+				return strings.Contains(s.logs.String(), string(garnetworks.EventServerLimited))
+			})
+			s.eventually("the second node, which gets no calls, knows a limit", func() bool { return second.metric("garnet_limited_servers") > 0 })
+			for _, b := range append(slices.Clone(s.engines), s.services...) {
+				b.UpdateFaults(func(f *impersonator.BackendFaults) { f.CallLimit = garnetworks.Option[float64]{} })
+			}
+			s.eventually("both nodes know that the limits have ended", func() bool {
+				s.call(http.MethodPost, target, nil)
+				second.call(http.MethodPost, target, nil)
+				return s.metric("garnet_limited_servers") == 0 && second.metric("garnet_limited_servers") == 0
+			})
+		})
+	}
+}
--- a/launcher/site_test.go
+++ b/launcher/site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -28,6 +29,7 @@
 	services []*impersonator.Backend
 	url      string
 	ready    string
+	metrics  string
 	logs     *logBuffer
 	stop     context.CancelFunc
 	// name is the node's; seeds are addresses of other nodes that it contacts at its start.
@@ -124,6 +126,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	metrics, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.metrics = "http://" + metrics.Addr().String() + "/metrics"
 	s.url, s.ready = "http://"+callers.Addr().String(), "http://"+ready.Addr().String()+"/v1/readyz"
 	s.peers = peers.Addr().String()
 	backends := platform.NewBackends()
@@ -135,7 +142,7 @@
 				LoadOverage: 1.1, RetryRatio: 0.2, RetrySlack: 600, RetryWindow: 10 * time.Second,
 			},
 		},
-		Listeners: launcher.Listeners{Callers: callers, Ready: ready, Peers: peers},
+		Listeners: launcher.Listeners{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics},
 		Objects:   platform.NewStore(s.store.Address()), Reader: platform.SiteReader{}, Calls: platform.CallReader{},
 		BalancerTime: 50 * time.Millisecond,
 		Proxy:        backends, Orders: platform.NewOrders(), Ready: platform.ReadyHandler, Sweep: backends.Sweep,
@@ -239,6 +246,31 @@
 	s.t.Fatalf("timed out waiting until %s", what)
 }
 
+// metric returns the value of a metric without labels.
+func (s *site) metric(name string) float64 {
+	s.t.Helper()
+	response, err := s.client.Get(s.metrics)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(body)) {
+		if text, ok := strings.CutPrefix(line, name+" "); ok {
+			value, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			return value
+		}
+	}
+	s.t.Fatalf("no metric %s", name)
+	return 0
+}
+
 // head returns the engine that has run calls, as head of an open group.
 func (s *site) head() *impersonator.Backend {
 	for _, e := range s.engines {
--- a/limiter/limit.go
+++ b/limiter/limit.go
@@ -27,6 +27,9 @@
 	// node; 0 if it sends none.
 	From     time.Time
 	Interval time.Duration
+	// Overdue says that nothing was learned of the server for some time, so that a call there is
+	// preferred: its answer shows whether the limit has ended.
+	Overdue bool
 }
 
 // Active reports whether the limit applies.
@@ -71,6 +74,7 @@
 	} else {
 		a.Interval = max(a.Interval, b.Interval)
 	}
+	a.Overdue = a.Overdue || b.Overdue
 	return a
 }
 
--- /dev/null
+++ b/limiter/limits_test.go
@@ -0,0 +1,182 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	server = garnetworks.Incarnation{Instance: "i-1", StartMS: 1}
+)
+
+// What servers tolerate in any window beyond their limit.
+const (
+	window    = 4 * time.Second
+	tolerance = 1.5
+	slack     = 5
+)
+
+func nodes(count int) []garnetworks.NodeInfo {
+	list := make([]garnetworks.NodeInfo, count)
+	for i := range list {
+		list[i].ID = garnetworks.NodeID(fmt.Sprintf("front-%d", i))
+	}
+	return list
+}
+
+func newLimits() *limiter.Limits { return limiter.NewLimits(func() float64 { return 0 }) }
+
+// limited returns Limits that know of a server's limit since start.
+func limited(perSecond float64) *limiter.Limits {
+	l := newLimits()
+	l.Observe(start, start, server, garnetworks.Some(perSecond))
+	return l
+}
+
+// Guards against nodes that together send more than a limited server tolerates, or far less than
+// it takes, at any number of nodes and in partitions.
+func TestNodesTogetherKeepALimit(t *testing.T) {
+	for _, count := range []int{1, 2, 6, 89, 986, 1972} {
+		for _, perSecond := range []float64{0, 0.1, 0.4, 1, 2.9, 7.5, 40, 300} {
+			t.Run(fmt.Sprintf("%d nodes, %g a second", count, perSecond), func(t *testing.T) {
+				all := nodes(count)
+				worst, rate := 0, 0.0
+				for i := range all {
+					view := limiter.View{Self: all[i].ID, Others: all, Settled: true}
+					view.Others = append(append([]garnetworks.NodeInfo(nil), all[:i]...), all[i+1:]...)
+					limit := limited(perSecond).Limit(start, server, &view)
+					if !limit.Active(start) {
+						t.Fatal("the server isn't limited")
+					}
+					if limit.Interval > 0 {
+						worst += 1 + int(window/limit.Interval)
+						rate += 1 / limit.Interval.Seconds()
+					}
+				}
+				allowed := tolerance*perSecond*window.Seconds() + slack
+				if float64(worst*limiter.MaxViews) > allowed {
+					t.Errorf("up to %d calls in %s in each of %d views, %.1f allowed", worst, window, limiter.MaxViews, allowed)
+				}
+				const used = 0.6
+				if rate < used*perSecond || rate == 0 {
+					t.Errorf("%.2f calls per second, the server takes %g", rate, perSecond)
+				}
+				if perSecond >= 1 && rate > perSecond+1e-6 {
+					t.Errorf("%.2f calls per second, the server takes %g", rate, perSecond)
+				}
+			})
+		}
+	}
+}
+
+// Guards against each of many nodes that have just started, and know no other, calling a limited
+// server.
+func TestNodeThatKnowsNoOtherSendsNothing(t *testing.T) {
+	limit := limited(10).Limit(start, server, &limiter.View{Self: "front-1"})
+	if limit.Allows(start.Add(time.Hour), time.Time{}) {
+		t.Error("it may call the server")
+	}
+}
+
+// Guards against a server that gets no call any more because none of the chosen nodes reaches it,
+// and against nodes that then all call it at once.
+func TestMoreNodesAreChosenWhileNothingIsLearned(t *testing.T) {
+	const count, perSecond = 100, 2.0
+	all := nodes(count)
+	for age, want := range map[time.Duration]int{0: 3, time.Minute: count} {
+		chosen, rate := 0, 0.0
+		for i := range all {
+			view := limiter.View{Self: all[i].ID, Others: append(append([]garnetworks.NodeInfo(nil), all[:i]...), all[i+1:]...), Settled: true}
+			if limit := limited(perSecond).Limit(start.Add(age), server, &view); limit.Interval > 0 {
+				chosen++
+				rate += 1 / limit.Interval.Seconds()
+			}
+		}
+		if chosen != want || rate > perSecond {
+			t.Errorf("after %s %d nodes send %.2f calls per second, want %d nodes", age, chosen, rate, want)
+		}
+	}
+}
+
+// Guards against a limit that is dropped because of an answer from before it was named, or kept
+// after the server has ceased to name it.
+func TestLimitLastsAsLongAsItIsNamed(t *testing.T) {
+	none := garnetworks.Option[float64]{}
+	view := &limiter.View{Self: "front-1", Settled: true}
+	cases := map[string]struct {
+		sent  time.Duration
+		limit garnetworks.Option[float64]
+		want  bool
+	}{
+		"answer to an earlier call":   {-time.Second, none, true},
+		"answer to a later call":      {time.Second, none, false},
+		"later answer with the limit": {time.Second, garnetworks.Some(1.0), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := limited(2)
+			now := start.Add(2 * time.Second)
+			if ended := l.Observe(now, start.Add(c.sent), server, c.limit); ended == c.want {
+				t.Errorf("the limit has changed: %t", ended)
+			}
+			if got := l.Limit(now, server, view).Active(now); got != c.want {
+				t.Errorf("the server is limited: %t", got)
+			}
+		})
+	}
+}
+
+// Guards against nodes that never learn of a limit, or of its end, from others, and against
+// reports that circulate between nodes that saw nothing themselves.
+func TestReportsOfLimits(t *testing.T) {
+	view := &limiter.View{Self: "front-1", Settled: true}
+	source, other := limited(2), newLimits()
+	now := start.Add(200 * time.Millisecond)
+	report := source.Report(now)
+	if len(report) != 1 || report[0].AgeMS != 200 || report[0].Incarnation() != server {
+		t.Fatalf("the report is %+v", report)
+	}
+	if !other.Merge(now, report) || !other.Limit(now, server, view).Active(now) {
+		t.Error("the other node doesn't know of the limit")
+	}
+	if got := other.Report(now); len(got) != 0 {
+		t.Errorf("the other node reports %+v", got)
+	}
+	if got := source.Report(start.Add(time.Second)); len(got) != 0 {
+		t.Errorf("an old observation is reported: %+v", got)
+	}
+	end := start.Add(3 * time.Second)
+	source.Observe(end, end.Add(-100*time.Millisecond), server, garnetworks.Option[float64]{})
+	if !other.Merge(end, source.Report(end)) || other.Limit(end, server, view).Active(end) {
+		t.Error("the other node doesn't know of the limit's end")
+	}
+	// A report of the limit that was under way when it ended.
+	if late := end.Add(300 * time.Millisecond); other.Merge(late, report) || other.Limit(late, server, view).Active(late) {
+		t.Error("a late report of the limit counts")
+	}
+}
+
+// Guards against limits of servers that are gone or no longer limited filling the node's memory.
+func TestEndedLimitsAreForgotten(t *testing.T) {
+	listed := func(garnetworks.Incarnation) bool { return true }
+	l := limited(2)
+	l.Observe(start.Add(time.Second), start.Add(time.Millisecond), server, garnetworks.Option[float64]{})
+	if l.Count() != 0 {
+		t.Errorf("%d servers are limited", l.Count())
+	}
+	later := start.Add(time.Hour)
+	l.Retain(later, listed)
+	// A report of the limit counts only if the end is forgotten.
+	if !l.Merge(later, []garnetworks.ServerLimit{{Instance: server.Instance, StartMS: server.StartMS, CallsPerSecond: 1}}) {
+		t.Error("the limit is not known")
+	}
+	l.Retain(later, func(garnetworks.Incarnation) bool { return false })
+	if l.Count() != 0 {
+		t.Error("the limit of a server that is gone is kept")
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -93,6 +93,7 @@
 	{"garnet_routing_age_seconds", "Time since the node's routing was last known to be the newest one; over 9e9 while that is not known.", nil},
 	{"garnet_attempts_total", "Attempts of calls that are passed on, by service, group (empty for plain services) and the phase in which they ended.", []string{"service", "group", "phase"}},
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
+	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
 	{"garnet_log_lines_dropped_total", "Log lines that found the ring to the writer full.", nil},
@@ -164,7 +165,7 @@
 		m.counters[name] = counter(name).WithLabelValues()
 	}
 	m.gauges = map[string]prometheus.Gauge{}
-	for _, name := range []string{"garnet_claims_owed", "garnet_claim_shards_refusing", "garnet_held_contents", "garnet_evacuated_zones"} {
+	for _, name := range []string{"garnet_claims_owed", "garnet_claim_shards_refusing", "garnet_held_contents", "garnet_evacuated_zones", "garnet_limited_servers"} {
 		m.gauges[name] = gauges(name).WithLabelValues()
 	}
 	m.lastTotals = map[string]uint64{}
@@ -228,6 +229,9 @@
 // EvacuatedZones sets the number of evacuated availability zones.
 func (m *Meter) EvacuatedZones(n int) { m.gauges["garnet_evacuated_zones"].Set(float64(n)) }
 
+// LimitedServers sets the number of servers that name a limit of calls.
+func (m *Meter) LimitedServers(n int) { m.gauges["garnet_limited_servers"].Set(float64(n)) }
+
 // QuarantinedContents sets the number of quarantined call contents.
 func (m *Meter) QuarantinedContents(n int) { m.gauges["garnet_held_contents"].Set(float64(n)) }
 
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -45,7 +45,9 @@
 //	Q11 A group whose instances have all failed, while their entries have not
 //	    lapsed. Failures that the lease holder finds by probes count at all nodes,
 //	    except at a node that has just received an event from the group.
-//	Q12 A group whose head is cold, as all groups of an availability zone that returns.
-//	    It gets no more calls from this node than limiter.Limit allows, and its other
-//	    slots count neither as free nor in the expected wait.
+//	Q12 A group whose head takes few calls: it is cold, as all heads of an availability
+//	    zone that returns, or names a limit. It gets no more calls from this node than
+//	    limiter.Limit allows, whatever their kind, and its other slots count neither as
+//	    free nor in the expected wait. A call that can only go to such groups, and for
+//	    which they have no place in time, is rejected at once.
 package scheduler
--- /dev/null
+++ b/scheduler/limit_test.go
@@ -0,0 +1,90 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
+	"github.com/garnetworks/garnetworks/scheduler"
+)
+
+// limitedGroup returns one group whose head takes a call of this node per interval.
+func limitedGroup(interval time.Duration) []scheduler.Group {
+	const slots = 20
+	list := groups(slots, "limited")
+	list[0].Limit = limiter.Limit{Until: start.Add(time.Hour), Interval: interval}
+	return list
+}
+
+// Guards against calls that wait in vain for a group that takes too few of them in time.
+func TestCallsBeyondALimitAreRejectedAtOnce(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	s := scheduler.New("z", fixedRandom)
+	s.SetGroups(start, limitedGroup(interval))
+	placed, waiting, rejected := 0, 0, 0
+	for i := range 10 {
+		call := newCall(fmt.Sprint(i))
+		call.Objective = 3 * interval
+		switch d, decided := s.Arrive(start, call); {
+		case !decided:
+			waiting++
+		case d.Group != "":
+			placed++
+		case d.Kind == garnetworks.KindOverloaded && d.RetryAfter > 0:
+			rejected++
+		}
+	}
+	if placed != 1 || waiting != 2 || rejected != 7 {
+		t.Errorf("placed %d, waiting %d, rejected %d", placed, waiting, rejected)
+	}
+	for at := start; at.Before(start.Add(2 * interval)); at = at.Add(interval / 10) {
+		s.Advance(at)
+	}
+	if got := s.Calls("m", "limited"); got != 2 {
+		t.Errorf("%d calls are at the group after less than two intervals", got)
+	}
+}
+
+// Guards against a node that sends nothing to limited groups, because it counts none of their
+// slots as free, while all groups of the model are limited.
+func TestLimitedGroupsGetTheirCallsWhilePeersAreKnown(t *testing.T) {
+	const interval, seconds = 500 * time.Millisecond, 4
+	s := scheduler.New("z", fixedRandom)
+	s.SetGroups(start, limitedGroup(interval))
+	peers := garnetworks.LoadReport{Nodes: 5, Demands: []garnetworks.ModelDemand{{Model: "m", CallsPerSecond: 100}}}
+	placed := 0
+	for at := time.Duration(0); at < seconds*time.Second; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		if at%(150*time.Millisecond) == 0 {
+			s.SetPeerLoad(now, peers, true)
+		}
+		call := newCall(fmt.Sprint(at))
+		call.Arrived = now
+		if d, decided := s.Arrive(now, call); decided && d.Group != "" {
+			placed++
+			s.Finished(now, "m", d.Group, time.Millisecond, false)
+		} else if !decided {
+			s.Cancel(call.ID, "m")
+		}
+	}
+	if want := int(seconds * time.Second / interval); placed < want-1 || placed > want {
+		t.Errorf("%d calls were placed, want %d", placed, want)
+	}
+}
+
+// Guards against a stream that moves from a stalled group to a limited one without a place there.
+func TestMovedCallsKeepALimit(t *testing.T) {
+	s := scheduler.New("z", fixedRandom)
+	s.SetGroups(start, limitedGroup(time.Minute))
+	moved := newCall("a")
+	moved.Resumed = true
+	if _, ok := s.TryPlace(start, moved); !ok {
+		t.Error("the first call was not placed")
+	}
+	moved.ID = "b"
+	if _, ok := s.TryPlace(start.Add(time.Second), moved); ok {
+		t.Error("the second call was placed within the interval")
+	}
+}
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -112,12 +112,19 @@
 // is in calls per second; nodes includes this one.
 func (s *Scheduler) applyPeerLoad(now time.Time, p *pool, running map[garnetworks.GroupID]int, peerDemand float64, nodes int) {
 	freeSlots, runningCalls := 0.0, 0.0
+	// limitedPlaces are the calls of this node that limited groups take until the next report.
+	limitedPlaces := 0.0
 	for _, g := range p.groups {
 		g.peerCalls, g.placed = running[g.ID], 0
 		runningCalls += float64(g.peerCalls + g.inflight)
-		if !g.gone && !now.Before(g.cooldownUntil) && !s.zoneUnreachable(now, g.Zone) && !g.isLost(now) && !g.Limit.Active(now) {
-			freeSlots += max(0, g.window-float64(g.peerCalls+g.inflight))
+		if g.gone || now.Before(g.cooldownUntil) || s.zoneUnreachable(now, g.Zone) || g.isLost(now) {
+			continue
 		}
+		if g.Limit.Active(now) {
+			limitedPlaces += float64(min(g.placesWithin(now, peerReportDelay), g.Slots))
+			continue
+		}
+		freeSlots += max(0, g.window-float64(g.peerCalls+g.inflight))
 	}
 	ownDemand := p.demand(now)
 	p.peerDemand = peerDemand
@@ -142,4 +149,5 @@
 	// Each node may take an equal part of the free slots, if that is a slot at least: between two
 	// calls the demand of a node with few calls decays to almost zero, and so does its share.
 	p.allowance = max(p.allowance, math.Floor(freeSlots/float64(nodes)))
+	p.allowance += limitedPlaces
 }
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -71,6 +71,9 @@
 		if !p.canPrefill(g, c) { // Q9
 			continue
 		}
+		if g.Limit.Overdue && g.Limit.Active(now) {
+			return g
+		}
 		free = append(free, g)
 	}
 	return s.leastLoaded(p, free)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -102,7 +102,7 @@
 	// PrefillRate is the number of prompt tokens that the group processes per second; 0 if
 	// unknown.
 	PrefillRate float64
-	// Limit limits the calls while the group's head is cold.
+	// Limit limits the calls while the group's head is cold or names a limit.
 	Limit limiter.Limit
 }
 
@@ -276,6 +276,13 @@
 	return Decision{}, false
 }
 
+// SetLimit replaces the limit of a group.
+func (s *Scheduler) SetLimit(model garnetworks.ModelName, group garnetworks.GroupID, limit limiter.Limit) {
+	if g := s.pool(model).groups[group]; g != nil {
+		g.Limit = limit
+	}
+}
+
 // Calls returns the number of calls at a group, including those of other nodes by the last
 // report.
 func (s *Scheduler) Calls(model garnetworks.ModelName, group garnetworks.GroupID) int {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -12,17 +12,21 @@
 
 // reject rejects a call that can't expect a slot in time (Q1).
 func (p *pool) reject(now time.Time, c *Call) (Decision, bool) {
-	groups := p.serving(now, c)
+	groups, places := p.serving(now, c)
 	if groups == 0 {
 		return Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now)}, true
 	}
 	ahead := p.ahead(c)
 	wait, patience := p.expectedWait(now, ahead+1), p.patience(now, c)
-	if wait <= patience {
+	if wait <= patience && ahead < places {
 		return Decision{}, false
 	}
+	retryAfter := wait
+	if ahead >= places {
+		retryAfter = max(wait, p.noGroupRetry(now))
+	}
 	return Decision{
-		Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(wait),
+		Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(retryAfter),
 		Ahead: ahead, ExpectedWait: wait, Patience: patience, Groups: groups,
 	}, true
 }
@@ -40,32 +44,50 @@
 	return max(c.Objective-p.firstEventTime-networkTime, minWait) - waited
 }
 
-// noGroupRetry returns the retry delay if no group may get a call: until the first cold group
-// is warm, if that is sooner than another group can be expected.
+// noGroupRetry returns the retry delay if no group may get a call: until the first limited group
+// takes one, if that is sooner than another group can be expected.
 func (p *pool) noGroupRetry(now time.Time) time.Duration {
 	delay := noGroupRetry
 	for _, g := range p.groups {
 		if !g.gone && g.Limit.Active(now) {
-			delay = min(delay, g.Limit.Until.Sub(now))
+			delay = min(delay, g.Limit.Next(g.lastLimitedCall).Sub(now))
 		}
 	}
 	return max(delay, minRetryAfter)
 }
 
-// serving returns the number of groups that may get the call. One that gets no calls of this
-// node until it is warm counts only if the call may wait for that (Q12).
-func (p *pool) serving(now time.Time, c *Call) int {
-	n := 0
-	warmBy := now.Add(p.patience(now, c))
+// serving returns the number of groups that may get the call, and of the calls that they take
+// while it may wait. A limited group counts only if it takes a call by then (Q12).
+func (p *pool) serving(now time.Time, c *Call) (groups, places int) {
+	patience := p.patience(now, c)
 	for _, g := range p.groups {
-		if g.Limit.Active(warmBy) && g.Limit.Interval == 0 {
+		if g.gone || g.isLost(now) || slices.Contains(c.Tried, g.ID) || now.Before(g.cooldownUntil) && !g.probing {
 			continue
 		}
-		if !g.gone && !g.isLost(now) && !slices.Contains(c.Tried, g.ID) && (!now.Before(g.cooldownUntil) || g.probing) {
-			n++
+		if n := g.placesWithin(now, patience); n > 0 {
+			groups++
+			places = min(places+n, unlimitedPlaces)
 		}
 	}
-	return n
+	return groups, places
+}
+
+// unlimitedPlaces is the number of places of a group without a limit: more than calls ever wait.
+const unlimitedPlaces = math.MaxInt32
+
+// placesWithin returns the number of calls that the group's limit allows within a time from now.
+func (g *groupState) placesWithin(now time.Time, wait time.Duration) int {
+	by := now.Add(wait)
+	next := g.Limit.Next(g.lastLimitedCall)
+	switch {
+	case !g.Limit.Active(by):
+		return unlimitedPlaces
+	case next.After(by):
+		return 0
+	case next.Before(now):
+		next = now
+	}
+	return 1 + int(by.Sub(next)/g.Limit.Interval)
 }
 
 // expectedWait estimates the time until n slots have become free.
@@ -144,11 +166,12 @@
 			decisions = append(decisions, Decision{Call: c.ID, Group: g.ID})
 			continue
 		}
-		groups, wait := p.serving(now, c), p.expectedWait(now, len(kept)+1)
+		groups, places := p.serving(now, c)
+		wait := p.expectedWait(now, len(kept)+1)
 		switch {
 		case groups == 0:
 			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: len(kept), Spare: s.spare(now, p)})
-		case p.patience(now, c) <= 0:
+		case p.patience(now, c) <= 0 || len(kept) >= places:
 			decisions = append(decisions, Decision{
 				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(wait), Ahead: len(kept), ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p),
 			})
