gateway: a refused attempt is logged as refused, with the pause that the server asked for

The lines called an attempt that an engine had refused "phase wait", as if it had broken off, and did not tell the pause that a 503 asks for, so that the hypotheses of the incident could not be told apart. No decision reads it. The stand-in engine can ask for one.

--- a/emitter/call.go
+++ b/emitter/call.go
@@ -28,6 +28,8 @@
 	// had not processed yet.
 	Calls   int `json:"calls,omitempty"`
 	Reading int `json:"reading,omitempty"`
+	// RetryAfterMS is how long the server that refused wants no further call.
+	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
 	// Limit is the number of calls per second that the server named in its answer; nil if it
 	// named none.
 	Limit *float64 `json:"limit,omitempty"`
--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -17,8 +17,10 @@
 
 // BackendFaults are the injectable faults of a Backend.
 type BackendFaults struct {
-	// Full refuses calls as not run.
-	Full bool
+	// Full refuses calls as not run. RetryAfter is the pause in seconds that such a refusal asks
+	// for; empty for none.
+	Full       bool
+	RetryAfter string
 	// Stalled sends no events and no responses to calls; Unreachable responds to nothing,
 	// orders included.
 	Stalled, Unreachable bool
@@ -292,6 +294,9 @@
 	}
 	if f.Full || id == "" {
 		w.Header().Set("Garnetworks-Not-Run", "1")
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -63,6 +63,7 @@
 	attempt := emitter.Attempt{Group: group, Instance: instance, Phase: garnetworks.PhaseDone, TookMS: milliseconds(time.Since(started))}
 	if failure != nil {
 		attempt.Phase = asAttemptError(failure).Phase
+		attempt.RetryAfterMS = milliseconds(asAttemptError(failure).RetryAfter)
 		attempt.Cause = failure.Error()
 	}
 	if limit, ok := a.callLimit.Get(); ok {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -184,7 +184,7 @@
 	case answer.NotRun && answer.Status == http.StatusMisdirectedRequest:
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, Cause: errMisdirected}
 	case answer.NotRun:
-		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, Cause: errors.Errorf("refused with status %d", answer.Status)}
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: answer.RetryAfter, Cause: errors.Errorf("refused with status %d", answer.Status)}
 	case err != nil:
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err}
 	case len(body) > maxBufferedBytes:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -295,7 +295,10 @@
 	}
 	s.mu.Unlock()
 	s.freeAttempts++
-	err := errors.Errorf("%s refused with status %d because of %q", group, answer.Status, answer.FaultyInstance)
+	err := &garnetworks.AttemptError{
+		Phase: garnetworks.PhaseRefused, RetryAfter: answer.RetryAfter,
+		Cause: errors.Errorf("%s refused with status %d because of %q", group, answer.Status, answer.FaultyInstance),
+	}
 	return s.freeAttempts <= maxFreeAttempts && s.attempts < s.route.MaxAttempts && s.claimRetry(), err
 }
 
