--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -35,7 +35,7 @@
 const (
 	// siteEngines and siteServers are the numbers of engines, each a group of its own, and of
 	// servers of the plain service.
-	siteEngines, siteServers = 12, 3
+	siteEngines, sitePlainServers = 12, 3
 	// siteCalls is the number of calls per second at all nodes together, at least one a node.
 	siteCalls = 400
 	// limitsFrom and limitsUntil are the time for which servers name limits, from the start.
@@ -58,7 +58,7 @@
 		for i := range siteEngines {
 			list = append(list, garnetworks.Object{Key: fmt.Sprintf("%sengine-%d", prefix, i), Revision: 1})
 		}
-		for i := range siteServers {
+		for i := range sitePlainServers {
 			list = append(list, garnetworks.Object{Key: fmt.Sprintf("%splain-%d", prefix, i), Revision: 1})
 		}
 		return list, 1, nil
@@ -123,21 +123,26 @@
 	at   time.Time
 }
 
-// limitedServers are the servers of a site. Some name limits for a time; the others break off,
-// refuse or fail some of their calls, so that calls are repeated elsewhere.
-type limitedServers struct {
-	start time.Time
+// siteServers are the servers of a site. Some name limits for a time, or refuse all calls and ask
+// for a pause; the others break off, refuse or fail some of their calls, so that calls are
+// repeated elsewhere.
+type siteServers struct {
+	start  time.Time
+	limits map[garnetworks.InstanceID]float64
+	pauses map[garnetworks.InstanceID]time.Duration
 
 	mu       sync.Mutex
 	count    int
 	arrivals map[garnetworks.InstanceID][]arrival
+	// refusals are the refusals that asked for a pause, at the times of their answers.
+	refusals map[garnetworks.InstanceID][]arrival
 	// toldAt holds when a node first returned an answer with a server's limit.
 	toldAt map[garnetworks.InstanceID]map[int]time.Time
 }
 
 // nodeProxy is a node's way to the servers.
 type nodeProxy struct {
-	*limitedServers
+	*siteServers
 	node int
 }
 
@@ -153,29 +158,37 @@
 	p.arrivals[id] = append(p.arrivals[id], arrival{p.node, time.Now()})
 	p.mu.Unlock()
 	answer := &garnetworks.ProxiedResponse{Status: http.StatusOK, Header: http.Header{}, FromServer: true}
-	limit, named := namedLimits[id]
-	if since := time.Since(p.start); named && since >= limitsFrom && since < limitsUntil {
+	limit, named := p.limits[id]
+	pause, pauses := p.pauses[id]
+	since := time.Since(p.start)
+	inNeed := since >= limitsFrom && since < limitsUntil
+	if named && inNeed {
 		answer.CallLimit = garnetworks.Some(limit)
 		p.recordTold(id)
 	}
 	events := &eventBody{ctx: ctx, left: 3, interval: serviceTime}
 	answer.Body = events
 	switch {
+	case pauses && inNeed:
+		answer.NotRun, answer.Status, answer.RetryAfter, answer.Body = true, http.StatusServiceUnavailable, pause, http.NoBody
+		p.mu.Lock()
+		p.refusals[id] = append(p.refusals[id], arrival{p.node, time.Now()})
+		p.mu.Unlock()
 	case attempt.Model == "":
 		time.Sleep(serviceTime)
 		answer.Body = io.NopCloser(strings.NewReader("x"))
-		if !named && n%failEach == 0 {
+		if !named && !pauses && n%failEach == 0 {
 			answer.Status = http.StatusInternalServerError
 		}
-	case !named && n%refuseEach == 0:
-		answer.NotRun, answer.Status = true, http.StatusServiceUnavailable
-	case !named && n%breakEach == 0:
+	case !named && !pauses && n%refuseEach == 0:
+		answer.NotRun, answer.Status, answer.Body = true, http.StatusServiceUnavailable, http.NoBody
+	case !named && !pauses && n%breakEach == 0:
 		events.breaks = true
 	}
 	return answer, nil
 }
 
-func (s *limitedServers) recordTold(id garnetworks.InstanceID) {
+func (s *siteServers) recordTold(id garnetworks.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.toldAt[id] == nil {
@@ -189,7 +202,7 @@
 
 // mostInWindow returns the most calls in any limitWindow within a span from the start; told
 // says that only those of nodes count that returned an answer with the limit limitNotice before.
-func (s *limitedServers) mostInWindow(id garnetworks.InstanceID, from, until time.Duration, told bool) int {
+func (s *siteServers) mostInWindow(id garnetworks.InstanceID, from, until time.Duration, told bool) int {
 	var counted []time.Time
 	for _, a := range s.arrivals[id] {
 		at, ok := s.toldAt[id][a.node]
@@ -240,18 +253,18 @@
 
 // limitedSite is a site whose nodes know all others and exchange their load within views.
 type limitedSite struct {
-	servers *limitedServers
+	servers *siteServers
 	nodes   []garnetworks.NodeInfo
 	// views are the sets of nodes that reach each other.
 	views    [][]int
 	gateways []*Gateway
 }
 
-func newLimitedSite(ctx context.Context, nodes int, views [][]int, strangers bool) *limitedSite {
-	s := &limitedSite{
-		servers: &limitedServers{start: time.Now(), arrivals: make(map[garnetworks.InstanceID][]arrival), toldAt: make(map[garnetworks.InstanceID]map[int]time.Time)},
-		views:   views, gateways: make([]*Gateway, nodes),
-	}
+func newLimitedSite(ctx context.Context, servers *siteServers, nodes int, views [][]int, strangers bool) *limitedSite {
+	servers.start = time.Now()
+	servers.arrivals, servers.refusals = make(map[garnetworks.InstanceID][]arrival), make(map[garnetworks.InstanceID][]arrival)
+	servers.toldAt = make(map[garnetworks.InstanceID]map[int]time.Time)
+	s := &limitedSite{servers: servers, views: views, gateways: make([]*Gateway, nodes)}
 	for i := range nodes {
 		s.nodes = append(s.nodes, garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("n-%d", i))})
 	}
@@ -370,7 +383,7 @@
 			t.Run(fmt.Sprintf("%s, %d nodes", name, nodes), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, stop := context.WithCancel(t.Context())
-					s := newLimitedSite(ctx, nodes, split(nodes, v.views(nodes)), v.strangers)
+					s := newLimitedSite(ctx, &siteServers{limits: namedLimits}, nodes, split(nodes, v.views(nodes)), v.strangers)
 					s.run()
 					stop()
 					synctest.Wait()
