gateway: a node keeps the pause that a refusing server asks for

What callers saw: an engine that turned a node away with 503 and Retry-After 3 got 11 more calls from it within the 3 s, 2 allowed (BUDGET); each was refused and served elsewhere, out of the retries that all nodes share. Cause: the pause was not read. A refusal only shrank the group's window, and a group that refuses in a millisecond has no calls in flight and attracts the next one: its rate rose from 6 to 18 a second. Class: what a server says in an answer about the next calls is used for that call alone.

Change: a pause is a limit of the server's incarnation that allows nothing until its end, kept at the same two places as other limits, so that no kind of call passes it by. After it the group gets one call at a time until it answers (rule Q3). Clients of a service or model whose servers all pause are told to come back at the end of the first pause instead of after a fixed second.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,8 @@
 	// limits are the limits that servers named; limitsApplied is when the groups got theirs.
 	limits        *limiter.Limits
 	limitsApplied time.Time
+	// pauses are those that servers asked this node for.
+	pauses limiter.Pauses
 	// started is when the gateway was created; limitedCalls are the calls to plain servers that
 	// were limited.
 	started      time.Time
@@ -136,6 +138,7 @@
 		started:        time.Now(),
 		limitedCalls:   make(limiter.Calls),
 		limits:         limiter.NewLimits(random),
+		pauses:         make(limiter.Pauses),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -247,6 +250,7 @@
 	g.picker.Retain(listed)
 	g.limitedCalls.Retain(listed)
 	g.limits.Retain(now, listed)
+	g.pauses.Retain(now, listed)
 	view := g.view(now)
 	for i := range serving {
 		h := heads[serving[i].ID]
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -23,7 +23,8 @@
 
 // serverLimit returns what this node may send to a server; g.mu is held.
 func (g *Gateway) serverLimit(now time.Time, view *limiter.View, server garnetworks.Incarnation, cold limiter.Limit) limiter.Limit {
-	return limiter.Stricter(now, cold, g.limits.Limit(now, server, view))
+	limit := limiter.Stricter(now, cold, g.limits.Limit(now, server, view))
+	return limiter.Stricter(now, limit, g.pauses.Limit(server))
 }
 
 // applyLimits updates the groups' limits; g.mu is held.
@@ -64,6 +65,18 @@
 	}
 }
 
+// observePause records the pause that a refusing server asked for.
+func (g *Gateway) observePause(server garnetworks.Incarnation, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pauses.Observe(now, server, pause)
+	g.applyLimits(now)
+}
+
 func limitEvent(begun bool) garnetworks.EventKind {
 	if begun {
 		return garnetworks.EventServerLimited
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -61,9 +61,9 @@
 	var tried []garnetworks.Incarnation
 	freeAttempts := 0
 	for {
-		server, ok := x.pick(tried)
+		server, retryAfter, ok := x.pick(tried)
 		if !ok {
-			x.refuseUnanswered(history.MayHaveRun, garnetworks.KindNoBackend, errors.New("no server is available"))
+			x.refuseUnserved(history.MayHaveRun, retryAfter)
 			return
 		}
 		if err := x.checkQuarantine(); err != nil {
@@ -97,8 +97,9 @@
 	}
 }
 
-// pick chooses a server of the call's service.
-func (x *exchange) pick(tried []garnetworks.Incarnation) (garnetworks.RegisteredServer, bool) {
+// pick chooses a server of the call's service. If none is available, it returns the time until
+// a limited server takes a call; 0 if there is none.
+func (x *exchange) pick(tried []garnetworks.Incarnation) (s garnetworks.RegisteredServer, retryAfter time.Duration, ok bool) {
 	now := time.Now()
 	evacuated := x.options.Follower.Evacuated()
 	x.mu.Lock()
@@ -113,20 +114,36 @@
 			continue
 		}
 		limit := limitOf(&s)
-		if slices.Contains(tried, s.Incarnation()) || !x.limitedCalls.Allows(now, s.Incarnation(), limit) {
+		if !x.limitedCalls.Allows(now, s.Incarnation(), limit) {
+			if wait := limit.Next(x.limitedCalls[s.Incarnation()]).Sub(now); retryAfter == 0 || wait < retryAfter {
+				retryAfter = wait
+			}
 			continue
 		}
-		if limit.Overdue {
+		if limit.Overdue && limit.Active(now) && !slices.Contains(tried, s.Incarnation()) {
 			servers = []garnetworks.RegisteredServer{s}
 			break
 		}
 		servers = append(servers, s)
 	}
-	s, ok := x.picker.Pick(now, servers, tried)
+	s, ok = x.picker.Pick(now, servers, tried)
 	if ok {
 		x.limitedCalls.Record(now, s.Incarnation(), limitOf(&s))
 	}
-	return s, ok
+	return s, retryAfter, ok
+}
+
+// refuseUnserved answers a call for which no server is available.
+func (x *exchange) refuseUnserved(mayHaveRun bool, retryAfter time.Duration) {
+	cause := errors.New("no server is available")
+	if mayHaveRun || retryAfter == 0 {
+		x.refuseUnanswered(mayHaveRun, garnetworks.KindNoBackend, cause)
+		return
+	}
+	x.refuse(x.w, x, &garnetworks.Error{
+		Kind: garnetworks.KindNoBackend, Detail: "the call got no answer", Cause: cause,
+		RetryAfter: min(retryAfter, garnetworks.ErrorResponseFor(garnetworks.KindNoBackend).RetryAfter),
+	})
 }
 
 // errSlow is the cause of cancelling an attempt to leave time for another one.
@@ -230,6 +247,7 @@
 		return
 	}
 	x.observeLimit(server, sent, answer)
+	x.observePause(server, answer.RetryAfter)
 	if answer.CallLimit.Present {
 		x.callLimit = answer.CallLimit
 		x.options.Meter.LimitedAnswer(x.service.Name)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -293,6 +293,9 @@
 	} else {
 		s.scheduler.Full(now, s.call.Model, group)
 	}
+	if answer.RetryAfter > 0 {
+		s.scheduler.Paused(s.call.Model, group)
+	}
 	s.mu.Unlock()
 	s.freeAttempts++
 	err := &garnetworks.AttemptError{
--- a/limiter/doc.go
+++ b/limiter/doc.go
@@ -19,4 +19,6 @@
 //	L5  If nothing is learned of a limited server for a time, the chosen nodes prefer it for calls.
 //	    After that, the number of chosen nodes doubles again and again at the same total rate, so
 //	    that one that reaches the server learns whether the limit has ended.
+//	L6  A server that refuses a call and asks for a pause gets no call of the node until its end.
+//	    That is between the server and the node: the others are not concerned.
 package limiter
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -216,6 +216,14 @@
 	return max(minFirstEventTimeout, firstEventTimeoutFactor*s.pool(model).firstEventTime)
 }
 
+// Paused records that a group refused a call and asked for a pause. Until its next first event it
+// gets one call at a time, so that not all waiting calls are refused when the pause ends.
+func (s *Scheduler) Paused(model garnetworks.ModelName, group garnetworks.GroupID) {
+	if g := s.pool(model).groups[group]; g != nil {
+		g.probing = true
+	}
+}
+
 // Stalled records that a group stalls, refuses calls or can't be reached (Q3).
 func (s *Scheduler) Stalled(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) {
 	if g := s.pool(model).groups[group]; g != nil {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -45,15 +45,20 @@
 }
 
 // noGroupRetry returns the retry delay if no group may get a call: until the first limited group
-// takes one, if that is sooner than another group can be expected.
+// takes one, if that is sooner than another group can be expected or there is no other.
 func (p *pool) noGroupRetry(now time.Time) time.Duration {
-	delay := noGroupRetry
+	next, others := maxRetryAfter, len(p.groups) == 0
 	for _, g := range p.groups {
 		if !g.gone && g.Limit.Active(now) {
-			delay = min(delay, g.Limit.Next(g.lastLimitedCall).Sub(now))
+			next = min(next, g.Limit.Next(g.lastLimitedCall).Sub(now))
+		} else {
+			others = true
 		}
 	}
-	return max(delay, minRetryAfter)
+	if others {
+		next = min(next, noGroupRetry)
+	}
+	return max(next, minRetryAfter)
 }
 
 // serving returns the number of groups that may get the call, and of the calls that they take
