limiter: a limit outlasts a lapse of its server's entry

By reading, while looking at each way by which a call reaches a server: the entry of an engine that a cut hides from the store lapses and comes back with the same incarnation. Nodes dropped its limit with the entry, so that each would have called it freely until its next answer, although it had told them.

--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -101,6 +101,12 @@
 	return count
 }
 
+// Knows reports whether a server names a limit, or did a short time ago.
+func (l *Limits) Knows(server garnetworks.Incarnation) bool {
+	_, ok := l.servers[server]
+	return ok
+}
+
 // Observe records the limit in a server's answer, or that the answer to a call that was sent at
 // sent names none. It reports whether a limit has begun or ended.
 func (l *Limits) Observe(now, sent time.Time, server garnetworks.Incarnation, limit garnetworks.Option[float64]) bool {
@@ -164,10 +170,11 @@
 	return changed
 }
 
-// Retain removes the servers for which has returns false, and limits that ended long ago.
+// Retain removes limits that ended, and servers for which has returns false, if nothing was learned
+// of them for endedTime. The entry of a server that still runs may lapse for a while.
 func (l *Limits) Retain(now time.Time, has func(garnetworks.Incarnation) bool) {
 	for server, n := range l.servers {
-		if !has(server) || n.ended() && now.Sub(n.at) > endedTime {
+		if (n.ended() || !has(server)) && now.Sub(n.at) > endedTime {
 			delete(l.servers, server)
 		}
 	}
