limiter: a pause outlasts a lapse of its server's entry

By reading, as for limits: nodes dropped a server's pause when its entry lapsed, and called it again when the entry of the same incarnation came back within the pause. Pauses end by themselves, so nothing else has to remove them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,7 +250,7 @@
 	g.picker.Retain(listed)
 	g.limitedCalls.Retain(listed)
 	g.limits.Retain(now, listed)
-	g.pauses.Retain(now, listed)
+	g.pauses.Retain(now)
 	view := g.view(now)
 	for i := range serving {
 		h := heads[serving[i].ID]
--- a/limiter/pauses.go
+++ b/limiter/pauses.go
@@ -22,10 +22,11 @@
 	return Limit{Until: until, From: until, Interval: 1}
 }
 
-// Retain removes pauses that have ended, and the servers for which has returns false.
-func (p Pauses) Retain(now time.Time, has func(garnetworks.Incarnation) bool) {
+// Retain removes pauses that have ended. A server that is not listed keeps its pause: its entry may
+// have lapsed for a while.
+func (p Pauses) Retain(now time.Time) {
 	for server, until := range p {
-		if !now.Before(until) || !has(server) {
+		if !now.Before(until) {
 			delete(p, server)
 		}
 	}
