gateway: a server that says in its answers that it leaves gets no more calls

A server whose entry does not say so, as some never do, went on getting calls until its entry was removed. The word is recorded for the incarnation when the headers arrive and allows no further call of any kind; it outlasts a lapse of the entry.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -44,6 +44,8 @@
 	ExtraResponses int
 	// LoseOrders is the number of following orders that are executed without a response.
 	LoseOrders int
+	// AnnounceLeaving says in each response to a call that the backend leaves, but not in its entry.
+	AnnounceLeaving bool
 	// CallLimit, if present, is the limit of calls per second that each response to a call names.
 	CallLimit garnetworks.Option[float64]
 	// CrashBody is the body of calls that crash the backend; empty matches none.
@@ -279,6 +281,9 @@
 func (b *Backend) call(w http.ResponseWriter, r *http.Request, f *BackendFaults) {
 	id := r.Header.Get("Garnetworks-Request-Id")
 	w.Header().Set("Garnetworks-Request-Id", id)
+	if f.AnnounceLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if limit, ok := f.CallLimit.Get(); ok {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
 	}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -34,4 +34,12 @@
 //	    retry, no resumed stream. Calls in flight there end by themselves.
 //	E2  A node that has not read the evacuations rejects all calls as not ready.
 //	E3  A call that only servers of evacuated zones could take is rejected at once.
+//
+// What servers say of themselves in the headers of their answers holds for all later calls of
+// the node, of every kind:
+//
+//	B1  A limit of calls, a pause that a refusal asks for, and that the server leaves, are
+//	    recorded when the headers arrive, and are kept where calls take their places.
+//	B2  They belong to the server's incarnation. An answer with status 421 comes from
+//	    another server and says nothing.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,8 @@
 	limitsApplied time.Time
 	// pauses are those that servers asked this node for.
 	pauses limiter.Pauses
+	// leaving holds when servers last said to this node that they leave.
+	leaving map[garnetworks.Incarnation]time.Time
 	// started is when the gateway was created; limitedCalls are the calls to plain servers that
 	// were limited.
 	started      time.Time
@@ -139,6 +141,7 @@
 		limitedCalls:   make(limiter.Calls),
 		limits:         limiter.NewLimits(random),
 		pauses:         make(limiter.Pauses),
+		leaving:        make(map[garnetworks.Incarnation]time.Time),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -251,6 +254,9 @@
 	g.limitedCalls.Retain(listed)
 	g.limits.Retain(now, listed)
 	g.pauses.Retain(now)
+	maps.DeleteFunc(g.leaving, func(l garnetworks.Incarnation, at time.Time) bool {
+		return !listed(l) && now.Sub(at) > leavingRetention
+	})
 	view := g.view(now)
 	for i := range serving {
 		h := heads[serving[i].ID]
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -11,6 +11,10 @@
 // nodes of the site and with the age of what is known of a server.
 const limitsInterval = 200 * time.Millisecond
 
+// leavingRetention is how long the word of a server that it leaves is kept after the server was
+// last listed: its entry may lapse for a while before it ends.
+const leavingRetention = time.Minute
+
 // view returns what the node knows of the site's nodes.
 func (g *Gateway) view(now time.Time) limiter.View {
 	v := limiter.View{Self: g.options.Self}
@@ -23,6 +27,9 @@
 
 // serverLimit returns what this node may send to a server; g.mu is held.
 func (g *Gateway) serverLimit(now time.Time, view *limiter.View, server garnetworks.Incarnation, cold limiter.Limit) limiter.Limit {
+	if _, leaving := g.leaving[server]; leaving {
+		return limiter.Never()
+	}
 	limit := limiter.Stricter(now, cold, g.limits.Limit(now, server, view))
 	return limiter.Stricter(now, limit, g.pauses.Limit(server))
 }
@@ -77,6 +84,22 @@
 	g.applyLimits(now)
 }
 
+// observeLeaving records that a server says that it leaves. The server's own word may come before
+// that of its entry, and some servers never say so there.
+func (g *Gateway) observeLeaving(server garnetworks.Incarnation) {
+	now := time.Now()
+	g.mu.Lock()
+	_, known := g.leaving[server]
+	g.leaving[server] = now
+	if !known {
+		g.applyLimits(now)
+	}
+	g.mu.Unlock()
+	if !known {
+		g.options.Logger.Info(string(garnetworks.EventServerLeaving), "instance", server.Instance)
+	}
+}
+
 func limitEvent(begun bool) garnetworks.EventKind {
 	if begun {
 		return garnetworks.EventServerLimited
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -248,6 +248,9 @@
 	}
 	x.observeLimit(server, sent, answer)
 	x.observePause(server, answer.RetryAfter)
+	if answer.Leaving {
+		x.observeLeaving(server)
+	}
 	if answer.CallLimit.Present {
 		x.callLimit = answer.CallLimit
 		x.options.Meter.LimitedAnswer(x.service.Name)
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -454,3 +454,29 @@
 		})
 	}
 }
+
+// Guards against calls to a server that says in its answers that it leaves, while its entry in the
+// platform's list says nothing of it.
+func TestServerThatSaysThatItLeavesGetsNoMoreCalls(t *testing.T) {
+	for name, target := range map[string]string{"model": streamURL, "safe call": safeURL, "call that runs once": onceURL} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 6)
+			s.awaitSuccess(target)
+			all := append(slices.Clone(s.engines), s.services...)
+			leaving := all[slices.IndexFunc(all, func(b *impersonator.Backend) bool { return len(b.Runs()) > 0 })]
+			leaving.UpdateFaults(func(f *impersonator.BackendFaults) { f.AnnounceLeaving = true })
+			s.eventually("the node knows that the server leaves", func() bool {
+				s.call(http.MethodPost, target, nil)
+				return s.logged(string(garnetworks.EventServerLeaving), leaving.ID)
+			})
+			before := len(leaving.Runs())
+			for range 100 {
+				s.call(http.MethodPost, target, nil)
+			}
+			if n := len(leaving.Runs()) - before; n > 0 {
+				t.Errorf("the server got %d calls after it had said that it leaves", n)
+			}
+			s.awaitSuccess(target)
+		})
+	}
+}
--- a/limiter/limit.go
+++ b/limiter/limit.go
@@ -32,6 +32,9 @@
 	Overdue bool
 }
 
+// Never allows no call.
+func Never() Limit { return Limit{Until: unlimitedTime} }
+
 // Active reports whether the limit applies.
 func (l Limit) Active(now time.Time) bool { return now.Before(l.Until) }
 
--- a/passing.go
+++ b/passing.go
@@ -81,6 +81,8 @@
 	NotRun bool
 	// FaultyInstance is the instance because of which the server refused, if it named one.
 	FaultyInstance InstanceID
+	// Leaving says that the server is leaving and wants no further call.
+	Leaving bool
 	// RetryAfter is how long the server wants no call from this node, if it refused with one.
 	RetryAfter time.Duration
 	// CallLimit is the number of calls per second that the server takes from all nodes
