--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -277,6 +277,7 @@
 		result.Stalled = failed.connectionStalled
 		result.StaleToken = failed.refusal == garnetworks.KindStaleToken
 		result.Leaving = failed.refusal == garnetworks.KindShuttingDown
+		result.RetryAfter = failed.retryAfter
 		result.Cancelled = cancelled(ctx) || errors.Is(err, errSlowCaller)
 	}
 	now := time.Now()
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -360,6 +360,7 @@
 		result.Phase = failed.phase
 		result.Stalled = failed.timedOut || errors.Is(ctx.Err(), context.DeadlineExceeded)
 		result.Leaving = failed.refusal == garnetworks.KindShuttingDown
+		result.RetryAfter = failed.retryAfter
 		result.Cancelled = cancelled(ctx)
 	}
 	now := time.Now()
--- a/path.go
+++ b/path.go
@@ -25,6 +25,8 @@
 	StaleToken bool
 	// Leaving says that the server refused the attempt because it is leaving.
 	Leaving bool
+	// RetryAfter is how long the server that refused the attempt wants no further one.
+	RetryAfter time.Duration
 	// Cancelled says that the caller or the node ended the attempt, so that its result
 	// tells nothing about the backend server.
 	Cancelled bool
--- a/router/choose.go
+++ b/router/choose.go
@@ -311,6 +311,30 @@
 	}
 }
 
+// pauseLeft returns the time until the first pause of a group that could take the call ends; 0 if
+// there is none.
+func (t *table) pauseLeft(now int64, call *garnetworks.CallRequest) time.Duration {
+	p := t.pools[poolKey{call.Model, call.Adapter}]
+	if p == nil {
+		return 0
+	}
+	left := time.Duration(0)
+	for _, e := range p.site.entries {
+		if e.group.serving(now) {
+			left = soonerPause(left, e.group.pausedUntil-now)
+		}
+	}
+	return left
+}
+
+// soonerPause returns the shorter of two pauses, of which those that have ended do not count.
+func soonerPause(left time.Duration, pause int64) time.Duration {
+	if pause > 0 && (left == 0 || time.Duration(pause) < left) {
+		return time.Duration(pause)
+	}
+	return left
+}
+
 // finished ends an attempt and evaluates its result.
 func (t *table) finished(now int64, id garnetworks.GroupID, result garnetworks.AttemptResult) {
 	g := t.groups[id]
@@ -324,6 +348,7 @@
 	if result.StaleToken || result.Leaving {
 		t.deny(now, id)
 	}
+	g.pausedUntil = max(g.pausedUntil, now+int64(result.RetryAfter))
 	switch result.Phase {
 	case garnetworks.PhaseConnect:
 		g.cooldown.fail(now)
--- a/router/router.go
+++ b/router/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -91,8 +92,11 @@
 	defer r.mu.Unlock()
 	g := r.table.choose(now.UnixNano(), call, tried)
 	if g == nil {
-		return garnetworks.GroupView{}, garnetworks.Errorf(garnetworks.KindNoGroup,
-			"no confirmed group serves model %s with adapter %q", call.Model, call.Adapter)
+		return garnetworks.GroupView{}, &garnetworks.Error{
+			Kind:       garnetworks.KindNoGroup,
+			Detail:     fmt.Sprintf("no confirmed group serves model %s with adapter %q", call.Model, call.Adapter),
+			RetryAfter: r.table.pauseLeft(now.UnixNano(), call),
+		}
 	}
 	return g.view, nil
 }
@@ -126,8 +130,11 @@
 	defer r.mu.Unlock()
 	s := r.table.chooseServer(now.UnixNano(), service, tried)
 	if s == nil {
-		return garnetworks.ServerView{}, garnetworks.Errorf(garnetworks.KindNoBackend,
-			"no backend server of service %s takes new work", service)
+		return garnetworks.ServerView{}, &garnetworks.Error{
+			Kind:       garnetworks.KindNoBackend,
+			Detail:     fmt.Sprintf("no backend server of service %s takes new work", service),
+			RetryAfter: r.table.serverPauseLeft(now.UnixNano(), service),
+		}
 	}
 	return s.view, nil
 }
--- a/router/servers.go
+++ b/router/servers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/garnetworks/garnetworks"
 )
@@ -15,6 +16,8 @@
 	// views list the instance at this address, since they lag behind the server.
 	leaving  bool
 	cooldown cooldown
+	// pausedUntil is the end of the pause that the server asked for when it refused a call.
+	pausedUntil int64
 }
 
 // service holds the servers of a plain service, sorted by instance.
@@ -58,7 +61,7 @@
 	if s := t.services[view.Service]; s != nil {
 		if v := s.find(view.Instance); v != nil {
 			if v.view.Address != view.Address {
-				v.leaving = false
+				v.leaving, v.pausedUntil = false, 0
 				v.cooldown.succeed()
 			}
 			v.view = view
@@ -68,9 +71,25 @@
 	return &server{view: view}
 }
 
-// accepts reports whether the server may get new work (R11).
-func (v *server) accepts(tried []garnetworks.InstanceID) bool {
-	return !v.view.Leaving && !v.leaving && !slices.Contains(tried, v.view.Instance)
+// accepts reports whether the server may get new work (R11, R12).
+func (v *server) accepts(now int64, tried []garnetworks.InstanceID) bool {
+	return !v.view.Leaving && !v.leaving && v.pausedUntil <= now && !slices.Contains(tried, v.view.Instance)
+}
+
+// serverPauseLeft returns the time until the first pause of a service's server ends; 0 if there is
+// none.
+func (t *table) serverPauseLeft(now int64, name garnetworks.ServiceName) time.Duration {
+	s := t.services[name]
+	if s == nil {
+		return 0
+	}
+	left := time.Duration(0)
+	for _, v := range s.servers {
+		if !v.view.Leaving && !v.leaving {
+			left = soonerPause(left, v.pausedUntil-now)
+		}
+	}
+	return left
 }
 
 // chooseServer returns the less loaded of two random servers of the best class: own zone and
@@ -85,7 +104,7 @@
 	count := uint64(0)
 	for _, v := range s.servers {
 		c := t.class(now, v)
-		if !v.accepts(tried) || c > class {
+		if !v.accepts(now, tried) || c > class {
 			continue
 		}
 		if c < class {
@@ -147,6 +166,7 @@
 	if result.Leaving {
 		v.leaving = true
 	}
+	v.pausedUntil = max(v.pausedUntil, now+int64(result.RetryAfter))
 	switch result.Phase {
 	case garnetworks.PhaseConnect:
 		v.cooldown.fail(now)
--- a/router/table.go
+++ b/router/table.go
@@ -35,6 +35,8 @@
 	confirmedByView, confirmedByProbe int64
 	// deniedUntil is the time until which evidence against the group counts.
 	deniedUntil int64
+	// pausedUntil is the end of the pause that the group asked for when it refused a call.
+	pausedUntil int64
 	// confirmedUntil is the time until which the group is confirmed; 0 if it is not.
 	confirmedUntil int64
 	cooldown       cooldown
@@ -61,8 +63,11 @@
 
 func (c *cooldown) succeed() { *c = cooldown{} }
 
-// eligible reports whether the group may get a call now (R1, R3).
-func (g *group) eligible(now int64) bool { return g.confirmedUntil >= now && g.deniedUntil <= now }
+// eligible reports whether the group may get a call now (R1, R3, R12).
+func (g *group) eligible(now int64) bool { return g.serving(now) && g.pausedUntil <= now }
+
+// serving is eligible without regard to pauses.
+func (g *group) serving(now int64) bool { return g.confirmedUntil >= now && g.deniedUntil <= now }
 
 // updateConfirmation recomputes confirmedUntil; it must be called after each change of the
 // fields that it reads (R1).
@@ -215,6 +220,7 @@
 	if view.Token > g.view.Token {
 		// Evidence and confirmations refer to the earlier token.
 		g.deniedUntil = 0
+		g.pausedUntil = 0
 		g.confirmedByView = 0
 		g.confirmedByProbe = 0
 	}
