gateway: a call that has its slot is not sent to a server that refuses calls since

By reading, while looking at each way by which a call reaches a server: between the slot and the sending a call may wait, for the proof of a crash (300 ms) or for the node's processor. A server that asks for a pause, or says that it leaves, in that time still got it. Plain calls now wait before they pick a server; a call to a model is placed anew. TestCallWithAPlaceIsNotSentToAServerThatNowRefuses failed before: one call in each of its six cases.

--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -34,6 +34,16 @@
 	return limiter.Stricter(now, limit, g.pauses.Limit(server))
 }
 
+// refusesCalls reports whether a server has asked for a pause that has not ended, or leaves. A call
+// may have got its slot before that.
+func (g *Gateway) refusesCalls(server garnetworks.Incarnation) bool {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, leaving := g.leaving[server]
+	return leaving || now.Before(g.pauses[server])
+}
+
 // applyLimits updates the groups' limits; g.mu is held.
 func (g *Gateway) applyLimits(now time.Time) {
 	g.limitsApplied = now
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -122,3 +122,50 @@
 		})
 	}
 }
+
+// slowQuarantine lets each call wait for quarantineWait before its attempts.
+type slowQuarantine struct{ noQuarantine }
+
+const quarantineWait = time.Second
+
+func (slowQuarantine) Quarantined(context.Context, garnetworks.ContentDigest) (time.Duration, bool) {
+	time.Sleep(quarantineWait)
+	return 0, false
+}
+
+// Guards against a call that got its place before its server asked for a pause, or said that it
+// leaves, and is sent later than that.
+func TestCallWithAPlaceIsNotSentToAServerThatNowRefuses(t *testing.T) {
+	changes := map[string]func(g *Gateway, server garnetworks.Incarnation){
+		"pause":   func(g *Gateway, server garnetworks.Incarnation) { g.observePause(server, time.Minute) },
+		"leaving": func(g *Gateway, server garnetworks.Incarnation) { g.observeLeaving(server) },
+	}
+	for name, change := range changes {
+		for _, path := range []string{"/stream/x", "/safe/x", "/once/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, stop := context.WithCancel(t.Context())
+					s := newLimitedSite(ctx, &siteServers{}, 1, split(1, 1), false)
+					g := s.gateways[0]
+					g.options.Quarantine = slowQuarantine{}
+					time.Sleep(time.Second)
+					go s.call(0, path)
+					// The call waits once before it has a place, and again with it.
+					time.Sleep(quarantineWait + quarantineWait/2)
+					for i := range siteEngines {
+						change(g, garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprintf("engine-%d", i))})
+					}
+					for i := range sitePlainServers {
+						change(g, garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprintf("plain-%d", i))})
+					}
+					time.Sleep(quarantineWait)
+					for id, arrivals := range s.servers.arrivals {
+						t.Errorf("%s got %d calls", id, len(arrivals))
+					}
+					stop()
+					time.Sleep(time.Minute)
+				})
+			})
+		}
+	}
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -61,15 +61,16 @@
 	var tried []garnetworks.Incarnation
 	freeAttempts := 0
 	for {
+		// The check may wait, so that a server that was picked before it may refuse calls by then.
+		if err := x.checkQuarantine(); err != nil {
+			x.endQuarantined(history.MayHaveRun, err)
+			return
+		}
 		server, retryAfter, ok := x.pick(tried)
 		if !ok {
 			x.refuseUnserved(history.MayHaveRun, retryAfter)
 			return
 		}
-		if err := x.checkQuarantine(); err != nil {
-			x.endQuarantined(history.MayHaveRun, err)
-			return
-		}
 		tried = append(tried, server.Incarnation())
 		mayRepeat := repeatable && len(tried) < x.route.MaxAttempts+freeAttempts
 		answer, granted, failure := x.attemptPlain(&server, mayRepeat)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -219,6 +219,10 @@
 		s.freeAttempts++
 		return s.freeAttempts <= maxFreeAttempts, errors.New("the group no longer exists")
 	}
+	if s.refusesCalls(h.incarnation) {
+		s.freeAttempts++
+		return s.freeAttempts <= maxFreeAttempts, errors.New("the engine has refused calls since the call got its slot")
+	}
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	wd := s.newWatchdog(group, cancel)
