gateway, scheduler: limits without a report are tried in no order of a map; two small faults

Of several limited servers without a recent report, the first in a map's order got the call, so that equal states gave different decisions; now the usual choice is made among them. The gauge of limited servers kept its value when the last of them was forgotten, and a server that names a limit in some of its answers only could fill the log; both mended. TestOverdueGroupIsPreferred holds the preference, which had no test of its own.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,6 +253,7 @@
 	g.picker.Retain(listed)
 	g.limitedCalls.Retain(listed)
 	g.limits.Retain(now, listed)
+	g.options.Meter.LimitedServers(g.limits.Count())
 	g.pauses.Retain(now)
 	maps.DeleteFunc(g.leaving, func(l garnetworks.Incarnation, at time.Time) bool {
 		return !listed(l) && now.Sub(at) > leavingRetention
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -77,8 +77,13 @@
 		g.applyLimits(now)
 	}
 	g.mu.Unlock()
-	if changed {
-		g.options.Logger.Info(string(limitEvent(answer.CallLimit.Present)), "instance", server.Instance, "limit", answer.CallLimit.Or(0))
+	if !changed {
+		return
+	}
+	// A server may name a limit in some of its answers only.
+	kind := string(limitEvent(answer.CallLimit.Present))
+	if folded, ok := g.successLines.Allow(now, kind); ok {
+		g.options.Logger.Info(kind, "instance", server.Instance, "limit", answer.CallLimit.Or(0), "folded", folded)
 	}
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -109,7 +109,7 @@
 	limitOf := func(s *garnetworks.RegisteredServer) limiter.Limit {
 		return x.serverLimit(now, &view, s.Incarnation(), x.coldLimit(now, x.service, s))
 	}
-	var servers []garnetworks.RegisteredServer
+	var servers, overdue []garnetworks.RegisteredServer
 	for _, s := range x.options.Follower.ServersOf(x.service.Name) {
 		if s.State != garnetworks.ListedLive || evacuated.Has(s.Zone) { // rule E1
 			continue
@@ -121,11 +121,13 @@
 			}
 			continue
 		}
+		servers = append(servers, s)
 		if limit.Overdue && limit.Active(now) && !slices.Contains(tried, s.Incarnation()) {
-			servers = []garnetworks.RegisteredServer{s}
-			break
+			overdue = append(overdue, s)
 		}
-		servers = append(servers, s)
+	}
+	if len(overdue) > 0 {
+		servers = overdue
 	}
 	s, ok = x.picker.Pick(now, servers, tried)
 	if ok {
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -88,3 +88,24 @@
 		t.Error("the second call was placed within the interval")
 	}
 }
+
+// Guards against a limit of which nothing is learned any more, because other groups are always
+// preferred to the limited one.
+func TestOverdueGroupIsPreferred(t *testing.T) {
+	const slots = 20
+	for name, overdue := range map[string]bool{"overdue": true, "reported recently": false} {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", fixedRandom)
+			list := groups(slots, "a", "b", "c", "limited")
+			list[3].Limit = limiter.Limit{Until: start.Add(time.Hour), Interval: time.Second, Overdue: overdue}
+			s.SetGroups(start, list)
+			d, _ := s.Arrive(start, newCall("1"))
+			if got := d.Group == "limited"; got != overdue {
+				t.Errorf("the first call went to %s", d.Group)
+			}
+			if d, _ := s.Arrive(start, newCall("2")); overdue && d.Group == "limited" {
+				t.Error("so did the second one, within the interval")
+			}
+		})
+	}
+}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -46,7 +46,7 @@
 	if s.peersKnown && p.allowance < 1 && !c.Resumed { // Q6
 		return nil
 	}
-	var free []*groupState
+	var free, overdue []*groupState
 	othersReachable := s.anyZoneReachable(now, p)
 	for _, g := range p.groups {
 		if othersReachable && s.zoneUnreachable(now, g.Zone) { // Q10
@@ -71,10 +71,13 @@
 		if !p.canPrefill(g, c) { // Q9
 			continue
 		}
+		free = append(free, g)
 		if g.Limit.Overdue && g.Limit.Active(now) {
-			return g
+			overdue = append(overdue, g)
 		}
-		free = append(free, g)
+	}
+	if len(overdue) > 0 {
+		free = overdue
 	}
 	return s.leastLoaded(p, free)
 }
