limiter, gateway, router: requested backoff instead of pause; shorter heads of tests

"Pause" is the longest gap between two events elsewhere in this code, and the field's term for what a refusing server requests is backoff. No behaviour is changed and no check.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -17,8 +17,8 @@
 //	    differ, as after a partition or a start.
 //	X6  Groups that the lease holder knows to be lost are sent with its reports, so
 //	    that no node has to find each of them by calls of its own.
-//	X7  What servers told a node about their limits is sent with its reports and the sums
-//	    over them for a short time, and not by nodes that learned it from a report.
+//	X7  Limits that servers name to a node are sent with its reports, and the sums over
+//	    them, for a short time. Nodes that learned of them from a report don't send them.
 package exchanger
 
 import (
--- a/exchanger/total_test.go
+++ b/exchanger/total_test.go
@@ -54,8 +54,7 @@
 	})
 }
 
-// Guards against an old limit of a server that replaces a newer one in a sum, and against sums
-// that grow with the nodes that report the same server.
+// Guards against an older limit that replaces a newer one in a sum, and against unbounded sums.
 func TestSumHoldsTheNewestLimits(t *testing.T) {
 	report := func(perSecond float64, age int64, instance garnetworks.InstanceID) garnetworks.LoadReport {
 		return garnetworks.LoadReport{Limits: []garnetworks.ServerLimit{{Instance: instance, CallsPerSecond: perSecond, AgeMS: age}}}
--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -17,8 +17,8 @@
 
 // BackendFaults are the injectable faults of a Backend.
 type BackendFaults struct {
-	// Full refuses calls as not run. RetryAfter is the pause in seconds that such a refusal asks
-	// for; empty for none.
+	// Full refuses calls as not run. RetryAfter is the backoff in seconds that such a refusal
+	// requests; empty for none.
 	Full       bool
 	RetryAfter string
 	// Stalled sends no events and no responses to calls; Unreachable responds to nothing,
--- a/former/flight.go
+++ b/former/flight.go
@@ -26,10 +26,9 @@
 // responses. It must not be used by several goroutines at once.
 //
 // Load pattern: hundreds of engines register within seconds and each is due for an order.
-// A node that sent all of them at once timed out most of them itself and took the engines for
-// unresponsive: with 880 engines, 2,500 orders failed and 770 engines were taken for unresponsive.
-// Missing responses leave the window unchanged: they are an engine's fault more
-// often than the node's.
+// A node that sent all of them at once timed out most of them itself: with 880 engines, 2,500
+// orders failed and 770 engines were taken for unresponsive. Missing responses leave the window
+// unchanged: they are an engine's fault more often than the node's.
 type congestionWindow struct {
 	size     float64
 	inFlight int
--- a/gateway/pause_test.go
+++ b/gateway/backoff_test.go
@@ -12,20 +12,20 @@
 	"github.com/garnetworks/garnetworks"
 )
 
-// What a node may send to a server that refused a call and asked for a pause: pauseCalls from
-// pauseNotice after the refusal to the end of the pause.
+// What a node may send to a server that refused a call with a backoff: backoffCalls from
+// backoffNotice after the refusal to the end of the backoff.
 const (
-	pauseNotice = 500 * time.Millisecond
-	pauseCalls  = 2
+	backoffNotice = 500 * time.Millisecond
+	backoffCalls  = 2
 )
 
-// mostInPause returns the most calls that a server got from a node within a pause that it had
-// asked that node for, and the number of its pauses.
-func (s *siteServers) mostInPause(id garnetworks.InstanceID) (most, pauses int) {
+// mostInBackoff returns the most calls that a server got from a node within a backoff that it had
+// requested from that node, and the number of its backoffs.
+func (s *siteServers) mostInBackoff(id garnetworks.InstanceID) (most, backoffs int) {
 	for _, r := range s.refusals[id] {
 		calls := 0
 		for _, a := range s.arrivals[id] {
-			if after := a.at.Sub(r.at); a.node == r.node && after > pauseNotice && after < s.pauses[id] {
+			if after := a.at.Sub(r.at); a.node == r.node && after > backoffNotice && after < s.backoffs[id] {
 				calls++
 			}
 		}
@@ -34,24 +34,23 @@
 	return most, len(s.refusals[id])
 }
 
-// pausing returns the pauses of the first engines and plain servers.
-func pausing(engines, plain int, pause time.Duration) map[garnetworks.InstanceID]time.Duration {
-	pauses := make(map[garnetworks.InstanceID]time.Duration)
+// backoffsOf returns the backoffs of the first engines and plain servers.
+func backoffsOf(engines, plain int, backoff time.Duration) map[garnetworks.InstanceID]time.Duration {
+	backoffs := make(map[garnetworks.InstanceID]time.Duration)
 	for i := range engines {
-		pauses[garnetworks.InstanceID(fmt.Sprintf("engine-%d", i))] = pause
+		backoffs[garnetworks.InstanceID(fmt.Sprintf("engine-%d", i))] = backoff
 	}
 	for i := range plain {
-		pauses[garnetworks.InstanceID(fmt.Sprintf("plain-%d", i))] = pause
+		backoffs[garnetworks.InstanceID(fmt.Sprintf("plain-%d", i))] = backoff
 	}
-	return pauses
+	return backoffs
 }
 
-// Guards against a node that goes on calling a server that refused it and asked for a pause, by
-// any way that calls take, and against servers that get no calls after it.
-func TestNodeKeepsThePauseThatAServerAsksFor(t *testing.T) {
+// Guards against any kind of call to a server during the backoff that it requested from the node.
+func TestNodeBacksOffAsAServerRequests(t *testing.T) {
 	cases := map[string]struct {
 		engines, plain int
-		pause          time.Duration
+		backoff        time.Duration
 	}{
 		"few servers":  {2, 1, 3 * time.Second},
 		"most servers": {siteEngines - 2, sitePlainServers - 1, 3 * time.Second},
@@ -67,18 +66,18 @@
 						views = nodes
 					}
 					ctx, stop := context.WithCancel(t.Context())
-					s := newLimitedSite(ctx, &siteServers{pauses: pausing(c.engines, c.plain, c.pause)}, nodes, split(nodes, views), false)
+					s := newLimitedSite(ctx, &siteServers{backoffs: backoffsOf(c.engines, c.plain, c.backoff)}, nodes, split(nodes, views), false)
 					s.run()
 					stop()
 					synctest.Wait()
-					for id := range s.servers.pauses {
-						most, pauses := s.servers.mostInPause(id)
-						t.Logf("%s asked for %d pauses, %d calls in one", id, pauses, most)
-						if most > pauseCalls {
-							t.Errorf("%s got %d calls from a node within a pause of %s, %d allowed", id, most, c.pause, pauseCalls)
+					for id := range s.servers.backoffs {
+						most, backoffs := s.servers.mostInBackoff(id)
+						t.Logf("%s requested %d backoffs, %d calls in one", id, backoffs, most)
+						if most > backoffCalls {
+							t.Errorf("%s got %d calls from a node within a backoff of %s, %d allowed", id, most, c.backoff, backoffCalls)
 						}
-						if pauses == 0 || s.servers.mostInWindow(id, siteTime-limitWindow, siteTime, false) == 0 {
-							t.Errorf("%s asked for %d pauses and gets no calls after them", id, pauses)
+						if backoffs == 0 || s.servers.mostInWindow(id, siteTime-limitWindow, siteTime, false) == 0 {
+							t.Errorf("%s requested %d backoffs and gets no calls after them", id, backoffs)
 						}
 					}
 				})
@@ -87,15 +86,14 @@
 	}
 }
 
-// Guards against calls that wait for servers that all asked for a longer pause, and against
-// clients that are told to come back before it ends.
-func TestCallsAreRefusedAtOnceWhileAllServersPause(t *testing.T) {
+// Guards against calls that wait, or return too early, while all servers have requested a backoff.
+func TestCallsAreRejectedAtOnceDuringAllBackoffs(t *testing.T) {
 	for _, path := range []string{"/stream/x", "/safe/x", "/once/x"} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				const pause = 1800 * time.Millisecond
+				const backoff = 1800 * time.Millisecond
 				ctx, stop := context.WithCancel(t.Context())
-				s := newLimitedSite(ctx, &siteServers{pauses: pausing(siteEngines, sitePlainServers, pause)}, 1, split(1, 1), false)
+				s := newLimitedSite(ctx, &siteServers{backoffs: backoffsOf(siteEngines, sitePlainServers, backoff)}, 1, split(1, 1), false)
 				time.Sleep(limitsFrom)
 				send := func() *httptest.ResponseRecorder {
 					r := httptest.NewRequest(http.MethodPost, path, nil)
@@ -113,8 +111,8 @@
 					t.Errorf("the call got status %d after %s", w.Code, took)
 				}
 				retryAfter, err := time.ParseDuration(w.Header().Get("Retry-After") + "s")
-				if err != nil || retryAfter != pause {
-					t.Errorf("the client may come back after %q, the pause is %s", w.Header().Get("Retry-After"), pause)
+				if err != nil || retryAfter != backoff {
+					t.Errorf("the client may come back after %q, the backoff is %s", w.Header().Get("Retry-After"), backoff)
 				}
 				stop()
 				synctest.Wait()
@@ -133,11 +131,10 @@
 	return 0, false
 }
 
-// Guards against a call that got its place before its server asked for a pause, or said that it
-// leaves, and is sent later than that.
-func TestCallWithAPlaceIsNotSentToAServerThatNowRefuses(t *testing.T) {
+// Guards against sending a call whose server has requested a backoff, or leaves, since it got its slot.
+func TestCallWithASlotIsNotSentToARefusingServer(t *testing.T) {
 	changes := map[string]func(g *Gateway, server garnetworks.Incarnation){
-		"pause":   func(g *Gateway, server garnetworks.Incarnation) { g.observePause(server, time.Minute) },
+		"backoff": func(g *Gateway, server garnetworks.Incarnation) { g.observeRetryAfter(server, time.Minute) },
 		"leaving": func(g *Gateway, server garnetworks.Incarnation) { g.observeLeaving(server) },
 	}
 	for name, change := range changes {
@@ -150,7 +147,7 @@
 					g.options.Quarantine = slowQuarantine{}
 					time.Sleep(time.Second)
 					go s.call(0, path)
-					// The call waits once before it has a place, and again with it.
+					// The call waits once before it gets a slot, and again after that.
 					time.Sleep(quarantineWait + quarantineWait/2)
 					for i := range siteEngines {
 						change(g, garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprintf("engine-%d", i))})
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -38,8 +38,8 @@
 // What servers say of themselves in the headers of their answers holds for all later calls of
 // the node, of every kind:
 //
-//	B1  A limit of calls, a pause that a refusal asks for, and that the server leaves, are
-//	    recorded when the headers arrive, and are kept where calls take their places.
+//	B1  A limit of calls, a requested backoff, and that the server leaves, are recorded
+//	    when the headers arrive, and are kept where calls get their slots.
 //	B2  They belong to the server's incarnation. An answer with status 421 comes from
 //	    another server and says nothing.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,9 +112,9 @@
 	// limits are the limits that servers named; limitsApplied is when the groups got theirs.
 	limits        *limiter.Limits
 	limitsApplied time.Time
-	// pauses are those that servers asked this node for.
-	pauses limiter.Pauses
-	// leaving holds when servers last said to this node that they leave.
+	// backoffs are those that servers requested from this node.
+	backoffs limiter.Backoffs
+	// leaving holds when servers last announced to this node that they leave.
 	leaving map[garnetworks.Incarnation]time.Time
 	// started is when the gateway was created; limitedCalls are the calls to plain servers that
 	// were limited.
@@ -140,7 +140,7 @@
 		started:        time.Now(),
 		limitedCalls:   make(limiter.Calls),
 		limits:         limiter.NewLimits(random),
-		pauses:         make(limiter.Pauses),
+		backoffs:       make(limiter.Backoffs),
 		leaving:        make(map[garnetworks.Incarnation]time.Time),
 	}
 	g.bounds.Store(&options.Bounds)
@@ -254,7 +254,7 @@
 	g.limitedCalls.Retain(listed)
 	g.limits.Retain(now, listed)
 	g.options.Meter.LimitedServers(g.limits.Count())
-	g.pauses.Retain(now)
+	g.backoffs.Retain(now)
 	maps.DeleteFunc(g.leaving, func(l garnetworks.Incarnation, at time.Time) bool {
 		return !listed(l) && now.Sub(at) > leavingRetention
 	})
--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -11,8 +11,8 @@
 // nodes of the site and with the age of what is known of a server.
 const limitsInterval = 200 * time.Millisecond
 
-// leavingRetention is how long the word of a server that it leaves is kept after the server was
-// last listed: its entry may lapse for a while before it ends.
+// leavingRetention is how long it is remembered that a server leaves after the server was last
+// listed, since its entry may lapse for a while.
 const leavingRetention = time.Minute
 
 // view returns what the node knows of the site's nodes.
@@ -31,17 +31,17 @@
 		return limiter.Never()
 	}
 	limit := limiter.Stricter(now, cold, g.limits.Limit(now, server, view))
-	return limiter.Stricter(now, limit, g.pauses.Limit(server))
+	return limiter.Stricter(now, limit, g.backoffs.Limit(server))
 }
 
-// refusesCalls reports whether a server has asked for a pause that has not ended, or leaves. A call
+// refusesCalls reports whether a server has requested a backoff that has not ended, or leaves. A call
 // may have got its slot before that.
 func (g *Gateway) refusesCalls(server garnetworks.Incarnation) bool {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, leaving := g.leaving[server]
-	return leaving || now.Before(g.pauses[server])
+	return leaving || now.Before(g.backoffs[server])
 }
 
 // applyLimits updates the groups' limits; g.mu is held.
@@ -87,20 +87,20 @@
 	}
 }
 
-// observePause records the pause that a refusing server asked for.
-func (g *Gateway) observePause(server garnetworks.Incarnation, pause time.Duration) {
-	if pause <= 0 {
+// observeRetryAfter records the backoff that a refusing server requested.
+func (g *Gateway) observeRetryAfter(server garnetworks.Incarnation, backoff time.Duration) {
+	if backoff <= 0 {
 		return
 	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pauses.Observe(now, server, pause)
+	g.backoffs.Observe(now, server, backoff)
 	g.applyLimits(now)
 }
 
-// observeLeaving records that a server says that it leaves. The server's own word may come before
-// that of its entry, and some servers never say so there.
+// observeLeaving records that a server announces that it leaves. Its answers may show this before
+// its entry does, and the entries of some servers never show it.
 func (g *Gateway) observeLeaving(server garnetworks.Incarnation) {
 	now := time.Now()
 	g.mu.Lock()
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -33,7 +33,7 @@
 )
 
 const (
-	// siteEngines and siteServers are the numbers of engines, each a group of its own, and of
+	// siteEngines and sitePlainServers are the numbers of engines, each a group of its own, and of
 	// servers of the plain service.
 	siteEngines, sitePlainServers = 12, 3
 	// siteCalls is the number of calls per second at all nodes together, at least one a node.
@@ -123,21 +123,21 @@
 	at   time.Time
 }
 
-// siteServers are the servers of a site. Some name limits for a time, or refuse all calls and ask
-// for a pause; the others break off, refuse or fail some of their calls, so that calls are
+// siteServers are the servers of a site. Some name limits for a time, or refuse all calls with a
+// backoff; the others break off, refuse or fail some of their calls, so that calls are
 // repeated elsewhere.
 type siteServers struct {
-	start  time.Time
-	limits map[garnetworks.InstanceID]float64
-	pauses map[garnetworks.InstanceID]time.Duration
+	start    time.Time
+	limits   map[garnetworks.InstanceID]float64
+	backoffs map[garnetworks.InstanceID]time.Duration
 
 	mu       sync.Mutex
 	count    int
 	arrivals map[garnetworks.InstanceID][]arrival
-	// refusals are the refusals that asked for a pause, at the times of their answers.
+	// refusals are those with a backoff, at the times of their answers.
 	refusals map[garnetworks.InstanceID][]arrival
-	// toldAt holds when a node first returned an answer with a server's limit.
-	toldAt map[garnetworks.InstanceID]map[int]time.Time
+	// namedAt holds when a node first returned an answer with a server's limit.
+	namedAt map[garnetworks.InstanceID]map[int]time.Time
 }
 
 // nodeProxy is a node's way to the servers.
@@ -159,54 +159,54 @@
 	p.mu.Unlock()
 	answer := &garnetworks.ProxiedResponse{Status: http.StatusOK, Header: http.Header{}, FromServer: true}
 	limit, named := p.limits[id]
-	pause, pauses := p.pauses[id]
+	backoff, backoffs := p.backoffs[id]
 	since := time.Since(p.start)
 	inNeed := since >= limitsFrom && since < limitsUntil
 	if named && inNeed {
 		answer.CallLimit = garnetworks.Some(limit)
-		p.recordTold(id)
+		p.recordNamed(id)
 	}
 	events := &eventBody{ctx: ctx, left: 3, interval: serviceTime}
 	answer.Body = events
 	switch {
-	case pauses && inNeed:
-		answer.NotRun, answer.Status, answer.RetryAfter, answer.Body = true, http.StatusServiceUnavailable, pause, http.NoBody
+	case backoffs && inNeed:
+		answer.NotRun, answer.Status, answer.RetryAfter, answer.Body = true, http.StatusServiceUnavailable, backoff, http.NoBody
 		p.mu.Lock()
 		p.refusals[id] = append(p.refusals[id], arrival{p.node, time.Now()})
 		p.mu.Unlock()
 	case attempt.Model == "":
 		time.Sleep(serviceTime)
 		answer.Body = io.NopCloser(strings.NewReader("x"))
-		if !named && !pauses && n%failEach == 0 {
+		if !named && !backoffs && n%failEach == 0 {
 			answer.Status = http.StatusInternalServerError
 		}
-	case !named && !pauses && n%refuseEach == 0:
+	case !named && !backoffs && n%refuseEach == 0:
 		answer.NotRun, answer.Status, answer.Body = true, http.StatusServiceUnavailable, http.NoBody
-	case !named && !pauses && n%breakEach == 0:
+	case !named && !backoffs && n%breakEach == 0:
 		events.breaks = true
 	}
 	return answer, nil
 }
 
-func (s *siteServers) recordTold(id garnetworks.InstanceID) {
+func (s *siteServers) recordNamed(id garnetworks.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.toldAt[id] == nil {
-		s.toldAt[id] = make(map[int]time.Time)
+	if s.namedAt[id] == nil {
+		s.namedAt[id] = make(map[int]time.Time)
 	}
 	node := s.arrivals[id][len(s.arrivals[id])-1].node
-	if _, ok := s.toldAt[id][node]; !ok {
-		s.toldAt[id][node] = time.Now()
+	if _, ok := s.namedAt[id][node]; !ok {
+		s.namedAt[id][node] = time.Now()
 	}
 }
 
-// mostInWindow returns the most calls in any limitWindow within a span from the start; told
+// mostInWindow returns the most calls in any limitWindow within a span from the start; informed
 // says that only those of nodes count that returned an answer with the limit limitNotice before.
-func (s *siteServers) mostInWindow(id garnetworks.InstanceID, from, until time.Duration, told bool) int {
+func (s *siteServers) mostInWindow(id garnetworks.InstanceID, from, until time.Duration, informed bool) int {
 	var counted []time.Time
 	for _, a := range s.arrivals[id] {
-		at, ok := s.toldAt[id][a.node]
-		if told && (!ok || a.at.Sub(at) < limitNotice) {
+		at, ok := s.namedAt[id][a.node]
+		if informed && (!ok || a.at.Sub(at) < limitNotice) {
 			continue
 		}
 		if since := a.at.Sub(s.start); since >= from && since < until {
@@ -263,7 +263,7 @@
 func newLimitedSite(ctx context.Context, servers *siteServers, nodes int, views [][]int, strangers bool) *limitedSite {
 	servers.start = time.Now()
 	servers.arrivals, servers.refusals = make(map[garnetworks.InstanceID][]arrival), make(map[garnetworks.InstanceID][]arrival)
-	servers.toldAt = make(map[garnetworks.InstanceID]map[int]time.Time)
+	servers.namedAt = make(map[garnetworks.InstanceID]map[int]time.Time)
 	s := &limitedSite{servers: servers, views: views, gateways: make([]*Gateway, nodes)}
 	for i := range nodes {
 		s.nodes = append(s.nodes, garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("n-%d", i))})
@@ -331,7 +331,7 @@
 	time.Sleep(warmUp)
 	ticker := time.NewTicker(exchanger.Interval)
 	defer ticker.Stop()
-	pause := time.Second / time.Duration(max(siteCalls, len(s.nodes)))
+	backoff := time.Second / time.Duration(max(siteCalls, len(s.nodes)))
 	var calls sync.WaitGroup
 	for n := 0; time.Since(s.servers.start) < siteTime; n++ {
 		path := "/stream/x"
@@ -348,7 +348,7 @@
 			s.exchange()
 		default:
 		}
-		time.Sleep(pause)
+		time.Sleep(backoff)
 	}
 	calls.Wait()
 }
@@ -362,8 +362,7 @@
 	return list
 }
 
-// Guards against a server that names a limit getting more calls from all nodes together, by any
-// way that calls take, whether the nodes reach each other or not.
+// Guards against a server getting more calls from all nodes than the limit that it names.
 func TestServerLimitHoldsOverAllNodes(t *testing.T) {
 	views := map[string]struct {
 		views func(nodes int) int
@@ -395,8 +394,8 @@
 	}
 }
 
-// check holds the arrivals to the limits. Nodes in touch learn of a limit that another node was
-// told, and of its end.
+// check holds the arrivals to the limits. Nodes in touch learn from each other of a
+// limit and of its end.
 func (s *limitedSite) check(t *testing.T, inTouch bool) {
 	t.Helper()
 	for id, limit := range namedLimits {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -243,14 +243,14 @@
 	return attempt
 }
 
-// recordAnswer records what a server says of itself in the headers of an answer to a call that
+// recordAnswer records what a server reports of itself in the headers of an answer to a call that
 // was sent at sent.
 func (x *exchange) recordAnswer(server garnetworks.Incarnation, sent time.Time, answer *garnetworks.ProxiedResponse, err error) {
 	if err != nil || answer.Status == http.StatusMisdirectedRequest {
 		return
 	}
 	x.observeLimit(server, sent, answer)
-	x.observePause(server, answer.RetryAfter)
+	x.observeRetryAfter(server, answer.RetryAfter)
 	if answer.Leaving {
 		x.observeLeaving(server)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -299,7 +299,7 @@
 		s.scheduler.Full(now, s.call.Model, group)
 	}
 	if answer.RetryAfter > 0 {
-		s.scheduler.Paused(s.call.Model, group)
+		s.scheduler.BackoffRequested(s.call.Model, group)
 	}
 	s.mu.Unlock()
 	s.freeAttempts++
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -426,7 +426,7 @@
 	}
 }
 
-// Guards against a server's limit that only the node knows that was told.
+// Guards against a limit that only those nodes keep to which the server named it.
 func TestServerLimitIsKnownAtOtherNodes(t *testing.T) {
 	for name, target := range map[string]string{"model": streamURL, "plain service": safeURL} {
 		t.Run(name, func(t *testing.T) {
@@ -455,9 +455,8 @@
 	}
 }
 
-// Guards against calls to a server that says in its answers that it leaves, while its entry in the
-// platform's list says nothing of it.
-func TestServerThatSaysThatItLeavesGetsNoMoreCalls(t *testing.T) {
+// Guards against calls to a server that announces in its answers only that it is leaving.
+func TestServerThatAnnouncesLeavingGetsNoMoreCalls(t *testing.T) {
 	for name, target := range map[string]string{"model": streamURL, "safe call": safeURL, "call that runs once": onceURL} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 6)
--- a/limiter/doc.go
+++ b/limiter/doc.go
@@ -14,11 +14,11 @@
 //	    knows no other node although there should be some: it would wrongly find itself among the
 //	    chosen.
 //	L4  A limit holds until the server answers a call that was sent after the limit was last named,
-//	    and names none. Nodes report what servers told them, but not what other nodes reported,
-//	    so that no report circulates.
+//	    and names none. Nodes report what answers to them named, but not what other nodes
+//	    reported, so that no report circulates.
 //	L5  If nothing is learned of a limited server for a time, the chosen nodes prefer it for calls.
 //	    After that, the number of chosen nodes doubles again and again at the same total rate, so
 //	    that one that reaches the server learns whether the limit has ended.
-//	L6  A server that refuses a call and asks for a pause gets no call of the node until its end.
-//	    That is between the server and the node: the others are not concerned.
+//	L6  A server that refuses a call with a backoff gets no call of the node until that has passed.
+//	    The backoff is between the server and the node and does not concern other nodes.
 package limiter
--- a/limiter/limits_test.go
+++ b/limiter/limits_test.go
@@ -38,8 +38,7 @@
 	return l
 }
 
-// Guards against nodes that together send more than a limited server tolerates, or far less than
-// it takes, at any number of nodes and in partitions.
+// Guards against nodes that together send more than a limited server tolerates, or far less than it takes.
 func TestNodesTogetherKeepALimit(t *testing.T) {
 	for _, count := range []int{1, 2, 6, 89, 986, 1972} {
 		for _, perSecond := range []float64{0, 0.1, 0.4, 1, 2.9, 7.5, 40, 300} {
@@ -74,8 +73,7 @@
 	}
 }
 
-// Guards against each of many nodes that have just started, and know no other, calling a limited
-// server.
+// Guards against calls to a limited server by each of many nodes that have just started.
 func TestNodeThatKnowsNoOtherSendsNothing(t *testing.T) {
 	limit := limited(10).Limit(start, server, &limiter.View{Self: "front-1"})
 	if limit.Allows(start.Add(time.Hour), time.Time{}) {
@@ -83,8 +81,7 @@
 	}
 }
 
-// Guards against a server that gets no call any more because none of the chosen nodes reaches it,
-// and against nodes that then all call it at once.
+// Guards against a limited server that none of the chosen nodes reaches.
 func TestMoreNodesAreChosenWhileNothingIsLearned(t *testing.T) {
 	const count, perSecond = 100, 2.0
 	all := nodes(count)
@@ -103,8 +100,7 @@
 	}
 }
 
-// Guards against a limit that is dropped because of an answer from before it was named, or kept
-// after the server has ceased to name it.
+// Guards against a limit that an answer to an earlier call ends, or that outlasts its end.
 func TestLimitLastsAsLongAsItIsNamed(t *testing.T) {
 	none := garnetworks.Option[float64]{}
 	view := &limiter.View{Self: "front-1", Settled: true}
@@ -131,8 +127,7 @@
 	}
 }
 
-// Guards against nodes that never learn of a limit, or of its end, from others, and against
-// reports that circulate between nodes that saw nothing themselves.
+// Guards against limits that other nodes never learn of, and against reports that circulate.
 func TestReportsOfLimits(t *testing.T) {
 	view := &limiter.View{Self: "front-1", Settled: true}
 	source, other := limited(2), newLimits()
@@ -161,8 +156,7 @@
 	}
 }
 
-// Guards against limits of servers that are gone or no longer limited filling the node's memory,
-// and against a limit that is forgotten because the server's entry lapses for a while.
+// Guards against a limit that is lost while its entry has lapsed, and against records kept for good.
 func TestLimitsAreForgotten(t *testing.T) {
 	const lapse, long = 10 * time.Second, time.Hour
 	cases := map[string]struct {
--- a/router/choose.go
+++ b/router/choose.go
@@ -311,9 +311,9 @@
 	}
 }
 
-// pauseLeft returns the time until the first pause of a group that could take the call ends; 0 if
+// backoffLeft returns the time until the first backoff of a group that could take the call ends; 0 if
 // there is none.
-func (t *table) pauseLeft(now int64, call *garnetworks.CallRequest) time.Duration {
+func (t *table) backoffLeft(now int64, call *garnetworks.CallRequest) time.Duration {
 	p := t.pools[poolKey{call.Model, call.Adapter}]
 	if p == nil {
 		return 0
@@ -321,16 +321,16 @@
 	left := time.Duration(0)
 	for _, e := range p.site.entries {
 		if e.group.serving(now) {
-			left = soonerPause(left, e.group.pausedUntil-now)
+			left = shorterBackoff(left, e.group.backoffUntil-now)
 		}
 	}
 	return left
 }
 
-// soonerPause returns the shorter of two pauses, of which those that have ended do not count.
-func soonerPause(left time.Duration, pause int64) time.Duration {
-	if pause > 0 && (left == 0 || time.Duration(pause) < left) {
-		return time.Duration(pause)
+// shorterBackoff returns the shorter of two backoffs, of which those that have ended do not count.
+func shorterBackoff(left time.Duration, backoff int64) time.Duration {
+	if backoff > 0 && (left == 0 || time.Duration(backoff) < left) {
+		return time.Duration(backoff)
 	}
 	return left
 }
@@ -348,7 +348,7 @@
 	if result.StaleToken || result.Leaving {
 		t.deny(now, id)
 	}
-	g.pausedUntil = max(g.pausedUntil, now+int64(result.RetryAfter))
+	g.backoffUntil = max(g.backoffUntil, now+int64(result.RetryAfter))
 	switch result.Phase {
 	case garnetworks.PhaseConnect:
 		g.cooldown.fail(now)
--- a/router/doc.go
+++ b/router/doc.go
@@ -39,6 +39,6 @@
 //	     enough to detect its recovery.
 //	R11  Backend servers of plain services: never one that is leaving by its
 //	     view or by its own statement; own zone first; the less loaded of two.
-//	R12  A group or server that refused a call and asked for a pause gets none from the
+//	R12  A group or server that refused a call and requested a backoff gets none from the
 //	     node until its end.
 package router
--- a/router/router.go
+++ b/router/router.go
@@ -95,7 +95,7 @@
 		return garnetworks.GroupView{}, &garnetworks.Error{
 			Kind:       garnetworks.KindNoGroup,
 			Detail:     fmt.Sprintf("no confirmed group serves model %s with adapter %q", call.Model, call.Adapter),
-			RetryAfter: r.table.pauseLeft(now.UnixNano(), call),
+			RetryAfter: r.table.backoffLeft(now.UnixNano(), call),
 		}
 	}
 	return g.view, nil
@@ -133,7 +133,7 @@
 		return garnetworks.ServerView{}, &garnetworks.Error{
 			Kind:       garnetworks.KindNoBackend,
 			Detail:     fmt.Sprintf("no backend server of service %s takes new work", service),
-			RetryAfter: r.table.serverPauseLeft(now.UnixNano(), service),
+			RetryAfter: r.table.serverBackoffLeft(now.UnixNano(), service),
 		}
 	}
 	return s.view, nil
--- a/router/servers.go
+++ b/router/servers.go
@@ -16,8 +16,8 @@
 	// views list the instance at this address, since they lag behind the server.
 	leaving  bool
 	cooldown cooldown
-	// pausedUntil is the end of the pause that the server asked for when it refused a call.
-	pausedUntil int64
+	// backoffUntil is the end of the backoff that the server requested when it refused a call.
+	backoffUntil int64
 }
 
 // service holds the servers of a plain service, sorted by instance.
@@ -61,7 +61,7 @@
 	if s := t.services[view.Service]; s != nil {
 		if v := s.find(view.Instance); v != nil {
 			if v.view.Address != view.Address {
-				v.leaving, v.pausedUntil = false, 0
+				v.leaving, v.backoffUntil = false, 0
 				v.cooldown.succeed()
 			}
 			v.view = view
@@ -73,12 +73,12 @@
 
 // accepts reports whether the server may get new work (R11, R12).
 func (v *server) accepts(now int64, tried []garnetworks.InstanceID) bool {
-	return !v.view.Leaving && !v.leaving && v.pausedUntil <= now && !slices.Contains(tried, v.view.Instance)
+	return !v.view.Leaving && !v.leaving && v.backoffUntil <= now && !slices.Contains(tried, v.view.Instance)
 }
 
-// serverPauseLeft returns the time until the first pause of a service's server ends; 0 if there is
+// serverBackoffLeft returns the time until the first backoff of a service's server ends; 0 if there is
 // none.
-func (t *table) serverPauseLeft(now int64, name garnetworks.ServiceName) time.Duration {
+func (t *table) serverBackoffLeft(now int64, name garnetworks.ServiceName) time.Duration {
 	s := t.services[name]
 	if s == nil {
 		return 0
@@ -86,7 +86,7 @@
 	left := time.Duration(0)
 	for _, v := range s.servers {
 		if !v.view.Leaving && !v.leaving {
-			left = soonerPause(left, v.pausedUntil-now)
+			left = shorterBackoff(left, v.backoffUntil-now)
 		}
 	}
 	return left
@@ -166,7 +166,7 @@
 	if result.Leaving {
 		v.leaving = true
 	}
-	v.pausedUntil = max(v.pausedUntil, now+int64(result.RetryAfter))
+	v.backoffUntil = max(v.backoffUntil, now+int64(result.RetryAfter))
 	switch result.Phase {
 	case garnetworks.PhaseConnect:
 		v.cooldown.fail(now)
--- a/router/table.go
+++ b/router/table.go
@@ -35,8 +35,8 @@
 	confirmedByView, confirmedByProbe int64
 	// deniedUntil is the time until which evidence against the group counts.
 	deniedUntil int64
-	// pausedUntil is the end of the pause that the group asked for when it refused a call.
-	pausedUntil int64
+	// backoffUntil is the end of the backoff that the group requested when it refused a call.
+	backoffUntil int64
 	// confirmedUntil is the time until which the group is confirmed; 0 if it is not.
 	confirmedUntil int64
 	cooldown       cooldown
@@ -64,9 +64,9 @@
 func (c *cooldown) succeed() { *c = cooldown{} }
 
 // eligible reports whether the group may get a call now (R1, R3, R12).
-func (g *group) eligible(now int64) bool { return g.serving(now) && g.pausedUntil <= now }
+func (g *group) eligible(now int64) bool { return g.serving(now) && g.backoffUntil <= now }
 
-// serving is eligible without regard to pauses.
+// serving is eligible without regard to backoffs.
 func (g *group) serving(now int64) bool { return g.confirmedUntil >= now && g.deniedUntil <= now }
 
 // updateConfirmation recomputes confirmedUntil; it must be called after each change of the
@@ -220,7 +220,7 @@
 	if view.Token > g.view.Token {
 		// Evidence and confirmations refer to the earlier token.
 		g.deniedUntil = 0
-		g.pausedUntil = 0
+		g.backoffUntil = 0
 		g.confirmedByView = 0
 		g.confirmedByProbe = 0
 	}
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -17,7 +17,7 @@
 //	    without coordination. Where nodes exchange their load, the window bounds the
 //	    calls of the whole site.
 //	Q3  A group that stalls or refuses calls. It gets no call during a cooldown, or the
-//	    pause that it asked for, then one at a time until it answers.
+//	    backoff that it requested, then one at a time until it answers.
 //	Q4  Calls of several priorities. The most urgent come first; within a priority,
 //	    the one with the earliest objective.
 //	Q5  A call that was interrupted by the failure of its group. It goes before all
@@ -46,7 +46,7 @@
 //	    lapsed. Failures that the lease holder finds by probes count at all nodes,
 //	    except at a node that has just received an event from the group.
 //	Q12 A group whose head takes few calls: it is cold, as all heads of an availability
-//	    zone that returns, names a limit, or asked for a pause. It gets no more calls from this node than
+//	    zone that returns, names a limit, or requested a backoff. It gets no more calls from this node than
 //	    limiter.Limit allows, whatever their kind, and its other slots count neither as
 //	    free nor in the expected wait. A call that can only go to such groups, and for
 //	    which they have no place in time, is rejected at once.
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -18,7 +18,7 @@
 	return list
 }
 
-// Guards against calls that wait in vain for a group that takes too few of them in time.
+// Guards against calls that wait for a group that will not take them in time.
 func TestCallsBeyondALimitAreRejectedAtOnce(t *testing.T) {
 	const interval = 200 * time.Millisecond
 	s := scheduler.New("z", fixedRandom)
@@ -47,8 +47,7 @@
 	}
 }
 
-// Guards against a node that sends nothing to limited groups, because it counts none of their
-// slots as free, while all groups of the model are limited.
+// Guards against a node that sends nothing while all groups of a model are limited.
 func TestLimitedGroupsGetTheirCallsWhilePeersAreKnown(t *testing.T) {
 	const interval, seconds = 500 * time.Millisecond, 4
 	s := scheduler.New("z", fixedRandom)
@@ -74,7 +73,7 @@
 	}
 }
 
-// Guards against a stream that moves from a stalled group to a limited one without a place there.
+// Guards against a moved stream that exceeds the limit of its new group.
 func TestMovedCallsKeepALimit(t *testing.T) {
 	s := scheduler.New("z", fixedRandom)
 	s.SetGroups(start, limitedGroup(time.Minute))
@@ -89,8 +88,7 @@
 	}
 }
 
-// Guards against a limit of which nothing is learned any more, because other groups are always
-// preferred to the limited one.
+// Guards against a limited group that never gets the call that would show the end of its limit.
 func TestOverdueGroupIsPreferred(t *testing.T) {
 	const slots = 20
 	for name, overdue := range map[string]bool{"overdue": true, "reported recently": false} {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -219,9 +219,9 @@
 	return max(minFirstEventTimeout, firstEventTimeoutFactor*s.pool(model).firstEventTime)
 }
 
-// Paused records that a group refused a call and asked for a pause. Until its next first event it
-// gets one call at a time, so that not all waiting calls are refused when the pause ends.
-func (s *Scheduler) Paused(model garnetworks.ModelName, group garnetworks.GroupID) {
+// BackoffRequested records that a group refused a call with a backoff. Until its next first event it
+// gets one call at a time, so that not all waiting calls are refused when the backoff ends.
+func (s *Scheduler) BackoffRequested(model garnetworks.ModelName, group garnetworks.GroupID) {
 	if g := s.pool(model).groups[group]; g != nil {
 		g.probing = true
 	}
