--- a/exchanger/topology.go
+++ b/exchanger/topology.go
@@ -43,14 +43,9 @@
 func (c *topologyCache) get(self garnetworks.NodeInfo, peers []garnetworks.NodeInfo) *Topology {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.topology == nil || c.topology.Self != self || !sameSlice(c.peers, peers) {
+	if c.topology == nil || c.topology.Self != self || !garnetworks.SameSlice(c.peers, peers) {
 		c.topology, c.peers = NewTopology(self, slices.Clip(peers)), peers
 		c.computed++
 	}
 	return c.topology
 }
-
-// sameSlice reports whether a and b are the same part of the same array.
-func sameSlice(a, b []garnetworks.NodeInfo) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -200,7 +200,7 @@
 	if !view.Settled { // rule L3
 		return 0, false
 	}
-	if !n.ranked || !sameSlice(n.rankedAmong, view.Others) {
+	if !n.ranked || !garnetworks.SameSlice(n.rankedAmong, view.Others) {
 		n.rank, n.ranked, n.rankedAmong = Rank(view.Self, view.Others, server), true, view.Others
 	}
 	chosen := min(chosenNodes(n.perSecond), len(view.Others)+1)
@@ -229,8 +229,3 @@
 	tolerated := (tolerance*perSecond*window + toleranceSlack) / (MaxViews * window)
 	return min(perSecond, tolerated-float64(chosen)/window)
 }
-
-// sameSlice reports whether a and b are the same part of the same array.
-func sameSlice(a, b []garnetworks.NodeInfo) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
--- a/values.go
+++ b/values.go
@@ -54,3 +54,8 @@
 	}
 	return other
 }
+
+// SameSlice reports whether a and b are the same part of the same array.
+func SameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
