gateway, meter: retries that the site's limit allowed or refused are counted

Cause: no figure told the retries that a node took from its limit from attempts that take none, so the log could not tell a limit that a restart forgets from retries that are not counted.

Change: garnet_retries_total by service and result. The watchdog counts the retry it takes with its slot; a check that finds none left is no retry. No decision changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -405,7 +405,14 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryWindow(now, service).Take(now)
+	return g.take(now, service)
+}
+
+// take implements takeRetry; g.mu is held.
+func (g *Gateway) take(now time.Time, service garnetworks.ServiceName) bool {
+	allowed := g.retryWindow(now, service).Take(now)
+	g.options.Meter.Retry(service, allowed)
+	return allowed
 }
 
 func (g *Gateway) recordCall(service garnetworks.ServiceName) {
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -137,8 +137,7 @@
 
 // reserve takes a slot at another group and a retry, if both are available; the lock is held.
 func (s *stream) reserve(now time.Time, request scheduler.Call) bool {
-	retries := s.retryWindow(now, s.service.Name)
-	if retries.Available(now) < 1 {
+	if s.retryWindow(now, s.service.Name).Available(now) < 1 {
 		return false
 	}
 	group, ok := s.scheduler.TryPlace(now, request)
@@ -146,7 +145,7 @@
 		return false
 	}
 	s.reserved = group
-	return retries.Take(now)
+	return s.take(now, s.service.Name)
 }
 
 // takeReserved returns and clears the reserved slot, if there is one.
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/meter"
 	"github.com/garnetworks/garnetworks/retrier"
 	"github.com/garnetworks/garnetworks/scheduler"
 )
@@ -15,7 +16,7 @@
 func newWatchedStream(t *testing.T) (*Gateway, *stream) {
 	t.Helper()
 	g := &Gateway{
-		options:        Options{Suspect: func(garnetworks.GroupID) {}},
+		options:        Options{Suspect: func(garnetworks.GroupID) {}, Meter: meter.New()},
 		scheduler:      scheduler.New("z", func() float64 { return 0 }),
 		lastGroupEvent: make(map[garnetworks.GroupID]time.Time),
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -46,6 +46,7 @@
 	firstEvent     *prometheus.HistogramVec
 	queueWait      *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
+	retries        *prometheus.CounterVec
 	limitedAnswers *prometheus.CounterVec
 	attemptTime    *prometheus.HistogramVec
 	objectTime     *prometheus.HistogramVec
@@ -93,6 +94,7 @@
 	{"garnet_routing_age_seconds", "Time since the node's routing was last known to be the newest one; over 9e9 while that is not known.", nil},
 	{"garnet_attempts_total", "Attempts of calls that are passed on, by service, group (empty for plain services) and the phase in which they ended.", []string{"service", "group", "phase"}},
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
+	{"garnet_retries_total", "Retries of calls that are passed on, by service and whether the site's limit of retries allowed them.", []string{"service", "result"}},
 	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
@@ -142,6 +144,7 @@
 	m.firstEvent = histograms("garnet_passed_first_event_seconds", firstTokenBuckets)
 	m.queueWait = histograms("garnet_passed_wait_seconds", attemptBuckets)
 	m.attempts = counter("garnet_attempts_total")
+	m.retries = counter("garnet_retries_total")
 	m.limitedAnswers = counter("garnet_limited_answers_total")
 	m.attemptTime = histograms("garnet_attempt_seconds", attemptBuckets)
 	m.objectTime = histograms("garnet_object_api_seconds", objectBuckets)
@@ -209,6 +212,15 @@
 	m.attemptTime.WithLabelValues(string(service)).Observe(took.Seconds())
 }
 
+// Retry counts a retry that the limit of the service's retries allowed or refused.
+func (m *Meter) Retry(service garnetworks.ServiceName, allowed bool) {
+	result := "refused"
+	if allowed {
+		result = "allowed"
+	}
+	m.retries.WithLabelValues(string(service), result).Inc()
+}
+
 // LimitedAnswer counts an answer in which a server of the service named a limit of calls.
 func (m *Meter) LimitedAnswer(service garnetworks.ServiceName) {
 	m.limitedAnswers.WithLabelValues(string(service)).Inc()
