--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -110,7 +111,7 @@
 type modelReader struct{}
 
 func (modelReader) ReadCall(r *http.Request) (*garnetworks.ProxiedCall, error) {
-	call := &garnetworks.ProxiedCall{ID: "c", Method: r.Method, Host: r.Host, Target: r.URL.Path, Received: time.Now()}
+	call := &garnetworks.ProxiedCall{ID: garnetworks.CallID(r.URL.Path), Method: r.Method, Host: r.Host, Target: r.URL.Path, Received: time.Now()}
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		call.Model = "m"
 	}
@@ -121,6 +122,7 @@
 type arrival struct {
 	node int
 	at   time.Time
+	call garnetworks.CallID
 }
 
 // siteServers are the servers of a site. Some name limits for a time, or refuse all calls with a
@@ -130,6 +132,8 @@
 	start    time.Time
 	limits   map[garnetworks.InstanceID]float64
 	backoffs map[garnetworks.InstanceID]time.Duration
+	// failing says that most calls to servers without a limit fail while limits are named.
+	failing bool
 
 	mu       sync.Mutex
 	count    int
@@ -155,7 +159,7 @@
 	p.mu.Lock()
 	p.count++
 	n := p.count
-	p.arrivals[id] = append(p.arrivals[id], arrival{p.node, time.Now()})
+	p.arrivals[id] = append(p.arrivals[id], arrival{p.node, time.Now(), attempt.ID})
 	p.mu.Unlock()
 	answer := &garnetworks.ProxiedResponse{Status: http.StatusOK, Header: http.Header{}, FromServer: true}
 	limit, named := p.limits[id]
@@ -168,21 +172,25 @@
 	}
 	events := &eventBody{ctx: ctx, left: 3, interval: serviceTime}
 	answer.Body = events
+	refuses, fails, breaks := n%refuseEach == 0, n%failEach == 0, n%breakEach == 0
+	if p.failing && inNeed {
+		refuses, fails, breaks = n%4 == 0, n%4 < 3, n%4 < 3
+	}
 	switch {
 	case backoffs && inNeed:
 		answer.NotRun, answer.Status, answer.RetryAfter, answer.Body = true, http.StatusServiceUnavailable, backoff, http.NoBody
 		p.mu.Lock()
-		p.refusals[id] = append(p.refusals[id], arrival{p.node, time.Now()})
+		p.refusals[id] = append(p.refusals[id], arrival{p.node, time.Now(), attempt.ID})
 		p.mu.Unlock()
 	case attempt.Model == "":
 		time.Sleep(serviceTime)
 		answer.Body = io.NopCloser(strings.NewReader("x"))
-		if !named && !backoffs && n%failEach == 0 {
+		if !named && !backoffs && fails {
 			answer.Status = http.StatusInternalServerError
 		}
-	case !named && !backoffs && n%refuseEach == 0:
+	case !named && !backoffs && refuses:
 		answer.NotRun, answer.Status, answer.Body = true, http.StatusServiceUnavailable, http.NoBody
-	case !named && !backoffs && n%breakEach == 0:
+	case !named && !backoffs && breaks:
 		events.breaks = true
 	}
 	return answer, nil
@@ -258,13 +266,22 @@
 	// views are the sets of nodes that reach each other.
 	views    [][]int
 	gateways []*Gateway
+	// known are the nodes that each node has listed; stops end its gateway and its calls.
+	known    [][]garnetworks.NodeInfo
+	contexts []context.Context
+	stops    []context.CancelFunc
+	// restarts replace nodes while the site runs; nil if none do.
+	restarts func()
 }
 
 func newLimitedSite(ctx context.Context, servers *siteServers, nodes int, views [][]int, strangers bool) *limitedSite {
 	servers.start = time.Now()
 	servers.arrivals, servers.refusals = make(map[garnetworks.InstanceID][]arrival), make(map[garnetworks.InstanceID][]arrival)
 	servers.namedAt = make(map[garnetworks.InstanceID]map[int]time.Time)
-	s := &limitedSite{servers: servers, views: views, gateways: make([]*Gateway, nodes)}
+	s := &limitedSite{
+		servers: servers, views: views, gateways: make([]*Gateway, nodes), known: make([][]garnetworks.NodeInfo, nodes),
+		contexts: make([]context.Context, nodes), stops: make([]context.CancelFunc, nodes),
+	}
 	for i := range nodes {
 		s.nodes = append(s.nodes, garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("n-%d", i))})
 	}
@@ -277,26 +294,37 @@
 			}
 		}
 		for _, i := range view {
-			others := make([]garnetworks.NodeInfo, 0, len(known))
-			for _, n := range known {
-				if n.ID != s.nodes[i].ID {
-					others = append(others, n)
-				}
-			}
-			f := follower.New(follower.Options{Objects: limitedAPI{}, Reader: limitedReader{}, Recorder: noRecorder{}})
-			g := New(Options{
-				Bounds:   garnetworks.SiteBounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 130, RevokeTime: time.Hour},
-				Follower: f, Reader: modelReader{}, Proxy: nodeProxy{s.servers, i}, Meter: meter.New(), Quarantine: noQuarantine{}, Logger: hclog.NewNullLogger(),
-				Suspect: func(garnetworks.GroupID) {}, Self: s.nodes[i].ID, Nodes: func() []garnetworks.NodeInfo { return others },
-			})
-			s.gateways[i] = g
-			go func() { _ = f.Run(ctx) }() // ends with ctx
-			go func() { _ = g.Run(ctx) }() // ends with ctx
+			s.known[i] = known
+			s.start(ctx, i)
 		}
 	}
 	return s
 }
 
+// start starts a node, or replaces it by a new process.
+func (s *limitedSite) start(ctx context.Context, node int) {
+	if stop := s.stops[node]; stop != nil {
+		stop()
+	}
+	others := make([]garnetworks.NodeInfo, 0, len(s.known[node]))
+	for _, n := range s.known[node] {
+		if n.ID != s.nodes[node].ID {
+			others = append(others, n)
+		}
+	}
+	ctx, s.stops[node] = context.WithCancel(ctx)
+	s.contexts[node] = ctx
+	f := follower.New(follower.Options{Objects: limitedAPI{}, Reader: limitedReader{}, Recorder: noRecorder{}})
+	g := New(Options{
+		Bounds:   garnetworks.SiteBounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 130, RevokeTime: time.Hour},
+		Follower: f, Reader: modelReader{}, Proxy: nodeProxy{s.servers, node}, Meter: meter.New(), Quarantine: noQuarantine{}, Logger: hclog.NewNullLogger(),
+		Suspect: func(garnetworks.GroupID) {}, Self: s.nodes[node].ID, Nodes: func() []garnetworks.NodeInfo { return others },
+	})
+	s.gateways[node] = g
+	go func() { _ = f.Run(ctx) }() // ends with ctx
+	go func() { _ = g.Run(ctx) }() // ends with ctx
+}
+
 // exchange gives each node the load of the others in its view.
 func (s *limitedSite) exchange() {
 	const exact = 10
@@ -320,7 +348,7 @@
 // call sends a call to a node.
 func (s *limitedSite) call(node int, path string) {
 	defer func() { _ = recover() }() // a stream that broke off
-	r := httptest.NewRequest(http.MethodPost, path, nil)
+	r := httptest.NewRequestWithContext(s.contexts[node], http.MethodPost, path, nil)
 	r.Host = "a.example"
 	s.gateways[node].ServeHTTP(httptest.NewRecorder(), r)
 }
@@ -334,14 +362,18 @@
 	backoff := time.Second / time.Duration(max(siteCalls, len(s.nodes)))
 	var calls sync.WaitGroup
 	for n := 0; time.Since(s.servers.start) < siteTime; n++ {
-		path := "/stream/x"
+		path := "/stream/"
 		// So many calls go to the plain servers that no two of them suffice.
 		if n%5 < 2 {
-			path = "/safe/x"
+			path = "/safe/"
 		} else if n%7 == 0 {
-			path = "/once/x"
+			path = "/once/"
 		}
+		path += strconv.Itoa(n)
 		node := n * 7919 % len(s.nodes)
+		if s.restarts != nil {
+			s.restarts()
+		}
 		calls.Go(func() { s.call(node, path) })
 		select {
 		case <-ticker.C:
