retrier, gateway: a node that starts again has not all its retries anew

Cause: the window that limits a node's retries lives in its process. A node that is killed has spent its share of the constant part and what its calls of 10 s earned; its successor began with the whole constant part, so each restart in a span added a share. retryShare, 0.8, left a fifth for that; two kills of all nodes need more. Two faults of the same count: a node divided the constant part by the nodes that report to it (6 at least), not by those that it has listed, so nodes out of touch took too much, 89 and 986 nodes a multiple; and a share below one retry was rounded down to none.

Change: a process allows 0.7 of the bound's part for calls, and 0.8 of the constant part divided by all nodes that are listed or report; in its first span 0.2 of the part for calls and nothing of the constant part (rule R8). A span that holds a process and its successors allows at most the sum, 0.9, whatever restarts. What a node gets is rounded at random (rule R9). A node that knows no other although there should be some gets nothing of the constant part. Weighed: a count in the object API (a write each second and node, and none in an outage); peers that report a node's retries back to it (lost when all are killed, and a new field of load reports); a token bucket that starts empty (holds by itself, but a lost group makes all streams of a node retry at once, and its burst would be a third of today's).

Tests whose node must retry at once have one that has run for a span: the site of the launcher's tests has a span of 1 s, the watchdog's gateway has no other node.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,9 +44,11 @@
 	// nodeCountRetention is how long a node count is kept after a lower one was reported. It is
 	// longer than a usual partition.
 	nodeCountRetention = 5 * time.Minute
-	// retryShare is the fraction of the site's retry limit that the nodes use together. The rest
-	// covers nodes that restarted and don't know what they used before.
-	retryShare = 0.8
+	// Fractions of the site's retry limit: retryCallShare of its part for each call, or
+	// retryStartShare in the first span of a process, and retrySlackShare of its constant part.
+	// A span may hold both the retries of a process and those of its successors, so that the
+	// first two add up to less than 1. The rest covers nodes that count the nodes differently.
+	retryCallShare, retryStartShare, retrySlackShare = 0.7, 0.2, 0.8
 )
 
 // Options describe a gateway.
@@ -347,8 +349,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	nodes := 0
+	if g.options.Nodes != nil {
+		nodes = len(g.options.Nodes())
+	}
+	if known {
+		nodes = max(nodes, peers.Nodes)
+	}
+	g.setNodeCount(now, nodes+1)
 	if known {
-		g.setNodeCount(now, peers.Nodes+1)
 		if g.limits.Merge(now, peers.Limits) {
 			g.applyLimits(now)
 		}
@@ -357,7 +366,8 @@
 	g.deliver(g.scheduler.SetPeerLoad(now, peers, known))
 }
 
-// setNodeCount sets the number of nodes that share the site's retries; g.mu is held.
+// setNodeCount sets the number of nodes that share the site's retries, whether this node reaches
+// them or not; g.mu is held.
 //
 // A lower number takes effect only after nodeCountRetention: during a partition the nodes on
 // each side would divide the site's retries among themselves and exceed its limit together.
@@ -373,10 +383,10 @@
 }
 
 // retryWindow returns the retry window of a service; g.mu is held.
-func (g *Gateway) retryWindow(now time.Time, service garnetworks.ServiceName) *retrier.Window {
+func (g *Gateway) retryWindow(service garnetworks.ServiceName) *retrier.Window {
 	w := g.retryWindows[service]
 	if w == nil {
-		w = retrier.NewWindow(g.retryLimits(), now)
+		w = retrier.NewWindow(g.retryLimits(), random, g.started)
 		g.retryWindows[service] = w
 	}
 	return w
@@ -385,11 +395,16 @@
 // retryLimits returns this node's share of the site's retry limits; g.mu is held.
 func (g *Gateway) retryLimits() retrier.WindowLimits {
 	bounds := g.bounds.Load()
-	return retrier.WindowLimits{
-		Span:     bounds.RetryWindow,
-		Fraction: bounds.RetryRatio * retryShare,
-		Slack:    bounds.RetrySlack * retryShare / float64(max(g.nodes, minRetryNodes)),
+	limits := retrier.WindowLimits{
+		Span:          bounds.RetryWindow,
+		Fraction:      bounds.RetryRatio * retryCallShare,
+		StartFraction: bounds.RetryRatio * retryStartShare,
+	}
+	// A node that knows no other although there should be some would take the share of many.
+	if g.nodes > 1 || g.options.Alone {
+		limits.Slack = bounds.RetrySlack * retrySlackShare / float64(max(g.nodes, minRetryNodes))
 	}
+	return limits
 }
 
 // updateRetryLimits applies the current limits to all services; g.mu is held.
@@ -410,7 +425,7 @@
 
 // take implements takeRetry; g.mu is held.
 func (g *Gateway) take(now time.Time, service garnetworks.ServiceName) bool {
-	allowed := g.retryWindow(now, service).Take(now)
+	allowed := g.retryWindow(service).Take(now)
 	g.options.Meter.Retry(service, allowed)
 	return allowed
 }
@@ -419,7 +434,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryWindow(now, service).RecordCall(now)
+	g.retryWindow(service).RecordCall(now)
 }
 
 // ServeHTTP proxies one call.
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -137,7 +137,7 @@
 
 // reserve takes a slot at another group and a retry, if both are available; the lock is held.
 func (s *stream) reserve(now time.Time, request scheduler.Call) bool {
-	if s.retryWindow(now, s.service.Name).Available(now) < 1 {
+	if s.retryWindow(s.service.Name).Available(now) < 1 {
 		return false
 	}
 	group, ok := s.scheduler.TryPlace(now, request)
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -16,7 +16,7 @@
 func newWatchedStream(t *testing.T) (*Gateway, *stream) {
 	t.Helper()
 	g := &Gateway{
-		options:        Options{Suspect: func(garnetworks.GroupID) {}, Meter: meter.New()},
+		options:        Options{Suspect: func(garnetworks.GroupID) {}, Meter: meter.New(), Alone: true},
 		scheduler:      scheduler.New("z", func() float64 { return 0 }),
 		lastGroupEvent: make(map[garnetworks.GroupID]time.Time),
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -270,6 +270,9 @@
 	known    [][]garnetworks.NodeInfo
 	contexts []context.Context
 	stops    []context.CancelFunc
+	// sent holds when calls to the model and to the plain service were sent, whether they reached
+	// a server or not.
+	sent map[string][]time.Time
 	// restarts replace nodes while the site runs; nil if none do.
 	restarts func()
 }
@@ -281,6 +284,7 @@
 	s := &limitedSite{
 		servers: servers, views: views, gateways: make([]*Gateway, nodes), known: make([][]garnetworks.NodeInfo, nodes),
 		contexts: make([]context.Context, nodes), stops: make([]context.CancelFunc, nodes),
+		sent: make(map[string][]time.Time),
 	}
 	for i := range nodes {
 		s.nodes = append(s.nodes, garnetworks.NodeInfo{ID: garnetworks.NodeID(fmt.Sprintf("n-%d", i))})
@@ -362,14 +366,15 @@
 	backoff := time.Second / time.Duration(max(siteCalls, len(s.nodes)))
 	var calls sync.WaitGroup
 	for n := 0; time.Since(s.servers.start) < siteTime; n++ {
-		path := "/stream/"
+		path, service := "/stream/", "engine-"
 		// So many calls go to the plain servers that no two of them suffice.
 		if n%5 < 2 {
-			path = "/safe/"
+			path, service = "/safe/", "plain-"
 		} else if n%7 == 0 {
-			path = "/once/"
+			path, service = "/once/", "plain-"
 		}
 		path += strconv.Itoa(n)
+		s.sent[service] = append(s.sent[service], time.Now())
 		node := n * 7919 % len(s.nodes)
 		if s.restarts != nil {
 			s.restarts()
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -44,9 +44,8 @@
 	}
 }
 
-// retries returns the times of all arrivals of a service's calls, and of those after the first of
-// their call.
-func (s *siteServers) retries(service string) (calls, retries []time.Time) {
+// retries returns the times of the arrivals at a service's servers after the first of each call.
+func (s *siteServers) retries(service string) []time.Time {
 	var all []arrival
 	for id, arrivals := range s.arrivals {
 		if strings.HasPrefix(string(id), service) {
@@ -54,16 +53,15 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b arrival) int { return a.at.Compare(b.at) })
+	var retries []time.Time
 	arrived := make(garnetworks.Set[garnetworks.CallID])
 	for _, a := range all {
 		if arrived.Has(a.call) {
 			retries = append(retries, a.at)
-		} else {
-			calls = append(calls, a.at)
 		}
 		arrived.Add(a.call)
 	}
-	return calls, retries
+	return retries
 }
 
 // within returns how many of the times, which are in order, lie in the span that begins at from.
@@ -122,7 +120,7 @@
 // checkRetries holds a service's retries to the bound in each span.
 func (s *limitedSite) checkRetries(t *testing.T, service string) {
 	t.Helper()
-	calls, retries := s.servers.retries(service)
+	calls, retries := s.sent[service], s.servers.retries(service)
 	worst, worstAllowed := 0, 0.0
 	for _, from := range retries {
 		got := within(retries, from)
@@ -144,7 +142,7 @@
 // nodes each gets so few calls that its share may round down to none.
 func (s *limitedSite) checkRetriesAllowed(t *testing.T, service string) {
 	t.Helper()
-	calls, retries := s.servers.retries(service)
+	calls, retries := s.sent[service], s.servers.retries(service)
 	from := s.servers.start.Add(limitsUntil - retrySpan)
 	got, allowed := within(retries, from), retryFraction*float64(within(calls, from))
 	if float64(got) < allowed/2 {
--- a/launcher/site_test.go
+++ b/launcher/site_test.go
@@ -139,7 +139,7 @@
 			Node: s.name, Zone: "z1", Region: "r", PeerAddress: s.peers, Seeds: s.seeds,
 			Bounds: garnetworks.SiteBounds{
 				RevokeTime: 5 * time.Second, StopGrace: time.Minute, StallTime: 4 * time.Second, LoadWindow: 5 * time.Second,
-				LoadOverage: 1.1, RetryRatio: 0.2, RetrySlack: 600, RetryWindow: 10 * time.Second,
+				LoadOverage: 1.1, RetryRatio: 0.2, RetrySlack: 600, RetryWindow: time.Second,
 			},
 		},
 		Listeners: launcher.Listeners{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics},
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -25,6 +25,12 @@
 //	    a span that ends with one of them never exceed Fraction of its calls in
 //	    that span plus Slack; so the nodes together keep the bound, however the
 //	    calls are divided among them.
+//	R8  A process does not know the retries of its predecessor on the node. In its first
+//	    span it gets StartFraction of its calls and no slack, so that however often
+//	    nodes restart, their retries in a span exceed those of R7 by StartFraction of
+//	    the calls at most.
+//	R9  What R7 and R8 allow a node is rounded at random: with many nodes each share is
+//	    below one retry, and rounded down no node would have any.
 package retrier
 
 import "github.com/garnetworks/garnetworks"
