gateway: a call that the server of another service refused takes a retry

Cause: a plain server that answers 421 (its address belongs to another service) counted like a failed connection, which reaches no server, and the next attempt took no retry. But the call did arrive, and the bound counts arrivals that a server rejects.

Change: the next attempt takes a retry; it still does not count against the route's attempts.

--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -134,6 +134,8 @@
 	backoffs map[garnetworks.InstanceID]time.Duration
 	// failing says that most calls to servers without a limit fail while limits are named.
 	failing bool
+	// misdirecting says that plain servers answer most calls in that time for another service.
+	misdirecting bool
 
 	mu       sync.Mutex
 	count    int
@@ -182,6 +184,8 @@
 		p.mu.Lock()
 		p.refusals[id] = append(p.refusals[id], arrival{p.node, time.Now(), attempt.ID})
 		p.mu.Unlock()
+	case attempt.Model == "" && p.misdirecting && inNeed && n%4 < 3:
+		answer.NotRun, answer.Status, answer.Body = true, http.StatusMisdirectedRequest, http.NoBody
 	case attempt.Model == "":
 		time.Sleep(serviceTime)
 		answer.Body = io.NopCloser(strings.NewReader("x"))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -88,6 +88,11 @@
 		}
 		if reachedNoServer(failure) && freeAttempts < maxFreeAttempts {
 			freeAttempts++
+			// The server of another service got the call, so that the next one is a retry.
+			if failure.Phase != garnetworks.PhaseConnect && !granted && !x.takeRetry(x.service.Name) {
+				x.refuseUnanswered(history.MayHaveRun, garnetworks.KindBackendRefused, failure)
+				return
+			}
 			continue
 		}
 		decision := history.RecordFailure(retrier.Failure{Phase: failure.Phase})
--- a/gateway/retry_test.go
+++ b/gateway/retry_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// Guards against retries that are not counted because the first server had another's address.
+func TestRetriesOfMisdirectedCallsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 6
+		ctx, stop := context.WithCancel(t.Context())
+		s := newLimitedSite(ctx, &siteServers{misdirecting: true}, nodes, split(nodes, 1), false)
+		s.run()
+		stop()
+		synctest.Wait()
+		s.checkRetries(t, "plain-")
+		s.checkRetriesAllowed(t, "plain-")
+	})
+}
+
 // checkRetries holds a service's retries to the bound in each span.
 func (s *limitedSite) checkRetries(t *testing.T, service string) {
 	t.Helper()
