retrier: the budget of a node's own calls begins with one retry

Cause: rule R5 bounds a node's retries in any interval, and the budget of the product's own interface began full: each restart gave a node 16 more.

Change: it begins with one retry, as the buckets of workspaces do. Looked at and sound: loads from the weight store (begin empty), workspaces' buckets (one unit), calls to cold and limited servers (nothing in the first 5 s).

The test of a call that crashes three engines lets its node run for 2 s first, since it needs two retries at once.

--- a/forwarder/hold_test.go
+++ b/forwarder/hold_test.go
@@ -51,6 +51,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		go func() { _ = quarantine.Run(ctx) }()
 		f := New(Options{Engines: c, Groups: c, Quarantine: quarantine})
+		time.Sleep(2 * time.Second) // earns the retries of the first copy
 		generate := func(prompt string) error {
 			call := callFor(time.Minute)
 			call.Prompt, call.MaxTokens = prompt, fastTokens
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -27,9 +27,10 @@
 	at      time.Time
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a budget of one retry, so that a restart gains next to nothing: an earlier
+// process of the node may just have used its own (rule R5).
 func NewBudget(limits BudgetLimits, now time.Time) *Budget {
-	return &Budget{limits: limits, balance: limits.Burst, at: now}
+	return &Budget{limits: limits, balance: min(1, limits.Burst), at: now}
 }
 
 // RecordCall counts one call, not an attempt.
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -14,8 +14,8 @@
 //	R4  A stream of which tokens were delivered is resumed after the last
 //	    delivered token, never restarted.
 //	R5  Retries of a node never exceed Fraction of its calls, plus MinPerSecond a
-//	    second, plus Burst; so the loss of a zone can't multiply the load of the
-//	    remaining zones.
+//	    second, plus Burst, plus one for each restart; so the loss of a zone can't
+//	    multiply the load of the remaining zones.
 //	R6  After an attempt that put no load on a server, the next one is free: no
 //	    server was reached, or the server refused for a reason of its own (it is
 //	    not ready, it is leaving, the token is stale). A refusal for overload, or
