--- a/launcher/site_test.go
+++ b/launcher/site_test.go
@@ -31,7 +31,9 @@
 	ready    string
 	metrics  string
 	logs     *logBuffer
-	stop     context.CancelFunc
+	// links are the node's links to the backends.
+	links *impersonator.Links
+	stop  context.CancelFunc
 	// name is the node's; seeds are addresses of other nodes that it contacts at its start.
 	name  garnetworks.NodeID
 	seeds []string
@@ -134,6 +136,7 @@
 	s.url, s.ready = "http://"+callers.Addr().String(), "http://"+ready.Addr().String()+"/v1/readyz"
 	s.peers = peers.Addr().String()
 	backends := platform.NewBackends()
+	s.links = impersonator.NewLinks(backends, platform.NewOrders())
 	node, err := launcher.New(launcher.Options{
 		Site: garnetworks.NodeSettings{
 			Node: s.name, Zone: "z1", Region: "r", PeerAddress: s.peers, Seeds: s.seeds,
@@ -145,7 +148,7 @@
 		Listeners: launcher.Listeners{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics},
 		Objects:   platform.NewStore(s.store.Address()), Reader: platform.SiteReader{}, Calls: platform.CallReader{},
 		BalancerTime: 50 * time.Millisecond,
-		Proxy:        backends, Orders: platform.NewOrders(), Ready: platform.ReadyHandler, Sweep: backends.Sweep,
+		Proxy:        s.links, Orders: s.links, Ready: platform.ReadyHandler, Sweep: backends.Sweep,
 		Logger: hclog.New(&hclog.LoggerOptions{Output: s.logs, JSONFormat: true}),
 	})
 	if err != nil {
