former: a lease holder that reaches no engine leaves the lease to others

What callers saw: with three nodes, of which the lease holder and another had lost their links to all servers, the third served 0 of 10 calls to the model, and nothing did for a minute after the links were back (TestNodeWithoutLinksToServersServes, links that fall silent).

Cause: the holder takes its own links for the state of the engines. It probes the members of a group that gives no events; two probes without an answer make a member unresponsive, its group lost, and all nodes avoid lost groups. Groups that give events to some node were kept, so a busy site hid it, and failures in two zones were doubted for 2 s; a site of one zone, or one with idle groups, had neither.

Ruled out: the other nodes' own calls (their links were sound).

Change: beside a suspected group the holder probes three engines outside of it, in other domains where there are any. While none of them has answered, nor any engine since, it finds no engine unresponsive and yields the lease for 5 s, so that a node with links takes it (rule O11).

Three more probes a round of suspicions, one round in 400 ms at most.

--- a/former/doc.go
+++ b/former/doc.go
@@ -30,4 +30,6 @@
 //	O10 The groups of an evacuated availability zone stay as they are, although they
 //	    get no calls: their return must not wait for loads. Lost ones are replaced,
 //	    but no domain's groups are reallocated to another model.
+//	O11 A node of which no engine answers control probes presumes that its own links are
+//	    down. It finds no engine unresponsive and leaves the lease to other nodes.
 package former
--- a/former/prober.go
+++ b/former/prober.go
@@ -35,6 +35,12 @@
 	// zoneFailureCount is the number of failed probes of a zone within the window that
 	// indicates more than single losses.
 	zoneFailureCount = 4
+	// controlProbes is the number of instances outside a suspected group that are probed beside
+	// it, controlInterval the time between two rounds of them.
+	controlProbes   = 3
+	controlInterval = 400 * time.Millisecond
+	// yieldTime is how long a node that reaches no engine leaves the lease to others.
+	yieldTime = 5 * time.Second
 )
 
 // prober probes engines and holds the results.
@@ -55,11 +61,16 @@
 	lastSuspected map[garnetworks.GroupID]time.Time
 	probeResults  chan probeResult
 	localFault    localFaultDetector
+	// controlsSent and controlsFailed are the instances of the control probes since the last
+	// answer of any engine; lastControl is when the last round of them was queued.
+	controlsSent, controlsFailed garnetworks.Set[garnetworks.Incarnation]
+	lastControl                  time.Time
 }
 
 type pendingProbe struct {
 	server   garnetworks.RegisteredServer
 	attempts int
+	control  bool
 }
 
 // probeResult is the result of a probe.
@@ -69,8 +80,9 @@
 	err         error
 	// took is the time to the response or to the timeout.
 	took time.Duration
-	// last says that no further attempt follows.
-	last bool
+	// last says that no further attempt follows; control, that the probe only checks the node's
+	// own links.
+	last, control bool
 }
 
 func newProber(bufferSize int) prober {
@@ -83,6 +95,8 @@
 		lastProbe:     make(map[garnetworks.Incarnation]time.Time),
 		lastSuspected: make(map[garnetworks.GroupID]time.Time),
 		probeResults:  make(chan probeResult, bufferSize),
+
+		controlsSent: make(garnetworks.Set[garnetworks.Incarnation]), controlsFailed: make(garnetworks.Set[garnetworks.Incarnation]),
 	}
 }
 
@@ -146,6 +160,13 @@
 	if p.last {
 		f.probeWindow.done(now, p.took, p.err == nil)
 	}
+	if p.err == nil || garnetworks.IsKind(p.err, garnetworks.KindNotFound) {
+		clear(f.controlsSent)
+		clear(f.controlsFailed)
+	} else if p.control {
+		f.controlsFailed.Add(p.incarnation)
+		return
+	}
 	if p.err == nil {
 		f.localFault.observe(now, p.zone, false)
 		f.markResponsive(p.incarnation)
@@ -170,6 +191,11 @@
 		f.scheduleProbe(p.incarnation)
 		return
 	}
+	if f.reachesNoEngine() {
+		f.scheduleProbe(p.incarnation)
+		f.yield(&p)
+		return
+	}
 	f.recordMiss(p.incarnation)
 }
 
@@ -186,6 +212,55 @@
 	return isLocal
 }
 
+// reachesNoEngine reports whether the node's own links are down: no engine has answered since the
+// last control probes, which all failed.
+func (f *Former) reachesNoEngine() bool {
+	return len(f.controlsSent) > 0 && len(f.controlsFailed) >= len(f.controlsSent)
+}
+
+// yield leaves the lease to a node that reaches the engines.
+//
+// Failure: the links of the lease holder alone are down. To it all engines are unresponsive; it
+// would report their groups as lost, and no node would send them calls.
+func (f *Former) yield(p *probeResult) {
+	if f.term == 0 {
+		return
+	}
+	f.options.Recorder.Record(garnetworks.Event{
+		Kind: garnetworks.EventLocalFaultSuspected, Zone: p.zone, Instance: p.incarnation.Instance,
+		Detail: "no engine answers this node; it leaves the lease to others for " + yieldTime.String(),
+	})
+	f.options.Lease.Yield(yieldTime)
+}
+
+// probeControls probes some instances outside the suspected group, of other domains where there
+// are any, so that a fault of this node's links can be told from one of the group.
+func (f *Former) probeControls(now time.Time, suspected garnetworks.GroupID, servers follower.Servers) {
+	if now.Sub(f.lastControl) < controlInterval {
+		return
+	}
+	f.lastControl = now
+	domains := make(garnetworks.Set[garnetworks.DomainID])
+	for _, s := range servers {
+		if s.Membership.Group == suspected {
+			domains.Add(s.Domain)
+		}
+	}
+	// The order of a map is random, so each round probes others.
+	for _, otherDomain := range []bool{true, false} {
+		for _, s := range servers {
+			id := s.Incarnation()
+			if len(f.controlsSent) >= controlProbes || s.Domain == "" || s.Membership.Group == suspected || f.controlsSent.Has(id) ||
+				otherDomain && domains.Has(s.Domain) || s.State != garnetworks.ListedLive {
+				continue
+			}
+			domains.Add(s.Domain)
+			f.controlsSent.Add(id)
+			f.probeQueue = append(f.probeQueue, pendingProbe{server: s, attempts: 1, control: true})
+		}
+	}
+}
+
 func (f *Former) markResponsive(id garnetworks.Incarnation) {
 	if f.unresponsive.Has(id) {
 		f.needsPlan = true
@@ -214,7 +289,9 @@
 	}
 	f.lastSuspected[id] = now
 	f.options.Recorder.Record(garnetworks.Event{Kind: garnetworks.EventGroupSuspected, Group: id, Detail: "no recent events, or a refused call; its members are probed"})
-	for _, s := range f.options.Follower.Servers() {
+	servers := f.options.Follower.Servers()
+	f.probeControls(now, id, servers)
+	for _, s := range servers {
 		if s.Membership.Group == id {
 			f.probe(s, probeAttempts)
 		}
@@ -228,7 +305,7 @@
 		return false
 	}
 	f.lastProbe[s.Incarnation()] = time.Now()
-	f.probeQueue = append(f.probeQueue, pendingProbe{s, attempts})
+	f.probeQueue = append(f.probeQueue, pendingProbe{server: s, attempts: attempts})
 	return true
 }
 
@@ -238,12 +315,13 @@
 		next := f.probeQueue[0]
 		f.probeQueue = f.probeQueue[1:]
 		f.probeWindow.start()
-		go f.runProbe(ctx, next.server, next.attempts)
+		go f.runProbe(ctx, next)
 	}
 }
 
-func (f *Former) runProbe(ctx context.Context, s garnetworks.RegisteredServer, attempts int) {
-	for n := range attempts {
+func (f *Former) runProbe(ctx context.Context, probe pendingProbe) {
+	s := &probe.server
+	for n := range probe.attempts {
 		began := time.Now()
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		err := f.options.Orders.Probe(call, s.Address, s.Incarnation())
@@ -251,8 +329,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		last := err == nil || n == attempts-1
-		f.probeResults <- probeResult{s.Incarnation(), s.Zone, err, time.Since(began), last}
+		last := err == nil || n == probe.attempts-1
+		f.probeResults <- probeResult{s.Incarnation(), s.Zone, err, time.Since(began), last, probe.control}
 		if last {
 			return
 		}
