gateway: a node that reaches no server hands its calls to other nodes

What callers saw: nodes that had lost their links to all servers, and nothing else, refused nearly all calls while that lasted (0 of 42, 2 of 252 served).

Cause: a node sends calls over its own links alone, and what it does not reach does not exist for it. Calls to models were refused as overloaded, those to the plain service as without a server, though other nodes served them.

Ruled out as the cause: readiness. A kept connection stays with its node whatever it answers, and a zone of which all nodes are not ready gets its calls anyway.

Weighed: (a) the last hop alone goes through another node, a tunnel, and the first one goes on to choose servers, to count and to retry. But limits, backoffs and leaving that servers name belong to the node that connects, so both would have to keep them, and each attempt would cost a search. (b) The whole call goes to another node, which does all of it as for a call of its own. Chosen: nothing is kept twice, and the first node only relays bytes. Not ready at the balancer besides: left out, since the node serves.

Change: package delegator judges the links of each service (three servers without an answer and none with one since, or all servers) and chooses the node: one of the own zone at random, another zone once two nodes there could not take a call, and one that took a call before while any could not. Only a call that has reached no server goes, once; the other node never passes it on, and marks a refusal that is due to its own links, so that up to four nodes are asked. It checks the key again, counts from the client's request on (deadline, timeout), counts the call and its retries alone, and keeps limits, backoffs and evacuations as always. A call that the other node may have received is not sent again. Down links are tried by connections, one in 250 ms; such a connection is kept for calls. Package carrier is the transport: HTTP/1.1 on the listener for other nodes, told from peer calls by a prefix.

No call that may run once reached two servers, retries keep their bound.

--- a/faker/impersonator/links.go
+++ b/faker/impersonator/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -89,7 +88,7 @@
 // failedSend fails an attempt as a cut does. One over a connection that was open may have been sent.
 func failedSend(ctx context.Context, cut LinkCut, open bool, attempt *garnetworks.ProxiedAttempt) error {
 	phase, limit, cause := garnetworks.PhaseConnect, attempt.ConnectTime, syscall.ECONNREFUSED
-	if open && !attempt.AtMostOnce {
+	if open && cut != LinksRefuse && !attempt.AtMostOnce {
 		phase, limit, cause = garnetworks.PhaseWait, attempt.AckTime, syscall.ECONNRESET
 	}
 	if cut == LinksHang {
@@ -102,7 +101,7 @@
 		case <-time.After(limit):
 		}
 	}
-	return &garnetworks.AttemptError{Phase: phase, Stalled: cut == LinksHang, Cause: cause}
+	return &garnetworks.AttemptError{Phase: phase, Cause: cause}
 }
 
 // fail fails anything but a call as a cut does, and returns nil if the links are not cut.
@@ -120,16 +119,15 @@
 	return garnetworks.WrapError(garnetworks.KindUnreachable, syscall.ECONNREFUSED, "the links are cut")
 }
 
-// Connect opens a connection to a server and closes it.
+// Connect implements garnetworks.ServerConnector.
 func (l *Links) Connect(ctx context.Context, address string) error {
 	if err := l.fail(ctx); err != nil {
 		return err
 	}
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return err
+	if connector, ok := l.Proxy.(garnetworks.ServerConnector); ok {
+		return connector.Connect(ctx, address)
 	}
-	return conn.Close()
+	return nil
 }
 
 // SendOrder implements garnetworks.GroupOrders.
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -49,6 +49,8 @@
 	// between two events over all attempts.
 	lastEvent time.Time
 	maxPause  time.Duration
+	// delegatedTo is the node that took the call over.
+	delegatedTo garnetworks.NodeID
 	// callLimit is the limit that the server named in its last answer.
 	callLimit garnetworks.Option[float64]
 	// maxWrite is the longest time that writing an event took.
@@ -128,6 +130,9 @@
 		list = append(list, "ahead", d.Ahead, "expected-wait-ms", milliseconds(d.ExpectedWait), "may-wait-ms", milliseconds(d.Patience),
 			"groups", d.Groups, "spare", d.Spare)
 	}
+	if x.delegatedTo != "" {
+		list = append(list, "delegated-to", x.delegatedTo)
+	}
 	if len(x.attemptLog) > 0 {
 		list = append(list, "attempts", loggedAttempts(x.attemptLog, detailed))
 	}
--- /dev/null
+++ b/gateway/delegate.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+const (
+	// maxDelegations is the number of nodes to which a call is offered.
+	maxDelegations = 4
+	// trialTime bounds the connection of a trial of down links.
+	trialTime = 200 * time.Millisecond
+)
+
+// linksDown reports whether the node reaches no server of the call's service, while other nodes may
+// (rule D1).
+func (x *exchange) linksDown() bool {
+	if _, ok := x.options.Proxy.(garnetworks.ServerConnector); !ok || x.service == nil || x.options.Nodes == nil || len(x.options.Nodes()) == 0 {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.links.Down(x.service.Name, x.serverCount())
+}
+
+// serverCount returns the number of servers that may take the call; x.mu is held.
+func (x *exchange) serverCount() int {
+	if x.service.Engines.Present {
+		return len(x.heads)
+	}
+	return len(x.options.Follower.ServersOf(x.service.Name))
+}
+
+// observeLinks records what an ended attempt shows of the links to the service.
+func (x *exchange) observeLinks(server garnetworks.InstanceID, failure *garnetworks.AttemptError) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case failure == nil || failure.Phase != garnetworks.PhaseConnect && failure.Phase != garnetworks.PhaseWait:
+		x.links.Answered(x.service.Name)
+		x.reached = true
+	case failure.Phase == garnetworks.PhaseWait:
+		x.reached = true // it may have been
+		if !failure.Stalled {
+			x.links.Failed(time.Now(), x.service.Name, server)
+		}
+	case x.ctx.Err() == nil:
+		x.links.Failed(time.Now(), x.service.Name, server)
+	}
+}
+
+// unreached reports whether the call reached no server because none accepted a connection, or
+// because the links to all of them are down.
+func (x *exchange) unreached() bool {
+	return !x.reached && (len(x.attemptLog) > 0 || x.linksDown())
+}
+
+// delegate hands a call that has reached no server to a node that reaches some (rule T1), and
+// reports whether the client got its answer.
+func (x *exchange) delegate() bool {
+	if x.delegated || x.options.Delegator == nil || x.options.Nodes == nil || x.ctx.Err() != nil || !x.unreached() {
+		return false
+	}
+	for range maxDelegations {
+		x.mu.Lock()
+		node, ok := x.delegates.Choose(time.Now(), x.options.Nodes())
+		x.mu.Unlock()
+		if !ok {
+			return false
+		}
+		response, err := x.options.Delegator.Delegate(x.ctx, node.Address, &garnetworks.DelegatedCall{
+			Request: x.request, Body: x.call.Body, Elapsed: time.Since(x.call.Received),
+		})
+		x.options.Meter.Delegated(x.service.Name, delegationResult(response, err))
+		switch {
+		case err != nil && asAttemptError(err).Phase == garnetworks.PhaseConnect:
+			x.avoid(node.ID)
+		case err != nil: // rule T2
+			x.avoid(node.ID)
+			x.delegatedTo = node.ID
+			x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
+			return true
+		case response.Untaken:
+			_ = response.Body.Close() // the call goes to another node
+			x.avoid(node.ID)
+		default:
+			x.took(node.ID)
+			x.relayDelegated(response)
+			return true
+		}
+	}
+	return false
+}
+
+func delegationResult(response *garnetworks.DelegatedResponse, err error) string {
+	switch {
+	case err != nil:
+		return string(asAttemptError(err).Phase)
+	case response.Untaken:
+		return "untaken"
+	}
+	return "taken"
+}
+
+func (x *exchange) avoid(node garnetworks.NodeID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.delegates.Avoid(time.Now(), node)
+}
+
+func (x *exchange) took(node garnetworks.NodeID) {
+	x.delegatedTo = node
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.delegates.Took(time.Now(), node)
+}
+
+// relayDelegated copies another node's response to the client as it arrives.
+func (x *exchange) relayDelegated(response *garnetworks.DelegatedResponse) {
+	defer response.Body.Close()
+	x.uncountCall()
+	x.copyHeader(response.Header)
+	x.w.WriteHeader(response.Status)
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			_, failed := x.w.Write(buffer[:n])
+			if failed == nil {
+				failed = http.NewResponseController(x.w).Flush()
+			}
+			if failed != nil {
+				err = errors.Wrap(failed, "the client has disconnected")
+			}
+		}
+		if err == io.EOF {
+			x.recordEnd(response.Status, outcomeOf(response.Status), nil)
+			return
+		}
+		if err != nil { // rule W1
+			kind := garnetworks.KindStreamBroken
+			if x.ctx.Err() != nil {
+				kind = garnetworks.KindCancelled
+			}
+			x.recordEnd(0, garnetworks.OutcomeUnknown, garnetworks.WrapError(kind, err, "the other node's answer was interrupted"))
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// uncountCall takes the call back from the service's window: the node that took it over counts it
+// and its retries (rule T3).
+func (x *exchange) uncountCall() {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.retryWindow(x.service.Name).RemoveCall(now)
+}
+
+// refuseUnreachable answers a call whose service this node does not reach, and no other node either.
+func (x *exchange) refuseUnreachable() {
+	x.refuseUnanswered(false, garnetworks.KindNoBackend, errors.New("the node reaches no server of the service"))
+}
+
+// tryLinks tries the links that are down (rule D2).
+func (g *Gateway) tryLinks(ctx context.Context, now time.Time) {
+	connector, ok := g.options.Proxy.(garnetworks.ServerConnector)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	due := g.links.Due(now)
+	addresses := make(map[garnetworks.ServiceName]string, len(due))
+	for _, service := range due {
+		addresses[service] = g.trialAddress(service)
+	}
+	g.mu.Unlock()
+	for service, address := range addresses {
+		if address == "" {
+			continue
+		}
+		go func() { // ends after trialTime
+			ctx, cancel := context.WithTimeout(ctx, trialTime)
+			defer cancel()
+			if connector.Connect(ctx, address) != nil {
+				return // counted as down until a trial succeeds
+			}
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.links.Answered(service)
+		}()
+	}
+}
+
+// trialAddress returns the address of a server of the service that may get calls; g.mu is held.
+func (g *Gateway) trialAddress(service garnetworks.ServiceName) string {
+	servers := g.options.Follower.ServersOf(service)
+	address, count := "", 0
+	for i := range servers {
+		s := &servers[i]
+		if s.State != garnetworks.ListedLive {
+			continue
+		}
+		count++
+		if random()*float64(count) < 1 {
+			address = s.Address
+		}
+	}
+	return address
+}
--- /dev/null
+++ b/gateway/delegate_test.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker/impersonator"
+)
+
+// The bound on nodes without links: from linkStable after the cut, their calls are served at least
+// linkShare times as often as those of the others, or at most linkSlack and linkFraction of all fail.
+const (
+	linkStable   = 3 * time.Second
+	linkShare    = 2.0 / 3
+	linkSlack    = 10
+	linkFraction = 1.0 / 50
+)
+
+// siteDelegator hands calls to the gateways of a site.
+type siteDelegator struct {
+	site *limitedSite
+	from int
+}
+
+func (d siteDelegator) Delegate(ctx context.Context, address string, call *garnetworks.DelegatedCall) (*garnetworks.DelegatedResponse, error) {
+	var node int
+	if _, err := fmt.Sscanf(address, "n-%d", &node); err != nil {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
+	r := call.Request.Clone(ctx)
+	r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(call.Body)), int64(len(call.Body))
+	w := httptest.NewRecorder()
+	broken := func() (broken bool) {
+		defer func() { broken = recover() != nil }()
+		d.site.gateways[node].ServeDelegated(w, r)
+		return false
+	}()
+	body := io.Reader(w.Body)
+	if broken {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &garnetworks.DelegatedResponse{Status: w.Code, Header: w.Header(), Body: io.NopCloser(body), Untaken: w.Header().Get("Garnet-Untaken") != ""}, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// tries counts calls and those that were served.
+type tries struct{ sent, served int }
+
+func (t tries) share() float64 { return float64(t.served) / float64(max(1, t.sent)) }
+
+// Guards against nodes that refuse calls because they alone reach no backend server.
+func TestNodesWithoutLinksServe(t *testing.T) {
+	cutNodes := map[string]func(node, nodes int) bool{
+		"two nodes":      func(node, _ int) bool { return node < 2 },
+		"most of a zone": func(node, nodes int) bool { return node%zones == 0 && node*10 < nodes*9 },
+		"a zone":         func(node, _ int) bool { return node%zones == 0 },
+		"two zones":      func(node, _ int) bool { return node%zones < 2 },
+		"all but two":    func(node, nodes int) bool { return node < nodes-2 },
+	}
+	for name, isCut := range cutNodes {
+		for _, cut := range impersonator.LinkCuts() {
+			for _, nodes := range []int{6, 89, 986} {
+				// No search finds two of a thousand nodes in time, nor could they serve the others.
+				if nodes > 89 && (testing.Short() || cut != impersonator.LinksHang || name == "all but two") {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, %s, %d nodes", name, cut, nodes), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						ctx, stop := context.WithCancel(t.Context())
+						s := newLimitedSite(ctx, &siteServers{sound: true}, nodes, split(nodes, 1), false)
+						var without, others tries
+						s.done = func(node int, sent time.Time, w *httptest.ResponseRecorder) {
+							since := sent.Sub(s.servers.start)
+							if since < limitsFrom+linkStable || since >= limitsUntil {
+								return
+							}
+							group := &others
+							if isCut(node, nodes) {
+								group = &without
+							}
+							group.sent++
+							if w.Code == http.StatusOK {
+								group.served++
+							}
+						}
+						for i := range nodes {
+							if isCut(i, nodes) {
+								time.AfterFunc(limitsFrom, func() { s.links[i].Cut(cut) })
+								time.AfterFunc(limitsUntil, func() { s.links[i].Cut("") })
+							}
+						}
+						s.run()
+						stop()
+						synctest.Wait()
+						failed, allowed := without.sent-without.served, linkSlack+linkFraction*float64(without.sent+others.sent)
+						t.Logf("without links %d of %d served, the others %d of %d", without.served, without.sent, others.served, others.sent)
+						if without.share() < linkShare*others.share() && float64(failed) > allowed {
+							t.Errorf("nodes without links served %d of %d calls, the others %d of %d", without.served, without.sent, others.served, others.sent)
+						}
+						s.checkRuns(t)
+						s.checkRetries(t, "engine-")
+						s.checkRetries(t, "plain-")
+					})
+				})
+			}
+		}
+	}
+}
+
+// checkRuns expects that no call that may run once reached servers twice.
+func (s *limitedSite) checkRuns(t *testing.T) {
+	t.Helper()
+	runs := make(map[garnetworks.CallID]int)
+	for _, arrivals := range s.servers.arrivals {
+		for _, a := range arrivals {
+			if runs[a.call]++; runs[a.call] > 1 && a.once {
+				t.Errorf("%s reached %d servers", a.call, runs[a.call])
+			}
+		}
+	}
+}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -42,4 +42,14 @@
 //	    when the headers arrive, and are kept where calls get their slots.
 //	B2  They belong to the server's incarnation. An answer with status 421 comes from
 //	    another server and says nothing.
+//
+// A node that reaches no server of a call's service hands the call to another node
+// (package delegator):
+//
+//	T1  Only a call of which no attempt reached a server, or may have, is handed over, and
+//	    only by the node that got it from the client.
+//	T2  A call that another node may have received is not sent again.
+//	T3  The node that takes it over checks its key anew and keeps limits, backoffs,
+//	    evacuations and the deadline from the client's request on. It alone counts the
+//	    call and its retries.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/carrier"
+	"github.com/garnetworks/garnetworks/delegator"
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/follower"
 	"github.com/garnetworks/garnetworks/limiter"
@@ -67,8 +69,10 @@
 	Self  garnetworks.NodeID
 	Nodes func() []garnetworks.NodeInfo
 	// Alone says that the site is known to have no other node.
-	Alone  bool
-	Logger hclog.Logger
+	Alone bool
+	// Delegator hands calls to other nodes; it may be nil.
+	Delegator garnetworks.CallDelegator
+	Logger    hclog.Logger
 }
 
 // head is the head of a group, which takes the group's calls.
@@ -117,7 +121,9 @@
 	// backoffs are those that servers requested from this node.
 	backoffs limiter.Backoffs
 	// leaving holds when servers last announced to this node that they leave.
-	leaving map[garnetworks.Incarnation]time.Time
+	leaving   map[garnetworks.Incarnation]time.Time
+	links     *delegator.Links
+	delegates *delegator.Delegates
 	// started is when the gateway was created; limitedCalls are the calls to plain servers that
 	// were limited.
 	started      time.Time
@@ -144,6 +150,8 @@
 		limits:         limiter.NewLimits(random),
 		backoffs:       make(limiter.Backoffs),
 		leaving:        make(map[garnetworks.Incarnation]time.Time),
+		links:          delegator.NewLinks(),
+		delegates:      delegator.NewDelegates(options.Zone, random),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -177,6 +185,7 @@
 			g.stalls.tick(now.Sub(last), interval)
 			last = now
 			g.refreshLimits(now)
+			g.tryLinks(ctx, now)
 			if !g.advance(now) {
 				next = idleInterval
 			}
@@ -439,13 +448,27 @@
 
 // ServeHTTP proxies one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x, err := g.read(w, r)
-	if err != nil {
-		g.refuse(w, x, err)
+	g.serve(&exchange{Gateway: g, w: w, request: r})
+}
+
+// ServeDelegated proxies one call that another node hands to this one.
+func (g *Gateway) ServeDelegated(w http.ResponseWriter, r *http.Request) {
+	g.serve(&exchange{Gateway: g, w: w, request: r, delegated: true, elapsed: carrier.Receive(r)})
+}
+
+func (g *Gateway) serve(x *exchange) {
+	if err := x.read(); err != nil {
+		g.refuse(x.w, x, err)
 		return
 	}
 	defer x.cancel()
 	g.recordCall(x.service.Name)
+	if x.linksDown() {
+		if !x.delegate() {
+			x.refuseUnreachable()
+		}
+		return
+	}
 	if x.service.Engines.Present && x.call.Model != "" {
 		x.generate()
 		return
@@ -457,7 +480,13 @@
 type exchange struct {
 	*Gateway
 	callLog
-	w         http.ResponseWriter
+	w       http.ResponseWriter
+	request *http.Request
+	// delegated says that another node handed the call to this one, elapsed before that.
+	delegated bool
+	elapsed   time.Duration
+	// reached says that an attempt reached a server or may have.
+	reached   bool
 	ctx       context.Context
 	cancel    context.CancelFunc
 	call      *garnetworks.ProxiedCall
@@ -471,30 +500,33 @@
 }
 
 // read reads a request, and finds its route, workspace and service.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*exchange, error) {
-	x := &exchange{Gateway: g, w: w}
-	x.stallsBefore = g.stalls.total()
-	age := g.RoutingAge() // rule A5
-	index := g.options.Follower.Index()
+func (x *exchange) read() error {
+	x.stallsBefore = x.stalls.total()
+	age := x.RoutingAge() // rule A5
+	index := x.options.Follower.Index()
 	if index == nil { // rule A4
-		return x, garnetworks.Errorf(garnetworks.KindNotReady, "the node has no routing yet")
+		return garnetworks.Errorf(garnetworks.KindNotReady, "the node has no routing yet")
 	}
 	x.hasRouting, x.routing, x.routingAge = true, index.Version, age
-	if !g.options.Follower.EvacuationsKnown() { // rule E2
-		return x, garnetworks.Errorf(garnetworks.KindNotReady, "the node doesn't know yet which zones are evacuated")
+	if !x.options.Follower.EvacuationsKnown() { // rule E2
+		return garnetworks.Errorf(garnetworks.KindNotReady, "the node doesn't know yet which zones are evacuated")
 	}
-	call, err := g.options.Reader.ReadCall(r)
+	call, err := x.options.Reader.ReadCall(x.request)
 	if err != nil {
-		return x, err
+		return err
 	}
 	x.call = call
+	call.Received = call.Received.Add(-x.elapsed)
+	if !call.Deadline.IsZero() {
+		call.Deadline = call.Deadline.Add(-x.elapsed)
+	}
 	if err := x.authorize(index); err != nil {
-		return x, err
+		return err
 	}
-	if call.Body, err = readBody(w, r, index.Limits.BodyBytes); garnetworks.IsKind(err, garnetworks.KindTooLarge) {
-		return x, x.routingRefusal(err)
+	if call.Body, err = readBody(x.w, x.request, index.Limits.BodyBytes); garnetworks.IsKind(err, garnetworks.KindTooLarge) {
+		return x.routingRefusal(err)
 	} else if err != nil {
-		return x, err
+		return err
 	}
 	x.content = call.ContentDigest(x.workspace)
 	target, ok := matcher.Target(x.route, random())
@@ -502,18 +534,18 @@
 		x.service, ok = index.Service(target)
 	}
 	if !ok {
-		return x, garnetworks.Errorf(garnetworks.KindNoBackend, "route %s has no target service", x.route.Name)
+		return garnetworks.Errorf(garnetworks.KindNoBackend, "route %s has no target service", x.route.Name)
 	}
 	x.deadline = call.Received.Add(x.route.Timeout)
 	if !call.Deadline.IsZero() && call.Deadline.Before(x.deadline) {
 		x.deadline = call.Deadline
 	}
-	x.ctx, x.cancel = context.WithDeadline(r.Context(), x.deadline)
+	x.ctx, x.cancel = context.WithDeadline(x.request.Context(), x.deadline)
 	if err := x.checkQuarantine(); err != nil {
 		x.cancel()
-		return x, err
+		return err
 	}
-	return x, nil
+	return nil
 }
 
 // authorize finds the call's route and workspace and checks its key.
@@ -559,6 +591,9 @@
 	if retryAfter > 0 && answer.Retry {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if x.delegated && outcomeOf(answer.Status) == garnetworks.OutcomeNotRun && x.unreached() {
+		carrier.MarkUntaken(h)
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if g.stopping.Load() {
 		h.Set("Connection", "close")
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/delegator"
 	"github.com/garnetworks/garnetworks/meter"
 	"github.com/garnetworks/garnetworks/retrier"
 	"github.com/garnetworks/garnetworks/scheduler"
@@ -21,6 +22,7 @@
 		lastGroupEvent: make(map[garnetworks.GroupID]time.Time),
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
 		waiters:        make(map[garnetworks.CallID]chan scheduler.Decision),
+		links:          delegator.NewLinks(),
 	}
 	g.bounds.Store(&garnetworks.SiteBounds{RetryWindow: 10 * time.Second, RetrySlack: 100})
 	g.scheduler.SetGroups(time.Now(), []scheduler.Group{{ID: "a-grey", Model: "m", Slots: 26}, {ID: "b-well", Model: "m", Slots: 26}})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -67,6 +67,9 @@
 			return
 		}
 		server, retryAfter, ok := x.pick(tried)
+		if !ok && x.delegate() {
+			return
+		}
 		if !ok {
 			x.refuseUnserved(history.MayHaveRun, retryAfter)
 			return
@@ -86,6 +89,9 @@
 			history.MayHaveRun = true
 			continue
 		}
+		if failure.Phase == garnetworks.PhaseConnect && x.linksDown() && x.delegate() {
+			return
+		}
 		if reachedNoServer(failure) && freeAttempts < maxFreeAttempts {
 			freeAttempts++
 			// The server of another service got the call, so that the next one is a retry.
@@ -239,6 +245,7 @@
 
 // recordAttempt adds an ended attempt to the call's log line and the metrics.
 func (x *exchange) recordAttempt(group garnetworks.GroupID, instance garnetworks.InstanceID, started time.Time, failure *garnetworks.AttemptError) *emitter.Attempt {
+	x.observeLinks(instance, failure)
 	var err error
 	if failure != nil {
 		err = failure
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -120,6 +120,9 @@
 			s.end(garnetworks.KindCancelled, x.ctx.Err())
 			return
 		}
+		if d.Group == "" && s.delegate() {
+			return
+		}
 		if d.Group == "" {
 			s.end(d.Kind, &garnetworks.Error{Kind: d.Kind, Detail: "no slot was free in time", RetryAfter: d.RetryAfter})
 			return
@@ -131,6 +134,9 @@
 			}
 			return
 		}
+		if (!again || s.linksDown()) && s.delegate() {
+			return
+		}
 		if !again || x.ctx.Err() != nil {
 			s.end(garnetworks.KindBackendRefused, failure)
 			return
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"runtime/debug"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -200,7 +201,7 @@
 	l.gateway = gateway.New(gateway.Options{
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Proxy: options.Proxy,
 		Meter: l.meter, Suspect: l.suspect, Quarantine: l.quarantine,
-		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), Logger: options.Logger,
+		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), Delegator: l.peers.carrier, Logger: options.Logger,
 	})
 	l.meter.RegisterRoutingAge(l.gateway.RoutingAge)
 	l.peers.exchanger = exchanger.New(exchanger.Options{
@@ -256,7 +257,9 @@
 	tasks.Go(func() error { return l.gateway.Run(serving) })
 	tasks.Go(func() error { return l.quarantine.Run(serving) })
 	tasks.Go(func() error { return l.runPeriodicTasks(serving) })
-	tasks.Go(func() error { return l.peers.run(serving, listeners.Peers) })
+	delegated := l.server(http.HandlerFunc(l.gateway.ServeDelegated))
+	delegated.IdleTimeout = idleTimeout
+	tasks.Go(func() error { return l.peers.run(serving, listeners.Peers, delegated) })
 	tasks.Go(func() error { return l.formGroups(stop) })
 	calls := l.server(l.gateway)
 	calls.IdleTimeout = idleTimeout
@@ -269,11 +272,11 @@
 	tasks.Go(func() error {
 		select {
 		case <-stop.Done():
-			l.stop(calls)
+			l.stop(calls, delegated)
 		case <-serving.Done():
 		}
 		end()
-		for _, server := range append(otherServers, calls) {
+		for _, server := range append(otherServers, calls, delegated) {
 			_ = server.Close() // the node ends
 		}
 		return nil
@@ -343,7 +346,7 @@
 }
 
 // stop announces the stop and ends the service of calls (rule J1).
-func (l *Launcher) stop(calls *http.Server) {
+func (l *Launcher) stop(calls ...*http.Server) {
 	l.options.Logger.Info(string(garnetworks.EventNodeStopping), "grace", l.options.Site.Bounds.StopGrace.String())
 	deadline := time.Now().Add(l.options.Site.Bounds.StopGrace - stopMargin)
 	l.gateway.Stop()
@@ -351,10 +354,16 @@
 	time.Sleep(min(cmp.Or(l.options.BalancerTime, balancerNoticeTime), l.options.Site.Bounds.StopGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := calls.Shutdown(ctx); err != nil {
-		l.options.Logger.Warn("calls were in flight at the end of the grace period", "error", err)
-		_ = calls.Close() // the process ends
+	var stopping sync.WaitGroup
+	for _, server := range calls {
+		stopping.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				l.options.Logger.Warn("calls were in flight at the end of the grace period", "error", err)
+				_ = server.Close() // the process ends
+			}
+		})
 	}
+	stopping.Wait()
 }
 
 // runPeriodicTasks closes unused connections, updates metrics and tells the lease the known
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmigrate"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/carrier"
 	"github.com/garnetworks/garnetworks/distributor"
 	"github.com/garnetworks/garnetworks/exchanger"
 	"github.com/garnetworks/garnetworks/messenger"
@@ -29,6 +32,8 @@
 	tracker     *tracker.Tracker
 	relayer     *relayer.Relayer
 	exchanger   *exchanger.Exchanger
+	// carrier hands clients' calls to other nodes.
+	carrier *carrier.Client
 	// leading reports whether the node holds the lease.
 	leading func() bool
 }
@@ -43,6 +48,7 @@
 			MilliCPU: site.MilliCPU,
 		},
 	}
+	p.carrier = carrier.NewClient()
 	p.client = messenger.NewClient(messenger.ClientOptions{Clock: timeline, Recorder: events})
 	log := func(message string) func(error) {
 		return func(err error) { options.Logger.Debug(message, "error", err) }
@@ -90,15 +96,20 @@
 // hasMultipleCells reports whether data from the region's reader passes through two nodes.
 func (p *peers) hasMultipleCells() bool { return p.findUpstream().MultipleCells }
 
-// run serves and calls other nodes until ctx ends.
-func (p *peers) run(ctx context.Context, listener net.Listener) error {
+// run serves and calls other nodes until ctx ends; calls serves the calls that they hand over.
+func (p *peers) run(ctx context.Context, listener net.Listener, calls *http.Server) error {
 	tasks, ctx := errgroup.WithContext(ctx)
-	tasks.Go(func() error { return p.server.Serve(ctx, listener) })
+	mux := drpcmigrate.NewListenMux(listener, len(carrier.Prefix))
+	callListener := mux.Route(carrier.Prefix)
+	tasks.Go(func() error { return ignoreCancelled(ctx, mux.Run(ctx)) })
+	tasks.Go(func() error { return ignoreCancelled(ctx, ignoreClosed(calls.Serve(callListener))) })
+	tasks.Go(func() error { return p.server.Serve(ctx, mux.Default()) })
 	tasks.Go(func() error { p.distributor.Run(ctx); return nil })
 	tasks.Go(func() error { p.tracker.Run(ctx); return nil })
 	tasks.Go(func() error { return p.exchanger.Run(ctx) })
 	err := tasks.Wait()
 	p.client.Close()
+	p.carrier.Close()
 	return err
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -47,6 +47,7 @@
 	queueWait      *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
 	retries        *prometheus.CounterVec
+	delegated      *prometheus.CounterVec
 	limitedAnswers *prometheus.CounterVec
 	attemptTime    *prometheus.HistogramVec
 	objectTime     *prometheus.HistogramVec
@@ -95,6 +96,7 @@
 	{"garnet_attempts_total", "Attempts of calls that are passed on, by service, group (empty for plain services) and the phase in which they ended.", []string{"service", "group", "phase"}},
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
 	{"garnet_retries_total", "Retries of calls that are passed on, by service and whether the site's limit of retries allowed them.", []string{"service", "result"}},
+	{"garnet_delegated_calls_total", "Calls offered to other nodes because this node reaches no server, by service and result: taken, untaken, or the phase in which sending them failed.", []string{"service", "result"}},
 	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
@@ -145,6 +147,7 @@
 	m.queueWait = histograms("garnet_passed_wait_seconds", attemptBuckets)
 	m.attempts = counter("garnet_attempts_total")
 	m.retries = counter("garnet_retries_total")
+	m.delegated = counter("garnet_delegated_calls_total")
 	m.limitedAnswers = counter("garnet_limited_answers_total")
 	m.attemptTime = histograms("garnet_attempt_seconds", attemptBuckets)
 	m.objectTime = histograms("garnet_object_api_seconds", objectBuckets)
@@ -221,6 +224,11 @@
 	m.retries.WithLabelValues(string(service), result).Inc()
 }
 
+// Delegated counts a call that was offered to another node.
+func (m *Meter) Delegated(service garnetworks.ServiceName, result string) {
+	m.delegated.WithLabelValues(string(service), result).Inc()
+}
+
 // LimitedAnswer counts an answer in which a server of the service named a limit of calls.
 func (m *Meter) LimitedAnswer(service garnetworks.ServiceName) {
 	m.limitedAnswers.WithLabelValues(string(service)).Inc()
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -38,6 +38,7 @@
 	m.QueueWait("m", time.Millisecond)
 	m.Attempt("s", "g", garnetworks.PhaseDone, time.Second)
 	m.Retry("s", true)
+	m.Delegated("s", "taken")
 	m.LimitedAnswer("s")
 	m.LinesDropped(2)
 	m.RegisterRoutingAge(func() time.Duration { return 1500 * time.Millisecond })
--- a/passing.go
+++ b/passing.go
@@ -95,6 +95,39 @@
 	Send(ctx context.Context, address string, attempt *ProxiedAttempt) (*ProxiedResponse, error)
 }
 
+// ServerConnector may be implemented by a CallProxy. Connect opens a connection to a backend server,
+// to learn whether the node reaches it.
+type ServerConnector interface {
+	Connect(ctx context.Context, address string) error
+}
+
+// DelegatedCall is a client's call that a node hands to another one, which takes it over whole.
+type DelegatedCall struct {
+	// Request is the client's, of which Body was read.
+	Request *http.Request
+	Body    []byte
+	// Elapsed is the time since the client's request was received.
+	Elapsed time.Duration
+}
+
+// DelegatedResponse is the response of a node to a call that it took over.
+type DelegatedResponse struct {
+	Status int
+	// Header holds the end-to-end headers.
+	Header http.Header
+	// Body must be closed. It ends with io.EOF only if the response is complete.
+	Body io.ReadCloser
+	// Untaken says that the node reaches no server either: it did not run the call, and another
+	// node may.
+	Untaken bool
+}
+
+// CallDelegator hands a call to the node at an address. Errors are *AttemptError, of the connect
+// phase only if the node did not receive the call.
+type CallDelegator interface {
+	Delegate(ctx context.Context, address string, call *DelegatedCall) (*DelegatedResponse, error)
+}
+
 // CallReader reads a client's call, without its body. Errors are of kind
 // KindInvalidRequest.
 type CallReader interface {
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -69,6 +69,14 @@
 	w.counts[w.newest].calls++
 }
 
+// RemoveCall takes back a call that was counted, since another node counts it.
+func (w *Window) RemoveCall(now time.Time) {
+	w.advance(now)
+	if w.counts[w.newest].calls > 0 {
+		w.counts[w.newest].calls--
+	}
+}
+
 // Take takes one retry, and reports whether the window allowed it.
 func (w *Window) Take(now time.Time) bool {
 	if w.Available(now) < 1 {
