gateway: a delegated call that a node can't judge yet goes to another node

Cause, by reading: a node that has just started, or whose routing is of unknown age, refused a call that was handed to it, and the first node told the client so.

Change: such a refusal is marked like that of a node without links, so that another node is asked. Whether links are down is looked up before the list of nodes, since each call asks.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -21,12 +21,17 @@
 // linksDown reports whether the node reaches no server of the call's service, while other nodes may
 // (rule D1).
 func (x *exchange) linksDown() bool {
-	if _, ok := x.options.Proxy.(garnetworks.ServerConnector); !ok || x.service == nil || x.options.Nodes == nil || len(x.options.Nodes()) == 0 {
+	if x.service == nil {
 		return false
 	}
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.links.Down(x.service.Name, x.serverCount())
+	down := x.links.Down(x.service.Name, x.serverCount())
+	x.mu.Unlock()
+	if !down || x.options.Nodes == nil || len(x.options.Nodes()) == 0 {
+		return false
+	}
+	_, tried := x.options.Proxy.(garnetworks.ServerConnector)
+	return tried
 }
 
 // serverCount returns the number of servers that may take the call; x.mu is held.
@@ -61,6 +66,12 @@
 	return !x.reached && (len(x.attemptLog) > 0 || x.linksDown())
 }
 
+// untaken reports whether a call that was handed to this node, and is refused with the error kind,
+// may be served by another node.
+func (x *exchange) untaken(kind garnetworks.Kind) bool {
+	return x.delegated && (x.unreached() || kind == garnetworks.KindNotReady || kind == garnetworks.KindStaleRouting)
+}
+
 // delegate hands a call that has reached no server to a node that reaches some (rule T1), and
 // reports whether the client got its answer.
 func (x *exchange) delegate() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -591,7 +591,7 @@
 	if retryAfter > 0 && answer.Retry {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if x.delegated && outcomeOf(answer.Status) == garnetworks.OutcomeNotRun && x.unreached() {
+	if outcomeOf(answer.Status) == garnetworks.OutcomeNotRun && x.untaken(kind) {
 		carrier.MarkUntaken(h)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
