--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -14,6 +14,9 @@
 const (
 	// maxDelegations is the number of nodes to which a call is offered.
 	maxDelegations = 4
+	// minUnreached is the number of servers that must accept no connection before a call goes to
+	// another node: one server alone may be down.
+	minUnreached = 2
 	// trialTime bounds the connection of a trial of down links.
 	trialTime = 200 * time.Millisecond
 )
@@ -60,10 +63,16 @@
 	}
 }
 
-// unreached reports whether the call reached no server because none accepted a connection, or
-// because the links to all of them are down.
+// unreached reports whether the call reached no server because several, or all that there are,
+// accepted no connection, or because the links to all of them are down.
 func (x *exchange) unreached() bool {
-	return !x.reached && (len(x.attemptLog) > 0 || x.linksDown())
+	if x.reached || x.service == nil {
+		return false
+	}
+	x.mu.Lock()
+	enough := min(minUnreached, max(1, x.serverCount()))
+	x.mu.Unlock()
+	return len(x.attemptLog) >= enough || x.linksDown()
 }
 
 // untaken reports whether a call that was handed to this node, and is refused with the error kind,
@@ -165,15 +174,6 @@
 	}
 }
 
-// uncountCall takes the call back from the service's window: the node that took it over counts it
-// and its retries (rule T3).
-func (x *exchange) uncountCall() {
-	now := time.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.retryWindow(x.service.Name).RemoveCall(now)
-}
-
 // refuseUnreachable answers a call whose service this node does not reach, and no other node either.
 func (x *exchange) refuseUnreachable() {
 	x.refuseUnanswered(false, garnetworks.KindNoBackend, errors.New("the node reaches no server of the service"))
