former, gateway: late control probes, and clients that left, blame nobody

Cause, by reading: a control probe that failed after another engine had answered counted for the next round, so that one failure of three could make the lease holder yield; and a node was avoided for 2 s when the client of its delegated call had left.

Change: only controls of the present round count; a node is avoided only while the client waits.

Measured: TestLateControlFailureDoesNotCount fails before, passes after.

--- a/former/links_test.go
+++ b/former/links_test.go
@@ -77,3 +77,17 @@
 		t.Errorf("got controls %v, want [d c]", got)
 	}
 }
+
+// Guards against the late failure of a control probe that counts for a later round.
+func TestLateControlFailureDoesNotCount(t *testing.T) {
+	f := idleFormer()
+	early, late := garnetworks.Incarnation{Instance: "early"}, garnetworks.Incarnation{Instance: "late"}
+	f.controlsSent.Add(early)
+	f.controlsSent.Add(late)
+	f.handleProbeResult(probeResult{incarnation: early, last: true, control: true})
+	f.handleProbeResult(probeResult{incarnation: late, err: errors.New("no answer"), took: probeTimeout, last: true, control: true})
+	f.controlsSent.Add(garnetworks.Incarnation{Instance: "next"})
+	if f.reachesNoEngine() {
+		t.Error("no engine is reached before any control of the round has failed")
+	}
+}
--- a/former/prober.go
+++ b/former/prober.go
@@ -164,7 +164,9 @@
 		clear(f.controlsSent)
 		clear(f.controlsFailed)
 	} else if p.control {
-		f.controlsFailed.Add(p.incarnation)
+		if f.controlsSent.Has(p.incarnation) { // no engine answered since it was sent
+			f.controlsFailed.Add(p.incarnation)
+		}
 		return
 	}
 	if p.err == nil {
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -84,10 +84,13 @@
 // delegate hands a call that has reached no server to a node that reaches some (rule T1), and
 // reports whether the client got its answer.
 func (x *exchange) delegate() bool {
-	if x.delegated || x.options.Delegator == nil || x.options.Nodes == nil || x.ctx.Err() != nil || !x.unreached() {
+	if x.delegated || x.options.Delegator == nil || x.options.Nodes == nil || !x.unreached() {
 		return false
 	}
 	for range maxDelegations {
+		if x.ctx.Err() != nil {
+			return false
+		}
 		x.mu.Lock()
 		node, ok := x.delegates.Choose(time.Now(), x.options.Nodes())
 		x.mu.Unlock()
@@ -102,7 +105,9 @@
 		case err != nil && asAttemptError(err).Phase == garnetworks.PhaseConnect:
 			x.avoid(node.ID)
 		case err != nil: // rule T2
-			x.avoid(node.ID)
+			if x.ctx.Err() == nil {
+				x.avoid(node.ID)
+			}
 			x.delegatedTo = node.ID
 			x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
 			return true
