--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -1,5 +1,5 @@
 // Package carrier carries client calls from a node to another one that takes them over: HTTP/1.1
-// on the listener for other nodes, after a prefix that tells such connections from peer calls.
+// on the listener for other nodes, after a prefix that distinguishes such connections from peer calls.
 //
 //	C1  A call is never sent twice: not by the client, and not by the transport under it, which
 //	    would repeat requests on connections that were closed meanwhile.
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -86,8 +86,7 @@
 	}
 }
 
-// Guards against a call that runs twice because a lost connection repeats it, and against a call
-// that may have been received and counts as unsent.
+// Guards against a call that a lost connection repeats, or that counts as unsent after that.
 func TestCallIsSentOnce(t *testing.T) {
 	const head = "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"
 	var calls atomic.Int32
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -8,8 +8,7 @@
 	"github.com/garnetworks/garnetworks"
 )
 
-// Guards against a few dead servers, or a slow judgement at a small service, deciding what a node
-// reaches.
+// Guards against links that count as down because a few of many servers are.
 func TestLinksAreDownWithoutAnyAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	fail := func(servers ...garnetworks.InstanceID) func(*Links) {
--- a/faker/impersonator/links.go
+++ b/faker/impersonator/links.go
@@ -18,7 +18,7 @@
 	LinksHang LinkCut = "hang"
 	// LinksReset resets open connections and refuses new ones.
 	LinksReset LinkCut = "reset"
-	// LinksRefuse refuses new connections; every other call finds an open one that lives on.
+	// LinksRefuse refuses new connections; every other call finds an open one that works.
 	LinksRefuse LinkCut = "refuse"
 )
 
--- a/former/links_test.go
+++ b/former/links_test.go
@@ -56,8 +56,7 @@
 	}
 }
 
-// Guards against control probes within the suspected group alone, whose loss they can't tell from
-// that of the node's links.
+// Guards against control probes within the suspected group, which fail with it.
 func TestControlsAreOutsideTheSuspectedGroup(t *testing.T) {
 	f := idleFormer()
 	server := func(id garnetworks.InstanceID, domain garnetworks.DomainID, group garnetworks.GroupID) garnetworks.RegisteredServer {
--- a/former/prober.go
+++ b/former/prober.go
@@ -236,7 +236,7 @@
 }
 
 // probeControls probes some instances outside the suspected group, of other domains where there
-// are any, so that a fault of this node's links can be told from one of the group.
+// are any, so that a fault of this node's links can be distinguished from one of the group.
 func (f *Former) probeControls(now time.Time, suspected garnetworks.GroupID, servers follower.Servers) {
 	if now.Sub(f.lastControl) < controlInterval {
 		return
