--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,12 +82,15 @@
 						ctx, stop := context.WithCancel(t.Context())
 						s := newLimitedSite(ctx, &siteServers{sound: true}, nodes, split(nodes, 1), false)
 						s.duration = limitsUntil + 2*time.Second
+						var mu sync.Mutex
 						var without, others tries
 						s.done = func(node int, sent time.Time, w *httptest.ResponseRecorder) {
 							since := sent.Sub(s.servers.start)
 							if since < limitsFrom+linkStable || since >= limitsUntil {
 								return
 							}
+							mu.Lock()
+							defer mu.Unlock()
 							group := &others
 							if isCut(node, nodes) {
 								group = &without
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -375,6 +375,11 @@
 
 // call sends a call to a node.
 func (s *limitedSite) call(node int, path string) {
+	s.send(s.contexts[node], s.gateways[node], node, path)
+}
+
+// send sends a call to the process that a node ran at the time.
+func (s *limitedSite) send(ctx context.Context, g *Gateway, node int, path string) {
 	sent, w := time.Now(), httptest.NewRecorder()
 	defer func() {
 		if recover() != nil { // a stream that broke off
@@ -384,9 +389,9 @@
 			s.done(node, sent, w)
 		}
 	}()
-	r := httptest.NewRequestWithContext(s.contexts[node], http.MethodPost, path, nil)
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, path, nil)
 	r.Host = "a.example"
-	s.gateways[node].ServeHTTP(w, r)
+	g.ServeHTTP(w, r)
 }
 
 // run sends the site's calls, spread evenly over its nodes.
@@ -411,7 +416,8 @@
 		if s.restarts != nil {
 			s.restarts()
 		}
-		calls.Go(func() { s.call(node, path) })
+		ctx, g := s.contexts[node], s.gateways[node]
+		calls.Go(func() { s.send(ctx, g, node, path) })
 		select {
 		case <-ticker.C:
 			s.exchange()
