--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -42,7 +42,8 @@
 	w := httptest.NewRecorder()
 	broken := func() (broken bool) {
 		defer func() { broken = recover() != nil }()
-		d.site.gateways[node].ServeDelegated(w, r)
+		_, g := d.site.process(node)
+		g.ServeDelegated(w, r)
 		return false
 	}()
 	body := io.Reader(w.Body)
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -278,7 +278,9 @@
 	servers *siteServers
 	nodes   []garnetworks.NodeInfo
 	// views are the sets of nodes that reach each other.
-	views    [][]int
+	views [][]int
+	// mu guards gateways, contexts and stops against the replacement of nodes.
+	mu       sync.Mutex
 	gateways []*Gateway
 	// known are the nodes that each node has listed; stops end its gateway and its calls.
 	known    [][]garnetworks.NodeInfo
@@ -329,6 +331,8 @@
 
 // start starts a node, or replaces it by a new process.
 func (s *limitedSite) start(ctx context.Context, node int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if stop := s.stops[node]; stop != nil {
 		stop()
 	}
@@ -375,7 +379,15 @@
 
 // call sends a call to a node.
 func (s *limitedSite) call(node int, path string) {
-	s.send(s.contexts[node], s.gateways[node], node, path)
+	ctx, g := s.process(node)
+	s.send(ctx, g, node, path)
+}
+
+// process returns the process that a node runs now.
+func (s *limitedSite) process(node int) (context.Context, *Gateway) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contexts[node], s.gateways[node]
 }
 
 // send sends a call to the process that a node ran at the time.
@@ -416,7 +428,7 @@
 		if s.restarts != nil {
 			s.restarts()
 		}
-		ctx, g := s.contexts[node], s.gateways[node]
+		ctx, g := s.process(node)
 		calls.Go(func() { s.send(ctx, g, node, path) })
 		select {
 		case <-ticker.C:
