gateway, platform: a call's line names the shared parts of its prompt

The lines of calls could not tell which part the calls had in common under which engines crashed: contents are digests of whole calls, and no package outside platform/ read the parts of a prompt. Nothing is decided by them.

--- a/content.go
+++ b/content.go
@@ -11,6 +11,13 @@
 // whatever identifiers the clients give them. It is digestBytes bytes in lower-case hex.
 type ContentDigest string
 
+// PromptPart identifies a part of a prompt, such as a system prompt or a document. Prompts of
+// different calls share parts.
+type PromptPart string
+
+// MaxSharedParts bounds the parts of a prompt by which a call is known.
+const MaxSharedParts = 32
+
 // digestBytes is the length of a digest. At 128 bits of SHA-256 a caller can't construct a
 // body that has the digest of another workspace's call, and so be taken for that call.
 const digestBytes = 16
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -174,6 +174,9 @@
 	if x.content != "" {
 		list = append(list, "content", x.content)
 	}
+	if len(x.call.SharedParts) > 0 {
+		list = append(list, "parts", x.call.SharedParts)
+	}
 	list = append(list, "waited-ms", milliseconds(x.waited))
 	if !x.deadline.IsZero() {
 		list = append(list, "left-ms", milliseconds(time.Until(x.deadline)))
--- a/passing.go
+++ b/passing.go
@@ -36,6 +36,9 @@
 	// LastEvent identifies the last event that the client received of an earlier response;
 	// empty if the client starts from the beginning.
 	LastEvent string
+	// SharedParts identify the parts of the prompt in order, at most MaxSharedParts of them and
+	// without the last one, which belongs to the call or its session.
+	SharedParts []PromptPart
 }
 
 // ExpectedTokens returns the expected number of generated tokens: the client's
