--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -50,12 +50,29 @@
 	CallLimit garnetworks.Option[float64]
 	// CrashBody is the body of calls that crash the backend; empty matches none.
 	CrashBody string
+	// CrashPart crashes the backend when it begins to write an answer to a prompt that has this
+	// part before its last one; empty matches none.
+	CrashPart string
+	// Unframed sends streams with neither a length nor chunks, so that they end with their
+	// connection. EndAfter ends such streams after this many events; 0 never does, and a negative
+	// number ends them after their headers.
+	Unframed bool
+	EndAfter int
 }
 
 // Run records a call that a backend ran.
 type Run struct {
-	ID, Method, Target, Body, Workspace, Key, ResumeAfter string
-	At                                                    time.Time
+	ID, Method, Target, Body, Workspace, Key, ResumeAfter, Prompt string
+	At                                                            time.Time
+}
+
+// SharesPart reports whether the run's prompt has the part before its last one.
+func (r *Run) SharesPart(part string) bool {
+	entries := strings.Split(r.Prompt, ",")
+	return slices.ContainsFunc(entries[:len(entries)-1], func(entry string) bool {
+		id, _, _ := strings.Cut(entry, ":")
+		return id == part
+	})
 }
 
 // Member is a backend's group membership in its wire format.
@@ -313,6 +330,7 @@
 	run := Run{
 		ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), At: time.Now(),
 		Workspace: r.Header.Get("Garnetworks-Tenant"), Key: r.Header.Get("Authorization"), ResumeAfter: r.Header.Get("Last-Event-Id"),
+		Prompt: r.Header.Get("Garnetworks-Prompt-Prefix"),
 	}
 	b.mu.Lock()
 	b.runs = append(b.runs, run)
@@ -339,6 +357,12 @@
 		<-r.Context().Done()
 		return
 	}
+	if f.CrashPart != "" && run.SharesPart(f.CrashPart) {
+		b.blocker.delay(r, b.EventTime)
+		go b.Crash()
+		<-r.Context().Done()
+		return
+	}
 	if !f.OmitStamp {
 		w.Header().Set("Garnetworks-Response-Stamp", "stamp."+b.ID)
 	}
@@ -346,6 +370,8 @@
 	case f.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "failed")
+	case f.Unframed:
+		b.streamUnframed(w, id, f)
 	case r.Header.Get("Garnetworks-Model") != "":
 		b.stream(w, r, f)
 	case extra:
@@ -381,6 +407,30 @@
 	}()
 }
 
+// streamUnframed sends events on a connection whose end is the answer's end.
+func (b *Backend) streamUnframed(w http.ResponseWriter, id string, f *BackendFaults) {
+	c, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nGarnetworks-Request-Id: %s\r\nGarnetworks-Response-Stamp: stamp.%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, b.ID)
+	_ = buffered.Flush()
+	for n := 1; n <= b.Events && f.EndAfter >= 0; n++ {
+		if f.BreakAfter > 0 && n > f.BreakAfter {
+			_, _ = fmt.Fprintf(buffered, "id: %d\nda", n)
+			_ = buffered.Flush()
+			return
+		}
+		_, _ = fmt.Fprintf(buffered, "id: %d\ndata: piece %d\n\n", n, n)
+		_ = buffered.Flush()
+		if n == f.EndAfter {
+			return
+		}
+		time.Sleep(b.EventTime)
+	}
+}
+
 // stream sends events with identifiers from 1, or from the one after Last-Event-Id.
 func (b *Backend) stream(w http.ResponseWriter, r *http.Request, f *BackendFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
