--- a/call.go
+++ b/call.go
@@ -11,6 +11,9 @@
 	Priority  int
 	// Prompt is the text (or the joined messages) for the engine to continue.
 	Prompt string
+	// SharedParts identify the parts of the prompt that other calls may share, in order, at most
+	// MaxSharedParts of them; the last part belongs to the call.
+	SharedParts []PromptPart
 	// MaxTokens limits the number of generated tokens; above 0.
 	MaxTokens int
 	// Temperature is passed to the engine unchanged.
--- a/content.go
+++ b/content.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
+	"strings"
 )
 
 // ContentDigest identifies what a call asks for, and for whom: calls of one workspace with
@@ -18,6 +20,29 @@
 // MaxSharedParts bounds the parts of a prompt by which a call is known.
 const MaxSharedParts = 32
 
+// partDigestPrefix begins the digests of parts of prompts.
+const partDigestPrefix = "part-"
+
+// IsPart reports whether the digest is that of a part of prompts rather than of a whole call.
+func (d ContentDigest) IsPart() bool { return strings.HasPrefix(string(d), partDigestPrefix) }
+
+// CallIdentity is what a call has in common with others that may crash the same servers.
+type CallIdentity struct {
+	// ID is the identifier of the call itself.
+	ID CallID
+	// Content is common to copies of the call.
+	Content ContentDigest
+	// Parts are common to calls that share a part of their prompts: for each part one digest for
+	// the calls of all workspaces and models, one for those of the call's workspace, and one for
+	// those to its model.
+	Parts []ContentDigest
+}
+
+// Has reports whether the digest is one of the call's.
+func (c *CallIdentity) Has(digest ContentDigest) bool {
+	return c.Content == digest || slices.Contains(c.Parts, digest)
+}
+
 // digestBytes is the length of a digest. At 128 bits of SHA-256 a caller can't construct a
 // body that has the digest of another workspace's call, and so be taken for that call.
 const digestBytes = 16
@@ -28,14 +53,34 @@
 	return digestOf(c.Body, string(workspace), c.Host, c.Target)
 }
 
-// ContentDigest returns the call's digest.
-func (c *CallRequest) ContentDigest() ContentDigest {
-	return digestOf([]byte(c.Prompt), string(c.Workspace), string(c.Model), string(c.Adapter))
+// Identity returns the call's identity for the workspace that its key belongs to.
+func (c *ProxiedCall) Identity(workspace WorkspaceName) CallIdentity {
+	return CallIdentity{ID: c.ID, Content: c.ContentDigest(workspace), Parts: partDigests(c.SharedParts, workspace, c.Model)}
+}
+
+// partDigests returns the digests by which parts of a prompt are known.
+func partDigests(parts []PromptPart, workspace WorkspaceName, model ModelName) []ContentDigest {
+	var digests []ContentDigest
+	for _, part := range parts {
+		for _, scope := range [...][2]string{{}, {"workspace", string(workspace)}, {"model", string(model)}} {
+			digests = append(digests, partDigestPrefix+digestOf(nil, scope[0], scope[1], string(part)))
+		}
+	}
+	return digests
+}
+
+// Identity returns the call's identity.
+func (c *CallRequest) Identity() CallIdentity {
+	return CallIdentity{
+		ID:      c.ID,
+		Content: digestOf([]byte(c.Prompt), string(c.Workspace), string(c.Model), string(c.Adapter)),
+		Parts:   partDigests(c.SharedParts, c.Workspace, c.Model),
+	}
 }
 
-// ContentDigest returns the call's digest.
-func (c *ServiceCall) ContentDigest() ContentDigest {
-	return digestOf(c.Body, string(c.Workspace), string(c.Service), c.Path)
+// Identity returns the call's identity.
+func (c *ServiceCall) Identity() CallIdentity {
+	return CallIdentity{ID: c.ID, Content: digestOf(c.Body, string(c.Workspace), string(c.Service), c.Path)}
 }
 
 // digestOf returns the digest of names and a body. Each name is prefixed with its length,
--- a/forwarder/hold.go
+++ b/forwarder/hold.go
@@ -6,13 +6,13 @@
 	"github.com/garnetworks/garnetworks"
 )
 
-// checkQuarantine returns an error of kind KindCallQuarantined if calls with the content are
+// checkQuarantine returns an error of kind KindCallQuarantined if calls like this one are
 // quarantined (rule F9).
-func (f *Forwarder) checkQuarantine(ctx context.Context, content garnetworks.ContentDigest) error {
+func (f *Forwarder) checkQuarantine(ctx context.Context, call garnetworks.CallIdentity) error {
 	if f.options.Quarantine == nil {
 		return nil
 	}
-	left, quarantined := f.options.Quarantine.Quarantined(ctx, content)
+	left, quarantined := f.options.Quarantine.Quarantined(ctx, call)
 	if !quarantined {
 		return nil
 	}
@@ -21,13 +21,13 @@
 
 // reportToQuarantine reports the end of an attempt to the quarantine. An interruption is not
 // reported if ctx ended.
-func (f *Forwarder) reportToQuarantine(ctx context.Context, content garnetworks.ContentDigest, incarnation garnetworks.Incarnation, failed *failure) {
+func (f *Forwarder) reportToQuarantine(ctx context.Context, call garnetworks.CallIdentity, incarnation garnetworks.Incarnation, failed *failure) {
 	switch {
 	case f.options.Quarantine == nil:
 	case failed == nil:
-		f.options.Quarantine.ReportCompleted(content)
+		f.options.Quarantine.ReportCompleted(call)
 	case ctx.Err() == nil && failed.phase.Interrupted():
-		f.options.Quarantine.ReportInterrupted(content, incarnation)
+		f.options.Quarantine.ReportInterrupted(call, incarnation)
 	}
 }
 
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -46,7 +46,7 @@
 type modelCall struct {
 	*Forwarder
 	call       *garnetworks.CallRequest
-	content    garnetworks.ContentDigest
+	identity   garnetworks.CallIdentity
 	ring       *ring
 	transcript transcript
 	history    retrier.History
@@ -82,7 +82,7 @@
 	m := &modelCall{
 		Forwarder:  f,
 		call:       call,
-		content:    call.ContentDigest(),
+		identity:   call.Identity(),
 		ring:       newRing(),
 		transcript: transcript{maxTokens: call.MaxTokens},
 		history:    retrier.History{Repeatability: retrier.Repeatable, MaxAttempts: f.options.MaxAttempts},
@@ -152,7 +152,7 @@
 // run makes attempts until the answer is whole or the call fails.
 func (m *modelCall) run(ctx context.Context) error {
 	for {
-		if err := m.checkQuarantine(ctx, m.content); err != nil {
+		if err := m.checkQuarantine(ctx, m.identity); err != nil {
 			return m.callError(ctx, err)
 		}
 		group, err := m.chooseGroup(ctx)
@@ -160,7 +160,7 @@
 			return m.callError(ctx, err)
 		}
 		m.lastFailure = m.attempt(ctx, &group)
-		m.reportToQuarantine(ctx, m.content, headIncarnation(&group), m.lastFailure)
+		m.reportToQuarantine(ctx, m.identity, headIncarnation(&group), m.lastFailure)
 		if m.lastFailure == nil {
 			return nil
 		}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -24,7 +24,7 @@
 type serviceCall struct {
 	*Forwarder
 	call        *garnetworks.ServiceCall
-	content     garnetworks.ContentDigest
+	identity    garnetworks.CallIdentity
 	spec        *garnetworks.ServiceSpec
 	history     retrier.History
 	tried       []garnetworks.InstanceID // instances of the failed attempts, which are avoided
@@ -75,7 +75,7 @@
 	return &serviceCall{
 		Forwarder: f,
 		call:      call,
-		content:   call.ContentDigest(),
+		identity:  call.Identity(),
 		spec:      spec,
 		history:   retrier.History{Repeatability: repeatability, MaxAttempts: f.options.MaxAttempts},
 	}, nil
@@ -284,7 +284,7 @@
 		if ctx.Err() != nil {
 			return garnetworks.ServiceResponse{}, s.contextError(ctx)
 		}
-		if err := s.checkQuarantine(ctx, s.content); err != nil {
+		if err := s.checkQuarantine(ctx, s.identity); err != nil {
 			return garnetworks.ServiceResponse{}, attemptsFailedError(&s.history, s.lastFailure, err)
 		}
 		server, err := s.chooseServer()
@@ -296,7 +296,7 @@
 		answer, s.lastFailure = s.attempt(attemptCtx, &server)
 		cancel()
 		// The start time of a plain service's server is not known, so its incarnation has none.
-		s.reportToQuarantine(ctx, s.content, garnetworks.Incarnation{Instance: server.Instance}, s.lastFailure)
+		s.reportToQuarantine(ctx, s.identity, garnetworks.Incarnation{Instance: server.Instance}, s.lastFailure)
 		if s.lastFailure == nil {
 			return answer, nil
 		}
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -171,8 +171,8 @@
 	if !detailed {
 		return list
 	}
-	if x.content != "" {
-		list = append(list, "content", x.content)
+	if x.identity.Content != "" {
+		list = append(list, "content", x.identity.Content)
 	}
 	if len(x.call.SharedParts) > 0 {
 		list = append(list, "parts", x.call.SharedParts)
--- a/gateway/age_test.go
+++ b/gateway/age_test.go
@@ -91,12 +91,13 @@
 // noQuarantine quarantines nothing.
 type noQuarantine struct{}
 
-func (noQuarantine) Quarantined(context.Context, garnetworks.ContentDigest) (time.Duration, bool) {
+func (noQuarantine) Quarantined(context.Context, garnetworks.CallIdentity) (time.Duration, bool) {
 	return 0, false
 }
 
-func (noQuarantine) ReportInterrupted(garnetworks.ContentDigest, garnetworks.Incarnation) {}
-func (noQuarantine) ReportCompleted(garnetworks.ContentDigest)                            {}
+func (noQuarantine) ReportInterrupted(garnetworks.CallIdentity, garnetworks.Incarnation) {}
+func (noQuarantine) ReportBegun(garnetworks.CallIdentity)                                {}
+func (noQuarantine) ReportCompleted(garnetworks.CallIdentity)                            {}
 
 type noRecorder struct{}
 
--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -126,7 +126,7 @@
 
 const quarantineWait = time.Second
 
-func (slowQuarantine) Quarantined(context.Context, garnetworks.ContentDigest) (time.Duration, bool) {
+func (slowQuarantine) Quarantined(context.Context, garnetworks.CallIdentity) (time.Duration, bool) {
 	time.Sleep(quarantineWait)
 	return 0, false
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -401,7 +401,7 @@
 	call      *garnetworks.ProxiedCall
 	route     *garnetworks.Route
 	workspace garnetworks.WorkspaceName
-	content   garnetworks.ContentDigest
+	identity  garnetworks.CallIdentity
 	priority  int
 	service   *garnetworks.RoutedService
 	// deadline is when the call fails at the latest.
@@ -437,7 +437,7 @@
 	} else if err != nil {
 		return err
 	}
-	x.content = call.ContentDigest(x.workspace)
+	x.identity = call.Identity(x.workspace)
 	target, ok := matcher.Target(x.route, random())
 	if ok {
 		x.service, ok = index.Service(target)
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -1,12 +1,16 @@
 package gateway
 
-import "github.com/garnetworks/garnetworks"
+import (
+	"time"
 
-// checkQuarantine returns an error of kind KindCallQuarantined if calls with this content are
+	"github.com/garnetworks/garnetworks"
+)
+
+// checkQuarantine returns an error of kind KindCallQuarantined if calls like this one are
 // quarantined. It is checked before each attempt, because other nodes may have reported the
-// content while the call waited or ran.
+// crashes while the call waited or ran.
 func (x *exchange) checkQuarantine() error {
-	left, quarantined := x.options.Quarantine.Quarantined(x.ctx, x.content)
+	left, quarantined := x.options.Quarantine.Quarantined(x.ctx, x.identity)
 	if !quarantined {
 		return nil
 	}
@@ -23,11 +27,35 @@
 	x.refuse(x.w, x, err)
 }
 
+// survivalTime is how long after the first event of an answer a server has survived its beginning. A
+// server that a part of the prompt crashes does so with the first event or before it.
+const survivalTime = 300 * time.Millisecond
+
+// reportSurvival reports once that the server of the current attempt survived the beginning of the
+// answer.
+func (s *stream) reportSurvival(now time.Time) {
+	if s.current.survived || now.Sub(s.current.started) < s.current.firstEventAfter+survivalTime {
+		return
+	}
+	s.current.survived = true
+	s.options.Quarantine.ReportBegun(s.identity)
+}
+
+// reportInterrupted reports to the quarantine that the current attempt ended without a whole answer.
+// A server that survived the beginning of the answer was not crashed by a part of the prompt.
+func (s *stream) reportInterrupted(failure *garnetworks.AttemptError) {
+	identity := s.identity
+	if s.current.survived {
+		identity.Parts = nil
+	}
+	s.exchange.reportInterrupted(identity, s.current.incarnation, failure)
+}
+
 // reportInterrupted reports to the quarantine an attempt that ended without a whole answer. It
 // doesn't if the call's context ended, or if the server is gone or leaving, since a planned stop
 // interrupts calls that did not cause it. A later incarnation of the server is proof that this
 // one ended, so the attempt is reported.
-func (x *exchange) reportInterrupted(incarnation garnetworks.Incarnation, failure *garnetworks.AttemptError) {
+func (x *exchange) reportInterrupted(identity garnetworks.CallIdentity, incarnation garnetworks.Incarnation, failure *garnetworks.AttemptError) {
 	if x.ctx.Err() != nil || !failure.Phase.Interrupted() {
 		return
 	}
@@ -35,5 +63,5 @@
 	if leaving := !ok || s.Incarnation() == incarnation && s.State != garnetworks.ListedLive; leaving {
 		return
 	}
-	x.options.Quarantine.ReportInterrupted(x.content, incarnation)
+	x.options.Quarantine.ReportInterrupted(identity, incarnation)
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -190,9 +190,9 @@
 	now := time.Now()
 	x.recordAttempt("", server.ID, started, failure)
 	if failure == nil {
-		x.options.Quarantine.ReportCompleted(x.content)
+		x.options.Quarantine.ReportCompleted(x.identity)
 	} else {
-		x.reportInterrupted(server.Incarnation(), failure)
+		x.reportInterrupted(x.identity, server.Incarnation(), failure)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,7 +78,9 @@
 	// groupCalls and pendingPrefill are the group's load before the attempt: its calls, and
 	// the prompt tokens of this node that it has yet to read.
 	groupCalls, pendingPrefill int
-	reason                     emitter.AttemptReason
+	// survived says that the server survived the beginning of the answer, and was reported so.
+	survived bool
+	reason   emitter.AttemptReason
 	// placementTime is the time from the end of the previous attempt to the start.
 	placementTime time.Duration
 }
@@ -254,7 +256,7 @@
 	})
 	s.recordAnswer(h.incarnation, s.current.started, answer, err)
 	if err != nil {
-		s.reportInterrupted(s.current.incarnation, asAttemptError(err))
+		s.reportInterrupted(asAttemptError(err))
 		return s.handleFailure(group, asAttemptError(err), context.Cause(ctx))
 	}
 	defer answer.Body.Close()
@@ -378,7 +380,7 @@
 	if s.headersSent {
 		return s.tryResume(errors.Errorf("%s answered with status %d", group, answer.Status))
 	}
-	s.options.Quarantine.ReportCompleted(s.content)
+	s.options.Quarantine.ReportCompleted(garnetworks.CallIdentity{ID: s.call.ID, Content: s.identity.Content})
 	s.recordGroupFailure(group, answer.Status)
 	if answer.Status >= http.StatusInternalServerError && s.route.Idempotent() && s.attempts < s.route.MaxAttempts && s.claimRetry() {
 		return true, errors.Errorf("%s answered with status %d", group, answer.Status)
@@ -413,7 +415,9 @@
 			if len(events) > 0 {
 				wd.recordEvent()
 				first := s.current.firstEventAfter == 0
-				s.current.recordEvent(time.Now())
+				now := time.Now()
+				s.current.recordEvent(now)
+				s.reportSurvival(now)
 				if first {
 					s.recordFirstEvent(group, s.current.firstEventAfter)
 				}
@@ -444,7 +448,7 @@
 // handleBrokenStream handles a stream that ended before its last event.
 func (s *stream) handleBrokenStream(group garnetworks.GroupID, err, cause error) (bool, error) {
 	s.mayHaveRun = true
-	s.reportInterrupted(s.current.incarnation, &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err})
+	s.reportInterrupted(&garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err})
 	if s.ctx.Err() != nil {
 		return false, err
 	}
@@ -479,7 +483,7 @@
 func (s *stream) finish(answer *garnetworks.ProxiedResponse) error {
 	s.sendHeaders(answer)
 	s.complete = true
-	s.options.Quarantine.ReportCompleted(s.content)
+	s.options.Quarantine.ReportCompleted(s.identity)
 	return nil
 }
 
--- a/quarantine.go
+++ b/quarantine.go
@@ -39,31 +39,36 @@
 	return Incarnation{Instance: r.Instance, StartMS: r.StartMS}
 }
 
-// ContentRecord is what is known about the runs of calls with the same content.
+// ContentRecord is what is known about the runs of calls with the same content, or of calls with the
+// same part in their prompts.
 type ContentRecord struct {
 	_      struct{} `cbor:",toarray"`
 	Digest ContentDigest
 	// Runs are the interrupted ones, each of a different incarnation.
 	Runs []InterruptedRun
-	// LastCompletedAgeMS is how long ago a server last completed such a call, in
-	// milliseconds; below 0 if none is known to have.
+	// LastCompletedAgeMS is how long ago a server last completed such a call, or for a part how
+	// long ago one was last known to have survived the beginning of its answer, in milliseconds;
+	// below 0 if none is known to have.
 	LastCompletedAgeMS int64
 }
 
 // Quarantine keeps calls that crash servers away from further servers.
 type Quarantine interface {
-	// Quarantined returns how long calls with the content remain quarantined, and whether
-	// they are. While this is being determined it waits briefly, at most until ctx ends.
-	Quarantined(ctx context.Context, content ContentDigest) (time.Duration, bool)
-	// ReportInterrupted records that a call was interrupted on a server registered as live.
-	ReportInterrupted(content ContentDigest, incarnation Incarnation)
+	// Quarantined returns how long calls like this one remain quarantined, and whether they are.
+	// While this is being determined it waits briefly, at most until ctx ends.
+	Quarantined(ctx context.Context, call CallIdentity) (time.Duration, bool)
+	// ReportInterrupted records that a call was interrupted on a server registered as live. The
+	// identity has no parts if the server had survived the beginning of the answer.
+	ReportInterrupted(call CallIdentity, incarnation Incarnation)
+	// ReportBegun records that a server survived the beginning of an answer to the call.
+	ReportBegun(call CallIdentity)
 	// ReportCompleted records that a server completed a call.
-	ReportCompleted(content ContentDigest)
+	ReportCompleted(call CallIdentity)
 }
 
 // QuarantinedError returns the error for a call that is quarantined for the remaining time.
 func QuarantinedError(remaining time.Duration) error {
-	return &Error{Kind: KindCallQuarantined, Detail: "servers ended under calls with this content", RetryAfter: remaining}
+	return &Error{Kind: KindCallQuarantined, Detail: "servers ended under calls with this content or a part of it", RetryAfter: remaining}
 }
 
 // ContentRecordStore holds a node's records, for exchange with other nodes.
--- a/quarantiner/asker_test.go
+++ b/quarantiner/asker_test.go
@@ -47,17 +47,17 @@
 		want bool
 	}{
 		"two crashes are found late, within the window": {func(q *Quarantiner, p *fakeProber) {
-			q.ReportInterrupted("x", incarnation(1))
-			q.ReportInterrupted("x", incarnation(2))
+			q.ReportInterrupted(copyOf("x"), incarnation(1))
+			q.ReportInterrupted(copyOf("x"), incarnation(2))
 			time.Sleep(8 * time.Second)
 			p.set(garnetworks.CrashProven, 1, 2)
 			time.Sleep(2 * probeBackoffMax)
 			p.set(garnetworks.CrashConnectionRefused, 3)
-			q.ReportInterrupted("x", incarnation(3))
+			q.ReportInterrupted(copyOf("x"), incarnation(3))
 		}, true},
 		"partitioned servers are replaced after the window": {func(q *Quarantiner, p *fakeProber) {
 			for n := range 3 {
-				q.ReportInterrupted("x", incarnation(n))
+				q.ReportInterrupted(copyOf("x"), incarnation(n))
 			}
 			time.Sleep(probeWindow + time.Second)
 			p.set(garnetworks.CrashProven, 0, 1, 2)
@@ -65,7 +65,7 @@
 		"connections refused during a partition, then answered": {func(q *Quarantiner, p *fakeProber) {
 			p.set(garnetworks.CrashConnectionRefused, 0, 1, 2)
 			for n := range 3 {
-				q.ReportInterrupted("x", incarnation(n))
+				q.ReportInterrupted(copyOf("x"), incarnation(n))
 			}
 			time.Sleep(2 * probeWindow)
 			p.set(garnetworks.CrashRefuted, 0)
--- a/quarantiner/blamer_test.go
+++ b/quarantiner/blamer_test.go
@@ -29,6 +29,14 @@
 	return list
 }
 
+// digests returns the digests of culprits.
+func digests(culprits []culprit) (list []garnetworks.ContentDigest) {
+	for _, c := range culprits {
+		list = append(list, c.shared...)
+	}
+	return list
+}
+
 // A crash interrupts all calls of the engine. Harmless calls that shared engines with the
 // culprit two or three times must not be quarantined with it.
 func TestFindCulprits(t *testing.T) {
@@ -50,9 +58,9 @@
 		t.Run(name, func(t *testing.T) {
 			var suspects []suspect
 			for content, names := range c.crashes {
-				suspects = append(suspects, suspect{content, crashes(names)})
+				suspects = append(suspects, suspect{digest: content, crashes: crashes(names)})
 			}
-			if got := findCulprits(suspects); !slices.Equal(got, c.want) {
+			if got := digests(findCulprits(suspects)); !slices.Equal(got, c.want) {
 				t.Errorf("findCulprits() = %v, want %v", got, c.want)
 			}
 		})
@@ -73,19 +81,19 @@
 				own += string(next)
 				next++
 			}
-			suspects = append(suspects, suspect{garnetworks.ContentDigest(fmt.Sprint("culprit", c)), crashes(own)})
+			suspects = append(suspects, suspect{digest: garnetworks.ContentDigest(fmt.Sprint("culprit", c)), crashes: crashes(own)})
 			for _, name := range []garnetworks.ContentDigest{"s0", "s1", "s2", "s3"} {
 				shared := rapid.IntRange(0, CrashThreshold-len(harmless[name])).Draw(t, "beside")
 				harmless[name] += own[:shared]
 			}
 		}
 		for name, shared := range harmless {
-			suspects = append(suspects, suspect{name, crashes(shared)})
+			suspects = append(suspects, suspect{digest: name, crashes: crashes(shared)})
 		}
-		quarantined := garnetworks.NewSet(findCulprits(suspects)...)
+		quarantined := garnetworks.NewSet(digests(findCulprits(suspects))...)
 		for _, s := range suspects {
-			if _, isHarmless := harmless[s.content]; quarantined.Has(s.content) == isHarmless {
-				t.Fatalf("%s with %d crashes: quarantined = %t", s.content, len(s.crashes), quarantined.Has(s.content))
+			if _, isHarmless := harmless[s.digest]; quarantined.Has(s.digest) == isHarmless {
+				t.Fatalf("%s with %d crashes: quarantined = %t", s.digest, len(s.crashes), quarantined.Has(s.digest))
 			}
 		}
 	})
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -7,8 +7,9 @@
 // none. Copies of such a call come several a second at all nodes, alongside crashes,
 // partitions and domain outages that interrupt unrelated calls.
 //
-//	Z1  A call is identified by its content (garnetworks.ContentDigest), and a server by
-//	    its incarnation. An incarnation counts once for a content, whoever reports it.
+//	Z1  A call is identified by its content and by the shared parts of its prompt
+//	    (garnetworks.CallIdentity), and a server by its incarnation. An incarnation
+//	    counts once for a content or part, whoever reports it.
 //	Z2  Only a detected crash counts: an interrupted connection may be the network's
 //	    fault, silence that of a member or of the node itself, and a server may be
 //	    deregistered because it is partitioned. A crash detected by refused connections
@@ -31,4 +32,13 @@
 //	Z7  All state is bounded: MaxRecords contents with MaxRuns incarnations each at a node,
 //	    MaxStored in the object API, and a quarantine that doubles with each further crash
 //	    up to MaxQuarantine.
+//	Z8  A part of prompts is quarantined likewise, whatever else the calls contain, once
+//	    partCrashThreshold incarnations have crashed at different times before they
+//	    survived the beginning of an answer to a call with it. While other parts, or the
+//	    same one of a workspace or model, explain these crashes as well, only calls that
+//	    have all of them are quarantined: so a call that lacks one shows which it is, by
+//	    a crash or by an answer.
+//	Z9  A part is exempt for partExemptionPeriod after a server survived the beginning of
+//	    an answer to any call with it, and for all crashes before. Calls that are not
+//	    quarantined thus acquit the parts that they share with harmful ones.
 package quarantiner
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -197,7 +197,7 @@
 }
 
 func checksumOf(reported *garnetworks.ContentRecord) uint64 {
-	r := record{runs: make(map[garnetworks.Incarnation]run)}
+	r := record{runs: make(map[garnetworks.Incarnation]run), part: reported.Digest.IsPart()}
 	now := time.Now()
 	if reported.LastCompletedAgeMS >= 0 {
 		r.completedAt = now.Add(-time.Duration(reported.LastCompletedAgeMS) * time.Millisecond)
--- /dev/null
+++ b/quarantiner/parts_test.go
@@ -0,0 +1,176 @@
+package quarantiner
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+)
+
+// callWith returns the identity of a call of its own content that shares parts, which are separated
+// by spaces.
+func callWith(n int, parts string) garnetworks.CallIdentity {
+	call := garnetworks.CallIdentity{ID: garnetworks.CallID(fmt.Sprint("r", n)), Content: garnetworks.ContentDigest(fmt.Sprint("c", n))}
+	for _, part := range strings.Fields(parts) {
+		call.Parts = append(call.Parts, garnetworks.ContentDigest("part-"+part))
+	}
+	return call
+}
+
+// crashCalls lets one server crash under a call with each of the lists of parts.
+func (q *Quarantiner) crashCalls(first int, calls ...string) {
+	for i, parts := range calls {
+		time.Sleep(200 * time.Millisecond)
+		q.ReportInterrupted(callWith(first+i, parts), incarnation(first+i))
+		q.applyResult(time.Now(), incarnation(first+i), garnetworks.CrashProven)
+	}
+}
+
+// Guards against calls that share only a part of their prompts never being known as harmful, and
+// against sound calls being quarantined for the other parts that they share.
+func TestPartsThatCrashServers(t *testing.T) {
+	cases := map[string]struct {
+		// crashed are the parts of the calls under which a server crashed each, begun those of
+		// calls whose answers servers began before the last of these crashes.
+		crashed    []string
+		begun      []string
+		held, free string
+	}{
+		"three crashes are too few":               {[]string{"a p", "a p", "a p"}, nil, "", "a p"},
+		"a part beside one that is answered":      {[]string{"a p", "a p", "a p", "a p"}, []string{"a"}, "a p, p, b p", "a"},
+		"whatever else the calls contain":         {[]string{"a p", "b p", "c p", "d p"}, nil, "p, e p", "a b c d"},
+		"parts that always come together":         {[]string{"a b p", "a b p", "a b p", "a b p"}, nil, "a b p", "a b, a p, b p"},
+		"another part met all crashes but one":    {[]string{"a p", "a p", "a p", "p"}, nil, "a p", "a, p"},
+		"another part missed two crashes":         {[]string{"a p", "a p", "a p", "p", "p"}, nil, "p, a p", "a"},
+		"two parts, each with crashes of its own": {[]string{"p", "r", "p", "r", "p", "r", "p", "r"}, nil, "p, r", "a"},
+		"an answer acquits a part later on":       {[]string{"a p", "a p", "a p", "a p", "a p"}, []string{"a p"}, "", "a p"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newIdle()
+				last := len(c.crashed) - 1
+				q.crashCalls(0, c.crashed[:last]...)
+				for _, parts := range c.begun {
+					q.ReportBegun(callWith(100, parts))
+				}
+				q.crashCalls(last, c.crashed[last])
+				for want, calls := range map[bool]string{true: c.held, false: c.free} {
+					for parts := range strings.SplitSeq(calls, ",") {
+						if parts == "" {
+							continue
+						}
+						if _, got := q.Quarantined(t.Context(), callWith(200, parts)); got != want {
+							t.Errorf("calls with %q: quarantined = %t", parts, got)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a part being taken for harmful because an outage crashes many servers at once while
+// calls with it wait there for the beginning of their answers.
+func TestOutageDoesNotQuarantineSharedParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newIdle()
+		for n := range 18 {
+			q.ReportInterrupted(callWith(n, "popular"), incarnation(n))
+			time.Sleep(time.Millisecond)
+		}
+		for n := range 18 {
+			q.applyResult(time.Now(), incarnation(n), garnetworks.CrashProven)
+		}
+		if _, held := q.Quarantined(t.Context(), callWith(100, "popular")); held {
+			t.Error("calls with a popular part are quarantined after one outage")
+		}
+	})
+}
+
+// Guards against sound calls that met several crashes being quarantined in place of the part that
+// caused them.
+func TestCallsBesideHarmfulPartAreNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newIdle()
+		for n := range 6 {
+			time.Sleep(200 * time.Millisecond)
+			q.ReportInterrupted(callWith(n, "p"), incarnation(n))
+			if n < 3 {
+				q.ReportInterrupted(copyOf("sound"), incarnation(n))
+			}
+			q.applyResult(time.Now(), incarnation(n), garnetworks.CrashProven)
+			if n >= 3 && q.isQuarantined("sound") {
+				t.Errorf("after %d crashes a call that met three of them is quarantined", n+1)
+			}
+		}
+		if _, held := q.Quarantined(t.Context(), callWith(100, "p")); !held {
+			t.Error("calls with the part are not quarantined")
+		}
+	})
+}
+
+// Guards against a caller having the parts of others quarantined by naming them in calls that crash
+// servers.
+func TestWorkspaceCannotHaveOthersPartsQuarantined(t *testing.T) {
+	identity := func(n int, workspace garnetworks.WorkspaceName, parts ...garnetworks.PromptPart) garnetworks.CallIdentity {
+		call := garnetworks.ProxiedCall{ID: garnetworks.CallID(fmt.Sprint(n)), Body: fmt.Append(nil, n), Model: "m", SharedParts: parts}
+		return call.Identity(workspace)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		q := newIdle()
+		crash := func(n int, call garnetworks.CallIdentity) {
+			time.Sleep(200 * time.Millisecond)
+			q.ReportInterrupted(call, incarnation(n))
+			q.applyResult(time.Now(), incarnation(n), garnetworks.CrashProven)
+		}
+		held := func(call garnetworks.CallIdentity) bool {
+			_, quarantined := q.Quarantined(t.Context(), call)
+			return quarantined
+		}
+		for n := range 8 {
+			crash(n, identity(n, "attacker", garnetworks.PromptPart(fmt.Sprint("own", n)), "others"))
+		}
+		if !held(identity(50, "attacker", "others")) {
+			t.Error("the workspace's own calls are not quarantined")
+		}
+		if held(identity(51, "victim", "others")) {
+			t.Error("calls of another workspace are quarantined")
+		}
+		// If they crash servers as well, the part is harmful whoever sends it.
+		crash(60, identity(60, "victim", "others"))
+		crash(61, identity(61, "third", "others"))
+		for n, workspace := range []garnetworks.WorkspaceName{"victim", "third", "fourth"} {
+			if !held(identity(70+n, workspace, "others")) {
+				t.Errorf("calls of %s are not quarantined", workspace)
+			}
+		}
+	})
+}
+
+// Guards against records of parts being evicted by those of calls that an outage interrupts.
+func TestRecordsOfPartsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newIdle()
+		q.crashCalls(0, "p", "p", "p")
+		for n := range 2 * MaxRecords {
+			q.ReportInterrupted(callWith(1000+n, fmt.Sprint("rare", n)), incarnation(100+n%40))
+		}
+		q.crashCalls(10, "p")
+		if _, held := q.Quarantined(t.Context(), callWith(20, "p")); !held {
+			t.Error("crashes of a part were forgotten")
+		}
+		parts := 0
+		for digest := range q.records {
+			if digest.IsPart() {
+				parts++
+			}
+		}
+		if parts > MaxRecords || len(q.records) > 2*MaxRecords {
+			t.Errorf("%d records, %d of parts", len(q.records), parts)
+		}
+	})
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,9 +16,9 @@
 )
 
 const (
-	// MaxRecords bounds the contents that a node remembers; those with the fewest runs are
-	// evicted first, the oldest of them before the others. It leaves room for the calls that
-	// the outage of an availability zone interrupts, at about 300 bytes each.
+	// MaxRecords bounds the contents that a node remembers, and likewise the parts; those with the
+	// fewest runs are evicted first, the oldest of them before the others. It leaves room for the
+	// calls that the outage of an availability zone interrupts, at about 300 bytes each.
 	MaxRecords = 2048
 	// MaxStored bounds the contents in the object API, and so the object to 0.3 MB.
 	MaxStored = 256
@@ -30,9 +31,6 @@
 	// The server's host refuses connections within milliseconds, and the result of another
 	// node's probe takes one exchange to arrive.
 	proofTimeout = 300 * time.Millisecond
-	// maxCompleted bounds the contents that a node remembers as completed. It covers more
-	// than ExemptionPeriod at 25 calls per second.
-	maxCompleted = 2048
 )
 
 // Options configure a quarantiner.
@@ -53,11 +51,11 @@
 	// Publish receives the object's value and revision whenever the node has read or written
 	// it, to pass it to nodes that merge it with MergeObject; it may be nil.
 	Publish func(value []byte, revision garnetworks.Revision)
-	// Recorder receives an event when a content is quarantined or released; it may be nil.
+	// Recorder receives an event when a content or a part is quarantined or released; it may be nil.
 	Recorder garnetworks.Recorder
 }
 
-// Quarantiner decides which contents are quarantined. It implements garnetworks.Quarantine
+// Quarantiner decides which calls are quarantined. It implements garnetworks.Quarantine
 // and garnetworks.ContentRecordStore, and is safe for concurrent use.
 type Quarantiner struct {
 	options Options
@@ -66,12 +64,11 @@
 
 	mu      sync.Mutex
 	records map[garnetworks.ContentDigest]*record
-	// quarantined maps contents to the end of their quarantine, which may have passed.
-	quarantined map[garnetworks.ContentDigest]time.Time
-	// completed maps contents to their last completion; completionOrder holds them in the
-	// order in which they were first added.
-	completed       map[garnetworks.ContentDigest]time.Time
-	completionOrder []garnetworks.ContentDigest
+	// quarantined holds the quarantines by the content or part that has their crashes.
+	quarantined map[garnetworks.ContentDigest]quarantine
+	// completed are the contents that servers completed, begun the parts with which servers
+	// survived the beginning of an answer.
+	completed, begun completions
 	// stored are the checksums of the records that the object API is known to hold.
 	stored map[garnetworks.ContentDigest]uint64
 	// checksum is what Checksum returns if checksumValid; each exchange asks for it.
@@ -86,9 +83,9 @@
 	options.ReadWait = cmp.Or(options.ReadWait, DefaultReadWait)
 	return &Quarantiner{
 		options: options, probeWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1),
-		records: make(map[garnetworks.ContentDigest]*record), quarantined: make(map[garnetworks.ContentDigest]time.Time),
-		completed: make(map[garnetworks.ContentDigest]time.Time), stored: make(map[garnetworks.ContentDigest]uint64),
-		updated: make(chan struct{}),
+		records: make(map[garnetworks.ContentDigest]*record), quarantined: make(map[garnetworks.ContentDigest]quarantine),
+		completed: newCompletions(), begun: newCompletions(),
+		stored: make(map[garnetworks.ContentDigest]uint64), updated: make(chan struct{}),
 	}
 }
 
@@ -101,13 +98,29 @@
 	return g.Wait()
 }
 
+// quarantine is the quarantine of the calls that have all of some contents and parts.
+type quarantine struct {
+	// shared are the digests that all these calls have.
+	shared []garnetworks.ContentDigest
+	// until is when a call may be tried again, which may have passed.
+	until time.Time
+}
+
+// covers reports whether the call is one of those quarantined.
+func (u *quarantine) covers(call *garnetworks.CallIdentity) bool {
+	return !slices.ContainsFunc(u.shared, func(digest garnetworks.ContentDigest) bool { return !call.Has(digest) })
+}
+
 // Quarantined implements garnetworks.Quarantine.
 //
-// It waits while a proof that would quarantine the content is due. Otherwise the call would
-// be retried at a fourth server in the milliseconds before the third crash is proven.
-func (q *Quarantiner) Quarantined(ctx context.Context, content garnetworks.ContentDigest) (time.Duration, bool) {
+// It waits while a proof that would quarantine the call is due, for proofTimeout at most. Otherwise
+// the call would be retried at a fourth server in the milliseconds before the third crash is proven.
+func (q *Quarantiner) Quarantined(ctx context.Context, call garnetworks.CallIdentity) (time.Duration, bool) {
+	began := time.Now()
 	for {
-		remaining, proofDue, updated := q.status(time.Now(), content)
+		now := time.Now()
+		remaining, proofDue, updated := q.status(now, &call)
+		proofDue = min(proofDue, began.Add(proofTimeout).Sub(now))
 		if remaining > 0 || proofDue <= 0 {
 			return remaining, remaining > 0
 		}
@@ -124,90 +137,137 @@
 	}
 }
 
-// status returns for how long the content is still quarantined, for how long a proof that
-// would quarantine it may still come, and a channel that is closed on the next change.
-func (q *Quarantiner) status(now time.Time, content garnetworks.ContentDigest) (remaining, proofDue time.Duration, updated <-chan struct{}) {
+// status returns for how long the call is still quarantined, for how long a proof that would
+// quarantine it may still come, and a channel that is closed on the next change.
+func (q *Quarantiner) status(now time.Time, call *garnetworks.CallIdentity) (remaining, proofDue time.Duration, updated <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	remaining = q.quarantined[content].Sub(now)
-	if r := q.records[content]; remaining <= 0 && r != nil && r.awaitsProof() {
-		proofDue = r.lastInterruption().Add(proofTimeout).Sub(now)
+	for _, u := range q.quarantined {
+		if u.covers(call) {
+			remaining = max(remaining, u.until.Sub(now))
+		}
+	}
+	for _, digest := range digestsOf(call) {
+		if r := q.records[digest]; remaining <= 0 && r != nil && r.awaitsProof() {
+			proofDue = max(proofDue, r.lastInterruption().Add(proofTimeout).Sub(now))
+		}
 	}
 	return remaining, proofDue, q.updated
 }
 
+// digestsOf returns all digests by which a call is known.
+func digestsOf(call *garnetworks.CallIdentity) []garnetworks.ContentDigest {
+	return append([]garnetworks.ContentDigest{call.Content}, call.Parts...)
+}
+
 // ReportInterrupted implements garnetworks.Quarantine.
-func (q *Quarantiner) ReportInterrupted(content garnetworks.ContentDigest, incarnation garnetworks.Incarnation) {
+func (q *Quarantiner) ReportInterrupted(call garnetworks.CallIdentity, incarnation garnetworks.Incarnation) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.record(content)
-	r.observed = true
-	if r.add(incarnation, now, garnetworks.CrashSuspected) {
-		q.markChanged(now, content, r)
+	updated := false
+	for _, digest := range digestsOf(&call) {
+		r := q.record(digest)
+		r.observed = true
+		if r.add(incarnation, now, garnetworks.CrashSuspected) {
+			q.markChanged(now, digest, r)
+			updated = true
+		}
+	}
+	if updated {
 		q.updateQuarantined(now)
 	}
 }
 
-// ReportCompleted implements garnetworks.Quarantine.
-func (q *Quarantiner) ReportCompleted(content garnetworks.ContentDigest) {
+// ReportBegun implements garnetworks.Quarantine.
+func (q *Quarantiner) ReportBegun(call garnetworks.CallIdentity) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.completed[content]; !ok {
-		q.completionOrder = append(q.completionOrder, content)
+	updated := false
+	for _, digest := range call.Parts {
+		q.begun.add(now, digest)
+		// Later beginnings of a part to which no crash is attributed tell nothing new.
+		if r := q.records[digest]; r != nil && len(r.incarnations(garnetworks.CrashSuspected)) > 0 {
+			q.markChanged(now, digest, r)
+			updated = true
+		}
 	}
-	q.completed[content] = now
-	if len(q.completionOrder) > maxCompleted {
-		delete(q.completed, q.completionOrder[0])
-		q.completionOrder = q.completionOrder[1:]
+	if updated {
+		q.updateQuarantined(now)
 	}
-	if r := q.records[content]; r != nil {
-		q.markChanged(now, content, r)
+}
+
+// ReportCompleted implements garnetworks.Quarantine.
+func (q *Quarantiner) ReportCompleted(call garnetworks.CallIdentity) {
+	q.ReportBegun(call)
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.completed.add(now, call.Content)
+	if r := q.records[call.Content]; r != nil {
+		q.markChanged(now, call.Content, r)
 		q.updateQuarantined(now)
 	}
 }
 
-// Count returns the number of quarantined contents.
+// Count returns the number of quarantines in effect.
 func (q *Quarantiner) Count() int {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := 0
-	for _, until := range q.quarantined {
-		if until.After(now) {
+	for _, u := range q.quarantined {
+		if u.until.After(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// record returns a content's record, creating it if there is none; q.mu is held.
-func (q *Quarantiner) record(content garnetworks.ContentDigest) *record {
-	r := q.records[content]
+// record returns the record of a content or part, creating it if there is none; q.mu is held.
+func (q *Quarantiner) record(digest garnetworks.ContentDigest) *record {
+	r := q.records[digest]
 	if r == nil {
-		q.evict()
-		r = &record{runs: make(map[garnetworks.Incarnation]run)}
-		q.records[content] = r
+		q.evict(digest.IsPart())
+		r = &record{runs: make(map[garnetworks.Incarnation]run), part: digest.IsPart()}
+		q.records[digest] = r
 	}
 	return r
 }
 
-// evict removes one record if there are MaxRecords (Z7); q.mu is held.
-func (q *Quarantiner) evict() {
+// evict removes one record of a content, or of a part, if there are MaxRecords of them (Z7); q.mu
+// is held.
+func (q *Quarantiner) evict(part bool) {
 	if len(q.records) < MaxRecords {
 		return
 	}
-	least := slices.MinFunc(slices.Collect(maps.Keys(q.records)), func(a, b garnetworks.ContentDigest) int {
+	var list []garnetworks.ContentDigest
+	for digest, r := range q.records {
+		if r.part == part {
+			list = append(list, digest)
+		}
+	}
+	if len(list) < MaxRecords {
+		return
+	}
+	delete(q.records, slices.MinFunc(list, func(a, b garnetworks.ContentDigest) int {
 		x, y := q.records[a], q.records[b]
 		return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), x.changedAt.Compare(y.changedAt), cmp.Compare(a, b))
-	})
-	delete(q.records, least)
+	}))
+}
+
+// lastCompletion returns when this node last saw the content completed or the part begun.
+func (q *Quarantiner) lastCompletion(digest garnetworks.ContentDigest) time.Time {
+	if digest.IsPart() {
+		return q.begun.at[digest]
+	}
+	return q.completed.at[digest]
 }
 
 // markChanged notes that a record changed, before updateQuarantined; q.mu is held.
-func (q *Quarantiner) markChanged(now time.Time, content garnetworks.ContentDigest, r *record) {
-	if at := q.completed[content]; at.After(r.completedAt) && now.Sub(at) < ExemptionPeriod {
+func (q *Quarantiner) markChanged(now time.Time, digest garnetworks.ContentDigest, r *record) {
+	if at := q.lastCompletion(digest); at.After(r.completedAt) && now.Sub(at) < r.exemptionPeriod() {
 		r.completedAt = at
 	}
 	r.changedAt = now
@@ -217,37 +277,46 @@
 	}
 }
 
-// updateQuarantined recomputes the quarantined contents (Z3); q.mu is held.
+// updateQuarantined recomputes the quarantines (Z3, Z8); q.mu is held.
 func (q *Quarantiner) updateQuarantined(now time.Time) {
 	close(q.updated)
 	q.updated = make(chan struct{})
 	q.checksumValid = false
 	var suspects []suspect
-	for content, r := range q.records {
+	for digest, r := range q.records {
 		if len(r.runs) < CrashThreshold {
 			continue
 		}
 		if crashes := r.incarnations(garnetworks.CrashConnectionRefused); len(crashes) >= CrashThreshold {
-			suspects = append(suspects, suspect{content, crashes})
+			suspects = append(suspects, suspect{digest: digest, crashes: crashes, spread: r.clusters(crashSpacing) >= r.threshold()})
 		}
 	}
-	quarantined := make(map[garnetworks.ContentDigest]time.Time)
-	for _, content := range findCulprits(suspects) {
-		r := q.records[content]
-		crashes := r.incarnations(garnetworks.CrashConnectionRefused)
-		quarantined[content] = r.lastInterruption().Add(quarantineTime(len(crashes)))
-		if quarantined[content].After(now) && !q.quarantined[content].Equal(quarantined[content]) {
-			q.recordEvent(garnetworks.EventCallQuarantined, fmt.Sprintf("content %s is quarantined for %s: %d servers crashed during calls with it, among them %s", content, quarantined[content].Sub(now).Round(time.Second), len(crashes), crashes[len(crashes)-1].Instance))
+	quarantined := make(map[garnetworks.ContentDigest]quarantine)
+	for _, c := range findCulprits(suspects) {
+		r := q.records[c.lead()]
+		u := quarantine{shared: c.shared, until: r.lastInterruption().Add(r.quarantineTime())}
+		quarantined[c.lead()] = u
+		if old := q.quarantined[c.lead()]; u.until.After(now) && (!old.until.Equal(u.until) || !slices.Equal(old.shared, u.shared)) {
+			q.recordEvent(garnetworks.EventCallQuarantined, fmt.Sprintf("content %s is quarantined for %s: %d servers crashed during calls with it, among them %s", describe(&u), u.until.Sub(now).Round(time.Second), len(c.crashes), c.crashes[len(c.crashes)-1].Instance))
 		}
 	}
-	for content, until := range q.quarantined {
-		if _, still := quarantined[content]; !still && until.After(now) {
-			q.recordEvent(garnetworks.EventCallReleased, fmt.Sprintf("content %s is no longer quarantined: a server completed it, or the crashes are refuted or attributed to another one", content))
+	for lead, u := range q.quarantined {
+		if _, still := quarantined[lead]; !still && u.until.After(now) {
+			q.recordEvent(garnetworks.EventCallReleased, fmt.Sprintf("content %s is no longer quarantined: a server completed it or began to answer it, or the crashes are refuted or attributed to another one", describe(&u)))
 		}
 	}
 	q.quarantined = quarantined
 }
 
+// describe names what the calls of a quarantine have in common.
+func describe(u *quarantine) string {
+	var names []string
+	for _, digest := range u.shared {
+		names = append(names, string(digest))
+	}
+	return strings.Join(names, " with ")
+}
+
 func (q *Quarantiner) recordEvent(kind garnetworks.EventKind, detail string) {
 	if q.options.Recorder != nil {
 		q.options.Recorder.Record(garnetworks.Event{Kind: kind, Detail: detail})
@@ -284,10 +353,9 @@
 		x := &reported.Runs[i]
 		updated = r.add(x.Incarnation(), age(x.AgeMS), x.State) || updated
 	}
-	// Ages differ by milliseconds of transmission, which is not a change.
+	// Ages differ by milliseconds of transmission, which is not a change unless crashes are exempt by it.
 	const margin = time.Second
-	if reported.LastCompletedAgeMS >= 0 && age(reported.LastCompletedAgeMS).Sub(r.completedAt) > margin {
-		r.completedAt = age(reported.LastCompletedAgeMS)
+	if reported.LastCompletedAgeMS >= 0 && r.learnsCompletion(age(reported.LastCompletedAgeMS), margin) {
 		updated = true
 	}
 	if r.expiresAt().Before(now) {
@@ -321,20 +389,36 @@
 	return q.selectContents(MaxStored, (*record).retained)
 }
 
-// selectContents returns at most limit contents whose records satisfy keep, those with the
-// most runs first; q.mu is held. The order is the same at all nodes with the same records,
-// so that they omit the same ones.
+// selectContents returns at most limit contents and parts whose records satisfy keep; q.mu is held.
+// Those to which the most runs are attributed come first, and parts before contents, since more
+// calls depend on them. The order is the same at all nodes with the same records, so that they omit
+// the same ones.
 func (q *Quarantiner) selectContents(limit int, keep func(*record) bool) []garnetworks.ContentDigest {
-	var list []garnetworks.ContentDigest
-	for content, r := range q.records {
-		if keep(r) {
-			list = append(list, content)
+	type candidate struct {
+		digest     garnetworks.ContentDigest
+		part       int
+		attributed int
+		runs       int
+	}
+	var list []candidate
+	for digest, r := range q.records {
+		if !keep(r) {
+			continue
 		}
+		c := candidate{digest: digest, attributed: len(r.incarnations(garnetworks.CrashSuspected)), runs: len(r.runs)}
+		if r.part {
+			c.part = 1
+		}
+		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b garnetworks.ContentDigest) int {
-		return cmp.Or(cmp.Compare(len(q.records[b].runs), len(q.records[a].runs)), cmp.Compare(a, b))
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.attributed, a.attributed), cmp.Compare(b.part, a.part), cmp.Compare(b.runs, a.runs), cmp.Compare(a.digest, b.digest))
 	})
-	return list[:min(len(list), limit)]
+	var digests []garnetworks.ContentDigest
+	for _, c := range list[:min(len(list), limit)] {
+		digests = append(digests, c.digest)
+	}
+	return digests
 }
 
 // reports returns the records of contents as sent to other nodes; q.mu is held.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -18,6 +18,11 @@
 // newIdle returns a quarantiner whose goroutines don't run.
 func newIdle() *Quarantiner { return New(Options{}) }
 
+// copyOf returns the identity of a copy of the call with a content.
+func copyOf(content garnetworks.ContentDigest) garnetworks.CallIdentity {
+	return garnetworks.CallIdentity{Content: content}
+}
+
 func incarnation(n int) garnetworks.Incarnation {
 	return garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprint("i", n))}
 }
@@ -25,13 +30,13 @@
 // reportCrashes reports interruptions at some incarnations and proves their crashes.
 func (q *Quarantiner) reportCrashes(content garnetworks.ContentDigest, incarnations ...int) {
 	for _, n := range incarnations {
-		q.ReportInterrupted(content, incarnation(n))
+		q.ReportInterrupted(copyOf(content), incarnation(n))
 		q.applyResult(time.Now(), incarnation(n), garnetworks.CrashProven)
 	}
 }
 
 func (q *Quarantiner) isQuarantined(content garnetworks.ContentDigest) bool {
-	_, quarantined := q.Quarantined(context.Background(), content)
+	_, quarantined := q.Quarantined(context.Background(), copyOf(content))
 	return quarantined
 }
 
@@ -40,7 +45,7 @@
 func TestCompletedContentIsExempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newIdle()
-		q.ReportCompleted("popular")
+		q.ReportCompleted(copyOf("popular"))
 		time.Sleep(time.Second)
 		q.reportCrashes("popular", 1, 2, 3, 4)
 		if q.isQuarantined("popular") {
@@ -69,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := newIdle()
 		for n := range 4 {
-			q.ReportInterrupted("x", incarnation(n))
+			q.ReportInterrupted(copyOf("x"), incarnation(n))
 		}
 		began := time.Now()
 		for n := range 4 {
@@ -90,7 +95,7 @@
 		}
 		refused := newIdle()
 		for n := range 3 {
-			refused.ReportInterrupted("x", incarnation(n))
+			refused.ReportInterrupted(copyOf("x"), incarnation(n))
 			refused.applyResult(time.Now(), incarnation(n), garnetworks.CrashConnectionRefused)
 		}
 		if refused.MergeObject(value); refused.isQuarantined("x") {
@@ -98,8 +103,8 @@
 		}
 		// A probe that began before the interruption refutes nothing.
 		time.Sleep(time.Second)
-		q.ReportInterrupted("y", incarnation(5))
-		q.ReportInterrupted("y", incarnation(6))
+		q.ReportInterrupted(copyOf("y"), incarnation(5))
+		q.ReportInterrupted(copyOf("y"), incarnation(6))
 		q.applyResult(began, incarnation(5), garnetworks.CrashRefuted)
 		if n := len(q.dueProbes(time.Now())); n != 2 {
 			t.Errorf("%d probes are due, want 2: an earlier answer does not refute a later crash", n)
@@ -122,7 +127,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		go node.runProbes(ctx)
 		for n := range 3 {
-			node.ReportInterrupted("sound", incarnation(n))
+			node.ReportInterrupted(copyOf("sound"), incarnation(n))
 		}
 		time.Sleep(time.Second)
 		other.Merge(node.Retained())
@@ -147,13 +152,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := newIdle()
 		q.reportCrashes("x", 1, 2)
-		q.ReportInterrupted("x", incarnation(3))
+		q.ReportInterrupted(copyOf("x"), incarnation(3))
 		time.AfterFunc(5*time.Millisecond, func() { q.applyResult(time.Now(), incarnation(3), garnetworks.CrashProven) })
 		if !q.isQuarantined("x") {
 			t.Error("the call is allowed before the proof")
 		}
 		q.reportCrashes("y", 4, 5)
-		q.ReportInterrupted("y", incarnation(6))
+		q.ReportInterrupted(copyOf("y"), incarnation(6))
 		began := time.Now()
 		if q.isQuarantined("y") || time.Since(began) > proofTimeout {
 			t.Errorf("without a proof the call waited %s, or was quarantined", time.Since(began))
@@ -168,7 +173,7 @@
 		q := newIdle()
 		q.reportCrashes("x", 1, 2, 3)
 		for n, want := range []time.Duration{MinQuarantine, 2 * MinQuarantine, 4 * MinQuarantine} {
-			if remaining, _ := q.Quarantined(t.Context(), "x"); remaining != want {
+			if remaining, _ := q.Quarantined(t.Context(), copyOf("x")); remaining != want {
 				t.Errorf("after %d crashes it is quarantined for %s, want %s", 3+n, remaining, want)
 			}
 			time.Sleep(want)
@@ -181,7 +186,7 @@
 		for n := range 20 {
 			q.reportCrashes("x", 10+n)
 		}
-		if remaining, _ := q.Quarantined(t.Context(), "x"); remaining != MaxQuarantine {
+		if remaining, _ := q.Quarantined(t.Context(), copyOf("x")); remaining != MaxQuarantine {
 			t.Errorf("it is quarantined for %s, want %s at most", remaining, MaxQuarantine)
 		}
 		time.Sleep(2*MaxQuarantine + time.Second)
@@ -199,16 +204,16 @@
 		q := newIdle()
 		q.reportCrashes("x", 1, 2, 3)
 		for n := range 2 * MaxRecords {
-			q.ReportInterrupted(garnetworks.ContentDigest(fmt.Sprint("c", n)), incarnation(100+n%40))
+			q.ReportInterrupted(copyOf(garnetworks.ContentDigest(fmt.Sprint("c", n))), incarnation(100+n%40))
 		}
 		for n := range 2 * MaxRuns {
-			q.ReportInterrupted("many", incarnation(200+n))
+			q.ReportInterrupted(copyOf("many"), incarnation(200+n))
 		}
 		for n := range 3 * maxCompleted {
-			q.ReportCompleted(garnetworks.ContentDigest(fmt.Sprint("s", n)))
+			q.ReportCompleted(copyOf(garnetworks.ContentDigest(fmt.Sprint("s", n))))
 		}
-		if len(q.records) > MaxRecords || len(q.records["many"].runs) > MaxRuns || len(q.completed) > maxCompleted || len(q.completionOrder) > maxCompleted {
-			t.Errorf("%d records, %d runs, %d completed contents", len(q.records), len(q.records["many"].runs), len(q.completed))
+		if len(q.records) > MaxRecords || len(q.records["many"].runs) > MaxRuns || len(q.completed.at) > maxCompleted || len(q.completed.order) > maxCompleted {
+			t.Errorf("%d records, %d runs, %d completed contents", len(q.records), len(q.records["many"].runs), len(q.completed.at))
 		}
 		if !q.isQuarantined("x") {
 			t.Error("a quarantined content was evicted")
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -18,12 +18,18 @@
 	// sent content, and bounds how long a content that has become harmful, for example by a
 	// new model version, goes undetected.
 	ExemptionPeriod = time.Minute
+	// partExemptionPeriod is the same for a part of prompts, which calls share and begin often. It
+	// bounds how long a part that has become harmful goes undetected.
+	partExemptionPeriod = 2 * time.Second
+	// crashSpacing is the time within which crashes count as one for a part: an outage that
+	// interrupts many calls with the part at once is a single observation.
+	crashSpacing = 50 * time.Millisecond
 	// RetainThreshold is the number of runs from which a record is stored in the object API
 	// (Z6). It is one below CrashThreshold, so that a node that reads the record can quarantine
 	// the content after one more crash.
 	RetainThreshold = 2
-	// recordTTL is how long after its last interruption the record of a content with fewer than
-	// CrashThreshold crashes is kept.
+	// recordTTL is how long after its last interruption the record of a content with too few
+	// crashes for a quarantine is kept.
 	recordTTL = 10 * time.Minute
 	// MinQuarantine is the length of a quarantine after CrashThreshold crashes. It leaves an
 	// operator time to repair or roll back a model version.
@@ -42,10 +48,13 @@
 	probedAt time.Time
 }
 
-// record is what a node knows of a content and its interrupted runs (Z5).
+// record is what a node knows of a content, or of a part of prompts, and its interrupted runs (Z5).
 type record struct {
 	runs map[garnetworks.Incarnation]run
-	// completedAt is when a server last completed a call with the content; zero if never.
+	// part says that the record is that of a part.
+	part bool
+	// completedAt is when a server last completed a call with the content, or survived the
+	// beginning of an answer to a call with the part; zero if never.
 	completedAt time.Time
 	// changedAt is when the record last changed.
 	changedAt time.Time
@@ -84,9 +93,43 @@
 }
 
 // attributable reports whether the content may have caused the interruption of a run: the
-// crash isn't refuted, and came more than ExemptionPeriod after the last completion (Z4).
+// crash isn't refuted, and came more than the exemption period after the last completion (Z4).
 func (r *record) attributable(x run) bool {
-	return x.state != garnetworks.CrashRefuted && (r.completedAt.IsZero() || x.at.Sub(r.completedAt) > ExemptionPeriod)
+	return x.state != garnetworks.CrashRefuted && (r.completedAt.IsZero() || x.at.Sub(r.completedAt) > r.exemptionPeriod())
+}
+
+func (r *record) exemptionPeriod() time.Duration {
+	if r.part {
+		return partExemptionPeriod
+	}
+	return ExemptionPeriod
+}
+
+// threshold returns the number of crashes that quarantine the content or the part.
+func (r *record) threshold() int {
+	if r.part {
+		return partCrashThreshold
+	}
+	return CrashThreshold
+}
+
+// clusters returns the number of clusters of crashes, whose first crashes are spaced at least the
+// given time apart.
+func (r *record) clusters(spacing time.Duration) int {
+	var times []time.Time
+	for _, id := range r.incarnations(garnetworks.CrashConnectionRefused) {
+		times = append(times, r.runs[id].at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	var first time.Time
+	count := 0
+	for _, at := range times {
+		if count == 0 || at.Sub(first) >= spacing {
+			first = at
+			count++
+		}
+	}
+	return count
 }
 
 // incarnations returns the incarnations of the attributable runs whose state is at least
@@ -102,11 +145,26 @@
 	return list
 }
 
+// learnsCompletion notes a completion that another node reported, and reports whether that changed
+// the record: if it came later by more than the margin, or if fewer runs are attributable now.
+func (r *record) learnsCompletion(at time.Time, margin time.Duration) bool {
+	if !at.After(r.completedAt) {
+		return false
+	}
+	before, attributable := r.completedAt, len(r.incarnations(garnetworks.CrashSuspected))
+	r.completedAt = at
+	if at.Sub(before) > margin || len(r.incarnations(garnetworks.CrashSuspected)) < attributable {
+		return true
+	}
+	r.completedAt = before
+	return false
+}
+
 // awaitsProof reports whether proofs of the suspected crashes could quarantine the content.
 func (r *record) awaitsProof() bool {
 	// Refused connections count as a confirmed crash until the incarnation answers (Z2).
 	all := len(r.incarnations(garnetworks.CrashSuspected))
-	return all >= CrashThreshold && len(r.incarnations(garnetworks.CrashConnectionRefused)) < all
+	return all >= r.threshold() && len(r.incarnations(garnetworks.CrashConnectionRefused)) < all
 }
 
 // lastInterruption returns when a call with the content was last interrupted, by any run,
@@ -121,17 +179,23 @@
 	return last
 }
 
-// quarantineTime returns the length of a quarantine, from the last interruption on (Z7).
-func quarantineTime(crashes int) time.Duration {
+// quarantineTime returns the length of a quarantine, from the last interruption on (Z7). It doubles
+// with each further crash of a content. Many calls can share a part and reach servers before it is
+// quarantined, so there it doubles only with each crash after its end.
+func (r *record) quarantineTime() time.Duration {
 	const maxDoublings = 10
-	return min(MaxQuarantine, MinQuarantine<<min(max(crashes-CrashThreshold, 0), maxDoublings))
+	doublings := len(r.incarnations(garnetworks.CrashConnectionRefused)) - CrashThreshold
+	if r.part {
+		doublings = r.clusters(MinQuarantine) - 1
+	}
+	return min(MaxQuarantine, MinQuarantine<<min(max(doublings, 0), maxDoublings))
 }
 
-// expiresAt returns when the record may be removed. With CrashThreshold crashes, that is after
-// twice the length of the quarantine, so that a crash after its end leads to a longer one.
+// expiresAt returns when the record may be removed. With enough crashes for a quarantine, that is
+// after twice its length, so that a crash after its end leads to a longer one.
 func (r *record) expiresAt() time.Time {
-	if crashes := len(r.incarnations(garnetworks.CrashConnectionRefused)); crashes >= CrashThreshold {
-		return r.lastInterruption().Add(2 * quarantineTime(crashes))
+	if len(r.incarnations(garnetworks.CrashConnectionRefused)) >= r.threshold() {
+		return r.lastInterruption().Add(2 * r.quarantineTime())
 	}
 	return r.lastInterruption().Add(recordTTL)
 }
--- a/quarantiner/site_test.go
+++ b/quarantiner/site_test.go
@@ -130,7 +130,7 @@
 // and returns the number of servers that crashed.
 func (s *site) crash(n *node, attempts int) (crashed int) {
 	for range attempts {
-		if _, quarantined := n.Quarantined(s.t.Context(), "x"); quarantined {
+		if _, quarantined := n.Quarantined(s.t.Context(), garnetworks.CallIdentity{Content: "x"}); quarantined {
 			return crashed
 		}
 		s.mu.Lock()
@@ -139,7 +139,7 @@
 		incarnation := garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprint("i", s.next))}
 		s.mu.Unlock()
 		crashed++
-		n.ReportInterrupted("x", incarnation)
+		n.ReportInterrupted(garnetworks.CallIdentity{Content: "x"}, incarnation)
 	}
 	return crashed
 }
@@ -367,8 +367,8 @@
 		for i, n := range s.all() {
 			for c := range 20 {
 				content := garnetworks.ContentDigest(fmt.Sprint("c", i, ".", c))
-				n.ReportInterrupted(content, garnetworks.Incarnation{Instance: "a"})
-				n.ReportInterrupted(content, garnetworks.Incarnation{Instance: "b"})
+				n.ReportInterrupted(garnetworks.CallIdentity{Content: content}, garnetworks.Incarnation{Instance: "a"})
+				n.ReportInterrupted(garnetworks.CallIdentity{Content: content}, garnetworks.Incarnation{Instance: "b"})
 			}
 		}
 		time.Sleep(time.Minute)
@@ -396,8 +396,8 @@
 		for i, n := range s.all() {
 			for c := range 10 {
 				content := garnetworks.ContentDigest(fmt.Sprint("c", i, ".", c))
-				n.ReportInterrupted(content, garnetworks.Incarnation{Instance: "a"})
-				n.ReportInterrupted(content, garnetworks.Incarnation{Instance: "b"})
+				n.ReportInterrupted(garnetworks.CallIdentity{Content: content}, garnetworks.Incarnation{Instance: "a"})
+				n.ReportInterrupted(garnetworks.CallIdentity{Content: content}, garnetworks.Incarnation{Instance: "b"})
 			}
 		}
 		time.Sleep(10 * time.Second)
