quarantiner: one node lets one call through when the time of a quarantine is over

A quarantine ended at each node by its own clock: at 986 nodes its end let a call a node through, each of which could crash a server, where callers may see three in all. Found by reading. Now a node claims the trial with a conditional write to the object of the quarantines, one call passes there, and the others are refused for two seconds more. If the server survives it, the acquittal goes to all nodes; else the quarantine goes on for twice as long. Without the object API it goes on.

An acquitted record is kept as long as one that is not: it was forgotten after at most ten seconds, and nodes that had not learned of the acquittal passed the crashes on again; a merge that removed a record left its quarantine in effect.

TestQuarantineExpires let any call through at the end; it now requires a trial and that a second call is held beside it, which is stricter.

--- a/quarantine.go
+++ b/quarantine.go
@@ -50,6 +50,9 @@
 	// long ago one was last known to have survived the beginning of its answer, in milliseconds;
 	// below 0 if none is known to have.
 	LastCompletedAgeMS int64
+	// TrialAgeMS is how long ago a node was last allowed to let one call through, in milliseconds;
+	// below 0 if none was. It is known from the object API alone.
+	TrialAgeMS int64 `cbor:"-"`
 }
 
 // Quarantine keeps calls that crash servers away from further servers.
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -41,4 +41,7 @@
 //	Z9  A part is exempt for partExemptionPeriod after a server survived the beginning of
 //	    an answer to any call with it, and for all crashes before. Calls that are not
 //	    quarantined thus acquit the parts that they share with harmful ones.
+//	Z10 After the time of a quarantine one node, which claims it in the object API, lets
+//	    one call through. If the server survives it, the quarantine ends at all nodes;
+//	    otherwise it continues for twice as long. Without the object API it continues.
 package quarantiner
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -53,6 +53,8 @@
 	Runs    []storedRun               `json:"runs"`
 	// LastCompletedMS is in Unix milliseconds, as are all times here; 0 if never.
 	LastCompletedMS int64 `json:"answered-ms,omitempty"`
+	// TrialMS is when a node was last allowed to let one call through; 0 if never.
+	TrialMS int64 `json:"trial-ms,omitempty"`
 }
 
 type storedRun struct {
@@ -85,6 +87,9 @@
 		if r.LastCompletedAgeMS >= 0 {
 			s.LastCompletedMS = at(r.LastCompletedAgeMS)
 		}
+		if r.TrialAgeMS >= 0 {
+			s.TrialMS = at(r.TrialAgeMS)
+		}
 		for _, x := range r.Runs {
 			s.Runs = append(s.Runs, storedRun{Instance: x.Instance, StartMS: x.StartMS, AtMS: at(x.AgeMS), State: stateNames[x.State]})
 		}
@@ -103,10 +108,13 @@
 	age := func(at int64) int64 { return max(0, now.UnixMilli()-at) }
 	var records []garnetworks.ContentRecord
 	for _, s := range object.Contents[:min(len(object.Contents), MaxStored)] {
-		r := garnetworks.ContentRecord{Digest: s.Content, LastCompletedAgeMS: -1}
+		r := garnetworks.ContentRecord{Digest: s.Content, LastCompletedAgeMS: -1, TrialAgeMS: -1}
 		if s.LastCompletedMS > 0 {
 			r.LastCompletedAgeMS = age(s.LastCompletedMS)
 		}
+		if s.TrialMS > 0 {
+			r.TrialAgeMS = age(s.TrialMS)
+		}
 		for _, x := range s.Runs[:min(len(s.Runs), MaxRuns)] {
 			if state, ok := parseState(x.State); ok {
 				r.Runs = append(r.Runs, garnetworks.InterruptedRun{Instance: x.Instance, StartMS: x.StartMS, AgeMS: age(x.AtMS), State: state})
@@ -264,6 +272,12 @@
 // write merges the object into the node's records and writes them back if needed. Errors
 // are counted by the meter of the object API, and the next check retries.
 func (q *Quarantiner) write(ctx context.Context) error {
+	return q.update(ctx, q.needsStore)
+}
+
+// update reads the object and merges it into the node's records, and writes these back if change
+// then returns true.
+func (q *Quarantiner) update(ctx context.Context, change func() bool) error {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	object, err := q.options.Objects.Get(call, objectKey)
@@ -275,7 +289,7 @@
 	default:
 		q.MergeObject(object.Value)
 	}
-	if !q.needsStore() {
+	if !change() {
 		return nil
 	}
 	now := time.Now()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -59,13 +59,16 @@
 // and garnetworks.ContentRecordStore, and is safe for concurrent use.
 type Quarantiner struct {
 	options Options
-	// probeWake and storeWake wake the goroutines that probe servers and write records.
-	probeWake, storeWake chan struct{}
+	// probeWake, storeWake and trialWake wake the goroutines that probe servers, write records and
+	// claim trials.
+	probeWake, storeWake, trialWake chan struct{}
 
 	mu      sync.Mutex
 	records map[garnetworks.ContentDigest]*record
 	// quarantined holds the quarantines by the content or part that has their crashes.
 	quarantined map[garnetworks.ContentDigest]quarantine
+	// trials holds the trials that this node was asked for or may carry out, likewise.
+	trials map[garnetworks.ContentDigest]trial
 	// completed are the contents that servers completed, begun the parts with which servers
 	// survived the beginning of an answer.
 	completed, begun completions
@@ -82,9 +85,9 @@
 func New(options Options) *Quarantiner {
 	options.ReadWait = cmp.Or(options.ReadWait, DefaultReadWait)
 	return &Quarantiner{
-		options: options, probeWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1),
+		options: options, probeWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), trialWake: make(chan struct{}, 1),
 		records: make(map[garnetworks.ContentDigest]*record), quarantined: make(map[garnetworks.ContentDigest]quarantine),
-		completed: newCompletions(), begun: newCompletions(),
+		trials: make(map[garnetworks.ContentDigest]trial), completed: newCompletions(), begun: newCompletions(),
 		stored: make(map[garnetworks.ContentDigest]uint64), updated: make(chan struct{}),
 	}
 }
@@ -95,6 +98,7 @@
 	g.Go(func() error { q.runProbes(ctx); return nil })
 	g.Go(func() error { q.watchObject(ctx); return nil })
 	g.Go(func() error { q.runStore(ctx); return nil })
+	g.Go(func() error { q.runTrials(ctx); return nil })
 	return g.Wait()
 }
 
@@ -142,10 +146,15 @@
 func (q *Quarantiner) status(now time.Time, call *garnetworks.CallIdentity) (remaining, proofDue time.Duration, updated <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, u := range q.quarantined {
-		if u.covers(call) {
-			remaining = max(remaining, u.until.Sub(now))
+	for lead, u := range q.quarantined {
+		if !u.covers(call) {
+			continue
 		}
+		left := u.until.Sub(now)
+		if left <= 0 {
+			left = q.trialDelay(now, lead, call.ID)
+		}
+		remaining = max(remaining, left)
 	}
 	for _, digest := range digestsOf(call) {
 		if r := q.records[digest]; remaining <= 0 && r != nil && r.awaitsProof() {
@@ -167,6 +176,7 @@
 	defer q.mu.Unlock()
 	updated := false
 	for _, digest := range digestsOf(&call) {
+		delete(q.trials, digest)
 		r := q.record(digest)
 		r.observed = true
 		if r.add(incarnation, now, garnetworks.CrashSuspected) {
@@ -358,10 +368,12 @@
 	if reported.LastCompletedAgeMS >= 0 && r.learnsCompletion(age(reported.LastCompletedAgeMS), margin) {
 		updated = true
 	}
+	if reported.TrialAgeMS >= 0 && age(reported.TrialAgeMS).After(r.trialAt) {
+		r.trialAt = age(reported.TrialAgeMS)
+	}
 	if r.expiresAt().Before(now) {
 		delete(q.records, reported.Digest)
-		q.checksumValid = false
-		return false
+		return true
 	}
 	if updated {
 		q.markChanged(now, reported.Digest, r)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
 )
 
 // newIdle returns a quarantiner whose goroutines don't run.
@@ -166,11 +167,11 @@
 	})
 }
 
-// A quarantine expires, so that a repaired server gets the call again, and doubles with each
-// further crash up to MaxQuarantine; other records expire.
+// A quarantine ends with a trial, so that a repaired server gets the call again, and doubles with
+// each further crash up to MaxQuarantine; other records expire.
 func TestQuarantineExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newIdle()
+		q := New(Options{Objects: faker.NewObjects(faker.ObjectsOptions{})})
 		q.reportCrashes("x", 1, 2, 3)
 		for n, want := range []time.Duration{MinQuarantine, 2 * MinQuarantine, 4 * MinQuarantine} {
 			if remaining, _ := q.Quarantined(t.Context(), copyOf("x")); remaining != want {
@@ -178,8 +179,14 @@
 			}
 			time.Sleep(want)
 			q.expire()
-			if q.isQuarantined("x") {
-				t.Error("a quarantine does not end")
+			if !q.isQuarantined("x") {
+				t.Error("a call is let through without a trial")
+			}
+			q.claimTrial(t.Context(), "x")
+			for i, id := range []garnetworks.CallID{"first", "second", "first"} {
+				if _, got := q.Quarantined(t.Context(), garnetworks.CallIdentity{ID: id, Content: "x"}); got != (i == 1) {
+					t.Errorf("the %s call of a trial: quarantined = %t", id, got)
+				}
 			}
 			q.reportCrashes("x", 4+n)
 		}
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -56,6 +56,8 @@
 	// completedAt is when a server last completed a call with the content, or survived the
 	// beginning of an answer to a call with the part; zero if never.
 	completedAt time.Time
+	// trialAt is when some node was last allowed to let one call through (Z10); zero if never.
+	trialAt time.Time
 	// changedAt is when the record last changed.
 	changedAt time.Time
 	// observed says that this node itself saw a call with the content interrupted.
@@ -181,7 +183,7 @@
 
 // quarantineTime returns the length of a quarantine, from the last interruption on (Z7). It doubles
 // with each further crash of a content. Many calls can share a part and reach servers before it is
-// quarantined, so there it doubles only with each crash after its end.
+// quarantined, so there it doubles only with each crash after a trial.
 func (r *record) quarantineTime() time.Duration {
 	const maxDoublings = 10
 	doublings := len(r.incarnations(garnetworks.CrashConnectionRefused)) - CrashThreshold
@@ -191,11 +193,18 @@
 	return min(MaxQuarantine, MinQuarantine<<min(max(doublings, 0), maxDoublings))
 }
 
-// expiresAt returns when the record may be removed. With enough crashes for a quarantine, that is
-// after twice its length, so that a crash after its end leads to a longer one.
+// expiresAt returns when the record may be removed. A record with enough crashes for a quarantine
+// is kept for long after it, so that the next crash leads to a longer one. One that was acquitted is
+// kept as long, since nodes that have not learned of that would pass the crashes on again.
 func (r *record) expiresAt() time.Time {
-	if len(r.incarnations(garnetworks.CrashConnectionRefused)) >= r.threshold() {
-		return r.lastInterruption().Add(2 * r.quarantineTime())
+	crashes := 0
+	for _, x := range r.runs {
+		if x.state >= garnetworks.CrashConnectionRefused && x.state != garnetworks.CrashRefuted {
+			crashes++
+		}
+	}
+	if crashes >= r.threshold() {
+		return r.lastInterruption().Add(r.quarantineTime() + MaxQuarantine)
 	}
 	return r.lastInterruption().Add(recordTTL)
 }
@@ -221,7 +230,10 @@
 // report returns the record as sent to other nodes.
 func (r *record) report(content garnetworks.ContentDigest, now time.Time) garnetworks.ContentRecord {
 	// A negative age means that no completion is known.
-	rec := garnetworks.ContentRecord{Digest: content, LastCompletedAgeMS: -1}
+	rec := garnetworks.ContentRecord{Digest: content, LastCompletedAgeMS: -1, TrialAgeMS: -1}
+	if !r.trialAt.IsZero() {
+		rec.TrialAgeMS = max(0, now.Sub(r.trialAt).Milliseconds())
+	}
 	if !r.completedAt.IsZero() {
 		rec.LastCompletedAgeMS = max(0, now.Sub(r.completedAt).Milliseconds())
 	}
--- a/quarantiner/site_test.go
+++ b/quarantiner/site_test.go
@@ -25,7 +25,9 @@
 
 	mu    sync.Mutex
 	nodes map[string]*node
-	next  int
+	// started holds the nodes in the order of their start, those that were killed as well.
+	started []*node
+	next    int
 	// probes counts probes of servers, crashed the servers that crashed.
 	probes, crashed int
 	// silent servers don't answer probes.
@@ -71,7 +73,7 @@
 	})
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(s.t.Context())
-	s.set(n, func(n *node) { s.nodes[address] = n })
+	s.set(n, func(n *node) { s.nodes[address], s.started = n, append(s.started, n) })
 	go func() { _ = n.Run(ctx) }()
 	go func() { _ = n.exchanger.Run(ctx) }()
 	return n
@@ -95,8 +97,8 @@
 func (s *site) all() (list []*node) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.next {
-		if n := s.nodes[fmt.Sprintf("n%d", i+1)]; n != nil {
+	for _, n := range s.started {
+		if s.nodes[n.info.Address] == n {
 			list = append(list, n)
 		}
 	}
--- /dev/null
+++ b/quarantiner/siteparts_test.go
@@ -0,0 +1,204 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
+	"github.com/garnetworks/garnetworks/quarantiner"
+)
+
+const (
+	// judgedCrashes is the number of crashes after which, learnTime later, at most maxLateRuns
+	// calls with a harmful part may reach servers, sent by nodes that were undisturbed for
+	// learnTime.
+	judgedCrashes = 5
+	learnTime     = 4 * time.Second
+	maxLateRuns   = 3
+	// retryTime is the time from an attempt that crashes its server to the retry.
+	retryTime = 200 * time.Millisecond
+	// harmfulInterval and soundInterval are the times between calls of both kinds to the site.
+	harmfulInterval = 100 * time.Millisecond
+	soundInterval   = 20 * time.Millisecond
+)
+
+// traffic sends harmful calls, which share a part and nothing else, and sound ones, which share
+// their other part, to random nodes of a site.
+type traffic struct {
+	*site
+	guard  sync.Mutex
+	random *rand.Rand
+	// disturbed is when a node was last partitioned, killed or started.
+	disturbed map[*node]time.Time
+	crashedAt []time.Time
+	// late counts the calls that reached servers too late, held the sound ones that were held.
+	late, held, sound, calls int
+}
+
+// identity returns the identity of the next call with a part besides the common one.
+func (f *traffic) identity(part garnetworks.PromptPart) garnetworks.CallIdentity {
+	f.guard.Lock()
+	defer f.guard.Unlock()
+	f.calls++
+	call := garnetworks.ProxiedCall{
+		ID: garnetworks.CallID(fmt.Sprint("r", f.calls)), Body: fmt.Append(nil, f.calls), Model: "m",
+		SharedParts: []garnetworks.PromptPart{"common", part},
+	}
+	return call.Identity("w")
+}
+
+func (f *traffic) pick() *node {
+	nodes := f.all()
+	return nodes[f.draw(len(nodes))]
+}
+
+func (f *traffic) draw(n int) int {
+	f.guard.Lock()
+	defer f.guard.Unlock()
+	return f.random.IntN(n)
+}
+
+// disturb notes that a node was partitioned, killed or started.
+func (f *traffic) disturb(n *node) {
+	f.guard.Lock()
+	defer f.guard.Unlock()
+	f.disturbed[n] = time.Now()
+}
+
+// replace kills a node and starts another one in its zone.
+func (f *traffic) replace(n *node) {
+	f.kill(n)
+	zone, err := strconv.Atoi(string(n.info.Zone))
+	if err != nil {
+		f.t.Error(err)
+	}
+	f.disturb(f.start(zone))
+}
+
+// crash notes that a call reaches a server, which crashes, and returns the server's incarnation.
+func (f *traffic) crash(n *node) garnetworks.Incarnation {
+	f.guard.Lock()
+	defer f.guard.Unlock()
+	now := time.Now()
+	f.crashedAt = append(f.crashedAt, now)
+	if len(f.crashedAt) > judgedCrashes && now.Sub(f.crashedAt[judgedCrashes-1]) > learnTime && now.Sub(f.disturbed[n]) > learnTime {
+		f.late++
+	}
+	return garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprint("i", len(f.crashedAt)))}
+}
+
+// sendHarmful sends a call that crashes the server of each attempt.
+func (f *traffic) sendHarmful() {
+	n := f.pick()
+	call := f.identity("bad")
+	for range 2 {
+		if _, held := n.Quarantined(f.t.Context(), call); held {
+			return
+		}
+		incarnation := f.crash(n)
+		time.Sleep(retryTime)
+		n.ReportInterrupted(call, incarnation)
+	}
+}
+
+// sendSound sends a call with one of a few parts of its own kind.
+func (f *traffic) sendSound() {
+	n := f.pick()
+	call := f.identity(garnetworks.PromptPart(fmt.Sprint("subject", f.draw(200))))
+	_, held := n.Quarantined(f.t.Context(), call)
+	f.guard.Lock()
+	f.sound++
+	if held {
+		f.held++
+	}
+	f.guard.Unlock()
+	if held {
+		return
+	}
+	time.Sleep(retryTime)
+	n.ReportBegun(call)
+}
+
+// run sends calls for a time.
+func (f *traffic) run(span time.Duration) {
+	harmful, sound := time.NewTicker(harmfulInterval), time.NewTicker(soundInterval)
+	defer harmful.Stop()
+	defer sound.Stop()
+	end := time.After(span)
+	for {
+		select {
+		case <-end:
+			time.Sleep(time.Second) // the last calls end
+			return
+		case <-harmful.C:
+			go f.sendHarmful()
+		case <-sound.C:
+			go f.sendSound()
+		}
+	}
+}
+
+// Guards against calls that share a harmful part reaching servers at nodes that did not see the
+// crashes: at sites of any size, while nodes are killed, partitioned or without the object API.
+func TestQuarantineOfPartsReachesAllNodes(t *testing.T) {
+	sizes := map[string]struct{ zones, perZone int }{"6 nodes": {3, 2}, "89 nodes": {3, 30}}
+	if *quarantiner.LargeSites {
+		sizes["986 nodes"] = struct{ zones, perZone int }{7, 141}
+	}
+	const span = 12 * time.Second
+	cases := map[string]func(f *traffic){
+		"calm": func(*traffic) {},
+		"all nodes are killed after the crashes": func(f *traffic) {
+			time.Sleep(5 * time.Second)
+			for _, n := range f.all() {
+				f.replace(n)
+			}
+		},
+		"nodes are killed one after the other": func(f *traffic) {
+			for range 20 {
+				f.replace(f.pick())
+				time.Sleep(400 * time.Millisecond)
+			}
+		},
+		"a third of the nodes is partitioned meanwhile": func(f *traffic) {
+			nodes := f.all()
+			cut := func(partition int, lost bool) {
+				for i, n := range nodes {
+					if i%3 == 0 {
+						f.set(n, func(n *node) { n.partition, n.noObjectAPI = partition, lost })
+						f.disturb(n)
+					}
+				}
+			}
+			cut(1, true)
+			time.Sleep(6 * time.Second)
+			cut(0, false)
+		},
+		"the object API is unavailable": func(f *traffic) { f.objects.SetFaults(faker.FaultPlan{Down: true}) },
+	}
+	for size, z := range sizes {
+		for name, disturbance := range cases {
+			t.Run(size+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSite(t, z.zones, z.perZone)
+					f := &traffic{site: s, random: rand.New(rand.NewPCG(1, 1)), disturbed: make(map[*node]time.Time)}
+					go disturbance(f)
+					f.run(span)
+					if len(f.crashedAt) < judgedCrashes || f.late > maxLateRuns {
+						t.Errorf("%d servers crashed, %d of them too late; want %d too late at most", len(f.crashedAt), f.late, maxLateRuns)
+					}
+					if f.held > 0 {
+						t.Errorf("%d of %d sound calls are held", f.held, f.sound)
+					}
+					s.close()
+				})
+			})
+		}
+	}
+}
