gateway: a stream that ends with its connection before its first event is broken off

A stream with status 200, neither length nor chunks, whose engine crashed after the headers was passed to the caller as a whole, empty answer, and its content then counted as completed, which exempts it from the quarantine. Cause: the end of the connection counted as the end of the answer while no partial event was held. Such an end now counts as whole only after an event.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -426,7 +426,7 @@
 				}
 			}
 		}
-		if err == io.EOF && !s.splicer.Pending() {
+		if err == io.EOF && s.isWhole(answer) {
 			return false, s.finish(answer)
 		}
 		if err != nil {
@@ -435,6 +435,12 @@
 	}
 }
 
+// isWhole reports whether an answer whose body has ended is whole. One that ends with its connection
+// before its first event is what a server leaves that crashes after sending the headers.
+func (s *stream) isWhole(answer *garnetworks.ProxiedResponse) bool {
+	return !s.splicer.Pending() && (!answer.EndsWithConnection || s.current.firstEventAfter > 0)
+}
+
 func (s *stream) recordFirstEvent(group garnetworks.GroupID, took time.Duration) {
 	if s.splicer.Events <= 1 {
 		s.options.Meter.FirstEvent(s.route.Name, time.Since(s.call.Received))
--- a/passing.go
+++ b/passing.go
@@ -76,8 +76,12 @@
 	Status int
 	// Header holds the end-to-end headers.
 	Header http.Header
-	// Body must be closed. It ends with io.EOF only if the response is complete.
+	// Body must be closed. It ends with io.EOF only if the response is complete, as far as
+	// EndsWithConnection allows to tell.
 	Body io.ReadCloser
+	// EndsWithConnection says that the body has neither a length nor chunks: it ends with its
+	// connection, as it does if the server crashes.
+	EndsWithConnection bool
 	// FromServer says that the response carries the header that backend servers set.
 	FromServer bool
 	// NotRun says that the server reported that it did not begin the call.
