forwarder, server: chats that share a message under which engines crash are quarantined

The same cause on the product's own interface: a call was known by its whole prompt. Of a chat each message but the last is now a shared part, and the forwarder reports an engine that survives the beginning of an answer as the gateway does. Completions have one text, and so no shared parts. Crashes that only one node saw stay known to that node alone, as its nodes exchange no records.

--- a/content.go
+++ b/content.go
@@ -17,6 +17,11 @@
 // different calls share parts.
 type PromptPart string
 
+// PromptPartOf returns the identifier of a part with a text.
+func PromptPartOf(text string) PromptPart {
+	return PromptPart(digestOf([]byte(text)))
+}
+
 // MaxSharedParts bounds the parts of a prompt by which a call is known.
 const MaxSharedParts = 32
 
--- a/forwarder/hold.go
+++ b/forwarder/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/garnetworks/garnetworks"
 )
@@ -31,6 +32,26 @@
 	}
 }
 
+// reportSurvival reports once in an attempt, of which the first token took some time, that the engine
+// survived the beginning of the answer.
+func (m *modelCall) reportSurvival(started time.Time, firstToken time.Duration) {
+	if m.options.Quarantine == nil || m.survived || time.Since(started) < firstToken+garnetworks.SurvivalTime {
+		return
+	}
+	m.survived = true
+	m.options.Quarantine.ReportBegun(m.identity)
+}
+
+// interruptedIdentity returns the identity to report if the current attempt was interrupted. An engine
+// that survived the beginning of the answer was not crashed by a part of the prompt.
+func (m *modelCall) interruptedIdentity() garnetworks.CallIdentity {
+	identity := m.identity
+	if m.survived && m.lastFailure != nil {
+		identity.Parts = nil
+	}
+	return identity
+}
+
 // headIncarnation returns the incarnation of a group's head, identified by the group's token:
 // after a restart or in another group the head has another token.
 func headIncarnation(group *garnetworks.GroupView) garnetworks.Incarnation {
--- a/forwarder/hold_test.go
+++ b/forwarder/hold_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,9 @@
 	"github.com/garnetworks/garnetworks/quarantiner"
 )
 
+// crashTime is the time from the start of a call to the crash of its engine.
+const crashTime = 100 * time.Millisecond
+
 // crashingEngines are engines that crash on each call with the prompt "crash" and return at
 // once under another token.
 type crashingEngines struct {
@@ -29,29 +33,64 @@
 }
 
 func (c *crashingEngines) Generate(ctx context.Context, address string, call *garnetworks.EngineCall) (garnetworks.EngineStream, error) {
-	if call.Prompt == "crash" {
+	if strings.HasPrefix(call.Prompt, "crash") {
 		c.crashes++
+		time.Sleep(crashTime)
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseWait}
 	}
 	c.sent = 0
 	return c.fastEngine.Generate(ctx, address, call)
 }
 
+// newCrashSite returns a forwarder to the engines that has earned its first retries.
+func newCrashSite(t *testing.T, c *crashingEngines) (*Forwarder, context.CancelFunc) {
+	quarantine := quarantiner.New(quarantiner.Options{
+		Probe: func(context.Context, garnetworks.Incarnation, bool) garnetworks.CrashState {
+			return garnetworks.CrashProven
+		},
+		Objects: unavailableObjects{}, IsReader: func() bool { return false },
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { _ = quarantine.Run(ctx) }()
+	f := New(Options{Engines: c, Groups: c, Quarantine: quarantine})
+	time.Sleep(2 * time.Second) // earns the retries of the first call
+	return f, stop
+}
+
+// Guards against calls that share one part of their prompts and nothing else crashing one engine
+// after the other, and against sound calls being held for the other parts.
+func TestCrashingPartReachesFewEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &crashingEngines{}
+		f, stop := newCrashSite(t, c)
+		generate := func(prompt string, parts ...garnetworks.PromptPart) error {
+			call := callFor(time.Minute)
+			call.Prompt, call.SharedParts, call.MaxTokens = prompt, parts, fastTokens
+			_, err := f.Generate(t.Context(), call, &stallingSink{})
+			time.Sleep(time.Second)
+			return err
+		}
+		const most = 5
+		for n := range 10 {
+			_ = generate(fmt.Sprint("crash", n), "common", "bad")
+			if err := generate(fmt.Sprint("sound", n), "common"); garnetworks.IsKind(err, garnetworks.KindCallQuarantined) {
+				t.Errorf("a sound call ended with %v", err)
+			}
+		}
+		if c.crashes > most {
+			t.Errorf("%d engines crashed, want %d at most", c.crashes, most)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
 // Guards against a call that crashes each engine it reaches, when each copy of the call is
 // retried on further engines.
 func TestCrashingCallReachesThreeEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &crashingEngines{}
-		quarantine := quarantiner.New(quarantiner.Options{
-			Probe: func(context.Context, garnetworks.Incarnation, bool) garnetworks.CrashState {
-				return garnetworks.CrashProven
-			},
-			Objects: unavailableObjects{}, IsReader: func() bool { return false },
-		})
-		ctx, stop := context.WithCancel(t.Context())
-		go func() { _ = quarantine.Run(ctx) }()
-		f := New(Options{Engines: c, Groups: c, Quarantine: quarantine})
-		time.Sleep(2 * time.Second) // earns the retries of the first copy
+		f, stop := newCrashSite(t, c)
 		generate := func(prompt string) error {
 			call := callFor(time.Minute)
 			call.Prompt, call.MaxTokens = prompt, fastTokens
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -55,6 +55,8 @@
 	tried []garnetworks.GroupID
 	// lastFailure is the last attempt's failure.
 	lastFailure *failure
+	// survived says that the engine of the current attempt survived the beginning of the answer.
+	survived bool
 }
 
 // failure is how an attempt failed.
@@ -159,8 +161,9 @@
 		if err != nil {
 			return m.callError(ctx, err)
 		}
+		m.survived = false
 		m.lastFailure = m.attempt(ctx, &group)
-		m.reportToQuarantine(ctx, m.identity, headIncarnation(&group), m.lastFailure)
+		m.reportToQuarantine(ctx, m.interruptedIdentity(), headIncarnation(&group), m.lastFailure)
 		if m.lastFailure == nil {
 			return nil
 		}
@@ -334,6 +337,7 @@
 	if m.summary.FirstToken == 0 {
 		m.summary.FirstToken = max(time.Since(m.call.Received), 1)
 	}
+	m.reportSurvival(wd.started, result.FirstToken)
 }
 
 // enqueue puts the new part of the chunk into the ring.
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -27,14 +27,10 @@
 	x.refuse(x.w, x, err)
 }
 
-// survivalTime is how long after the first event of an answer a server has survived its beginning. A
-// server that a part of the prompt crashes does so with the first event or before it.
-const survivalTime = 300 * time.Millisecond
-
 // reportSurvival reports once that the server of the current attempt survived the beginning of the
 // answer.
 func (s *stream) reportSurvival(now time.Time) {
-	if s.current.survived || now.Sub(s.current.started) < s.current.firstEventAfter+survivalTime {
+	if s.current.survived || now.Sub(s.current.started) < s.current.firstEventAfter+garnetworks.SurvivalTime {
 		return
 	}
 	s.current.survived = true
--- a/quarantine.go
+++ b/quarantine.go
@@ -55,6 +55,10 @@
 	TrialAgeMS int64 `cbor:"-"`
 }
 
+// SurvivalTime is how long after the beginning of an answer a server has survived it. A server that a
+// part of the prompt crashes does so with the first event or before it.
+const SurvivalTime = 300 * time.Millisecond
+
 // Quarantine keeps calls that crash servers away from further servers.
 type Quarantine interface {
 	// Quarantined returns how long calls like this one remain quarantined, and whether they are.
--- a/server/request.go
+++ b/server/request.go
@@ -14,6 +14,8 @@
 	// Model is "name" or "name:adapter".
 	Model  string
 	Prompt string
+	// SharedParts identify the messages but the last one.
+	SharedParts []garnetworks.PromptPart
 	// MaxTokens is 0 if the request does not set it.
 	MaxTokens    int
 	Temperature  float64
@@ -120,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Prompt, err = buildPrompt(fields.Messages)
+	request.Prompt, request.SharedParts, err = buildPrompt(fields.Messages)
 	return request, err
 }
 
@@ -283,33 +285,38 @@
 // roles are the supported roles of messages.
 var roles = garnetworks.NewSet("system", "developer", "user", "assistant")
 
-// buildPrompt joins the messages to a prompt. Each message is a header line with its role,
-// followed by its text; the prompt ends with the header of the response. Conversations with
-// the same beginning have the same prefix, as the engines' prefix caches need.
-func buildPrompt(messages []chatMessage) (string, error) {
+// buildPrompt joins the messages to a prompt, and identifies those that other calls may share. Each
+// message is a header line with its role, followed by its text; the prompt ends with the header of
+// the response. Conversations with the same beginning have the same prefix, as the engines' prefix
+// caches need.
+func buildPrompt(messages []chatMessage) (string, []garnetworks.PromptPart, error) {
 	if len(messages) == 0 {
-		return "", invalid("messages is empty")
+		return "", nil, invalid("messages is empty")
 	}
 	var prompt strings.Builder
-	for _, m := range messages {
+	var parts []garnetworks.PromptPart
+	for i, m := range messages {
 		if !roles.Has(m.Role) {
-			return "", invalid("the role of a message must be system, developer, user or assistant")
+			return "", nil, invalid("the role of a message must be system, developer, user or assistant")
 		}
 		text, err := messageText(m.Content)
 		if err != nil {
-			return "", err
+			return "", nil, err
 		}
 		// Failure: a user's text that contains a message header would reach the engine as a
 		// message of another role.
 		if strings.Contains(text, headerStart) || strings.ContainsAny(m.Name, "<|>\n") {
-			return "", invalid("a message holds " + headerStart + ", which marks the role of messages")
+			return "", nil, invalid("a message holds " + headerStart + ", which marks the role of messages")
 		}
 		writeHeader(&prompt, m.Role, m.Name)
 		prompt.WriteString(text)
 		prompt.WriteByte('\n')
+		if i < len(messages)-1 && i < garnetworks.MaxSharedParts {
+			parts = append(parts, garnetworks.PromptPartOf(text))
+		}
 	}
 	writeHeader(&prompt, "assistant", "")
-	return prompt.String(), nil
+	return prompt.String(), parts, nil
 }
 
 // headerStart begins the header line of a message.
