quarantine: a record from another node says nothing of trials

A record that comes from another node has no trial's age, since that field is not sent; it was decoded as 0, which meant a trial just now, and so no trial would have been claimed while nodes exchange records. 0 now means that none is known. The site tests pass records on without encoding them, and could not show it.

--- a/messenger/contract_test.go
+++ b/messenger/contract_test.go
@@ -49,3 +49,21 @@
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
+
+// Guards against a field that nodes do not send changing the array in which a record is sent, which
+// nodes of another version could not decode.
+func TestContentRecordIsSentWithoutItsTrial(t *testing.T) {
+	record := garnetworks.ContentRecord{Digest: "x", LastCompletedAgeMS: 7, TrialAgeMS: 9}
+	sent, err := messenger.EncodeBody(&record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields []any
+	if err := messenger.DecodeBody(sent, &fields); err != nil || len(fields) != 3 {
+		t.Fatalf("%d fields (%v), want 3", len(fields), err)
+	}
+	var received garnetworks.ContentRecord
+	if err := messenger.DecodeBody(sent, &received); err != nil || received.TrialAgeMS != 0 || received.LastCompletedAgeMS != 7 {
+		t.Errorf("received %+v (%v)", received, err)
+	}
+}
--- a/quarantine.go
+++ b/quarantine.go
@@ -51,7 +51,7 @@
 	// below 0 if none is known to have.
 	LastCompletedAgeMS int64
 	// TrialAgeMS is how long ago a node was last allowed to let one call through, in milliseconds;
-	// below 0 if none was. It is known from the object API alone.
+	// 0 if none is known to have been. It comes from the object API and is not sent between nodes.
 	TrialAgeMS int64 `cbor:"-"`
 }
 
--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -87,7 +87,7 @@
 		if r.LastCompletedAgeMS >= 0 {
 			s.LastCompletedMS = at(r.LastCompletedAgeMS)
 		}
-		if r.TrialAgeMS >= 0 {
+		if r.TrialAgeMS > 0 {
 			s.TrialMS = at(r.TrialAgeMS)
 		}
 		for _, x := range r.Runs {
@@ -108,12 +108,12 @@
 	age := func(at int64) int64 { return max(0, now.UnixMilli()-at) }
 	var records []garnetworks.ContentRecord
 	for _, s := range object.Contents[:min(len(object.Contents), MaxStored)] {
-		r := garnetworks.ContentRecord{Digest: s.Content, LastCompletedAgeMS: -1, TrialAgeMS: -1}
+		r := garnetworks.ContentRecord{Digest: s.Content, LastCompletedAgeMS: -1}
 		if s.LastCompletedMS > 0 {
 			r.LastCompletedAgeMS = age(s.LastCompletedMS)
 		}
 		if s.TrialMS > 0 {
-			r.TrialAgeMS = age(s.TrialMS)
+			r.TrialAgeMS = max(1, age(s.TrialMS))
 		}
 		for _, x := range s.Runs[:min(len(s.Runs), MaxRuns)] {
 			if state, ok := parseState(x.State); ok {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -368,7 +368,7 @@
 	if reported.LastCompletedAgeMS >= 0 && r.learnsCompletion(age(reported.LastCompletedAgeMS), margin) {
 		updated = true
 	}
-	if reported.TrialAgeMS >= 0 && age(reported.TrialAgeMS).After(r.trialAt) {
+	if reported.TrialAgeMS > 0 && age(reported.TrialAgeMS).After(r.trialAt) {
 		r.trialAt = age(reported.TrialAgeMS)
 	}
 	if r.expiresAt().Before(now) {
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -230,9 +230,9 @@
 // report returns the record as sent to other nodes.
 func (r *record) report(content garnetworks.ContentDigest, now time.Time) garnetworks.ContentRecord {
 	// A negative age means that no completion is known.
-	rec := garnetworks.ContentRecord{Digest: content, LastCompletedAgeMS: -1, TrialAgeMS: -1}
+	rec := garnetworks.ContentRecord{Digest: content, LastCompletedAgeMS: -1}
 	if !r.trialAt.IsZero() {
-		rec.TrialAgeMS = max(0, now.Sub(r.trialAt).Milliseconds())
+		rec.TrialAgeMS = max(1, now.Sub(r.trialAt).Milliseconds())
 	}
 	if !r.completedAt.IsZero() {
 		rec.LastCompletedAgeMS = max(0, now.Sub(r.completedAt).Milliseconds())
