quarantiner: records are evicted several at a time

Each interrupted call now has a record for itself and three for each shared part, so that the loss of a zone adds thousands at a node within a moment. Each of them searched all records for the one to evict. Now a sixteenth goes at once.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -20,6 +20,8 @@
 	// fewest runs are evicted first, the oldest of them before the others. It leaves room for the
 	// calls that the outage of an availability zone interrupts, at about 300 bytes each.
 	MaxRecords = 2048
+	// evictedAtOnce is the number of records that are evicted together.
+	evictedAtOnce = MaxRecords / 16
 	// MaxStored bounds the contents in the object API, and so the object to 0.3 MB.
 	MaxStored = 256
 	// maxReported bounds the records in a message between nodes to 10 KB.
@@ -246,8 +248,8 @@
 	return r
 }
 
-// evict removes one record of a content, or of a part, if there are MaxRecords of them (Z7); q.mu
-// is held.
+// evict makes room for the record of a content, or of a part, if there are MaxRecords of them (Z7);
+// q.mu is held. It removes several at once, as an outage adds thousands in a moment.
 func (q *Quarantiner) evict(part bool) {
 	if len(q.records) < MaxRecords {
 		return
@@ -261,10 +263,13 @@
 	if len(list) < MaxRecords {
 		return
 	}
-	delete(q.records, slices.MinFunc(list, func(a, b garnetworks.ContentDigest) int {
+	slices.SortFunc(list, func(a, b garnetworks.ContentDigest) int {
 		x, y := q.records[a], q.records[b]
 		return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), x.changedAt.Compare(y.changedAt), cmp.Compare(a, b))
-	}))
+	})
+	for _, digest := range list[:evictedAtOnce] {
+		delete(q.records, digest)
+	}
 }
 
 // lastCompletion returns when this node last saw the content completed or the part begun.
