--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -113,6 +113,34 @@
 	})
 }
 
+// Guards against calls being quarantined for a part that they share with copies of one call that
+// crashes servers.
+func TestPartsOfCrashingCopiesAreNotQuarantined(t *testing.T) {
+	for name, others := range map[string]int{"copies alone": 0, "another call met a crash": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newIdle()
+				harmful := callWith(1, "p")
+				for n := range 5 + others {
+					time.Sleep(200 * time.Millisecond)
+					call := harmful
+					if n < others {
+						call = callWith(50, "p")
+					}
+					q.ReportInterrupted(call, incarnation(n))
+					q.applyResult(time.Now(), incarnation(n), garnetworks.CrashProven)
+				}
+				if _, held := q.Quarantined(t.Context(), harmful); !held {
+					t.Error("a copy is not quarantined")
+				}
+				if _, held := q.Quarantined(t.Context(), callWith(60, "p")); held {
+					t.Error("another call with the part is quarantined")
+				}
+			})
+		})
+	}
+}
+
 // Guards against a caller having the parts of others quarantined by naming them in calls that crash
 // servers.
 func TestWorkspaceCannotHaveOthersPartsQuarantined(t *testing.T) {
