--- a/content.go
+++ b/content.go
@@ -22,7 +22,7 @@
 	return PromptPart(digestOf([]byte(text)))
 }
 
-// MaxSharedParts bounds the parts of a prompt by which a call is known.
+// MaxSharedParts bounds the parts of a prompt that identify a call; further ones are ignored.
 const MaxSharedParts = 32
 
 // partDigestPrefix begins the digests of parts of prompts.
--- a/forwarder/hold.go
+++ b/forwarder/hold.go
@@ -39,7 +39,7 @@
 		return
 	}
 	m.survived = true
-	m.options.Quarantine.ReportBegun(m.identity)
+	m.options.Quarantine.ReportSurvival(m.identity)
 }
 
 // interruptedIdentity returns the identity to report if the current attempt was interrupted. An engine
--- a/gateway/age_test.go
+++ b/gateway/age_test.go
@@ -96,7 +96,7 @@
 }
 
 func (noQuarantine) ReportInterrupted(garnetworks.CallIdentity, garnetworks.Incarnation) {}
-func (noQuarantine) ReportBegun(garnetworks.CallIdentity)                                {}
+func (noQuarantine) ReportSurvival(garnetworks.CallIdentity)                             {}
 func (noQuarantine) ReportCompleted(garnetworks.CallIdentity)                            {}
 
 type noRecorder struct{}
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -34,7 +34,7 @@
 		return
 	}
 	s.current.survived = true
-	s.options.Quarantine.ReportBegun(s.identity)
+	s.options.Quarantine.ReportSurvival(s.identity)
 }
 
 // reportInterrupted reports to the quarantine that the current attempt ended without a whole answer.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -435,8 +435,8 @@
 	}
 }
 
-// isWhole reports whether an answer whose body has ended is whole. One that ends with its connection
-// before its first event is what a server leaves that crashes after sending the headers.
+// isWhole reports whether an answer whose body has ended is whole. A server that crashes after
+// sending the headers ends its connection before the first event.
 func (s *stream) isWhole(answer *garnetworks.ProxiedResponse) bool {
 	return !s.splicer.Pending() && (!answer.EndsWithConnection || s.current.firstEventAfter > 0)
 }
--- a/quarantine.go
+++ b/quarantine.go
@@ -67,8 +67,8 @@
 	// ReportInterrupted records that a call was interrupted on a server registered as live. The
 	// identity has no parts if the server had survived the beginning of the answer.
 	ReportInterrupted(call CallIdentity, incarnation Incarnation)
-	// ReportBegun records that a server survived the beginning of an answer to the call.
-	ReportBegun(call CallIdentity)
+	// ReportSurvival records that a server survived the beginning of an answer to the call.
+	ReportSurvival(call CallIdentity)
 	// ReportCompleted records that a server completed a call.
 	ReportCompleted(call CallIdentity)
 }
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -55,7 +55,7 @@
 				last := len(c.crashed) - 1
 				q.crashCalls(0, c.crashed[:last]...)
 				for _, parts := range c.begun {
-					q.ReportBegun(callWith(100, parts))
+					q.ReportSurvival(callWith(100, parts))
 				}
 				q.crashCalls(last, c.crashed[last])
 				for want, calls := range map[bool]string{true: c.held, false: c.free} {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -71,9 +69,9 @@
 	quarantined map[garnetworks.ContentDigest]quarantine
 	// trials holds the trials that this node was asked for or may carry out, likewise.
 	trials map[garnetworks.ContentDigest]trial
-	// completed are the contents that servers completed, begun the parts with which servers
+	// completed are the contents that servers completed, survived the parts with which servers
 	// survived the beginning of an answer.
-	completed, begun completions
+	completed, survived completions
 	// stored are the checksums of the records that the object API is known to hold.
 	stored map[garnetworks.ContentDigest]uint64
 	// checksum is what Checksum returns if checksumValid; each exchange asks for it.
@@ -89,7 +87,7 @@
 	return &Quarantiner{
 		options: options, probeWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), trialWake: make(chan struct{}, 1),
 		records: make(map[garnetworks.ContentDigest]*record), quarantined: make(map[garnetworks.ContentDigest]quarantine),
-		trials: make(map[garnetworks.ContentDigest]trial), completed: newCompletions(), begun: newCompletions(),
+		trials: make(map[garnetworks.ContentDigest]trial), completed: newCompletions(), survived: newCompletions(),
 		stored: make(map[garnetworks.ContentDigest]uint64), updated: make(chan struct{}),
 	}
 }
@@ -104,19 +102,6 @@
 	return g.Wait()
 }
 
-// quarantine is the quarantine of the calls that have all of some contents and parts.
-type quarantine struct {
-	// shared are the digests that all these calls have.
-	shared []garnetworks.ContentDigest
-	// until is when a call may be tried again, which may have passed.
-	until time.Time
-}
-
-// covers reports whether the call is one of those quarantined.
-func (u *quarantine) covers(call *garnetworks.CallIdentity) bool {
-	return !slices.ContainsFunc(u.shared, func(digest garnetworks.ContentDigest) bool { return !call.Has(digest) })
-}
-
 // Quarantined implements garnetworks.Quarantine.
 //
 // It waits while a proof that would quarantine the call is due, for proofTimeout at most. Otherwise
@@ -191,15 +176,15 @@
 	}
 }
 
-// ReportBegun implements garnetworks.Quarantine.
-func (q *Quarantiner) ReportBegun(call garnetworks.CallIdentity) {
+// ReportSurvival implements garnetworks.Quarantine.
+func (q *Quarantiner) ReportSurvival(call garnetworks.CallIdentity) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	updated := false
 	for _, digest := range call.Parts {
-		q.begun.add(now, digest)
-		// Later beginnings of a part to which no crash is attributed tell nothing new.
+		q.survived.add(now, digest)
+		// Without a crash that is attributed to the part there is nothing to acquit it of.
 		if r := q.records[digest]; r != nil && len(r.incarnations(garnetworks.CrashSuspected)) > 0 {
 			q.markChanged(now, digest, r)
 			updated = true
@@ -212,7 +197,7 @@
 
 // ReportCompleted implements garnetworks.Quarantine.
 func (q *Quarantiner) ReportCompleted(call garnetworks.CallIdentity) {
-	q.ReportBegun(call)
+	q.ReportSurvival(call)
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -272,10 +257,10 @@
 	}
 }
 
-// lastCompletion returns when this node last saw the content completed or the part begun.
+// lastCompletion returns when this node last saw a server complete the content, or survive the part.
 func (q *Quarantiner) lastCompletion(digest garnetworks.ContentDigest) time.Time {
 	if digest.IsPart() {
-		return q.begun.at[digest]
+		return q.survived.at[digest]
 	}
 	return q.completed.at[digest]
 }
@@ -292,46 +277,6 @@
 	}
 }
 
-// updateQuarantined recomputes the quarantines (Z3, Z8); q.mu is held.
-func (q *Quarantiner) updateQuarantined(now time.Time) {
-	close(q.updated)
-	q.updated = make(chan struct{})
-	q.checksumValid = false
-	var suspects []suspect
-	for digest, r := range q.records {
-		if len(r.runs) < CrashThreshold {
-			continue
-		}
-		if crashes := r.incarnations(garnetworks.CrashConnectionRefused); len(crashes) >= CrashThreshold {
-			suspects = append(suspects, suspect{digest: digest, crashes: crashes, spread: r.clusters(crashSpacing) >= r.threshold()})
-		}
-	}
-	quarantined := make(map[garnetworks.ContentDigest]quarantine)
-	for _, c := range findCulprits(suspects) {
-		r := q.records[c.lead()]
-		u := quarantine{shared: c.shared, until: r.lastInterruption().Add(r.quarantineTime())}
-		quarantined[c.lead()] = u
-		if old := q.quarantined[c.lead()]; u.until.After(now) && (!old.until.Equal(u.until) || !slices.Equal(old.shared, u.shared)) {
-			q.recordEvent(garnetworks.EventCallQuarantined, fmt.Sprintf("content %s is quarantined for %s: %d servers crashed during calls with it, among them %s", describe(&u), u.until.Sub(now).Round(time.Second), len(c.crashes), c.crashes[len(c.crashes)-1].Instance))
-		}
-	}
-	for lead, u := range q.quarantined {
-		if _, still := quarantined[lead]; !still && u.until.After(now) {
-			q.recordEvent(garnetworks.EventCallReleased, fmt.Sprintf("content %s is no longer quarantined: a server completed it or began to answer it, or the crashes are refuted or attributed to another one", describe(&u)))
-		}
-	}
-	q.quarantined = quarantined
-}
-
-// describe names what the calls of a quarantine have in common.
-func describe(u *quarantine) string {
-	var names []string
-	for _, digest := range u.shared {
-		names = append(names, string(digest))
-	}
-	return strings.Join(names, " with ")
-}
-
 func (q *Quarantiner) recordEvent(kind garnetworks.EventKind, detail string) {
 	if q.options.Recorder != nil {
 		q.options.Recorder.Record(garnetworks.Event{Kind: kind, Detail: detail})
@@ -406,47 +351,6 @@
 	return q.selectContents(MaxStored, (*record).retained)
 }
 
-// selectContents returns at most limit contents and parts whose records satisfy keep; q.mu is held.
-// Those to which the most runs are attributed come first, and parts before contents, since more
-// calls depend on them. The order is the same at all nodes with the same records, so that they omit
-// the same ones.
-func (q *Quarantiner) selectContents(limit int, keep func(*record) bool) []garnetworks.ContentDigest {
-	type candidate struct {
-		digest     garnetworks.ContentDigest
-		part       int
-		attributed int
-		runs       int
-	}
-	var list []candidate
-	for digest, r := range q.records {
-		if !keep(r) {
-			continue
-		}
-		c := candidate{digest: digest, attributed: len(r.incarnations(garnetworks.CrashSuspected)), runs: len(r.runs)}
-		if r.part {
-			c.part = 1
-		}
-		list = append(list, c)
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.attributed, a.attributed), cmp.Compare(b.part, a.part), cmp.Compare(b.runs, a.runs), cmp.Compare(a.digest, b.digest))
-	})
-	var digests []garnetworks.ContentDigest
-	for _, c := range list[:min(len(list), limit)] {
-		digests = append(digests, c.digest)
-	}
-	return digests
-}
-
-// reports returns the records of contents as sent to other nodes; q.mu is held.
-func (q *Quarantiner) reports(now time.Time, contents []garnetworks.ContentDigest) []garnetworks.ContentRecord {
-	var list []garnetworks.ContentRecord
-	for _, content := range contents {
-		list = append(list, q.records[content].report(content, now))
-	}
-	return list
-}
-
 // Checksum implements garnetworks.ContentRecordStore.
 func (q *Quarantiner) Checksum() uint64 {
 	q.mu.Lock()
--- a/quarantiner/siteparts_test.go
+++ b/quarantiner/siteparts_test.go
@@ -122,7 +122,7 @@
 		return
 	}
 	time.Sleep(retryTime)
-	n.ReportBegun(call)
+	n.ReportSurvival(call)
 }
 
 // run sends calls for a time.
--- a/quarantiner/trial_test.go
+++ b/quarantiner/trial_test.go
@@ -79,7 +79,7 @@
 						if c.harmful {
 							q.ReportInterrupted(call, server)
 						} else {
-							q.ReportBegun(call)
+							q.ReportSurvival(call)
 						}
 					}
 					count := func() int {
