quarantiner: a node does not ask for a trial while another node's lasts

At the end of a quarantine a node whose claim had failed read the object again every two seconds while such calls came to it, up to 493 reads a second at 986 nodes. By the failed claim it knows of the trial. TestOneCallIsTriedAfterQuarantine: with lost writes six nodes read the object 89 times in 30 s, now 24 at most.

--- a/quarantiner/trial.go
+++ b/quarantiner/trial.go
@@ -29,8 +29,10 @@
 func (q *Quarantiner) trialDelay(now time.Time, lead garnetworks.ContentDigest, call garnetworks.CallID) time.Duration {
 	t, ok := q.trials[lead]
 	if !ok {
-		q.trials[lead] = trial{}
-		signal(q.trialWake)
+		if r := q.records[lead]; r == nil || now.Sub(r.trialAt) >= trialTime {
+			q.trials[lead] = trial{}
+			signal(q.trialWake)
+		}
 		return trialRetry
 	}
 	if !t.until.After(now) || t.call != "" && t.call != call {
--- a/quarantiner/trial_test.go
+++ b/quarantiner/trial_test.go
@@ -18,6 +18,8 @@
 	const (
 		judged   = 30 * time.Second
 		interval = 500 * time.Millisecond
+		// mostReads bounds the reads of the object by a node while a trial is under way and after it.
+		mostReads = 4
 	)
 	type result struct {
 		harmful bool
@@ -61,6 +63,7 @@
 					}
 					time.Sleep(MinQuarantine + time.Second)
 					objects.SetFaults(c.faults)
+					readsBefore := objects.Counts()[faker.MethodGet]
 					var mu sync.Mutex
 					reached, calls := 0, 0
 					send := func(q *Quarantiner) {
@@ -96,6 +99,9 @@
 							break
 						}
 					}
+					if reads := objects.Counts()[faker.MethodGet] - readsBefore; reads > mostReads*uint64(nodes) {
+						t.Errorf("%d reads of the object, want %d for each node at most", reads, mostReads)
+					}
 					if n := count(); n > c.mostReached {
 						t.Errorf("%d of %d calls reached servers, want %d at most", n, calls, c.mostReached)
 					}
