--- a/forwarder/hold_test.go
+++ b/forwarder/hold_test.go
@@ -57,8 +57,7 @@
 	return f, stop
 }
 
-// Guards against calls that share one part of their prompts and nothing else crashing one engine
-// after the other, and against sound calls being held for the other parts.
+// Guards against calls that share only a part of their prompts crashing one engine after the other.
 func TestCrashingPartReachesFewEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &crashingEngines{}
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -44,8 +44,7 @@
 	}, nil
 }
 
-// Guards against a way to servers that passes the quarantine by: a call that waited for its slot, a
-// retry, a stream that is resumed, a call of another node.
+// Guards against a way to servers that bypasses the quarantine.
 func TestQuarantinedCallIsSentNowhere(t *testing.T) {
 	const (
 		events = "id: 1\ndata: x\n\n"
--- a/launcher/onenode_test.go
+++ b/launcher/onenode_test.go
@@ -64,13 +64,12 @@
 	}
 }
 
-// Guards against a node serving no more than its share of the site's traffic when most new
-// connections go to it, and then to the next one, while engines break off some calls.
+// Guards against a node that gets most new connections serving no more than its share of the calls.
 func TestOneNodeServesTheNewConnectionsOfAll(t *testing.T) {
 	checkOneNode(t, func(f *impersonator.BackendFaults) { f.LoseResponses = 4 })
 }
 
-// Guards against the same while all engines name limits, of which each node may use a part.
+// Guards against the same where all engines name limits, of which each node may use a part.
 func TestOneNodeServesTheNewConnectionsBesideLimits(t *testing.T) {
 	checkOneNode(t, func(f *impersonator.BackendFaults) { f.CallLimit = garnetworks.Some(20.0) })
 }
--- a/launcher/parts_test.go
+++ b/launcher/parts_test.go
@@ -85,9 +85,7 @@
 	}
 }
 
-// Guards against calls that share one part of their prompts and nothing else crashing one engine
-// after the other, at all nodes, and against sound calls being held for the parts they share
-// with them.
+// Guards against calls that share only a part of their prompts crashing one engine after the other.
 func TestPromptPartThatCrashesEnginesIsKeptFromOthers(t *testing.T) {
 	cases := map[string][]string{
 		"first part":                {crashPart},
--- a/launcher/unframed_test.go
+++ b/launcher/unframed_test.go
@@ -7,8 +7,7 @@
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
-// Guards against streams with neither a length nor chunks that are passed on as whole although they
-// were broken off, and against whole ones being taken for broken.
+// Guards against streams with neither a length nor chunks passing as whole when they were broken off.
 func TestStreamsThatEndWithTheirConnection(t *testing.T) {
 	cases := map[string]struct {
 		fault impersonator.BackendFaults
--- a/messenger/contract_test.go
+++ b/messenger/contract_test.go
@@ -50,8 +50,7 @@
 	return listener.Addr().String()
 }
 
-// Guards against a field that nodes do not send changing the array in which a record is sent, which
-// nodes of another version could not decode.
+// Guards against records that nodes of another version can't decode because of a field that isn't sent.
 func TestContentRecordIsSentWithoutItsTrial(t *testing.T) {
 	record := garnetworks.ContentRecord{Digest: "x", LastCompletedAgeMS: 7, TrialAgeMS: 9}
 	sent, err := messenger.EncodeBody(&record)
--- a/passing.go
+++ b/passing.go
@@ -77,7 +77,7 @@
 	// Header holds the end-to-end headers.
 	Header http.Header
 	// Body must be closed. It ends with io.EOF only if the response is complete, as far as
-	// EndsWithConnection allows to tell.
+	// EndsWithConnection allows to know.
 	Body io.ReadCloser
 	// EndsWithConnection says that the body has neither a length nor chunks: it ends with its
 	// connection, as it does if the server crashes.
--- a/quarantiner/blamer.go
+++ b/quarantiner/blamer.go
@@ -78,7 +78,7 @@
 }
 
 // topCulprits returns the content or part with the most crashes, or all contents that share exactly
-// these crashes. Suspects that share too few crashes to be told apart are skipped.
+// these crashes. Suspects that share too few crashes to be distinguished are skipped.
 func topCulprits(suspects []suspect) []culprit {
 	slices.SortFunc(suspects, func(a, b suspect) int {
 		if d := len(b.crashes) - len(a.crashes); d != 0 {
@@ -120,7 +120,7 @@
 //
 // A part that calls with the first one always had is as likely the cause, and so both must be in a
 // call that is quarantined. A content that explains the crashes is preferred: only its copies are
-// quarantined. If it has too few crashes to tell it from a harmless call that met the servers, both
+// quarantined. If it has too few crashes to distinguish it from a harmless call that met the servers, both
 // are ambiguous until the next crash.
 func partCulprit(suspects []suspect, ambiguous garnetworks.Set[garnetworks.ContentDigest]) (culprit, bool) {
 	first := suspects[0]
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -29,8 +29,7 @@
 	}
 }
 
-// Guards against calls that share only a part of their prompts never being known as harmful, and
-// against sound calls being quarantined for the other parts that they share.
+// Guards against a harmful part going undetected, or sound calls being quarantined for other parts.
 func TestPartsThatCrashServers(t *testing.T) {
 	cases := map[string]struct {
 		// crashed are the parts of the calls under which a server crashed each, begun those of
@@ -73,8 +72,7 @@
 	}
 }
 
-// Guards against a part being taken for harmful because an outage crashes many servers at once while
-// calls with it wait there for the beginning of their answers.
+// Guards against a popular part being quarantined after the outage of many servers at once.
 func TestOutageDoesNotQuarantineSharedParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newIdle()
@@ -91,8 +89,7 @@
 	})
 }
 
-// Guards against sound calls that met several crashes being quarantined in place of the part that
-// caused them.
+// Guards against a sound call being quarantined for the crashes that a part caused.
 func TestCallsBesideHarmfulPartAreNotQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newIdle()
@@ -113,8 +110,7 @@
 	})
 }
 
-// Guards against calls being quarantined for a part that they share with copies of one call that
-// crashes servers.
+// Guards against a part being quarantined for the crashes that copies of one call caused.
 func TestPartsOfCrashingCopiesAreNotQuarantined(t *testing.T) {
 	for name, others := range map[string]int{"copies alone": 0, "another call met a crash": 1} {
 		t.Run(name, func(t *testing.T) {
@@ -141,8 +137,7 @@
 	}
 }
 
-// Guards against a caller having the parts of others quarantined by naming them in calls that crash
-// servers.
+// Guards against a caller having the parts of others quarantined by naming them in harmful calls.
 func TestWorkspaceCannotHaveOthersPartsQuarantined(t *testing.T) {
 	identity := func(n int, workspace garnetworks.WorkspaceName, parts ...garnetworks.PromptPart) garnetworks.CallIdentity {
 		call := garnetworks.ProxiedCall{ID: garnetworks.CallID(fmt.Sprint(n)), Body: fmt.Append(nil, n), Model: "m", SharedParts: parts}
--- a/quarantiner/siteparts_test.go
+++ b/quarantiner/siteparts_test.go
@@ -144,8 +144,7 @@
 	}
 }
 
-// Guards against calls that share a harmful part reaching servers at nodes that did not see the
-// crashes: at sites of any size, while nodes are killed, partitioned or without the object API.
+// Guards against calls with a harmful part reaching servers at nodes that did not see the crashes.
 func TestQuarantineOfPartsReachesAllNodes(t *testing.T) {
 	sizes := map[string]struct{ zones, perZone int }{"6 nodes": {3, 2}}
 	if !testing.Short() {
--- a/quarantiner/trial_test.go
+++ b/quarantiner/trial_test.go
@@ -12,8 +12,7 @@
 	"github.com/garnetworks/garnetworks/faker"
 )
 
-// Guards against each node letting a call through once the time of a quarantine is over: of calls
-// that come at all nodes together one reaches a server, and the others only if it is answered.
+// Guards against each node letting a call through once the time of a quarantine is over.
 func TestOneCallIsTriedAfterQuarantine(t *testing.T) {
 	const (
 		judged   = 30 * time.Second
