launcher: the test of a lost answer waits until its node has retries

So the test asked for a retry that the product rightly refuses. It now waits for the span's end before the server loses an answer; the check that each call is then answered stands.

--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -137,6 +137,7 @@
 func TestLostAnswerOfACallThatMayBeRepeated(t *testing.T) {
 	s := newSite(t, 3)
 	s.awaitSuccess(safeURL)
+	time.Sleep(retrySpan)
 	s.services[0].UpdateFaults(func(f *impersonator.BackendFaults) { f.LoseResponses = 1 })
 	s.services[1].UpdateFaults(func(f *impersonator.BackendFaults) { f.LoseResponses = 0 })
 	for range 4 {
--- a/launcher/site_test.go
+++ b/launcher/site_test.go
@@ -67,6 +67,8 @@
 	onceURL   = "/once/x"
 	safeURL   = "/safe/x"
 	key       = "k1"
+	// retrySpan is the time from a node's start after which it has all its retries.
+	retrySpan = time.Second
 )
 
 // config returns an operator's configuration with a version and keys.
@@ -142,7 +144,7 @@
 			Node: s.name, Zone: "z1", Region: "r", PeerAddress: s.peers, Seeds: s.seeds,
 			Bounds: garnetworks.SiteBounds{
 				RevokeTime: 5 * time.Second, StopGrace: time.Minute, StallTime: 4 * time.Second, LoadWindow: 5 * time.Second,
-				LoadOverage: 1.1, RetryRatio: 0.2, RetrySlack: 600, RetryWindow: time.Second,
+				LoadOverage: 1.1, RetryRatio: 0.2, RetrySlack: 600, RetryWindow: retrySpan,
 			},
 		},
 		Listeners: launcher.Listeners{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics},
