leaser: a holder that is killed and restarts takes its lease back (L9)

Cause: a restarted process counted its predecessor's record as another holder's and waited for it to expire: duration, order bound and drift bound, 3.05 s.

Ruled out: a shorter lease, since each halving doubles the renewals, which are charged.

Change: where the platform starts a process only after the earlier one has ended, the process replaces its predecessor's record once the predecessor's last order has ended (order bound and drift bound after its own start, 0.65 s here), under a new term.

--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -39,6 +39,9 @@
 	// at once, none knows the others yet, and without a delay the first one to read the
 	// record would hold the lease, whatever its CPU share.
 	StartDelay time.Duration
+	// SoleProcess says that the platform starts a process of this node only after the earlier
+	// one has ended (L9).
+	SoleProcess bool
 }
 
 // Lease contends for a lease in the object API. It is safe for concurrent use.
@@ -69,6 +72,9 @@
 	}
 	state := NewState(options.Self, options.Settings)
 	state.Candidates = options.Candidates
+	if options.SoleProcess {
+		state.SoleSince = time.Now()
+	}
 	if options.StartDelay > 0 {
 		state.nextRead = time.Now().Add(options.StartDelay)
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -24,6 +24,11 @@
 //	L8  Nodes rank by their CPU share, then so that those of equal share alternate
 //	    between zones, then in rendezvous order. An overloaded holder is late with
 //	    all its work, and candidates of one zone would be lost together.
+//	L9  Where the platform starts a node's process only after the earlier one has
+//	    ended, a process replaces its predecessor's record once the order bound and
+//	    the drift bound have passed since its own start: no order of the predecessor
+//	    is in flight any more. It takes a new term, because it does not know what the
+//	    predecessor decided.
 //
 // Assumptions. The clocks of two nodes drift apart by less than DriftBound over one
 // lease. The monotonic clock of a stopped process continues, so L1 detects the pause. The
@@ -136,7 +141,7 @@
 	ReadAt time.Time
 	// Holding says that Record was written by this process. A record that carries this
 	// node's name from before a restart counts as another holder's, because the new
-	// process does not know what the old one decided.
+	// process does not know what the old one decided; L9 says when it may be replaced.
 	Holding bool
 	// HeldFrom is a time before the last confirmed renewal was sent (L1).
 	HeldFrom time.Time
@@ -146,6 +151,12 @@
 	Floor       uint32
 	// Closing says that the node is stepping down and does not contend any more.
 	Closing bool
+	// SoleSince is since when no earlier process of this node can have sent an order; zero if
+	// an earlier one may still run (L9). PredecessorTerm is the term of the predecessor's
+	// record, as the first read shows it; 0 if that record was not the predecessor's.
+	SoleSince       time.Time
+	PredecessorTerm uint32
+
 	// YieldUntil is until when the node leaves the lease to others. It releases its record
 	// at ReleaseAt, when no order of it can be in flight any more.
 	YieldUntil time.Time
@@ -301,9 +312,26 @@
 	if s.reacquireRevision != 0 && s.reacquireRevision == s.Revision && !now.Before(s.reacquireFrom) {
 		return true
 	}
+	if s.ownedByPredecessor() && !now.Before(s.reclaimAt()) {
+		return true
+	}
 	return s.takeoverDue()
 }
 
+// ownedByPredecessor reports whether the record is that of an earlier process of this node
+// that has ended (L9).
+//
+// Failure: the holder's process is killed and starts again within a second. All groups that
+// break are not replaced until another node has waited for the lease to expire.
+func (s *State) ownedByPredecessor() bool {
+	return s.PredecessorTerm != 0 && s.Record.Holder == s.Self && s.Record.Term == s.PredecessorTerm
+}
+
+// reclaimAt returns when the predecessor's last order has ended.
+func (s *State) reclaimAt() time.Time {
+	return s.SoleSince.Add(s.Settings.OrderBound + s.Settings.DriftBound)
+}
+
 // takeoverDue reports whether reads have shown the record unchanged for the whole
 // takeover wait. The time since the last read does not count, because the record may
 // have changed in it.
@@ -326,9 +354,16 @@
 		return
 	}
 	s.mustRead = false
+	first := s.ReadAt.IsZero()
 	s.ReadAt = now
 	s.reconcile(now, record, revision)
+	if first && !s.SoleSince.IsZero() && !s.Holding && record.Holder == s.Self {
+		s.PredecessorTerm = record.Term
+	}
 	s.nextRead = now.Add(s.withJitter(s.readInterval(), jitter))
+	if reclaimAt := s.reclaimAt(); s.ownedByPredecessor() && now.Before(reclaimAt) && reclaimAt.Before(s.nextRead) {
+		s.nextRead = reclaimAt
+	}
 	if takeoverAt := s.SeenAt.Add(s.takeoverWait()); s.Rank < s.Candidates && now.Before(takeoverAt) && takeoverAt.Before(s.nextRead) {
 		s.nextRead = takeoverAt
 	}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -34,6 +34,8 @@
 	orders []order
 	terms  uint32
 	late   []lateWrite
+	// soleProcesses says that restarted nodes may replace their predecessors' records.
+	soleProcesses bool
 	// owners maps each term to the process that acted under it.
 	owners map[uint32]*contender
 }
@@ -129,9 +131,15 @@
 // Despite pauses, lost responses, delayed writes, restarts and clock drift, orders of two
 // terms or processes are never in flight together (L1 to L5).
 func TestOrdersOfTwoTermsNeverOverlap(t *testing.T) {
+	for name, sole := range map[string]bool{"a predecessor may still run": false, "predecessors have ended": true} {
+		t.Run(name, func(t *testing.T) { checkOrdersNeverOverlap(t, sole) })
+	}
+}
+
+func checkOrdersNeverOverlap(t *testing.T, soleProcesses bool) {
 	taken := 0
 	rapid.Check(t, func(rt *rapid.T) {
-		w := &world{now: time.Unix(1_000_000, 0), owners: map[uint32]*contender{}}
+		w := &world{now: time.Unix(1_000_000, 0), owners: map[uint32]*contender{}, soleProcesses: soleProcesses}
 		for n := range 3 {
 			w.add(n, 1+float64(n-1)/100)
 		}
@@ -167,6 +175,9 @@
 	id := garnetworks.NodeID(fmt.Sprintf("n%d", n))
 	c := &contender{State: NewState(id, Defaults()), id: id, clockRate: clockRate, started: w.now}
 	c.Candidates = 3
+	if w.soleProcesses {
+		c.SoleSince = w.now
+	}
 	if n < len(w.nodes) {
 		c.writes = w.nodes[n].writes + 1000
 		w.nodes[n] = c
@@ -216,6 +227,49 @@
 	}
 }
 
+// Guards against a killed holder's lease running out although its process has started again.
+func TestRestartedHolderTakesItsLeaseBack(t *testing.T) {
+	settings := Defaults()
+	bound := settings.OrderBound + settings.DriftBound
+	cases := map[string]struct {
+		sole bool
+		// record is what the restarted node reads; it starts at the time 0.
+		holder garnetworks.NodeID
+		want   time.Duration
+	}{
+		"its predecessor has ended":           {true, "n0", bound},
+		"its predecessor may still run":       {false, "n0", settings.Duration + bound},
+		"another node holds the lease":        {true, "n1", settings.Duration + bound},
+		"the record was released by the node": {true, "", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1_000_000, 0)
+			s := NewState("n0", settings)
+			if c.sole {
+				s.SoleSince = start
+			}
+			record := garnetworks.LeaseRecord{Holder: c.holder, Term: 7, Duration: settings.Duration, WriteID: "earlier"}
+			const step = 10 * time.Millisecond
+			for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
+				switch a := s.Next(now, "own"); a.Kind {
+				case ActionRead:
+					s.OnRead(now, record, 1, nil, 0)
+				case ActionWrite:
+					if took := now.Sub(start); took < c.want || took > c.want+settings.ReadInterval {
+						t.Errorf("taken after %s, want %s or little more", took, c.want)
+					}
+					if a.Record.Term != record.Term+1 {
+						t.Errorf("term %d after %d", a.Record.Term, record.Term)
+					}
+					return
+				}
+			}
+			t.Error("never taken")
+		})
+	}
+}
+
 // After a suspend the monotonic clock understates the lease's age; the wall clock, set on
 // resuming, shows it. Otherwise a holder would act after a successor took the lease.
 func TestAgeTakesTheLongerClock(t *testing.T) {
