scheduler: nodes that return use free slots before the next report (Q13)

Callers saw "overloaded" from nodes that had just started, or had just lost or regained their peers or the object API, while groups had free slots.

- A node without a report from its peers kept its last share of the site's calls, and each call that it placed counted as placed*(1/share-1)/2 further calls of its peers.
That count is only cleared by a report.
With a share of one in 89, each group took one call and was then full for the node until its peers were known again: call 2 of 12 to two empty groups of 30 slots was rejected, with an expected wait of 4.5 s.
- Groups that the node learned of between two reports (at its start, when the exchange of load is faster than the reads; after the object API's return; when a group opens) added nothing to the allowance, so the node took no slot there for up to 150 ms.
Urgent callers may wait for 30 to 130 ms.

A node without a report now counts only its own calls, and limits prompts in prefill by the fraction that its windows have. New groups get the peers' calls of the last report, and the node its part of their free slots, at once; a higher allowance is kept, so no slot is granted twice by this.

Ruled out: windows that are reset when the peers become known (they start at the full size then), groups in cooldown (they are in none after a start), and a free rate of 0 (it lets calls wait).

go test ./scheduler ./gateway passes.

--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -50,4 +50,10 @@
 //	    limiter.Limit allows, whatever their kind, and its other slots count neither as
 //	    free nor in the expected wait. A call that can only go to such groups, and for
 //	    which they have no place in time, is rejected at once.
+//	Q13 A node that has just started, or that learns of groups between two reports. Its
+//	    callers may wait for less than the interval between reports. So it takes its part
+//	    of the free slots of new groups at once, by the last report of its peers. A node
+//	    without a report uses its own windows only: its last share of the site's calls
+//	    says nothing of calls that it can't see, and scaled by a share of one in 89 each
+//	    of its calls would fill a group.
 package scheduler
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -61,6 +61,32 @@
 	p.demandAt = now
 }
 
+// peerReport is the last report of the other nodes' load.
+type peerReport struct {
+	running map[garnetworks.GroupID]int
+	// demands are calls per second.
+	demands map[garnetworks.ModelName]float64
+	lost    garnetworks.Set[garnetworks.GroupID]
+	// nodes is the number of nodes of the site, this one included.
+	nodes int
+}
+
+func newPeerReport(peers *garnetworks.LoadReport) peerReport {
+	report := peerReport{
+		running: make(map[garnetworks.GroupID]int, len(peers.Groups)),
+		demands: make(map[garnetworks.ModelName]float64, len(peers.Demands)),
+		lost:    garnetworks.NewSet(peers.Lost...),
+		nodes:   peers.Nodes + 1,
+	}
+	for _, g := range peers.Groups {
+		report.running[g.Group] = g.Running
+	}
+	for _, d := range peers.Demands {
+		report.demands[d.Model] = d.CallsPerSecond
+	}
+	return report
+}
+
 // SetPeerLoad sets the load and demand of the other nodes by a new report and returns decisions
 // on waiting calls (Q6). If known is false, there is no report: peers is ignored.
 func (s *Scheduler) SetPeerLoad(now time.Time, peers garnetworks.LoadReport, known bool) []Decision {
@@ -69,33 +95,47 @@
 		s.resetWindows()
 	}
 	if !known {
+		s.report = peerReport{}
 		for _, p := range s.pools {
-			// share keeps its last value; allowance isn't read while the peers are unknown.
-			p.peerDemand, p.refill = 0, 0
+			// allowance isn't read while the peers are unknown.
+			p.peerDemand, p.refill, p.share = 0, 0, initialWindowFraction
 			for _, g := range p.groups {
 				g.lost = false
 			}
 		}
 		return s.Advance(now)
 	}
-	running := make(map[garnetworks.GroupID]int, len(peers.Groups))
-	for _, g := range peers.Groups {
-		running[g.Group] = g.Running
-	}
-	demands := make(map[garnetworks.ModelName]float64, len(peers.Demands))
-	for _, d := range peers.Demands {
-		demands[d.Model] = d.CallsPerSecond
-	}
-	lost := garnetworks.NewSet(peers.Lost...)
+	s.report = newPeerReport(&peers)
 	for model, p := range s.pools {
 		for id, g := range p.groups {
-			g.lost = lost.Has(id)
+			g.lost = s.report.lost.Has(id)
+			g.peerCalls, g.placed = s.report.running[id], 0
 		}
-		s.applyPeerLoad(now, p, running, demands[model], peers.Nodes+1)
+		s.grant(now, p, s.report.demands[model], s.report.nodes)
 	}
 	return s.Advance(now)
 }
 
+// addGroup adds a group to its pool, with the load that the peers last reported for it.
+func (s *Scheduler) addGroup(p *pool, g Group) {
+	p.groups[g.ID] = &groupState{
+		Group: g, window: s.initialWindow(g.Slots),
+		peerCalls: s.report.running[g.ID], lost: s.report.lost.Has(g.ID),
+	}
+}
+
+// grantNew gives the node its part of the free slots of groups that are new to it (Q13). It keeps
+// a higher allowance.
+func (s *Scheduler) grantNew(now time.Time, model garnetworks.ModelName) {
+	if !s.peersKnown {
+		return
+	}
+	p := s.pool(model)
+	before := p.allowance
+	s.grant(now, p, s.report.demands[model], s.report.nodes)
+	p.allowance = max(p.allowance, before)
+}
+
 // resetWindows clears what depends on whether the peers' load is known: the allowances, the
 // calls of peers, and the windows, which cover the calls of one node or of the whole site.
 func (s *Scheduler) resetWindows() {
@@ -108,14 +148,13 @@
 	}
 }
 
-// applyPeerLoad sets the peers' calls of a pool and computes the node's allowance. peerDemand
-// is in calls per second; nodes includes this one.
-func (s *Scheduler) applyPeerLoad(now time.Time, p *pool, running map[garnetworks.GroupID]int, peerDemand float64, nodes int) {
+// grant computes the node's share, refill and allowance of a pool. peerDemand is in calls per
+// second; nodes includes this one.
+func (s *Scheduler) grant(now time.Time, p *pool, peerDemand float64, nodes int) {
 	freeSlots, runningCalls := 0.0, 0.0
 	// limitedPlaces are the calls of this node that limited groups take until the next report.
 	limitedPlaces := 0.0
 	for _, g := range p.groups {
-		g.peerCalls, g.placed = running[g.ID], 0
 		runningCalls += float64(g.peerCalls + g.inflight)
 		if g.gone || now.Before(g.cooldownUntil) || s.zoneUnreachable(now, g.Zone) || g.isLost(now) {
 			continue
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -23,7 +23,9 @@
 	s.recordProbe(now, g.Zone)
 	g.inflight++
 	g.prefillTokens += c.PromptTokens
-	g.placed++
+	if s.peersKnown {
+		g.placed++
+	}
 	g.prefilling++
 	p.allowance--
 	if g.Limit.Active(now) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -193,7 +193,8 @@
 	peerDemand float64
 	// serviceTime is the average time of a call at a group; 0 before one has ended.
 	serviceTime time.Duration
-	// share is this node's fraction of the site's calls for the model.
+	// share is this node's fraction of the site's calls for the model; while the peers' load is
+	// unknown, it is the assumed fraction of each group's capacity.
 	share float64
 	// refill is the number of slots per second that this node can expect: its part of the free
 	// slots with each report, and of the slots that become free at the site.
@@ -209,8 +210,9 @@
 	pools map[garnetworks.ModelName]*pool
 	// zones holds the availability zones with groups that were recently unreachable.
 	zones map[garnetworks.ZoneID]*zoneHealth
-	// peersKnown says that the load of the other nodes is known.
+	// peersKnown says that the load of the other nodes is known, by report.
 	peersKnown bool
+	report     peerReport
 	random     func() float64
 }
 
@@ -231,7 +233,7 @@
 
 // SetGroups replaces the serving groups and returns decisions on waiting calls.
 func (s *Scheduler) SetGroups(now time.Time, groups []Group) []Decision {
-	listed := make(garnetworks.Set[garnetworks.GroupID])
+	listed, extended := make(garnetworks.Set[garnetworks.GroupID]), make(garnetworks.Set[garnetworks.ModelName])
 	for _, g := range groups {
 		listed.Add(g.ID)
 		p := s.pool(g.Model)
@@ -239,7 +241,11 @@
 			old.Group, old.gone = g, false
 			continue
 		}
-		p.groups[g.ID] = &groupState{Group: g, window: s.initialWindow(g.Slots)}
+		s.addGroup(p, g)
+		extended.Add(g.Model)
+	}
+	for model := range extended {
+		s.grantNew(now, model)
 	}
 	for _, p := range s.pools {
 		for id, g := range p.groups {
