gateway: the quarantine's test gives its parts to a gateway before it runs

What was seen: data race in TestQuarantinedCallIsSentNowhere (go test -race -short -cpu 1 ./gateway), 1 of 5 runs of it here.

Cause, by the detector's report: the test replaced Options.Proxy of a gateway whose Run was started, and Run reads it in tryLinks. Only the test does this.

Change: the site of the tests takes the quarantine and the proxy before it starts the gateways. TestCallWithASlotIsNotSentToARefusingServer, which replaced the quarantine in the same way (read by calls only, so without a race), does it so as well. No check was changed. The other tests that replace a gateway's options (account_test.go) do not run it.

--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -142,9 +142,8 @@
 			t.Run(name+" "+path, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, stop := context.WithCancel(t.Context())
-					s := newLimitedSite(ctx, &siteServers{}, 1, split(1, 1), false)
+					s := newLimitedSite(ctx, &siteServers{quarantine: slowQuarantine{}}, 1, split(1, 1), false)
 					g := s.gateways[0]
-					g.options.Quarantine = slowQuarantine{}
 					time.Sleep(time.Second)
 					go s.call(0, path)
 					// The call waits once before it gets a slot, and again after that.
--- a/gateway/hold_test.go
+++ b/gateway/hold_test.go
@@ -72,11 +72,10 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
-				s := newLimitedSite(ctx, &siteServers{}, 2, split(2, 1), false)
-				g := s.gateways[0]
 				q, proxy := &beginningQuarantine{}, &breakingProxy{events: c.events}
 				q.free.Store(c.free)
-				g.options.Quarantine, g.options.Proxy = q, proxy
+				s := newLimitedSite(ctx, &siteServers{quarantine: q, proxy: proxy}, 2, split(2, 1), false)
+				g := s.gateways[0]
 				time.Sleep(settledTime)
 				s.exchange()
 				r := httptest.NewRequest(http.MethodPost, c.path, nil)
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -143,6 +143,10 @@
 	sound bool
 	// misdirecting says that plain servers answer most calls in that time for another service.
 	misdirecting bool
+	// quarantine is that of all nodes, and proxy their way to servers in place of nodeProxy. Both may
+	// be nil. They must not be replaced in a gateway that runs.
+	quarantine garnetworks.Quarantine
+	proxy      garnetworks.CallProxy
 
 	mu       sync.Mutex
 	count    int
@@ -346,10 +350,17 @@
 	s.contexts[node] = ctx
 	f := follower.New(follower.Options{Objects: limitedAPI{}, Reader: limitedReader{}, Recorder: noRecorder{}})
 	s.links[node] = impersonator.NewLinks(nodeProxy{s.servers, node}, nil)
+	proxy, quarantine := s.servers.proxy, s.servers.quarantine
+	if proxy == nil {
+		proxy = s.links[node]
+	}
+	if quarantine == nil {
+		quarantine = noQuarantine{}
+	}
 	g := New(Options{
 		Zone: s.nodes[node].Zone, Delegator: siteDelegator{s, node},
 		Bounds:   garnetworks.SiteBounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 130, RevokeTime: time.Hour},
-		Follower: f, Reader: modelReader{}, Proxy: s.links[node], Meter: meter.New(), Quarantine: noQuarantine{}, Logger: hclog.NewNullLogger(),
+		Follower: f, Reader: modelReader{}, Proxy: proxy, Meter: meter.New(), Quarantine: quarantine, Logger: hclog.NewNullLogger(),
 		Suspect: func(garnetworks.GroupID) {}, Self: s.nodes[node].ID, Nodes: func() []garnetworks.NodeInfo { return others },
 	})
 	s.gateways[node] = g
