scheduler: serve returned callers late, and spread the times of their return (Q13 to Q15)

None of those served had its first event within its objective.

Cause: the objective counted from the new arrival, and a call that can't be on time was always rejected.

So scheduler.Arrivals learns the usual times of a route, 1 kB for each of 64 routes at most, and takes a call for a return if it states less than the lowest usual time (Q13). Returned calls, and those that can't be expected to return, are admitted late (Q14), in half of a window at most and with a quarter of it free. Retry-After is spread by the time in which slots become free, and is long enough that the return is recognized (Q15).

--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -230,7 +230,7 @@
 // refuse schedules the client's retry, or counts the call as refused.
 func (r *run) refuse(v decision) {
 	c := v.call
-	left := c.kind.Deadline - (r.now - c.first)
+	left := c.patience - (r.now - c.first)
 	if c.tries >= r.pattern.Retries || left <= 0 {
 		for _, result := range r.resultsOf(c) {
 			result.Refused++
@@ -299,7 +299,7 @@
 func (r *run) countResponse(t *task) {
 	for _, result := range r.resultsOf(t.call) {
 		switch {
-		case r.now-t.first > t.kind.Deadline:
+		case r.now-t.first > t.patience:
 			result.Failed++
 		case t.firstEventAt-t.first <= t.kind.Objective && t.maxGap <= t.kind.MaxGap:
 			result.OnTime++
--- a/experimenter/pattern.go
+++ b/experimenter/pattern.go
@@ -61,12 +61,18 @@
 	first, arrived time.Duration
 	prompt, answer int
 	tries          int
+	// patience is how long the caller waits in all, as it states.
+	patience time.Duration
 	// workspace is the number of the sending workspace; large says that the call is among the
 	// largest tenth of its kind.
 	workspace int
 	large     bool
 }
 
+// minPatience is the shortest time for which a caller waits, as a fraction of Kind.Deadline: at
+// their first arrival, the users' callers state times that are evenly distributed from there on.
+const minPatience = 0.85
+
 // workspaces is the number of workspaces; each sends half as many calls as the one before,
 // but the last as many.
 const workspaces = 6
@@ -127,6 +133,10 @@
 	for _, c := range calls {
 		c.workspace = drawWorkspace(workspaceRandom.Float64())
 	}
+	patienceRandom := rand.New(rand.NewPCG(seed, streams+2))
+	for _, c := range calls {
+		c.patience = time.Duration(float64(c.kind.Deadline) * (minPatience + (1-minPatience)*patienceRandom.Float64()))
+	}
 	return calls
 }
 
--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -31,19 +31,29 @@
 // policies holds the constructors of all policies by name.
 var policies = map[string]func(seed uint64) policy{
 	"scheduler":     newSchedulerPolicy,
+	"unstated":      newUnstatedPolicy,
 	"least-running": newLeastRunning,
 }
 
 // schedulerPolicy decides by package scheduler.
 type schedulerPolicy struct {
 	*scheduler.Scheduler
-	calls map[garnetworks.CallID]*call
-	next  int
+	// arrivals is nil if callers don't state how long they will wait.
+	arrivals *scheduler.Arrivals
+	calls    map[garnetworks.CallID]*call
+	next     int
 }
 
 func newSchedulerPolicy(seed uint64) policy {
 	random := rand.New(rand.NewPCG(seed, seed))
-	return &schedulerPolicy{Scheduler: scheduler.New("", random.Float64), calls: make(map[garnetworks.CallID]*call)}
+	return &schedulerPolicy{Scheduler: scheduler.New("", random.Float64), arrivals: scheduler.NewArrivals(), calls: make(map[garnetworks.CallID]*call)}
+}
+
+// newUnstatedPolicy returns the same policy for callers that don't state how long they will wait.
+func newUnstatedPolicy(seed uint64) policy {
+	p := newSchedulerPolicy(seed).(*schedulerPolicy)
+	p.arrivals = nil
+	return p
 }
 
 func instant(now time.Duration) time.Time { return time.Unix(0, 0).Add(now) }
@@ -52,10 +62,13 @@
 	s.next++
 	id := garnetworks.CallID(strconv.Itoa(s.next))
 	s.calls[id] = c
-	d, decided := s.Arrive(instant(now), scheduler.Call{
-		ID: id, Model: c.kind.Model, Arrived: instant(c.arrived), Objective: c.kind.Objective,
-		PromptTokens: c.prompt, MaxGap: c.kind.MaxGap,
-	})
+	request := scheduler.Call{
+		ID: id, Model: c.kind.Model, Arrived: instant(c.arrived), Objective: c.kind.Objective, PromptTokens: c.prompt, MaxGap: c.kind.MaxGap,
+	}
+	if s.arrivals != nil {
+		s.arrivals.Describe(s.Scheduler, &request, c.kind.Name, instant(c.first+c.patience))
+	}
+	d, decided := s.Arrive(instant(now), request)
 	if !decided {
 		return nil
 	}
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -8,8 +8,8 @@
 //	    little to its caller and delays those behind it as well. So a call waits
 //	    at most until a group could just give its first event on time, and is
 //	    rejected on arrival if the calls ahead of it, at the rate at which slots
-//	    become free, would make it wait longer. What is served is then served on
-//	    time.
+//	    become free, would make it wait longer, except for Q14. What is served is
+//	    then served on time.
 //	Q2  Bursts at a node that sees only a part of the traffic. The node keeps a
 //	    window for each group: the number of calls that it allows there at once.
 //	    The window grows by one for each full window of calls with a timely first
@@ -50,4 +50,16 @@
 //	    limiter.Limit allows, whatever their kind, and its other slots count neither as
 //	    free nor in the expected wait. A call that can only go to such groups, and for
 //	    which they have no place in time, is rejected at once.
+//	Q13 Callers that return after a rejection, to another node. Their objective counts from
+//	    their first arrival, which follows from the time that they state that they will still
+//	    wait. They are recognized if that is less than any caller of the route states at
+//	    first; the usual times are learned while nothing is rejected.
+//	Q14 Calls that can't be on time any more, because they returned. Rejecting them again makes
+//	    them give up. So a call that returned, or can't be expected to return, is admitted late
+//	    instead of rejected if it can be complete by its deadline. It comes after all calls that
+//	    can be on time, whatever their priority, by its first arrival, and only takes slots in
+//	    a bounded part of a window, and in one with a reserve for the others.
+//	Q15 Rejected callers that return together. Each is told to return later than those that
+//	    were rejected before, by the time in which a slot becomes free, and when its return will
+//	    be recognized, within what callers follow.
 package scheduler
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -26,6 +26,9 @@
 	g.placed++
 	g.prefilling++
 	p.allowance--
+	if c.late {
+		p.recordLate(now, g)
+	}
 	if g.Limit.Active(now) {
 		g.lastLimitedCall = now
 	}
@@ -68,6 +71,9 @@
 		if !g.Limit.Allows(now, g.lastLimitedCall) { // Q12
 			continue
 		}
+		if c.late && !p.takesLate(now, g) { // Q14
+			continue
+		}
 		if !p.canPrefill(g, c) { // Q9
 			continue
 		}
--- /dev/null
+++ b/scheduler/returning.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// statedTimes is the number of the last stated times that are kept for a route, and
+	// maxRoutes the number of routes: 1 kB for each.
+	statedTimes = 128
+	maxRoutes   = 64
+	// minStatedTimes is the number of stated times from which a route's usual ones are known.
+	minStatedTimes = 20
+	// stateInterval is the number of new stated times after which the usual ones are computed
+	// again.
+	stateInterval = 8
+	// statedMargin covers the time that a request needs to arrive.
+	statedMargin = 50 * time.Millisecond
+)
+
+// Arrivals learns for each route how long its callers say that they will wait when they call for
+// the first time, and recognizes by it those that return after a rejection (Q13). A caller that
+// returns states less by the time that has passed since. Callers state different times from the
+// start, and a return comes to another node, so a single call shows only that it states less than
+// callers do at first.
+type Arrivals struct {
+	routes map[string]*statedTimesOfRoute
+}
+
+// statedTimesOfRoute is a ring of stated times, and what follows from them.
+type statedTimesOfRoute struct {
+	times []time.Duration
+	next  int
+	// since is the number of times recorded since median and lowest were computed.
+	since int
+	// median and lowest are the usual and the lowest usual time; 0 while unknown.
+	median, lowest time.Duration
+}
+
+// NewArrivals returns Arrivals that know no routes.
+func NewArrivals() *Arrivals { return &Arrivals{routes: make(map[string]*statedTimesOfRoute)} }
+
+// Describe sets what the stated deadline shows of a call that arrives at a route, and learns from
+// it, unless calls of the model are being rejected: some of those that arrive then have returned.
+func (a *Arrivals) Describe(s *Scheduler, c *Call, route string, deadline time.Time) {
+	stated := deadline.Sub(c.Arrived)
+	r := a.routes[route]
+	if r == nil {
+		if len(a.routes) >= maxRoutes {
+			clear(a.routes)
+		}
+		r = &statedTimesOfRoute{}
+		a.routes[route] = r
+	}
+	c.Deadline = deadline
+	if r.lowest > 0 {
+		c.RecognizedAfter = max(0, stated-r.lowest)
+	}
+	if stated < r.lowest {
+		c.FirstArrived = c.Arrived.Add(stated - r.median)
+	}
+	if !s.Rejecting(c.Arrived, c.Model) {
+		r.record(stated)
+	}
+}
+
+func (r *statedTimesOfRoute) record(stated time.Duration) {
+	if len(r.times) < statedTimes {
+		r.times = append(r.times, stated)
+	} else {
+		r.times[r.next] = stated
+		r.next = (r.next + 1) % statedTimes
+	}
+	if r.since++; len(r.times) >= minStatedTimes && (r.since >= stateInterval || r.median == 0) {
+		r.since = 0
+		r.compute()
+	}
+}
+
+// compute derives the lowest usual time from the tenths at both ends, so that a few callers that
+// returned, or state something else, don't change it. Of evenly distributed times, the lowest is
+// an eighth of their distance below the first tenth; a quarter is taken, because a first call that
+// is taken for a return loses its place in the order.
+func (r *statedTimesOfRoute) compute() {
+	sorted := slices.Sorted(slices.Values(r.times))
+	n := len(sorted)
+	low, high := sorted[n/10], sorted[n-1-n/10]
+	r.median = sorted[n/2]
+	r.lowest = low - (high-low)/4 - statedMargin
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -112,10 +112,16 @@
 	ID       garnetworks.CallID
 	Model    garnetworks.ModelName
 	Priority int
-	// Arrived is the arrival time of the call.
-	Arrived time.Time
-	// Objective is the time from Arrived within which the first event is on time.
+	// Arrived is the arrival time of the call. FirstArrived is when its caller sent it first, if
+	// that was before; zero if this is the first time.
+	Arrived, FirstArrived time.Time
+	// Objective is the time from the first arrival within which the first event is on time.
 	Objective time.Duration
+	// Deadline is when the caller gives up; zero if it is unknown, in which case the call is not
+	// served late (Q14). A return of the caller is recognized if it comes at least RecognizedAfter
+	// after Arrived.
+	Deadline        time.Time
+	RecognizedAfter time.Duration
 	// PromptTokens is the length of the prompt. MaxGap is the longest pause between two events
 	// that the client allows; 0 if it states none.
 	PromptTokens int
@@ -124,6 +130,8 @@
 	Resumed bool
 	// Tried holds the groups that have failed the call; they are not chosen again.
 	Tried []garnetworks.GroupID
+	// late says that the call was admitted although it can only be late (Q14).
+	late bool
 }
 
 // Decision is the outcome for a call: placed or rejected.
@@ -143,6 +151,9 @@
 	Groups                 int
 	// Spare is the number of free slots at groups of other models.
 	Spare int
+	// Returned says that the call was rejected before, Late that it was admitted although it can
+	// only be late (Q14).
+	Returned, Late bool
 }
 
 // groupState is a group and this node's view of its load and health.
@@ -174,6 +185,10 @@
 	lastEvent time.Time
 	// lastLimitedCall is when the last call was placed while the group was limited.
 	lastLimitedCall time.Time
+	// latePlaced is the decaying number of this node's calls that were placed although they can
+	// only be late, at latePlacedAt (Q14).
+	latePlaced   float64
+	latePlacedAt time.Time
 }
 
 // pool holds the groups of a model and the calls that wait for them.
@@ -201,6 +216,9 @@
 	// allowance is the number of slots that this node may still take until the next report
 	// from the peers (Q6).
 	allowance float64
+	// rejectedAt is when the last call was rejected for lack of time, lastReturn the time for which
+	// the last of them was told to return (Q15).
+	rejectedAt, lastReturn time.Time
 }
 
 // Scheduler holds the pools of all models. It is not safe for concurrent use.
@@ -263,20 +281,31 @@
 func (s *Scheduler) Arrive(now time.Time, c Call) (Decision, bool) {
 	p := s.pool(c.Model)
 	p.recordArrival(now)
-	if len(p.waiting) == 0 || c.Resumed {
+	if c.Resumed || !p.waitsOnTime() && !p.canOnlyBeLate(now, &c) {
 		if g := s.pickGroup(now, p, &c); g != nil {
 			s.dispatch(now, p, g, &c)
-			return Decision{Call: c.ID, Group: g.ID}, true
+			return c.placed(g), true
 		}
 	}
 	if d, rejected := p.reject(now, &c); rejected {
 		d.Spare = s.spare(now, p)
 		return d, true
 	}
+	if c.late && len(p.waiting) == 0 {
+		if g := s.pickGroup(now, p, &c); g != nil {
+			s.dispatch(now, p, g, &c)
+			return c.placed(g), true
+		}
+	}
 	p.enqueue(&c)
 	return Decision{}, false
 }
 
+// placed returns the decision that the group gets the call.
+func (c *Call) placed(g *groupState) Decision {
+	return Decision{Call: c.ID, Group: g.ID, Returned: c.returned(), Late: c.late}
+}
+
 // SetLimit replaces the limit of a group.
 func (s *Scheduler) SetLimit(model garnetworks.ModelName, group garnetworks.GroupID, limit limiter.Limit) {
 	if g := s.pool(model).groups[group]; g != nil {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -21,13 +21,16 @@
 	if wait <= patience && ahead < places {
 		return Decision{}, false
 	}
-	retryAfter := wait
 	if ahead >= places {
-		retryAfter = max(wait, p.noGroupRetry(now))
+		wait = max(wait, p.noGroupRetry(now))
 	}
+	if p.admitLate(now, c) {
+		return Decision{}, false
+	}
+	retryAfter := p.tellReturn(now, c, wait)
 	return Decision{
-		Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(retryAfter),
-		Ahead: ahead, ExpectedWait: wait, Patience: patience, Groups: groups,
+		Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: retryAfter,
+		Ahead: ahead, ExpectedWait: wait, Patience: patience, Groups: groups, Returned: c.returned(),
 	}, true
 }
 
@@ -36,7 +39,7 @@
 // patience is how much longer the call may wait (Q1): until a group that takes it then is
 // expected to give its first event just in time.
 func (p *pool) patience(now time.Time, c *Call) time.Duration {
-	waited := now.Sub(c.Arrived)
+	waited := now.Sub(c.firstArrived())
 	if c.Resumed {
 		return 2*c.Objective - waited
 	}
@@ -64,7 +67,7 @@
 // serving returns the number of groups that may get the call, and of the calls that they take
 // while it may wait. A limited group counts only if it takes a call by then (Q12).
 func (p *pool) serving(now time.Time, c *Call) (groups, places int) {
-	patience := p.patience(now, c)
+	patience := p.maxWait(now, c)
 	for _, g := range p.groups {
 		if g.gone || g.isLost(now) || slices.Contains(c.Tried, g.ID) || now.Before(g.cooldownUntil) && !g.probing {
 			continue
@@ -120,7 +123,7 @@
 	p.freeRateAt = now
 }
 
-// compareCalls orders waiting calls (Q4 and Q5).
+// compareCalls orders waiting calls (Q4, Q5 and Q14).
 func compareCalls(a, b *Call) int {
 	if a.Resumed != b.Resumed {
 		if a.Resumed {
@@ -128,10 +131,22 @@
 		}
 		return 1
 	}
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
+	}
+	if a.late {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.firstArrived().Compare(b.firstArrived()))
+	}
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due().Compare(b.due()))
 }
 
-func (c *Call) due() time.Time { return c.Arrived.Add(c.Objective) }
+func (c *Call) due() time.Time { return c.firstArrived().Add(c.Objective) }
+
+// waitsOnTime reports whether a call waits that can be on time. They are before the others.
+func (p *pool) waitsOnTime() bool { return len(p.waiting) > 0 && !p.waiting[0].late }
 
 func (p *pool) ahead(c *Call) int {
 	n := 0
@@ -164,28 +179,40 @@
 }
 
 func (s *Scheduler) advance(now time.Time, p *pool, decisions []Decision) []Decision {
-	kept := p.waiting[:0]
-	for _, c := range p.waiting {
-		if g := s.pickGroup(now, p, c); g != nil {
-			s.dispatch(now, p, g, c)
-			decisions = append(decisions, Decision{Call: c.ID, Group: g.ID})
-			continue
+	waiting := p.waiting
+	p.waiting = waiting[:0]
+	var late []*Call
+	for _, c := range waiting {
+		if !c.late || !p.waitsOnTime() { // Q14
+			if g := s.pickGroup(now, p, c); g != nil {
+				s.dispatch(now, p, g, c)
+				decisions = append(decisions, c.placed(g))
+				continue
+			}
 		}
 		groups, places := p.serving(now, c)
-		wait := p.expectedWait(now, len(kept)+1)
+		ahead := len(p.waiting)
+		wait := p.expectedWait(now, ahead+1)
 		switch {
 		case groups == 0:
-			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: len(kept), Spare: s.spare(now, p)})
-		case p.patience(now, c) <= 0 || len(kept) >= places:
+			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: ahead, Spare: s.spare(now, p), Returned: c.returned()})
+		case p.maxWait(now, c) <= 0 || ahead >= places:
+			if p.admitLate(now, c) {
+				late = append(late, c)
+				continue
+			}
+			retryAfter := p.tellReturn(now, c, wait)
 			decisions = append(decisions, Decision{
-				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(wait), Ahead: len(kept), ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p),
+				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: retryAfter, Ahead: ahead, ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p), Returned: c.returned(),
 			})
 		default:
-			kept = append(kept, c)
+			p.waiting = append(p.waiting, c)
 		}
 	}
-	clear(p.waiting[len(kept):])
-	p.waiting = kept
+	clear(waiting[len(p.waiting):])
+	for _, c := range late {
+		p.enqueue(c)
+	}
 	return decisions
 }
 
