gateway: tell the scheduler how long callers still wait; log and count late admissions

A call that returns after a rejection was ordered as a new one. The gateway passes on the deadline that the caller states, once for each call, and the log line of a call names returned, admitted-late and ahead-late; two metrics count late admissions and rejections by model. Calls whose callers state no deadline are served as before.

--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -66,7 +66,8 @@
 		ID: id, Model: c.kind.Model, Arrived: instant(c.arrived), Objective: c.kind.Objective, PromptTokens: c.prompt, MaxGap: c.kind.MaxGap,
 	}
 	if s.arrivals != nil {
-		s.arrivals.Describe(s.Scheduler, &request, c.kind.Name, instant(c.first+c.patience))
+		request.Deadline = instant(c.first + c.patience)
+		request.Arrival = s.arrivals.Describe(s.Rejecting(request.Arrived, request.Model), c.kind.Name, request.Arrived, request.Deadline)
 	}
 	d, decided := s.Arrive(instant(now), request)
 	if !decided {
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -38,6 +38,10 @@
 	waited time.Duration
 	// decision is the scheduler's last one.
 	decision scheduler.Decision
+	// returned says that the call was rejected before, admittedLate that it was admitted although
+	// it can only be late, with aheadLate calls ahead of it.
+	returned, admittedLate bool
+	aheadLate              int
 	// hasRouting says that the node had a routing when the call arrived: of version routing,
 	// last confirmed as the newest routingAge before.
 	hasRouting bool
@@ -130,6 +134,12 @@
 		list = append(list, "ahead", d.Ahead, "expected-wait-ms", milliseconds(d.ExpectedWait), "may-wait-ms", milliseconds(d.Patience),
 			"groups", d.Groups, "spare", d.Spare)
 	}
+	if x.returned {
+		list = append(list, "returned", true)
+	}
+	if x.admittedLate {
+		list = append(list, "admitted-late", true, "ahead-late", x.aheadLate)
+	}
 	if x.delegatedTo != "" {
 		list = append(list, "delegated-to", x.delegatedTo)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	// mu guards the fields below.
 	mu             sync.Mutex
 	scheduler      *scheduler.Scheduler
+	arrivals       *scheduler.Arrivals
 	picker         *picker.Picker
 	waiters        map[garnetworks.CallID]chan scheduler.Decision
 	heads          map[garnetworks.GroupID]head
@@ -129,6 +130,7 @@
 		successLines:   emitter.NewRateLimiter(SuccessLinesPerSecond),
 		failureLines:   emitter.NewRateLimiter(FailureLinesPerSecond),
 		scheduler:      scheduler.New(options.Zone, random),
+		arrivals:       scheduler.NewArrivals(),
 		picker:         picker.New(options.Zone),
 		waiters:        make(map[garnetworks.CallID]chan scheduler.Decision),
 		heads:          make(map[garnetworks.GroupID]head),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -62,6 +62,8 @@
 	// reserved is the group with a slot that was reserved because the current group stalls;
 	// guarded by the gateway's lock.
 	reserved garnetworks.GroupID
+	// arrival is what is known of the call's arrival since its first request for a slot.
+	arrival garnetworks.Option[scheduler.Arrival]
 	// current is the current attempt.
 	current attemptState
 }
@@ -113,6 +115,7 @@
 		start := time.Now()
 		d, ok := s.place()
 		s.decision = d
+		s.recordOrder(d)
 		if len(s.attemptLog) == 0 {
 			s.waited = time.Since(start)
 			x.options.Meter.QueueWait(x.call.Model, s.waited)
@@ -171,6 +174,31 @@
 	return request
 }
 
+// describeArrival sets what the caller's deadline shows of the call; g.mu is held.
+func (s *stream) describeArrival(request *scheduler.Call) {
+	if request.Resumed || s.call.Deadline.IsZero() {
+		return
+	}
+	if !s.arrival.Present {
+		s.arrival = garnetworks.Some(s.arrivals.Describe(s.scheduler.Rejecting(s.call.Received, s.call.Model), s.route.Name, s.call.Received, s.call.Deadline))
+	}
+	request.Arrival, _ = s.arrival.Get()
+	request.Deadline = s.deadline
+}
+
+// recordOrder records a decision on which calls are served, which are late, and which are rejected.
+func (s *stream) recordOrder(d scheduler.Decision) {
+	s.returned = s.returned || d.Returned
+	if d.Late {
+		s.admittedLate = true
+		s.aheadLate = d.Ahead
+		s.options.Meter.AdmittedLate(s.call.Model)
+	}
+	if d.Kind == garnetworks.KindOverloaded {
+		s.options.Meter.RejectedCall(s.call.Model, d.Returned)
+	}
+}
+
 // place waits for a slot. It returns false if the client disconnected or time ran out.
 func (s *stream) place() (scheduler.Decision, bool) {
 	d, ok := s.takeReserved()
@@ -182,6 +210,7 @@
 	id := request.ID
 	waiter := make(chan scheduler.Decision, 1)
 	s.mu.Lock()
+	s.describeArrival(&request)
 	d, decided := s.scheduler.Arrive(time.Now(), request)
 	if !decided {
 		s.waiters[id] = waiter
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -49,6 +50,8 @@
 	retries        *prometheus.CounterVec
 	delegated      *prometheus.CounterVec
 	limitedAnswers *prometheus.CounterVec
+	lateAdmissions *prometheus.CounterVec
+	rejections     *prometheus.CounterVec
 	attemptTime    *prometheus.HistogramVec
 	objectTime     *prometheus.HistogramVec
 	counters       map[string]prometheus.Counter
@@ -90,6 +93,8 @@
 	{"garnet_passed_calls_total", "Calls that are passed on whole, by route, outcome and error kind (empty if completed).", []string{"route", "outcome", "kind"}},
 	{"garnet_passed_first_event_seconds", "Time from the receipt of a call that is passed on to the first event of its stream, by route.", []string{"route"}},
 	{"garnet_passed_wait_seconds", "Time that calls that are passed on waited for a place, by model.", []string{"model"}},
+	{"garnet_passed_late_admissions_total", "Calls that are passed on that were admitted although they can only be late, by model.", []string{"model"}},
+	{"garnet_passed_rejections_total", "Calls that are passed on that were rejected for lack of a place in time, by model and whether they had returned after a rejection.", []string{"model", "returned"}},
 	{"garnet_held_contents", "Contents of calls that are kept from servers, since servers ended under them.", nil},
 	{"garnet_evacuated_zones", "Availability zones whose servers get no calls, since an operator evacuated them.", nil},
 	{"garnet_routing_age_seconds", "Time since the node's routing was last known to be the newest one; over 9e9 while that is not known.", nil},
@@ -145,6 +150,8 @@
 	m.proxiedCalls = counter("garnet_passed_calls_total")
 	m.firstEvent = histograms("garnet_passed_first_event_seconds", firstTokenBuckets)
 	m.queueWait = histograms("garnet_passed_wait_seconds", attemptBuckets)
+	m.lateAdmissions = counter("garnet_passed_late_admissions_total")
+	m.rejections = counter("garnet_passed_rejections_total")
 	m.attempts = counter("garnet_attempts_total")
 	m.retries = counter("garnet_retries_total")
 	m.delegated = counter("garnet_delegated_calls_total")
@@ -209,6 +216,16 @@
 	m.queueWait.WithLabelValues(string(model)).Observe(d.Seconds())
 }
 
+// AdmittedLate counts a call to the model that was admitted although it can only be late.
+func (m *Meter) AdmittedLate(model garnetworks.ModelName) {
+	m.lateAdmissions.WithLabelValues(string(model)).Inc()
+}
+
+// RejectedCall counts a call to the model that was rejected for lack of a slot in time.
+func (m *Meter) RejectedCall(model garnetworks.ModelName, returned bool) {
+	m.rejections.WithLabelValues(string(model), strconv.FormatBool(returned)).Inc()
+}
+
 // Attempt counts an attempt that ended in the phase and observes its duration.
 func (m *Meter) Attempt(service garnetworks.ServiceName, group garnetworks.GroupID, phase garnetworks.CallPhase, took time.Duration) {
 	m.attempts.WithLabelValues(string(service), string(group), string(phase)).Inc()
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,6 +36,8 @@
 	m.ProxiedCall("r", garnetworks.OutcomeNotRun, garnetworks.KindOverloaded)
 	m.FirstEvent("r", time.Second)
 	m.QueueWait("m", time.Millisecond)
+	m.AdmittedLate("m")
+	m.RejectedCall("m", true)
 	m.Attempt("s", "g", garnetworks.PhaseDone, time.Second)
 	m.Retry("s", true)
 	m.Delegated("s", "taken")
--- a/scheduler/late.go
+++ b/scheduler/late.go
@@ -67,10 +67,11 @@
 	}
 	late := *c
 	late.late = true
-	if p.expectedWait(now, p.ahead(&late)+1) > p.lateWait(now, c) {
+	ahead := p.ahead(&late)
+	if p.expectedWait(now, ahead+1) > p.lateWait(now, c) {
 		return false
 	}
-	c.late = true
+	c.late, c.aheadLate = true, ahead
 	return true
 }
 
--- a/scheduler/returning.go
+++ b/scheduler/returning.go
@@ -41,10 +41,19 @@
 // NewArrivals returns Arrivals that know no routes.
 func NewArrivals() *Arrivals { return &Arrivals{routes: make(map[string]*statedTimesOfRoute)} }
 
-// Describe sets what the stated deadline shows of a call that arrives at a route, and learns from
-// it, unless calls of the model are being rejected: some of those that arrive then have returned.
-func (a *Arrivals) Describe(s *Scheduler, c *Call, route string, deadline time.Time) {
-	stated := deadline.Sub(c.Arrived)
+// Arrival is what is known of a call's arrival.
+type Arrival struct {
+	// FirstArrived is when the caller first sent a call that returned; zero for another one.
+	FirstArrived time.Time
+	// RecognizedAfter is the time from the arrival after which a return will be recognized.
+	RecognizedAfter time.Duration
+}
+
+// Describe returns what the stated deadline shows of a call that arrives at a route. rejecting says
+// that calls of the model are being rejected: nothing is learned then, since some of the calls that
+// arrive have returned.
+func (a *Arrivals) Describe(rejecting bool, route string, arrived, deadline time.Time) Arrival {
+	stated := deadline.Sub(arrived)
 	r := a.routes[route]
 	if r == nil {
 		if len(a.routes) >= maxRoutes {
@@ -53,16 +62,17 @@
 		r = &statedTimesOfRoute{}
 		a.routes[route] = r
 	}
-	c.Deadline = deadline
+	var result Arrival
 	if r.lowest > 0 {
-		c.RecognizedAfter = max(0, stated-r.lowest)
+		result.RecognizedAfter = max(0, stated-r.lowest)
 	}
 	if stated < r.lowest {
-		c.FirstArrived = c.Arrived.Add(stated - r.median)
+		result.FirstArrived = arrived.Add(stated - r.median)
 	}
-	if !s.Rejecting(c.Arrived, c.Model) {
+	if !rejecting {
 		r.record(stated)
 	}
+	return result
 }
 
 func (r *statedTimesOfRoute) record(stated time.Duration) {
--- a/scheduler/returning_test.go
+++ b/scheduler/returning_test.go
@@ -14,10 +14,9 @@
 
 // learn returns Arrivals that have seen calls whose callers state the given times.
 func learn(stated func(i int) time.Duration, calls int) *scheduler.Arrivals {
-	a, s := scheduler.NewArrivals(), scheduler.New("z", fixedRandom)
+	a := scheduler.NewArrivals()
 	for i := range calls {
-		call := newCall("")
-		a.Describe(s, &call, "r", start.Add(stated(i)))
+		a.Describe(false, "r", start, start.Add(stated(i)))
 	}
 	return a
 }
@@ -48,9 +47,8 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			a, s := learn(c.stated, c.calls), scheduler.New("z", fixedRandom)
-			call := newCall("a")
-			a.Describe(s, &call, "r", start.Add(c.arrives))
+			a := learn(c.stated, c.calls)
+			call := a.Describe(false, "r", start, start.Add(c.arrives))
 			if returned := !call.FirstArrived.IsZero(); returned != c.returned {
 				t.Fatalf("taken for a return: %t", returned)
 			}
@@ -60,9 +58,8 @@
 			if c.returned || c.calls < 20 {
 				return
 			}
-			again := newCall("b")
-			again.Arrived = start.Add(call.RecognizedAfter + time.Millisecond)
-			if a.Describe(s, &again, "r", start.Add(c.arrives)); again.FirstArrived.IsZero() {
+			again := a.Describe(false, "r", start.Add(call.RecognizedAfter+time.Millisecond), start.Add(c.arrives))
+			if again.FirstArrived.IsZero() {
 				t.Errorf("a return after %s is not recognized", call.RecognizedAfter)
 			}
 		})
@@ -75,8 +72,7 @@
 	s.SetGroups(start, groups(1, "g"))
 	reject(t, s)
 	for range 1000 {
-		call := newCall("returned")
-		if a.Describe(s, &call, "r", start.Add(routeTimeout-time.Second)); call.FirstArrived.IsZero() {
+		if call := a.Describe(s.Rejecting(start, "m"), "r", start, start.Add(routeTimeout-time.Second)); call.FirstArrived.IsZero() {
 			t.Fatal("a returned call is taken for a first one")
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -112,16 +112,15 @@
 	ID       garnetworks.CallID
 	Model    garnetworks.ModelName
 	Priority int
-	// Arrived is the arrival time of the call. FirstArrived is when its caller sent it first, if
-	// that was before; zero if this is the first time.
-	Arrived, FirstArrived time.Time
+	// Arrived is the arrival time of the call.
+	Arrived time.Time
 	// Objective is the time from the first arrival within which the first event is on time.
 	Objective time.Duration
+	// Arrival says whether the call was rejected before.
+	Arrival
 	// Deadline is when the caller gives up; zero if it is unknown, in which case the call is not
-	// served late (Q14). A return of the caller is recognized if it comes at least RecognizedAfter
-	// after Arrived.
-	Deadline        time.Time
-	RecognizedAfter time.Duration
+	// served late (Q14).
+	Deadline time.Time
 	// PromptTokens is the length of the prompt. MaxGap is the longest pause between two events
 	// that the client allows; 0 if it states none.
 	PromptTokens int
@@ -132,6 +131,8 @@
 	Tried []garnetworks.GroupID
 	// late says that the call was admitted although it can only be late (Q14).
 	late bool
+	// aheadLate is the number of calls ahead of it when it was admitted late.
+	aheadLate int
 }
 
 // Decision is the outcome for a call: placed or rejected.
@@ -143,8 +144,8 @@
 	Kind garnetworks.Kind
 	// RetryAfter is the estimated time until slots are free.
 	RetryAfter time.Duration
-	// Ahead, ExpectedWait, Patience and Groups explain a rejection: the number of waiting
-	// calls ahead, the expected and the longest acceptable wait, and the number of groups that
+	// Ahead, ExpectedWait, Patience and Groups explain a rejection, and Ahead a late admission:
+	// the number of waiting calls ahead, the expected and the longest acceptable wait, and the number of groups that
 	// could have served the call.
 	Ahead                  int
 	ExpectedWait, Patience time.Duration
@@ -303,7 +304,7 @@
 
 // placed returns the decision that the group gets the call.
 func (c *Call) placed(g *groupState) Decision {
-	return Decision{Call: c.ID, Group: g.ID, Returned: c.returned(), Late: c.late}
+	return Decision{Call: c.ID, Group: g.ID, Ahead: c.aheadLate, Returned: c.returned(), Late: c.late}
 }
 
 // SetLimit replaces the limit of a group.
