scheduler: count only free slots that could have served a rejected call (Q16)

Decision.Spare counted every free slot at groups of other models: a rejection counted as one despite free capacity because of a few free slots here and there, whose instances are not enough for a group of the call's model. Free slots of the call's own model that the node left to others were not counted.

Spare now counts the slots of groups of the call's model that could have taken it, and those of whole groups that idle instances of another model are enough for; nothing for a call that could not be on time when it arrived. garnetctl causes counts it as before, by the log key spare.

--- a/diagnoser/call.go
+++ b/diagnoser/call.go
@@ -65,7 +65,7 @@
 	ServiceLevel ServiceLevel
 	Priority     int
 	// Groups is the number of groups that could have taken a rejected call, SpareSlots that of
-	// free slots at groups of other models.
+	// free slots that could have served it in time.
 	Groups, SpareSlots int
 	Attempts           []Attempt
 	// Suppressed is the number of calls of the same cause whose lines were suppressed.
--- a/diagnoser/report.go
+++ b/diagnoser/report.go
@@ -77,8 +77,8 @@
 	// share that would be earned without this cause (rule D5).
 	Lost  float64 `json:"lost"`
 	Bound float64 `json:"bound"`
-	// Spare is the number of its requests that were rejected while groups of other models had
-	// free slots.
+	// Spare is the number of its requests that were rejected beside free slots that could have
+	// served them in time.
 	Spare int `json:"spare"`
 	// Suppressed is the number of calls of the same cause whose lines the nodes suppressed. The
 	// number of their requests is not known, so they are counted only here (rule D4).
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -236,7 +236,7 @@
 		}
 		profile, _ := service.Engines.Get()
 		heads[group.ID] = head{h.Incarnation(), h.Address, group.Model, g.coldLimit(now, service, &h)}
-		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model)})
+		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Size: instancesOf(&profile, group.Model), Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model)})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -278,6 +278,16 @@
 	return 0
 }
 
+// instancesOf returns the number of instances of a group of the model; 0 if the profile lacks it.
+func instancesOf(profile *garnetworks.EngineProfile, model garnetworks.ModelName) int {
+	for i := range profile.Models {
+		if m := &profile.Models[i]; m.Name == model {
+			return m.GroupSize
+		}
+	}
+	return 0
+}
+
 // advance advances the waiting calls, and reports whether there are any.
 func (g *Gateway) advance(now time.Time) bool {
 	g.mu.Lock()
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -62,4 +62,8 @@
 //	Q15 Rejected callers that return together. Each is told to return later than those that
 //	    were rejected before, by the time in which a slot becomes free, and when its return will
 //	    be recognized, within what callers follow.
+//	Q16 Rejections beside free slots. A rejection names the free slots that could have served
+//	    the call in time: those of groups of its model that could take it, and those of whole
+//	    groups that the idle instances of another model would be enough for. Single free slots
+//	    of another model are none, and neither are slots where prompts can't be prefilled.
 package scheduler
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -49,7 +49,22 @@
 	if s.peersKnown && p.allowance < 1 && !c.Resumed { // Q6
 		return nil
 	}
-	var free, overdue []*groupState
+	free := s.freeGroups(now, p, c)
+	var overdue []*groupState
+	for _, g := range free {
+		if g.Limit.Overdue && g.Limit.Active(now) {
+			overdue = append(overdue, g)
+		}
+	}
+	if len(overdue) > 0 {
+		free = overdue
+	}
+	return s.leastLoaded(p, free)
+}
+
+// freeGroups returns the groups that can take a call now.
+func (s *Scheduler) freeGroups(now time.Time, p *pool, c *Call) []*groupState {
+	var free []*groupState
 	othersReachable := s.anyZoneReachable(now, p)
 	for _, g := range p.groups {
 		if othersReachable && s.zoneUnreachable(now, g.Zone) { // Q10
@@ -78,14 +93,8 @@
 			continue
 		}
 		free = append(free, g)
-		if g.Limit.Overdue && g.Limit.Active(now) {
-			overdue = append(overdue, g)
-		}
 	}
-	if len(overdue) > 0 {
-		free = overdue
-	}
-	return s.leastLoaded(p, free)
+	return free
 }
 
 // leastLoaded returns the least utilized of a few randomly drawn groups (Q7), or nil if
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -98,6 +98,8 @@
 	ID    garnetworks.GroupID
 	Model garnetworks.ModelName
 	Zone  garnetworks.ZoneID
+	// Size is the number of the group's instances; 0 if unknown.
+	Size int
 	// Slots is the number of calls that the group processes concurrently.
 	Slots int
 	// PrefillRate is the number of prompt tokens that the group processes per second; 0 if
@@ -150,7 +152,7 @@
 	Ahead                  int
 	ExpectedWait, Patience time.Duration
 	Groups                 int
-	// Spare is the number of free slots at groups of other models.
+	// Spare is the number of free slots that could have served the call in time (Q16).
 	Spare int
 	// Returned says that the call was rejected before, Late that it was admitted although it can
 	// only be late (Q14).
@@ -194,8 +196,10 @@
 
 // pool holds the groups of a model and the calls that wait for them.
 type pool struct {
-	groups  map[garnetworks.GroupID]*groupState
-	waiting []*Call
+	groups map[garnetworks.GroupID]*groupState
+	// size and slots are the instances and the slots of a group of the model; 0 before one served.
+	size, slots int
+	waiting     []*Call
 	// freeRate is the number of slots that became free per second, averaged, at freeRateAt.
 	freeRate   float64
 	freeRateAt time.Time
@@ -254,6 +258,7 @@
 	for _, g := range groups {
 		listed.Add(g.ID)
 		p := s.pool(g.Model)
+		p.size, p.slots = g.Size, g.Slots
 		if old := p.groups[g.ID]; old != nil {
 			old.Group, old.gone = g, false
 			continue
@@ -289,7 +294,7 @@
 		}
 	}
 	if d, rejected := p.reject(now, &c); rejected {
-		d.Spare = s.spare(now, p)
+		d.Spare = s.spare(now, p, &c)
 		return d, true
 	}
 	if c.late && len(p.waiting) == 0 {
@@ -323,23 +328,6 @@
 	return 0
 }
 
-// spare returns the number of free slots at groups of models other than p's. If there are
-// some while calls are rejected, the models have the wrong numbers of groups.
-func (s *Scheduler) spare(now time.Time, p *pool) int {
-	free := 0
-	for _, other := range s.pools {
-		if other == p {
-			continue
-		}
-		for _, g := range other.groups {
-			if !g.gone && !now.Before(g.cooldownUntil) && !g.Limit.Active(now) {
-				free += int(max(0, g.window-other.expectedCalls(g)))
-			}
-		}
-	}
-	return free
-}
-
 // Finished frees the slot of a call and returns decisions on waiting calls of the model;
 // hadEvent says whether the call had an event at the group, took how long it was there.
 func (s *Scheduler) Finished(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took time.Duration, hadEvent bool) []Decision {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -282,6 +282,67 @@
 	}
 }
 
+// Guards against counting a rejection as one despite free capacity that could not have served it.
+func TestSpareSlotsCouldServeTheCall(t *testing.T) {
+	const slots, prompt, rate = 20, 5000, 50_000
+	cases := map[string]struct {
+		otherSize, otherRunning int
+		change                  func(c *scheduler.Call)
+		want                    int
+	}{
+		"another group's instances are idle":       {4, 0, nil, slots},
+		"groups of other sizes":                    {1, 0, nil, 0},
+		"half of them are idle":                    {4, 10, nil, 0},
+		"half of more instances are idle":          {8, 10, nil, slots},
+		"its objective has passed":                 {8, 0, func(c *scheduler.Call) { c.FirstArrived = start.Add(-time.Minute) }, 0},
+		"its model has slots, but prefills others": {1, 0, func(c *scheduler.Call) { c.PromptTokens, c.MaxGap = prompt, 200*time.Millisecond }, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", fixedRandom)
+			others := groups(slots, "other-a", "other-b")
+			for i := range others {
+				others[i].Model, others[i].Size = "other", c.otherSize
+			}
+			own := groups(slots, "g")
+			own[0].Size, own[0].PrefillRate = 8, rate
+			s.SetPeerLoad(start, garnetworks.LoadReport{}, true)
+			s.SetGroups(start, append(others, own...))
+			var load garnetworks.LoadReport
+			for i := range others {
+				load.Groups = append(load.Groups, garnetworks.GroupLoad{Group: others[i].ID, Running: c.otherRunning})
+			}
+			load.Nodes = 1
+			call := newCall("a")
+			if c.change != nil {
+				c.change(&call)
+			}
+			if call.PromptTokens == 0 {
+				load.Groups = append(load.Groups, garnetworks.GroupLoad{Group: "g", Running: slots * 2})
+			}
+			s.SetPeerLoad(start, load, true)
+			first := call
+			first.ID, first.FirstArrived = "first", time.Time{}
+			s.Arrive(start, first)
+			for i := range 100 {
+				call.ID = garnetworks.CallID(fmt.Sprint(i))
+				d, decided := s.Arrive(start, call)
+				if i == 0 {
+					s.Finished(start, "m", "none", 0, false)
+				}
+				if !decided || d.Group != "" {
+					continue
+				}
+				if d.Spare != c.want {
+					t.Errorf("%d spare slots, want %d", d.Spare, c.want)
+				}
+				return
+			}
+			t.Error("no call was rejected")
+		})
+	}
+}
+
 func TestCallsOfAGroup(t *testing.T) {
 	s := scheduler.New("z", fixedRandom)
 	s.SetGroups(start, groups(6, "g"))
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -195,7 +195,7 @@
 		wait := p.expectedWait(now, ahead+1)
 		switch {
 		case groups == 0:
-			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: ahead, Spare: s.spare(now, p), Returned: c.returned()})
+			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: ahead, Spare: s.spare(now, p, c), Returned: c.returned()})
 		case p.maxWait(now, c) <= 0 || ahead >= places:
 			if p.admitLate(now, c) {
 				late = append(late, c)
@@ -203,7 +203,7 @@
 			}
 			retryAfter := p.tellReturn(now, c, wait)
 			decisions = append(decisions, Decision{
-				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: retryAfter, Ahead: ahead, ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p), Returned: c.returned(),
+				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: retryAfter, Ahead: ahead, ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p, c), Returned: c.returned(),
 			})
 		default:
 			p.waiting = append(p.waiting, c)
