--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	// mu guards the fields below.
 	mu             sync.Mutex
 	scheduler      *scheduler.Scheduler
+	arrivals       *scheduler.Arrivals
 	picker         *picker.Picker
 	waiters        map[garnetworks.CallID]chan scheduler.Decision
 	heads          map[garnetworks.GroupID]head
@@ -129,6 +130,7 @@
 		successLines:   emitter.NewRateLimiter(SuccessLinesPerSecond),
 		failureLines:   emitter.NewRateLimiter(FailureLinesPerSecond),
 		scheduler:      scheduler.New(options.Zone, random),
+		arrivals:       scheduler.NewArrivals(),
 		picker:         picker.New(options.Zone),
 		waiters:        make(map[garnetworks.CallID]chan scheduler.Decision),
 		heads:          make(map[garnetworks.GroupID]head),
@@ -234,7 +236,7 @@
 		}
 		profile, _ := service.Engines.Get()
 		heads[group.ID] = head{h.Incarnation(), h.Address, group.Model, g.coldLimit(now, service, &h)}
-		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model)})
+		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Size: instancesOf(&profile, group.Model), Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model)})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -276,6 +278,16 @@
 	return 0
 }
 
+// instancesOf returns the number of instances of a group of the model; 0 if the profile lacks it.
+func instancesOf(profile *garnetworks.EngineProfile, model garnetworks.ModelName) int {
+	for i := range profile.Models {
+		if m := &profile.Models[i]; m.Name == model {
+			return m.GroupSize
+		}
+	}
+	return 0
+}
+
 // advance advances the waiting calls, and reports whether there are any.
 func (g *Gateway) advance(now time.Time) bool {
 	g.mu.Lock()
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// grantNew gives the node its part of the free slots of groups that are new to it (Q13). It keeps
+// grantNew gives the node its part of the free slots of groups that are new to it (Q18). It keeps
 // a higher allowance.
 func (s *Scheduler) grantNew(now time.Time, model garnetworks.ModelName) {
 	if !s.peersKnown {
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -28,6 +28,9 @@
 	}
 	g.prefilling++
 	p.allowance--
+	if c.late {
+		p.recordLate(now, g)
+	}
 	if g.Limit.Active(now) {
 		g.lastLimitedCall = now
 	}
@@ -48,7 +51,22 @@
 	if s.peersKnown && p.allowance < 1 && !c.Resumed { // Q6
 		return nil
 	}
-	var free, overdue []*groupState
+	free := s.freeGroups(now, p, c)
+	var overdue []*groupState
+	for _, g := range free {
+		if g.Limit.Overdue && g.Limit.Active(now) {
+			overdue = append(overdue, g)
+		}
+	}
+	if len(overdue) > 0 {
+		free = overdue
+	}
+	return s.leastLoaded(p, free)
+}
+
+// freeGroups returns the groups that can take a call now.
+func (s *Scheduler) freeGroups(now time.Time, p *pool, c *Call) []*groupState {
+	var free []*groupState
 	othersReachable := s.anyZoneReachable(now, p)
 	for _, g := range p.groups {
 		if othersReachable && s.zoneUnreachable(now, g.Zone) { // Q10
@@ -70,18 +88,15 @@
 		if !g.Limit.Allows(now, g.lastLimitedCall) { // Q12
 			continue
 		}
+		if c.late && !p.takesLate(now, g) { // Q14
+			continue
+		}
 		if !p.canPrefill(g, c) { // Q9
 			continue
 		}
 		free = append(free, g)
-		if g.Limit.Overdue && g.Limit.Active(now) {
-			overdue = append(overdue, g)
-		}
 	}
-	if len(overdue) > 0 {
-		free = overdue
-	}
-	return s.leastLoaded(p, free)
+	return free
 }
 
 // leastLoaded returns the least utilized of a few randomly drawn groups (Q7), or nil if
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -98,6 +98,8 @@
 	ID    garnetworks.GroupID
 	Model garnetworks.ModelName
 	Zone  garnetworks.ZoneID
+	// Size is the number of the group's instances; 0 if unknown.
+	Size int
 	// Slots is the number of calls that the group processes concurrently.
 	Slots int
 	// PrefillRate is the number of prompt tokens that the group processes per second; 0 if
@@ -114,8 +116,13 @@
 	Priority int
 	// Arrived is the arrival time of the call.
 	Arrived time.Time
-	// Objective is the time from Arrived within which the first event is on time.
+	// Objective is the time from the first arrival within which the first event is on time.
 	Objective time.Duration
+	// Arrival says whether the call was rejected before.
+	Arrival
+	// Deadline is when the caller gives up; zero if it is unknown, in which case the call is not
+	// served late (Q14).
+	Deadline time.Time
 	// PromptTokens is the length of the prompt. MaxGap is the longest pause between two events
 	// that the client allows; 0 if it states none.
 	PromptTokens int
@@ -124,6 +131,10 @@
 	Resumed bool
 	// Tried holds the groups that have failed the call; they are not chosen again.
 	Tried []garnetworks.GroupID
+	// late says that the call was admitted although it can only be late (Q14).
+	late bool
+	// aheadLate is the number of calls ahead of it when it was admitted late.
+	aheadLate int
 }
 
 // Decision is the outcome for a call: placed or rejected.
@@ -135,14 +146,17 @@
 	Kind garnetworks.Kind
 	// RetryAfter is the estimated time until slots are free.
 	RetryAfter time.Duration
-	// Ahead, ExpectedWait, Patience and Groups explain a rejection: the number of waiting
-	// calls ahead, the expected and the longest acceptable wait, and the number of groups that
+	// Ahead, ExpectedWait, Patience and Groups explain a rejection, and Ahead a late admission:
+	// the number of waiting calls ahead, the expected and the longest acceptable wait, and the number of groups that
 	// could have served the call.
 	Ahead                  int
 	ExpectedWait, Patience time.Duration
 	Groups                 int
-	// Spare is the number of free slots at groups of other models.
+	// Spare is the number of free slots that could have served the call in time (Q16).
 	Spare int
+	// Returned says that the call was rejected before, Late that it was admitted although it can
+	// only be late (Q14).
+	Returned, Late bool
 }
 
 // groupState is a group and this node's view of its load and health.
@@ -174,12 +188,18 @@
 	lastEvent time.Time
 	// lastLimitedCall is when the last call was placed while the group was limited.
 	lastLimitedCall time.Time
+	// latePlaced is the decaying number of this node's calls that were placed although they can
+	// only be late, at latePlacedAt (Q14).
+	latePlaced   float64
+	latePlacedAt time.Time
 }
 
 // pool holds the groups of a model and the calls that wait for them.
 type pool struct {
-	groups  map[garnetworks.GroupID]*groupState
-	waiting []*Call
+	groups map[garnetworks.GroupID]*groupState
+	// size and slots are the instances and the slots of a group of the model; 0 before one served.
+	size, slots int
+	waiting     []*Call
 	// freeRate is the number of slots that became free per second, averaged, at freeRateAt.
 	freeRate   float64
 	freeRateAt time.Time
@@ -202,6 +222,9 @@
 	// allowance is the number of slots that this node may still take until the next report
 	// from the peers (Q6).
 	allowance float64
+	// rejectedAt is when the last call was rejected for lack of time, lastReturn the time for which
+	// the last of them was told to return (Q15).
+	rejectedAt, lastReturn time.Time
 }
 
 // Scheduler holds the pools of all models. It is not safe for concurrent use.
@@ -237,6 +260,7 @@
 	for _, g := range groups {
 		listed.Add(g.ID)
 		p := s.pool(g.Model)
+		p.size, p.slots = g.Size, g.Slots
 		if old := p.groups[g.ID]; old != nil {
 			old.Group, old.gone = g, false
 			continue
@@ -269,20 +293,31 @@
 func (s *Scheduler) Arrive(now time.Time, c Call) (Decision, bool) {
 	p := s.pool(c.Model)
 	p.recordArrival(now)
-	if len(p.waiting) == 0 || c.Resumed {
+	if c.Resumed || !p.waitsOnTime() && !p.canOnlyBeLate(now, &c) {
 		if g := s.pickGroup(now, p, &c); g != nil {
 			s.dispatch(now, p, g, &c)
-			return Decision{Call: c.ID, Group: g.ID}, true
+			return c.placed(g), true
 		}
 	}
 	if d, rejected := p.reject(now, &c); rejected {
-		d.Spare = s.spare(now, p)
+		d.Spare = s.spare(now, p, &c)
 		return d, true
 	}
+	if c.late && len(p.waiting) == 0 {
+		if g := s.pickGroup(now, p, &c); g != nil {
+			s.dispatch(now, p, g, &c)
+			return c.placed(g), true
+		}
+	}
 	p.enqueue(&c)
 	return Decision{}, false
 }
 
+// placed returns the decision that the group gets the call.
+func (c *Call) placed(g *groupState) Decision {
+	return Decision{Call: c.ID, Group: g.ID, Ahead: c.aheadLate, Returned: c.returned(), Late: c.late}
+}
+
 // SetLimit replaces the limit of a group.
 func (s *Scheduler) SetLimit(model garnetworks.ModelName, group garnetworks.GroupID, limit limiter.Limit) {
 	if g := s.pool(model).groups[group]; g != nil {
@@ -299,23 +334,6 @@
 	return 0
 }
 
-// spare returns the number of free slots at groups of models other than p's. If there are
-// some while calls are rejected, the models have the wrong numbers of groups.
-func (s *Scheduler) spare(now time.Time, p *pool) int {
-	free := 0
-	for _, other := range s.pools {
-		if other == p {
-			continue
-		}
-		for _, g := range other.groups {
-			if !g.gone && !now.Before(g.cooldownUntil) && !g.Limit.Active(now) {
-				free += int(max(0, g.window-other.expectedCalls(g)))
-			}
-		}
-	}
-	return free
-}
-
 // Finished frees the slot of a call and returns decisions on waiting calls of the model;
 // hadEvent says whether the call had an event at the group, took how long it was there.
 func (s *Scheduler) Finished(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took time.Duration, hadEvent bool) []Decision {
