--- a/messenger/methods.go
+++ b/messenger/methods.go
@@ -114,7 +114,7 @@
 	describe() (name string, receiver drpc.Receiver, method any)
 }
 
-var peerMethods = methods{heartbeat, distribute, fetch, events, status, propose, progress, report, confirm, commitClaims, follow, exchange}
+var peerMethods = methods{heartbeat, distribute, fetch, events, status, propose, progress, report, confirm, commitClaims, follow, exchange, verdict}
 
 // NumMethods implements drpc.Description.
 func (m methods) NumMethods() int { return len(m) }
