gateway, scheduler: calls leave a group as soon as a verdict says that it is lost

A call stays at a lost group for 550 ms after its last event, since nothing but time tells a lost group from a slow one. The watchdog now asks for a verdict once the silence exceeds the suspector's threshold; on "lost" all calls of the node there move (slot reserved first, within the limit on retries, as before), and the scheduler avoids the group until its next event. On any other verdict, or none, the existing time-outs apply. Options.AskVerdict is not set yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/garnetworks/garnetworks/picker"
 	"github.com/garnetworks/garnetworks/retrier"
 	"github.com/garnetworks/garnetworks/scheduler"
+	"github.com/garnetworks/garnetworks/suspector"
 )
 
 const (
@@ -51,7 +52,11 @@
 	Proxy    garnetworks.CallProxy
 	Meter    *meter.Meter
 	// Suspect is called for groups that seem to stall.
-	Suspect    func(garnetworks.GroupID)
+	Suspect func(garnetworks.GroupID)
+	// AskVerdict asks the lease holder for its verdict on a group without events for some time.
+	// It returns at once, and calls answered later from another goroutine, at most once. It may
+	// be nil.
+	AskVerdict func(group garnetworks.GroupID, silence time.Duration, answered func(garnetworks.Verdict))
 	Quarantine garnetworks.Quarantine
 	// Self is the node, and Nodes returns the other nodes of the site that it knows; it may be
 	// nil.
@@ -97,7 +102,10 @@
 	waiters        map[garnetworks.CallID]chan scheduler.Decision
 	heads          map[garnetworks.GroupID]head
 	lastGroupEvent map[garnetworks.GroupID]time.Time
-	retryWindows   map[garnetworks.ServiceName]*retrier.Window
+	suspector      suspector.Suspector
+	// watchdogs holds those of the attempts that run at each group.
+	watchdogs    map[garnetworks.GroupID]garnetworks.Set[*watchdog]
+	retryWindows map[garnetworks.ServiceName]*retrier.Window
 	// nodes is the number of nodes among which the site's retries are divided: the highest one
 	// reported within nodeCountRetention, at nodesUpdated.
 	nodes        int
@@ -133,6 +141,7 @@
 		waiters:        make(map[garnetworks.CallID]chan scheduler.Decision),
 		heads:          make(map[garnetworks.GroupID]head),
 		lastGroupEvent: make(map[garnetworks.GroupID]time.Time),
+		watchdogs:      make(map[garnetworks.GroupID]garnetworks.Set[*watchdog]),
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
 		started:        time.Now(),
 		limitedCalls:   make(limiter.Calls),
@@ -240,6 +249,7 @@
 	defer g.mu.Unlock()
 	// A group may still send events after its head's entry has disappeared.
 	maps.DeleteFunc(g.lastGroupEvent, func(_ garnetworks.GroupID, at time.Time) bool { return now.Sub(at) > eventRetention })
+	g.suspector.Retain(now)
 	for id := range g.heads {
 		if _, ok := heads[id]; !ok {
 			g.options.Meter.ForgetGroup(id)
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/meter"
 	"github.com/garnetworks/garnetworks/scheduler"
 )
 
@@ -48,10 +49,20 @@
 	w.request.Resumed = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.timer = time.AfterFunc(suspectTimeout, w.check)
+	s.suspector.Started(w.started, s.call.Model, group)
+	w.timer = time.AfterFunc(w.threshold(w.started), w.check)
+	if s.watchdogs[group] == nil {
+		s.watchdogs[group] = make(garnetworks.Set[*watchdog])
+	}
+	s.watchdogs[group].Add(w)
 	return w
 }
 
+// threshold returns the silence from which the group is suspected; the lock is held.
+func (w *watchdog) threshold(now time.Time) time.Duration {
+	return w.stream.suspector.Threshold(now, w.group, w.stream.route.MaxGap)
+}
+
 // recordEvent records an event of the group.
 func (w *watchdog) recordEvent() {
 	now := time.Now()
@@ -59,64 +70,121 @@
 	defer w.stream.mu.Unlock()
 	w.stream.lastGroupEvent[w.group] = now
 	w.stream.scheduler.EventReceived(now, w.stream.call.Model, w.group)
+	w.stream.suspector.Event(now, w.group, !w.hadEvent, now.Sub(w.started))
 	w.limit, w.hadEvent = stallTimeout, true
-	w.timer.Reset(suspectTimeout)
+	w.timer.Reset(w.threshold(now))
 }
 
 // stop stops the watchdog; it reserves no slot afterwards.
 func (w *watchdog) stop() {
 	w.stream.mu.Lock()
 	defer w.stream.mu.Unlock()
+	if w.stopped {
+		return
+	}
 	w.stopped = true
 	w.timer.Stop()
+	w.stream.suspector.Ended(time.Now(), w.group, w.hadEvent)
+	w.stream.watchdogs[w.group].Remove(w)
+	if len(w.stream.watchdogs[w.group]) == 0 {
+		delete(w.stream.watchdogs, w.group)
+	}
 }
 
 // check runs when the call has had no event for some time.
 func (w *watchdog) check() {
-	silent, moved := w.evaluate(time.Now())
-	if silent {
+	now := time.Now()
+	a := w.evaluate(now)
+	if a.silent {
 		w.stream.options.Suspect(w.group)
 	}
-	if moved {
+	if a.ask {
+		w.stream.askVerdict(now, w.stream.call.Model, w.group, a.silence)
+	}
+	if a.moved {
+		w.stream.options.Meter.Moved(a.cause, a.silence)
 		w.cancel(errStalled)
 	}
 }
 
-// evaluate reports whether the group is silent, and whether a slot elsewhere was reserved so
-// that the call moves; if not, it resets the timer.
-func (w *watchdog) evaluate(now time.Time) (silent, moved bool) {
+// assessment is what follows from the time without events.
+type assessment struct {
+	silence time.Duration
+	// silent says that the silence is reported to all nodes, ask that the lease holder is asked
+	// for its verdict.
+	silent, ask bool
+	// moved says that a slot elsewhere was reserved so that the call moves, because of cause.
+	moved bool
+	cause meter.MoveCause
+}
+
+// evaluate assesses the time without events, and resets the timer unless the call moves.
+func (w *watchdog) evaluate(now time.Time) assessment {
 	w.stream.mu.Lock()
 	defer w.stream.mu.Unlock()
 	if w.stopped {
-		return false, false
+		return assessment{}
 	}
+	model := w.stream.call.Model
 	last := w.stream.lastGroupEvent[w.group]
 	if last.Before(w.started) {
 		last = w.started
 	}
-	silence := now.Sub(last)
-	if silence >= suspectTimeout {
-		w.stream.scheduler.Unreachable(now, w.stream.call.Model, w.group)
+	a := assessment{silence: now.Sub(last), cause: meter.MoveStalled}
+	a.silent = a.silence >= suspectTimeout
+	if a.silent {
+		w.stream.scheduler.Unreachable(now, model, w.group)
 	}
+	suspicion := w.stream.suspector.Check(now, w.group, a.silence, w.stream.route.MaxGap)
+	a.ask = suspicion.Ask
 	if w.firstEventOverdue(now) && w.movable && w.stream.reserve(now, w.request) {
-		return silence >= suspectTimeout, true
+		a.moved, a.cause = true, meter.MoveNoFirstEvent
+		return a
 	}
 	limit := w.limit
-	if w.stream.scheduler.Lost(now, w.stream.call.Model, w.group) {
-		limit = suspectTimeout
+	switch {
+	case w.stream.scheduler.IsFoundLost(now, model, w.group):
+		limit, a.cause = 0, meter.MoveVerdict
+	case w.stream.scheduler.Lost(now, model, w.group):
+		limit, a.cause = suspectTimeout, meter.MoveReportedLost
 	}
 	switch {
-	case silence < suspectTimeout:
-		w.timer.Reset(suspectTimeout - silence)
-		return false, false
-	case silence < limit:
-		w.timer.Reset(min(moveRetryInterval, limit-silence))
+	case a.silence < min(limit, suspicion.Threshold):
+		w.timer.Reset(min(limit, suspicion.Threshold) - a.silence)
+	case a.silence < limit && !a.silent:
+		w.timer.Reset(min(moveRetryInterval, suspectTimeout-a.silence))
+	case a.silence < limit:
+		w.timer.Reset(min(moveRetryInterval, limit-a.silence))
 	case w.movable && w.stream.reserve(now, w.request):
-		return true, true
+		a.moved = true
 	default:
 		w.timer.Reset(moveRetryInterval)
 	}
-	return true, false
+	return a
+}
+
+// askVerdict asks the lease holder for its verdict on a group without events for some time.
+func (g *Gateway) askVerdict(asked time.Time, model garnetworks.ModelName, group garnetworks.GroupID, silence time.Duration) {
+	if g.options.AskVerdict != nil {
+		g.options.AskVerdict(group, silence, func(verdict garnetworks.Verdict) { g.verdictReceived(asked, model, group, verdict) })
+	}
+}
+
+// verdictReceived applies the verdict on a group that the lease holder was asked about. On "lost"
+// all calls at the group move, where other groups have slots.
+func (g *Gateway) verdictReceived(asked time.Time, model garnetworks.ModelName, group garnetworks.GroupID, verdict garnetworks.Verdict) {
+	now := time.Now()
+	g.options.Meter.Suspicion(verdict)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current := g.suspector.Answered(now, group, asked, verdict)
+	if !current || verdict != garnetworks.VerdictLost {
+		return
+	}
+	g.scheduler.FoundLost(now, model, group)
+	for w := range g.watchdogs[group] {
+		w.timer.Reset(0)
+	}
 }
 
 // firstEventOverdue reports whether the call has had no event for so long that it counts as
--- a/gateway/guard_test.go
+++ b/gateway/guard_test.go
@@ -20,6 +20,7 @@
 		options:        Options{Suspect: func(garnetworks.GroupID) {}, Meter: meter.New(), Alone: true},
 		scheduler:      scheduler.New("z", func() float64 { return 0 }),
 		lastGroupEvent: make(map[garnetworks.GroupID]time.Time),
+		watchdogs:      make(map[garnetworks.GroupID]garnetworks.Set[*watchdog]),
 		retryWindows:   make(map[garnetworks.ServiceName]*retrier.Window),
 		waiters:        make(map[garnetworks.CallID]chan scheduler.Decision),
 		links:          delegator.NewLinks(),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,16 +13,19 @@
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/scheduler"
 	"github.com/garnetworks/garnetworks/splicer"
+	"github.com/garnetworks/garnetworks/suspector"
 )
 
 // Timeouts and limits of streams.
 const (
 	// suspectTimeout is how long a group may send no event to any of this node's calls before
-	// it is suspected, which only causes its members to be probed. It is not shorter than
-	// a pass of a full batch with a long prompt.
-	suspectTimeout = 300 * time.Millisecond
+	// it is suspected at the latest, which only causes its members to be probed, and reported
+	// to the other nodes. Package suspector decides when the lease holder is asked for its
+	// verdict before that.
+	suspectTimeout = suspector.MaxThreshold
 	// stallTimeout is the silence after which the node moves its calls to other groups. It is
-	// longer because a moved call needs another prefill.
+	// longer because a moved call needs another prefill. It is the upper bound for groups on
+	// which there is no verdict.
 	stallTimeout = 550 * time.Millisecond
 	// firstEventStallTimeout is the same for a call without an event yet.
 	firstEventStallTimeout = 1200 * time.Millisecond
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -51,6 +51,8 @@
 	limitedAnswers *prometheus.CounterVec
 	attemptTime    *prometheus.HistogramVec
 	objectTime     *prometheus.HistogramVec
+	suspicions     *prometheus.CounterVec
+	moveSilence    *prometheus.HistogramVec
 	counters       map[string]prometheus.Counter
 	gauges         map[string]prometheus.Gauge
 	lastTotals     map[string]uint64
@@ -100,6 +102,8 @@
 	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
+	{"garnet_suspicions_total", "Suspicions of groups about which the node asked the lease holder, by verdict: lost, healthy or unknown, which includes those without an answer.", []string{"verdict"}},
+	{"garnet_move_silence_seconds", "Time without events of a group after which a call was moved to another one, by cause: the verdict of the lease holder, its load report, the time-out for events or that for first events.", []string{"cause"}},
 	{"garnet_log_lines_dropped_total", "Log lines that found the ring to the writer full.", nil},
 	{"garnet_events_total", "Events recorded on the time line, by kind.", []string{"kind"}},
 }
@@ -110,6 +114,7 @@
 var (
 	firstTokenBuckets = []float64{.01, .025, .05, .1, .2, .3, .42, .6, .84, 1.2, 2, 4, 8}
 	attemptBuckets    = []float64{.01, .025, .05, .1, .15, .25, .4, .6, 1, 2, 4, 8}
+	moveBuckets       = []float64{.1, .15, .2, .25, .3, .4, .55, .8, 1.2, 2.4}
 	objectBuckets     = []float64{.002, .004, .008, .016, .032, .064, .125, .25, .5, 1, 2}
 	betweenBuckets    = []float64{.005, .01, .015, .02, .03, .046, .06, .09, .18, .5, 1, 3}
 )
@@ -151,6 +156,8 @@
 	m.limitedAnswers = counter("garnet_limited_answers_total")
 	m.attemptTime = histograms("garnet_attempt_seconds", attemptBuckets)
 	m.objectTime = histograms("garnet_object_api_seconds", objectBuckets)
+	m.suspicions = counter("garnet_suspicions_total")
+	m.moveSilence = histograms("garnet_move_silence_seconds", moveBuckets)
 	m.calls = counter("garnet_calls_total")
 	m.tokens = counter("garnet_tokens_total")
 	m.firstToken = histogram("garnet_first_token_seconds", firstTokenBuckets)
@@ -234,6 +241,27 @@
 	m.limitedAnswers.WithLabelValues(string(service)).Inc()
 }
 
+// MoveCause is why a call was moved from a group without events.
+type MoveCause string
+
+// The causes.
+const (
+	MoveVerdict      MoveCause = "verdict"
+	MoveReportedLost MoveCause = "reported"
+	MoveStalled      MoveCause = "stalled"
+	MoveNoFirstEvent MoveCause = "no-first-event"
+)
+
+// Moved observes the time without events after which a call was moved from its group.
+func (m *Meter) Moved(cause MoveCause, silence time.Duration) {
+	m.moveSilence.WithLabelValues(string(cause)).Observe(silence.Seconds())
+}
+
+// Suspicion counts a suspicion of a group by the lease holder's verdict.
+func (m *Meter) Suspicion(verdict garnetworks.Verdict) {
+	m.suspicions.WithLabelValues(string(verdict)).Inc()
+}
+
 // ForgetGroup deletes a group's counters, so that groups that come and go don't grow the
 // node's memory (rule M2).
 func (m *Meter) ForgetGroup(group garnetworks.GroupID) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -40,6 +40,8 @@
 	m.Retry("s", true)
 	m.Delegated("s", "taken")
 	m.LimitedAnswer("s")
+	m.Suspicion(garnetworks.VerdictLost)
+	m.Moved(MoveVerdict, time.Second)
 	m.LinesDropped(2)
 	m.RegisterRoutingAge(func() time.Duration { return 1500 * time.Millisecond })
 	m.InFlight(3)
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -44,7 +44,8 @@
 //	    is reachable.
 //	Q11 A group whose instances have all failed, while their entries have not
 //	    lapsed. Failures that the lease holder finds by probes count at all nodes,
-//	    except at a node that has just received an event from the group.
+//	    except at a node that has just received an event from the group. A verdict that
+//	    the node itself asked for counts at once, and until the group's next event.
 //	Q12 A group whose head takes few calls: it is cold, as all heads of an availability
 //	    zone that returns, names a limit, or requested a backoff. It gets no more calls from this node than
 //	    limiter.Limit allows, whatever their kind, and its other slots count neither as
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -152,9 +152,9 @@
 }
 
 // isLost reports whether the group is reported lost and this node has no recent event that
-// contradicts the report (Q11).
+// contradicts the report, or was found lost for this node (Q11).
 func (g *groupState) isLost(now time.Time) bool {
-	return g.lost && now.Sub(g.lastEvent) > eventValidity
+	return g.lost && now.Sub(g.lastEvent) > eventValidity || g.foundLost(now)
 }
 
 // Lost reports whether the group is reported lost and gave this node no recent event.
--- a/scheduler/reach.go
+++ b/scheduler/reach.go
@@ -16,6 +16,9 @@
 	// eventValidity is how long an event of a group outweighs a report that it is lost. It
 	// spans a few of the intervals at which a healthy group gives events.
 	eventValidity = 300 * time.Millisecond
+	// verdictValidity is how long the verdict that a group is lost counts without an event of the
+	// group. After that, the load reports of the lease holder contain it, if it still holds.
+	verdictValidity = time.Second
 	// maxProbeInterval bounds the time between two probes. The entries of a zone that the
 	// platform can't reach either lapse within a few seconds.
 	maxProbeInterval = 4 * groupCooldown
@@ -45,6 +48,25 @@
 	delete(s.zones, g.Zone)
 }
 
+// FoundLost records the lease holder's verdict, given to this node, that a group is lost (Q11).
+// Until an event refutes it, the group gets no calls, and events from before the verdict don't
+// count.
+func (s *Scheduler) FoundLost(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) {
+	if g := s.pool(model).groups[group]; g != nil {
+		g.lostAt = now
+	}
+}
+
+// IsFoundLost reports whether a verdict that the group is lost is valid.
+func (s *Scheduler) IsFoundLost(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) bool {
+	g := s.pool(model).groups[group]
+	return g != nil && g.foundLost(now)
+}
+
+func (g *groupState) foundLost(now time.Time) bool {
+	return now.Sub(g.lostAt) < verdictValidity && g.lastEvent.Before(g.lostAt)
+}
+
 // Unreachable records that a group did not respond in time: with a connection, an
 // acknowledgement or an event (Q10).
 func (s *Scheduler) Unreachable(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID) {
--- a/scheduler/reach_test.go
+++ b/scheduler/reach_test.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// findLost records the verdict that the groups of the far zone are lost.
+func findLost(s *scheduler.Scheduler, at time.Time) {
+	for _, g := range []garnetworks.GroupID{"far0", "far1"} {
+		s.FoundLost(at, "m", g)
+	}
+}
+
 // Guards against each node discovering by its own calls that all instances of a group have
 // failed: a report by the lease holder counts, unless the group still gives events.
 func TestGroupReportedLostGetsNoCalls(t *testing.T) {
@@ -124,6 +131,15 @@
 			s.SetPeerLoad(now, garnetworks.LoadReport{}, false)
 		}, true},
 		"recent event": {func(s *scheduler.Scheduler) { s.SetPeerLoad(now, lost, true); s.EventReceived(now, "m", "far1") }, true},
+		"found lost after an event": {func(s *scheduler.Scheduler) {
+			s.EventReceived(now.Add(-200*time.Millisecond), "m", "far1")
+			findLost(s, now.Add(-time.Millisecond))
+		}, false},
+		"event after it was found lost": {func(s *scheduler.Scheduler) {
+			findLost(s, now.Add(-time.Millisecond))
+			s.EventReceived(now, "m", "far1")
+		}, true},
+		"found lost, but not reported": {func(s *scheduler.Scheduler) { findLost(s, now.Add(-time.Second)) }, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,6 +172,8 @@
 	// the last event that this node received from the group.
 	lost      bool
 	lastEvent time.Time
+	// lostAt is the time of the last verdict for this node that the group is lost.
+	lostAt time.Time
 	// lastLimitedCall is when the last call was placed while the group was limited.
 	lastLimitedCall time.Time
 }
