former: verdicts on suspected groups within 150 ms

The holder finds an instance unresponsive after two probes in a row of 150 ms each, and the nodes learn of its group with the load reports, over two hops of 150 ms: longer than the pause that callers allow.

Nodes may now ask for a verdict (O12). One round of probes serves all that ask; a member that has not answered after 40 ms gets a second probe over another connection, and the group is lost if neither is answered 90 ms after the first, provided that other engines answered quickly. Own delays, unanswered probes in several zones, slow answers and missing controls give "unknown" (O9, O11). Instances are found unresponsive by the same probes as before. Groups found lost are in the next load report at once.

--- a/event.go
+++ b/event.go
@@ -76,6 +76,7 @@
 	EventInstanceResponsive   EventKind = "instance-answers"
 	EventLocalFaultSuspected  EventKind = "own-fault-presumed"
 	EventGroupSuspected       EventKind = "group-suspected"
+	EventGroupFoundLost       EventKind = "group-found-lost"
 	EventObjectAPIDown        EventKind = "object-api-down"
 	EventObjectAPIRestored    EventKind = "object-api-back"
 	EventObjectAPIStale       EventKind = "object-api-behind"
--- a/former/doc.go
+++ b/former/doc.go
@@ -32,4 +32,10 @@
 //	    but no domain's groups are reallocated to another model.
 //	O11 A node of which no engine answers control probes presumes that its own links are
 //	    down. It finds no engine unresponsive and leaves the lease to other nodes.
+//	O12 Nodes that suspect a group ask the lease holder for its verdict, so that calls leave a
+//	    lost group within the pause that callers allow. One round of probes serves all
+//	    nodes that ask. The group is lost if a member answers neither of two probes while
+//	    other engines answer quickly; a holder that is late, overloaded or without links
+//	    gives no verdict, and neither does one that has just taken the lease. The verdict
+//	    moves calls only: instances are found unresponsive as before.
 package former
--- a/former/former.go
+++ b/former/former.go
@@ -127,6 +127,8 @@
 	defer ticker.Stop()
 	pause := time.NewTimer(0)
 	defer pause.Stop()
+	rounds := time.NewTimer(0)
+	defer rounds.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -145,6 +147,9 @@
 			f.handleProbeResult(p)
 		case id := <-f.suspects:
 			f.suspect(id)
+		case q := <-f.questions:
+			f.answerQuestion(time.Now(), q)
+		case <-rounds.C:
 		}
 		f.drainResults()
 		if f.needsPlan && !time.Now().Before(f.nextPlanAt) {
@@ -152,7 +157,11 @@
 			pause.Reset(time.Until(f.nextPlanAt))
 		}
 		f.dispatch(ctx)
+		f.advanceRounds(time.Now(), f.options.Follower.Servers)
 		f.dispatchProbes(ctx)
+		if due, ok := f.nextRoundDue(); ok {
+			rounds.Reset(time.Until(due))
+		}
 	}
 }
 
@@ -226,7 +235,8 @@
 	return nil
 }
 
-// findLostGroups records the groups with an unresponsive instance that send no events.
+// findLostGroups records the groups with an unresponsive instance that send no events, and those
+// with a recent verdict that they are lost. The events of the latter are from before the loss.
 func (f *Former) findLostGroups(servers follower.Servers) {
 	progressing := f.progressing()
 	lost := make(garnetworks.Set[garnetworks.GroupID])
@@ -235,6 +245,11 @@
 			lost.Add(s.Membership.Group)
 		}
 	}
+	for id, r := range f.rounds {
+		if r.verdict == garnetworks.VerdictLost {
+			lost.Add(id)
+		}
+	}
 	list := slices.Sorted(maps.Keys(lost))
 	f.lost.Store(&list)
 }
--- a/former/links_test.go
+++ b/former/links_test.go
@@ -67,7 +67,7 @@
 	servers := follower.Servers{
 		"a": server("a", "d1", "lost"), "b": server("b", "d1", "lost"), "c": server("c", "d1", "other"), "d": server("d", "d2", "third"), "p": server("p", "", ""),
 	}
-	f.probeControls(time.Now(), "lost", servers)
+	f.probeControls(time.Now(), controlInterval, "lost", servers)
 	var got []garnetworks.InstanceID
 	for _, p := range f.probeQueue {
 		got = append(got, p.server.ID)
--- a/former/prober.go
+++ b/former/prober.go
@@ -65,12 +65,17 @@
 	// answer of any engine; lastControl is when the last round of them was queued.
 	controlsSent, controlsFailed garnetworks.Set[garnetworks.Incarnation]
 	lastControl                  time.Time
+	// rounds are the open rounds of probes of suspected groups and the recent ones.
+	rounds    map[garnetworks.GroupID]*round
+	questions chan question
 }
 
 type pendingProbe struct {
 	server   garnetworks.RegisteredServer
 	attempts int
 	control  bool
+	// hedge says that the probe is a second one beside another: it counts only if answered.
+	hedge bool
 }
 
 // probeResult is the result of a probe.
@@ -81,8 +86,8 @@
 	// took is the time to the response or to the timeout.
 	took time.Duration
 	// last says that no further attempt follows; control, that the probe only checks the node's
-	// own links.
-	last, control bool
+	// own links; hedge, that its failure does not count.
+	last, control, hedge bool
 }
 
 func newProber(bufferSize int) prober {
@@ -95,6 +100,8 @@
 		lastProbe:     make(map[garnetworks.Incarnation]time.Time),
 		lastSuspected: make(map[garnetworks.GroupID]time.Time),
 		probeResults:  make(chan probeResult, bufferSize),
+		rounds:        make(map[garnetworks.GroupID]*round),
+		questions:     make(chan question, maxQuestions),
 
 		controlsSent: make(garnetworks.Set[garnetworks.Incarnation]), controlsFailed: make(garnetworks.Set[garnetworks.Incarnation]),
 	}
@@ -131,13 +138,7 @@
 		return false
 	}
 	z.failed++
-	failedZones := 0
-	for _, z := range d.zones {
-		if z.failed >= zoneFailureCount && z.failed > z.responsive {
-			failedZones++
-		}
-	}
-	if failedZones < 2 {
+	if failedZones(d.zones) < 2 {
 		return false
 	}
 	if now.Sub(d.suspectedSince) > localFaultHold+localFaultWindow {
@@ -146,6 +147,17 @@
 	return now.Sub(d.suspectedSince) <= localFaultHold
 }
 
+// failedZones returns the number of zones in which many probes failed and fewer were answered.
+func failedZones(zones map[garnetworks.ZoneID]*zoneProbes) int {
+	count := 0
+	for _, z := range zones {
+		if z.failed >= zoneFailureCount && z.failed > z.responsive {
+			count++
+		}
+	}
+	return count
+}
+
 // scheduleProbe has an instance probed before it may count as unresponsive. An unanswered order
 // is not enough: orders get lost or delayed at instances that serve well, and their groups
 // would be abandoned without need.
@@ -163,6 +175,9 @@
 	if p.err == nil || garnetworks.IsKind(p.err, garnetworks.KindNotFound) {
 		clear(f.controlsSent)
 		clear(f.controlsFailed)
+		f.probeAnswered(now, &p)
+	} else if p.hedge {
+		return
 	} else if p.control {
 		if f.controlsSent.Has(p.incarnation) { // no engine answered since it was sent
 			f.controlsFailed.Add(p.incarnation)
@@ -237,8 +252,9 @@
 
 // probeControls probes some instances outside the suspected group, of other domains where there
 // are any, so that a fault of this node's links can be distinguished from one of the group.
-func (f *Former) probeControls(now time.Time, suspected garnetworks.GroupID, servers follower.Servers) {
-	if now.Sub(f.lastControl) < controlInterval {
+// Nothing is sent within the interval after the last round of them.
+func (f *Former) probeControls(now time.Time, interval time.Duration, suspected garnetworks.GroupID, servers follower.Servers) {
+	if now.Sub(f.lastControl) < interval {
 		return
 	}
 	f.lastControl = now
@@ -279,6 +295,7 @@
 		return
 	}
 	f.unresponsive.Add(id)
+	f.markEnded(id)
 	f.needsPlan = true
 	f.options.Recorder.Record(garnetworks.Event{Kind: garnetworks.EventInstanceUnresponsive, Instance: id.Instance, Detail: fmt.Sprintf("%d probes in a row failed", f.misses[id])})
 }
@@ -289,15 +306,7 @@
 	if f.options.Lease.Term(now) == 0 || now.Sub(f.lastSuspected[id]) < suspectInterval {
 		return
 	}
-	f.lastSuspected[id] = now
-	f.options.Recorder.Record(garnetworks.Event{Kind: garnetworks.EventGroupSuspected, Group: id, Detail: "no recent events, or a refused call; its members are probed"})
-	servers := f.options.Follower.Servers()
-	f.probeControls(now, id, servers)
-	for _, s := range servers {
-		if s.Membership.Group == id {
-			f.probe(s, probeAttempts)
-		}
-	}
+	f.beginRound(now, id, f.options.Follower.Servers())
 }
 
 // probe queues up to attempts probes of an instance, which end when it responds. It returns
@@ -317,6 +326,7 @@
 		next := f.probeQueue[0]
 		f.probeQueue = f.probeQueue[1:]
 		f.probeWindow.start()
+		f.probeSent(time.Now(), &next)
 		go f.runProbe(ctx, next)
 	}
 }
@@ -332,7 +342,7 @@
 			return
 		}
 		last := err == nil || n == probe.attempts-1
-		f.probeResults <- probeResult{s.Incarnation(), s.Zone, err, time.Since(began), last, probe.control}
+		f.probeResults <- probeResult{s.Incarnation(), s.Zone, err, time.Since(began), last, probe.control, probe.hedge}
 		if last {
 			return
 		}
--- /dev/null
+++ b/former/verdict_test.go
@@ -0,0 +1,230 @@
+package former
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/follower"
+)
+
+// probedEngines answers a former's probes in a test.
+type probedEngines struct {
+	garnetworks.GroupOrders
+	// answer returns the time to an engine's answer to its nth probe, and whether there is one.
+	answer func(id garnetworks.InstanceID, n int) (time.Duration, bool)
+	probes atomic.Int64
+	counts map[garnetworks.InstanceID]int
+	lock   chan struct{}
+}
+
+func (e *probedEngines) Probe(ctx context.Context, _ string, id garnetworks.Incarnation) error {
+	e.probes.Add(1)
+	e.lock <- struct{}{}
+	e.counts[id.Instance]++
+	took, ok := e.answer(id.Instance, e.counts[id.Instance])
+	<-e.lock
+	if !ok {
+		took = time.Hour
+	}
+	select {
+	case <-time.After(took):
+		return nil
+	case <-ctx.Done():
+		return garnetworks.Errorf(garnetworks.KindUnreachable, "no answer")
+	}
+}
+
+// holder is a lease holder with the servers of some groups of four, each in its own domain.
+type holder struct {
+	*Former
+	engines *probedEngines
+	servers follower.Servers
+	// pauses are times at which the node stops for a while.
+	pauseAt, pauseFor time.Duration
+}
+
+func newHolder(groups int, answer func(garnetworks.InstanceID, int) (time.Duration, bool)) *holder {
+	e := &probedEngines{answer: answer, counts: make(map[garnetworks.InstanceID]int), lock: make(chan struct{}, 1)}
+	h := &holder{engines: e, servers: make(follower.Servers)}
+	h.Former = &Former{options: Options{Recorder: &eventCounter{}, Orders: e}, prober: newProber(1024)}
+	h.lost.Store(&[]garnetworks.GroupID{})
+	for g := range groups {
+		for m := range 4 {
+			s := garnetworks.RegisteredServer{ListedInstance: garnetworks.ListedInstance{
+				ID: garnetworks.InstanceID(fmt.Sprintf("i-%d-%d", g, m)), State: garnetworks.ListedLive,
+				Domain: garnetworks.DomainID(fmt.Sprint(g)), Zone: garnetworks.ZoneID(fmt.Sprint(g % 3)),
+			}}
+			s.Membership.Group = garnetworks.GroupID(fmt.Sprint("g", g))
+			h.servers[s.ID] = s
+		}
+	}
+	return h
+}
+
+// run handles questions and probes as Former.Run does.
+func (h *holder) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	var pause <-chan time.Time
+	if h.pauseFor > 0 {
+		pause = time.After(h.pauseAt)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pause:
+			time.Sleep(h.pauseFor)
+		case p := <-h.probeResults:
+			h.handleProbeResult(p)
+		case q := <-h.questions:
+			h.join(time.Now(), q, h.servers)
+		case <-timer.C:
+		}
+		h.drainResults()
+		h.advanceRounds(time.Now(), func() follower.Servers { return h.servers })
+		h.dispatchProbes(ctx)
+		if due, ok := h.nextRoundDue(); ok {
+			timer.Reset(time.Until(due))
+		}
+	}
+}
+
+const fast = 12 * time.Millisecond
+
+func allAnswer(garnetworks.InstanceID, int) (time.Duration, bool) { return fast, true }
+
+// oneLost answers like all engines but one member of g0.
+func oneLost(id garnetworks.InstanceID, _ int) (time.Duration, bool) { return fast, id != "i-0-1" }
+
+// Guards against verdicts that come too late for the pause that callers allow, and against a
+// healthy group that is found lost because of a slow member, lost packets or a fault of the holder.
+func TestVerdict(t *testing.T) {
+	cases := map[string]struct {
+		answer func(garnetworks.InstanceID, int) (time.Duration, bool)
+		groups int
+		// unresponsive is an instance that was found unresponsive earlier.
+		unresponsive      garnetworks.InstanceID
+		pauseAt, pauseFor time.Duration
+		noPlans           bool
+		want              garnetworks.Verdict
+		within            time.Duration
+	}{
+		"lost member":      {answer: oneLost, want: garnetworks.VerdictLost, within: 95 * time.Millisecond},
+		"all members lost": {answer: func(id garnetworks.InstanceID, _ int) (time.Duration, bool) { return fast, id[:4] != "i-0-" }, want: garnetworks.VerdictLost, within: 95 * time.Millisecond},
+		"healthy":          {answer: allAnswer, want: garnetworks.VerdictHealthy, within: fast},
+		"lost packet":      {answer: func(id garnetworks.InstanceID, n int) (time.Duration, bool) { return fast, id != "i-0-1" || n > 1 }, want: garnetworks.VerdictHealthy, within: hedgeAfter + fast},
+		"slow member":      {answer: func(id garnetworks.InstanceID, _ int) (time.Duration, bool) { return 80 * time.Millisecond, true }, want: garnetworks.VerdictHealthy, within: 80 * time.Millisecond},
+		"paused member": {answer: func(id garnetworks.InstanceID, n int) (time.Duration, bool) {
+			if id == "i-0-1" {
+				return max(fast, 80*time.Millisecond-time.Duration(n-1)*hedgeAfter), true
+			}
+			return fast, true
+		}, want: garnetworks.VerdictHealthy, within: 80 * time.Millisecond},
+		"holder without links": {answer: func(garnetworks.InstanceID, int) (time.Duration, bool) { return 0, false }, want: garnetworks.VerdictUnknown, within: VerdictTimeout},
+		"holder is paused":     {answer: oneLost, pauseAt: 50 * time.Millisecond, pauseFor: 80 * time.Millisecond, want: garnetworks.VerdictUnknown, within: VerdictTimeout},
+		"holder is overloaded": {answer: func(id garnetworks.InstanceID, _ int) (time.Duration, bool) {
+			return 60 * time.Millisecond, id != "i-0-1"
+		}, want: garnetworks.VerdictUnknown, within: VerdictTimeout},
+		"holder just replaced":                        {answer: oneLost, noPlans: true, want: garnetworks.VerdictUnknown, within: VerdictTimeout},
+		"no other group":                              {answer: oneLost, groups: 1, want: garnetworks.VerdictLost, within: 95 * time.Millisecond},
+		"no other group, none answers":                {answer: func(garnetworks.InstanceID, int) (time.Duration, bool) { return 0, false }, groups: 1, want: garnetworks.VerdictUnknown, within: VerdictTimeout},
+		"serves without a member that doesn't answer": {answer: oneLost, unresponsive: "i-0-1", want: garnetworks.VerdictUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHolder(cmp.Or(c.groups, 6), c.answer)
+				h.pauseAt, h.pauseFor = c.pauseAt, c.pauseFor
+				if c.unresponsive != "" {
+					h.unresponsive.Add(garnetworks.Incarnation{Instance: c.unresponsive})
+				}
+				if c.noPlans {
+					h.lost.Store(nil)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go h.run(ctx)
+				began := time.Now()
+				got := h.Verdict(ctx, "g0", 100*time.Millisecond)
+				if took := time.Since(began); got != c.want || took > c.within {
+					t.Errorf("got verdict %s after %s, want %s within %s", got, took, c.want, c.within)
+				}
+				if listed := slices.Contains(h.Lost(), "g0"); listed != (c.want == garnetworks.VerdictLost) {
+					t.Errorf("the group is reported as lost: %t", listed)
+				}
+				time.Sleep(time.Second)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a group that stays reported as lost although the member answers after all.
+func TestLateAnswerRefutesVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHolder(6, func(id garnetworks.InstanceID, n int) (time.Duration, bool) {
+			if id == "i-0-1" {
+				return 120*time.Millisecond - time.Duration(n-1)*hedgeAfter, true
+			}
+			return fast, true
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.run(ctx)
+		if got := h.Verdict(ctx, "g0", 100*time.Millisecond); got != garnetworks.VerdictLost {
+			t.Fatalf("got verdict %s", got)
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		h.findLostGroups(h.servers)
+		if len(h.Lost()) > 0 || len(h.unresponsive) > 0 {
+			t.Errorf("reported as lost: %v, unresponsive: %v", h.Lost(), h.unresponsive)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against probes and messages that grow with the nodes that ask.
+func TestOneRoundServesAllNodesThatAsk(t *testing.T) {
+	const slots = 30
+	for _, nodes := range []int{6, 89, 986} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHolder(6, oneLost)
+				ctx, cancel := context.WithCancel(t.Context())
+				go h.run(ctx)
+				random := rand.New(rand.NewPCG(1, uint64(nodes)))
+				// A group has as many calls as slots, so no more nodes ask.
+				askers := min(nodes, slots)
+				verdicts := make(chan garnetworks.Verdict, askers)
+				for range askers {
+					go func(delay time.Duration) {
+						time.Sleep(delay)
+						verdicts <- h.Verdict(ctx, "g0", 100*time.Millisecond)
+					}(time.Duration(random.IntN(60)) * time.Millisecond)
+				}
+				for range askers {
+					if v := <-verdicts; v != garnetworks.VerdictLost {
+						t.Errorf("got verdict %s", v)
+					}
+				}
+				time.Sleep(time.Second)
+				cancel()
+				synctest.Wait()
+				// Four members and three controls, and a second and a third probe of the lost one.
+				if got := h.engines.probes.Load(); got > 9 {
+					t.Errorf("%d probes for one loss", got)
+				}
+				t.Logf("%d nodes: %d questions and answers, %d probes", nodes, askers, h.engines.probes.Load())
+			})
+		})
+	}
+}
