launcher, exchanger: nodes ask the lease holder for verdicts on silent groups

The load reports name the holder of the groups' lease (the newest term counts in sums), so a node finds it without a call to the object API. A holder that is unknown, silent or of another version gives no verdict, and the existing time-outs apply.

A test over loopback has a second node's stream leave a lost group on the first node's verdict.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -16,7 +16,8 @@
 //	    they are new. All retained records are sent if the checksums of two nodes
 //	    differ, as after a partition or a start.
 //	X6  Groups that the lease holder knows to be lost are sent with its reports, so
-//	    that no node has to find each of them by calls of its own.
+//	    that no node has to find each of them by calls of its own. The reports also
+//	    name the holder, so that nodes can ask it without a call to the object API.
 //	X7  Limits that servers name to a node are sent with its reports, and the sums over
 //	    them, for a short time. Nodes that learned of them from a report don't send them.
 package exchanger
@@ -486,6 +487,9 @@
 		sum.Suspects = appendUnique(sum.Suspects, r.Suspects, maxSuspects)
 		sum.Lost = appendUnique(sum.Lost, r.Lost, maxLost)
 		limits = append(limits, r.Limits...)
+		if r.LeaseTerm > sum.LeaseTerm { // X6
+			sum.LeaseHolder, sum.LeaseTerm = r.LeaseHolder, r.LeaseTerm
+		}
 	}
 	sum.Limits = newestLimits(limits)
 	for _, g := range groups {
--- a/exchanger/total_test.go
+++ b/exchanger/total_test.go
@@ -71,3 +71,14 @@
 		t.Errorf("the sum has %d limits", got)
 	}
 }
+
+// Guards against nodes that ask a former lease holder for verdicts while its last reports are valid.
+func TestSumNamesTheHolderOfTheNewestTerm(t *testing.T) {
+	report := func(node garnetworks.NodeID, term uint32) garnetworks.LoadReport {
+		return garnetworks.LoadReport{Nodes: 1, LeaseHolder: node, LeaseTerm: term}
+	}
+	sum := Sum(report("", 0), report("old", 3), Sum(report("new", 4), report("", 0)), report("older", 2))
+	if sum.LeaseHolder != "new" || sum.LeaseTerm != 4 {
+		t.Errorf("the holder is %q of term %d", sum.LeaseHolder, sum.LeaseTerm)
+	}
+}
--- a/follow.go
+++ b/follow.go
@@ -72,6 +72,10 @@
 	// Limits are the limits that servers recently named, or ceased to name, to the nodes that
 	// the report covers.
 	Limits []ServerLimit
+	// LeaseHolder is the node that holds the lease of the groups, LeaseTerm its term; empty and 0
+	// if the report covers no holder.
+	LeaseHolder NodeID
+	LeaseTerm   uint32
 }
 
 // ServerLimit is the limit of calls that a server named in an answer. Fields are encoded by
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -194,13 +194,14 @@
 		Progressing: func() garnetworks.Set[garnetworks.GroupID] { return l.gateway.Progressing() },
 		Demand:      func() map[garnetworks.ModelName]float64 { return l.gateway.OfferedLoad() },
 	})
+	l.peers.inquirer = newInquirer(l.peers.client, l.peers.tracker.Peers, l.former.Verdict, l.peers.leading)
 	l.quarantine = quarantiner.New(quarantiner.Options{
 		Probe: l.probeIncarnation, Objects: objects, IsReader: func() bool { return l.peers.exchanger.IsReader() }, Recorder: events,
 		InitialReadDelay: quarantineReadDelay(site),
 	})
 	l.gateway = gateway.New(gateway.Options{
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Proxy: options.Proxy,
-		Meter: l.meter, Suspect: l.suspect, Quarantine: l.quarantine,
+		Meter: l.meter, Suspect: l.suspect, AskVerdict: l.peers.inquirer.ask, Quarantine: l.quarantine,
 		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), Delegator: l.peers.carrier, Logger: options.Logger,
 	})
 	l.meter.RegisterRoutingAge(l.gateway.RoutingAge)
@@ -216,10 +217,14 @@
 	return !slices.ContainsFunc(site.Seeds, func(address string) bool { return address != site.PeerAddress })
 }
 
-// loadReport returns the node's load and, if it holds the lease, the groups known to be lost.
+// loadReport returns the node's load and, if it holds the lease, its name and the groups known to
+// be lost.
 func (l *Launcher) loadReport() garnetworks.LoadReport {
 	report := l.gateway.Load()
 	report.Lost = l.former.Lost()
+	if term := l.lease.Term(time.Now()); term != 0 {
+		report.LeaseHolder, report.LeaseTerm = l.options.Site.Node, term
+	}
 	return report
 }
 
@@ -227,6 +232,7 @@
 // knows to be lost, since the other nodes' reports do not contain them.
 func (l *Launcher) setPeerLoad(others garnetworks.LoadReport, known bool) {
 	others.Lost = append(slices.Clone(others.Lost), l.former.Lost()...)
+	l.peers.inquirer.setHolder(others.LeaseHolder)
 	l.gateway.SetPeerLoad(others, known)
 }
 
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -346,6 +346,44 @@
 	})
 }
 
+// Guards against a node that gets no verdict on a lost group from another one that holds the lease,
+// and leaves calls there until the time-outs.
+func TestStreamLeavesALostGroupOnTheHoldersVerdict(t *testing.T) {
+	s := newSite(t, 6)
+	for _, e := range s.engines {
+		e.Events, e.EventTime = 20, 40*time.Millisecond
+	}
+	s.awaitSuccess(streamURL)
+	second := s.join("n2")
+	second.awaitSuccess(streamURL)
+	setLost := func(e *impersonator.Backend, lost bool) {
+		e.UpdateFaults(func(f *impersonator.BackendFaults) { f.Stalled, f.Unreachable = lost, lost })
+	}
+	// On an overloaded machine the holder may find its own probes late, and gives no verdict.
+	second.eventually("a call leaves a lost group on a verdict", func() bool {
+		second.awaitSuccess(streamURL)
+		done := make(chan answer, 1)
+		go func() { done <- second.call(http.MethodPost, streamURL, nil) }()
+		var lost *impersonator.Backend
+		second.eventually("the call runs", func() bool {
+			at := slices.IndexFunc(s.engines, func(e *impersonator.Backend) bool { return e.Running() > 0 })
+			if at >= 0 {
+				lost = s.engines[at]
+			}
+			return at >= 0 || len(done) > 0
+		})
+		if lost == nil {
+			<-done
+			return false
+		}
+		time.Sleep(100 * time.Millisecond)
+		setLost(lost, true)
+		<-done
+		setLost(lost, false)
+		return second.metric(`garnet_suspicions_total{verdict="lost"}`) > 0 && second.metric(`garnet_move_silence_seconds_count{cause="verdict"}`) > 0
+	})
+}
+
 // Guards against taking a repeatable call from a slow server that would have answered it,
 // when the retry budget is used up.
 func TestSlowServerKeepsACallThatHasNoRetry(t *testing.T) {
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -36,9 +36,11 @@
 	carrier *carrier.Client
 	// leading reports whether the node holds the lease.
 	leading func() bool
+	// inquirer asks the lease holder for verdicts on groups.
+	inquirer *inquirer
 }
 
-// newPeers assembles the parts. The caller sets exchanger and leading before use.
+// newPeers assembles the parts. The caller sets exchanger, leading and inquirer before use.
 func newPeers(options *Options, objects garnetworks.ObjectAPI, events garnetworks.Recorder, timeline *recorder.Recorder, lastResume func(time.Time) time.Time, prefixes []relayer.Prefix) (*peers, error) {
 	site := &options.Site
 	p := &peers{
@@ -200,3 +202,13 @@
 	response.At = h.timeline.Now()
 	return response, nil
 }
+
+// Verdicts implements garnetworks.VerdictHandler.
+func (h *peerHandler) Verdicts(ctx context.Context, request *garnetworks.VerdictRequest) (*garnetworks.VerdictResponse, error) {
+	response, err := h.inquirer.handle(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	response.At = h.timeline.Now()
+	return response, nil
+}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -40,6 +40,18 @@
 	return nil, errNotFound
 }
 
+func (h *handler) Verdicts(_ context.Context, q *garnetworks.VerdictRequest) (*garnetworks.VerdictResponse, error) {
+	response := &garnetworks.VerdictResponse{}
+	for _, s := range q.Groups {
+		verdict := garnetworks.VerdictHealthy
+		if s.Group == "lost" && s.SilentMS == 120 {
+			verdict = garnetworks.VerdictLost
+		}
+		response.Verdicts = append(response.Verdicts, verdict)
+	}
+	return response, nil
+}
+
 func (h *handler) Events(context.Context, *garnetworks.EventsRequest) (*garnetworks.EventsResponse, error) {
 	return &garnetworks.EventsResponse{Node: "entry-1"}, nil
 }
@@ -119,6 +131,11 @@
 		t.Errorf("a repetitive message of %d bytes took %d bytes", len(large.Body), n)
 	}
 
+	verdicts, err := c.Verdicts(ctx, address, &garnetworks.VerdictRequest{Groups: []garnetworks.Suspicion{{Group: "lost", SilentMS: 120}, {Group: "well", SilentMS: 120}}})
+	if err != nil || len(verdicts.Verdicts) != 2 || verdicts.Verdicts[0] != garnetworks.VerdictLost || verdicts.Verdicts[1] != garnetworks.VerdictHealthy {
+		t.Fatalf("got verdicts %+v, %v", verdicts, err)
+	}
+
 	kinds := map[string]struct {
 		call func() error
 		want garnetworks.Kind
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -157,7 +157,13 @@
 	m.attemptTime = histograms("garnet_attempt_seconds", attemptBuckets)
 	m.objectTime = histograms("garnet_object_api_seconds", objectBuckets)
 	m.suspicions = counter("garnet_suspicions_total")
+	for _, verdict := range []garnetworks.Verdict{garnetworks.VerdictLost, garnetworks.VerdictHealthy, garnetworks.VerdictUnknown} {
+		m.suspicions.WithLabelValues(string(verdict))
+	}
 	m.moveSilence = histograms("garnet_move_silence_seconds", moveBuckets)
+	for _, cause := range []MoveCause{MoveVerdict, MoveReportedLost, MoveStalled, MoveNoFirstEvent} {
+		m.moveSilence.WithLabelValues(string(cause))
+	}
 	m.calls = counter("garnet_calls_total")
 	m.tokens = counter("garnet_tokens_total")
 	m.firstToken = histogram("garnet_first_token_seconds", firstTokenBuckets)
@@ -257,8 +263,12 @@
 	m.moveSilence.WithLabelValues(string(cause)).Observe(silence.Seconds())
 }
 
-// Suspicion counts a suspicion of a group by the lease holder's verdict.
+// Suspicion counts a suspicion of a group by the lease holder's verdict. Other verdicts than this
+// version's count as unknown (rule M2).
 func (m *Meter) Suspicion(verdict garnetworks.Verdict) {
+	if verdict != garnetworks.VerdictLost && verdict != garnetworks.VerdictHealthy {
+		verdict = garnetworks.VerdictUnknown
+	}
 	m.suspicions.WithLabelValues(string(verdict)).Inc()
 }
 
