former: verdicts on a lost domain beside a small probe window

The unanswered first probes of a lost group of 16, or of some groups of 4, fill the window of a new holder for 300 ms, so the second probes and the controls on which the verdicts depend were sent too late. They now come first and may exceed the window by 8; a round has at most two second probes.

--- a/former/prober.go
+++ b/former/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -264,6 +265,7 @@
 			domains.Add(s.Domain)
 		}
 	}
+	queued := 0
 	// The order of a map is random, so each round probes others.
 	for _, otherDomain := range []bool{true, false} {
 		for _, s := range servers {
@@ -274,7 +276,8 @@
 			}
 			domains.Add(s.Domain)
 			f.controlsSent.Add(id)
-			f.probeQueue = append(f.probeQueue, pendingProbe{server: s, attempts: 1, control: true})
+			f.probeQueue = slices.Insert(f.probeQueue, queued, pendingProbe{server: s, attempts: 1, control: true})
+			queued++
 		}
 	}
 }
@@ -320,10 +323,18 @@
 	return true
 }
 
-// dispatchProbes starts the queued probes that the window allows.
+// dispatchProbes starts the queued probes that the window allows. Controls and second probes come
+// first, since the verdicts wait for them.
 func (f *Former) dispatchProbes(ctx context.Context) {
-	for len(f.probeQueue) > 0 && f.probeWindow.available() > 0 {
+	for len(f.probeQueue) > 0 {
 		next := f.probeQueue[0]
+		available := f.probeWindow.available()
+		if next.control || next.hedge {
+			available += hedgeReserve
+		}
+		if available <= 0 {
+			return
+		}
 		f.probeQueue = f.probeQueue[1:]
 		f.probeWindow.start()
 		f.probeSent(time.Now(), &next)
--- a/former/verdict.go
+++ b/former/verdict.go
@@ -18,6 +18,11 @@
 	verdictAfter = 90 * time.Millisecond
 	// VerdictTimeout bounds the time to a verdict. Callers allow pauses of 200 ms.
 	VerdictTimeout = 150 * time.Millisecond
+	// maxHedges bounds the second probes of a round: one unanswered member is enough for the
+	// verdict "lost". hedgeReserve is the number of second probes and controls that may be in
+	// flight beyond the window, which the unanswered probes of a lost group of 16 fill alone.
+	maxHedges    = 2
+	hedgeReserve = 8
 	// roundRetention is how long a round's verdict is kept. It spans the time until the load
 	// reports of all nodes show that the group sends no events.
 	roundRetention = time.Second
@@ -37,7 +42,7 @@
 type memberProbe struct {
 	zone garnetworks.ZoneID
 	// sent and hedged are when the first and the second probe were sent; hedgeQueued says that
-	// the second one waits for the window.
+	// the second one was queued.
 	sent, hedged time.Time
 	hedgeQueued  bool
 	// answered says that the member has answered, ended that its incarnation has ended or was
@@ -59,6 +64,8 @@
 	// fastResponse and after it. Slow ones show that this node's processor or links are
 	// overloaded.
 	fast, slow int
+	// hedges is the number of second probes queued.
+	hedges int
 	// dueAt is when the round is to be advanced next.
 	dueAt time.Time
 	// verdict is empty while the round is not decided; decidedAt is when it was.
@@ -287,13 +294,16 @@
 // hedgeAfter, and probes controls if no engine has answered this node.
 func (f *Former) hedge(now time.Time, id garnetworks.GroupID, r *round, servers func() follower.Servers) {
 	for incarnation, m := range r.members {
-		if m.answered || m.sent.IsZero() || !m.hedged.IsZero() || m.hedgeQueued || now.Sub(m.sent) < hedgeAfter {
+		if m.answered || m.sent.IsZero() || m.hedgeQueued || r.hedges >= maxHedges || now.Sub(m.sent) < hedgeAfter {
 			continue
 		}
-		m.hedgeQueued = true
-		if s, ok := serverOf(servers(), incarnation); ok {
-			f.probeQueue = append(f.probeQueue, pendingProbe{server: s, attempts: 1, hedge: true})
+		s, ok := serverOf(servers(), incarnation)
+		if !ok {
+			continue
 		}
+		m.hedgeQueued = true
+		r.hedges++
+		f.probeQueue = slices.Insert(f.probeQueue, 0, pendingProbe{server: s, attempts: 1, hedge: true})
 		if r.fast == 0 {
 			f.probeControls(now, hedgeAfter, id, servers())
 		}
--- a/former/verdict_test.go
+++ b/former/verdict_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -228,3 +229,49 @@
 		})
 	}
 }
+
+// Guards against a holder whose window is filled by the unanswered probes of a lost domain, so that
+// it gives no verdict on any of the domain's groups.
+func TestVerdictsOnALostDomain(t *testing.T) {
+	cases := map[string]struct {
+		size float64 // of the probe window
+		lost int     // groups found lost at least
+	}{"window of a new holder": {initialWindow, 4}, "grown window": {maxWindow, 9}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const groups = 9 // of a domain of 36
+				var h *holder
+				h = newHolder(groups+6, func(id garnetworks.InstanceID, _ int) (time.Duration, bool) {
+					return fast, h.servers[id].Domain != "lost"
+				})
+				for id, s := range h.servers {
+					if number, _ := strconv.Atoi(string(s.Domain)); number < groups {
+						s.Domain, s.Zone = "lost", "0"
+						h.servers[id] = s
+					}
+				}
+				h.probeWindow.size = c.size
+				ctx, cancel := context.WithCancel(t.Context())
+				go h.run(ctx)
+				verdicts := make(chan garnetworks.Verdict, groups)
+				for g := range groups {
+					go func() { verdicts <- h.Verdict(ctx, garnetworks.GroupID(fmt.Sprint("g", g)), 100*time.Millisecond) }()
+				}
+				lost := 0
+				for range groups {
+					if <-verdicts == garnetworks.VerdictLost {
+						lost++
+					}
+				}
+				if lost < c.lost {
+					t.Errorf("%d of %d groups are found lost, want %d at least", lost, groups, c.lost)
+				}
+				time.Sleep(time.Second)
+				cancel()
+				synctest.Wait()
+				t.Logf("%d groups found lost with %d probes", lost, h.engines.probes.Load())
+			})
+		})
+	}
+}
