former, suspector: a lone node's question causes no probes where several nodes have events

If a group is lost, the silences of all nodes begin with the same pass, so the holder now waits for a second node's question where three or more nodes have events of the group; a lone one is answered with "unknown".

--- a/former/doc.go
+++ b/former/doc.go
@@ -34,7 +34,9 @@
 //	    down. It finds no engine unresponsive and leaves the lease to other nodes.
 //	O12 Nodes that suspect a group ask the lease holder for its verdict, so that calls leave a
 //	    lost group within the pause that callers allow. One round of probes serves all
-//	    nodes that ask. The group is lost if a member answers neither of two probes while
+//	    nodes that ask. Load pattern: of thousands of calls, some wait at any time for a
+//	    lost packet that is resent after 0.2 s. So where several nodes have events of a
+//	    group, one node's question alone causes no probes. The group is lost if a member answers neither of two probes while
 //	    other engines answer quickly; a holder that is late, overloaded or without links
 //	    gives no verdict, and neither does one that has just taken the lease. The verdict
 //	    moves calls only: instances are found unresponsive as before.
--- a/former/former.go
+++ b/former/former.go
@@ -51,6 +51,9 @@
 	FirstStart bool
 	// Progressing returns the groups that recently sent an event to some node; it may be nil.
 	Progressing func() garnetworks.Set[garnetworks.GroupID]
+	// ActiveNodes returns the number of nodes that recently had an event of the group; it may be
+	// nil.
+	ActiveNodes func(garnetworks.GroupID) int
 	// Demand returns the number of calls of each model that are running or could be running
 	// at the site; it may be nil.
 	Demand func() map[garnetworks.ModelName]float64
--- a/former/prober.go
+++ b/former/prober.go
@@ -69,6 +69,8 @@
 	// rounds are the open rounds of probes of suspected groups and the recent ones.
 	rounds    map[garnetworks.GroupID]*round
 	questions chan question
+	// lone holds the last question on each group that waits for one of another node.
+	lone map[garnetworks.GroupID]question
 }
 
 type pendingProbe struct {
@@ -103,6 +105,7 @@
 		probeResults:  make(chan probeResult, bufferSize),
 		rounds:        make(map[garnetworks.GroupID]*round),
 		questions:     make(chan question, maxQuestions),
+		lone:          make(map[garnetworks.GroupID]question),
 
 		controlsSent: make(garnetworks.Set[garnetworks.Incarnation]), controlsFailed: make(garnetworks.Set[garnetworks.Incarnation]),
 	}
--- a/former/verdict.go
+++ b/former/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,10 @@
 	// flight beyond the window, which the unanswered probes of a lost group of 16 fill alone.
 	maxHedges    = 2
 	hedgeReserve = 8
+	// A group with events to minActiveNodes nodes is probed only after questions of two nodes
+	// within corroborationTime. If it is lost, their silences begin with the same pass.
+	minActiveNodes    = 3
+	corroborationTime = 100 * time.Millisecond
 	// roundRetention is how long a round's verdict is kept. It spans the time until the load
 	// reports of all nodes show that the group sends no events.
 	roundRetention = time.Second
@@ -32,10 +37,13 @@
 
 // question is a question for the verdict on a group.
 type question struct {
+	from  garnetworks.NodeID
 	group garnetworks.GroupID
 	// since is when the asking node's silence began.
 	since  time.Time
 	answer chan<- garnetworks.Verdict
+	// asked is when the question arrived.
+	asked time.Time
 }
 
 // memberProbe is the state of a member's probes in a round.
@@ -116,12 +124,13 @@
 	return due
 }
 
-// Verdict probes the members of a suspected group and returns what it finds, or VerdictUnknown
-// after VerdictTimeout. The group has sent the asking node no events for the time silence.
-func (f *Former) Verdict(ctx context.Context, group garnetworks.GroupID, silence time.Duration) garnetworks.Verdict {
+// Verdict probes the members of a group that a node suspects and returns what it finds, or
+// VerdictUnknown after VerdictTimeout. The group has sent the node no events for the time silence.
+func (f *Former) Verdict(ctx context.Context, from garnetworks.NodeID, group garnetworks.GroupID, silence time.Duration) garnetworks.Verdict {
 	answer := make(chan garnetworks.Verdict, 1)
+	now := time.Now()
 	select {
-	case f.questions <- question{group, time.Now().Add(-silence), answer}:
+	case f.questions <- question{from, group, now.Add(-silence), answer, now}:
 	default:
 		return garnetworks.VerdictUnknown
 	}
@@ -166,9 +175,30 @@
 		q.answer <- garnetworks.VerdictUnknown
 		return
 	}
+	waiting, ok := f.lone[q.group]
+	if ok && now.Sub(waiting.asked) > corroborationTime {
+		ok = false
+	}
+	if f.activeNodes(q.group) >= minActiveNodes && (!ok || waiting.from == q.from) {
+		// The question is answered with those of other nodes, or not before VerdictTimeout.
+		f.lone[q.group] = q
+		return
+	}
 	f.beginRound(now, q.group, servers)
 	r = f.rounds[q.group]
 	r.answers = append(r.answers, q.answer)
+	if ok {
+		r.answers = append(r.answers, waiting.answer)
+	}
+	delete(f.lone, q.group)
+}
+
+// activeNodes returns the number of nodes that recently had events of the group.
+func (f *Former) activeNodes(group garnetworks.GroupID) int {
+	if f.options.ActiveNodes == nil {
+		return 0
+	}
+	return f.options.ActiveNodes(group)
 }
 
 func (f *Former) hasUnresponsive(group garnetworks.GroupID, servers follower.Servers) bool {
@@ -264,6 +294,7 @@
 
 // advanceRounds sends second probes, decides the rounds that can be decided and drops old ones.
 func (f *Former) advanceRounds(now time.Time, servers func() follower.Servers) {
+	maps.DeleteFunc(f.lone, func(_ garnetworks.GroupID, q question) bool { return now.Sub(q.asked) > VerdictTimeout })
 	for id, r := range f.rounds {
 		if r.verdict != "" {
 			if now.Sub(r.decidedAt) > roundRetention {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -344,6 +345,18 @@
 	return progressing
 }
 
+// ActiveNodes returns the number of other nodes that recently had an event of the group, by their
+// last reports.
+func (g *Gateway) ActiveNodes(group garnetworks.GroupID) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := slices.IndexFunc(g.peers.Groups, func(l garnetworks.GroupLoad) bool { return l.Group == group })
+	if at < 0 {
+		return 0
+	}
+	return g.peers.Groups[at].ActiveNodes
+}
+
 // OfferedLoad returns for each model the number of calls that would be running if all
 // arrivals were served.
 func (g *Gateway) OfferedLoad() map[garnetworks.ModelName]float64 {
--- a/launcher/inquirer.go
+++ b/launcher/inquirer.go
@@ -27,9 +27,10 @@
 // connections to the holder than a node may have, so groups that are suspected while maxInquiries
 // requests are in flight are sent together.
 type inquirer struct {
+	self    garnetworks.NodeID
 	caller  garnetworks.VerdictCaller
 	nodes   func() []garnetworks.NodeInfo
-	verdict func(ctx context.Context, group garnetworks.GroupID, silence time.Duration) garnetworks.Verdict
+	verdict func(ctx context.Context, from garnetworks.NodeID, group garnetworks.GroupID, silence time.Duration) garnetworks.Verdict
 	leading func() bool
 
 	mu sync.Mutex
@@ -49,10 +50,10 @@
 }
 
 func newInquirer(
-	caller garnetworks.VerdictCaller, nodes func() []garnetworks.NodeInfo,
-	verdict func(context.Context, garnetworks.GroupID, time.Duration) garnetworks.Verdict, leading func() bool,
+	self garnetworks.NodeID, caller garnetworks.VerdictCaller, nodes func() []garnetworks.NodeInfo,
+	verdict func(context.Context, garnetworks.NodeID, garnetworks.GroupID, time.Duration) garnetworks.Verdict, leading func() bool,
 ) *inquirer {
-	return &inquirer{caller: caller, nodes: nodes, verdict: verdict, leading: leading}
+	return &inquirer{self: self, caller: caller, nodes: nodes, verdict: verdict, leading: leading}
 }
 
 // setHolder sets the lease holder; empty if it is unknown.
@@ -68,7 +69,7 @@
 // once; answered is called from another goroutine.
 func (q *inquirer) ask(group garnetworks.GroupID, silence time.Duration, answered func(garnetworks.Verdict)) {
 	if q.leading() {
-		go func() { answered(q.verdict(context.Background(), group, silence)) }()
+		go func() { answered(q.verdict(context.Background(), q.self, group, silence)) }()
 		return
 	}
 	now := time.Now()
@@ -115,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), inquiryTimeout)
 	defer cancel()
-	request := &garnetworks.VerdictRequest{}
+	request := &garnetworks.VerdictRequest{From: q.self}
 	now := time.Now()
 	for _, inquiry := range list {
 		request.Groups = append(request.Groups, garnetworks.Suspicion{Group: inquiry.group, SilentMS: now.Sub(inquiry.since).Milliseconds()})
@@ -141,7 +142,7 @@
 	var verdicts sync.WaitGroup
 	for i, s := range request.Groups {
 		verdicts.Go(func() {
-			response.Verdicts[i] = q.verdict(ctx, s.Group, time.Duration(s.SilentMS)*time.Millisecond)
+			response.Verdicts[i] = q.verdict(ctx, request.From, s.Group, time.Duration(s.SilentMS)*time.Millisecond)
 		})
 	}
 	verdicts.Wait()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -192,9 +192,10 @@
 	l.former = former.New(former.Options{
 		Follower: l.follower, Orders: options.Orders, Lease: l.lease, Bounds: site.Bounds, FirstStart: site.FirstStart, Recorder: events,
 		Progressing: func() garnetworks.Set[garnetworks.GroupID] { return l.gateway.Progressing() },
+		ActiveNodes: func(group garnetworks.GroupID) int { return l.gateway.ActiveNodes(group) },
 		Demand:      func() map[garnetworks.ModelName]float64 { return l.gateway.OfferedLoad() },
 	})
-	l.peers.inquirer = newInquirer(l.peers.client, l.peers.tracker.Peers, l.former.Verdict, l.peers.leading)
+	l.peers.inquirer = newInquirer(site.Node, l.peers.client, l.peers.tracker.Peers, l.former.Verdict, l.peers.leading)
 	l.quarantine = quarantiner.New(quarantiner.Options{
 		Probe: l.probeIncarnation, Objects: objects, IsReader: func() bool { return l.peers.exchanger.IsReader() }, Recorder: events,
 		InitialReadDelay: quarantineReadDelay(site),
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -36,7 +36,7 @@
 	MaxThreshold = 300 * time.Millisecond
 	// gapFactor is the silence that is suspicious, as a multiple of the usual gap or time to a
 	// first event (T2, T3).
-	gapFactor = 1.5
+	gapFactor = 1.75
 	// minPauseFraction is the lower bound as a fraction of the allowed pause (T2). With 200 ms
 	// and 300 ms it is above the passes of 30 to 110 ms, and leaves more than half of the
 	// pause for the verdict and the move.
--- a/verdict.go
+++ b/verdict.go
@@ -17,6 +17,8 @@
 // VerdictRequest asks the lease holder for its verdicts on suspected groups.
 type VerdictRequest struct {
 	_ struct{} `cbor:",toarray"`
+	// From is the asking node.
+	From NodeID
 	// Groups holds each suspected group once, at most MaxSuspicions of them.
 	Groups []Suspicion
 }
