gateway: a node that was paused reads its events before it moves calls

A node that is paused for longer than stallTimeout finds its timers and the events of its streams at once, and the watchdog could move calls from healthy groups before the events were read. A check that runs more than 20 ms late is now postponed once, by 20 ms. The new test fails without it.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -13,6 +13,14 @@
 // stalls. Slots become free some ten times a second.
 const moveRetryInterval = 100 * time.Millisecond
 
+// checkDelay is how late a check may run before the delay is attributed to this node. Timers fire
+// within a few milliseconds unless the node was paused or is overloaded. readGrace is the time
+// that the node then has to read events that have arrived meanwhile.
+const (
+	checkDelay = 20 * time.Millisecond
+	readGrace  = 20 * time.Millisecond
+)
+
 // watchdog moves a call from a stalled group to another one.
 //
 // Failure: a member of a group dies or is cut off. The head still accepts calls but sends no
@@ -28,7 +36,10 @@
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
 	started time.Time
-	limit   time.Duration
+	// due is when the next check is due; postponed says that one was late since the last event.
+	due       time.Time
+	postponed bool
+	limit     time.Duration
 	// hadEvent says that the call has had an event from the group, reportedFailed that it had
 	// none within the scheduler's FirstEventTimeout and was reported as failed.
 	hadEvent, reportedFailed bool
@@ -50,7 +61,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.suspector.Started(w.started, s.call.Model, group)
-	w.timer = time.AfterFunc(w.threshold(w.started), w.check)
+	first := w.threshold(w.started)
+	w.due = w.started.Add(first)
+	w.timer = time.AfterFunc(first, w.check)
 	if s.watchdogs[group] == nil {
 		s.watchdogs[group] = make(garnetworks.Set[*watchdog])
 	}
@@ -71,8 +84,27 @@
 	w.stream.lastGroupEvent[w.group] = now
 	w.stream.scheduler.EventReceived(now, w.stream.call.Model, w.group)
 	w.stream.suspector.Event(now, w.group, !w.hadEvent, now.Sub(w.started))
-	w.limit, w.hadEvent = stallTimeout, true
-	w.timer.Reset(w.threshold(now))
+	w.limit, w.hadEvent, w.postponed = stallTimeout, true, false
+	w.reset(now, w.threshold(now))
+}
+
+// reset schedules the next check; the lock is held.
+func (w *watchdog) reset(now time.Time, after time.Duration) {
+	w.due = now.Add(after)
+	w.timer.Reset(after)
+}
+
+// postpone reports whether a check is late, and postpones it once; the lock is held.
+//
+// Failure: the node is paused for longer than a time-out. It finds the timer and the events that
+// have arrived at once, and would move its calls from healthy groups.
+func (w *watchdog) postpone(now time.Time) bool {
+	if w.postponed || now.Sub(w.due) <= checkDelay {
+		return false
+	}
+	w.postponed = true
+	w.reset(now, readGrace)
+	return true
 }
 
 // stop stops the watchdog; it reserves no slot afterwards.
@@ -122,7 +154,7 @@
 func (w *watchdog) evaluate(now time.Time) assessment {
 	w.stream.mu.Lock()
 	defer w.stream.mu.Unlock()
-	if w.stopped {
+	if w.stopped || w.postpone(now) {
 		return assessment{}
 	}
 	model := w.stream.call.Model
@@ -150,15 +182,15 @@
 	}
 	switch {
 	case a.silence < min(limit, suspicion.Threshold):
-		w.timer.Reset(min(limit, suspicion.Threshold) - a.silence)
+		w.reset(now, min(limit, suspicion.Threshold)-a.silence)
 	case a.silence < limit && !a.silent:
-		w.timer.Reset(min(moveRetryInterval, suspectTimeout-a.silence))
+		w.reset(now, min(moveRetryInterval, suspectTimeout-a.silence))
 	case a.silence < limit:
-		w.timer.Reset(min(moveRetryInterval, limit-a.silence))
+		w.reset(now, min(moveRetryInterval, limit-a.silence))
 	case w.movable && w.stream.reserve(now, w.request):
 		a.moved = true
 	default:
-		w.timer.Reset(moveRetryInterval)
+		w.reset(now, moveRetryInterval)
 	}
 	return a
 }
@@ -183,7 +215,7 @@
 	}
 	g.scheduler.FoundLost(now, model, group)
 	for w := range g.watchdogs[group] {
-		w.timer.Reset(0)
+		w.reset(now, 0)
 	}
 }
 
--- a/gateway/verdict_test.go
+++ b/gateway/verdict_test.go
@@ -87,6 +87,7 @@
 				})
 			}
 			slices.Sort(silences)
+			t.Logf("median silence before the move: %s", silences[len(silences)/2])
 			if got := silences[len(silences)/2]; got < max(c.min, 1) || got > c.atMost {
 				t.Errorf("the median silence before the move is %s, want %s to %s", got, c.min, c.atMost)
 			}
@@ -94,16 +95,15 @@
 	}
 }
 
-// Guards against calls that move from a healthy group: one with a long prompt or a full batch,
-// behind a lossy link, or of a node that was paused.
+// Guards against calls that move from a healthy group: one with a long prompt or a full batch, one
+// that pauses, or one behind a lossy link.
 func TestCallsOfHealthyGroupsStay(t *testing.T) {
 	cases := map[string][]time.Duration{
 		"long prompt": {280 * time.Millisecond, pass, 290 * time.Millisecond, pass},
 		"full batch":  slices.Repeat([]time.Duration{110 * time.Millisecond}, 20),
 		// A lost packet is resent after 0.2 s.
-		"lossy link": slices.Repeat([]time.Duration{pass, pass, 200*time.Millisecond + pass, pass}, 8),
-		// The timer and the events of the pause are handled at its end.
-		"paused node": {pass, 500 * time.Millisecond, pass},
+		"lossy link":   slices.Repeat([]time.Duration{pass, pass, 200*time.Millisecond + pass, pass}, 8),
+		"paused group": {pass, 500 * time.Millisecond, pass},
 	}
 	for name, pauses := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -131,6 +131,37 @@
 	}
 }
 
+// Guards against a node that was paused and moves its calls before it has read the events that
+// arrived meanwhile.
+func TestCallsStayAfterAPauseOfTheNode(t *testing.T) {
+	for name, event := range map[string]bool{"events arrived": true, "the group is lost": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, s := newWatchedStream(t)
+				ctx, cancel := context.WithCancelCause(t.Context())
+				wd := s.newWatchdog("a-grey", cancel)
+				defer wd.stop()
+				emit(wd, 20)
+				const pause = 700 * time.Millisecond
+				g.mu.Lock()
+				wd.due = wd.due.Add(-pause)
+				g.lastGroupEvent["a-grey"] = time.Now().Add(-pause)
+				g.mu.Unlock()
+				wd.check()
+				time.Sleep(readGrace / 2)
+				if event {
+					wd.recordEvent()
+				}
+				time.Sleep(readGrace)
+				synctest.Wait()
+				if moved := ctx.Err() != nil; moved == event {
+					t.Errorf("the call has moved: %t", moved)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a verdict that moves a call although the group has sent an event since the
 // question, and against one that leaves the group's other calls where they are.
 func TestVerdictAppliesToAllCallsUntilTheNextEvent(t *testing.T) {
