--- a/former/verdict.go
+++ b/former/verdict.go
@@ -348,14 +348,14 @@
 		verdict = garnetworks.VerdictUnknown
 	}
 	r.verdict, r.decidedAt = verdict, now
-	for _, answer := range r.answers {
-		answer <- verdict
-	}
-	r.answers = nil
 	if verdict == garnetworks.VerdictLost {
 		f.options.Recorder.Record(garnetworks.Event{Kind: garnetworks.EventGroupFoundLost, Group: id, Detail: "a member does not answer probes, other engines do"})
 		f.findLostGroups(f.plannedServers)
 	}
+	for _, answer := range r.answers {
+		answer <- verdict
+	}
+	r.answers = nil
 }
 
 // localFaultLikely reports whether a fault of this node is presumed, or the unanswered members of
@@ -375,7 +375,7 @@
 			}
 			if m.answered {
 				zones[m.zone].responsive++
-			} else if !m.sent.IsZero() {
+			} else if !m.sent.IsZero() && now.Sub(m.sent) >= hedgeAfter {
 				zones[m.zone].failed++
 			}
 		}
--- a/former/verdict_test.go
+++ b/former/verdict_test.go
@@ -320,3 +320,37 @@
 		})
 	}
 }
+
+// Guards against verdicts while the probes of several zones fail together (O9), and against none
+// because other rounds have just begun.
+func TestUnansweredProbesInSeveralZones(t *testing.T) {
+	cases := map[string]struct {
+		zones int
+		age   time.Duration
+		want  bool
+	}{
+		"several zones":           {2, hedgeAfter, true},
+		"one zone":                {1, hedgeAfter, false},
+		"rounds have just begun":  {2, hedgeAfter - 1, false},
+		"rounds of some time ago": {2, localFaultWindow + 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHolder(2, allAnswer)
+			now := time.Now()
+			for g := range 2 {
+				group := garnetworks.GroupID(fmt.Sprint("g", g))
+				r := &round{began: now.Add(-c.age), members: make(map[garnetworks.Incarnation]*memberProbe)}
+				for _, s := range h.servers {
+					if s.Membership.Group == group {
+						r.members[s.Incarnation()] = &memberProbe{zone: garnetworks.ZoneID(fmt.Sprint(g % c.zones)), sent: now.Add(-c.age)}
+					}
+				}
+				h.rounds[group] = r
+			}
+			if got := h.localFaultLikely(now); got != c.want {
+				t.Errorf("a local fault is likely: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
