--- a/former/former.go
+++ b/former/former.go
@@ -52,6 +52,9 @@
 	FirstStart bool
 	// Progressing returns the groups that recently sent an event to some node; it may be nil.
 	Progressing func() garnetworks.Set[garnetworks.GroupID]
+	// ActiveNodes returns the number of nodes that recently had an event of the group; it may be
+	// nil.
+	ActiveNodes func(garnetworks.GroupID) int
 	// Demands returns the demand for each model at the site, nothing if it is unknown; it may be
 	// nil.
 	Demands func() []garnetworks.ModelDemand
@@ -131,6 +134,8 @@
 	defer ticker.Stop()
 	pause := time.NewTimer(0)
 	defer pause.Stop()
+	rounds := time.NewTimer(0)
+	defer rounds.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -149,6 +154,9 @@
 			f.handleProbeResult(p)
 		case id := <-f.suspects:
 			f.suspect(id)
+		case q := <-f.questions:
+			f.answerQuestion(time.Now(), q)
+		case <-rounds.C:
 		}
 		f.drainResults()
 		if f.needsPlan && !time.Now().Before(f.nextPlanAt) {
@@ -156,7 +164,11 @@
 			pause.Reset(time.Until(f.nextPlanAt))
 		}
 		f.dispatch(ctx)
+		f.advanceRounds(time.Now(), f.options.Follower.Servers)
 		f.dispatchProbes(ctx)
+		if due, ok := f.nextRoundDue(); ok {
+			rounds.Reset(time.Until(due))
+		}
 	}
 }
 
@@ -233,7 +245,8 @@
 	return nil
 }
 
-// findLostGroups records the groups with an unresponsive instance that send no events.
+// findLostGroups records the groups with an unresponsive instance that send no events, and those
+// with a recent verdict that they are lost. The events of the latter are from before the loss.
 func (f *Former) findLostGroups(servers follower.Servers) {
 	progressing := f.progressing()
 	lost := make(garnetworks.Set[garnetworks.GroupID])
@@ -242,6 +255,11 @@
 			lost.Add(s.Membership.Group)
 		}
 	}
+	for id, r := range f.rounds {
+		if r.verdict == garnetworks.VerdictLost {
+			lost.Add(id)
+		}
+	}
 	list := slices.Sorted(maps.Keys(lost))
 	f.lost.Store(&list)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -193,16 +193,18 @@
 	l.former = former.New(former.Options{
 		Follower: l.follower, Orders: options.Orders, Lease: l.lease, Bounds: site.Bounds, FirstStart: site.FirstStart, Recorder: events,
 		Progressing: func() garnetworks.Set[garnetworks.GroupID] { return l.gateway.Progressing() },
+		ActiveNodes: func(group garnetworks.GroupID) int { return l.gateway.ActiveNodes(group) },
 		Demands:     func() []garnetworks.ModelDemand { return l.gateway.Demands() },
 		Apportioned: l.recordApportioned,
 	})
+	l.peers.inquirer = newInquirer(site.Node, l.peers.client, l.peers.tracker.Peers, l.former.Verdict, l.peers.leading)
 	l.quarantine = quarantiner.New(quarantiner.Options{
 		Probe: l.probeIncarnation, Objects: objects, IsReader: func() bool { return l.peers.exchanger.IsReader() }, Recorder: events,
 		InitialReadDelay: quarantineReadDelay(site),
 	})
 	l.gateway = gateway.New(gateway.Options{
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Proxy: options.Proxy,
-		Meter: l.meter, Suspect: l.suspect, Quarantine: l.quarantine,
+		Meter: l.meter, Suspect: l.suspect, AskVerdict: l.peers.inquirer.ask, Quarantine: l.quarantine,
 		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), Delegator: l.peers.carrier, Logger: options.Logger,
 	})
 	l.meter.RegisterRoutingAge(l.gateway.RoutingAge)
@@ -218,10 +220,14 @@
 	return !slices.ContainsFunc(site.Seeds, func(address string) bool { return address != site.PeerAddress })
 }
 
-// loadReport returns the node's load and, if it holds the lease, the groups known to be lost.
+// loadReport returns the node's load and, if it holds the lease, its name and the groups known to
+// be lost.
 func (l *Launcher) loadReport() garnetworks.LoadReport {
 	report := l.gateway.Load()
 	report.Lost = l.former.Lost()
+	if term := l.lease.Term(time.Now()); term != 0 {
+		report.LeaseHolder, report.LeaseTerm = l.options.Site.Node, term
+	}
 	return report
 }
 
@@ -229,6 +235,7 @@
 // knows to be lost, since the other nodes' reports do not contain them.
 func (l *Launcher) setPeerLoad(others garnetworks.LoadReport, known bool) {
 	others.Lost = append(slices.Clone(others.Lost), l.former.Lost()...)
+	l.peers.inquirer.setHolder(others.LeaseHolder)
 	l.gateway.SetPeerLoad(others, known)
 }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -43,6 +43,8 @@
 	m.Delegated("s", "taken")
 	m.LimitedAnswer("s")
 	m.Apportioned("model", 5.5, 0.9)
+	m.Suspicion(garnetworks.VerdictLost)
+	m.Moved(MoveVerdict, time.Second)
 	m.LinesDropped(2)
 	m.RegisterRoutingAge(func() time.Duration { return 1500 * time.Millisecond })
 	m.InFlight(3)
