scheduler: divide scarce slots between workspaces (Q17), keep an unused slot (Q6)

A workspace with ten times the calls of each of five others displaced theirs: within a priority, calls were served first come, first served.

TestUnusedSlotIsKeptUntilTheNextCall fails before in 40 of 40 calls.

--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -38,7 +38,7 @@
 // schedulerPolicy decides by package scheduler.
 type schedulerPolicy struct {
 	*scheduler.Scheduler
-	// arrivals is nil if callers don't state how long they will wait.
+	// arrivals is nil if callers don't state how long they will wait, nor a workspace.
 	arrivals *scheduler.Arrivals
 	calls    map[garnetworks.CallID]*call
 	next     int
@@ -49,7 +49,8 @@
 	return &schedulerPolicy{Scheduler: scheduler.New("", random.Float64), arrivals: scheduler.NewArrivals(), calls: make(map[garnetworks.CallID]*call)}
 }
 
-// newUnstatedPolicy returns the same policy for callers that don't state how long they will wait.
+// newUnstatedPolicy returns the same policy for callers that don't state how long they will wait, nor
+// a workspace.
 func newUnstatedPolicy(seed uint64) policy {
 	p := newSchedulerPolicy(seed).(*schedulerPolicy)
 	p.arrivals = nil
@@ -66,6 +67,7 @@
 		ID: id, Model: c.kind.Model, Arrived: instant(c.arrived), Objective: c.kind.Objective, PromptTokens: c.prompt, MaxGap: c.kind.MaxGap,
 	}
 	if s.arrivals != nil {
+		request.Workspace = garnetworks.WorkspaceName(strconv.Itoa(c.workspace))
 		request.Deadline = instant(c.first + c.patience)
 		request.Arrival = s.arrivals.Describe(s.Rejecting(request.Arrived, request.Model), c.kind.Name, request.Arrived, request.Deadline)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -165,7 +165,7 @@
 func (s *stream) schedulerCall() scheduler.Call {
 	request := scheduler.Call{
 		ID:    garnetworks.CallID(strconv.FormatUint(s.sequence.Add(1), 10)),
-		Model: s.call.Model, Priority: s.priority, Arrived: s.call.Received,
+		Model: s.call.Model, Workspace: s.workspace, Priority: s.priority, Arrived: s.call.Received,
 		Objective: s.route.Objective, PromptTokens: s.call.PromptTokens, MaxGap: s.route.MaxGap, Resumed: s.headersSent || s.resuming, Tried: s.tried,
 	}
 	if request.Resumed {
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -25,7 +25,8 @@
 //	    while a group serves.
 //	Q6  Many nodes that learn of the same free slots at once. Until the next report,
 //	    each takes a share of the free slots in proportion to its share of the
-//	    calls, in addition to those that its own calls free.
+//	    calls, in addition to those that its own calls free, and keeps one that it has not
+//	    used.
 //	Q7  Many nodes that act on the same outdated report. If each chose the least
 //	    loaded group, all would send their calls there until the next report. So
 //	    each call goes to the better one of a few randomly drawn groups.
@@ -66,4 +67,8 @@
 //	    the call in time: those of groups of its model that could take it, and those of whole
 //	    groups that the idle instances of another model would be enough for. Single free slots
 //	    of another model are none, and neither are slots where prompts can't be prefilled.
+//	Q17 A workspace that sends a multiple of the others' calls while calls of the model wait or
+//	    are rejected. Served first come, first served, it displaces theirs. So its calls
+//	    beyond its share, by the calls that this node gets, come after those of the same priority
+//	    that can be on time, and leave a reserve in each window.
 package scheduler
--- a/scheduler/late.go
+++ b/scheduler/late.go
@@ -111,8 +111,9 @@
 // tellReturn returns when a rejected caller shall return, if a slot is expected after wait: not
 // before those that were rejected earlier, and not before its return is recognized (Q15).
 func (p *pool) tellReturn(now time.Time, c *Call, wait time.Duration) time.Duration {
+	p.rejectedAt = now
+	p.workspaces.rejected++
 	if c.Deadline.IsZero() {
-		p.rejectedAt = now
 		return clampRetry(wait)
 	}
 	after := wait
@@ -124,7 +125,7 @@
 	}
 	after = min(after, maxRetryAfter, followed(c, now))
 	after = max(after, minRetryAfter)
-	p.rejectedAt, p.lastReturn = now, now.Add(after)
+	p.lastReturn = now.Add(after)
 	return after
 }
 
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -132,9 +132,9 @@
 	if ownDemand+peerDemand > 0 {
 		p.share = ownDemand / (ownDemand + peerDemand)
 	}
-	// The fraction of a slot is carried over, so that small shares add up to a slot.
-	remainder := p.allowance - math.Floor(p.allowance)
-	p.allowance = freeSlots*p.share + min(max(remainder, 0), 1)
+	// Up to one slot is carried over, so that small shares add up to a slot, and a node with few
+	// calls still has it when the next one arrives.
+	p.allowance = freeSlots*p.share + min(max(p.allowance, 0), 1)
 	// The share of a node with few calls can be close to 0. At least 1/nodes is assumed here, so
 	// that the node doesn't overestimate its wait and reject calls (Q1).
 	refillShare := max(p.share, 1/float64(nodes))
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -46,7 +46,7 @@
 
 // pickGroup returns the group for a call, or nil if none can take it now.
 func (s *Scheduler) pickGroup(now time.Time, p *pool, c *Call) *groupState {
-	if s.peersKnown && p.allowance < 1 && !c.Resumed { // Q6
+	if s.peersKnown && p.allowance < neededAllowance(c) && !c.Resumed { // Q6 and Q17
 		return nil
 	}
 	free := s.freeGroups(now, p, c)
@@ -62,6 +62,14 @@
 	return s.leastLoaded(p, free)
 }
 
+// neededAllowance returns the allowance that the node must have left for a call.
+func neededAllowance(c *Call) float64 {
+	if c.excess {
+		return excessAllowance
+	}
+	return 1
+}
+
 // freeGroups returns the groups that can take a call now.
 func (s *Scheduler) freeGroups(now time.Time, p *pool, c *Call) []*groupState {
 	var free []*groupState
@@ -89,6 +97,9 @@
 		if c.late && !p.takesLate(now, g) { // Q14
 			continue
 		}
+		if c.excess && !p.leavesReserve(g) { // Q17
+			continue
+		}
 		if !p.canPrefill(g, c) { // Q9
 			continue
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,9 +111,11 @@
 
 // Call is a call to be placed at a group.
 type Call struct {
-	ID       garnetworks.CallID
-	Model    garnetworks.ModelName
-	Priority int
+	ID    garnetworks.CallID
+	Model garnetworks.ModelName
+	// Workspace is the caller's; empty if the call belongs to none (Q17).
+	Workspace garnetworks.WorkspaceName
+	Priority  int
 	// Arrived is the arrival time of the call.
 	Arrived time.Time
 	// Objective is the time from the first arrival within which the first event is on time.
@@ -133,6 +135,8 @@
 	Tried []garnetworks.GroupID
 	// late says that the call was admitted although it can only be late (Q14).
 	late bool
+	// excess says that the call is beyond the share of its workspace (Q17).
+	excess bool
 	// aheadLate is the number of calls ahead of it when it was admitted late.
 	aheadLate int
 }
@@ -224,6 +228,8 @@
 	// rejectedAt is when the last call was rejected for lack of time, lastReturn the time for which
 	// the last of them was told to return (Q15).
 	rejectedAt, lastReturn time.Time
+	// workspaces counts the calls of each workspace (Q17).
+	workspaces workspaceCalls
 }
 
 // Scheduler holds the pools of all models. It is not safe for concurrent use.
@@ -287,7 +293,8 @@
 func (s *Scheduler) Arrive(now time.Time, c Call) (Decision, bool) {
 	p := s.pool(c.Model)
 	p.recordArrival(now)
-	if c.Resumed || !p.waitsOnTime() && !p.canOnlyBeLate(now, &c) {
+	s.divide(now, p, &c)
+	if c.Resumed || !p.waitsBefore(&c) && !p.canOnlyBeLate(now, &c) {
 		if g := s.pickGroup(now, p, &c); g != nil {
 			s.dispatch(now, p, g, &c)
 			return c.placed(g), true
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -343,6 +343,38 @@
 	}
 }
 
+// Guards against nodes that lose a slot that they have not used by the next report: with less than
+// one call per second, a node has none when a call arrives, and rejects it beside free slots.
+func TestUnusedSlotIsKeptUntilTheNextCall(t *testing.T) {
+	const nodes, reports = 986, 40
+	s := scheduler.New("z", fixedRandom)
+	s.SetGroups(start, groups(40, "g"))
+	peers := garnetworks.LoadReport{Nodes: nodes - 1, Groups: []garnetworks.GroupLoad{{Group: "g", Running: 20}}, Demands: []garnetworks.ModelDemand{{Model: "m", CallsPerSecond: 100}}}
+	now := start
+	rejected := 0
+	for i := range reports {
+		for range reports { // reports between two calls
+			now = now.Add(150 * time.Millisecond)
+			s.SetPeerLoad(now, peers, true)
+		}
+		call := newCall(fmt.Sprint(i))
+		call.Arrived = now
+		d, decided := s.Arrive(now, call)
+		if d.Group == "" {
+			rejected++
+			s.Cancel(call.ID, "m")
+		}
+		if decided && d.Group != "" {
+			now = now.Add(time.Second)
+			s.Finished(now, "m", "g", time.Second, true)
+		}
+		now = now.Add(time.Duration(i) * 7 * time.Millisecond)
+	}
+	if rejected > 1 {
+		t.Errorf("%d of %d calls found no slot beside 20 free ones", rejected, reports)
+	}
+}
+
 func TestCallsOfAGroup(t *testing.T) {
 	s := scheduler.New("z", fixedRandom)
 	s.SetGroups(start, groups(6, "g"))
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -10,6 +10,11 @@
 	"github.com/garnetworks/garnetworks"
 )
 
+// waitsBefore reports whether a call waits that can be on time and doesn't give way to another one.
+func (p *pool) waitsBefore(c *Call) bool {
+	return p.waitsOnTime() && (!p.waiting[0].excess || c.excess)
+}
+
 // reject rejects a call that can't expect a slot in time (Q1).
 func (p *pool) reject(now time.Time, c *Call) (Decision, bool) {
 	groups, places := p.serving(now, c)
@@ -123,7 +128,7 @@
 	p.freeRateAt = now
 }
 
-// compareCalls orders waiting calls (Q4, Q5 and Q14).
+// compareCalls orders waiting calls (Q4, Q5, Q14 and Q17).
 func compareCalls(a, b *Call) int {
 	if a.Resumed != b.Resumed {
 		if a.Resumed {
@@ -140,6 +145,12 @@
 	if a.late {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.firstArrived().Compare(b.firstArrived()))
 	}
+	if a.Priority == b.Priority && a.excess != b.excess {
+		if b.excess {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due().Compare(b.due()))
 }
 
