--- a/scheduler/sharing.go
+++ b/scheduler/sharing.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -64,16 +65,15 @@
 // excess returns the fraction of a workspace's calls beyond its share: the calls that were served
 // are divided so that no workspace gets more than another one that is not served completely.
 func (w *workspaceCalls) excess(name garnetworks.WorkspaceName) float64 {
+	// Sorted first, so that rounding doesn't depend on the order of the map.
+	counts := slices.Sorted(maps.Values(w.counts))
 	own, total := w.counts[name], 0.0
-	counts := make([]float64, 0, len(w.counts))
-	for _, n := range w.counts {
-		counts = append(counts, n)
+	for _, n := range counts {
 		total += n
 	}
 	if len(counts) < 2 || own <= excessFactor*(total-own)/float64(len(counts)-1) {
 		return 0
 	}
-	slices.Sort(counts)
 	left := total - w.rejected
 	for i, n := range counts {
 		share := left / float64(len(counts)-i)
