apportioner: shares of the instances by calls served on time

Callers of the larger model of a site with two models waited or were rejected while 340 to 400 slots of the smaller one were free: demand was counted in calls per slot, and the larger model is limited by prefill at two thirds of its slots. Its own configured share stayed in use.

Package apportioner replaces the demandTracker of former. It computes the rate of calls that a group serves on time from EngineProfile, corrects it by the observed fraction on time, and divides the instances by need once a model is not served on time. Each node counts the outcomes of its calls (CallOutcomes), which load reports carry and exchanger sums.

The planner closes no several groups just after taking the lease or while a domain is unreachable, and loads a whole group's worth of a model that is short onto the hosts of a domain without a group of it.

--- a/event.go
+++ b/event.go
@@ -48,6 +48,7 @@
 	EventMemberReturned       EventKind = "member-returned"
 	EventOrderSent            EventKind = "order-sent"
 	EventOrderRefused         EventKind = "order-refused"
+	EventSharesChanged        EventKind = "shares-changed"
 	EventPowerOn              EventKind = "power-on"
 	EventPowerOff             EventKind = "power-off"
 	EventGrantChanged         EventKind = "grant-moved"
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -470,7 +470,7 @@
 // Sum adds up reports.
 func Sum(reports ...garnetworks.LoadReport) garnetworks.LoadReport {
 	groups := make(map[garnetworks.GroupID]garnetworks.GroupLoad)
-	demands := make(map[garnetworks.ModelName]float64)
+	demands := make(map[garnetworks.ModelName]garnetworks.ModelDemand)
 	sum := garnetworks.LoadReport{}
 	var limits []garnetworks.ServerLimit
 	for _, r := range reports {
@@ -481,7 +481,10 @@
 			groups[g.Group] = g
 		}
 		for _, d := range r.Demands {
-			demands[d.Model] += d.CallsPerSecond
+			total := demands[d.Model]
+			total.Model, total.CallsPerSecond = d.Model, total.CallsPerSecond+d.CallsPerSecond
+			total.Outcomes.Add(&d.Outcomes, 1)
+			demands[d.Model] = total
 		}
 		sum.Suspects = appendUnique(sum.Suspects, r.Suspects, maxSuspects)
 		sum.Lost = appendUnique(sum.Lost, r.Lost, maxLost)
@@ -491,8 +494,8 @@
 	for _, g := range groups {
 		sum.Groups = append(sum.Groups, g)
 	}
-	for m, n := range demands {
-		sum.Demands = append(sum.Demands, garnetworks.ModelDemand{Model: m, CallsPerSecond: n})
+	for _, d := range demands {
+		sum.Demands = append(sum.Demands, d)
 	}
 	return sum
 }
--- a/exchanger/total.go
+++ b/exchanger/total.go
@@ -69,6 +69,7 @@
 		for _, d := range part.Demands {
 			if d.Model == sum.Demands[i].Model {
 				sum.Demands[i].CallsPerSecond = max(0, sum.Demands[i].CallsPerSecond-d.CallsPerSecond)
+				sum.Demands[i].Outcomes.Add(&d.Outcomes, -1)
 			}
 		}
 	}
--- a/experimenter/fleet.go
+++ b/experimenter/fleet.go
@@ -99,7 +99,7 @@
 func (f *fleet) snapshot() follower.Servers {
 	servers := make(follower.Servers, len(f.engines))
 	for id, e := range f.engines {
-		if e.lostAt == never || f.now-e.lostAt < entryLapseTime {
+		if f.silence(e) < entryLapseTime {
 			servers[id] = e.RegisteredServer
 		}
 	}
@@ -121,17 +121,29 @@
 func (f *fleet) unresponsive(detectsSilence bool) garnetworks.Set[garnetworks.Incarnation] {
 	unresponsive := make(garnetworks.Set[garnetworks.Incarnation])
 	for _, e := range f.engines {
-		if detectsSilence && e.lostAt != never && f.now-e.lostAt >= detectionTime {
+		if detectsSilence && f.silence(e) >= detectionTime {
 			unresponsive.Add(e.Incarnation())
 		}
 	}
 	return unresponsive
 }
 
+// silence returns how long an engine has been lost or unreachable; 0 if it is neither.
+func (f *fleet) silence(e *engine) time.Duration {
+	p := f.pattern
+	switch {
+	case e.lostAt != never:
+		return f.now - e.lostAt
+	case e.Domain == domainName(0) && f.now >= p.UnreachableAt && f.now < p.UnreachableAt+p.UnreachableFor:
+		return f.now - p.UnreachableAt
+	}
+	return 0
+}
+
 // execute applies an order to its engine.
 func (f *fleet) execute(o *garnetworks.GroupOrder) error {
 	e := f.engines[o.Incarnation.Instance]
-	if e == nil || e.lostAt != never {
+	if e == nil || e.lostAt != never || f.silence(e) > 0 {
 		return garnetworks.Errorf(garnetworks.KindUnreachable, "the engine is lost")
 	}
 	same := e.Membership.Group == o.Group && e.Membership.Epoch == o.Epoch
@@ -222,7 +234,7 @@
 func (f *fleet) heads() []*engine {
 	var heads []*engine
 	for _, id := range slices.Sorted(maps.Keys(f.engines)) {
-		if e := f.engines[id]; e.lostAt == never && e.Membership.State == garnetworks.MemberOpen && f.complete(e) {
+		if e := f.engines[id]; e.lostAt == never && f.silence(e) == 0 && e.Membership.State == garnetworks.MemberOpen && f.complete(e) {
 			heads = append(heads, e)
 		}
 	}
--- a/experimenter/regroup.go
+++ b/experimenter/regroup.go
@@ -42,8 +42,22 @@
 	// LossEvery and AddEvery are the times between two losses and between two additions; only
 	// members of serving groups are lost.
 	LossEvery, AddEvery time.Duration
-	// RequiredGroups is the number of groups that each model's calls need.
+	// RequiredGroups is the number of groups that each model's calls need. Patterns with Calls
+	// have none.
 	RequiredGroups map[garnetworks.ModelName]float64
+	// Calls are the mean calls of each model per second, all counted as on time.
+	Calls map[garnetworks.ModelName]garnetworks.CallOutcomes
+	// Swing is the amplitude of the waves of all calls relative to their mean, WaveLength the
+	// duration of a wave. Bursts name models as their kinds.
+	Swing      float64
+	WaveLength time.Duration
+	Bursts     []Burst
+	// Efficiency is the groups' actual rate relative to that of the profile; 0 means 1.
+	Efficiency float64
+	// LossSize is the number of instances lost at a time; 0 means 1.
+	LossSize int
+	// The first domain is unreachable from UnreachableAt for UnreachableFor.
+	UnreachableAt, UnreachableFor time.Duration
 	// RestartAt are the times at which domains restart, the first domain at the first time and
 	// so on: their engines lose group and memory, but keep the models staged on their hosts.
 	RestartAt []time.Duration
@@ -90,6 +104,47 @@
 	}
 }
 
+// DemandPatterns returns the patterns with calls that compete for the groups, by name.
+func DemandPatterns() map[string]GroupPattern {
+	base := GroupPattern{
+		Name: "waves", Profile: competingProfile(0.444), Domains: 6, EnginesPerDomain: 37, Length: time.Minute, Calls: competingCalls(1),
+		Swing: 0.55, WaveLength: 17 * time.Second, Efficiency: 0.9,
+	}
+	short, bursts, losses, swapped := base, base, base, base
+	short.Name, short.WaveLength = "short-waves", 11*time.Second
+	bursts.Name, bursts.Swing, bursts.WaveLength = "bursts", 0, 0
+	for at := 15 * time.Second; at < base.Length; at += 20 * time.Second {
+		bursts.Bursts = append(bursts.Bursts, Burst{At: at, For: 3 * time.Second, Kind: "small", Factor: 1.5})
+	}
+	losses.Name, losses.LossEvery, losses.LossSize, losses.AddEvery = "losses-beside-waves", 3*time.Second, 2, 1500*time.Millisecond
+	losses.UnreachableAt, losses.UnreachableFor = 21*time.Second, 9*time.Second
+	swapped.Name, swapped.Profile, swapped.Swing = "swapped-shares", competingProfile(0.25), 0
+	swapped.Calls = competingCalls(1.3)
+	patterns := make(map[string]GroupPattern)
+	for _, p := range []GroupPattern{base, short, bursts, losses, swapped} {
+		patterns[p.Name] = p
+	}
+	return patterns
+}
+
+// competingProfile returns a profile in which the larger model is limited by prefill.
+func competingProfile(largeShare float64) garnetworks.EngineProfile {
+	profile := withModels(16, 4, largeShare, 18, 28)
+	profile.Slots, profile.StepsPerPass, profile.PrefillRate = 30, 7, 50700
+	profile.StepTime, profile.StepTimePerCall = 5950*time.Microsecond, 44500*time.Nanosecond
+	profile.Models[0].TimeFactor = 1.3
+	return profile
+}
+
+// competingCalls returns the calls of both models, multiplied by a factor.
+func competingCalls(factor float32) map[garnetworks.ModelName]garnetworks.CallOutcomes {
+	large := garnetworks.CallOutcomes{OnTime: 63, PromptTokens: 38*1460 + 25*2000, OutputTokens: 38*175 + 25*21, Objective: 38*0.3 + 25*0.4, MaxGap: 63 * 0.3}
+	small := garnetworks.CallOutcomes{OnTime: 381, PromptTokens: 381 * 714, OutputTokens: 381 * 217, Objective: 381 * 0.25, MaxGap: 381 * 0.2}
+	large.Scale(factor)
+	small.Scale(factor)
+	return map[garnetworks.ModelName]garnetworks.CallOutcomes{"large": large, "small": small}
+}
+
 // withModels returns a profile with groups of large and small engines for a large and a
 // small model, the large model's share of the demand, and the limits of the weight store:
 // loads per second and concurrent loads.
@@ -103,15 +158,6 @@
 	return profile
 }
 
-// demand returns the calls of each model that need RequiredGroups groups.
-func (p *GroupPattern) demand() map[garnetworks.ModelName]float64 {
-	calls := make(map[garnetworks.ModelName]float64)
-	for model, groups := range p.RequiredGroups {
-		calls[model] = groups * float64(p.Profile.Slots)
-	}
-	return calls
-}
-
 // Sample holds the number of serving groups of each model at a time.
 type Sample struct {
 	At      time.Duration
@@ -130,6 +176,9 @@
 	// ServedShare is the mean share of the demand that the serving groups could take; a model's
 	// groups above RequiredGroups don't count.
 	ServedShare float64
+	// Closed is the number of groups that were closed to form others. OnTime is the fraction of each model's calls on time.
+	Closed int
+	OnTime map[garnetworks.ModelName]float64
 }
 
 // groupPolicy decides which groups to form and dissolve.
@@ -164,12 +213,13 @@
 	r := &groupRun{
 		fleet: newFleet(pattern), policy: p.policy(), detectsSilence: p.detectsSilence, observesDemand: p.observesDemand,
 		random: rand.New(rand.NewPCG(seed, stream)),
-		result: &GroupResult{Downtime: hdrhistogram.New(1, mostMS, digits)},
+		result: &GroupResult{Downtime: hdrhistogram.New(1, mostMS, digits)}, demand: newDemand(pattern),
 	}
 	for now := time.Duration(0); now < pattern.Length; now += planInterval {
 		r.step(now)
 	}
 	r.recordUnreplaced(pattern.Length)
+	r.result.OnTime = r.demand.onTime()
 	for _, sample := range r.result.Samples {
 		r.result.ServedShare += r.servedShare(sample) / float64(len(r.result.Samples))
 	}
@@ -184,7 +234,10 @@
 	// observesDemand says that the policy gets the models' demand.
 	observesDemand bool
 	random         *rand.Rand
-	result         *GroupResult
+	demand         *demand
+	// demands are the newest figures that the policy gets.
+	demands []garnetworks.ModelDemand
+	result  *GroupResult
 	// down holds the times at which missing groups were lost, oldest first.
 	down map[garnetworks.ModelName][]time.Duration
 	// added and lost count engines, restarted counts domains.
@@ -202,12 +255,19 @@
 		Servers: r.snapshotAt(now - storeLag), Service: service, Profile: &r.pattern.Profile, Unresponsive: r.unresponsive(r.detectsSilence),
 		Term: 1, Loads: r.pattern.Profile.MaxConcurrentLoads, BeforeFirstCall: now < firstCall,
 	}
-	if r.observesDemand && now >= firstCall {
-		in.Demand = r.pattern.demand()
+	if now >= firstCall && now%sampleInterval == 0 {
+		if demands := r.demand.at(now, r.serving()); r.observesDemand {
+			r.demands = demands
+		}
 	}
+	in.Demands = r.demands
 	for _, o := range r.policy.Plan(instant(now), in) {
 		r.policy.Sent(instant(now), o)
-		r.policy.Answered(instant(now), o, r.execute(&o))
+		err := r.execute(&o)
+		r.policy.Answered(instant(now), o, err)
+		if o.Kind == garnetworks.GroupClose && err == nil && now >= firstCall {
+			r.result.Closed++
+		}
 	}
 	r.matchReplacements()
 	if now >= firstCall {
@@ -225,22 +285,29 @@
 		r.added++
 		r.add(r.added % r.pattern.Domains)
 	}
-	for since >= time.Duration(r.lost+1)*r.pattern.LossEvery {
+	for r.pattern.LossEvery > 0 && since >= time.Duration(r.lost+1)*r.pattern.LossEvery {
 		r.lost++
-		members := r.members()
-		if len(members) == 0 {
-			continue
-		}
-		e := members[r.random.IntN(len(members))]
-		e.lostAt = r.now
-		r.result.Losses++
-		if r.down == nil {
-			r.down = make(map[garnetworks.ModelName][]time.Duration)
+		for range max(1, r.pattern.LossSize) {
+			r.lose()
 		}
-		r.down[former.GroupModel(e.Membership.Group)] = append(r.down[former.GroupModel(e.Membership.Group)], r.now)
 	}
 }
 
+// lose loses a member of a serving group.
+func (r *groupRun) lose() {
+	members := r.members()
+	if len(members) == 0 {
+		return
+	}
+	e := members[r.random.IntN(len(members))]
+	e.lostAt = r.now
+	r.result.Losses++
+	if r.down == nil {
+		r.down = make(map[garnetworks.ModelName][]time.Duration)
+	}
+	r.down[former.GroupModel(e.Membership.Group)] = append(r.down[former.GroupModel(e.Membership.Group)], r.now)
+}
+
 // restart restarts a domain if it is due: its engines return as new ones with the models
 // staged on their hosts.
 func (r *groupRun) restart() {
@@ -262,6 +329,9 @@
 func (r *groupRun) servedShare(s Sample) float64 {
 	sum := 0.0
 	for _, m := range r.pattern.Profile.Models {
+		if r.pattern.RequiredGroups == nil {
+			break
+		}
 		sum += m.InitialShare * min(1, float64(s.Serving[m.Name])/r.pattern.RequiredGroups[m.Name])
 	}
 	return sum
--- a/follow.go
+++ b/follow.go
@@ -55,6 +55,50 @@
 	Model ModelName
 	// CallsPerSecond is the rate of arriving calls over the last second or so.
 	CallsPerSecond float64
+	Outcomes       CallOutcomes
+}
+
+// CallOutcomes are averages, per second, over the calls to a model that ended. A call that returns
+// after a rejection is not counted again. Fields are encoded by position, because it is sent
+// between nodes.
+type CallOutcomes struct {
+	_ struct{} `cbor:",toarray"`
+	// OnTime are the calls whose first event and pauses were within their objectives, Late those
+	// that were answered otherwise or whose answer broke off, Rejected those that no group took
+	// in time.
+	OnTime, Late, Rejected float32
+	// PromptTokens and OutputTokens are the tokens of these calls, including those of rejected
+	// ones.
+	PromptTokens, OutputTokens float32
+	// Objective and MaxGap are the sums of the calls' limits in seconds, Priority that of their
+	// priorities.
+	Objective, MaxGap, Priority float32
+}
+
+// Ended returns the calls that ended per second.
+func (o *CallOutcomes) Ended() float64 {
+	return float64(o.OnTime) + float64(o.Late) + float64(o.Rejected)
+}
+
+// Add adds the outcomes of other calls, multiplied by a factor; -1 removes them. No field becomes
+// negative.
+func (o *CallOutcomes) Add(other *CallOutcomes, factor float32) {
+	add := func(field *float32, n float32) { *field = max(0, *field+factor*n) }
+	add(&o.OnTime, other.OnTime)
+	add(&o.Late, other.Late)
+	add(&o.Rejected, other.Rejected)
+	add(&o.PromptTokens, other.PromptTokens)
+	add(&o.OutputTokens, other.OutputTokens)
+	add(&o.Objective, other.Objective)
+	add(&o.MaxGap, other.MaxGap)
+	add(&o.Priority, other.Priority)
+}
+
+// Scale multiplies all fields.
+func (o *CallOutcomes) Scale(factor float32) {
+	scaled := CallOutcomes{}
+	scaled.Add(o, factor)
+	*o = scaled
 }
 
 // LoadReport is the load of one node, or the sum over nodes.
--- a/former/balance.go
+++ b/former/balance.go
@@ -21,6 +21,13 @@
 	// paybackTime is the time within which paysOff requires a reallocation to recover its cost.
 	// Where engines are lost every few seconds, a domain changes again about as soon.
 	paybackTime = 20 * time.Second
+	// takeoverGrace is the time after taking the lease in which no several groups are closed for
+	// another one. Groups that the last holder was changing are complete or lost by then.
+	takeoverGrace = returnGrace
+	// unreachableCount missing instances of a domain indicate that it is unreachable, for up to
+	// unreachableWindow after their entries vanished; losses are of two or three each 3 s.
+	unreachableCount  = 8
+	unreachableWindow = 12 * time.Second
 	// minReserve is the number of instances of a domain outside a model's groups that should
 	// hold the model, so that a lost member can be replaced without a load even when no spare
 	// is left. In a domain of 27 that loses one instance every 6 s, eight last for 48 s, the
@@ -64,6 +71,7 @@
 // starts reallocations in all domains.
 func (r *plan) reallocateGroups(free map[garnetworks.DomainID][]garnetworks.RegisteredServer, counts map[garnetworks.ModelName]int) {
 	r.updateReallocations(counts)
+	r.isUnsettled = r.unsettled()
 	evacuated := r.evacuatedDomains()
 	for _, domain := range r.listedDomains() {
 		if evacuated.Has(domain) { // rule O10
@@ -116,6 +124,35 @@
 	return false
 }
 
+// unsettled reports whether the numbers of groups are uncertain: the lease was just taken, or a
+// domain is unreachable or has just returned. Its groups serve again without a load, and those
+// closed in their favor would be missing.
+func (r *plan) unsettled() bool {
+	if r.now.Sub(r.termSince) < takeoverGrace {
+		return true
+	}
+	for _, until := range r.uncertainUntil {
+		if r.now.Before(until) {
+			return true
+		}
+	}
+	missing := make(map[garnetworks.DomainID]int)
+	for id, at := range r.vanishedAt {
+		if r.now.Sub(at) <= unreachableWindow {
+			missing[r.domainOf[id]]++
+		}
+	}
+	for id := range r.Unresponsive {
+		missing[r.domainOf[id]]++
+	}
+	for _, n := range missing {
+		if n >= unreachableCount {
+			return true
+		}
+	}
+	return false
+}
+
 // listedDomains returns the domains of the service's registered instances, sorted.
 func (r *plan) listedDomains() []garnetworks.DomainID {
 	domains := make(garnetworks.Set[garnetworks.DomainID])
@@ -167,7 +204,7 @@
 		candidates := candidatesFor(healthy, m)
 		for i := range candidates {
 			groups := groupsToClose(ready, candidates, i, m)
-			if groups == nil || len(groups) > 1 && r.reallocatingSeveral() {
+			if groups == nil || len(groups) > 1 && (r.reallocatingSeveral() || r.isUnsettled) {
 				continue
 			}
 			// A single group that is replaced by a single one serves again after a warm start.
@@ -334,7 +371,7 @@
 
 // stageOutsideGroups loads the model onto hosts of instances that are in none of its groups.
 func (r *plan) stageOutsideGroups(servers []garnetworks.RegisteredServer, m *garnetworks.ModelProfile) {
-	ready := 0
+	ready, reserve := 0, r.reserve(servers, m)
 	var hosts []garnetworks.RegisteredServer
 	for i := range servers {
 		s := &servers[i]
@@ -347,7 +384,7 @@
 		}
 	}
 	for _, s := range hosts {
-		if r.loadsLeft <= 0 || ready >= minReserve && s.Membership.Group != "" && !r.BeforeFirstCall {
+		if r.loadsLeft <= 0 || ready >= reserve && s.Membership.Group != "" && !r.BeforeFirstCall {
 			return
 		}
 		ready++
@@ -355,6 +392,25 @@
 	}
 }
 
+// reserve returns the number of a domain's instances outside the model's groups that should hold
+// the model: minReserve, or a whole group's in a domain without one if the model is short of
+// groups.
+//
+// Load pattern: a domain loses its group of 16 and forms four groups of 4 of the rest, each of which
+// leaves only its own model on its hosts. With eight instances that hold the larger model, the
+// domain never forms a group of 16 again, however short that model is.
+func (r *plan) reserve(servers []garnetworks.RegisteredServer, m *garnetworks.ModelProfile) int {
+	if !r.apportioner.Short(m.Name, r.groupCounts()[m.Name]) {
+		return minReserve
+	}
+	for i := range servers {
+		if GroupModel(servers[i].Membership.Group) == m.Name {
+			return minReserve
+		}
+	}
+	return max(minReserve, m.GroupSize)
+}
+
 // lacksSecondModel reports whether the instance has a model in memory and the newest model on
 // its host, if any, is the same one.
 func lacksSecondModel(s *garnetworks.RegisteredServer) bool {
--- a/former/former.go
+++ b/former/former.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/apportioner"
 	"github.com/garnetworks/garnetworks/follower"
 	"github.com/garnetworks/garnetworks/leaser"
 )
@@ -51,9 +52,12 @@
 	FirstStart bool
 	// Progressing returns the groups that recently sent an event to some node; it may be nil.
 	Progressing func() garnetworks.Set[garnetworks.GroupID]
-	// Demand returns the number of calls of each model that are running or could be running
-	// at the site; it may be nil.
-	Demand func() map[garnetworks.ModelName]float64
+	// Demands returns the demand for each model at the site, nothing if it is unknown; it may be
+	// nil.
+	Demands func() []garnetworks.ModelDemand
+	// Apportioned receives the states of a service's models after each plan, and nil when the node
+	// makes no plans; it may be nil.
+	Apportioned func([]apportioner.ModelState)
 	// Recorder receives events on orders, on probes and on suspected groups.
 	Recorder garnetworks.Recorder
 }
@@ -199,6 +203,9 @@
 	// that the last holder has since ordered into a group.
 	if term == 0 || f.options.Follower.ServersConfirmed().Before(f.leaseSince) || x == nil || !f.options.Follower.Ready() {
 		f.lost.Store(nil)
+		if f.options.Apportioned != nil {
+			f.options.Apportioned(nil)
+		}
 		return
 	}
 	servers := f.options.Follower.Servers()
@@ -265,18 +272,30 @@
 	}
 	orders := p.Plan(now, Input{
 		Servers: servers, Service: service, Profile: profile, Unresponsive: f.unresponsive, Evacuated: f.options.Follower.Evacuated(),
-		Term: term, Loads: loads, BeforeFirstCall: first, Progressing: f.progressing(), Demand: f.demand(),
+		Term: term, Loads: loads, BeforeFirstCall: first, Progressing: f.progressing(), Demands: f.demands(),
 	})
+	f.reportShares(service, p)
 	for _, o := range orders {
 		f.queue = append(f.queue, queuedOrder{service, o, !first})
 	}
 }
 
-func (f *Former) demand() map[garnetworks.ModelName]float64 {
-	if f.options.Demand == nil {
+func (f *Former) demands() []garnetworks.ModelDemand {
+	if f.options.Demands == nil {
 		return nil
 	}
-	return f.options.Demand()
+	return f.options.Demands()
+}
+
+// reportShares reports the states of a service's models, with an event if the shares have changed.
+func (f *Former) reportShares(service garnetworks.ServiceName, p *Planner) {
+	states := p.apportioner.States()
+	if p.sharesChanged {
+		f.options.Recorder.Record(garnetworks.Event{Kind: garnetworks.EventSharesChanged, Detail: string(service) + ": " + apportioner.Describe(states)})
+	}
+	if f.options.Apportioned != nil && len(states) > 0 {
+		f.options.Apportioned(states)
+	}
 }
 
 func (f *Former) progressing() garnetworks.Set[garnetworks.GroupID] {
--- a/former/planner.go
+++ b/former/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/apportioner"
 	"github.com/garnetworks/garnetworks/follower"
 )
 
@@ -54,9 +55,8 @@
 	Progressing garnetworks.Set[garnetworks.GroupID]
 	// Loads is the number of loads from the weight store that may begin now.
 	Loads int
-	// Demand is the observed number of calls of each model that are running or could be
-	// running; empty if unknown.
-	Demand map[garnetworks.ModelName]float64
+	// Demands is the observed demand for each model at the site; empty if unknown.
+	Demands []garnetworks.ModelDemand
 	// BeforeFirstCall says that no call has arrived yet, so that loads delay nobody.
 	BeforeFirstCall bool
 }
@@ -105,7 +105,11 @@
 	staged map[garnetworks.Incarnation]stagedLoad
 	// reallocations holds the reallocation in progress in each domain.
 	reallocations map[garnetworks.DomainID]*reallocation
-	demand        demandTracker
+	apportioner   apportioner.Apportioner
+	// sharesChanged says that the last plan changed the models' shares.
+	sharesChanged bool
+	// termSince is when the term began.
+	termSince time.Time
 	// uncertainUntil holds the time until which a domain's groups are not dissolved.
 	uncertainUntil map[garnetworks.DomainID]time.Time
 }
@@ -140,6 +144,8 @@
 	ordered       garnetworks.Set[garnetworks.Incarnation]
 	plannedStages map[garnetworks.Incarnation]garnetworks.ModelName
 	loadsLeft     int
+	// isUnsettled is the result of unsettled.
+	isUnsettled bool
 	// pendingLeaves are the domains in which responses to orders to leave are awaited.
 	pendingLeaves garnetworks.Set[garnetworks.DomainID]
 }
@@ -150,7 +156,7 @@
 func (p *Planner) Plan(now time.Time, in Input) []garnetworks.GroupOrder {
 	if in.Term != p.term {
 		// A new term of the lease: the engines report what earlier holders ordered.
-		p.term, p.sequence = in.Term, 0
+		p.term, p.sequence, p.termSince = in.Term, 0, now
 		clear(p.formations)
 		clear(p.sent)
 		clear(p.left)
@@ -164,8 +170,10 @@
 	}
 	r.detectPartitions()
 	r.groups = Observe(in.Servers, in.Service, Sizes(in.Profile))
-	r.demand.update(now, in.Profile, in.Demand, r.groupCounts())
-	r.Profile = r.demand.profile(in.Profile)
+	r.sharesChanged = r.apportioner.Update(now, apportioner.Input{
+		Profile: in.Profile, Demands: in.Demands, Groups: r.groupCounts(), Instances: r.usableCount(),
+	})
+	r.Profile = r.apportioner.Profile(in.Profile)
 	r.advanceFormations()
 	r.maintainGroups()
 	r.releaseAbandoned()
@@ -183,6 +191,17 @@
 	return s.Service == r.Service && s.State == garnetworks.ListedLive && !r.Unresponsive.Has(s.Incarnation()) && !r.now.Before(r.excluded[s.Incarnation()])
 }
 
+// usableCount returns the number of instances that may be in groups.
+func (r *plan) usableCount() int {
+	n := 0
+	for _, s := range r.Servers {
+		if r.usable(&s) {
+			n++
+		}
+	}
+	return n
+}
+
 // forget drops state that is no longer needed, so that memory stays bounded.
 func (r *plan) forget() {
 	const keep = time.Minute
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -93,6 +93,7 @@
 // or for the failure's cause.
 func (x *exchange) recordEnd(status int, outcome garnetworks.Outcome, err error) {
 	kind := garnetworks.KindOf(err)
+	x.recordOutcome(status, err)
 	route := ""
 	if x.route != nil {
 		route = x.route.Name
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,8 +102,10 @@
 	// reported within nodeCountRetention, at nodesUpdated.
 	nodes        int
 	nodesUpdated time.Time
-	// peers is the last load report of the other nodes.
-	peers garnetworks.LoadReport
+	// peers is the last load report of the other nodes; peersKnown says that there is one.
+	peers      garnetworks.LoadReport
+	peersKnown bool
+	outcomes   outcomes
 	// limits are the limits that servers named; limitsApplied is when the groups got theirs.
 	limits        *limiter.Limits
 	limitsApplied time.Time
@@ -310,6 +312,7 @@
 // load implements Load; g.mu is held.
 func (g *Gateway) load(now time.Time) garnetworks.LoadReport {
 	report := g.scheduler.Load(now)
+	g.outcomes.report(now, report.Demands)
 	for i := range report.Groups {
 		if now.Sub(g.lastGroupEvent[report.Groups[i].Group]) < progressWindow {
 			report.Groups[i].ActiveNodes = 1
@@ -334,14 +337,6 @@
 	return progressing
 }
 
-// OfferedLoad returns for each model the number of calls that would be running if all
-// arrivals were served.
-func (g *Gateway) OfferedLoad() map[garnetworks.ModelName]float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.scheduler.OfferedLoad(time.Now())
-}
-
 // SetPeerLoad sets the load of the other nodes; known is false if there is no report.
 func (g *Gateway) SetPeerLoad(peers garnetworks.LoadReport, known bool) {
 	g.mu.Lock()
@@ -351,7 +346,7 @@
 	if known && g.limits.Merge(now, peers.Limits) {
 		g.applyLimits(now)
 	}
-	g.peers = peers
+	g.peers, g.peersKnown = peers, known
 	g.deliver(g.scheduler.SetPeerLoad(now, peers, known))
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/apportioner"
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/exchanger"
 	"github.com/garnetworks/garnetworks/follower"
@@ -192,7 +193,8 @@
 	l.former = former.New(former.Options{
 		Follower: l.follower, Orders: options.Orders, Lease: l.lease, Bounds: site.Bounds, FirstStart: site.FirstStart, Recorder: events,
 		Progressing: func() garnetworks.Set[garnetworks.GroupID] { return l.gateway.Progressing() },
-		Demand:      func() map[garnetworks.ModelName]float64 { return l.gateway.OfferedLoad() },
+		Demands:     func() []garnetworks.ModelDemand { return l.gateway.Demands() },
+		Apportioned: l.recordApportioned,
 	})
 	l.quarantine = quarantiner.New(quarantiner.Options{
 		Probe: l.probeIncarnation, Objects: objects, IsReader: func() bool { return l.peers.exchanger.IsReader() }, Recorder: events,
@@ -230,6 +232,17 @@
 	l.gateway.SetPeerLoad(others, known)
 }
 
+// recordApportioned exports what the models of a service need; states is empty when this node does
+// not form groups.
+func (l *Launcher) recordApportioned(states []apportioner.ModelState) {
+	if len(states) == 0 {
+		l.meter.ForgetApportioned()
+	}
+	for _, s := range states {
+		l.meter.Apportioned(s.Model, s.Needed, s.OnTime)
+	}
+}
+
 // suspect reports a group that seems to make no progress to the other nodes and to the former,
 // which acts only if this node holds the lease.
 func (l *Launcher) suspect(group garnetworks.GroupID) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -50,6 +50,8 @@
 	delegated      *prometheus.CounterVec
 	limitedAnswers *prometheus.CounterVec
 	attemptTime    *prometheus.HistogramVec
+	neededGroups   *prometheus.GaugeVec
+	onTime         *prometheus.GaugeVec
 	objectTime     *prometheus.HistogramVec
 	counters       map[string]prometheus.Counter
 	gauges         map[string]prometheus.Gauge
@@ -99,6 +101,8 @@
 	{"garnet_delegated_calls_total", "Calls offered to other nodes because this node reaches no server, by service and result: taken, untaken, or the phase in which sending them failed.", []string{"service", "result"}},
 	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
+	{"garnet_needed_groups", "Groups that a model's calls need to be on time, at the node that forms groups.", []string{"model"}},
+	{"garnet_on_time_ratio", "Fraction of a model's calls at the site that were on time, averaged, at the node that forms groups.", []string{"model"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
 	{"garnet_log_lines_dropped_total", "Log lines that found the ring to the writer full.", nil},
 	{"garnet_events_total", "Events recorded on the time line, by kind.", []string{"kind"}},
@@ -149,6 +153,8 @@
 	m.retries = counter("garnet_retries_total")
 	m.delegated = counter("garnet_delegated_calls_total")
 	m.limitedAnswers = counter("garnet_limited_answers_total")
+	m.neededGroups = gauges("garnet_needed_groups")
+	m.onTime = gauges("garnet_on_time_ratio")
 	m.attemptTime = histograms("garnet_attempt_seconds", attemptBuckets)
 	m.objectTime = histograms("garnet_object_api_seconds", objectBuckets)
 	m.calls = counter("garnet_calls_total")
@@ -234,6 +240,18 @@
 	m.limitedAnswers.WithLabelValues(string(service)).Inc()
 }
 
+// Apportioned sets the groups that a model needs and its fraction of calls on time.
+func (m *Meter) Apportioned(model garnetworks.ModelName, neededGroups, onTime float64) {
+	m.neededGroups.WithLabelValues(string(model)).Set(neededGroups)
+	m.onTime.WithLabelValues(string(model)).Set(onTime)
+}
+
+// ForgetApportioned deletes what Apportioned has set, when the node no longer forms groups.
+func (m *Meter) ForgetApportioned() {
+	m.neededGroups.Reset()
+	m.onTime.Reset()
+}
+
 // ForgetGroup deletes a group's counters, so that groups that come and go don't grow the
 // node's memory (rule M2).
 func (m *Meter) ForgetGroup(group garnetworks.GroupID) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -40,6 +40,7 @@
 	m.Retry("s", true)
 	m.Delegated("s", "taken")
 	m.LimitedAnswer("s")
+	m.Apportioned("model", 5.5, 0.9)
 	m.LinesDropped(2)
 	m.RegisterRoutingAge(func() time.Duration { return 1500 * time.Millisecond })
 	m.InFlight(3)
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -25,19 +25,6 @@
 	return report
 }
 
-// OfferedLoad returns the number of calls of each model that would be running if all arrivals
-// were served: the node's own arrival rate plus that of its peers by their last report (0
-// while unknown), times the service time. Models without a completed call are left out.
-func (s *Scheduler) OfferedLoad(now time.Time) map[garnetworks.ModelName]float64 {
-	load := make(map[garnetworks.ModelName]float64)
-	for model, p := range s.pools {
-		if p.serviceTime > 0 {
-			load[model] = (p.demand(now) + p.peerDemand) * p.serviceTime.Seconds()
-		}
-	}
-	return load
-}
-
 // recordServiceTime adds the time from a call's dispatch to its end to the moving average.
 func (p *pool) recordServiceTime(took time.Duration) {
 	if p.serviceTime == 0 {
