--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -24,6 +24,9 @@
 	// correctionTime is the time constant of the correction. It covers several waves, since the
 	// correction says something about the groups, not about the load.
 	correctionTime = 30 * time.Second
+	// settleTime is how long the number of groups must be unchanged before the outcomes are those
+	// of that number: a new group opens after a second or two, and outcomes are averages over 2 s.
+	settleTime = 4 * time.Second
 	// The bounds of the correction keep the need near the profile's where losses or a lost zone
 	// make calls late, which more groups don't change.
 	minCorrection, maxCorrection = 0.7, 1.6
@@ -73,6 +76,9 @@
 	outcomes   garnetworks.CallOutcomes
 	groups     float64
 	correction float64
+	// count is the last number of groups, unchanged since countSince.
+	count      int
+	countSince time.Time
 }
 
 // Apportioner holds the averages and the shares of the models of one service. The zero value has
@@ -130,9 +136,12 @@
 			v.outcomes.Add(o, float32(added))
 		}
 		v.groups = v.groups*decay + added*float64(in.Groups[m.Name])
-		if o := observed[m.Name]; o != nil && in.Groups[m.Name] > 0 {
+		if n := in.Groups[m.Name]; n != v.count {
+			v.count, v.countSince = n, now
+		}
+		if o := observed[m.Name]; o != nil && v.count > 0 && now.Sub(v.countSince) >= settleTime {
 			weight := 1 - math.Exp(-float64(min(elapsed, updateInterval))/float64(correctionTime))
-			v.correct(in.Profile, m, o, float64(in.Groups[m.Name]), weight)
+			v.correct(in.Profile, m, o, float64(v.count), weight)
 		}
 	}
 }
@@ -198,7 +207,8 @@
 	return true
 }
 
-// differ reports whether shares differ from those in use by minShareChange.
+// differ reports whether shares differ from those in use by minShareChange, or by more while the
+// averages cover less than averagingTime, since a burst counts for more in them.
 func (a *Apportioner) differ(profile *garnetworks.EngineProfile, due map[garnetworks.ModelName]float64) bool {
 	total := shareSum(profile)
 	for i := range a.states {
@@ -206,7 +216,7 @@
 		if due != nil {
 			share = due[a.states[i].Model]
 		}
-		if math.Abs(share-a.states[i].Share) >= minShareChange {
+		if math.Abs(share-a.states[i].Share) >= minShareChange/a.weight {
 			return true
 		}
 	}
--- a/apportioner/doc.go
+++ b/apportioner/doc.go
@@ -12,7 +12,8 @@
 //	    bottleneck; counted in slots, it needs no further group.
 //	P2  A model needs its calls divided by that rate, multiplied by a correction: the ratio of the
 //	    load at which the profile predicts the observed fraction on time to the actual load.
-//	    Where both fractions are high the load says nothing, and the last correction stays.
+//	    Where both fractions are high the load says nothing, and the last correction stays; so it
+//	    does after losses, which make calls late whatever a group's rate is.
 //	    Load pattern: groups that are slower than their profile, or calls that are unevenly
 //	    distributed.
 //	P3  The configured shares apply without figures, until a model is not served on time, and again
