former: a domain that restarts is not taken for an unreachable one

TestGroupsUnderLosses/small-domains failed with the rule that closes no several groups while a domain is unreachable: lost engines were counted twice, once unresponsive and once vanished, and a domain of eight that restarts looked unreachable.

--- a/former/balance.go
+++ b/former/balance.go
@@ -128,14 +128,16 @@
 // domain is unreachable or has just returned. Its groups serve again without a load, and those
 // closed in their favor would be missing.
 func (r *plan) unsettled() bool {
-	if r.now.Sub(r.termSince) < takeoverGrace {
-		return true
-	}
-	for _, until := range r.uncertainUntil {
-		if r.now.Before(until) {
-			return true
-		}
+	if r.domainUnreachable() {
+		r.unsettledUntil = r.now.Add(returnGrace)
 	}
+	return r.now.Sub(r.termSince) < takeoverGrace || r.now.Before(r.unsettledUntil)
+}
+
+// domainUnreachable reports whether at least unreachableCount instances of a domain are missing,
+// and more than it has left. The instances of a domain that restarts are listed again, under new
+// identifiers.
+func (r *plan) domainUnreachable() bool {
 	missing := make(map[garnetworks.DomainID]int)
 	for id, at := range r.vanishedAt {
 		if r.now.Sub(at) <= unreachableWindow {
@@ -143,16 +145,29 @@
 		}
 	}
 	for id := range r.Unresponsive {
-		missing[r.domainOf[id]]++
+		if s, ok := r.server(id); ok {
+			missing[s.Domain]++
+		}
 	}
-	for _, n := range missing {
-		if n >= unreachableCount {
+	for domain, n := range missing {
+		if n >= unreachableCount && n > r.usableIn(domain) {
 			return true
 		}
 	}
 	return false
 }
 
+// usableIn returns the number of usable instances of a domain.
+func (r *plan) usableIn(domain garnetworks.DomainID) int {
+	n := 0
+	for _, s := range r.Servers {
+		if s.Domain == domain && r.usable(&s) {
+			n++
+		}
+	}
+	return n
+}
+
 // listedDomains returns the domains of the service's registered instances, sorted.
 func (r *plan) listedDomains() []garnetworks.DomainID {
 	domains := make(garnetworks.Set[garnetworks.DomainID])
@@ -400,7 +415,7 @@
 // leaves only its own model on its hosts. With eight instances that hold the larger model, the
 // domain never forms a group of 16 again, however short that model is.
 func (r *plan) reserve(servers []garnetworks.RegisteredServer, m *garnetworks.ModelProfile) int {
-	if !r.apportioner.Short(m.Name, r.groupCounts()[m.Name]) {
+	if !r.apportioner.Short(m.Name, r.counts[m.Name]) {
 		return minReserve
 	}
 	for i := range servers {
--- a/former/planner.go
+++ b/former/planner.go
@@ -108,8 +108,9 @@
 	apportioner   apportioner.Apportioner
 	// sharesChanged says that the last plan changed the models' shares.
 	sharesChanged bool
-	// termSince is when the term began.
-	termSince time.Time
+	// termSince is when the term began; unsettledUntil is until when a domain is assumed to be
+	// unreachable or to return.
+	termSince, unsettledUntil time.Time
 	// uncertainUntil holds the time until which a domain's groups are not dissolved.
 	uncertainUntil map[garnetworks.DomainID]time.Time
 }
@@ -138,6 +139,8 @@
 	Input
 	now    time.Time
 	groups []Group
+	// counts are the groups of each model at the start of the plan.
+	counts map[garnetworks.ModelName]int
 	orders []urgentOrder
 	// ordered are the instances that this plan has an order for; plannedStages are the models
 	// that it orders them to load onto their hosts; loadsLeft is the rest of the load budget.
@@ -170,8 +173,9 @@
 	}
 	r.detectPartitions()
 	r.groups = Observe(in.Servers, in.Service, Sizes(in.Profile))
+	r.counts = r.groupCounts()
 	r.sharesChanged = r.apportioner.Update(now, apportioner.Input{
-		Profile: in.Profile, Demands: in.Demands, Groups: r.groupCounts(), Instances: r.usableCount(),
+		Profile: in.Profile, Demands: in.Demands, Groups: r.counts, Instances: r.usableCount(),
 	})
 	r.Profile = r.apportioner.Profile(in.Profile)
 	r.advanceFormations()
