--- a/cmd/garnetlab/main.go
+++ b/cmd/garnetlab/main.go
@@ -87,6 +87,7 @@
 func runGroups(f flags, out io.Writer) error {
 	patterns := experimenter.GroupPatterns()
 	maps.Copy(patterns, experimenter.SharePatterns())
+	maps.Copy(patterns, experimenter.DemandPatterns())
 	names, err := selectNames(f.Pattern, patterns)
 	if err != nil {
 		return err
--- a/exchanger/total_test.go
+++ b/exchanger/total_test.go
@@ -71,3 +71,24 @@
 		t.Errorf("the sum has %d limits", got)
 	}
 }
+
+// Guards against outcomes of calls that are lost in a sum, or stay in it without their node.
+func TestSumOfOutcomes(t *testing.T) {
+	report := func(onTime, late float32) garnetworks.LoadReport {
+		return garnetworks.LoadReport{Nodes: 1, Demands: []garnetworks.ModelDemand{{
+			Model: "m", CallsPerSecond: 1, Outcomes: garnetworks.CallOutcomes{OnTime: onTime, Late: late, PromptTokens: 100},
+		}}}
+	}
+	a, b := report(3, 1), report(5, 0)
+	sum := Sum(a, b)
+	want := garnetworks.CallOutcomes{OnTime: 8, Late: 1, PromptTokens: 200}
+	if got := sum.Demands[0]; got.Outcomes != want || got.CallsPerSecond != 2 {
+		t.Errorf("sum %+v, want outcomes %+v", got, want)
+	}
+	if got := subtract(sum, a).Demands[0].Outcomes; got != b.Demands[0].Outcomes {
+		t.Errorf("without one node %+v, want %+v", got, b.Demands[0].Outcomes)
+	}
+	if got := sum.Demands[0].Outcomes; got != want {
+		t.Errorf("the sum has changed to %+v", got)
+	}
+}
--- a/experimenter/regroup.go
+++ b/experimenter/regroup.go
@@ -174,7 +174,8 @@
 	Idle    time.Duration
 	Samples []Sample
 	// ServedShare is the mean share of the demand that the serving groups could take; a model's
-	// groups above RequiredGroups don't count.
+	// groups above RequiredGroups don't count. In patterns with Calls it is the mean of OnTime by
+	// the models' initial shares.
 	ServedShare float64
 	// Closed is the number of groups that were closed to form others. OnTime is the fraction of each model's calls on time.
 	Closed int
@@ -220,6 +221,12 @@
 	}
 	r.recordUnreplaced(pattern.Length)
 	r.result.OnTime = r.demand.onTime()
+	if pattern.RequiredGroups == nil {
+		for _, m := range pattern.Profile.Models {
+			r.result.ServedShare += m.InitialShare * r.result.OnTime[m.Name]
+		}
+		return r.result, nil
+	}
 	for _, sample := range r.result.Samples {
 		r.result.ServedShare += r.servedShare(sample) / float64(len(r.result.Samples))
 	}
@@ -329,9 +336,6 @@
 func (r *groupRun) servedShare(s Sample) float64 {
 	sum := 0.0
 	for _, m := range r.pattern.Profile.Models {
-		if r.pattern.RequiredGroups == nil {
-			break
-		}
 		sum += m.InitialShare * min(1, float64(s.Serving[m.Name])/r.pattern.RequiredGroups[m.Name])
 	}
 	return sum
