--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -24,6 +24,9 @@
 	// correctionTime is the time constant of the correction. It covers several waves, since the
 	// correction says something about the groups, not about the load.
 	correctionTime = 30 * time.Second
+	// settleTime is how long the number of groups must be unchanged before the outcomes are those
+	// of that number: a new group opens after a second or two, and outcomes are averages over 2 s.
+	settleTime = 4 * time.Second
 	// The bounds of the correction keep the need near the profile's where losses or a lost zone
 	// make calls late, which more groups don't change.
 	minCorrection, maxCorrection = 0.7, 1.6
@@ -73,6 +76,9 @@
 	outcomes   garnetworks.CallOutcomes
 	groups     float64
 	correction float64
+	// count is the last number of groups, unchanged since countSince.
+	count      int
+	countSince time.Time
 }
 
 // Apportioner holds the averages and the shares of the models of one service. The zero value has
@@ -130,19 +136,25 @@
 			v.outcomes.Add(o, float32(added))
 		}
 		v.groups = v.groups*decay + added*float64(in.Groups[m.Name])
-		a.correct(in.Profile, m, v, 1-math.Exp(-float64(min(elapsed, updateInterval))/float64(correctionTime)))
+		if n := in.Groups[m.Name]; n != v.count {
+			v.count, v.countSince = n, now
+		}
+		if o := observed[m.Name]; o != nil && v.count > 0 && now.Sub(v.countSince) >= settleTime {
+			weight := 1 - math.Exp(-float64(min(elapsed, updateInterval))/float64(correctionTime))
+			v.correct(in.Profile, m, o, float64(v.count), weight)
+		}
 	}
 }
 
 // correct moves the model's correction toward the one that explains the observed fraction on time
 // (rule P2).
-func (a *Apportioner) correct(profile *garnetworks.EngineProfile, m *garnetworks.ModelProfile, v *average, weight float64) {
-	calls := v.outcomes.Ended()
-	if calls <= 0 || v.groups <= 0 {
+func (v *average) correct(profile *garnetworks.EngineProfile, m *garnetworks.ModelProfile, o *garnetworks.CallOutcomes, groups, weight float64) {
+	calls := o.Ended()
+	if calls <= 0 {
 		return
 	}
-	w := workOf(profile, m, &v.outcomes)
-	load, observed := calls/v.groups, float64(v.outcomes.OnTime)/calls
+	w := workOf(profile, m, o)
+	load, observed := calls/groups, float64(o.OnTime)/calls
 	if observed >= uninformative && w.served(load*v.correction) >= uninformative {
 		return
 	}
@@ -180,7 +192,7 @@
 // (rule P5).
 func (a *Apportioner) replaceShares(now time.Time, in *Input) bool {
 	due := a.dueShares(in)
-	if !a.differ(in.Profile, due) {
+	if !a.differ(in.Profile, due) || due != nil && !a.helps(due) {
 		a.differsSince = time.Time{}
 		return false
 	}
@@ -195,7 +207,8 @@
 	return true
 }
 
-// differ reports whether shares differ from those in use by minShareChange.
+// differ reports whether shares differ from those in use by minShareChange, or by more while the
+// averages cover less than averagingTime, since a burst counts for more in them.
 func (a *Apportioner) differ(profile *garnetworks.EngineProfile, due map[garnetworks.ModelName]float64) bool {
 	total := shareSum(profile)
 	for i := range a.states {
@@ -203,7 +216,17 @@
 		if due != nil {
 			share = due[a.states[i].Model]
 		}
-		if math.Abs(share-a.states[i].Share) >= minShareChange {
+		if math.Abs(share-a.states[i].Share) >= minShareChange/a.weight {
+			return true
+		}
+	}
+	return false
+}
+
+// helps reports whether shares give more to a model that is not served on time.
+func (a *Apportioner) helps(due map[garnetworks.ModelName]float64) bool {
+	for i := range a.states {
+		if s := &a.states[i]; s.OnTime < TargetFraction && due[s.Model] > s.Share {
 			return true
 		}
 	}
@@ -213,14 +236,13 @@
 // dueShares returns the shares by rules P3 and P4; nil for the configured ones.
 func (a *Apportioner) dueShares(in *Input) map[garnetworks.ModelName]float64 {
 	total := shareSum(in.Profile)
-	enough, onTime := true, true
+	enough := true
 	for i := range in.Profile.Models {
 		m := &in.Profile.Models[i]
 		groups := m.InitialShare / total * float64(in.Instances) / float64(max(1, m.GroupSize))
 		enough = enough && a.states[i].Needed <= groups*returnMargin
-		onTime = onTime && a.states[i].OnTime >= TargetFraction
 	}
-	if enough || onTime && a.shares == nil { // rule P3
+	if enough { // rule P3
 		return nil
 	}
 	return a.neededShares(in)
--- a/apportioner/doc.go
+++ b/apportioner/doc.go
@@ -12,7 +12,8 @@
 //	    bottleneck; counted in slots, it needs no further group.
 //	P2  A model needs its calls divided by that rate, multiplied by a correction: the ratio of the
 //	    load at which the profile predicts the observed fraction on time to the actual load.
-//	    Where both fractions are high the load says nothing, and the last correction stays.
+//	    Where both fractions are high the load says nothing, and the last correction stays; so it
+//	    does after losses, which make calls late whatever a group's rate is.
 //	    Load pattern: groups that are slower than their profile, or calls that are unevenly
 //	    distributed.
 //	P3  The configured shares apply without figures, until a model is not served on time, and again
@@ -24,7 +25,7 @@
 //	    not need goes to the others.
 //	    Load pattern: losses, and configured shares that don't match the calls.
 //	P5  Figures are averaged over averagingTime, and shares change only if they differ by
-//	    minShareChange for persistence.
+//	    minShareChange for persistence and give more to a model that is not served on time.
 //	    Load pattern: waves of 11 to 17 s and bursts of 3 s, during which a change of groups would
 //	    cost more than it gains.
 //	P6  No shares are computed from figures that cover less than minObservation, as after a
