--- a/gateway/verdict_test.go
+++ b/gateway/verdict_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,11 @@
 	after time.Duration
 	// verdict is empty if there is no answer.
 	verdict garnetworks.Verdict
-	asked   int
+	asked   atomic.Int64
 }
 
 func (h *holder) ask(_ garnetworks.GroupID, _ time.Duration, answered func(garnetworks.Verdict)) {
-	h.asked++
+	h.asked.Add(1)
 	if h.verdict != "" {
 		time.AfterFunc(h.after, func() { answered(h.verdict) })
 	}
@@ -45,37 +46,36 @@
 	g, s := newWatchedStream(t)
 	g.options.AskVerdict = h.ask
 	s.route.MaxGap = pause
-	var last time.Time
-	var moved time.Duration
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
-	wd := s.newWatchdog("a-grey", func(err error) { moved = time.Since(last); cancel(err) })
+	wd := s.newWatchdog("a-grey", cancel)
 	defer wd.stop()
 	time.Sleep(phase)
 	emit(wd, 12)
-	last = time.Now()
+	last := time.Now()
 	select {
 	case <-ctx.Done():
+		return time.Since(last)
 	case <-time.After(stallTimeout + 2*moveRetryInterval):
+		return 0
 	}
-	return moved
 }
 
 // Guards against calls that stay at a lost group beyond the pause that their caller allows.
 func TestCallLeavesLostGroupWithinPause(t *testing.T) {
 	cases := map[string]struct {
-		holder holder
+		holder *holder
 		pause  time.Duration
 		min    time.Duration
 		atMost time.Duration
 	}{
-		"lost, 200 ms":        {holder: holder{after: 115 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 200 * time.Millisecond, atMost: 250 * time.Millisecond},
-		"lost, 300 ms":        {holder: holder{after: 110 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 300 * time.Millisecond, atMost: 250 * time.Millisecond},
-		"lost, slow answer":   {holder: holder{after: 150 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 200 * time.Millisecond, atMost: 300 * time.Millisecond},
-		"healthy":             {holder: holder{after: 20 * time.Millisecond, verdict: garnetworks.VerdictHealthy}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
-		"unknown":             {holder: holder{after: 20 * time.Millisecond, verdict: garnetworks.VerdictUnknown}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
-		"holder unreachable":  {pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
-		"late answer is lost": {holder: holder{after: 900 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
+		"lost, 200 ms":        {holder: &holder{after: 115 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 200 * time.Millisecond, atMost: 250 * time.Millisecond},
+		"lost, 300 ms":        {holder: &holder{after: 110 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 300 * time.Millisecond, atMost: 250 * time.Millisecond},
+		"lost, slow answer":   {holder: &holder{after: 150 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 200 * time.Millisecond, atMost: 300 * time.Millisecond},
+		"healthy":             {holder: &holder{after: 20 * time.Millisecond, verdict: garnetworks.VerdictHealthy}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
+		"unknown":             {holder: &holder{after: 20 * time.Millisecond, verdict: garnetworks.VerdictUnknown}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
+		"holder unreachable":  {holder: &holder{}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
+		"late answer is lost": {holder: &holder{after: 900 * time.Millisecond, verdict: garnetworks.VerdictLost}, pause: 200 * time.Millisecond, min: stallTimeout, atMost: stallTimeout},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -83,7 +83,7 @@
 			random := rand.New(rand.NewPCG(1, 1))
 			for range 15 {
 				synctest.Test(t, func(t *testing.T) {
-					silences = append(silences, silenceUntilMoved(t, &c.holder, c.pause, time.Duration(random.IntN(90))*time.Millisecond))
+					silences = append(silences, silenceUntilMoved(t, c.holder, c.pause, time.Duration(random.IntN(90))*time.Millisecond))
 				})
 			}
 			slices.Sort(silences)
@@ -123,8 +123,8 @@
 				if ctx.Err() != nil {
 					t.Error("the call has moved")
 				}
-				if h.asked > 4 {
-					t.Errorf("the holder was asked %d times", h.asked)
+				if asked := h.asked.Load(); asked > 4 {
+					t.Errorf("the holder was asked %d times", asked)
 				}
 			})
 		})
--- a/launcher/inquirer_test.go
+++ b/launcher/inquirer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,11 +15,11 @@
 type fakeHolder struct {
 	after    time.Duration
 	err      error
-	requests int
+	requests atomic.Int64
 }
 
 func (h *fakeHolder) Verdicts(ctx context.Context, _ string, request *garnetworks.VerdictRequest) (*garnetworks.VerdictResponse, error) {
-	h.requests++
+	h.requests.Add(1)
 	select {
 	case <-time.After(h.after):
 	case <-ctx.Done():
@@ -36,24 +37,24 @@
 func TestInquirer(t *testing.T) {
 	const groups = 18
 	cases := map[string]struct {
-		holder   fakeHolder
+		holder   *fakeHolder
 		name     garnetworks.NodeID
 		leading  bool
 		want     garnetworks.Verdict
-		requests int
+		requests int64
 		within   time.Duration
 	}{
-		"holder answers":     {holder: fakeHolder{after: 95 * time.Millisecond}, name: "h", want: garnetworks.VerdictLost, requests: 6, within: 250 * time.Millisecond},
-		"holder is silent":   {holder: fakeHolder{after: time.Hour}, name: "h", want: garnetworks.VerdictUnknown, requests: 6, within: 2 * inquiryTimeout},
-		"holder of old code": {holder: fakeHolder{err: garnetworks.Errorf(garnetworks.KindInvalidRequest, "no such method")}, name: "h", want: garnetworks.VerdictUnknown, requests: 3, within: time.Millisecond},
-		"holder is unknown":  {want: garnetworks.VerdictUnknown},
-		"holder has left":    {name: "gone", want: garnetworks.VerdictUnknown, within: time.Millisecond},
-		"this node holds":    {name: "h", leading: true, want: garnetworks.VerdictHealthy, within: time.Millisecond},
+		"holder answers":     {holder: &fakeHolder{after: 95 * time.Millisecond}, name: "h", want: garnetworks.VerdictLost, requests: 6, within: 250 * time.Millisecond},
+		"holder is silent":   {holder: &fakeHolder{after: time.Hour}, name: "h", want: garnetworks.VerdictUnknown, requests: 6, within: 2 * inquiryTimeout},
+		"holder of old code": {holder: &fakeHolder{err: garnetworks.Errorf(garnetworks.KindInvalidRequest, "no such method")}, name: "h", want: garnetworks.VerdictUnknown, requests: 3, within: time.Millisecond},
+		"holder is unknown":  {holder: &fakeHolder{}, want: garnetworks.VerdictUnknown},
+		"holder has left":    {holder: &fakeHolder{}, name: "gone", want: garnetworks.VerdictUnknown, within: time.Millisecond},
+		"this node holds":    {holder: &fakeHolder{}, name: "h", leading: true, want: garnetworks.VerdictHealthy, within: time.Millisecond},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				q := newInquirer("n", &c.holder, func() []garnetworks.NodeInfo { return []garnetworks.NodeInfo{{ID: "h", Address: "a"}} },
+				q := newInquirer("n", c.holder, func() []garnetworks.NodeInfo { return []garnetworks.NodeInfo{{ID: "h", Address: "a"}} },
 					func(context.Context, garnetworks.NodeID, garnetworks.GroupID, time.Duration) garnetworks.Verdict {
 						return garnetworks.VerdictHealthy
 					},
@@ -74,8 +75,8 @@
 				if took := time.Since(last); took > c.within {
 					t.Errorf("the last verdict came after %s", time.Since(began))
 				}
-				if c.holder.requests > c.requests {
-					t.Errorf("%d requests for %d groups", c.holder.requests, groups)
+				if c.holder.requests.Load() > c.requests {
+					t.Errorf("%d requests for %d groups", c.holder.requests.Load(), groups)
 				}
 			})
 		})
