--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -25,8 +25,8 @@
 //	    while a group serves.
 //	Q6  Many nodes that learn of the same free slots at once. Until the next report,
 //	    each takes a share of the free slots in proportion to its share of the
-//	    calls, in addition to those that its own calls free, and keeps one that it has not
-//	    used.
+//	    calls, in addition to those that its own calls free. A node with few calls keeps one
+//	    that it has not used.
 //	Q7  Many nodes that act on the same outdated report. If each chose the least
 //	    loaded group, all would send their calls there until the next report. So
 //	    each call goes to the better one of a few randomly drawn groups.
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -132,9 +132,13 @@
 	if ownDemand+peerDemand > 0 {
 		p.share = ownDemand / (ownDemand + peerDemand)
 	}
-	// Up to one slot is carried over, so that small shares add up to a slot, and a node with few
-	// calls still has it when the next one arrives.
-	p.allowance = freeSlots*p.share + min(max(p.allowance, 0), 1)
+	// The fraction of a slot is carried over, so that small shares add up to a slot. A node that
+	// gets less than a call per report keeps a whole one, so that it has it for its next call.
+	carried := min(max(p.allowance, 0), 1)
+	if ownDemand*peerReportDelay.Seconds() >= 1 {
+		carried = max(p.allowance-math.Floor(p.allowance), 0)
+	}
+	p.allowance = freeSlots*p.share + carried
 	// The share of a node with few calls can be close to 0. At least 1/nodes is assumed here, so
 	// that the node doesn't overestimate its wait and reject calls (Q1).
 	refillShare := max(p.share, 1/float64(nodes))
