exchanger: heads that have just started vouch for nothing (X8), nodes that start ask at once (X9)

When the head of a cell restarted, or all nodes did, nodes took the sum of the few reports that it had for the load of the site. Each placed calls as if the others had none: in the test with 90 nodes at once, a node counted 31 of 4,089 calls of the others 150 ms after the start, as known. A restarted head also replaced, at the heads of the other cells, the sum of its cell that the node acting as head in its place had sent.

A head now marks its sum as partial until it can have a report of each node: after 300 ms, or 1.4 s if another head responds, since nodes that found it unresponsive return to it only then. Meanwhile nodes that report to it report to the next node of the cell as well, and use their last complete sum for up to a second; it is passed to the scheduler again with each interval, so that the node gets its part of the free slots. A node that is no head answers with the last sum of its head and states its age; such a sum isn't passed on again, so loads are not counted in a circle. A partial sum replaces no complete one.

At rest nothing changes: one message per node and interval.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -19,6 +19,17 @@
 //	    that no node has to find each of them by calls of its own.
 //	X7  Limits that servers name to a node are sent with its reports, and the sums over
 //	    them, for a short time. Nodes that learned of them from a report don't send them.
+//	X8  A node that has just become head of its cell, since it or another head has
+//	    started or ended, has no reports of most nodes. It says that its sum is partial
+//	    until it can have all of them and the other cells' sums, or responds with the
+//	    last complete sum of another head and its age, which no node passes on again.
+//	    A node that gets no new complete sum reports to another node of the cell as
+//	    well, and uses its last one (X3). A head with a complete sum remains until the
+//	    new one has one, and no partial sum replaces the complete one of a cell.
+//	X9  A node that has just started exchanges as soon as it knows another node, and
+//	    takes over what the first node with a complete sum has observed of the models.
+//	    It asks at most maxAsked nodes that respond in an interval, in order of preference, so that a
+//	    node is asked only by the nodes of its cell when all start at once.
 package exchanger
 
 import (
@@ -46,6 +57,20 @@
 	// MinNodesPerZone is the average number of nodes per zone below which the whole region is
 	// one cell, since one head can serve its few nodes.
 	MinNodesPerZone = 8
+	// retryDelay is how long a node that did not respond is not called.
+	retryDelay = time.Second
+	// startInterval is the interval at which a starting node looks whether it knows others (X9).
+	startInterval = 20 * time.Millisecond
+	// maxAsked limits the nodes with partial sums that a node reports to in an interval (X8).
+	maxAsked = 2
+	// settleTime is how long after it became head a node can have a report of each node that does
+	// not know of another head; handoverTime is the same while another head responds, which those
+	// nodes report to that have just found this one unresponsive.
+	settleTime   = 2 * Interval
+	handoverTime = callTimeout + retryDelay + Interval
+	// headAbsentAfter is how long after its last response another head counts as responding: one
+	// interval, and one call that it didn't answer.
+	headAbsentAfter = callTimeout + 2*Interval
 	// maxSuspects limits the suspicions in a report, maxLost the lost groups: enough for the
 	// failure of a large fabric domain or a few small ones.
 	maxSuspects = 16
@@ -179,6 +204,8 @@
 type receivedReport struct {
 	report garnetworks.LoadReport
 	at     time.Time
+	// partial says that a cell's sum is partial (X8).
+	partial bool
 }
 
 // Options are the dependencies of an Exchanger.
@@ -196,6 +223,10 @@
 	Suspect func(garnetworks.GroupID)
 	// Contents holds the node's content records; it may be nil.
 	Contents garnetworks.ContentRecordStore
+	// Observations returns what the node has observed of models, and TakeOver receives those of
+	// the node at an address after a start (X9); they may be nil.
+	Observations func() garnetworks.Observations
+	TakeOver     func(address string, observations garnetworks.Observations)
 }
 
 // Exchanger exchanges load reports with other nodes. It is safe for concurrent use.
@@ -210,6 +241,18 @@
 	suspects     []garnetworks.GroupID
 	seenSuspects map[garnetworks.GroupID]time.Time
 	lastResponse time.Time
+	// lastSum is the last complete sum, as of lastComplete; passable says that the node got it
+	// from the head that computed it. completeResponse is when another head last responded with
+	// one.
+	lastComplete, completeResponse time.Time
+	lastSum                        garnetworks.LoadReport
+	passable                       bool
+	// headSince is when the node began to act as head, or other nodes to report to it; headActive
+	// is when it last did or they last did. cellsKnown is when its last exchange with the other
+	// cells ended.
+	headSince, headActive, cellsKnown time.Time
+	// started says that the node has taken over observations, or found that there are none.
+	started bool
 	// lastExchangeAsHead is when the node last began an exchange as head of its cell.
 	lastExchangeAsHead time.Time
 	failedUntil        map[string]time.Time
@@ -252,19 +295,27 @@
 func (e *Exchanger) Run(ctx context.Context) error {
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
+	first := time.NewTicker(startInterval)
+	defer first.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		case <-e.wake:
+		case <-first.C:
+			if len(e.options.Nodes()) == 0 {
+				continue
+			}
+			first.Stop()
+			ticker.Reset(Interval)
 		}
 		e.exchange(ctx)
 	}
 }
 
 // exchange sends a report to the head of the cell, or exchanges sums with the other cells if
-// this node acts as head.
+// this node acts as head. While the heads have partial sums, it looks for a complete one (X8).
 func (e *Exchanger) exchange(ctx context.Context) {
 	topology := e.Topology()
 	self := topology.Self
@@ -273,15 +324,67 @@
 	own.Suspects, e.suspects = e.suspects, nil
 	e.mu.Unlock()
 	own.Nodes = 1
+	asked, head := 0, false
 	for _, n := range e.reachable(topology.Cell) {
-		if n.ID == self.ID {
-			e.exchangeAsHead(ctx, topology, own)
-			return
+		switch {
+		case n.ID == self.ID:
+			if e.settled(time.Now()) || len(topology.Cell) == 1 {
+				e.exchangeAsHead(ctx, topology, own)
+				return
+			}
+			head = asked == 0
+			continue
+		case asked == maxAsked:
+			continue
 		}
-		if e.sendReport(ctx, n, string(self.ID), own) {
+		responded, complete := e.sendReport(ctx, n, string(self.ID), own)
+		if complete {
+			e.passOn()
 			return
 		}
+		if responded {
+			asked++
+		}
+	}
+	if head {
+		e.exchangeAsHead(ctx, topology, own)
+		return
+	}
+	e.passOn()
+}
+
+// settled reports whether the node has been head of its cell for long enough to have all reports
+// (X8).
+func (e *Exchanger) settled(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.settledLocked(now)
+}
+
+// settledLocked implements settled; e.mu is held.
+func (e *Exchanger) settledLocked(now time.Time) bool {
+	required := settleTime
+	if now.Sub(e.completeResponse) < headAbsentAfter {
+		required = handoverTime
 	}
+	return now.Sub(e.headActive) <= ReportAge && now.Sub(e.headSince) >= required
+}
+
+// partial reports whether the node's sum is partial (X8).
+func (e *Exchanger) partial(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.settledLocked(now) || now.Sub(e.cellsKnown) > ReportAge
+}
+
+// actAsHead records that the node acts as head, or that another node takes it for one.
+func (e *Exchanger) actAsHead(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.headActive) > ReportAge {
+		e.headSince = now
+	}
+	e.headActive = now
 }
 
 // reachable returns the nodes to which no call has failed recently.
@@ -297,10 +400,9 @@
 // call sends a report to a node and reports whether it responded. After a failure the node
 // counts as unreachable for retryDelay.
 func (e *Exchanger) call(ctx context.Context, n garnetworks.NodeInfo, from string, cell bool, report garnetworks.LoadReport) (*garnetworks.ExchangeResponse, bool) {
-	const retryDelay = time.Second
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := &garnetworks.ExchangeRequest{From: from, Cell: cell, Report: report}
+	request := &garnetworks.ExchangeRequest{From: from, Cell: cell, Report: report, Partial: cell && !e.settled(time.Now()), Starting: !cell && e.starting()}
 	request.ContentRecords, request.ContentChecksum = e.recordsFor(n.Address)
 	response, err := e.options.Peers.Exchange(callCtx, n.Address, request)
 	if err == nil {
@@ -313,19 +415,64 @@
 	return nil, false
 }
 
-func (e *Exchanger) sendReport(ctx context.Context, n garnetworks.NodeInfo, from string, own garnetworks.LoadReport) bool {
+// sendReport reports whether the node responded, and whether it is a head with a complete sum.
+func (e *Exchanger) sendReport(ctx context.Context, n garnetworks.NodeInfo, from string, own garnetworks.LoadReport) (responded, complete bool) {
 	response, ok := e.call(ctx, n, from, false, own)
 	if !ok {
-		e.setPeerLoad(garnetworks.LoadReport{}, false)
-		return false
+		return false, false
+	}
+	now := time.Now()
+	complete = !response.Partial && response.AgeMS == 0
+	e.mu.Lock()
+	e.lastResponse = now
+	if at := now.Add(-time.Duration(response.AgeMS) * time.Millisecond); !response.Partial && at.After(e.lastComplete) {
+		e.lastComplete, e.lastSum, e.passable = at, response.Report, complete
+	}
+	if complete {
+		e.completeResponse = now
+	}
+	e.mu.Unlock()
+	if !response.Partial {
+		e.takeOver(n.Address, response.Observations)
+	}
+	e.notifySuspects(now, response.Report.Suspects)
+	return true, complete
+}
+
+// lastSumFor returns the last complete sum of another head without the load of a node that reports
+// to this one, and its age, if the node may pass it on (X8).
+func (e *Exchanger) lastSumFor(now time.Time, own garnetworks.LoadReport, from *garnetworks.LoadReport) (sum garnetworks.LoadReport, age time.Duration, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	age = now.Sub(e.lastComplete)
+	if !e.passable || age > StaleAfter {
+		return garnetworks.LoadReport{}, 0, false
+	}
+	return subtract(Sum(e.lastSum, own), *from), age, true
+}
+
+// starting reports whether the node has yet to take over what another node has observed (X9).
+func (e *Exchanger) starting() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.started
+}
+
+// takeOver passes on the observations of the first node with a complete sum (X9).
+func (e *Exchanger) takeOver(address string, observations garnetworks.Observations) {
+	e.mu.Lock()
+	first := !e.started
+	e.started = true
+	e.mu.Unlock()
+	if first && e.options.TakeOver != nil {
+		e.options.TakeOver(address, observations)
 	}
-	e.setPeerLoad(response.Report, true)
-	return true
 }
 
 // exchangeAsHead exchanges the sum over the node's cell for those of the other cells.
 func (e *Exchanger) exchangeAsHead(ctx context.Context, topology *Topology, own garnetworks.LoadReport) {
 	self, name := topology.Self, topology.Name
+	e.actAsHead(time.Now())
 	e.mu.Lock()
 	e.lastExchangeAsHead = time.Now()
 	e.mu.Unlock()
@@ -338,29 +485,35 @@
 		}
 		calls.Go(func() {
 			if response, ok := e.call(ctx, reachable[0], name, true, sum); ok {
-				e.storeReport(&e.cells, other, response.Report)
+				e.storeCell(other, response.Report, response.Partial)
 			}
 		})
 	}
 	calls.Wait()
 	others := append(e.validReports(&e.nodes, string(self.ID)), e.validReports(&e.cells, name)...)
-	e.setPeerLoad(Sum(others...), true)
+	sum, now := Sum(others...), time.Now()
+	e.mu.Lock()
+	e.cellsKnown, e.lastResponse = now, now
+	// A node that knows no other has nobody to wait for.
+	if e.settledLocked(now) || len(topology.Cells) == 1 && len(topology.Cell) == 1 {
+		e.lastComplete, e.lastSum, e.passable = now, sum, false
+	}
+	e.mu.Unlock()
+	e.notifySuspects(now, sum.Suspects)
+	e.passOn()
 }
 
-// setPeerLoad passes on the sum over the other nodes, with its suspicions. An unknown load is
-// only passed on once the last sum is stale (X3).
-func (e *Exchanger) setPeerLoad(others garnetworks.LoadReport, known bool) {
+// passOn passes on the last complete sum, or that the load is unknown once it is stale (X3). An
+// older sum is passed on again so that the node gets its part of the free slots meanwhile.
+func (e *Exchanger) passOn() {
 	now := time.Now()
 	e.mu.Lock()
-	if known {
-		e.lastResponse = now
-	}
-	stale := now.Sub(e.lastResponse) > StaleAfter
+	sum, known := e.lastSum, now.Sub(e.lastComplete) <= StaleAfter
 	e.mu.Unlock()
-	if known || stale {
-		e.options.SetPeerLoad(others, known)
+	if !known {
+		sum = garnetworks.LoadReport{}
 	}
-	e.notifySuspects(now, others.Suspects)
+	e.options.SetPeerLoad(sum, known)
 }
 
 // notifySuspects passes on the suspicions that were not passed on within ReportAge.
@@ -392,13 +545,25 @@
 	response.ContentRecords, response.ContentChecksum = e.recordsFor(request.From)
 	own := e.options.Load()
 	own.Nodes, own.Suspects = 1, e.recentSuspects()
+	now := time.Now()
+	response.Partial = e.partial(now)
 	if request.Cell {
-		e.storeReport(&e.cells, request.From, request.Report)
+		e.storeCell(request.From, request.Report, request.Partial)
 		response.Report = Sum(append(e.validReports(&e.nodes, ""), own)...)
 		return response, nil
 	}
-	e.storeReport(&e.nodes, request.From, request.Report)
-	response.Report = e.sumWithout(time.Now(), request.From, own)
+	e.actAsHead(now)
+	e.storeReport(request.From, request.Report)
+	response.Report = e.sumWithout(now, request.From, own)
+	if response.Partial {
+		if sum, age, ok := e.lastSumFor(now, own, &request.Report); ok {
+			// Rounded up, so that the age is never understated.
+			response.Report, response.Partial, response.AgeMS = sum, false, age.Milliseconds()+1
+		}
+	}
+	if request.Starting && !response.Partial && e.options.Observations != nil {
+		response.Observations = e.options.Observations()
+	}
 	return response, nil
 }
 
@@ -417,10 +582,21 @@
 	return groups
 }
 
-func (e *Exchanger) storeReport(stored *map[string]receivedReport, from string, report garnetworks.LoadReport) {
+func (e *Exchanger) storeReport(from string, report garnetworks.LoadReport) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	(*stored)[from] = receivedReport{report, time.Now()}
+	e.nodes[from] = receivedReport{report: report, at: time.Now()}
+}
+
+// storeCell stores the sum of a cell. A partial one replaces no valid complete one (X8).
+func (e *Exchanger) storeCell(name string, report garnetworks.LoadReport, partial bool) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old, ok := e.cells[name]; ok && partial && !old.partial && now.Sub(old.at) <= ReportAge {
+		return
+	}
+	e.cells[name] = receivedReport{report, now, partial}
 }
 
 // validReports returns the valid reports other than that from except, and deletes expired ones.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -29,6 +29,10 @@
 	// reportsLost are the lost groups that the node reports, lost those that it receives.
 	reportsLost, lost []garnetworks.GroupID
 	disconnected      bool
+	// stop ends the node's process.
+	stop context.CancelFunc
+	// takenOver counts the models of which the node took over observations.
+	takenOver int
 }
 
 func (s *site) Exchange(ctx context.Context, address string, request *garnetworks.ExchangeRequest) (*garnetworks.ExchangeResponse, error) {
@@ -56,6 +60,48 @@
 	return list
 }
 
+func (n *node) start(ctx context.Context) {
+	ctx, n.stop = context.WithCancel(ctx)
+	go func() { _ = n.Run(ctx) }()
+}
+
+// newNode returns a node of the site with running calls at group g.
+func (s *site) newNode(address string, running int, info garnetworks.NodeInfo) *node {
+	n := &node{running: running, info: info}
+	n.Exchanger = exchanger.New(exchanger.Options{
+		Peers: s,
+		Self:  func() garnetworks.NodeInfo { return n.info },
+		Nodes: func() []garnetworks.NodeInfo { return s.infos(address) },
+		Load: func() garnetworks.LoadReport {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return garnetworks.LoadReport{Groups: []garnetworks.GroupLoad{{Group: "g", Running: n.running}}, Lost: n.reportsLost}
+		},
+		SetPeerLoad: func(others garnetworks.LoadReport, known bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n.others, n.known, n.lost = 0, known, others.Lost
+			for _, g := range others.Groups {
+				n.others += g.Running
+			}
+		},
+		Suspect: func(g garnetworks.GroupID) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n.suspects = append(n.suspects, g)
+		},
+		Observations: func() garnetworks.Observations {
+			return garnetworks.Observations{Models: []garnetworks.ModelObservations{{Model: "m", FirstEventMS: 40}}}
+		},
+		TakeOver: func(_ string, o garnetworks.Observations) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n.takenOver += len(o.Models)
+		},
+	})
+	return n
+}
+
 // newSite starts nodes. Each has as many calls at group g as its number.
 func newSite(ctx context.Context, zones, perZone int) *site {
 	s := &site{nodes: make(map[string]*node)}
@@ -64,37 +110,13 @@
 		for range perZone {
 			number++
 			address := fmt.Sprintf("n%d", number)
-			n := &node{running: number, info: garnetworks.NodeInfo{
+			s.nodes[address] = s.newNode(address, number, garnetworks.NodeInfo{
 				ID: garnetworks.NodeID(address), Address: address, Zone: garnetworks.ZoneID(fmt.Sprint(z)), Region: "r",
-			}}
-			s.nodes[address] = n
-			n.Exchanger = exchanger.New(exchanger.Options{
-				Peers: s,
-				Self:  func() garnetworks.NodeInfo { return n.info },
-				Nodes: func() []garnetworks.NodeInfo { return s.infos(address) },
-				Load: func() garnetworks.LoadReport {
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					return garnetworks.LoadReport{Groups: []garnetworks.GroupLoad{{Group: "g", Running: n.running}}, Lost: n.reportsLost}
-				},
-				SetPeerLoad: func(others garnetworks.LoadReport, known bool) {
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					n.others, n.known, n.lost = 0, known, others.Lost
-					for _, g := range others.Groups {
-						n.others += g.Running
-					}
-				},
-				Suspect: func(g garnetworks.GroupID) {
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					n.suspects = append(n.suspects, g)
-				},
 			})
 		}
 	}
 	for _, n := range s.nodes {
-		go func() { _ = n.Run(ctx) }()
+		n.start(ctx)
 	}
 	return s
 }
--- a/follow.go
+++ b/follow.go
@@ -100,6 +100,11 @@
 	// Cell says that the report is the sum over a cell.
 	Cell   bool
 	Report LoadReport
+	// Partial says that the sending head does not know yet what the nodes of its cell report.
+	Partial bool
+	// Starting says that the node has just started and asks for what the responding node has
+	// observed.
+	Starting bool
 	// ContentRecords are the records that changed recently, or all retained ones if the two
 	// nodes' checksums differed. ContentChecksum is the sender's ContentRecordStore.Checksum.
 	ContentRecords  []ContentRecord
@@ -112,11 +117,45 @@
 	_      struct{} `cbor:",toarray"`
 	At     Timestamp
 	Report LoadReport
+	// Partial says that the node vouches for nothing: it has been head of its cell for too short
+	// a time to have a report of each node.
+	Partial bool
+	// AgeMS is the age of a sum that the node has from the head of its cell, at least 1; 0 if it
+	// computed the sum from reports.
+	AgeMS int64
+	// Observations is for a node that has just started; else it is empty.
+	Observations Observations
 	// ContentRecords and ContentChecksum are as in ExchangeRequest.
 	ContentRecords  []ContentRecord
 	ContentChecksum uint64
 }
 
+// Observations is what a node has observed of the models that it calls, for a node that has none
+// of its own.
+type Observations struct {
+	_      struct{} `cbor:",toarray"`
+	Models []ModelObservations
+}
+
+// ModelObservations are averages over a node's calls to a model, and the windows of its groups.
+type ModelObservations struct {
+	_     struct{} `cbor:",toarray"`
+	Model ModelName
+	// FirstEventMS is the average time from dispatch to first event, ServiceMS to the end of the
+	// call; 0 if unknown.
+	FirstEventMS, ServiceMS int64
+	// AgeMS is how long ago the last first event was observed.
+	AgeMS   int64
+	Windows []GroupWindow
+}
+
+// GroupWindow is the number of calls from the whole site that a node allows at a group.
+type GroupWindow struct {
+	_     struct{} `cbor:",toarray"`
+	Group GroupID
+	Calls float64
+}
+
 // ExchangeCaller sends reports to the node at an address. Its errors are those of
 // PeerCaller.
 type ExchangeCaller interface {
