scheduler, launcher: a node that starts takes over what a peer has observed

A node that had just started assumed first events after 150 ms and whole windows, although its peers had measured both. With an objective of 250 ms its calls then waited for at most 80 ms for a slot, where 190 ms were possible at first events of 40 ms, and it sent up to 34 calls to groups that its peers limited to 13.

The first complete response to the load report of a node that has just started now carries the responding node's average first event and service times by model, the windows of the groups and the age of the last observation. The node uses those up to 10 s old, for models of which it has no first event of its own, until it has one. It logs state-taken-over with source and age. Nothing is sent to nodes that have taken over once.

TestStartingNodeUsesAPeersObservations covers recent and old observations and a node with its own. go test ./scheduler passes, and TestEndToEnd and TestServerLimitIsKnownAtOtherNodes of launcher.

--- a/event.go
+++ b/event.go
@@ -28,6 +28,7 @@
 // Event kinds.
 const (
 	EventNodeStarted          EventKind = "node-started"
+	EventStateTakenOver       EventKind = "state-taken-over"
 	EventNodeStopping         EventKind = "node-stopping"
 	EventNodeJoined           EventKind = "node-joined"
 	EventNodeLost             EventKind = "node-lost"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -342,6 +342,21 @@
 	return g.scheduler.OfferedLoad(time.Now())
 }
 
+// Observations returns what this node has observed of models, for a node that has just started.
+func (g *Gateway) Observations() garnetworks.Observations {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Observations(time.Now())
+}
+
+// TakeOver uses another node's observations of models where this node has none of its own, and
+// returns the number of these models.
+func (g *Gateway) TakeOver(observations garnetworks.Observations) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.TakeOver(observations)
+}
+
 // SetPeerLoad sets the load of the other nodes; known is false if there is no report.
 func (g *Gateway) SetPeerLoad(peers garnetworks.LoadReport, known bool) {
 	g.mu.Lock()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -158,12 +158,13 @@
 	peers      *peers
 	meter      *meter.Meter
 	recorder   *recorder.Recorder
+	created    time.Time
 }
 
 // New assembles a node.
 func New(options Options) (*Launcher, error) {
 	site := &options.Site
-	l := &Launcher{options: options, meter: meter.New(), recorder: recorder.New(site.Node, 0)}
+	l := &Launcher{options: options, meter: meter.New(), recorder: recorder.New(site.Node, 0), created: time.Now()}
 	events := l.meter.Recorder(emitter.Recorder(options.Logger, l.recorder))
 	objects := l.meter.ObjectAPI(options.Objects)
 	clocks := timekeeper.New()
@@ -207,6 +208,7 @@
 	l.peers.exchanger = exchanger.New(exchanger.Options{
 		Peers: l.peers.client, Self: l.peers.tracker.Self, Nodes: l.peers.tracker.Peers,
 		Load: l.loadReport, SetPeerLoad: l.setPeerLoad, Suspect: l.former.Suspect, Contents: l.quarantine,
+		Observations: l.gateway.Observations, TakeOver: l.takeOver,
 	})
 	return l, nil
 }
@@ -230,6 +232,16 @@
 	l.gateway.SetPeerLoad(others, known)
 }
 
+// takeOver uses what the node at an address has observed, after a start of this one.
+func (l *Launcher) takeOver(address string, observations garnetworks.Observations) {
+	models := l.gateway.TakeOver(observations)
+	age := int64(0)
+	for i := range observations.Models {
+		age = max(age, observations.Models[i].AgeMS)
+	}
+	l.options.Logger.Info(string(garnetworks.EventStateTakenOver), "source", address, "models", models, "age-ms", age, "after-ms", time.Since(l.created).Milliseconds())
+}
+
 // suspect reports a group that seems to make no progress to the other nodes and to the former,
 // which acts only if this node holds the lease.
 func (l *Launcher) suspect(group garnetworks.GroupID) {
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -55,5 +55,7 @@
 //	    of the free slots of new groups at once, by the last report of its peers. A node
 //	    without a report uses its own windows only: its last share of the site's calls
 //	    says nothing of calls that it can't see, and scaled by a share of one in 89 each
-//	    of its calls would fill a group.
+//	    of its calls would fill a group. It
+//	    takes over the first event and service times and the windows that another node
+//	    has recently observed, until it has observations of its own.
 package scheduler
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -119,7 +119,7 @@
 // addGroup adds a group to its pool, with the load that the peers last reported for it.
 func (s *Scheduler) addGroup(p *pool, g Group) {
 	p.groups[g.ID] = &groupState{
-		Group: g, window: s.initialWindow(g.Slots),
+		Group: g, window: s.startWindow(p, &g),
 		peerCalls: s.report.running[g.ID], lost: s.report.lost.Has(g.ID),
 	}
 }
@@ -143,7 +143,7 @@
 		p.allowance = 0
 		for _, g := range p.groups {
 			g.peerCalls, g.placed = 0, 0
-			g.window = s.initialWindow(g.Slots)
+			g.window = s.startWindow(p, &g.Group)
 		}
 	}
 }
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -168,6 +168,7 @@
 // FirstEvent records the time from a call's dispatch to its first event (Q2).
 func (s *Scheduler) FirstEvent(now time.Time, model garnetworks.ModelName, group garnetworks.GroupID, took, objective time.Duration) {
 	p := s.pool(model)
+	p.firstEventAt, p.peerWindows = now, nil
 	p.firstEventTime += time.Duration(firstEventTimeWeight * float64(took-p.firstEventTime))
 	g := p.groups[group]
 	if g == nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -183,8 +183,13 @@
 	// freeRate is the number of slots that became free per second, averaged, at freeRateAt.
 	freeRate   float64
 	freeRateAt time.Time
-	// firstEventTime is the average time from dispatch to first event.
+	// firstEventTime is the average time from dispatch to first event. firstEventAt is when this
+	// node last observed one; zero if it has not.
 	firstEventTime time.Duration
+	firstEventAt   time.Time
+	// peerWindows are the windows that another node has observed; empty once this node has
+	// observations of its own.
+	peerWindows map[garnetworks.GroupID]float64
 	// demandRate is the number of calls that arrived per second, averaged, at demandAt.
 	demandRate float64
 	demandAt   time.Time
