relayer: a node that starts asks its other relay if the first one does not answer

While the first read is left to others, all failures were forgotten every 20 ms, so that the node asked the same relay again and again, and a request that is not answered ended the turn.

Only failures of peers that responded, and have no contents yet, are forgotten now; the others once no relay is left.

No further calls to the object API. go test -short ./relayer passes.

--- a/relayer/ask.go
+++ b/relayer/ask.go
@@ -12,8 +12,12 @@
 // failureKey identifies a peer and the prefix that it failed to return.
 type failureKey struct{ address, prefix string }
 
-// failure records when a request to a peer failed, and until when the peer is not asked again.
-type failure struct{ at, until time.Time }
+// failure records when a request to a peer failed, until when the peer is not asked again, and
+// whether it responded.
+type failure struct {
+	at, until time.Time
+	responded bool
+}
 
 // fallbacks returns the addresses of the fallback nodes (rule Y7).
 func (r *Relayer) fallbacks() (near, far []string) {
@@ -163,14 +167,14 @@
 	}
 	for p := range r.caches {
 		if p == prefix || !responded {
-			r.failed[failureKey{address, p}] = failure{now, until}
+			r.failed[failureKey{address, p}] = failure{now, until, responded}
 		}
 	}
 }
 
 // fetchOnce sends one request; responded is also true if the peer responds that it is not ready.
 func (r *Relayer) fetchOnce(ctx context.Context, address, prefix string, after garnetworks.Revision, wait time.Duration) (response *garnetworks.FollowResponse, confirmed time.Time, responded bool) {
-	call, cancel := context.WithTimeout(ctx, connectionAttempts*(wait+r.caches[prefix].times.margin))
+	call, cancel := context.WithTimeout(ctx, connectionAttempts*(wait+r.marginFor(r.caches[prefix])))
 	defer cancel()
 	sent := time.Now()
 	response, err := r.options.Peers.Follow(call, address, &garnetworks.FollowRequest{Prefix: prefix, After: after, WaitMS: wait.Milliseconds()})
@@ -185,6 +189,17 @@
 	return response, confirmed, true
 }
 
+// marginFor returns how long past its wait a response may take. A node without contents rejects
+// calls meanwhile, so that it waits for no longer than for the prefix with the shortest times.
+func (r *Relayer) marginFor(c *cache) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.revision == 0 {
+		return ResponseMargin
+	}
+	return c.times.margin
+}
+
 // leaf reports whether no node has followed this one for PeerRetryDelay.
 func (r *Relayer) leaf() bool {
 	r.mu.Lock()
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -19,7 +19,8 @@
 //	Y6  A node that has just started leaves the first read to its relays for a while,
 //	    for longer if the whole site starts for the first time and no calls arrive
 //	    yet. Otherwise all nodes read all objects at once after all were killed, and
-//	    the object API's responses take the longer the more nodes there are.
+//	    the object API's responses take the longer the more nodes there are. It asks one
+//	    relay after the other meanwhile.
 //	Y7  While the object API fails a node, and no relay helps, the node asks its
 //	    fallbacks, which are any other nodes: one at random until one responds with
 //	    fresh contents, and that one from then on. It doesn't pass on the contents of
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -257,7 +258,7 @@
 	hasContents := c.revision > 0
 	deferred := !hasContents && since < limit
 	if deferred {
-		clear(r.failed) // peers that have no contents yet soon will
+		r.forgetFailuresLocked(time.Now(), c, relays)
 	}
 	r.mu.Unlock()
 	if !deferred {
@@ -273,6 +274,19 @@
 	}
 }
 
+// forgetFailuresLocked lets a starting node ask peers again that have failed: those that responded
+// have no contents yet and soon will, and those that did not are asked again once no relay is left.
+// r.mu must be held.
+//
+// Failure: one of the relays has ended. A node that starts would ask only that one until it reads
+// the object API itself, which takes the longer the larger the site is.
+func (r *Relayer) forgetFailuresLocked(now time.Time, c *cache, relays []string) {
+	maps.DeleteFunc(r.failed, func(_ failureKey, f failure) bool { return f.responded })
+	if len(r.availableLocked(now, c, relays)) == 0 {
+		clear(r.failed)
+	}
+}
+
 // firstReadTimes returns how long after its start the node leaves the first read to other nodes,
 // and the pause between its requests to them until then. A node that knows others, but has no
 // relays, reads for them.
