scheduler: no more prompts than the groups can prefill on time, at many nodes (Q19)

The groups that served got 25,000 to 33,000 prompt tokens a second where first events are on time up to some 17,000: median first event 741 ms of 300 allowed.

Cause: the windows of groups (Q2) follow a node's own first events. With 89 nodes a node has a call each few seconds at a group, so its windows stay at the full size, and since slots are never scarce there, nothing holds calls back. All calls are late then, not the excess.

Ruled out: a bound on the prompt tokens that nodes report to be unread at a group.

Change: a node with less than a call a second at a group places the fraction of its calls that the groups can give a first event on time, by prefill rate, pass time, objective and the rate of calls at all nodes. The others go only to a group with no unread prompt of any node, which load reports now tell, or are rejected, and few calls that can only be late are placed meanwhile. Groups are also compared by unread prompts.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -655,6 +655,7 @@
 		for _, g := range r.Groups {
 			g.Running += groups[g.Group].Running
 			g.ActiveNodes += groups[g.Group].ActiveNodes
+			g.PrefillTokens += groups[g.Group].PrefillTokens
 			groups[g.Group] = g
 		}
 		for _, d := range r.Demands {
--- a/exchanger/total.go
+++ b/exchanger/total.go
@@ -61,6 +61,7 @@
 		for i := range sum.Groups {
 			sum.Groups[i].Running -= loads[sum.Groups[i].Group].Running
 			sum.Groups[i].ActiveNodes -= loads[sum.Groups[i].Group].ActiveNodes
+			sum.Groups[i].PrefillTokens -= loads[sum.Groups[i].Group].PrefillTokens
 		}
 		sum.Groups = slices.DeleteFunc(sum.Groups, func(g garnetworks.GroupLoad) bool { return g.Running <= 0 && g.ActiveNodes <= 0 })
 	}
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -159,7 +159,7 @@
 	var list []scheduler.Group
 	for _, id := range slices.Sorted(maps.Keys(r.groups)) {
 		if g := r.groups[id]; !g.down {
-			list = append(list, scheduler.Group{ID: id, Model: g.model.Name, Slots: g.profile.Slots, PrefillRate: g.profile.PrefillRate / g.model.TimeFactor})
+			list = append(list, scheduler.Group{ID: id, Model: g.model.Name, Slots: g.profile.Slots, PrefillRate: g.profile.PrefillRate / g.model.TimeFactor, PassTime: g.profile.PassTime(g.model)})
 		}
 	}
 	for _, n := range r.nodes {
--- a/experimenter/pattern.go
+++ b/experimenter/pattern.go
@@ -183,6 +183,14 @@
 	}
 }
 
+func competingKinds() []Kind {
+	const ms = time.Millisecond
+	return []Kind{
+		{"draft", "large", 33, 1460, 175, 0.7, 300 * ms, 300 * ms, 8 * time.Second, 3.1, 0.77},
+		{"verdict", "large", 22, 2000, 21, 0.7, 400 * ms, 300 * ms, 5 * time.Second, 2.1, 0.53},
+	}
+}
+
 // sixNodes are uneven fractions of the calls, with more than a third at one node.
 var sixNodes = []float64{0.11, 0.1, 0.1, 0.15, 0.15, 0.39}
 
@@ -211,12 +219,17 @@
 			p.Losses = append(p.Losses, Loss{At: time.Duration(3*i+2) * time.Second, For: 2500 * time.Millisecond, Model: model, Group: i % 6})
 		}
 	})
-	add("many-nodes", func(p *Pattern) {
-		const nodes = 78
-		p.Nodes = make([]float64, nodes)
-		for i := range p.Nodes {
-			p.Nodes[i] = 1.0 / nodes
-		}
+	add("short-of-prefill", func(p *Pattern) {
+		p.Profile = competingProfile(0.5)
+		p.Profile.Models[0].TimeFactor = 1
+		p.Groups = map[garnetworks.ModelName]int{"large": 5}
+		p.Nodes = evenNodes(89)
+		p.Kinds = competingKinds()
+		p.Bursts = []Burst{{10 * time.Second, 8 * time.Second, "", 1.5}}
 	})
+	add("many-nodes", func(p *Pattern) { p.Nodes = evenNodes(78) })
 	return patterns
 }
+
+// evenNodes returns equal fractions of the calls for some nodes.
+func evenNodes(nodes int) []float64 { return slices.Repeat([]float64{1 / float64(nodes)}, nodes) }
--- a/follow.go
+++ b/follow.go
@@ -47,6 +47,8 @@
 	Running int
 	// ActiveNodes is the number of nodes that recently received an event from the group.
 	ActiveNodes int
+	// PrefillTokens is the number of prompt tokens of these calls that the group has yet to read.
+	PrefillTokens int
 }
 
 // ModelDemand is the demand for a model at a set of nodes.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -248,7 +248,11 @@
 		}
 		profile, _ := service.Engines.Get()
 		heads[group.ID] = head{h.Incarnation(), h.Address, group.Model, g.coldLimit(now, service, &h)}
-		serving = append(serving, scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Size: instancesOf(&profile, group.Model), Slots: profile.Slots, PrefillRate: prefillRate(&profile, group.Model)})
+		g := scheduler.Group{ID: group.ID, Model: group.Model, Zone: h.Zone, Slots: profile.Slots}
+		if m := modelProfile(&profile, group.Model); m != nil {
+			g.Size, g.PrefillRate, g.PassTime = m.GroupSize, profile.PrefillRate/m.TimeFactor, profile.PassTime(m)
+		}
+		serving = append(serving, g)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -281,24 +285,14 @@
 	g.deliver(g.scheduler.SetGroups(now, serving))
 }
 
-// prefillRate returns the number of prompt tokens that a group of the model reads per second.
-func prefillRate(profile *garnetworks.EngineProfile, model garnetworks.ModelName) float64 {
+// modelProfile returns the profile of a model whose times are known; nil if there is none.
+func modelProfile(profile *garnetworks.EngineProfile, model garnetworks.ModelName) *garnetworks.ModelProfile {
 	for i := range profile.Models {
 		if m := &profile.Models[i]; m.Name == model && m.TimeFactor > 0 {
-			return profile.PrefillRate / m.TimeFactor
+			return m
 		}
 	}
-	return 0
-}
-
-// instancesOf returns the number of instances of a group of the model; 0 if the profile lacks it.
-func instancesOf(profile *garnetworks.EngineProfile, model garnetworks.ModelName) int {
-	for i := range profile.Models {
-		if m := &profile.Models[i]; m.Name == model {
-			return m.GroupSize
-		}
-	}
-	return 0
+	return nil
 }
 
 // advance advances the waiting calls, and reports whether there are any.
--- a/routing.go
+++ b/routing.go
@@ -117,6 +117,12 @@
 	ReportLag time.Duration
 }
 
+// PassTime returns the time of a pass of a full batch of the model without prompts.
+func (p *EngineProfile) PassTime(m *ModelProfile) time.Duration {
+	step := p.StepTime + time.Duration(p.Slots)*p.StepTimePerCall
+	return time.Duration(float64(p.StepsPerPass) * float64(step) * m.TimeFactor)
+}
+
 // ModelProfile describes the groups of a model.
 type ModelProfile struct {
 	Name ModelName
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -80,4 +80,10 @@
 //	    of its calls would fill a group. It
 //	    takes over the first event and service times and the windows that another node
 //	    has recently observed, until it has observations of its own.
+//	Q19 More prompts than the groups can prefill, at many nodes. Each sees less than a call a second
+//	    at a group and learns nothing from its own first events (Q2), and all first events are
+//	    late, not only those of the calls in excess. So a node places the fraction of its calls that the
+//	    groups can give a first event on time, by their rate of prefill and the rate at which calls
+//	    arrive at all nodes. The others go only to a group that has no prompt to prefill for any
+//	    node, or are rejected, and few calls that can only be late are placed meanwhile.
 package scheduler
--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -18,7 +18,7 @@
 		report.Demands = append(report.Demands, garnetworks.ModelDemand{Model: model, CallsPerSecond: p.demand(now)})
 		for _, g := range p.groups {
 			if g.inflight > 0 {
-				report.Groups = append(report.Groups, garnetworks.GroupLoad{Group: g.ID, Running: g.inflight})
+				report.Groups = append(report.Groups, garnetworks.GroupLoad{Group: g.ID, Running: g.inflight, PrefillTokens: g.prefillTokens})
 			}
 		}
 	}
@@ -50,7 +50,7 @@
 
 // peerReport is the last report of the other nodes' load.
 type peerReport struct {
-	running map[garnetworks.GroupID]int
+	groups map[garnetworks.GroupID]garnetworks.GroupLoad
 	// demands are calls per second.
 	demands map[garnetworks.ModelName]float64
 	lost    garnetworks.Set[garnetworks.GroupID]
@@ -60,13 +60,13 @@
 
 func newPeerReport(peers *garnetworks.LoadReport) peerReport {
 	report := peerReport{
-		running: make(map[garnetworks.GroupID]int, len(peers.Groups)),
+		groups:  make(map[garnetworks.GroupID]garnetworks.GroupLoad, len(peers.Groups)),
 		demands: make(map[garnetworks.ModelName]float64, len(peers.Demands)),
 		lost:    garnetworks.NewSet(peers.Lost...),
 		nodes:   peers.Nodes + 1,
 	}
 	for _, g := range peers.Groups {
-		report.running[g.Group] = g.Running
+		report.groups[g.Group] = g
 	}
 	for _, d := range peers.Demands {
 		report.demands[d.Model] = d.CallsPerSecond
@@ -96,7 +96,7 @@
 	for model, p := range s.pools {
 		for id, g := range p.groups {
 			g.lost = s.report.lost.Has(id)
-			g.peerCalls, g.placed = s.report.running[id], 0
+			g.setPeerLoad(s.report.groups[id])
 		}
 		s.grant(now, p, s.report.demands[model], s.report.nodes)
 	}
@@ -105,10 +105,14 @@
 
 // addGroup adds a group to its pool, with the load that the peers last reported for it.
 func (s *Scheduler) addGroup(p *pool, g Group) {
-	p.groups[g.ID] = &groupState{
-		Group: g, window: s.startWindow(p, &g),
-		peerCalls: s.report.running[g.ID], lost: s.report.lost.Has(g.ID),
-	}
+	added := &groupState{Group: g, window: s.startWindow(p, &g), lost: s.report.lost.Has(g.ID)}
+	added.setPeerLoad(s.report.groups[g.ID])
+	p.groups[g.ID] = added
+}
+
+// setPeerLoad sets what the other nodes report of the group.
+func (g *groupState) setPeerLoad(load garnetworks.GroupLoad) {
+	g.peerCalls, g.peerPrefillTokens, g.placed = load.Running, load.PrefillTokens, 0
 }
 
 // grantNew gives the node its part of the free slots of groups that are new to it (Q18). It keeps
@@ -129,7 +133,7 @@
 	for _, p := range s.pools {
 		p.allowance = 0
 		for _, g := range p.groups {
-			g.peerCalls, g.placed = 0, 0
+			g.setPeerLoad(garnetworks.GroupLoad{})
 			g.window = s.startWindow(p, &g.Group)
 		}
 	}
--- a/scheduler/placing.go
+++ b/scheduler/placing.go
@@ -29,6 +29,7 @@
 	g.prefilling++
 	p.allowance--
 	if c.late {
+		p.lateAllowance--
 		p.recordLate(now, g)
 	}
 	if g.Limit.Active(now) {
@@ -51,6 +52,9 @@
 	if s.peersKnown && p.allowance < neededAllowance(c) && !c.Resumed { // Q6 and Q17
 		return nil
 	}
+	if c.late && !s.refillLate(now, p) { // Q19
+		return nil
+	}
 	free := s.freeGroups(now, p, c)
 	var overdue []*groupState
 	for _, g := range free {
@@ -102,6 +106,9 @@
 		if c.excess && !p.leavesReserve(g) { // Q17
 			continue
 		}
+		if c.exceeds && g.prefillTime() > 0 { // Q19
+			continue
+		}
 		if !p.canPrefill(g, c) { // Q9
 			continue
 		}
@@ -124,6 +131,7 @@
 		g := free[at]
 		free = slices.Delete(free, at, at+1)
 		utilization := (p.expectedCalls(g) + prefillWeight*float64(g.prefilling)) / g.window
+		utilization += g.prefillTime().Seconds() / prefillHorizon.Seconds()
 		if g.Zone != s.zone {
 			utilization += crossZonePenalty
 		}
@@ -149,6 +157,15 @@
 	return float64(g.prefillTokens)+min(float64(c.PromptTokens), limit/2) <= limit
 }
 
+// prefillTime returns how long the group takes to prefill the prompts of all nodes' calls that have
+// no event yet; 0 if its rate is unknown.
+func (g *groupState) prefillTime() time.Duration {
+	if g.PrefillRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(g.prefillTokens+g.peerPrefillTokens) / g.PrefillRate * float64(time.Second))
+}
+
 // PendingPrefill returns the prompt tokens of this node's calls that a group has yet to
 // prefill.
 func (s *Scheduler) PendingPrefill(model garnetworks.ModelName, group garnetworks.GroupID) int {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,6 +81,9 @@
 	// prefillFraction is the fraction of a client's MaxGap in which a group may prefill new
 	// prompts (Q9); the remainder is for the next event of its other calls.
 	prefillFraction = 0.5
+	// minReadFraction is the part of a group's time in which it may always prefill prompts, even
+	// if its passes alone take longer than the objective.
+	minReadFraction = 0.1
 	// queuedFraction is the number of calls that may be dispatched beyond a group's slots, as a
 	// fraction of the slots. A short queue at the engine keeps its batch full although load
 	// reports are slightly out of date.
@@ -88,6 +91,9 @@
 	// prefillWeight is the additional weight of a call in prefill when the load of groups is
 	// compared: a prompt takes as long in a pass as the tokens of several calls.
 	prefillWeight = 2
+	// prefillHorizon is the time to prefill all nodes' prompts at a group that counts as much as a
+	// full batch when the load of groups is compared; about the time in which first events are due.
+	prefillHorizon = 500 * time.Millisecond
 	// crossZonePenalty is added to the utilization of a group in another availability zone,
 	// since each of its events crosses zones.
 	crossZonePenalty = 0.05
@@ -105,6 +111,8 @@
 	// PrefillRate is the number of prompt tokens that the group processes per second; 0 if
 	// unknown.
 	PrefillRate float64
+	// PassTime is the time of a pass of a full batch without prompts; 0 if unknown.
+	PassTime time.Duration
 	// Limit limits the calls while the group's head is cold or names a limit.
 	Limit limiter.Limit
 }
@@ -137,6 +145,9 @@
 	late bool
 	// excess says that the call is beyond the share of its workspace (Q17).
 	excess bool
+	// exceeds says that more calls arrive than can be on time, and that this is one of those in
+	// excess (Q19).
+	exceeds bool
 	// aheadLate is the number of calls ahead of it when it was admitted late.
 	aheadLate int
 }
@@ -178,6 +189,8 @@
 	prefilling int
 	// prefillTokens is the number of prompt tokens that are not yet prefilled.
 	prefillTokens int
+	// peerPrefillTokens is the same for the calls of other nodes, by the last report.
+	peerPrefillTokens int
 	// No call is sent before cooldownUntil. probing is true from a stall until the group's next
 	// first event; while it is, the group gets one call at a time.
 	cooldownUntil time.Time
@@ -233,6 +246,11 @@
 	// allowance is the number of slots that this node may still take until the next report
 	// from the peers (Q6).
 	allowance float64
+	prompts   promptAverages
+	// lateAllowance is the number of calls that can only be late which the node may place, at
+	// lateRefilled (Q19).
+	lateAllowance float64
+	lateRefilled  time.Time
 	// rejectedAt is when the last call was rejected for lack of time, lastReturn the time for which
 	// the last of them was told to return (Q15).
 	rejectedAt, lastReturn time.Time
@@ -306,7 +324,9 @@
 func (s *Scheduler) Arrive(now time.Time, c Call) (Decision, bool) {
 	p := s.pool(c.Model)
 	p.recordArrival(now)
+	p.prompts.record(&c)
 	s.divide(now, p, &c)
+	c.exceeds = s.exceedsRate(now, p, &c)
 	if c.Resumed || !p.waitsBefore(&c) && !p.canOnlyBeLate(now, &c) {
 		if g := s.pickGroup(now, p, &c); g != nil {
 			s.dispatch(now, p, g, &c)
--- a/scheduler/starting.go
+++ b/scheduler/starting.go
@@ -13,7 +13,7 @@
 // load.
 const maxObservationAge = 10 * time.Second
 
-// Observations returns what this node has observed of the models that it calls (Q13). Windows are
+// Observations returns what this node has observed of the models that it calls (Q18). Windows are
 // left out while the peers' load is unknown, since they cover the calls of this node only then.
 func (s *Scheduler) Observations(now time.Time) garnetworks.Observations {
 	var list garnetworks.Observations
@@ -36,7 +36,7 @@
 }
 
 // TakeOver uses another node's observations for models of which this node has none of its own, if
-// they are recent (Q13). It returns the number of these models.
+// they are recent (Q18). It returns the number of these models.
 func (s *Scheduler) TakeOver(observations garnetworks.Observations) int {
 	taken := 0
 	for i := range observations.Models {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -15,7 +15,8 @@
 	return p.waitsOnTime() && (!p.waiting[0].excess || c.excess)
 }
 
-// reject rejects a call that can't expect a slot in time (Q1).
+// reject rejects a call that can't expect a slot in time (Q1), or that exceeds the rate at which calls
+// can be on time (Q19).
 func (p *pool) reject(now time.Time, c *Call) (Decision, bool) {
 	groups, places := p.serving(now, c)
 	if groups == 0 {
@@ -23,7 +24,7 @@
 	}
 	ahead := p.ahead(c)
 	wait, patience := p.expectedWait(now, ahead+1), p.patience(now, c)
-	if wait <= patience && ahead < places {
+	if wait <= patience && ahead < places && !c.exceeds {
 		return Decision{}, false
 	}
 	if ahead >= places {
