relayer: the next node after a lost reader reads without a random delay

When all nodes were killed and those that read for the others did not return, no node had routing, servers or evacuations for long: the next node of each cell, which all others of the cell follow, waited for a random time up to 50 ms for each other node before it read. Nodes with one relay are exactly these, one for each cell, so they now read 0.8 s after their start; the others keep the random delay.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -297,6 +297,11 @@
 	case r.options.FirstStart:
 		return discoveryWait, firstReadInterval
 	case relays > 0:
+		if relays == 1 {
+			// The next node after a reader; there is one for each cell. Others follow it, so that
+			// all of them would wait for its spread if the reader has ended.
+			return restartReadDelay, restartReadInterval
+		}
 		spread := time.Duration(r.startFactor * float64(relays+fallbacks) * float64(restartSpread))
 		return restartReadDelay + spread, restartReadInterval
 	case fallbacks > 0 || r.options.Fallbacks == nil:
