exchanger: limits in a sum that is used again keep their age

A node passes its last complete sum on for up to a second while it gets only partial ones, and to nodes that report to it meanwhile. The limits of servers in it looked as young as when it was received, so that a limit that its server had raised since could win over the newer one. They now age with the sum.

TestLastSumAges also checks that no sum is used for longer than StaleAfter. go test -short ./exchanger passes.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -242,11 +242,11 @@
 	seenSuspects map[garnetworks.GroupID]time.Time
 	lastResponse time.Time
 	// lastSum is the last complete sum, as of lastComplete; passable says that the node got it
-	// from the head that computed it. completeResponse is when another head last responded with
-	// one.
-	lastComplete, completeResponse time.Time
-	lastSum                        garnetworks.LoadReport
-	passable                       bool
+	// from the head that computed it. receivedAt is when it was received or computed, and
+	// completeResponse when another head last responded with one.
+	lastComplete, receivedAt, completeResponse time.Time
+	lastSum                                    garnetworks.LoadReport
+	passable                                   bool
 	// headSince is when the node began to act as head, or other nodes to report to it; headActive
 	// is when it last did or they last did. cellsKnown is when its last exchange with the other
 	// cells ended.
@@ -426,7 +426,7 @@
 	e.mu.Lock()
 	e.lastResponse = now
 	if at := now.Add(-time.Duration(response.AgeMS) * time.Millisecond); !response.Partial && at.After(e.lastComplete) {
-		e.lastComplete, e.lastSum, e.passable = at, response.Report, complete
+		e.lastComplete, e.receivedAt, e.lastSum, e.passable = at, now, response.Report, complete
 	}
 	if complete {
 		e.completeResponse = now
@@ -448,7 +448,16 @@
 	if !e.passable || age > StaleAfter {
 		return garnetworks.LoadReport{}, 0, false
 	}
-	return subtract(Sum(e.lastSum, own), *from), age, true
+	return subtract(Sum(aged(e.lastSum, now.Sub(e.receivedAt)), own), *from), age, true
+}
+
+// aged returns a sum that was received before, with the ages that its limits have now.
+func aged(sum garnetworks.LoadReport, age time.Duration) garnetworks.LoadReport {
+	sum.Limits = slices.Clone(sum.Limits)
+	for i := range sum.Limits {
+		sum.Limits[i].AgeMS += age.Milliseconds()
+	}
+	return sum
 }
 
 // starting reports whether the node has yet to take over what another node has observed (X9).
@@ -496,7 +505,7 @@
 	e.cellsKnown, e.lastResponse = now, now
 	// A node that knows no other has nobody to wait for.
 	if e.settledLocked(now) || len(topology.Cells) == 1 && len(topology.Cell) == 1 {
-		e.lastComplete, e.lastSum, e.passable = now, sum, false
+		e.lastComplete, e.receivedAt, e.lastSum, e.passable = now, now, sum, false
 	}
 	e.mu.Unlock()
 	e.notifySuspects(now, sum.Suspects)
@@ -508,7 +517,7 @@
 func (e *Exchanger) passOn() {
 	now := time.Now()
 	e.mu.Lock()
-	sum, known := e.lastSum, now.Sub(e.lastComplete) <= StaleAfter
+	sum, known := aged(e.lastSum, now.Sub(e.receivedAt)), now.Sub(e.lastComplete) <= StaleAfter
 	e.mu.Unlock()
 	if !known {
 		sum = garnetworks.LoadReport{}
--- a/exchanger/start_test.go
+++ b/exchanger/start_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/exchanger"
 )
 
@@ -162,3 +163,47 @@
 		})
 	}
 }
+
+// partialPeer is a peer with a complete sum at first and partial ones later.
+type partialPeer struct{ asked int }
+
+func (p *partialPeer) Exchange(context.Context, string, *garnetworks.ExchangeRequest) (*garnetworks.ExchangeResponse, error) {
+	p.asked++
+	limits := []garnetworks.ServerLimit{{Instance: "i", CallsPerSecond: 5, AgeMS: 10}}
+	return &garnetworks.ExchangeResponse{Partial: p.asked > 1, Report: garnetworks.LoadReport{Nodes: 1, Limits: limits}}, nil
+}
+
+// Guards against limits of servers that never age while a node uses its last complete sum, and
+// against the use of that sum for longer than a second.
+func TestLastSumAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		self, head := garnetworks.NodeInfo{ID: "b", Address: "b", Region: "r"}, garnetworks.NodeInfo{ID: "a", Address: "a", Region: "r"}
+		if exchanger.NewTopology(self, []garnetworks.NodeInfo{head}).Cell[0].ID == self.ID {
+			self, head = head, self
+		}
+		start := time.Now()
+		var knownUntil time.Duration
+		e := exchanger.New(exchanger.Options{
+			Peers: &partialPeer{}, Self: func() garnetworks.NodeInfo { return self }, Nodes: func() []garnetworks.NodeInfo { return []garnetworks.NodeInfo{head} },
+			Load: func() garnetworks.LoadReport { return garnetworks.LoadReport{} }, Suspect: func(garnetworks.GroupID) {},
+			SetPeerLoad: func(others garnetworks.LoadReport, known bool) {
+				if !known {
+					return
+				}
+				knownUntil = time.Since(start)
+				// The first exchange is 20 ms after the start.
+				if want := 10 + (knownUntil - 20*time.Millisecond).Milliseconds(); others.Limits[0].AgeMS != want {
+					t.Errorf("after %s the limit is %d ms old, want %d", knownUntil, others.Limits[0].AgeMS, want)
+				}
+			},
+		})
+		go func() { _ = e.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		cancel()
+		synctest.Wait()
+		if knownUntil < exchanger.StaleAfter/2 || knownUntil > exchanger.StaleAfter+100*time.Millisecond {
+			t.Errorf("the sum is used for %s", knownUntil)
+		}
+	})
+}
