exchanger: a head that starts waits for one silent node at most

While its sum is partial, a head looked for a complete one at all nodes of its cell in turn. With 24 of 30 nodes gone after all were killed, each of which takes 250 ms not to answer, no node knew the load 10 s after the start. The search now ends with the first node that does not answer, once another node has answered or the node is to act as head itself.

TestHeadDoesNotWaitForAllSilentNodes failed before. go test -short ./exchanger passes.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -342,8 +342,12 @@
 			e.passOn()
 			return
 		}
-		if responded {
+		switch {
+		case responded:
 			asked++
+		case head || asked > 0:
+			// A search for a complete sum takes the time of one unanswered call at most.
+			asked = maxAsked
 		}
 	}
 	if head {
--- a/exchanger/start_test.go
+++ b/exchanger/start_test.go
@@ -207,3 +207,25 @@
 		}
 	})
 }
+
+// Guards against a head that waits for each silent node of its cell before it exchanges, when most
+// nodes that were killed together do not return.
+func TestHeadDoesNotWaitForAllSilentNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newSite(ctx, 1, 30)
+		cell := exchanger.NewTopology(s.nodes["n1"].info, s.infos("n1")).Cell
+		for _, info := range cell[1:25] {
+			s.mu.Lock()
+			s.nodes[info.Address].disconnected = true
+			s.nodes[info.Address].stop()
+			s.mu.Unlock()
+		}
+		for _, info := range append(cell[25:], cell[0]) {
+			if took := s.knownWithin(s.nodes[info.Address], 10*time.Second); took > 1500*time.Millisecond {
+				t.Errorf("%s knows the others' load after %s, want at most 1.5s", info.Address, took)
+			}
+		}
+	})
+}
