--- a/scheduler/returning_test.go
+++ b/scheduler/returning_test.go
@@ -68,16 +68,20 @@
 
 // Guards against learning the times of returned callers as those of first calls.
 func TestNothingIsLearnedWhileCallsAreRejected(t *testing.T) {
-	a, s := learn(func(int) time.Duration { return routeTimeout }, 100), scheduler.New("z", fixedRandom)
-	s.SetGroups(start, groups(1, "g"))
-	reject(t, s)
-	for i := range 1000 {
-		if i%2 == 0 {
-			a.Describe(s.Rejecting(start, "m"), "r", start, start.Add(routeTimeout))
-		}
-		if call := a.Describe(s.Rejecting(start, "m"), "r", start, start.Add(routeTimeout-time.Second)); call.FirstArrived.IsZero() {
-			t.Fatal("a returned call is taken for a first one")
-		}
+	for name, list := range map[string][]scheduler.Group{"no slot": groups(1, "g"), "no group": nil} {
+		t.Run(name, func(t *testing.T) {
+			a, s := learn(func(int) time.Duration { return routeTimeout }, 100), scheduler.New("z", fixedRandom)
+			s.SetGroups(start, list)
+			reject(t, s)
+			for i := range 1000 {
+				if i%2 == 0 {
+					a.Describe(s.Rejecting(start, "m"), "r", start, start.Add(routeTimeout))
+				}
+				if call := a.Describe(s.Rejecting(start, "m"), "r", start, start.Add(routeTimeout-time.Second)); call.FirstArrived.IsZero() {
+					t.Fatal("a returned call is taken for a first one")
+				}
+			}
+		})
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -225,8 +225,8 @@
 	// allowance is the number of slots that this node may still take until the next report
 	// from the peers (Q6).
 	allowance float64
-	// rejectedAt is when the last call was rejected for lack of time, lastReturn the time for which
-	// the last of them was told to return (Q15).
+	// rejectedAt is when the last call was rejected, lastReturn the time for which the last one that
+	// was rejected for lack of time was told to return (Q15).
 	rejectedAt, lastReturn time.Time
 	// workspaces counts the calls of each workspace (Q17).
 	workspaces workspaceCalls
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -19,7 +19,8 @@
 func (p *pool) reject(now time.Time, c *Call) (Decision, bool) {
 	groups, places := p.serving(now, c)
 	if groups == 0 {
-		return Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now)}, true
+		p.rejectedAt = now
+		return Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Returned: c.returned()}, true
 	}
 	ahead := p.ahead(c)
 	wait, patience := p.expectedWait(now, ahead+1), p.patience(now, c)
@@ -206,6 +207,7 @@
 		wait := p.expectedWait(now, ahead+1)
 		switch {
 		case groups == 0:
+			p.rejectedAt = now
 			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: ahead, Spare: s.spare(now, p, c), Returned: c.returned()})
 		case p.maxWait(now, c) <= 0 || ahead >= places:
 			if p.admitLate(now, c) {
