--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -19,7 +19,7 @@
 //	Q3  A group that stalls or refuses calls. It gets no call during a cooldown, or the
 //	    backoff that it requested, then one at a time until it answers.
 //	Q4  Calls of several priorities. The most urgent come first; within a priority,
-//	    the one with the earliest objective.
+//	    the one with the earliest objective, except for Q14 and Q17.
 //	Q5  A call that was interrupted by the failure of its group. It goes before all
 //	    others, since its client waits between two events, and it is not rejected
 //	    while a group serves.
@@ -58,11 +58,11 @@
 //	Q14 Calls that can't be on time any more, because they returned. Rejecting them again makes
 //	    them give up. So a call that returned, or can't be expected to return, is admitted late
 //	    instead of rejected if it can be complete by its deadline. It comes after all calls that
-//	    can be on time, whatever their priority, by its first arrival, and only takes slots in
-//	    a bounded part of a window, and in one with a reserve for the others.
+//	    can be on time, whatever their priority, by its first arrival. Late calls take a bounded
+//	    part of each window, and leave a reserve for the others.
 //	Q15 Rejected callers that return together. Each is told to return later than those that
-//	    were rejected before, by the time in which a slot becomes free, and when its return will
-//	    be recognized, within what callers follow.
+//	    were rejected before, by the time in which a slot becomes free, and not before its
+//	    return will be recognized, within what callers follow.
 //	Q16 Rejections beside free slots. A rejection names the free slots that could have served
 //	    the call in time: those of groups of its model that could take it, and those of whole
 //	    groups that the idle instances of another model would be enough for. Single free slots
