--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -251,8 +251,8 @@
 	// lateRefilled (Q19).
 	lateAllowance float64
 	lateRefilled  time.Time
-	// rejectedAt is when the last call was rejected for lack of time, lastReturn the time for which
-	// the last of them was told to return (Q15).
+	// rejectedAt is when the last call was rejected, lastReturn the time for which the last one that
+	// was rejected for lack of time was told to return (Q15).
 	rejectedAt, lastReturn time.Time
 	// workspaces counts the calls of each workspace (Q17).
 	workspaces workspaceCalls
