claimer: the test of forwarding over the peer protocol has its own clock

What was seen: TestClaimsOverThePeerProtocol, once beside load: "the node has read the shard itself".

Cause, reproduced: with -cpu 1 and 10 or 20 busy goroutines in the test process all of 6 runs fail so, with 40 also the claim itself ("the claim was not proven in time"). The product's bounds (500 ms to forward, the bound of a claim) run on the real clock while the machine doesn't run the goroutines. The product does what it should: it commits itself when the other node does not respond in time. The test is at fault.

As strict: the same checks on the same messages, encoded by the same messenger; no bound was moved, and the bounds now hold to the nanosecond. With a forwarding bound of 0 it fails as before. The messenger's own contract tests use TCP as before.

--- a/claimer/peers_test.go
+++ b/claimer/peers_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
 	"github.com/garnetworks/garnetworks/messenger"
 )
 
@@ -19,41 +20,39 @@
 // A node that forwards its claims over the peer protocol must get the same results as one that
 // writes them itself, also after the committing node has stopped.
 func TestClaimsOverThePeerProtocol(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	store := newStore(faults{}, 1)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	client := messenger.NewClient(messenger.ClientOptions{})
-	defer client.Close()
-	// Only the node that listens is ready, so it commits every shard.
-	roster := []garnetworks.NodeInfo{{ID: "a", Address: listener.Addr().String(), Ready: true}, {ID: "b"}}
-	var nodes []*Claimer
-	for _, n := range roster {
-		c := New(Options{Node: n, API: store, Forwarder: garnetworks.Some[Forwarder](PeerForwarder{client})})
-		c.SetRoster(roster)
-		go func() { _ = c.Run(ctx) }()
-		nodes = append(nodes, c)
-	}
-	server, err := messenger.NewServer(messenger.ServerOptions{Handler: commitHandler{Claimer: nodes[0]}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	serving, stop := context.WithCancel(ctx)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = server.Serve(serving, listener)
-	}()
-	claimAndComplete(ctx, t, nodes[1], 1)
-	if nodes[1].worker(KeyDigest("delta", "ledger", "visit-1")).shard != nil {
-		t.Error("the node has read the shard itself")
-	}
-	stop()
-	<-ended
-	claimAndComplete(ctx, t, nodes[1], 2)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store, network := newStore(faults{}, 1), faker.NewPipes()
+		client := messenger.NewClient(messenger.ClientOptions{Dial: network.Dial})
+		defer client.Close()
+		// Only the node that listens is ready, so it commits every shard.
+		roster := []garnetworks.NodeInfo{{ID: "a", Address: network.Addr().String(), Ready: true}, {ID: "b"}}
+		var nodes []*Claimer
+		for _, n := range roster {
+			c := New(Options{Node: n, API: store, Forwarder: garnetworks.Some[Forwarder](PeerForwarder{client})})
+			c.SetRoster(roster)
+			go func() { _ = c.Run(ctx) }()
+			nodes = append(nodes, c)
+		}
+		server, err := messenger.NewServer(messenger.ServerOptions{Handler: commitHandler{Claimer: nodes[0]}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		serving, stop := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = server.Serve(serving, network)
+		}()
+		claimAndComplete(ctx, t, nodes[1], 1)
+		if nodes[1].worker(KeyDigest("delta", "ledger", "visit-1")).shard != nil {
+			t.Error("the node has read the shard itself")
+		}
+		stop()
+		<-ended
+		claimAndComplete(ctx, t, nodes[1], 2)
+	})
 }
 
 func claimAndComplete(ctx context.Context, t *testing.T, c *Claimer, key int) {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
 )
 
 // handler returns what the test sets; most other methods return fixed errors.
@@ -150,7 +151,7 @@
 // this and use new connections within their deadlines, or healthy nodes look dead.
 func TestStalledConnectionIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := newPipeNetwork()
+		network := faker.NewPipes()
 		server := must(NewServer(ServerOptions{Handler: &handler{
 			heartbeat: func(*garnetworks.HeartbeatRequest) (*garnetworks.HeartbeatResponse, error) {
 				time.Sleep(50 * time.Millisecond)
@@ -161,7 +162,7 @@
 		defer cancel()
 		go func() { _ = server.Serve(ctx, network) }()
 		traffic := new(Traffic)
-		c := NewClient(ClientOptions{Traffic: traffic, Dial: network.dial})
+		c := NewClient(ClientOptions{Traffic: traffic, Dial: network.Dial})
 		defer c.Close()
 
 		// The deadline of a heartbeat, within which each call must succeed.
@@ -180,7 +181,7 @@
 			})
 		}
 		group.Wait()
-		network.stall()
+		network.Stall()
 		for range 3 {
 			if err := call(); err != nil {
 				t.Fatalf("call after the connections stalled: %v", err)
--- a/messenger/waiting_test.go
+++ b/messenger/waiting_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
 )
 
 // waitingHandler lets follow requests wait until released is closed.
@@ -30,7 +31,7 @@
 	for name, waiting := range map[string]int{"a large zone": 2 * MaxConcurrentCalls, "twice as large": 4 * MaxConcurrentCalls} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				network := newPipeNetwork()
+				network := faker.NewPipes()
 				h := &waitingHandler{released: make(chan struct{})}
 				server, err := NewServer(ServerOptions{Handler: h})
 				if err != nil {
@@ -43,7 +44,7 @@
 				var follows sync.WaitGroup
 				failed := make([]error, waiting)
 				for i := range clients {
-					clients[i] = NewClient(ClientOptions{Dial: network.dial})
+					clients[i] = NewClient(ClientOptions{Dial: network.Dial})
 					follows.Go(func() { _, failed[i] = clients[i].Follow(ctx, "relay", &garnetworks.FollowRequest{Prefix: "p/"}) })
 				}
 				time.Sleep(100 * time.Millisecond)
