gateway: calls that only limited engines could take go to nodes with a share (T4)

Cause: each node may send a limited server its own share only (L1, L2), and the shares of the nodes that get no calls stay unused. With three nodes and limits of 20 all three are chosen for each server, so that the share, not the choice, is the bound: 14.9 calls a second for each group over all nodes, 5 for a node.

Change: a rejection says whether all groups that could have served the call are limited (scheduler.Decision.Limited). If servers name limits and no attempt reached a server, the node offers the call to at most two nodes that have shares in the limits of the model's groups, drawn in proportion to these (limiter.Limits.Shares, rule D4). One of them runs it or refuses it as untaken, with when it expects a place; until then it gets no other offer. T1 to T3 hold: a call is handed over once, of which no attempt reached a server; one that another node may have received is not sent again; the taker keeps its own share, the backoffs and the time since the request. A budget of failed offers (D5), refilled by 50 a second over the whole site and by taken ones, bounds what an overloaded site sends to its few chosen nodes. The call is counted in the demand of the taker only. Where no server names a limit nothing is offered, and nothing is refused as untaken that was not before.

Messages and state: none at rest. A call that is handed over goes through one node more; an offer that fails costs one request and response. A node keeps for each limited server the nodes chosen for it (at most 2 + 0.4 for each call a second of the limit), and the nodes that refused in the last 2 s.

No existing test was changed; the site of the gateway's tests can send all calls to one node.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -1,5 +1,5 @@
 // Package delegator decides when a node hands its calls to other nodes, because it reaches no
-// backend server of a service itself, and to which ones. It is pure: it does no I/O and takes the
+// backend server of a service itself or may send none a call, and to which ones. It is pure: it does no I/O and takes the
 // time as an argument.
 //
 //	D1  A node's links to a service count as down once attempts at several of its servers, or
@@ -9,6 +9,13 @@
 //	D3  A node that could not take a call is avoided for a time, and so is an availability zone
 //	    of which several nodes could not: a zone may be partitioned as a whole. While any
 //	    is avoided, a node that took a call is asked first.
+//	D4  Load pattern: most calls arrive at one node, which may send limited servers its own
+//	    share of calls only (package limiter). It offers the rest to the nodes that have
+//	    the other shares, at random in proportion to these. A node that could not take a
+//	    call gets no other offer before it expects a place.
+//	D5  Overload of the whole site: no node has a share left. An offer that is not taken costs a
+//	    part of a budget, which taken ones and time restore, so that refused calls cost the
+//	    few chosen nodes little.
 package delegator
 
 import (
@@ -29,6 +36,14 @@
 	takerTime = 5 * time.Second
 	// avoidZoneNodes is the number of nodes to avoid from which their zone is avoided.
 	avoidZoneNodes = 2
+	// maxBudget is the number of offers in a row that may fail before offers wait for the budget.
+	// Each taken one restores takenBudget, and time siteBudget per second at all nodes together.
+	maxBudget   = 20
+	takenBudget = 1
+	siteBudget  = 50
+	// minFullTime and maxFullTime bound how long a node that has no share left gets no offer.
+	minFullTime = 50 * time.Millisecond
+	maxFullTime = 2 * time.Second
 )
 
 // Links judges a node's links to the servers of each service. It is not safe for concurrent use.
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -4,16 +4,22 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
 )
 
 const (
 	// maxDelegations is the number of nodes to which a call is offered.
 	maxDelegations = 4
+	// maxOffers is the same for a call that this node has no share for: it must be answered at once.
+	maxOffers = 2
+	// unansweredTime is how long a node that gave no answer gets no such call.
+	unansweredTime = 2 * time.Second
 	// minUnreached is the number of servers that must accept no connection before a call goes to
 	// another node: one server alone may be down.
 	minUnreached = 2
@@ -78,7 +84,18 @@
 // untaken reports whether a call that was handed to this node, and is refused with the error kind,
 // may be served by another node.
 func (x *exchange) untaken(kind garnetworks.Kind) bool {
-	return x.delegated && (x.unreached() || kind == garnetworks.KindNotReady || kind == garnetworks.KindStaleRouting)
+	return x.delegated && (x.unreached() || x.lacksShare() || kind == garnetworks.KindNotReady || kind == garnetworks.KindStaleRouting)
+}
+
+// lacksShare reports whether the call was rejected because only groups with limits could serve it,
+// some of which they named, and this node has no share left.
+func (x *exchange) lacksShare() bool {
+	if !x.decision.Limited || x.reached {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.limits.Count() > 0
 }
 
 // delegate hands a call that has reached no server to a node that reaches some (rule T1), and
@@ -97,32 +114,107 @@
 		if !ok {
 			return false
 		}
-		response, err := x.options.Delegator.Delegate(x.ctx, node.Address, &garnetworks.DelegatedCall{
-			Request: x.request, Body: x.call.Body, Elapsed: time.Since(x.call.Received),
-		})
-		x.options.Meter.Delegated(x.service.Name, delegationResult(response, err))
-		switch {
-		case err != nil && asAttemptError(err).Phase == garnetworks.PhaseConnect:
+		response, err := x.handOver(&node)
+		if response != nil {
+			x.took(node.ID)
+			x.relayDelegated(response)
+			return true
+		}
+		if x.ctx.Err() == nil || !mayHaveReceived(err) {
 			x.avoid(node.ID)
-		case err != nil: // rule T2
-			if x.ctx.Err() == nil {
-				x.avoid(node.ID)
-			}
-			x.delegatedTo = node.ID
+		}
+		if mayHaveReceived(err) { // rule T2
 			x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
 			return true
-		case response.Untaken:
-			_ = response.Body.Close() // the call goes to another node
-			x.avoid(node.ID)
-		default:
-			x.took(node.ID)
+		}
+	}
+	return false
+}
+
+// untakenError says that a node could not take a call, and may be able to after wait.
+type untakenError struct{ wait time.Duration }
+
+func (untakenError) Error() string { return "the node could not take the call" }
+
+// mayHaveReceived reports whether a node that did not take a call may have received it and run it.
+func mayHaveReceived(err error) bool {
+	var untaken untakenError
+	return !errors.As(err, &untaken) && asAttemptError(err).Phase != garnetworks.PhaseConnect
+}
+
+// handOver sends the call to another node once, and returns the response of one that took it.
+func (x *exchange) handOver(node *garnetworks.NodeInfo) (*garnetworks.DelegatedResponse, error) {
+	response, err := x.options.Delegator.Delegate(x.ctx, node.Address, &garnetworks.DelegatedCall{
+		Request: x.request, Body: x.call.Body, Elapsed: time.Since(x.call.Received),
+	})
+	x.options.Meter.Delegated(x.service.Name, delegationResult(response, err))
+	if err == nil && response.Untaken {
+		_ = response.Body.Close() // the call goes to another node
+		wait, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		return nil, untakenError{time.Duration(wait * float64(time.Second))}
+	}
+	if err == nil || mayHaveReceived(err) {
+		x.delegatedTo = node.ID
+	}
+	return response, err
+}
+
+// offer hands a call that this node has no share for to a node that has one (rule T4), and reports
+// whether the client got its answer.
+func (x *exchange) offer() bool {
+	if x.delegated || x.options.Delegator == nil || x.options.Nodes == nil || !x.lacksShare() {
+		return false
+	}
+	for range maxOffers {
+		node, ok := x.chooseSharer(time.Now())
+		if !ok || x.ctx.Err() != nil {
+			return false
+		}
+		response, err := x.handOver(&node)
+		x.recordOffer(node.ID, err)
+		if response != nil {
 			x.relayDelegated(response)
 			return true
 		}
+		if mayHaveReceived(err) { // rule T2
+			x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
+			return true
+		}
 	}
 	return false
 }
 
+// chooseSharer returns a node with a share of the limits of the call's groups.
+func (x *exchange) chooseSharer(now time.Time) (garnetworks.NodeInfo, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	view := x.view(now)
+	var shares []limiter.Share
+	for _, h := range x.heads {
+		if _, leaving := x.leaving[h.incarnation]; h.model == x.call.Model && !leaving {
+			shares = append(shares, x.limits.Shares(h.incarnation, &view)...)
+		}
+	}
+	return x.offers.Choose(now, shares, len(view.Others)+1)
+}
+
+// recordOffer records whether a node took a call.
+func (x *exchange) recordOffer(node garnetworks.NodeID, err error) {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var untaken untakenError
+	switch {
+	case err == nil:
+		x.offers.Took()
+		x.scheduler.HandedOver(now, x.call.Model)
+	case errors.As(err, &untaken):
+		x.offers.Untaken(now, node, untaken.wait)
+	case x.ctx.Err() == nil:
+		x.offers.Untaken(now, node, unansweredTime)
+	}
+}
+
 func delegationResult(response *garnetworks.DelegatedResponse, err error) string {
 	switch {
 	case err != nil:
@@ -140,7 +232,6 @@
 }
 
 func (x *exchange) took(node garnetworks.NodeID) {
-	x.delegatedTo = node
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.delegates.Took(time.Now(), node)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -43,8 +43,8 @@
 //	B2  They belong to the server's incarnation. An answer with status 421 comes from
 //	    another server and says nothing.
 //
-// A node that reaches no server of a call's service hands the call to another node
-// (package delegator):
+// A node that reaches no server of a call's service, or has no share left of the limits of all
+// groups that could serve it, hands the call to another node (package delegator):
 //
 //	T1  Only a call of which no attempt reached a server, or may have, is handed over, and
 //	    only by the node that got it from the client.
@@ -52,4 +52,8 @@
 //	T3  The node that takes it over checks its key anew and keeps limits, backoffs,
 //	    evacuations and the deadline from the client's request on. It alone counts the
 //	    call and its retries.
+//	T4  A call that only limited groups could serve is handed to a node that is chosen for one of
+//	    them (rule L1), which refuses it as untaken if it has no place in time either.
+//	    Each node keeps its own share, so that the limits hold however many calls are
+//	    handed over.
 package gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 	leaving   map[garnetworks.Incarnation]time.Time
 	links     *delegator.Links
 	delegates *delegator.Delegates
+	offers    *delegator.Offers
 	// started is when the gateway was created; limitedCalls are the calls to plain servers that
 	// were limited.
 	started      time.Time
@@ -141,6 +142,7 @@
 		leaving:        make(map[garnetworks.Incarnation]time.Time),
 		links:          delegator.NewLinks(),
 		delegates:      delegator.NewDelegates(options.Zone, random),
+		offers:         delegator.NewOffers(random),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -299,6 +299,8 @@
 	done func(node int, sent time.Time, w *httptest.ResponseRecorder)
 	// duration is how long calls are sent.
 	duration time.Duration
+	// oneNode says that all calls arrive at the first node.
+	oneNode bool
 	// restarts replace nodes while the site runs; nil if none do.
 	restarts func()
 }
@@ -436,6 +438,9 @@
 		path += strconv.Itoa(n)
 		s.sent[service] = append(s.sent[service], time.Now())
 		node := n * 7919 % len(s.nodes)
+		if s.oneNode {
+			node = 0
+		}
 		if s.restarts != nil {
 			s.restarts()
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -122,7 +122,7 @@
 			s.end(garnetworks.KindCancelled, x.ctx.Err())
 			return
 		}
-		if d.Group == "" && s.delegate() {
+		if d.Group == "" && (s.delegate() || s.offer()) {
 			return
 		}
 		if d.Group == "" {
--- a/limiter/limit.go
+++ b/limiter/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -120,6 +121,39 @@
 	return before
 }
 
+// firstRanks returns the other nodes among the count nodes that are chosen for a server first.
+func firstRanks(count int, view *View, server garnetworks.Incarnation) []garnetworks.NodeInfo {
+	type ranked struct {
+		garnetworks.NodeInfo
+		weight uint64
+	}
+	first := make([]ranked, 0, count+1)
+	add := func(node garnetworks.NodeInfo) {
+		r := ranked{node, weight(node.ID, server)}
+		if len(first) == count && r.weight < first[count-1].weight {
+			return
+		}
+		at, _ := slices.BinarySearchFunc(first, r, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.ID, b.ID))
+		})
+		first = slices.Insert(first, at, r)
+		first = first[:min(len(first), count)]
+	}
+	add(garnetworks.NodeInfo{ID: view.Self})
+	for i := range view.Others {
+		if view.Others[i].ID != view.Self {
+			add(view.Others[i])
+		}
+	}
+	var others []garnetworks.NodeInfo
+	for i := range first {
+		if first[i].ID != view.Self {
+			others = append(others, first[i].NodeInfo)
+		}
+	}
+	return others
+}
+
 func weight(node garnetworks.NodeID, server garnetworks.Incarnation) uint64 {
 	const separator = "\x00"
 	return xxhash.Sum64String(string(server.Instance) + separator + string(node))
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -71,6 +71,10 @@
 	rank        int
 	ranked      bool
 	rankedAmong []garnetworks.NodeInfo
+	// sharers are the other nodes among the sharersOf first ranks of sharersAmong.
+	sharers      []garnetworks.NodeInfo
+	sharersOf    int
+	sharersAmong []garnetworks.NodeInfo
 	// from and interval are those of the last Limit.
 	from     time.Time
 	interval time.Duration
@@ -195,6 +199,31 @@
 	return Limit{Until: unlimitedTime, From: n.from, Interval: interval, Overdue: overdue}
 }
 
+// Share is the part of a server's limit that another node may use.
+type Share struct {
+	Node           garnetworks.NodeInfo
+	CallsPerSecond float64
+}
+
+// Shares returns the shares of other nodes in a server's limit; none if it names no limit, or takes
+// no calls.
+func (l *Limits) Shares(server garnetworks.Incarnation, view *View) []Share {
+	n := l.servers[server]
+	if n == nil || n.perSecond <= 0 || !view.Settled { // rule L3
+		return nil
+	}
+	chosen := min(chosenNodes(n.perSecond), len(view.Others)+1)
+	if n.sharersOf != chosen || !garnetworks.SameSlice(n.sharersAmong, view.Others) {
+		n.sharers, n.sharersOf, n.sharersAmong = firstRanks(chosen, view, server), chosen, view.Others
+	}
+	rate := totalRate(n.perSecond, chosen) / float64(chosen)
+	shares := make([]Share, len(n.sharers))
+	for i := range n.sharers {
+		shares[i] = Share{n.sharers[i], rate}
+	}
+	return shares
+}
+
 // share returns the time between two calls of the node, 0 if it is not chosen, and Limit.Overdue.
 func (n *named) share(now time.Time, server garnetworks.Incarnation, view *View) (interval time.Duration, overdue bool) {
 	if !view.Settled { // rule L3
--- a/limiter/limits_test.go
+++ b/limiter/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -184,3 +185,34 @@
 		})
 	}
 }
+
+// Guards against calls that are handed to nodes without a share, and shares that nodes don't know of.
+func TestSharesAreThoseOfTheChosenNodes(t *testing.T) {
+	for _, count := range []int{1, 2, 6, 89} {
+		for _, perSecond := range []float64{0, 0.4, 2.9, 40} {
+			t.Run(fmt.Sprintf("%d nodes, %g a second", count, perSecond), func(t *testing.T) {
+				all := nodes(count)
+				view := func(self int) *limiter.View {
+					others := append(append([]garnetworks.NodeInfo(nil), all[:self]...), all[self+1:]...)
+					return &limiter.View{Self: all[self].ID, Others: others, Settled: true}
+				}
+				rates := make(map[garnetworks.NodeID]float64)
+				for _, s := range limited(perSecond).Shares(server, view(0)) {
+					rates[s.Node.ID] = s.CallsPerSecond
+				}
+				for i := 1; i < count; i++ {
+					want := 0.0
+					if limit := limited(perSecond).Limit(start, server, view(i)); limit.Interval > 0 && perSecond > 0 {
+						want = 1 / limit.Interval.Seconds()
+					}
+					if got := rates[all[i].ID]; math.Abs(got-want) > 1e-6*want {
+						t.Errorf("%s has a share of %g, want %g", all[i].ID, got, want)
+					}
+				}
+				if _, ok := rates[all[0].ID]; ok {
+					t.Error("the node itself is listed")
+				}
+			})
+		}
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -96,7 +96,7 @@
 	{"garnet_attempts_total", "Attempts of calls that are passed on, by service, group (empty for plain services) and the phase in which they ended.", []string{"service", "group", "phase"}},
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
 	{"garnet_retries_total", "Retries of calls that are passed on, by service and whether the site's limit of retries allowed them.", []string{"service", "result"}},
-	{"garnet_delegated_calls_total", "Calls offered to other nodes because this node reaches no server, by service and result: taken, untaken, or the phase in which sending them failed.", []string{"service", "result"}},
+	{"garnet_delegated_calls_total", "Calls offered to other nodes because this node reaches no server, or has no share left of the limits of all that could take them, by service and result: taken, untaken, or the phase in which sending them failed.", []string{"service", "result"}},
 	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_object_api_seconds", "Time that calls to the object API took, without watches, by method.", []string{"method"}},
--- a/passing.go
+++ b/passing.go
@@ -124,8 +124,8 @@
 	Header http.Header
 	// Body must be closed. It ends with io.EOF only if the response is complete.
 	Body io.ReadCloser
-	// Untaken says that the node reaches no server either: it did not run the call, and another
-	// node may.
+	// Untaken says that the node reaches no server either, or may send it no call: it did not run
+	// the call, and another node may.
 	Untaken bool
 }
 
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -107,3 +107,53 @@
 		})
 	}
 }
+
+// Guards against calls that are handed to other nodes although a group without a limit could serve
+// them, or that are not although no other group can.
+func TestRejectionSaysThatOnlyLimitsLackPlaces(t *testing.T) {
+	cases := map[string]struct {
+		groups []scheduler.Group
+		tried  []garnetworks.GroupID
+		want   bool
+	}{
+		"a limited group":          {groups: limitedGroup(time.Hour), want: true},
+		"one without a limit":      {groups: groups(1, "unlimited")},
+		"both":                     {groups: append(limitedGroup(time.Hour), groups(1, "unlimited")...)},
+		"both, the other was lost": {groups: append(limitedGroup(time.Hour), groups(1, "unlimited")...), tried: []garnetworks.GroupID{"unlimited"}, want: true},
+		"no group":                 {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", fixedRandom)
+			s.SetGroups(start, c.groups)
+			for i := range 100 {
+				call := newCall(fmt.Sprint(i))
+				call.Tried = c.tried
+				if d, decided := s.Arrive(start, call); decided && d.Group == "" {
+					if d.Limited != c.want {
+						t.Errorf("limited is %t", d.Limited)
+					}
+					return
+				}
+			}
+			for _, d := range s.Advance(start.Add(time.Hour)) {
+				if d.Group == "" && d.Limited != c.want {
+					t.Errorf("limited is %t", d.Limited)
+				}
+			}
+		})
+	}
+}
+
+// Guards against counting a call twice that another node has taken over.
+func TestCallThatIsHandedOverIsNotCounted(t *testing.T) {
+	s := scheduler.New("z", fixedRandom)
+	s.SetGroups(start, limitedGroup(time.Hour))
+	s.Arrive(start, newCall("placed"))
+	before := s.Load(start).Demands[0].CallsPerSecond
+	s.Arrive(start, newCall("handed over"))
+	s.HandedOver(start, "m")
+	if got := s.Load(start).Demands[0].CallsPerSecond; got != before {
+		t.Errorf("the demand is %g, want %g", got, before)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -143,6 +143,9 @@
 	Groups                 int
 	// Spare is the number of free slots at groups of other models.
 	Spare int
+	// Limited says that all groups that could have served a rejected call are limited (Q12), so that
+	// a node with another share of their limits may place it.
+	Limited bool
 }
 
 // groupState is a group and this node's view of its load and health.
@@ -270,13 +273,19 @@
 		}
 	}
 	if d, rejected := p.reject(now, &c); rejected {
-		d.Spare = s.spare(now, p)
+		d.Spare, d.Limited = s.spare(now, p), p.onlyLimited(now, &c)
 		return d, true
 	}
 	p.enqueue(&c)
 	return Decision{}, false
 }
 
+// HandedOver records that another node has taken over a call that arrived here, and counts it there.
+func (s *Scheduler) HandedOver(now time.Time, model garnetworks.ModelName) {
+	p := s.pool(model)
+	p.demandRate, p.demandAt = max(0, p.demand(now)-1/demandDecay.Seconds()), now
+}
+
 // SetLimit replaces the limit of a group.
 func (s *Scheduler) SetLimit(model garnetworks.ModelName, group garnetworks.GroupID, limit limiter.Limit) {
 	if g := s.pool(model).groups[group]; g != nil {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -66,7 +66,7 @@
 func (p *pool) serving(now time.Time, c *Call) (groups, places int) {
 	patience := p.patience(now, c)
 	for _, g := range p.groups {
-		if g.gone || g.isLost(now) || slices.Contains(c.Tried, g.ID) || now.Before(g.cooldownUntil) && !g.probing {
+		if !g.mayGet(now, c) {
 			continue
 		}
 		if n := g.placesWithin(now, patience); n > 0 {
@@ -77,6 +77,26 @@
 	return groups, places
 }
 
+// mayGet reports whether the group may get the call, apart from its load and its limit.
+func (g *groupState) mayGet(now time.Time, c *Call) bool {
+	return !g.gone && !g.isLost(now) && !slices.Contains(c.Tried, g.ID) && (!now.Before(g.cooldownUntil) || g.probing)
+}
+
+// onlyLimited reports whether there are groups that may get the call, and all of them are limited.
+func (p *pool) onlyLimited(now time.Time, c *Call) bool {
+	limited := false
+	for _, g := range p.groups {
+		if !g.mayGet(now, c) {
+			continue
+		}
+		if !g.Limit.Active(now) {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
+
 // unlimitedPlaces is the number of places of a group without a limit: more than calls ever wait.
 const unlimitedPlaces = math.MaxInt32
 
@@ -175,10 +195,11 @@
 		wait := p.expectedWait(now, len(kept)+1)
 		switch {
 		case groups == 0:
-			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: len(kept), Spare: s.spare(now, p)})
+			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: len(kept), Spare: s.spare(now, p), Limited: p.onlyLimited(now, c)})
 		case p.patience(now, c) <= 0 || len(kept) >= places:
 			decisions = append(decisions, Decision{
 				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: clampRetry(wait), Ahead: len(kept), ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p),
+				Limited: p.onlyLimited(now, c),
 			})
 		default:
 			kept = append(kept, c)
