checker: the contract cases have the time of a bubble, and TCP those without a timeout

What was seen: TestEngineCaller, TestEngineOrders, TestInstanceList and TestObjectAPI, cases over HTTP that let a context or a stall timeout expire, each once or rarely at a load average of 27.

Cause, reproduced with busy goroutines in the test process (-cpu 1, 20 of them): the contexts of 500 ms, the grace of 2 s and the adapters' own timeouts (connect, stall) run on the real clock while the machine doesn't run the goroutines. "The context ends the response" then ends in the connect phase; "a late response counts as lost" ends before it was sent. The check is at fault, not the adapters: their timeouts do what they should. With 60, nearly all cases over TCP fail, at the connect timeout.

Change: the suites run in testing/synctest bubbles, in process and through the HTTP adapters over an in-memory network (faker.Network; connector.Options.Dial, faker.Faults.Listen).

As strict: no case, bound or kind was changed, and each runs through the adapters. In a bubble the bounds are exact: a call that returns after its bound fails on any machine. The tests with injected defects (rule K3) pass unchanged, on the real clock. What is no longer run over TCP are the 17 timed cases of the stand-ins; platform's store and the messenger still run all cases over TCP.

--- a/checker/bites_test.go
+++ b/checker/bites_test.go
@@ -34,7 +34,7 @@
 			if !ok {
 				t.Fatalf("no case %q among %v", b.detectedBy, slices.Sorted(maps.Keys(cases)))
 			}
-			broken := func(t *testing.T) B { return b.inject(newFixture(newFakes(t, false))) }
+			broken := func(t *testing.T) B { return b.inject(newFixture(newFakes(t, false, nil))) }
 			failed := checker.Failures(t, broken, map[string]checker.Case[B]{b.detectedBy: c})
 			if len(failed) == 0 {
 				t.Errorf("the case %q passes", b.detectedBy)
--- a/checker/cacheevents.go
+++ b/checker/cacheevents.go
@@ -23,7 +23,7 @@
 // CacheEvents runs the contract suite of garnetworks.CacheEvents.
 func CacheEvents(t *testing.T, newFixture func(t *testing.T) CacheEventsFixture) {
 	t.Helper()
-	run(t, newFixture, CacheEventsCases())
+	Run(t, newFixture, CacheEventsCases())
 }
 
 // CacheEventsCases returns the cases of the garnetworks.CacheEvents contract.
--- a/checker/contract_test.go
+++ b/checker/contract_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -14,13 +15,10 @@
 )
 
 // stallTimeout is the time without progress after which the adapters and fakes end an attempt.
-// It is long enough that scheduling delays do not trigger it.
+// It is long enough that scheduling delays over TCP do not trigger it.
 const stallTimeout = 800 * time.Millisecond
 
-var (
-	weights = garnetworks.WeightID{Model: "model", Version: "v1"}
-	options = connector.Options{StallTimeout: stallTimeout}
-)
+var weights = garnetworks.WeightID{Model: "model", Version: "v1"}
 
 const (
 	weightRate = 1 << 30
@@ -35,10 +33,16 @@
 	list     *faker.InstanceList
 	store    *faker.WeightStore
 	fleet    *faker.Fleet
+	options  connector.Options
+	// listen opens the servers' listeners; nil listens on TCP.
+	listen func(network, address string) (net.Listener, error)
 }
 
-func newFakes(t *testing.T, overHTTP bool) *fakes {
-	f := &fakes{t: t, overHTTP: overHTTP, list: faker.NewInstanceList(0)}
+func newFakes(t *testing.T, overHTTP bool, network *faker.Network) *fakes {
+	f := &fakes{t: t, overHTTP: overHTTP, list: faker.NewInstanceList(0), options: connector.Options{StallTimeout: stallTimeout}}
+	if network != nil {
+		f.options.Dial, f.listen = network.Dial, network.Listen
+	}
 	f.store = faker.NewWeightStore(weightRate, map[garnetworks.WeightID]int64{weights: weightSize})
 	f.fleet = faker.NewFleet(f.store, f.list)
 	f.fleet.Silence = stallTimeout
@@ -56,8 +60,15 @@
 	return s.Address
 }
 
+func (f *fakes) servePlatform(p *faker.Platform) string {
+	f.t.Helper()
+	p.Listen = f.listen
+	return f.serve(faker.ServePlatform(p))
+}
+
 func (f *fakes) engine(spec faker.EngineSpec) *faker.Engine {
 	e := f.fleet.Add(spec)
+	e.Listen = f.listen
 	if f.overHTTP {
 		f.serve(faker.ServeEngine(e))
 	}
@@ -66,7 +77,11 @@
 
 // unused returns an address at which nothing listens.
 func (f *fakes) unused() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listen := f.listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	l, err := listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -74,25 +89,32 @@
 	return l.Addr().String()
 }
 
-// testBothTransports runs a suite on the fakes, both in process and through the HTTP adapters.
-func testBothTransports[B any](t *testing.T, suite func(*testing.T, func(*testing.T) B), newFixture func(f *fakes) B) {
+// testTransports runs a suite on the fakes: in process, through the HTTP adapters over an in-memory
+// network, and, apart from the timed cases, through the same adapters over TCP.
+func testTransports[B any](t *testing.T, cases map[string]checker.Case[B], newFixture func(f *fakes) B) {
 	t.Parallel()
 	for name, overHTTP := range map[string]bool{"in process": false, "over HTTP": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			suite(t, func(t *testing.T) B { return newFixture(newFakes(t, overHTTP)) })
+			checker.RunInBubbles(t, func(t *testing.T) B { return newFixture(newFakes(t, overHTTP, new(faker.Network))) }, cases)
 		})
 	}
+	t.Run("over TCP", func(t *testing.T) {
+		t.Parallel()
+		untimed := maps.Clone(cases)
+		maps.DeleteFunc(untimed, func(_ string, c checker.Case[B]) bool { return c.Timed })
+		checker.Run(t, func(t *testing.T) B { return newFixture(newFakes(t, true, nil)) }, untimed)
+	})
 }
 
-func TestObjectAPI(t *testing.T) { testBothTransports(t, checker.ObjectAPI, objectAPIFixture) }
+func TestObjectAPI(t *testing.T) { testTransports(t, checker.ObjectAPICases(), objectAPIFixture) }
 
 func objectAPIFixture(f *fakes) checker.ObjectAPIFixture {
 	objects := faker.NewObjects(faker.ObjectsOptions{})
 	fixture := checker.ObjectAPIFixture{API: objects, Faults: objects, Compact: objects.Compact}
 	if f.overHTTP {
 		platform := &faker.Platform{Objects: objects}
-		fixture.API = connector.NewObjectAPI(f.serve(faker.ServePlatform(platform)), options)
+		fixture.API = connector.NewObjectAPI(f.servePlatform(platform), f.options)
 		fixture.Faults = serverFaults{objects, platform}
 	}
 	fixture.Throttle = func() {
@@ -113,7 +135,9 @@
 
 func (b serverFaults) SilenceOpen() { b.connections.SilenceOpen() }
 
-func TestInstanceList(t *testing.T) { testBothTransports(t, checker.InstanceList, instanceListFixture) }
+func TestInstanceList(t *testing.T) {
+	testTransports(t, checker.InstanceListCases(), instanceListFixture)
+}
 
 func instanceListFixture(f *fakes) checker.InstanceListFixture {
 	fixture := checker.InstanceListFixture{List: f.list, Faults: f.list}
@@ -133,34 +157,36 @@
 		fixture.Entries = append(fixture.Entries, entry)
 	}
 	if f.overHTTP {
-		fixture.List = connector.NewInstanceList(f.serve(faker.ServePlatform(&faker.Platform{Instances: f.list})), options)
+		fixture.List = connector.NewInstanceList(f.servePlatform(&faker.Platform{Instances: f.list}), f.options)
 	}
 	return fixture
 }
 
-func TestPowerSwitch(t *testing.T) { testBothTransports(t, checker.PowerSwitch, powerSwitchFixture) }
+func TestPowerSwitch(t *testing.T) { testTransports(t, checker.PowerSwitchCases(), powerSwitchFixture) }
 
 func powerSwitchFixture(f *fakes) checker.PowerSwitchFixture {
 	f.engine(faker.EngineSpec{ListedInstance: garnetworks.ListedInstance{ID: "engine-0"}, Boot: time.Millisecond})
 	power := faker.NewPower(f.fleet)
 	fixture := checker.PowerSwitchFixture{Power: power, Instance: "engine-0", AppliedOrders: power.Orders, Faults: power}
 	if f.overHTTP {
-		fixture.Power = connector.NewPowerSwitch(f.serve(faker.ServePlatform(&faker.Platform{Power: power})), options)
+		fixture.Power = connector.NewPowerSwitch(f.servePlatform(&faker.Platform{Power: power}), f.options)
 	}
 	return fixture
 }
 
-func TestWeightStore(t *testing.T) { testBothTransports(t, checker.WeightStore, weightStoreFixture) }
+func TestWeightStore(t *testing.T) { testTransports(t, checker.WeightStoreCases(), weightStoreFixture) }
 
 func weightStoreFixture(f *fakes) checker.WeightStoreFixture {
 	fixture := checker.WeightStoreFixture{Store: f.store, Rate: weightRate, Weights: weights, Size: weightSize, Faults: f.store}
 	if f.overHTTP {
-		fixture.Store = connector.NewWeightStore(f.serve(faker.ServePlatform(&faker.Platform{Weights: f.store})), options)
+		fixture.Store = connector.NewWeightStore(f.servePlatform(&faker.Platform{Weights: f.store}), f.options)
 	}
 	return fixture
 }
 
-func TestEngineOrders(t *testing.T) { testBothTransports(t, checker.EngineOrders, engineOrdersFixture) }
+func TestEngineOrders(t *testing.T) {
+	testTransports(t, checker.EngineOrdersCases(), engineOrdersFixture)
+}
 
 func engineOrdersFixture(f *fakes) checker.EngineOrdersFixture {
 	fenced := f.engine(faker.EngineSpec{ListedInstance: garnetworks.ListedInstance{ID: "checking"}, On: true, ChecksFencing: true})
@@ -174,7 +200,7 @@
 		Faults:   fenced,
 	}
 	if f.overHTTP {
-		fixture.Orders = connector.NewEngineOrders(options)
+		fixture.Orders = connector.NewEngineOrders(f.options)
 	}
 	return fixture
 }
@@ -210,7 +236,7 @@
 
 const groupToken = garnetworks.FencingToken(3<<32 | 7)
 
-func TestCacheEvents(t *testing.T) { testBothTransports(t, checker.CacheEvents, cacheEventsFixture) }
+func TestCacheEvents(t *testing.T) { testTransports(t, checker.CacheEventsCases(), cacheEventsFixture) }
 
 func cacheEventsFixture(f *fakes) checker.CacheEventsFixture {
 	e := f.engine(faker.EngineSpec{
@@ -224,12 +250,14 @@
 		DropEvents: func() { e.SetEventGap(2) },
 	}
 	if f.overHTTP {
-		fixture.Events = connector.NewEngineOrders(options)
+		fixture.Events = connector.NewEngineOrders(f.options)
 	}
 	return fixture
 }
 
-func TestEngineCaller(t *testing.T) { testBothTransports(t, checker.EngineCaller, engineCallerFixture) }
+func TestEngineCaller(t *testing.T) {
+	testTransports(t, checker.EngineCallerCases(), engineCallerFixture)
+}
 
 func engineCallerFixture(f *fakes) checker.EngineCallerFixture {
 	first, second := f.group(faker.EngineSpec{PerToken: 2 * time.Millisecond, FirstToken: 2 * time.Millisecond})
@@ -264,13 +292,13 @@
 		Faults:     first,
 	}
 	if f.overHTTP {
-		fixture.Caller = connector.NewEngineCaller(options)
+		fixture.Caller = connector.NewEngineCaller(f.options)
 	}
 	return fixture
 }
 
 func TestServiceCaller(t *testing.T) {
-	testBothTransports(t, checker.ServiceCaller, serviceCallerFixture)
+	testTransports(t, checker.ServiceCallerCases(), serviceCallerFixture)
 }
 
 func serviceCallerFixture(f *fakes) checker.ServiceCallerFixture {
@@ -286,7 +314,8 @@
 		Faults:     s,
 	}
 	if f.overHTTP {
-		fixture.Caller = connector.NewServiceCaller(options)
+		fixture.Caller = connector.NewServiceCaller(f.options)
+		s.Listen = f.listen
 		fixture.Address = f.serve(faker.ServeService(s))
 		fixture.DropConnections = s.DropConnections
 	}
--- a/checker/doc.go
+++ b/checker/doc.go
@@ -22,6 +22,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,9 @@
 type Case[B any] struct {
 	// Failure describes what goes wrong for a user of the interface if the clause is broken.
 	Failure string
+	// Timed says that the case waits for a timeout or has a margin: on the real clock, the load of the
+	// machine may decide over it.
+	Timed bool
 	// Supported reports whether the fixture supports the case; nil means always.
 	Supported func(fixture B) bool
 	// Run returns an error if the clause is broken.
@@ -54,24 +58,43 @@
 	brokenTimeout = 3 * time.Second
 )
 
-// run runs the cases as parallel subtests, each with its own fixture.
-func run[B any](t *testing.T, newFixture func(*testing.T) B, cases map[string]Case[B]) {
+// Run runs the cases as parallel subtests, each with its own fixture.
+func Run[B any](t *testing.T, newFixture func(*testing.T) B, cases map[string]Case[B]) {
 	t.Helper()
 	for _, name := range slices.Sorted(maps.Keys(cases)) {
 		c := cases[name]
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			fixture := newFixture(t)
-			if c.Supported != nil && !c.Supported(fixture) {
-				t.Skip("the fixture does not support this case") // rule K2
-			}
-			if err := c.runWithTimeout(t.Context(), fixture, caseTimeout); err != nil {
-				t.Errorf("%v\nguards against: %s", err, c.Failure)
-			}
+			c.check(t, newFixture)
 		})
 	}
 }
 
+// RunInBubbles runs the cases as Run does, each in a bubble of testing/synctest: its time doesn't
+// depend on the load of the machine. The fixtures must not use real connections.
+func RunInBubbles[B any](t *testing.T, newFixture func(*testing.T) B, cases map[string]Case[B]) {
+	t.Helper()
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		c := cases[name]
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { c.check(t, newFixture) })
+		})
+	}
+}
+
+// check runs the case with a new fixture.
+func (c Case[B]) check(t *testing.T, newFixture func(*testing.T) B) {
+	t.Helper()
+	fixture := newFixture(t)
+	if c.Supported != nil && !c.Supported(fixture) {
+		t.Skip("the fixture does not support this case") // rule K2
+	}
+	if err := c.runWithTimeout(t.Context(), fixture, caseTimeout); err != nil {
+		t.Errorf("%v\nguards against: %s", err, c.Failure)
+	}
+}
+
 // runWithTimeout runs the case and returns an error if it does not return in time.
 func (c Case[B]) runWithTimeout(ctx context.Context, fixture B, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/checker/enginecaller.go
+++ b/checker/enginecaller.go
@@ -40,7 +40,7 @@
 // EngineCaller runs the contract suite of garnetworks.EngineCaller.
 func EngineCaller(t *testing.T, newFixture func(t *testing.T) EngineCallerFixture) {
 	t.Helper()
-	run(t, newFixture, EngineCallerCases())
+	Run(t, newFixture, EngineCallerCases())
 }
 
 // EngineCallerCases returns the cases of the garnetworks.EngineCaller contract.
@@ -118,6 +118,7 @@
 			},
 		},
 		"a late response is complete": {
+			Timed:     true,
 			Failure:   "A response that arrives late is discarded.",
 			Supported: hasFaults,
 			Run: func(ctx context.Context, f EngineCallerFixture) error {
@@ -126,16 +127,19 @@
 			},
 		},
 		"a stalled connection is detected": {
+			Timed:     true,
 			Failure:   "The network drops a connection's state mid-response, and the caller waits forever.",
 			Supported: hasFaults,
 			Run:       callerStalled,
 		},
 		"a stalled pooled connection is detected": {
+			Timed:     true,
 			Failure:   "The pooled connections have stalled, and each new call is written to one of them.",
 			Supported: hasFaults,
 			Run:       callerStalledPool,
 		},
 		"a frozen engine is detected": {
+			Timed:     true,
 			Failure:   "The engine pauses mid-response, and the call neither ends nor moves to another group.",
 			Supported: hasFaults,
 			Run:       callerFrozen,
@@ -146,6 +150,7 @@
 			Run:       callerCancels,
 		},
 		"the context ends the response": {
+			Timed:   true,
 			Failure: "The deadline passes, and the node goes on reading.",
 			Run:     callerContext,
 		},
--- a/checker/engineorders.go
+++ b/checker/engineorders.go
@@ -34,7 +34,7 @@
 // EngineOrders runs the contract suite of garnetworks.EngineOrders.
 func EngineOrders(t *testing.T, newFixture func(t *testing.T) EngineOrdersFixture) {
 	t.Helper()
-	run(t, newFixture, EngineOrdersCases())
+	Run(t, newFixture, EngineOrdersCases())
 }
 
 // EngineOrdersCases returns the cases of the garnetworks.EngineOrders contract.
@@ -110,6 +110,7 @@
 			},
 		},
 		"a frozen engine blocks no call beyond its context": {
+			Timed:     true,
 			Failure:   "One paused engine delays the probes of all others.",
 			Supported: hasFaults,
 			Run: func(ctx context.Context, f EngineOrdersFixture) error {
@@ -122,6 +123,7 @@
 			},
 		},
 		"stalled connections are dropped": {
+			Timed:     true,
 			Failure:   "Probes over a stalled connection fail forever and take a healthy group out of service.",
 			Supported: hasFaults,
 			Run:       ordersStalled,
--- a/checker/objectapi.go
+++ b/checker/objectapi.go
@@ -29,7 +29,7 @@
 // ObjectAPI runs the contract suite of garnetworks.ObjectAPI.
 func ObjectAPI(t *testing.T, newFixture func(t *testing.T) ObjectAPIFixture) {
 	t.Helper()
-	run(t, newFixture, ObjectAPICases())
+	Run(t, newFixture, ObjectAPICases())
 }
 
 func objectHasFaults(f ObjectAPIFixture) bool { return f.Faults != nil }
@@ -86,10 +86,12 @@
 			Run:     objectWatchOrder,
 		},
 		"watch returns on a change": {
+			Timed:   true,
 			Failure: "A new manifest is applied only after each node's watch has timed out.",
 			Run:     objectWatchWakes,
 		},
 		"watch returns after its wait": {
+			Timed:   true,
 			Failure: "A watch without changes never returns, so a stalled connection is not detected.",
 			Run:     objectWatchEnds,
 		},
@@ -113,6 +115,7 @@
 			Run:       objectLostDelete,
 		},
 		"a late response counts as lost": {
+			Timed:     true,
 			Failure:   "The response arrives after the caller stopped waiting, and the caller is told that the write failed although it took effect.",
 			Supported: objectHasFaults,
 			Run:       objectLatePut,
@@ -128,11 +131,13 @@
 			Run:       objectUnavailable,
 		},
 		"a frozen store blocks no call beyond its context": {
+			Timed:     true,
 			Failure:   "The store pauses, and a lease holder is blocked in its renewal past the end of the lease.",
 			Supported: objectHasFaults,
 			Run:       objectFrozen,
 		},
 		"stalled connections are dropped": {
+			Timed:     true,
 			Failure:   "The network drops the state of open connections, and calls over them hang although new connections work.",
 			Supported: objectHasFaults,
 			Run:       objectStalled,
@@ -143,6 +148,7 @@
 			Run:       objectThrottled,
 		},
 		"a cancelled watch returns": {
+			Timed:   true,
 			Failure: "A node that shuts down waits for its watch.",
 			Run:     objectCancelledWatch,
 		},
--- a/checker/peer.go
+++ b/checker/peer.go
@@ -26,7 +26,7 @@
 // Peer runs the contract suite of garnetworks.PeerCaller, together with the matching server.
 func Peer(t *testing.T, newFixture func(t *testing.T) PeerFixture) {
 	t.Helper()
-	run(t, newFixture, PeerCases())
+	Run(t, newFixture, PeerCases())
 }
 
 // PeerCases returns the cases of the garnetworks.PeerCaller contract.
--- a/checker/platform.go
+++ b/checker/platform.go
@@ -21,7 +21,7 @@
 // InstanceList runs the contract suite of garnetworks.InstanceList.
 func InstanceList(t *testing.T, newFixture func(t *testing.T) InstanceListFixture) {
 	t.Helper()
-	run(t, newFixture, InstanceListCases())
+	Run(t, newFixture, InstanceListCases())
 }
 
 // InstanceListCases returns the cases of the garnetworks.InstanceList contract.
@@ -56,6 +56,7 @@
 			},
 		},
 		"a frozen list blocks no call beyond its context": {
+			Timed:     true,
 			Failure:   "The list pauses, and the zone's controller is blocked with it.",
 			Supported: hasFaults,
 			Run: func(ctx context.Context, f InstanceListFixture) error {
@@ -112,7 +113,7 @@
 // PowerSwitch runs the contract suite of garnetworks.PowerSwitch.
 func PowerSwitch(t *testing.T, newFixture func(t *testing.T) PowerSwitchFixture) {
 	t.Helper()
-	run(t, newFixture, PowerSwitchCases())
+	Run(t, newFixture, PowerSwitchCases())
 }
 
 // PowerSwitchCases returns the cases of the garnetworks.PowerSwitch contract.
@@ -232,7 +233,7 @@
 // WeightStore runs the contract suite of garnetworks.WeightStore.
 func WeightStore(t *testing.T, newFixture func(t *testing.T) WeightStoreFixture) {
 	t.Helper()
-	run(t, newFixture, WeightStoreCases())
+	Run(t, newFixture, WeightStoreCases())
 }
 
 // WeightStoreCases returns the cases of the garnetworks.WeightStore contract.
--- a/checker/service.go
+++ b/checker/service.go
@@ -32,7 +32,7 @@
 // ServiceCaller runs the contract suite of garnetworks.ServiceCaller.
 func ServiceCaller(t *testing.T, newFixture func(t *testing.T) ServiceCallerFixture) {
 	t.Helper()
-	run(t, newFixture, ServiceCallerCases())
+	Run(t, newFixture, ServiceCallerCases())
 }
 
 // ServiceCallerCases returns the cases of the garnetworks.ServiceCaller contract.
@@ -77,6 +77,7 @@
 			Run:     serviceMismatched,
 		},
 		"a call with a late response may have run": {
+			Timed:   true,
 			Failure: "The deadline passes while the server works, and the call is reported as not run.",
 			Run: func(ctx context.Context, f ServiceCallerFixture) error {
 				f.Faults.SetFaults(faker.FaultPlan{LateAnswers: 1, LateBy: time.Minute})
@@ -100,6 +101,7 @@
 			},
 		},
 		"a frozen server blocks no call beyond its context": {
+			Timed:   true,
 			Failure: "The server pauses, and the caller waits forever.",
 			Run: func(ctx context.Context, f ServiceCallerFixture) error {
 				f.Faults.SetFaults(faker.FaultPlan{Frozen: true})
@@ -116,6 +118,7 @@
 			Run:       serviceNeverRepeats,
 		},
 		"stalled connections are not written to": {
+			Timed:   true,
 			Failure: "The pooled connections have stalled; a call written to one is lost with an unknown outcome although a new connection would have worked.",
 			Run: func(ctx context.Context, f ServiceCallerFixture) error {
 				if _, err := f.Caller.Call(ctx, f.Address, serviceCall("c1")); err != nil {
--- a/connector/link.go
+++ b/connector/link.go
@@ -33,6 +33,8 @@
 	// DisableReuse opens a new connection for each request, so that no request is written
 	// to a pooled connection that has stalled.
 	DisableReuse bool
+	// Dial connects to an address; nil dials TCP within ConnectTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Default options.
@@ -101,9 +103,12 @@
 }
 
 func (p *pool) setUp(t *http.Transport) {
-	dialer := &net.Dialer{Timeout: p.options.ConnectTimeout}
+	dial := p.options.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: p.options.ConnectTimeout}).DialContext
+	}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
+		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/faker/faults.go
+++ b/faker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 // Faults injects faults into the fake that embeds it (rule F1). The zero value injects
 // none.
 type Faults struct {
+	// Listen opens the listener of a server; nil listens on TCP. It must be set before the server starts.
+	Listen func(network, address string) (net.Listener, error)
+
 	mu       sync.Mutex
 	plan     FaultPlan
 	changed  chan struct{}
--- a/faker/pipes.go
+++ b/faker/pipes.go
@@ -18,6 +18,8 @@
 	stalled chan struct{}
 }
 
+var errRefused = &net.OpError{Op: "dial", Net: "pipe", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+
 // NewPipes returns a network without connections.
 func NewPipes() *Pipes {
 	return &Pipes{accepted: make(chan net.Conn), closed: make(chan struct{}), stalled: make(chan struct{})}
@@ -41,7 +43,7 @@
 	case p.accepted <- &pipeConn{far, stalled}:
 		return &pipeConn{near, stalled}, nil
 	case <-p.closed:
-		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+		return nil, errRefused
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -76,3 +78,41 @@
 		return p.Conn.Write(b)
 	}
 }
+
+// Network is an in-memory network of several listeners.
+type Network struct {
+	mu    sync.Mutex
+	pipes map[string]*Pipes
+	ports uint16
+}
+
+// Listen returns a listener with an address of its own, whatever the arguments.
+func (n *Network) Listen(string, string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ports++
+	l := networkListener{NewPipes(), &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: int(n.ports)}}
+	if n.pipes == nil {
+		n.pipes = make(map[string]*Pipes)
+	}
+	n.pipes[l.Addr().String()] = l.Pipes
+	return l, nil
+}
+
+// Dial connects to a listener. It is refused at other addresses.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	p := n.pipes[address]
+	n.mu.Unlock()
+	if p == nil {
+		return nil, errRefused
+	}
+	return p.Dial(ctx, address)
+}
+
+type networkListener struct {
+	*Pipes
+	address *net.TCPAddr
+}
+
+func (l networkListener) Addr() net.Addr { return l.address }
--- a/faker/serve.go
+++ b/faker/serve.go
@@ -34,7 +34,11 @@
 const headerTimeout = 10 * time.Second
 
 func serve(address string, handler http.Handler, faults *Faults, refuses func() bool) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+	listen := net.Listen
+	if faults.Listen != nil {
+		listen = faults.Listen
+	}
+	l, err := listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
