--- a/checker/contract_test.go
+++ b/checker/contract_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -101,9 +100,7 @@
 	}
 	t.Run("over TCP", func(t *testing.T) {
 		t.Parallel()
-		untimed := maps.Clone(cases)
-		maps.DeleteFunc(untimed, func(_ string, c checker.Case[B]) bool { return c.Timed })
-		checker.Run(t, func(t *testing.T) B { return newFixture(newFakes(t, true, nil)) }, untimed)
+		checker.Run(t, func(t *testing.T) B { return newFixture(newFakes(t, true, nil)) }, checker.Untimed(cases))
 	})
 }
 
--- a/checker/doc.go
+++ b/checker/doc.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// Untimed returns the cases that are not timed.
+func Untimed[B any](cases map[string]Case[B]) map[string]Case[B] {
+	untimed := maps.Clone(cases)
+	maps.DeleteFunc(untimed, func(_ string, c Case[B]) bool { return c.Timed })
+	return untimed
+}
+
 // check runs the case with a new fixture.
 func (c Case[B]) check(t *testing.T, newFixture func(*testing.T) B) {
 	t.Helper()
--- a/faker/impersonator/store.go
+++ b/faker/impersonator/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -76,13 +77,25 @@
 	blocker   *callBlocker
 }
 
-// NewStore starts an empty store.
+// NewStore starts an empty store on the loopback address.
 func NewStore() *Store {
-	s := &Store{revision: 1, kinds: make(map[string]map[string]object), calls: make(map[string]int), wake: make(chan struct{}), blocker: newCallBlocker()}
+	s := newStore()
 	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
 
+// NewStoreOn starts an empty store on a listener.
+func NewStoreOn(l net.Listener) *Store {
+	s := newStore()
+	s.Server = &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(s.serve)}}
+	s.Start()
+	return s
+}
+
+func newStore() *Store {
+	return &Store{revision: 1, kinds: make(map[string]map[string]object), calls: make(map[string]int), wake: make(chan struct{}), blocker: newCallBlocker()}
+}
+
 // Close stops the server and releases all blocked calls.
 func (s *Store) Close() {
 	s.blocker.release()
--- a/faker/pipes.go
+++ b/faker/pipes.go
@@ -13,6 +13,7 @@
 type Pipes struct {
 	accepted chan net.Conn
 	closed   chan struct{}
+	once     sync.Once
 	mu       sync.Mutex
 	// stalled is closed to stall the connections opened so far.
 	stalled chan struct{}
@@ -60,7 +61,10 @@
 }
 
 // Close implements net.Listener.
-func (p *Pipes) Close() error { close(p.closed); return nil }
+func (p *Pipes) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
 
 // Addr implements net.Listener.
 func (p *Pipes) Addr() net.Addr { return &net.TCPAddr{} }
@@ -86,8 +90,11 @@
 	ports uint16
 }
 
-// Listen returns a listener with an address of its own, whatever the arguments.
-func (n *Network) Listen(string, string) (net.Listener, error) {
+// Listen returns a new listener, whatever the arguments.
+func (n *Network) Listen(string, string) (net.Listener, error) { return n.NewListener(), nil }
+
+// NewListener returns a listener with an address of its own.
+func (n *Network) NewListener() net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.ports++
@@ -96,7 +103,7 @@
 		n.pipes = make(map[string]*Pipes)
 	}
 	n.pipes[l.Addr().String()] = l.Pipes
-	return l, nil
+	return l
 }
 
 // Dial connects to a listener. It is refused at other addresses.
