scheduler: the only zone keeps its allowance while some of its groups do not respond (Q10)

Two groups that do not respond make their zone count as unreachable (Q10), for 0.7 s and then for 1.4 s after a probe that fails. Calls are placed there all the same, since no zone is reachable, but the allowance that each load report sets (Q6) left the zone's slots out. So no call was placed until the zone's time had passed. A slow machine only makes the losses and the reports fall together.

Change: the allowance leaves an unreachable zone out only if another one is reachable, as the placement does. Sites with a reachable zone are not affected.

Measured: TestOnlyZoneKeepsItsAllowanceWhenGroupsFail fails before and passes now. No test was changed.

--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -114,10 +114,11 @@
 	freeSlots, runningCalls := 0.0, 0.0
 	// limitedPlaces are the calls of this node that limited groups take until the next report.
 	limitedPlaces := 0.0
+	othersReachable := s.anyZoneReachable(now, p)
 	for _, g := range p.groups {
 		g.peerCalls, g.placed = running[g.ID], 0
 		runningCalls += float64(g.peerCalls + g.inflight)
-		if g.gone || now.Before(g.cooldownUntil) || s.zoneUnreachable(now, g.Zone) || g.isLost(now) {
+		if g.gone || now.Before(g.cooldownUntil) || othersReachable && s.zoneUnreachable(now, g.Zone) || g.isLost(now) { // Q10
 			continue
 		}
 		if g.Limit.Active(now) {
--- a/scheduler/reach_test.go
+++ b/scheduler/reach_test.go
@@ -137,3 +137,21 @@
 		})
 	}
 }
+
+// Guards against calls that wait and are rejected beside free groups because all groups are in one
+// zone, of which a few did not respond: their slots must count as free with each report.
+func TestOnlyZoneKeepsItsAllowanceWhenGroupsFail(t *testing.T) {
+	s := scheduler.New("z", fixedRandom)
+	s.SetGroups(start, groups(20, "a", "b", "c", "d"))
+	peers := garnetworks.LoadReport{}
+	s.SetPeerLoad(start, peers, true)
+	for _, id := range []garnetworks.GroupID{"a", "b"} {
+		s.Stalled(start, "m", id)
+		s.Unreachable(start, "m", id)
+	}
+	now := start.Add(150 * time.Millisecond)
+	s.SetPeerLoad(now, peers, true)
+	if d, decided := s.Arrive(now, newCall("healthy")); !decided || d.Group == "" {
+		t.Errorf("the call was not placed: %t, %+v", decided, d)
+	}
+}
