--- a/scheduler/others.go
+++ b/scheduler/others.go
@@ -145,9 +145,10 @@
 	freeSlots, runningCalls := 0.0, 0.0
 	// limitedPlaces are the calls of this node that limited groups take until the next report.
 	limitedPlaces := 0.0
+	othersReachable := s.anyZoneReachable(now, p)
 	for _, g := range p.groups {
 		runningCalls += float64(g.peerCalls + g.inflight)
-		if g.gone || now.Before(g.cooldownUntil) || s.zoneUnreachable(now, g.Zone) || g.isLost(now) {
+		if g.gone || now.Before(g.cooldownUntil) || othersReachable && s.zoneUnreachable(now, g.Zone) || g.isLost(now) { // Q10
 			continue
 		}
 		if g.Limit.Active(now) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,6 +172,9 @@
 	// Returned says that the call was rejected before, Late that it was admitted although it can
 	// only be late (Q14).
 	Returned, Late bool
+	// Limited says that all groups that could have served a rejected call are limited (Q12), so that
+	// a node with another share of their limits may place it.
+	Limited bool
 }
 
 // groupState is a group and this node's view of its load and health.
@@ -334,7 +337,7 @@
 		}
 	}
 	if d, rejected := p.reject(now, &c); rejected {
-		d.Spare = s.spare(now, p, &c)
+		d.Spare, d.Limited = s.spare(now, p, &c), p.onlyLimited(now, &c)
 		return d, true
 	}
 	if c.late && len(p.waiting) == 0 {
@@ -352,6 +355,12 @@
 	return Decision{Call: c.ID, Group: g.ID, Ahead: c.aheadLate, Returned: c.returned(), Late: c.late}
 }
 
+// HandedOver records that another node has taken over a call that arrived here, and counts it there.
+func (s *Scheduler) HandedOver(now time.Time, model garnetworks.ModelName) {
+	p := s.pool(model)
+	p.demandRate, p.demandAt = max(0, p.demand(now)-1/demandDecay.Seconds()), now
+}
+
 // SetLimit replaces the limit of a group.
 func (s *Scheduler) SetLimit(model garnetworks.ModelName, group garnetworks.GroupID, limit limiter.Limit) {
 	if g := s.pool(model).groups[group]; g != nil {
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -76,7 +76,7 @@
 func (p *pool) serving(now time.Time, c *Call) (groups, places int) {
 	patience := p.maxWait(now, c)
 	for _, g := range p.groups {
-		if g.gone || g.isLost(now) || slices.Contains(c.Tried, g.ID) || now.Before(g.cooldownUntil) && !g.probing {
+		if !g.mayGet(now, c) {
 			continue
 		}
 		if n := g.placesWithin(now, patience); n > 0 {
@@ -87,6 +87,26 @@
 	return groups, places
 }
 
+// mayGet reports whether the group may get the call, apart from its load and its limit.
+func (g *groupState) mayGet(now time.Time, c *Call) bool {
+	return !g.gone && !g.isLost(now) && !slices.Contains(c.Tried, g.ID) && (!now.Before(g.cooldownUntil) || g.probing)
+}
+
+// onlyLimited reports whether there are groups that may get the call, and all of them are limited.
+func (p *pool) onlyLimited(now time.Time, c *Call) bool {
+	limited := false
+	for _, g := range p.groups {
+		if !g.mayGet(now, c) {
+			continue
+		}
+		if !g.Limit.Active(now) {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
+
 // unlimitedPlaces is the number of places of a group without a limit: more than calls ever wait.
 const unlimitedPlaces = math.MaxInt32
 
@@ -209,7 +229,7 @@
 		switch {
 		case groups == 0:
 			p.rejectedAt = now
-			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: ahead, Spare: s.spare(now, p, c), Returned: c.returned()})
+			decisions = append(decisions, Decision{Call: c.ID, Kind: garnetworks.KindNoGroup, RetryAfter: p.noGroupRetry(now), Ahead: ahead, Spare: s.spare(now, p, c), Returned: c.returned(), Limited: p.onlyLimited(now, c)})
 		case p.maxWait(now, c) <= 0 || ahead >= places:
 			if p.admitLate(now, c) {
 				late = append(late, c)
@@ -218,6 +238,7 @@
 			retryAfter := p.tellReturn(now, c, wait)
 			decisions = append(decisions, Decision{
 				Call: c.ID, Kind: garnetworks.KindOverloaded, RetryAfter: retryAfter, Ahead: ahead, ExpectedWait: wait, Groups: groups, Spare: s.spare(now, p, c), Returned: c.returned(),
+				Limited: p.onlyLimited(now, c),
 			})
 		default:
 			p.waiting = append(p.waiting, c)
