--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -32,18 +32,25 @@
 	minCorrection, maxCorrection = 0.7, 1.6
 	// uninformative is the fraction on time from which the load says nothing of the groups.
 	uninformative = 0.97
-	// returnMargin is the fraction of a model's configured groups that its need must fall below
-	// before the configured shares apply again: with a swing of 0.55, waves need 1.55 times as much
-	// as the mean.
+	// returnMargin is the ratio of the mean need to that at the peak of a wave with a swing of 0.55.
+	// The configured shares apply again when the need falls below this fraction of their groups,
+	// and no model gets more groups for its waves than exceed the need by as much, while another
+	// one can use them.
 	returnMargin = 0.6
+	// lossMargin is how much more groups than needed a model gets before any gets groups for the
+	// peaks of its waves, where all instances are in groups. It grows with the part of the
+	// instances that are not, as where losses break groups every 3 s.
+	lossMargin = 1.05
 	// urgencyFactor is the weight of calls relative to those of the next lower priority.
 	urgencyFactor = 1.25
 	// maxUrgencySteps bounds the priorities that are told apart, since calls of low priority also
 	// need some groups.
 	maxUrgencySteps = 3
-	// countExponent weighs the number of calls against equal fractions on time: a model whose
-	// calls take a fifth of the instances has a fraction that is higher by a factor of 1.17.
-	countExponent = 0.1
+	// countExponent weighs the number of calls on time against equal fractions: of two models whose
+	// calls differ by a factor of 5 in the instances that they take, the one with the smaller
+	// calls gets a fraction on time that is higher by a factor of 1.4 if both are short. Equal
+	// fractions would cost 36 calls on time for each 3 gained, with losses every 3 s.
+	countExponent = 0.2
 )
 
 // Input is what Update needs to know.
@@ -236,38 +243,51 @@
 // dueShares returns the shares by rules P3 and P4; nil for the configured ones.
 func (a *Apportioner) dueShares(in *Input) map[garnetworks.ModelName]float64 {
 	total := shareSum(in.Profile)
-	enough := true
+	enough, onTime := true, true
 	for i := range in.Profile.Models {
 		m := &in.Profile.Models[i]
 		groups := m.InitialShare / total * float64(in.Instances) / float64(max(1, m.GroupSize))
 		enough = enough && a.states[i].Needed <= groups*returnMargin
+		onTime = onTime && a.states[i].OnTime >= TargetFraction
 	}
-	if enough { // rule P3
+	if onTime && (enough || a.shares == nil) { // rule P3
 		return nil
 	}
 	return a.neededShares(in)
 }
 
-// neededShares divides the instances by need (rule P4).
+// neededShares divides the instances in groups by need (rule P4).
 func (a *Apportioner) neededShares(in *Input) map[garnetworks.ModelName]float64 {
-	needs, weights := make([]float64, len(a.states)), make([]float64, len(a.states))
-	total := 0.0
+	n := len(a.states)
+	base, waves, weights := make([]float64, n), make([]float64, n), make([]float64, n)
+	instances, total := 0.0, 0.0
+	for i := range in.Profile.Models {
+		instances += a.states[i].Groups * float64(in.Profile.Models[i].GroupSize)
+	}
+	margin := lossMargin * max(1, float64(in.Instances)/max(instances, 1))
 	for i := range in.Profile.Models {
-		needs[i] = a.states[i].Needed * float64(in.Profile.Models[i].GroupSize)
-		weights[i] = needs[i] * a.importance(&in.Profile.Models[i], needs[i])
-		total += needs[i]
+		m, s := &in.Profile.Models[i], &a.states[i]
+		size := float64(max(1, m.GroupSize))
+		base[i] = s.Needed * size * margin
+		waves[i] = max(0, s.Needed*size/returnMargin-base[i])
+		weights[i] = base[i] * a.importance(m, s.Needed*size)
+		total += base[i]
 	}
-	amounts := needs
-	if total > float64(in.Instances) {
-		amounts = divide(float64(in.Instances), needs, weights)
+	amounts := base
+	if total > instances {
+		amounts = divide(instances, base, weights)
+	} else {
+		for i, part := range divide(instances-total, waves, weights) {
+			amounts[i] += part
+		}
 	}
 	total = 0
-	for _, n := range amounts {
-		total += n
+	for _, amount := range amounts {
+		total += amount
 	}
-	shares := make(map[garnetworks.ModelName]float64, len(amounts))
-	for i, n := range amounts {
-		shares[a.states[i].Model] = n / total
+	shares := make(map[garnetworks.ModelName]float64, n)
+	for i, amount := range amounts {
+		shares[a.states[i].Model] = amount / total
 	}
 	return shares
 }
--- a/apportioner/rate.go
+++ b/apportioner/rate.go
@@ -13,6 +13,10 @@
 	TargetFraction = 0.95
 	// networkTime is the latency between client and group, subtracted from the objectives.
 	networkTime = 20 * time.Millisecond
+	// imbalance is how much more or less than the mean some groups get: nodes place calls by loads
+	// that are up to 300 ms old. Without it, the profile predicts 0.93 of the calls on time where
+	// 0.7 are: 11 calls per second with 1,500 prompt tokens to each group.
+	imbalance = 0.25
 	// residualPasses is the mean time, in passes, that a call waits for the running pass.
 	residualPasses = 0.5
 	// bisections is the number of steps in which an interval is halved: to a millionth.
@@ -50,9 +54,14 @@
 	return w
 }
 
-// onTime returns the fraction of calls whose first event and pauses are on time at a group that
-// gets the rate of calls per second (rule P1). Times are taken as normally distributed.
+// onTime returns the fraction of calls whose first event and pauses are on time at groups that get
+// the rate of calls per second on average (rule P1).
 func (w *work) onTime(rate float64) float64 {
+	return (w.onTimeAt(rate*(1-imbalance)) + w.onTimeAt(rate) + w.onTimeAt(rate*(1+imbalance))) / 3
+}
+
+// onTimeAt returns the same for a group with this rate. Times are taken as normally distributed.
+func (w *work) onTimeAt(rate float64) float64 {
 	utilization := rate * w.prefill
 	// A pass takes (steps + perCall x calls)/(1-utilization), and the calls in the batch are
 	// rate x (passes + residualPasses) x pass.
