--- a/former/shares_test.go
+++ b/former/shares_test.go
@@ -97,3 +97,24 @@
 		})
 	}
 }
+
+// Guards against a domain that never forms a large group again after a loss, since its small groups
+// leave only their own model on the hosts.
+func TestDomainWithoutTheModelFormsItsGroup(t *testing.T) {
+	w := newCompetingSimulation(2)
+	w.compete(4, 4)
+	for _, e := range w.engines {
+		if e.Domain != "d1" {
+			continue
+		}
+		if e.Model == "large" {
+			e.restart()
+		}
+		e.Staged, e.staging = []garnetworks.ModelName{"small"}, ""
+	}
+	w.run(60 * time.Second)
+	checkRules(t, w)
+	if got := w.serving(); got["large"] != 3 || got["small"] < 4 {
+		t.Errorf("serving %v, want 3 large groups and at least 4 small ones", got)
+	}
+}
