apportioner: the time before a site's first call is not averaged

Change: figures without any ended call are not averaged (P6).

Test: TestTimeBeforeTheFirstCallIsNotAveraged fails before.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -105,7 +106,7 @@
 
 // Update adds figures to the averages and reports whether it has changed the shares.
 func (a *Apportioner) Update(now time.Time, in Input) bool {
-	if len(in.Demands) == 0 || len(in.Profile.Models) == 0 || now.Sub(a.at) < updateInterval {
+	if len(in.Profile.Models) == 0 || now.Sub(a.at) < updateInterval || !anyCallEnded(in.Demands) { // rule P6
 		return false
 	}
 	if a.averages == nil || now.Sub(a.at) > averagingTime {
@@ -119,6 +120,11 @@
 	return a.replaceShares(now, &in)
 }
 
+// anyCallEnded reports whether the figures are of any calls.
+func anyCallEnded(demands []garnetworks.ModelDemand) bool {
+	return slices.ContainsFunc(demands, func(d garnetworks.ModelDemand) bool { return d.Outcomes.Ended() > 0 })
+}
+
 // add adds the figures to the averages (rule P5).
 func (a *Apportioner) add(now time.Time, in *Input) {
 	decay, elapsed := 0.0, now.Sub(a.at)
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -69,6 +69,21 @@
 	return ModelState{}
 }
 
+// Guards against a need that is averaged with the time before a site's first call.
+func TestTimeBeforeTheFirstCallIsNotAveraged(t *testing.T) {
+	at, idle := newSite(0.5), newSite(0.5)
+	for range 12 {
+		idle.step(0, 0, [2]float32{})
+	}
+	for range 6 {
+		at.step(60, 380, [2]float32{1, 1})
+		idle.step(60, 380, [2]float32{1, 1})
+	}
+	if got, want := idle.state("large").Needed, at.state("large").Needed; math.Abs(got-want) > 0.01 {
+		t.Errorf("%.2f groups are needed after a time without calls, %.2f without it", got, want)
+	}
+}
+
 // Guards against shares that don't follow the need, or that follow it where the configured ones
 // serve all calls.
 func TestShares(t *testing.T) {
