--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -106,7 +106,11 @@
 
 // Update adds figures to the averages and reports whether it has changed the shares.
 func (a *Apportioner) Update(now time.Time, in Input) bool {
-	if len(in.Profile.Models) == 0 || now.Sub(a.at) < updateInterval || !anyCallEnded(in.Demands) { // rule P6
+	if len(in.Demands) == 0 || len(in.Profile.Models) == 0 || now.Sub(a.at) < updateInterval {
+		return false
+	}
+	if a.averages == nil && !anyCallEnded(in.Demands) { // rule P6
+		a.describe(in.Profile)
 		return false
 	}
 	if a.averages == nil || now.Sub(a.at) > averagingTime {
@@ -190,7 +194,12 @@
 	for i := range current.Models {
 		m := &current.Models[i]
 		v := a.averages[m.Name]
-		s := ModelState{Model: m.Name, OnTime: 1, Needed: 1, Groups: v.groups / a.weight, Share: m.InitialShare / total}
+		s := ModelState{Model: m.Name, OnTime: 1, Needed: 1, Share: m.InitialShare / total}
+		if v == nil {
+			a.states = append(a.states, s)
+			continue
+		}
+		s.Groups = v.groups / a.weight
 		if calls := v.outcomes.Ended(); calls > 0 {
 			w := workOf(profile, m, &v.outcomes)
 			s.OnTime = float64(v.outcomes.OnTime) / calls
--- a/apportioner/doc.go
+++ b/apportioner/doc.go
@@ -30,6 +30,6 @@
 //	    Load pattern: waves of 11 to 17 s and bursts of 3 s, during which a change of groups would
 //	    cost more than it gains.
 //	P6  No shares are computed from figures that cover less than minObservation, as after a
-//	    takeover of the lease. Times without any call, as before a site's first one, are not
-//	    averaged: they would hide what the calls need.
+//	    takeover of the lease. The time before the first call is not averaged: it would hide
+//	    what the calls need.
 package apportioner
