launcher: the test of restarted engines waits for the join, then for a call

Cause, by the lines of a run that fails: the test calls at once after the restart; the engine's new entry reaches the node 20 ms later, and until then the node can't know.

Change: the test requires the order to join first, and then a call that succeeds. A group that is not formed anew fails it as before, by the time-out of the first wait.

--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -408,14 +408,14 @@
 	for round, restarted := range []*impersonator.Backend{other(s.engines, head), head} {
 		before := len(restarted.Orders())
 		restarted.Restart(int64(1764720000000 + round))
+		s.eventually("the restarted engine is ordered into a group", func() bool {
+			since := restarted.Orders()[before:]
+			return slices.ContainsFunc(since, func(order string) bool { return strings.HasPrefix(order, "join ") })
+		})
 		s.eventually("a call succeeds at a group of the restarted engine", func() bool {
 			a := s.call(http.MethodPost, streamURL, nil)
 			return a.status == http.StatusOK && a.body == streamBody(5)
 		})
-		since := restarted.Orders()[before:]
-		if !slices.ContainsFunc(since, func(order string) bool { return strings.HasPrefix(order, "join ") }) {
-			t.Errorf("round %d: the restarted engine was ordered %v", round, since)
-		}
 	}
 }
 
