--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -84,8 +84,7 @@
 	}
 }
 
-// Guards against shares that don't follow the need, or that follow it where the configured ones
-// serve all calls.
+// Guards against shares that ignore the need, or follow it where the configured ones serve all calls.
 func TestShares(t *testing.T) {
 	for name, c := range map[string]struct {
 		configured   float64
@@ -123,8 +122,7 @@
 	}
 }
 
-// Guards against shares that follow waves and bursts, each change of which costs seconds of a
-// group's capacity.
+// Guards against shares that follow waves and bursts: each change costs a group's capacity for seconds.
 func TestSharesDoNotOscillate(t *testing.T) {
 	wave := func(period, swing, phase float64) func(int) float32 {
 		return func(second int) float32 { return float32(1 + swing*math.Sin(2*math.Pi*(float64(second)/period+phase))) }
--- a/apportioner/rate_test.go
+++ b/apportioner/rate_test.go
@@ -36,8 +36,7 @@
 	return calls(rate, 714, 217, 250*time.Millisecond, 200*time.Millisecond)
 }
 
-// Guards against needs by slots: a model is limited by prefill at half of its slots, another one by
-// its slots.
+// Guards against needs by slots where prefill is the limit at half of them.
 func TestGroupRate(t *testing.T) {
 	for name, c := range map[string]struct {
 		model    int
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -508,7 +508,7 @@
 	sum, now := Sum(others...), time.Now()
 	e.mu.Lock()
 	e.cellsKnown, e.lastResponse = now, now
-	// A node that knows no other has nobody to wait for.
+	// A node that knows no other has no node to wait for.
 	if e.settledLocked(now) || len(topology.Cells) == 1 && len(topology.Cell) == 1 {
 		e.lastComplete, e.receivedAt, e.lastSum, e.passable = now, now, sum, false
 	}
--- a/exchanger/start_test.go
+++ b/exchanger/start_test.go
@@ -41,8 +41,7 @@
 	return n
 }
 
-// Guards against nodes that take the calls of a whole cell for ended because its head has just
-// started, and against a head that knows nothing in its first second.
+// Guards against a head that has just started hiding the calls of its cell.
 func TestHeadThatRestartsHidesNoCalls(t *testing.T) {
 	tests := map[string]struct{ zones, perZone int }{
 		"six nodes":       {3, 2},
@@ -82,8 +81,7 @@
 	}
 }
 
-// Guards against a node that waits for a peer which doesn't answer, or trusts one that has just
-// started as well, while another one knows the load.
+// Guards against waiting for a silent peer, or trusting one that has just started as well.
 func TestStartingNodeAsksAnotherPeer(t *testing.T) {
 	for name, test := range map[string]struct {
 		fail   func(ctx context.Context, s *site, address string)
@@ -118,8 +116,7 @@
 	}
 }
 
-// Guards against nodes that vouch for loads which they don't know, and against messages that grow
-// with the site, when all nodes start at once.
+// Guards against unknown loads and messages that grow with the site when all nodes start at once.
 func TestAllNodesStartAtOnce(t *testing.T) {
 	for _, test := range []struct{ zones, perZone int }{{3, 2}, {3, 30}, {3, 329}} {
 		count := test.zones * test.perZone
@@ -173,8 +170,7 @@
 	return &garnetworks.ExchangeResponse{Partial: p.asked > 1, Report: garnetworks.LoadReport{Nodes: 1, Limits: limits}}, nil
 }
 
-// Guards against limits of servers that never age while a node uses its last complete sum, and
-// against the use of that sum for longer than a second.
+// Guards against a last complete sum whose limits don't age, or that is used for over a second.
 func TestLastSumAges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -208,8 +204,7 @@
 	})
 }
 
-// Guards against a head that waits for each silent node of its cell before it exchanges, when most
-// nodes that were killed together do not return.
+// Guards against a head that waits for each silent node of its cell before it exchanges.
 func TestHeadDoesNotWaitForAllSilentNodes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/experimenter/demand_test.go
+++ b/experimenter/demand_test.go
@@ -7,8 +7,7 @@
 	"github.com/garnetworks/garnetworks/experimenter"
 )
 
-// Guards against models whose calls are late beside free groups of another model, and against
-// groups that are closed again and again with waves, bursts and losses.
+// Guards against late calls beside another model's free groups, and groups closed again and again.
 func TestGroupsFollowCallsOnTime(t *testing.T) {
 	for name, want := range map[string]struct {
 		// large and small are the lowest fractions on time, closed the most groups that are
--- a/experimenter/experimenter_test.go
+++ b/experimenter/experimenter_test.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// Guards against callers that return and are rejected again until they give up, and against calls
-// that can only be late and take the slots of those that can be on time.
+// Guards against returning callers that are rejected until they give up, or displace calls on time.
 func TestReturningCallersAreServed(t *testing.T) {
 	for _, pattern := range []string{"overload", "burst", "losses"} {
 		t.Run(pattern, func(t *testing.T) {
--- a/experimenter/prefill_test.go
+++ b/experimenter/prefill_test.go
@@ -10,8 +10,7 @@
 // wide adds a replay with 986 nodes, which takes about a minute.
 var wide = flag.Bool("wide", false, "replay with 986 nodes, too")
 
-// Guards against groups that get more prompts than they can prefill on time, so that nearly all first
-// events are late, because each of many nodes sees too few calls to notice.
+// Guards against many nodes that send groups more prompts than they can prefill on time.
 func TestManyNodesServeAsMuchOnTimeAsFew(t *testing.T) {
 	// leastRatio is what many nodes must serve on time of what six nodes do.
 	const leastRatio = 0.85
--- a/former/report_test.go
+++ b/former/report_test.go
@@ -45,8 +45,7 @@
 	})
 }
 
-// Guards against a domain that never forms a group of a model again, since its other groups leave
-// only their own model on the hosts.
+// Guards against a domain that never forms a group of a model again.
 func TestReserve(t *testing.T) {
 	const size = 20
 	member := func(group garnetworks.GroupID) []garnetworks.RegisteredServer {
--- a/former/shares_test.go
+++ b/former/shares_test.go
@@ -41,8 +41,7 @@
 	}
 }
 
-// Guards against a model that stays short of groups beside another one with more than it needs: the
-// groups of 4 of a domain become one of 16.
+// Guards against a model that stays short of groups beside another one with more than it needs.
 func TestSmallGroupsBecomeALargeOne(t *testing.T) {
 	w := newCompetingSimulation(2)
 	if got := w.serving(); got["large"] != 2 || got["small"] != 10 {
@@ -56,8 +55,7 @@
 	}
 }
 
-// Guards against groups that are closed for another model while a domain is unreachable, when it
-// returns, or as soon as the lease is taken: they would be missing after a moment.
+// Guards against closing groups for another model beside a domain's return or a new lease.
 func TestNoGroupsAreClosedBesideOtherChanges(t *testing.T) {
 	cut := func(w *simulation, unreachable bool) {
 		for _, e := range w.engines {
@@ -98,8 +96,7 @@
 	}
 }
 
-// Guards against a domain that never forms a large group again after a loss, since its small groups
-// leave only their own model on the hosts.
+// Guards against small groups that leave only their own model on a domain's hosts.
 func TestDomainWithoutTheModelFormsItsGroup(t *testing.T) {
 	w := newCompetingSimulation(2)
 	w.compete(4, 4)
--- a/former/verdict_test.go
+++ b/former/verdict_test.go
@@ -105,8 +105,7 @@
 // oneLost answers like all engines but one member of g0.
 func oneLost(id garnetworks.InstanceID, _ int) (time.Duration, bool) { return fast, id != "i-0-1" }
 
-// Guards against verdicts that come too late for the pause that callers allow, and against a
-// healthy group that is found lost because of a slow member, lost packets or a fault of the holder.
+// Guards against late verdicts, and healthy groups found lost by slowness, lost packets or the holder's fault.
 func TestVerdict(t *testing.T) {
 	cases := map[string]struct {
 		answer func(garnetworks.InstanceID, int) (time.Duration, bool)
@@ -231,8 +230,7 @@
 	}
 }
 
-// Guards against a holder whose window is filled by the unanswered probes of a lost domain, so that
-// it gives no verdict on any of the domain's groups.
+// Guards against a lost domain's unanswered probes filling the holder's window.
 func TestVerdictsOnALostDomain(t *testing.T) {
 	cases := map[string]struct {
 		size float64 // of the probe window
@@ -279,8 +277,7 @@
 	}
 }
 
-// Guards against probes for each lost packet of a large site, where one node waits for an event while
-// others have theirs.
+// Guards against probes for each lost packet of a large site.
 func TestLoneQuestionCausesNoProbes(t *testing.T) {
 	cases := map[string]struct {
 		active int
@@ -321,8 +318,7 @@
 	}
 }
 
-// Guards against verdicts while the probes of several zones fail together (O9), and against none
-// because other rounds have just begun.
+// Guards against verdicts while probes of several zones fail (O9), and none beside other rounds.
 func TestUnansweredProbesInSeveralZones(t *testing.T) {
 	cases := map[string]struct {
 		zones int
--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -142,8 +142,7 @@
 // the shares of all nodes suffice for them.
 const leastOnTime = 0.75
 
-// Guards against a node that gets all calls serving only its own share of limits that all engines
-// name, while the other nodes leave theirs unused.
+// Guards against a node that gets all calls leaving the other nodes' shares of limits unused.
 func TestOneNodeUsesTheSharesOfAll(t *testing.T) {
 	const (
 		perSecond = 70
--- a/gateway/order_test.go
+++ b/gateway/order_test.go
@@ -22,8 +22,7 @@
 	return s
 }
 
-// Guards against callers that return to another node, wait there as new ones, and are rejected
-// until they give up.
+// Guards against callers that return to another node and are rejected there as new ones.
 func TestReturnedCallsAreAdmittedLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
--- a/gateway/verdict_test.go
+++ b/gateway/verdict_test.go
@@ -95,8 +95,7 @@
 	}
 }
 
-// Guards against calls that move from a healthy group: one with a long prompt or a full batch, one
-// that pauses, or one behind a lossy link.
+// Guards against calls that move from a healthy group that is slow, pauses or loses packets.
 func TestCallsOfHealthyGroupsStay(t *testing.T) {
 	cases := map[string][]time.Duration{
 		"long prompt": {280 * time.Millisecond, pass, 290 * time.Millisecond, pass},
@@ -131,8 +130,7 @@
 	}
 }
 
-// Guards against a node that was paused and moves its calls before it has read the events that
-// arrived meanwhile.
+// Guards against a paused node that moves calls before it has read their events.
 func TestCallsStayAfterAPauseOfTheNode(t *testing.T) {
 	for name, event := range map[string]bool{"events arrived": true, "the group is lost": false} {
 		t.Run(name, func(t *testing.T) {
@@ -162,8 +160,7 @@
 	}
 }
 
-// Guards against a verdict that moves a call although the group has sent an event since the
-// question, and against one that leaves the group's other calls where they are.
+// Guards against a verdict that outweighs a later event, or moves only one of a group's calls.
 func TestVerdictAppliesToAllCallsUntilTheNextEvent(t *testing.T) {
 	cases := map[string]struct{ event, moves bool }{"no event": {moves: true}, "event before the verdict": {event: true}}
 	for name, c := range cases {
--- a/launcher/inquirer_test.go
+++ b/launcher/inquirer_test.go
@@ -32,8 +32,7 @@
 	return response, h.err
 }
 
-// Guards against requests for each of many groups that are lost at once, and against questions to
-// a holder that is unknown, gone or does not answer, which would delay or multiply them.
+// Guards against a request for each of many lost groups, and questions to a silent or unknown holder.
 func TestInquirer(t *testing.T) {
 	const groups = 18
 	cases := map[string]struct {
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -346,8 +346,7 @@
 	})
 }
 
-// Guards against a node that gets no verdict on a lost group from another one that holds the lease,
-// and leaves calls there until the time-outs.
+// Guards against calls left at a lost group because another node holds the lease.
 func TestStreamLeavesALostGroupOnTheHoldersVerdict(t *testing.T) {
 	s := newSite(t, 6)
 	for _, e := range s.engines {
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -61,7 +61,7 @@
 //	    instead of rejected if it can be complete by its deadline. It comes after all calls that
 //	    can be on time, whatever their priority, by its first arrival. Late calls take a bounded
 //	    part of each window, and leave a reserve for the others.
-//	Q15 Rejected callers that return together. Each is told to return later than those that
+//	Q15 Rejected callers that return together. Each gets a later time to return than those that
 //	    were rejected before, by the time in which a slot becomes free, and not before its
 //	    return will be recognized, within what callers follow.
 //	Q16 Rejections beside free slots. A rejection names the free slots that could have served
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -108,8 +108,7 @@
 	}
 }
 
-// Guards against calls that are handed to other nodes although a group without a limit could serve
-// them, or that are not although no other group can.
+// Guards against handing over calls that an unlimited group could serve, or keeping those that none can.
 func TestRejectionSaysThatOnlyLimitsLackPlaces(t *testing.T) {
 	cases := map[string]struct {
 		groups []scheduler.Group
--- a/scheduler/reach_test.go
+++ b/scheduler/reach_test.go
@@ -154,8 +154,7 @@
 	}
 }
 
-// Guards against calls that wait and are rejected beside free groups because all groups are in one
-// zone, of which a few did not respond: their slots must count as free with each report.
+// Guards against rejections beside free groups of the only zone, of which a few did not respond.
 func TestOnlyZoneKeepsItsAllowanceWhenGroupsFail(t *testing.T) {
 	s := scheduler.New("z", fixedRandom)
 	s.SetGroups(start, groups(20, "a", "b", "c", "d"))
--- a/scheduler/returning_test.go
+++ b/scheduler/returning_test.go
@@ -21,8 +21,7 @@
 	return a
 }
 
-// Guards against callers that return and lose their place, and against first calls that are taken
-// for returns and lose theirs.
+// Guards against returns that lose their place, and first calls that are taken for returns.
 func TestReturningCallersAreRecognized(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	even := func(int) time.Duration {
@@ -85,8 +84,7 @@
 	}
 }
 
-// Guards against taking all calls of a route for returns for as long as calls are rejected, after its
-// callers have changed what they state.
+// Guards against taking all calls of a route for returns after its callers changed what they state.
 func TestChangedTimesAreNotTakenForReturns(t *testing.T) {
 	a := learn(func(int) time.Duration { return routeTimeout }, 100)
 	returned := 0
@@ -139,8 +137,7 @@
 	return s
 }
 
-// Guards against a second rejection of a caller that would still wait for seconds, against late
-// answers in place of those on time, and against late calls in the order of their return.
+// Guards against a second rejection of a patient caller, and late answers in place of those on time.
 func TestReturnedCallsAreServedLate(t *testing.T) {
 	s := busy(20)
 	for i, waited := range []time.Duration{time.Second, 3 * time.Second, 2 * time.Second} {
@@ -226,8 +223,7 @@
 	}
 }
 
-// Guards against rejections whose callers won't return or won't be recognized, against late
-// answers to those that will, and against calls that wait beyond their time.
+// Guards against rejecting callers that won't return, and late answers to those that will.
 func TestWhoIsAdmittedLate(t *testing.T) {
 	cases := map[string]struct {
 		change func(c *scheduler.Call)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -255,7 +255,7 @@
 	lateAllowance float64
 	lateRefilled  time.Time
 	// rejectedAt is when the last call was rejected, lastReturn the time for which the last one that
-	// was rejected for lack of time was told to return (Q15).
+	// was rejected for lack of time was asked to return (Q15).
 	rejectedAt, lastReturn time.Time
 	// workspaces counts the calls of each workspace (Q17).
 	workspaces workspaceCalls
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -343,8 +343,7 @@
 	}
 }
 
-// Guards against nodes that lose a slot that they have not used by the next report: with less than
-// one call per second, a node has none when a call arrives, and rejects it beside free slots.
+// Guards against nodes with few calls that lose a slot which they have not used by the next report.
 func TestUnusedSlotIsKeptUntilTheNextCall(t *testing.T) {
 	const nodes, reports = 986, 40
 	s := scheduler.New("z", fixedRandom)
--- a/scheduler/sharing_test.go
+++ b/scheduler/sharing_test.go
@@ -103,8 +103,7 @@
 	return served[false] / sent[false], served[true] / sent[true]
 }
 
-// Guards against a workspace with ten times the calls of each other that displaces theirs, and
-// against capacity that is left unused for the sake of the shares.
+// Guards against a workspace that displaces the calls of others, and capacity left unused for shares.
 func TestWorkspacesShareScarceSlots(t *testing.T) {
 	cases := map[string]struct {
 		nodes, disconnected int
--- a/scheduler/started_test.go
+++ b/scheduler/started_test.go
@@ -23,8 +23,7 @@
 	return scheduler.Call{ID: garnetworks.CallID(id), Model: "m", Arrived: arrived, Objective: 250 * time.Millisecond, PromptTokens: 1460, MaxGap: 300 * time.Millisecond}
 }
 
-// Guards against a node that is cut off from its peers and rejects calls because it scales its own
-// calls by its last share of the site's, although its groups are empty.
+// Guards against a node without reports that scales its own calls by its last share.
 func TestNodeWithoutPeersUsesItsWholeWindow(t *testing.T) {
 	s := scheduler.New("z", fixedRandom)
 	list := groups(30, "g", "h")
@@ -49,8 +48,7 @@
 	}
 }
 
-// Guards against a node that gets its groups after its peers' load, and rejects calls beside free
-// slots because it waits for the next report before it takes any.
+// Guards against a node that waits for the next report before it uses new groups.
 func TestNewGroupsAreUsedBeforeTheNextReport(t *testing.T) {
 	tests := map[string]struct {
 		before, after []garnetworks.GroupID
@@ -75,8 +73,7 @@
 	}
 }
 
-// Guards against a node that takes all slots of a group which its peers use, because the group is
-// new to it since the last report.
+// Guards against a node that takes all slots of a new group which its peers use.
 func TestNewGroupsCountThePeersCalls(t *testing.T) {
 	s := scheduler.New("z", fixedRandom)
 	s.SetPeerLoad(start, peerLoad(88, 30, 40, "g"), true)
--- a/scheduler/starting_test.go
+++ b/scheduler/starting_test.go
@@ -37,9 +37,7 @@
 	return waited
 }
 
-// Guards against a node that rejects calls or overfills groups after its start because it assumes
-// slow first events and whole windows, while its peers know better, and against the use of old
-// observations or in place of its own.
+// Guards against a started node that assumes slow first events and whole windows, or uses old observations.
 func TestStartingNodeUsesAPeersObservations(t *testing.T) {
 	tests := map[string]struct {
 		age, own time.Duration
--- a/suspector/replay_test.go
+++ b/suspector/replay_test.go
@@ -72,8 +72,7 @@
 	return list
 }
 
-// Guards against suspicions of healthy groups that are not rare, each of which costs probes, and
-// against thresholds that come too late when the group is lost.
+// Guards against frequent suspicions of healthy groups, and late ones of lost groups.
 func TestSuspicionsOfHealthyGroupsAreRare(t *testing.T) {
 	models := map[string]replayedModel{
 		"larger model":  {callsPerSecond: 6, events: 25, prompt: 1460, factor: 1.3, pause: 300 * ms},
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -83,8 +83,7 @@
 	}
 }
 
-// Guards against a new group that is suspected only after the fixed time, although its model's
-// gaps are known.
+// Guards against a new group that is judged by the fixed time although its model's gaps are known.
 func TestNewGroupIsJudgedByItsModel(t *testing.T) {
 	var s Suspector
 	now, _ := play(&s, start, "old", 200*ms, repeat(30, 40*ms)...)
