--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -77,9 +77,9 @@
 //	    of the free slots of new groups at once, by the last report of its peers. A node
 //	    without a report uses its own windows only: its last share of the site's calls
 //	    says nothing of calls that it can't see, and scaled by a share of one in 89 each
-//	    of its calls would fill a group. It
-//	    takes over the first event and service times and the windows that another node
-//	    has recently observed, until it has observations of its own.
+//	    of its calls would fill a group. It takes over the first event and service times
+//	    and the windows that another node has recently observed, until it has observations
+//	    of its own.
 //	Q19 More prompts than the groups can prefill, at many nodes. Each sees less than a call a second
 //	    at a group and learns nothing from its own first events (Q2), and all first events are
 //	    late, not only those of the calls in excess. So a node places the fraction of its calls that the
