--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -44,7 +44,7 @@
 	lossMargin = 1.05
 	// urgencyFactor is the weight of calls relative to those of the next lower priority.
 	urgencyFactor = 1.25
-	// maxUrgencySteps bounds the priorities that are told apart, since calls of low priority also
+	// maxUrgencySteps bounds the priorities that are distinguished, since calls of low priority also
 	// need some groups.
 	maxUrgencySteps = 3
 	// countExponent weighs the number of calls on time against equal fractions: of two models whose
--- a/relayer/start_test.go
+++ b/relayer/start_test.go
@@ -15,8 +15,7 @@
 	"github.com/garnetworks/garnetworks/relayer"
 )
 
-// Guards against a node that starts and asks only a relay which doesn't answer, until it reads the
-// object API itself, while another relay has fresh contents.
+// Guards against a node that starts and asks only a relay that has ended.
 func TestStartingNodeAsksTheOtherRelay(t *testing.T) {
 	for _, fallbacks := range []int{4, 27, 327} {
 		t.Run(fmt.Sprint(fallbacks, " other nodes"), func(t *testing.T) {
@@ -139,8 +138,7 @@
 	return took, calls
 }
 
-// Guards against nodes that have no routing, servers or evacuations for long after all were killed,
-// also if those that read for the others don't return, and against each of them listing all objects.
+// Guards against late contents and too many calls of the object API when all nodes start at once.
 func TestAllNodesReturnAtOnce(t *testing.T) {
 	for _, size := range []struct{ zones, perZone int }{{3, 2}, {3, 30}, {3, 329}} {
 		for _, gone := range []int{0, 1} {
