impersonator: a store that comes back from a copy; failing tests of its readers

Callers saw 503 at all nodes until the revisions of the restored store had passed those from before, and nothing of what had changed meanwhile. The fake store now has eras (header Store-Era), copies and restores, and answers a watch from a revision that it does not have with 410.

Fails on this code: all five cases of TestChangesApplyAfterAStoreIsRestored (below the node's revisions neither configuration nor server apply, beyond them the configuration is missed) and all three of TestNewEraReplacesWhatTheOldOneHeld.

--- a/faker/impersonator/store.go
+++ b/faker/impersonator/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -65,8 +66,10 @@
 	// ValueBytes is the maximum size of an object in bytes; 0 means 1 MiB.
 	ValueBytes int
 
-	mu       sync.Mutex
-	faults   StoreFaults
+	mu     sync.Mutex
+	faults StoreFaults
+	// era is the number of times that the store has come back from a copy.
+	era      uint64
 	revision uint64
 	kinds    map[string]map[string]object
 	history  []change
@@ -121,6 +124,56 @@
 	s.wakeLocked()
 }
 
+// StoreCopy is a backup of a Store's contents.
+type StoreCopy struct {
+	revision uint64
+	kinds    map[string]map[string]object
+}
+
+// Copy returns a copy of the present contents.
+func (s *Store) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &StoreCopy{s.revision, cloneKinds(s.kinds)}
+}
+
+func cloneKinds(kinds map[string]map[string]object) map[string]map[string]object {
+	cloned := make(map[string]map[string]object, len(kinds))
+	for kind, objects := range kinds {
+		cloned[kind] = maps.Clone(objects)
+	}
+	return cloned
+}
+
+// Restore replaces the contents by those of a copy and begins a new era: changes since the copy
+// are gone, and revisions are counted on from its own. Waiting watches break off.
+func (s *Store) Restore(c *StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.kinds = c.revision, cloneKinds(c.kinds)
+	s.history, s.compacted = nil, c.revision
+	s.wakeLocked()
+}
+
+// Advance raises the revision to at least n, as changes of kinds that no reader follows do.
+func (s *Store) Advance(n uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, n)
+	s.wakeLocked()
+}
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// EraHeader is the header of all answers that holds the store's era.
+const EraHeader = "Store-Era"
+
 // Calls returns the number of calls by method and kind, such as "GET servers".
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -270,6 +323,9 @@
 
 func (s *Store) handle(w http.ResponseWriter, r *http.Request) {
 	rest := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/objects/")
+	s.mu.Lock()
+	w.Header().Set(EraHeader, strconv.FormatUint(s.era, 10))
+	s.mu.Unlock()
 	kind, name, named := strings.Cut(rest, "/")
 	name, err := url.PathUnescape(name)
 	if err != nil {
@@ -349,9 +405,12 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for expired := false; ; {
 		s.mu.Lock()
-		abort, compacted, wake := s.faults.AbortWatches, after < s.compacted, s.wake
+		abort, compacted, wake := s.faults.AbortWatches || s.era != era, after < s.compacted || after > s.revision, s.wake
 		events := s.eventsLocked(kind, after)
 		revision := s.revision
 		s.mu.Unlock()
