watcher: a list that is refused as older leaves an event; revisions name an era

While all nodes refused calls for 8 s after a restore, no line said why: that a list reflects an older revision was the only failure of a watch without an event, so neither the revision nor the era could be seen.

The event object-api-behind now has both revisions, once until a list is taken again. A revision's high bits are the era of the object API, 0 until an adapter sets it, so nothing else changes yet.

--- a/names.go
+++ b/names.go
@@ -31,12 +31,41 @@
 	CallID string
 	// Generation numbers the accepted manifests from 1; 0 means none.
 	Generation uint64
-	// Revision is the object API's version of an object; 0 means absent.
+	// Era counts the times that the object API has come back from an older copy.
+	Era uint32
+	// Revision is the object API's version of an object; 0 means absent. Its high bits are
+	// the era: in a new one the object API gives out numbers a second time, and a revision of
+	// a later era is always the higher one.
 	Revision uint64
 	// Watts is electric power in watts.
 	Watts int64
 )
 
+// revisionNumberBits is the number of a Revision's low bits, which hold the object API's number.
+const revisionNumberBits = 40
+
+// MaxEra is the highest Era that a Revision can hold.
+const MaxEra Era = 1<<(64-revisionNumberBits) - 1
+
+// NewRevision returns the revision with a number of the object API in an era.
+func NewRevision(era Era, number uint64) Revision {
+	return Revision(uint64(min(era, MaxEra))<<revisionNumberBits | min(number, 1<<revisionNumberBits-1))
+}
+
+// Era returns the era in which the object API gave out the revision.
+func (r Revision) Era() Era { return Era(r >> revisionNumberBits) }
+
+// Number returns the object API's own number, which a later era may give out again.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<revisionNumberBits - 1) }
+
+// String returns the number, preceded by the era if it is above 0.
+func (r Revision) String() string {
+	if r.Era() == 0 {
+		return fmt.Sprint(r.Number())
+	}
+	return fmt.Sprintf("%d/%d", r.Era(), r.Number())
+}
+
 // WeightID names the weights of one version of a model in the weight store.
 type WeightID struct {
 	Model   ModelName   `json:"model"`
--- a/ports.go
+++ b/ports.go
@@ -19,6 +19,9 @@
 // KindConflict, KindCompacted, KindTooLarge, KindThrottled, KindObjectAPIDown or
 // KindResponseLost. Only a write that failed with KindResponseLost may have taken
 // effect.
+//
+// An object API that comes back from an older copy begins a new era. All revisions that it
+// returns from then on are of that era, also those of objects that have not changed since.
 type ObjectAPI interface {
 	// Get returns the newest version of an object, or KindNotFound.
 	Get(ctx context.Context, key string) (Object, error)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -85,7 +86,9 @@
 	// down is true if the last call failed; synced is true once a list has been
 	// delivered.
 	down, synced bool
-	lastSuccess  time.Time
+	// olderList is true if the last list was older than the state.
+	olderList   bool
+	lastSuccess time.Time
 	// confirmed is a time at which the delivered state was the newest; recovered is when the
 	// first call after a failure succeeded.
 	confirmed, recovered time.Time
@@ -201,7 +204,8 @@
 	confirmedAt := w.confirmedAt(sent)
 	updates, newer := w.state.ApplyList(objects, revision)
 	if !newer {
-		return garnetworks.Errorf(garnetworks.KindCompacted, "list of %q reflects revision %d, older than %d", w.prefix, revision, w.state.Revision)
+		w.recordOlderList(revision)
+		return garnetworks.Errorf(garnetworks.KindCompacted, "list of %q reflects revision %s, older than %s", w.prefix, revision, w.state.Revision)
 	}
 	w.deliverAll(updates, confirmedAt, deliver)
 	return nil
@@ -265,11 +269,22 @@
 	}
 }
 
+// recordOlderList records a list that is older than the state, if the previous one was not.
+func (w *Watcher) recordOlderList(revision garnetworks.Revision) {
+	w.mu.Lock()
+	first := !w.olderList
+	w.olderList = true
+	w.mu.Unlock()
+	if first {
+		w.record(garnetworks.Event{Kind: garnetworks.EventObjectAPIStale, Detail: fmt.Sprintf("list of %s reflects revision %s, older than %s", w.prefix, revision, w.state.Revision)})
+	}
+}
+
 // recordSuccess records a successful call whose contents were confirmed at confirmedAt.
 func (w *Watcher) recordSuccess(confirmedAt time.Time) {
 	w.mu.Lock()
 	recovered := w.down
-	w.down = false
+	w.down, w.olderList = false, false
 	w.synced = true
 	w.lastSuccess = time.Now()
 	w.confirmed = confirmedAt
