fencer, platform: a store that comes back from a copy begins a new era

Callers saw 503 at all nodes for 8 s after each restore, and a few calls decided by the configuration and the servers of before. Cause: the restored store gives out revisions a second time, and a node took each list with a lower revision than its own for a lagging replica's, until the numbers had passed; where they had passed before, a watch went on and missed all that changed between the copy and its revision. Ruled out: a backoff (the nodes called 10 to 20 times a second) and a lagging replica (all nodes recovered at one revision).

Package fencer, on top of the object API of either kind of node, refuses conditional writes and watches of an earlier era, which compare numbers only.

--- a/event.go
+++ b/event.go
@@ -82,6 +82,7 @@
 	EventObjectAPIDown        EventKind = "object-api-down"
 	EventObjectAPIRestored    EventKind = "object-api-back"
 	EventObjectAPIStale       EventKind = "object-api-behind"
+	EventObjectAPINewEra      EventKind = "object-api-new-era"
 	EventObjectRefused        EventKind = "object-refused"
 )
 
--- a/faker/objects.go
+++ b/faker/objects.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	objects  map[string]garnetworks.Object
+	era      garnetworks.Era
 	revision garnetworks.Revision
 	// history holds the latest changes in order; changes up to compacted are dropped.
 	history   []garnetworks.Object
@@ -109,6 +110,35 @@
 	o.compacted = o.revision
 }
 
+// ObjectsCopy is a backup of an Objects' contents.
+type ObjectsCopy struct {
+	objects  map[string]garnetworks.Object
+	revision garnetworks.Revision
+}
+
+// Copy returns a copy of the present contents.
+func (o *Objects) Copy() *ObjectsCopy {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return &ObjectsCopy{maps.Clone(o.objects), o.revision}
+}
+
+// Restore replaces the contents by those of a copy and begins a new era: changes since the copy
+// are gone, and revisions are counted on from its own. Waiting watches break off.
+func (o *Objects) Restore(c *ObjectsCopy) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.era++
+	o.objects, o.revision = maps.Clone(c.objects), garnetworks.NewRevision(o.era, c.revision.Number())
+	for key, object := range o.objects {
+		object.Revision = garnetworks.NewRevision(o.era, object.Revision.Number())
+		o.objects[key] = object
+	}
+	o.history, o.compacted = nil, o.revision
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
 // Get implements garnetworks.ObjectAPI.
 func (o *Objects) Get(ctx context.Context, key string) (garnetworks.Object, error) {
 	return withFaults(ctx, &o.Faults, MethodGet, failedObjectRead, func() (garnetworks.Object, error) { return o.get(key) })
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"github.com/garnetworks/garnetworks/apportioner"
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/exchanger"
+	"github.com/garnetworks/garnetworks/fencer"
 	"github.com/garnetworks/garnetworks/follower"
 	"github.com/garnetworks/garnetworks/former"
 	"github.com/garnetworks/garnetworks/gateway"
@@ -167,7 +168,7 @@
 	site := &options.Site
 	l := &Launcher{options: options, meter: meter.New(), recorder: recorder.New(site.Node, 0), created: time.Now()}
 	events := l.meter.Recorder(emitter.Recorder(options.Logger, l.recorder))
-	objects := l.meter.ObjectAPI(options.Objects)
+	objects := fencer.New(l.meter.ObjectAPI(options.Objects), events)
 	clocks := timekeeper.New()
 	var err error
 	prefixes := []relayer.Prefix{
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -40,6 +40,7 @@
 	"github.com/garnetworks/garnetworks/controller"
 	"github.com/garnetworks/garnetworks/distributor"
 	"github.com/garnetworks/garnetworks/drainer"
+	"github.com/garnetworks/garnetworks/fencer"
 	"github.com/garnetworks/garnetworks/forwarder"
 	"github.com/garnetworks/garnetworks/messenger"
 	"github.com/garnetworks/garnetworks/meter"
@@ -151,7 +152,7 @@
 	r.timeline = recorder.New(r.settings.Node, r.settings.EventRing)
 	r.events = r.meter.Recorder(r.timeline)
 	r.platform = options.Platform.Or(connect(r.settings))
-	r.platform.Objects = meter.Observe(r.meter.ObjectAPI(r.platform.Objects), r.observeObjectAPI)
+	r.platform.Objects = fencer.New(meter.Observe(r.meter.ObjectAPI(r.platform.Objects), r.observeObjectAPI), r.events)
 	r.self = r.describe(options.Program)
 	if err := r.build(options); err != nil {
 		r.closeListeners()
