follower: a store restored from a copy takes nothing back (F10)

With eras, a node takes a restored store's contents at once, and with them what the copy had not seen yet: a server that had reported that it leaves counted as live again, one whose entry was removed got calls, a server that had registered since was gone at once, an evacuation ended. Callers see calls sent to servers that end, or refusals, until the servers and the operator have written again.

A report that a server leaves now holds for the rest of its incarnation. What is missing counts as lapsed for 2.3 s as after an outage; an entry that had been removed, or an evacuation that had ended, counts only once written again, or when the platform would have removed a silent server's entry (three heartbeats and 2.3 s).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -27,6 +27,12 @@
 //	    evacuation, and a node that has not read the evacuations yet is not ready.
 //	F9  The servers of a zone whose evacuation has ended count as cold until they
 //	    have had the time to report whether they are.
+//	F10 In a new era of the store, what an earlier one held and the new one lacks
+//	    may be written again: a missing server or evacuation counts for
+//	    RecoveryTime. What an earlier era took away and the new one holds again
+//	    comes from the copy: an incarnation that was leaving stays so, and one
+//	    whose entry was removed, or an evacuation that ended, counts only if it is
+//	    written again, or is still there when the platform would have removed it.
 package follower
 
 import (
@@ -128,8 +134,15 @@
 	lapsed map[garnetworks.InstanceID]bool
 	// departed holds the last entries of the incarnations that are no longer known, at most
 	// maxDeparted of them; departedOrder lists them, oldest first.
-	departed      map[garnetworks.Incarnation]garnetworks.RegisteredServer
+	departed      map[garnetworks.Incarnation]departedServer
 	departedOrder []garnetworks.Incarnation
+	// eras holds the era of each known server's entry; era is the newest of them, and eraSince
+	// when it was first seen.
+	eras     map[garnetworks.InstanceID]garnetworks.Era
+	era      garnetworks.Era
+	eraSince time.Time
+	// withheld are the entries of departed incarnations that a new era holds again (rule F10).
+	withheld map[garnetworks.InstanceID]withheldServer
 	// refused holds the decoding errors of the newest entries of some servers.
 	refused map[garnetworks.InstanceID]string
 	// registered are the servers that registered since the last record of registrations,
@@ -145,12 +158,13 @@
 func New(options Options) *Follower {
 	f := &Follower{
 		options: options, known: make(Servers), lapsed: make(map[garnetworks.InstanceID]bool), refused: make(map[garnetworks.InstanceID]string),
-		departed:    make(map[garnetworks.Incarnation]garnetworks.RegisteredServer),
-		byService:   make(map[garnetworks.ServiceName]garnetworks.Set[garnetworks.InstanceID]),
-		updated:     make(garnetworks.Set[garnetworks.InstanceID]),
-		evacuations: evacuations{coldUntil: make(map[garnetworks.ZoneID]time.Time)},
+		departed:  make(map[garnetworks.Incarnation]departedServer),
+		eras:      make(map[garnetworks.InstanceID]garnetworks.Era),
+		withheld:  make(map[garnetworks.InstanceID]withheldServer),
+		byService: make(map[garnetworks.ServiceName]garnetworks.Set[garnetworks.InstanceID]),
+		updated:   make(garnetworks.Set[garnetworks.InstanceID]),
 	}
-	f.evacuated.Store(&garnetworks.Set[garnetworks.ZoneID]{})
+	f.evacuations.init()
 	common := watcher.Options{
 		Margin: ResponseMargin, ListTimeout: ListTimeout,
 		RetryMin: retryMin, RetryMax: retryMax, Recorder: options.Recorder, Random: options.Random,
@@ -289,8 +303,8 @@
 func (f *Follower) LastEntry(incarnation garnetworks.Incarnation) (garnetworks.RegisteredServer, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.departed[incarnation]
-	return s, ok
+	d, ok := f.departed[incarnation]
+	return d.RegisteredServer, ok
 }
 
 // rememberDeparted keeps the last entry of an incarnation; f.mu must be held.
@@ -299,7 +313,7 @@
 	if _, known := f.departed[incarnation]; !known {
 		f.departedOrder = append(f.departedOrder, incarnation)
 	}
-	f.departed[incarnation] = *s
+	f.departed[incarnation] = departedServer{*s, f.era}
 	if len(f.departedOrder) > maxDeparted {
 		delete(f.departed, f.departedOrder[0])
 		f.departedOrder = f.departedOrder[1:]
@@ -346,8 +360,9 @@
 
 func (f *Follower) applyServer(o garnetworks.Object) {
 	id := garnetworks.InstanceID(strings.TrimPrefix(o.Key, f.options.Reader.ServerPrefix()))
+	era := o.Revision.Era()
 	if o.Deleted {
-		f.serverRemoved(id)
+		f.serverRemoved(id, era)
 		return
 	}
 	s, err := f.options.Reader.ReadServer(id, o.Value)
@@ -357,14 +372,27 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordState(&s)
-	if old, ok := f.known[id]; ok {
-		f.inherit(&old, &s)
+	f.observeEra(era)
+	if !f.withhold(&s, era) {
+		f.apply(&s, era)
 	}
-	f.setWarmAt(time.Now(), &s)
-	f.store(&s)
-	delete(f.lapsed, id)
-	delete(f.refused, id)
+}
+
+// apply makes a server's entry the known one; f.mu must be held.
+func (f *Follower) apply(s *garnetworks.RegisteredServer, era garnetworks.Era) {
+	if old, ok := f.known[s.ID]; ok && f.leftBefore(&old, s, era) {
+		s.State, era = garnetworks.ListedLeaving, f.eras[s.ID]
+	}
+	f.recordState(s)
+	if old, ok := f.known[s.ID]; ok {
+		f.inherit(&old, s)
+	}
+	f.setWarmAt(time.Now(), s)
+	f.store(s)
+	f.eras[s.ID] = era
+	delete(f.withheld, s.ID)
+	delete(f.lapsed, s.ID)
+	delete(f.refused, s.ID)
 	f.publish()
 }
 
@@ -404,20 +432,22 @@
 		f.updated.Add(id)
 	}
 	delete(f.known, id)
+	delete(f.eras, id)
 	delete(f.lapsed, id)
 }
 
 // serverRemoved drops a server, or marks it as lapsed if its entry may only have expired
 // during an outage of the store (rule F2).
-func (f *Follower) serverRemoved(id garnetworks.InstanceID) {
-	recovered, up := f.servers.Recovered()
+func (f *Follower) serverRemoved(id garnetworks.InstanceID, era garnetworks.Era) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeEra(era)
 	delete(f.refused, id)
+	delete(f.withheld, id)
 	if _, ok := f.known[id]; !ok {
 		return
 	}
-	if !up || time.Since(recovered) < RecoveryTime {
+	if recovered, up := f.recovered(); !up || time.Since(recovered) < RecoveryTime {
 		f.lapsed[id] = true
 		f.record(garnetworks.Event{Kind: garnetworks.EventServerLapsed, Instance: id, Detail: "its entry disappeared during or right after an outage of the object API"})
 		return
@@ -439,15 +469,16 @@
 			return ctx.Err()
 		case <-ticker.C:
 			f.expireLapsed()
+			f.applyWithheld(time.Now())
 			f.recordRegistrations(time.Now())
 		}
 	}
 }
 
 func (f *Follower) expireLapsed() {
-	recovered, up := f.servers.Recovered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	recovered, up := f.recovered()
 	if len(f.lapsed) == 0 || !up || time.Since(recovered) < RecoveryTime {
 		return
 	}
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -236,3 +236,46 @@
 		})
 	}
 }
+
+// Guards against a live server that stays withheld though it has written its entry in the new era,
+// and against one of an earlier incarnation that replaces the current one.
+func TestEntriesOfTheNewEraAreTaken(t *testing.T) {
+	started := func(startMS int, state string) map[string]any {
+		x := storedServer(state)
+		x["born"] = startMS
+		return x
+	}
+	for name, c := range map[string]struct {
+		before, since, after map[string]any
+		want                 int64
+	}{
+		"a removed server registers again":          {before: started(5, "ready"), after: started(5, "ready"), want: 5},
+		"a removed server restarts":                 {before: started(5, "ready"), after: started(7, "ready"), want: 7},
+		"the copy holds an earlier incarnation":     {before: started(5, "ready"), since: started(7, "ready"), want: 7},
+		"the earlier incarnation was a leaving one": {before: started(5, "draining"), since: started(7, "ready"), want: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inRestoredSite(t, func(s *restoredSite) {
+				s.store.Set("servers", "i-2", c.before)
+				time.Sleep(applyTime)
+				old := s.store.Copy()
+				s.store.Remove("servers", "i-2")
+				time.Sleep(applyTime)
+				if c.since != nil {
+					s.store.Set("servers", "i-2", c.since)
+					time.Sleep(applyTime)
+				}
+				s.restore(old)
+				time.Sleep(heartbeatInterval)
+				if c.after != nil {
+					s.store.Remove("servers", "i-2")
+					s.store.Set("servers", "i-2", c.after)
+					time.Sleep(heartbeatInterval)
+				}
+				if x, ok := s.follower.Server("i-2"); !ok || x.StartMS != c.want || x.State != garnetworks.ListedLive {
+					t.Errorf("got %q, started at %d (registered: %t); want a live one started at %d", x.State, x.StartMS, ok, c.want)
+				}
+			})
+		})
+	}
+}
