leaser: a record of an earlier era proves nothing (L10)

In the world of the lease's property test, restores from recent copies put two processes under one term, each sending orders: a copy shows a released record or a former holder's own one (recognized by its WriteID) while the node that took the lease after the copy counts on it until it expires. Ruled out: the clock rules; they hold within an era.

A record now names the era it was written in. One of an earlier era, or a missing one that is not a first start's, is taken over as if it had a holder; the holder whose unexpired record it is takes it again under a new term once its orders have ended. Writes of earlier eras are not recognized any more.

--- a/faker/objects.go
+++ b/faker/objects.go
@@ -186,7 +186,7 @@
 	}
 	object, ok := o.objects[key]
 	if !ok {
-		return garnetworks.Object{}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
+		return garnetworks.Object{Revision: garnetworks.NewRevision(o.era, 0)}, garnetworks.Errorf(garnetworks.KindNotFound, "no object %q", key)
 	}
 	object.Value = bytes.Clone(object.Value)
 	return object, nil
--- a/fencer/fencer.go
+++ b/fencer/fencer.go
@@ -38,7 +38,7 @@
 // Get implements garnetworks.ObjectAPI.
 func (f *Fencer) Get(ctx context.Context, key string) (garnetworks.Object, error) {
 	object, err := f.next.Get(ctx, key)
-	if err == nil {
+	if err == nil || garnetworks.IsKind(err, garnetworks.KindNotFound) {
 		f.observe(object.Revision)
 	}
 	return object, err
--- a/fleet.go
+++ b/fleet.go
@@ -146,6 +146,9 @@
 	Duration time.Duration `json:"duration"`
 	// WriteID identifies the write (rule G11).
 	WriteID string `json:"write-id"`
+	// Era is the era of the object API in which the holder wrote the record; a lower one than
+	// that of the read shows that the record comes from a copy.
+	Era Era `json:"era,omitempty"`
 }
 
 // ZoneGrant is a zone's share of the site's power cap.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -186,7 +186,7 @@
 	})
 	l.lease, err = leaser.New(leaser.Options{
 		Self: site.Node, Key: leaseKey, Objects: objects, Settings: leaseSettings(), Recorder: events, Zone: site.Zone, MilliCPU: site.MilliCPU,
-		StartDelay: leaseDelay(site), SoleProcess: true,
+		StartDelay: leaseDelay(site), FirstStart: site.FirstStart, SoleProcess: true,
 	})
 	if err != nil {
 		return nil, err
--- a/leaser/lease.go
+++ b/leaser/lease.go
@@ -39,6 +39,8 @@
 	// at once, none knows the others yet, and without a delay the first one to read the
 	// record would hold the lease, whatever its CPU share.
 	StartDelay time.Duration
+	// FirstStart says that the site starts for the first time (L10).
+	FirstStart bool
 	// SoleProcess says that the platform starts a process of this node only after the earlier
 	// one has ended (L9).
 	SoleProcess bool
@@ -71,7 +73,7 @@
 		options.Candidates = DefaultCandidates
 	}
 	state := NewState(options.Self, options.Settings)
-	state.Candidates = options.Candidates
+	state.Candidates, state.FirstStart = options.Candidates, options.FirstStart
 	if options.SoleProcess {
 		state.SoleSince = time.Now()
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -29,6 +29,12 @@
 //	    the drift bound have passed since its own start: no order of the predecessor
 //	    is in flight any more. It takes a new term, because it does not know what the
 //	    predecessor decided.
+//	L10 In a new era of the object API, a record of an earlier one proves nothing: the
+//	    lease may have been taken after the copy, by a node that still counts on it.
+//	    It is taken over as if it had a holder, but for a holder whose lease has not
+//	    expired and whose own record it is: no other can have taken it. Each era has
+//	    terms of its own, above those of earlier ones, so that no term is given out
+//	    twice.
 //
 // Assumptions. The clocks of two nodes drift apart by less than DriftBound over one
 // lease. The monotonic clock of a stopped process continues, so L1 detects the pause. The
@@ -132,6 +138,12 @@
 	Rank       int
 	Candidates int
 
+	// Era is the newest era that a read or write returned, if EraKnown is set. EraBegan says that
+	// this node has seen it begin, and no record of it yet (L10).
+	Era                garnetworks.Era
+	EraKnown, EraBegan bool
+	// FirstStart says that the site starts for the first time: a missing record was not lost.
+	FirstStart bool
 	// Known says that Record was read or written at Revision.
 	Known    bool
 	Record   garnetworks.LeaseRecord
@@ -271,6 +283,7 @@
 	record := s.Record
 	record.Renewals++
 	record.WriteID = writeID
+	record.Era = s.Revision.Era()
 	return s.write(now, record)
 }
 
@@ -285,13 +298,24 @@
 func (s *State) acquireRecord(writeID string) garnetworks.LeaseRecord {
 	return garnetworks.LeaseRecord{
 		Holder:   s.Self,
-		Term:     max(s.Record.Term, s.HighestTerm, s.Floor) + 1,
+		Term:     max(s.Record.Term, s.HighestTerm, s.Floor, firstTerm(s.Era)) + 1,
 		Renewals: s.Record.Renewals + 1,
 		Duration: s.Settings.Duration,
 		WriteID:  writeID,
+		Era:      s.Era,
 	}
 }
 
+// termBits is the number of the low bits of a term that count the holders of one era.
+const termBits = 16
+
+// firstTerm returns the term below all those that are taken in an era (L10). Terms of eras that
+// do not fit follow the highest one known.
+func firstTerm(era garnetworks.Era) uint32 {
+	const lastEra = 1<<(32-termBits) - 1
+	return uint32(min(era, lastEra)) << termBits
+}
+
 func (s *State) releaseRecord(writeID string) garnetworks.LeaseRecord {
 	record := s.Record
 	record.Holder = ""
@@ -306,10 +330,13 @@
 	if !s.Known || now.Before(s.YieldUntil) {
 		return false
 	}
-	if s.Record.Holder == "" && s.Rank < s.Candidates {
+	if s.reacquireRevision != 0 && s.reacquireRevision == s.Revision && !now.Before(s.reacquireFrom) {
 		return true
 	}
-	if s.reacquireRevision != 0 && s.reacquireRevision == s.Revision && !now.Before(s.reacquireFrom) {
+	if s.ofEarlierEra() {
+		return s.takeoverDue()
+	}
+	if s.Record.Holder == "" && s.Rank < s.Candidates {
 		return true
 	}
 	if s.ownedByPredecessor() && !now.Before(s.reclaimAt()) {
@@ -318,6 +345,14 @@
 	return s.takeoverDue()
 }
 
+// ofEarlierEra reports whether the record, or its absence, may come from a copy (L10).
+func (s *State) ofEarlierEra() bool {
+	if s.Revision == 0 {
+		return s.EraBegan || s.Era > 0 && !s.FirstStart
+	}
+	return s.Record.Era < s.Revision.Era()
+}
+
 // ownedByPredecessor reports whether the record is that of an earlier process of this node
 // that has ended (L9).
 //
@@ -346,9 +381,13 @@
 // OnRead processes the result of a read that ended at now. jitter is between 0 and 1
 // and spreads the reads of many nodes over time.
 func (s *State) OnRead(now time.Time, record garnetworks.LeaseRecord, revision garnetworks.Revision, err error, jitter float64) {
+	era := revision.Era()
 	if garnetworks.IsKind(err, garnetworks.KindNotFound) {
 		record, revision, err = garnetworks.LeaseRecord{}, 0, nil
 	}
+	if err == nil && s.EraKnown && era < s.Era {
+		err = garnetworks.Errorf(garnetworks.KindObjectAPIDown, "the record was read in era %d, after era %d", era, s.Era)
+	}
 	if err != nil {
 		s.nextRead = now.Add(s.withJitter(s.failedReadInterval(), jitter))
 		return
@@ -356,8 +395,12 @@
 	s.mustRead = false
 	first := s.ReadAt.IsZero()
 	s.ReadAt = now
-	s.reconcile(now, record, revision)
-	if first && !s.SoleSince.IsZero() && !s.Holding && record.Holder == s.Self {
+	if s.observeEra(era) {
+		s.beginEra(now, record, revision)
+	} else {
+		s.reconcile(now, record, revision)
+	}
+	if first && !s.SoleSince.IsZero() && !s.ofEarlierEra() && !s.Holding && record.Holder == s.Self {
 		s.PredecessorTerm = record.Term
 	}
 	s.nextRead = now.Add(s.withJitter(s.readInterval(), jitter))
@@ -422,6 +465,31 @@
 	return d*3/4 + time.Duration(float64(d)*jitter/2)
 }
 
+// observeEra notes the era of a response and reports whether the node has seen it begin.
+func (s *State) observeEra(era garnetworks.Era) bool {
+	begins := s.EraKnown && era > s.Era
+	s.Era, s.EraKnown = max(s.Era, era), true
+	return begins
+}
+
+// beginEra processes the first read of a new era. The writes of earlier ones are not recognized any
+// more, since a copy may show one that another node's has replaced (L10).
+//
+// Failure: the lease changes hands, and the object API comes back from a copy from before that. The
+// former holder finds its own record, and two nodes act as holders.
+func (s *State) beginEra(now time.Time, record garnetworks.LeaseRecord, revision garnetworks.Revision) {
+	unexpired := s.Holding && Age(now, s.HeldFrom) < s.Settings.Duration && record.Holder == s.Self && record.Term == s.Record.Term
+	s.sent, s.PredecessorTerm, s.EraBegan = nil, 0, true
+	s.observe(now, record, revision)
+	s.SeenAt = now
+	s.Holding = false
+	s.Floor = max(s.Floor, s.HighestTerm)
+	if unexpired {
+		s.reacquireRevision = revision
+		s.reacquireFrom = now.Add(s.Settings.OrderBound)
+	}
+}
+
 // reconcile compares the record with the writes that this process sent (L2). A record
 // that one of them wrote is this process's own, held from when that write was sent.
 func (s *State) reconcile(now time.Time, record garnetworks.LeaseRecord, revision garnetworks.Revision) {
@@ -450,6 +518,7 @@
 	s.Known = true
 	s.Record = record
 	s.Revision = revision
+	s.EraBegan = s.EraBegan && (revision == 0 || record.Era < s.Era)
 	s.HighestTerm = max(s.HighestTerm, record.Term)
 }
 
@@ -460,6 +529,11 @@
 	}
 	write := s.sent[len(s.sent)-1]
 	if err == nil {
+		if s.observeEra(revision.Era()) {
+			// The write created the record, under a condition that was read in an earlier era.
+			s.beginEra(now, write.Record, revision)
+			return
+		}
 		s.adoptWrite(write.Record, revision, write.Started)
 		return
 	}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -38,6 +38,35 @@
 	soleProcesses bool
 	// owners maps each term to the process that acted under it.
 	owners map[uint32]*contender
+	// era is the object API's, copies its backups.
+	era    garnetworks.Era
+	number uint64
+	copies []recordCopy
+}
+
+// recordCopy is a backup of the record.
+type recordCopy struct {
+	record garnetworks.LeaseRecord
+	rev    garnetworks.Revision
+	number uint64
+	terms  uint32
+}
+
+func (w *world) copy() { w.copies = append(w.copies, recordCopy{w.record, w.rev, w.number, w.terms}) }
+
+// restore brings the object API back from one of the newest copies, in a new era.
+func (w *world) restore(rt *rapid.T) {
+	const recent = 4
+	if len(w.copies) == 0 {
+		return
+	}
+	w.copies = w.copies[max(0, len(w.copies)-recent):]
+	c := w.copies[rapid.IntRange(0, len(w.copies)-1).Draw(rt, "copy")]
+	w.era++
+	w.record, w.number, w.terms = c.record, c.number, c.terms
+	if w.rev = 0; c.rev != 0 {
+		w.rev = garnetworks.NewRevision(w.era, c.rev.Number())
+	}
 }
 
 type order struct {
@@ -66,15 +95,19 @@
 }
 
 func (w *world) put(a Action) error {
-	if a.After != w.rev {
+	if a.After.Number() != w.rev.Number() {
 		return garnetworks.Errorf(garnetworks.KindConflict, "")
 	}
-	w.rev++
+	w.number++
+	w.rev = garnetworks.NewRevision(w.era, w.number)
 	w.record = a.Record
 	if a.Record.Term < w.terms {
 		return fmt.Errorf("term %d after %d", a.Record.Term, w.terms)
 	}
 	w.terms = a.Record.Term
+	if a.After != 0 && a.After.Era() != w.era {
+		return garnetworks.Errorf(garnetworks.KindResponseLost, "")
+	}
 	return nil
 }
 
@@ -94,7 +127,11 @@
 		} else if w.rev == 0 {
 			err = garnetworks.Errorf(garnetworks.KindNotFound, "")
 		}
-		c.OnRead(now, w.record, w.rev, err, 0.5)
+		rev := w.rev
+		if rev == 0 {
+			rev = garnetworks.NewRevision(w.era, 0)
+		}
+		c.OnRead(now, w.record, rev, err, 0.5)
 	case ActionWrite:
 		w.write(rt, c, a, fault)
 	}
@@ -128,8 +165,8 @@
 	}
 }
 
-// Despite pauses, lost responses, delayed writes, restarts and clock drift, orders of two
-// terms or processes are never in flight together (L1 to L5).
+// Despite pauses, lost responses, delayed writes, restarts, clock drift and restores from copies,
+// orders of two terms or processes are never in flight together (L1 to L5, L10).
 func TestOrdersOfTwoTermsNeverOverlap(t *testing.T) {
 	for name, sole := range map[string]bool{"a predecessor may still run": false, "predecessors have ended": true} {
 		t.Run(name, func(t *testing.T) { checkOrdersNeverOverlap(t, sole) })
@@ -162,6 +199,8 @@
 				c := w.nodes[rapid.IntRange(0, 2).Draw(rt, "node")]
 				c.RaiseFloor(c.clock(w.now), w.record.Term)
 			},
+			"copy":    func(*rapid.T) { w.copy() },
+			"restore": w.restore,
 		})
 		taken += int(w.terms)
 	})
@@ -188,6 +227,7 @@
 
 func (w *world) tick(rt *rapid.T) {
 	w.now = w.now.Add(500 * time.Millisecond)
+	w.number += uint64(rapid.IntRange(0, 3).Draw(rt, "changes of other objects"))
 	for _, l := range w.late {
 		if !l.at.After(w.now) {
 			_ = w.put(l.write)
--- a/ports.go
+++ b/ports.go
@@ -23,7 +23,8 @@
 // An object API that comes back from an older copy begins a new era. All revisions that it
 // returns from then on are of that era, also those of objects that have not changed since.
 type ObjectAPI interface {
-	// Get returns the newest version of an object, or KindNotFound.
+	// Get returns the newest version of an object, or KindNotFound and an Object of which only
+	// the era of Revision is set.
 	Get(ctx context.Context, key string) (Object, error)
 	// Put writes value if the object's revision is still after; if after is 0, it creates
 	// the object. It returns KindConflict if the revision differs.
