tracker: a roster that a restored store lacks is written again (T12)

After a restore the store holds a roster from before the copy while all nodes know newer ones. By reading: the next change was applied to the stored, older nodes under a version above the known one, so nodes that had joined since were lost from every node's view until the writer had heard them again, and without a change the store kept the old roster, which is what a new node reads. Two writers that knew different versions could give one version to two rosters.

The writer of a zone now lists the rosters when an era begins (fencer calls back, also for revisions that come from other nodes), writes the known roster again if the copy lacks it, applies changes to the known nodes, and numbers versions above the era shifted by 32 bits.

TestRosterLostWithACopyIsWrittenAgain, TestNewEraIsNoticedByTheWriter; they use what this commit adds, so they were not run on the code before.

--- a/fencer/fencer.go
+++ b/fencer/fencer.go
@@ -23,6 +23,8 @@
 type Fencer struct {
 	next     garnetworks.ObjectAPI
 	recorder garnetworks.Recorder
+	// onNewEra is called with each new era; it does not change once the Fencer is in use.
+	onNewEra []func()
 
 	mu sync.Mutex
 	// era is the newest era known; valid if known is set.
@@ -35,11 +37,15 @@
 	return &Fencer{next: next, recorder: recorder}
 }
 
+// OnNewEra registers a function to call when an era has begun. It must not block, and must be
+// registered before the Fencer is used.
+func (f *Fencer) OnNewEra(do func()) { f.onNewEra = append(f.onNewEra, do) }
+
 // Get implements garnetworks.ObjectAPI.
 func (f *Fencer) Get(ctx context.Context, key string) (garnetworks.Object, error) {
 	object, err := f.next.Get(ctx, key)
 	if err == nil || garnetworks.IsKind(err, garnetworks.KindNotFound) {
-		f.observe(object.Revision)
+		f.Observe(object.Revision)
 	}
 	return object, err
 }
@@ -51,7 +57,7 @@
 	}
 	revision, err := f.next.Put(ctx, key, value, after)
 	if err == nil {
-		f.observe(revision)
+		f.Observe(revision)
 	}
 	return revision, err
 }
@@ -68,7 +74,7 @@
 func (f *Fencer) List(ctx context.Context, prefix string) ([]garnetworks.Object, garnetworks.Revision, error) {
 	objects, revision, err := f.next.List(ctx, prefix)
 	if err == nil {
-		f.observe(revision)
+		f.Observe(revision)
 	}
 	return objects, revision, err
 }
@@ -82,7 +88,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	f.observe(revision)
+	f.Observe(revision)
 	if revision.Era() != after.Era() {
 		return nil, 0, errOtherEra(prefix, after)
 	}
@@ -107,13 +113,18 @@
 	return f.known && revision.Era() < f.era
 }
 
-// observe records the era of a revision that the object API returned, if it is new.
-func (f *Fencer) observe(revision garnetworks.Revision) {
+// Observe records the era of a revision, if it is new. It is for revisions that other nodes have
+// read as well, since many nodes rarely call the object API themselves.
+func (f *Fencer) Observe(revision garnetworks.Revision) {
 	f.mu.Lock()
 	previous, known := f.era, f.known
 	f.era, f.known = max(f.era, revision.Era()), true
 	f.mu.Unlock()
-	if known && revision.Era() > previous {
-		f.recorder.Record(garnetworks.Event{Kind: garnetworks.EventObjectAPINewEra, Detail: fmt.Sprintf("it came back from an older copy: era %d after %d, now at revision %s", revision.Era(), previous, revision)})
+	if !known || revision.Era() <= previous {
+		return
+	}
+	for _, do := range f.onNewEra {
+		do()
 	}
+	f.recorder.Record(garnetworks.Event{Kind: garnetworks.EventObjectAPINewEra, Detail: fmt.Sprintf("it came back from an older copy: era %d after %d, now at revision %s", revision.Era(), previous, revision)})
 }
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -15,6 +15,7 @@
 	"github.com/garnetworks/garnetworks/carrier"
 	"github.com/garnetworks/garnetworks/distributor"
 	"github.com/garnetworks/garnetworks/exchanger"
+	"github.com/garnetworks/garnetworks/fencer"
 	"github.com/garnetworks/garnetworks/messenger"
 	"github.com/garnetworks/garnetworks/recorder"
 	"github.com/garnetworks/garnetworks/relayer"
@@ -41,7 +42,7 @@
 }
 
 // newPeers assembles the parts. The caller sets exchanger, leading and inquirer before use.
-func newPeers(options *Options, objects garnetworks.ObjectAPI, events garnetworks.Recorder, timeline *recorder.Recorder, lastResume func(time.Time) time.Time, prefixes []relayer.Prefix) (*peers, error) {
+func newPeers(options *Options, objects *fencer.Fencer, events garnetworks.Recorder, timeline *recorder.Recorder, lastResume func(time.Time) time.Time, prefixes []relayer.Prefix) (*peers, error) {
 	site := &options.Site
 	p := &peers{
 		timeline: timeline,
@@ -66,7 +67,8 @@
 		Publish: p.distributor.Publish, Hold: p.distributor.Hold,
 		Piggybackers: []tracker.Piggybacker{p.distributor}, Log: log("membership"),
 	})
-	p.relayer = relayer.New(relayer.Options{Objects: objects, Peers: p.client, Relays: p.relaysFor(options.Reader.ServerPrefix()), Fallbacks: p.fallbacks, Chained: p.hasMultipleCells, LastResume: lastResume, Prefixes: prefixes, FirstStart: site.FirstStart})
+	p.relayer = relayer.New(relayer.Options{Objects: objects, Peers: p.client, Relays: p.relaysFor(options.Reader.ServerPrefix()), Fallbacks: p.fallbacks, Chained: p.hasMultipleCells, LastResume: lastResume, Observe: objects.Observe, Prefixes: prefixes, FirstStart: site.FirstStart})
+	objects.OnNewEra(func() { p.tracker.HandleNewEra(context.Background()) })
 	var err error
 	p.server, err = messenger.NewServer(messenger.ServerOptions{Handler: &peerHandler{p}, Clock: timeline, Log: log("peer call")})
 	return p, err
--- a/relayer/ask.go
+++ b/relayer/ask.go
@@ -186,6 +186,7 @@
 	if response.Revision < after || time.Since(confirmed) >= r.caches[prefix].times.maxAge {
 		return nil, time.Time{}, true
 	}
+	r.options.Observe(response.Revision)
 	return response, confirmed, true
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -101,6 +101,8 @@
 	FirstStart bool
 	// Prefixes are those that are read through other nodes and served to them.
 	Prefixes []Prefix
+	// Observe is called with each revision that another node returns; it may be nil.
+	Observe func(revision garnetworks.Revision)
 	// Random returns values in [0, 1); nil uses math/rand/v2.
 	Random func() float64
 }
@@ -139,6 +141,9 @@
 	if options.Random == nil {
 		options.Random = rand.Float64
 	}
+	if options.Observe == nil {
+		options.Observe = func(garnetworks.Revision) {}
+	}
 	r := &Relayer{ObjectAPI: options.Objects, options: options, caches: make(map[string]*cache), failed: make(map[failureKey]failure), started: time.Now(), startFactor: options.Random()}
 	for _, p := range options.Prefixes {
 		r.caches[p.Key] = &cache{prefix: p.Key, applyTime: p.ApplyTime, times: timesFor(p.ApplyTime), changed: make(chan struct{})}
--- a/runner/join.go
+++ b/runner/join.go
@@ -84,6 +84,7 @@
 		Superseded:   func() { close(r.superseded) },
 		Log:          func(err error) { r.log.Warn("membership", "error", err) },
 	})
+	r.objects.OnNewEra(func() { r.tracker.HandleNewEra(context.Background()) })
 	r.committer = committer.New(committer.Options{
 		Node:        r.self.ID,
 		Incarnation: r.self.Incarnation,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -100,6 +100,7 @@
 
 	meter       *meter.Meter
 	timeline    *recorder.Recorder
+	objects     *fencer.Fencer
 	events      garnetworks.Recorder
 	keys        *messenger.Keys
 	traffic     messenger.Traffic
@@ -152,7 +153,8 @@
 	r.timeline = recorder.New(r.settings.Node, r.settings.EventRing)
 	r.events = r.meter.Recorder(r.timeline)
 	r.platform = options.Platform.Or(connect(r.settings))
-	r.platform.Objects = fencer.New(meter.Observe(r.meter.ObjectAPI(r.platform.Objects), r.observeObjectAPI), r.events)
+	r.objects = fencer.New(meter.Observe(r.meter.ObjectAPI(r.platform.Objects), r.observeObjectAPI), r.events)
+	r.platform.Objects = r.objects
 	r.self = r.describe(options.Program)
 	if err := r.build(options); err != nil {
 		r.closeListeners()
--- a/tracker/observation.go
+++ b/tracker/observation.go
@@ -27,6 +27,14 @@
 	}
 	// RosterLearned carries a zone's roster, read from the object API or distributed.
 	RosterLearned struct{ Roster garnetworks.Roster }
+	// OwnRosterStored carries the version of the own zone's roster in the object API, 0 if there
+	// is none, and the era in which it was read.
+	OwnRosterStored struct {
+		Version uint64
+		Era     garnetworks.Era
+	}
+	// EraBegan reports that the object API has come back from an older copy.
+	EraBegan struct{}
 	// RostersRead reports that all rosters have been read once.
 	RostersRead struct{}
 	// RosterWritten reports the result of a roster write.
@@ -49,6 +57,10 @@
 
 func (RosterLearned) observation() {}
 
+func (OwnRosterStored) observation() {}
+
+func (EraBegan) observation() {}
+
 func (RostersRead) observation() {}
 
 func (RosterWritten) observation() {}
--- a/tracker/patch.go
+++ b/tracker/patch.go
@@ -17,6 +17,8 @@
 	Remove []Removal
 	// KnownVersion is the highest version known; the new version is higher (rule T8).
 	KnownVersion uint64
+	// KnownNodes are the nodes of that version, sorted by ID.
+	KnownNodes []garnetworks.NodeInfo
 }
 
 // Removal removes a node unless it is listed with a higher incarnation.
@@ -30,6 +32,22 @@
 // Empty reports whether the patch contains no changes.
 func (p Patch) Empty() bool { return len(p.Set) == 0 && len(p.Remove) == 0 }
 
+// Restored returns the roster to patch if r was read in an era of the object API: the known one if r
+// comes from a copy that lacks it, else r (rule T12). The versions of an era are above those of
+// earlier ones.
+func (p Patch) Restored(r garnetworks.Roster, era garnetworks.Era) garnetworks.Roster {
+	if p.KnownVersion >= firstVersion(era) || r.Version >= p.KnownVersion {
+		return r
+	}
+	return garnetworks.Roster{Zone: p.Zone, Version: p.KnownVersion, Nodes: p.KnownNodes}
+}
+
+// eraShift is the number of the low bits of a version that count the changes of one era.
+const eraShift = 32
+
+// firstVersion returns the version below all those that are written in an era.
+func firstVersion(era garnetworks.Era) uint64 { return uint64(era) << eraShift }
+
 // Apply returns the patched roster and whether it differs from r.
 func (p Patch) Apply(r garnetworks.Roster) (garnetworks.Roster, bool) {
 	nodes := map[garnetworks.NodeID]garnetworks.NodeInfo{}
--- a/tracker/roster.go
+++ b/tracker/roster.go
@@ -138,7 +138,7 @@
 		patch = Patch{Zone: s.self.Zone, Set: []garnetworks.NodeInfo{s.self}}
 		rank = 0
 	}
-	if patch.Empty() {
+	if patch.Empty() && !(s.rosterLost && rank < Candidates) {
 		s.pendingSince = time.Time{}
 		return
 	}
@@ -149,7 +149,8 @@
 	if s.writing || now.Before(due) || now.Before(s.nextWrite) {
 		return
 	}
-	patch.KnownVersion = s.rosters[s.self.Zone].Version
+	known := s.rosters[s.self.Zone]
+	patch.Zone, patch.KnownVersion, patch.KnownNodes = s.self.Zone, known.Version, known.Nodes
 	s.writing = true
 	d.Write = garnetworks.Some(patch)
 }
@@ -185,7 +186,7 @@
 		s.nextWrite = now.Add(s.backoff)
 		return
 	}
-	s.backoff = 0
+	s.backoff, s.rosterLost = 0, false
 	before := s.rosters[s.self.Zone]
 	if before.Version == 0 {
 		// When a site first starts, the other zones write their rosters at the same time.
--- a/tracker/state.go
+++ b/tracker/state.go
@@ -101,6 +101,9 @@
 	// pendingSince is since when the roster needs a change; zero if it needs none.
 	pendingSince time.Time
 	writing      bool
+	// rosterLost is set if the object API came back from a copy that lacks the known roster
+	// (rule T12).
+	rosterLost bool
 	// backoff and nextWrite delay writes after failures.
 	backoff   time.Duration
 	nextWrite time.Time
@@ -149,6 +152,11 @@
 		s.handleUnanswered(now, o, &d)
 	case RosterLearned:
 		s.applyRoster(now, o.Roster, &d)
+	case OwnRosterStored:
+		known := s.rosters[s.self.Zone].Version
+		s.rosterLost = o.Version < known && known < firstVersion(o.Era)
+	case EraBegan:
+		s.nextReread = now
 	case RostersRead:
 		s.synced = true
 	case RosterWritten:
--- a/tracker/store.go
+++ b/tracker/store.go
@@ -59,18 +59,23 @@
 	bounded, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
 	t.reads.Add(1)
-	objects, _, err := t.options.Objects.List(bounded, RosterPrefix)
+	objects, revision, err := t.options.Objects.List(bounded, RosterPrefix)
 	if err != nil {
 		return errors.Wrap(err, "list rosters")
 	}
+	stored := OwnRosterStored{Era: revision.Era()}
 	for _, o := range objects {
 		roster, err := decodeRoster(o)
 		if err != nil {
 			t.options.Log(err)
 			continue
 		}
+		if roster.Zone == t.options.Self.Zone {
+			stored.Version = roster.Version
+		}
 		t.handleReadRoster(ctx, roster)
 	}
+	t.step(ctx, stored)
 	t.step(ctx, RostersRead{})
 	return nil
 }
@@ -108,14 +113,15 @@
 	}
 }
 
-// readRoster returns the zone's roster, or an empty one if there is none.
+// readRoster returns the zone's roster and its revision, or an empty one and a revision without a
+// number if there is none.
 func (t *Tracker) readRoster(ctx context.Context, zone garnetworks.ZoneID) (garnetworks.Roster, garnetworks.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
 	t.reads.Add(1)
 	object, err := t.options.Objects.Get(ctx, RosterPrefix+string(zone))
 	if garnetworks.IsKind(err, garnetworks.KindNotFound) {
-		return garnetworks.Roster{Zone: zone}, 0, nil
+		return garnetworks.Roster{Zone: zone}, object.Revision, nil
 	}
 	if err != nil {
 		return garnetworks.Roster{}, 0, err
@@ -162,10 +168,18 @@
 	if err != nil {
 		return current, err
 	}
-	next, changed := patch.Apply(current)
-	if !changed {
+	base := patch.Restored(current, revision.Era())
+	next, changed := patch.Apply(base)
+	if !changed && base.Version == current.Version {
 		return current, nil
 	}
+	if !changed {
+		next.Version++
+	}
+	next.Version = max(next.Version, firstVersion(revision.Era())+1)
+	if revision.Number() == 0 {
+		revision = 0 // the object is created
+	}
 	next.WriteID = newWriteID()
 	body, err := json.Marshal(next)
 	if err != nil {
--- a/tracker/store_test.go
+++ b/tracker/store_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/faker"
@@ -133,3 +134,102 @@
 	}
 	return roster
 }
+
+// Guards against a node that is lost from the roster, or a version that is given to two rosters,
+// when a roster is written after the object API came back from an older copy.
+func TestRosterLostWithACopyIsWrittenAgain(t *testing.T) {
+	node := func(id garnetworks.NodeID) garnetworks.NodeInfo {
+		return garnetworks.NodeInfo{ID: id, Incarnation: 5, Zone: "zone-0"}
+	}
+	for name, test := range map[string]struct {
+		// stored says that the copy holds a first roster of a alone.
+		stored   bool
+		restores int
+		// patch adds d; a patch without changes is what the first writer sends on its own.
+		patch bool
+		want  []string
+	}{
+		"no change, the copy has an older roster": {stored: true, restores: 1, want: []string{"a#5", "b#5", "c#5"}},
+		"no change, the copy has none":            {restores: 1, want: []string{"a#5", "b#5", "c#5"}},
+		"a change, the copy has an older roster":  {stored: true, restores: 1, patch: true, want: []string{"a#5", "b#5", "c#5", "d#5"}},
+		"a change after two restores":             {stored: true, restores: 2, patch: true, want: []string{"a#5", "b#5", "c#5", "d#5"}},
+		"a change, the copy has none":             {restores: 1, patch: true, want: []string{"a#5", "b#5", "c#5", "d#5"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			objects := faker.NewObjects(faker.ObjectsOptions{})
+			if test.stored {
+				changeRoster(t, objects, func(r *garnetworks.Roster) { r.Nodes = []garnetworks.NodeInfo{node("a")} })
+			}
+			old := objects.Copy()
+			known := changeRoster(t, objects, func(r *garnetworks.Roster) { r.Nodes = []garnetworks.NodeInfo{node("a"), node("b"), node("c")} })
+			for range test.restores {
+				objects.Restore(old)
+			}
+			patch := Patch{Zone: "zone-0", KnownVersion: known.Version, KnownNodes: known.Nodes}
+			if test.patch {
+				patch.Set = []garnetworks.NodeInfo{node("d")}
+			}
+			written, err := New(Options{Self: node("a"), Objects: objects}).storePatch(t.Context(), patch)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stored := changeRoster(t, objects, nil)
+			if !slices.Equal(names(stored.Nodes), test.want) || stored.WriteID != written.WriteID {
+				t.Errorf("stored %v, want %v", names(stored.Nodes), test.want)
+			}
+			if stored.Version <= known.Version || stored.Version <= firstVersion(garnetworks.Era(test.restores)) {
+				t.Errorf("version %d in era %d after version %d", stored.Version, test.restores, known.Version)
+			}
+			again, err := New(Options{Self: node("a"), Objects: objects}).storePatch(t.Context(), patch)
+			if err != nil || again.Version != stored.Version {
+				t.Errorf("another writer stored version %d after %d, %v", again.Version, stored.Version, err)
+			}
+		})
+	}
+}
+
+// Guards against a roster that stays lost until the next change because no node lists the rosters
+// in a new era, and against a list by each node.
+func TestNewEraIsNoticedByTheWriter(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	nodes := []garnetworks.NodeInfo{{ID: "a", Incarnation: 5, Address: "a", Zone: "z"}, {ID: "b", Incarnation: 5, Address: "b", Zone: "z"}}
+	for name, c := range map[string]struct {
+		self    int
+		lists   bool
+		version uint64
+		era     garnetworks.Era
+		writes  bool
+	}{
+		"the first writer":              {self: 0, lists: true, version: 3, era: 1, writes: true},
+		"no roster in the copy":         {self: 0, lists: true, era: 1, writes: true},
+		"a lagging replica, same era":   {self: 0, lists: true, version: 3, era: 0},
+		"the copy holds it":             {self: 0, lists: true, version: 7, era: 1},
+		"already written again":         {self: 0, lists: true, version: 1<<eraShift + 1, era: 1},
+		"another node of the same zone": {self: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewState(nodes[c.self], nil, now)
+			s.Step(now, RosterLearned{Roster: garnetworks.Roster{Zone: "z", Version: 7, Nodes: nodes}})
+			s.Step(now, RostersRead{})
+			other := nodes[1-c.self]
+			s.Step(now, Answered{Node: other, From: other})
+			s.Step(now, EraBegan{})
+			if d := s.Step(now, Ticked{}); d.Reread != c.lists {
+				t.Fatalf("lists the rosters: %t, want %t", d.Reread, c.lists)
+			}
+			if !c.lists {
+				return
+			}
+			s.Step(now, OwnRosterStored{Version: c.version, Era: c.era})
+			wrote := false
+			for range 40 {
+				now = now.Add(TickInterval)
+				s.Step(now, Answered{Node: other, From: other})
+				wrote = wrote || s.Step(now, Ticked{}).Write.Present
+			}
+			if wrote != c.writes {
+				t.Errorf("writes the roster: %t, want %t", wrote, c.writes)
+			}
+		})
+	}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -37,6 +37,10 @@
 //	T11 A node answers the heartbeat of an unlisted node with the first few nodes of
 //	    that node's zone that it knows, so that nodes which know only the seeds find
 //	    the writers of their roster, and not each of them writes it.
+//	T12 When the object API has come back from an older copy, one node of each zone
+//	    lists the rosters, and the known one is written again if the copy lacks it.
+//	    Versions of the new era are above all earlier ones, so that no version is
+//	    given to two rosters.
 package tracker
 
 import (
@@ -310,6 +314,9 @@
 	t.step(ctx, RosterLearned{Roster: roster})
 }
 
+// HandleNewEra lists the rosters if this node does so for its zone (rule T12).
+func (t *Tracker) HandleNewEra(ctx context.Context) { t.step(ctx, EraBegan{}) }
+
 // SetReady sets whether this node takes calls.
 func (t *Tracker) SetReady(ctx context.Context, ready bool) {
 	t.step(ctx, ReadySet{Ready: ready})
