claimer: claims that a restored store lacks are written again (C12)

A restored store lacks the claims since its copy, so a second call with the same idempotency key could be granted and run. The guard against it refused a shard until its revision had passed the highest one seen: claims were refused for seconds, and granted after that all the same; a node that had not seen the shard granted them at once. With eras it would not have refused at all.

Nodes now write again what their cached shards and their running calls show, grant and release nothing for 2 s after they learn of an era (refused at once, with Retry-After), and look for a new era while they know of claims younger than 30 s. An answer whose revision is of an earlier era can be deleted again.

TestClaimLostWithACopyIsNotGrantedTwice: with the records not written again (trial) all eight cases grant the key to a second call; all pass now. TestClaimsAreGrantedAfterTheHold is new, TestRestoredStore unchanged.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -76,13 +76,15 @@
 
 	mu    sync.Mutex
 	nodes []garnetworks.NodeInfo
+	// open holds the claims of the calls that this node runs (rule C12).
+	open map[Digest]Op
 }
 
 var _ garnetworks.Claimer = (*Claimer)(nil)
 
 // New returns a claimer; call Run to start it.
 func New(options Options) *Claimer {
-	c := &Claimer{options: options.withDefaults()}
+	c := &Claimer{options: options.withDefaults(), open: make(map[Digest]Op)}
 	for i := range c.workers {
 		c.workers[i] = newWorker(c, i)
 	}
@@ -96,6 +98,7 @@
 	for _, w := range c.workers {
 		running.Go(func() { w.run(ctx) })
 	}
+	running.Go(func() { c.watchEra(ctx) })
 	running.Wait()
 	return ctx.Err()
 }
@@ -143,6 +146,7 @@
 		c.worker(op.Key).submit(claimOp(OpRelease, &request)) // rules C4, C6
 		return garnetworks.ClaimResult{}, unavailable("the claim came after the call's end")
 	}
+	c.setOpen(&op, true)
 	return garnetworks.ClaimResult{Claim: claim}, nil
 }
 
@@ -170,6 +174,7 @@
 // until ctx ends.
 func (c *Claimer) submitOutcome(ctx context.Context, op Op) error {
 	t := c.worker(op.Key).submit(op)
+	c.setOpen(&op, false)
 	select {
 	case <-t.done:
 	case <-ctx.Done():
--- a/claimer/commit.go
+++ b/claimer/commit.go
@@ -22,8 +22,11 @@
 	if err := w.load(ctx, ops); err != nil {
 		return nil, err
 	}
+	if w.holds(group) {
+		return nil, garnetworks.Errorf(garnetworks.KindConflict, "claims of shard %d are held until those of earlier eras are written again", w.number)
+	}
 	next, results, changed := w.shard.Apply(time.Now(), w.lookup, ops)
-	if changed {
+	if changed || w.lost != nil {
 		return results, w.write(ctx, next, group)
 	}
 	if w.readSequence >= newest {
@@ -60,6 +63,7 @@
 	w.writes.Add(1)
 	w.bytes.Store(int64(len(value)))
 	w.setShard(next, revision, newest)
+	w.lost = nil
 	return nil
 }
 
@@ -87,6 +91,8 @@
 // setShard stores a state that was in the store after the ticket numbered readSequence.
 func (w *worker) setShard(s *Shard, revision garnetworks.Revision, readSequence uint64) {
 	w.shard, w.revision, w.readSequence, w.loadedAt = s, revision, readSequence, time.Now()
+	w.latest = s
+	w.changedAt.Store(w.loadedAt.UnixNano())
 	w.highestRevision = max(w.highestRevision, revision)
 }
 
@@ -125,24 +131,28 @@
 func (w *worker) read(ctx context.Context) error {
 	newest := w.latestSequence()
 	object, err := w.get(ctx, shardKey(w.number))
+	revision, era := object.Revision, object.Revision.Era()
 	if garnetworks.IsKind(err, garnetworks.KindNotFound) {
-		object, err = garnetworks.Object{}, nil
+		revision, err = 0, nil
 	}
 	if err != nil {
 		return err
 	}
-	// A store restored from a backup has lost claims. Granting their keys again could run
-	// a call twice, so claims are refused.
-	if object.Revision < w.highestRevision {
-		return garnetworks.Errorf(garnetworks.KindObjectAPIDown, "claims of shard %d went back from revision %d to %d", w.number, w.highestRevision, object.Revision)
+	// Granting the keys of claims that an older state lacks could run a call twice.
+	if w.eraKnown && (era < w.era || era == w.era && revision < w.highestRevision) {
+		return garnetworks.Errorf(garnetworks.KindObjectAPIDown, "claims of shard %d went back from revision %s to %s", w.number, w.highestRevision, object.Revision)
 	}
 	s := &Shard{Number: w.number}
-	if object.Revision > 0 {
+	if revision > 0 {
 		if err := decode(object.Value, s); err != nil {
 			return err
 		}
 	}
-	w.setShard(s, object.Revision, newest)
+	w.observeEra(era)
+	if w.lost != nil && !s.restore(w.lost) {
+		w.lost = nil
+	}
+	w.setShard(s, revision, newest)
 	return nil
 }
 
--- a/claimer/doc.go
+++ b/claimer/doc.go
@@ -37,4 +37,11 @@
 //	C11 A full shard refuses new claims before it uses the space reserved for
 //	    completions. An answer that does not fit is dropped; the record that the
 //	    call completed never is.
+//	C12 In a new era of the object API, records written since the copy are gone. Each
+//	    node writes those again that it knows from a cached shard, and the claims of
+//	    the calls that it runs. A node grants and releases nothing for EraHold after
+//	    it has learned of an era, so that the others have done so, and looks for a
+//	    new era as long as it knows of claims that a copy may lack. Claims are lost
+//	    only if the nodes that received, committed and read them have all ended, or
+//	    do not reach the object API within EraHold.
 package claimer
--- a/claimer/mover.go
+++ b/claimer/mover.go
@@ -90,7 +90,7 @@
 	for i := range records {
 		r := &records[i]
 		call, cancel := context.WithTimeout(ctx, w.claimer.options.CallTimeout)
-		err := w.claimer.options.API.Delete(call, answerKey(r.Key, r.Call), r.Answer.Revision)
+		err := w.deleteAnswer(call, r)
 		cancel()
 		if err != nil && !garnetworks.IsKind(err, garnetworks.KindNotFound) {
 			return err
@@ -98,3 +98,18 @@
 	}
 	return nil
 }
+
+// deleteAnswer deletes a record's stored answer, if there is one.
+func (w *worker) deleteAnswer(ctx context.Context, r *Record) error {
+	api, key := w.claimer.options.API, answerKey(r.Key, r.Call)
+	err := api.Delete(ctx, key, r.Answer.Revision)
+	if !garnetworks.IsKind(err, garnetworks.KindConflict) {
+		return err
+	}
+	// The revision is of an earlier era. The key names the call, so the object is its answer.
+	object, err := api.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	return api.Delete(ctx, key, object.Revision)
+}
--- a/claimer/worker.go
+++ b/claimer/worker.go
@@ -24,9 +24,14 @@
 	readSequence uint64
 	// loadedAt is when the state was read or written.
 	loadedAt time.Time
-	// highestRevision is the highest revision ever seen.
+	// highestRevision is the highest revision seen in the era, which is known if eraKnown is set.
 	highestRevision garnetworks.Revision
-	buckets         map[int]cachedBucket
+	era             garnetworks.Era
+	eraKnown        bool
+	// latest is the newest state seen or written; nil if none. lost is that of an earlier era
+	// whose records are not written again yet (rule C12).
+	latest, lost *Shard
+	buckets      map[int]cachedBucket
 	// nextWrite is the earliest time of the next write (rule C8).
 	nextWrite time.Time
 	// conflicts counts consecutive conflicts.
@@ -40,6 +45,10 @@
 	writes, conflicted, failed, forwarded, bucketWrites atomic.Uint64
 	// bytes is the size of the shard's value when it was last written.
 	bytes atomic.Int64
+	// newEra requests that the shard be read because an era has begun. changedAt is when its
+	// state was last written or read, in Unix nanoseconds.
+	newEra    atomic.Bool
+	changedAt atomic.Int64
 
 	mu      sync.Mutex
 	pending []*ticket
@@ -50,7 +59,9 @@
 	// failures counts consecutive failed commits; retryAt ends the backoff after them.
 	failures int
 	retryAt  time.Time
-	stopped  bool
+	// holdUntil is until when claims are neither granted nor released (rule C12).
+	holdUntil time.Time
+	stopped   bool
 }
 
 type cachedBucket struct {
@@ -123,6 +134,8 @@
 	switch {
 	case w.stopped:
 		return garnetworks.Errorf(garnetworks.KindShuttingDown, "the node takes no more claims")
+	case t.op.Kind == OpClaim && now.Before(w.holdUntil):
+		return w.heldError(now)
 	case w.failures >= refuseAfterFailures && now.Before(w.retryAt):
 		return unavailable("the object API does not answer")
 	case len(w.pending) >= maxPending:
@@ -181,6 +194,9 @@
 			return
 		case <-w.wake:
 		}
+		if w.newEra.Swap(false) {
+			w.writeLost(ctx)
+		}
 		for ctx.Err() == nil && w.hasPending() {
 			w.waitForTurn(ctx)
 			w.commitGroup(ctx, w.takeGroup())
@@ -203,9 +219,10 @@
 	defer w.mu.Unlock()
 	w.pending = prune(w.pending)
 	anyInDoubt := slices.ContainsFunc(w.pending, func(t *ticket) bool { return t.inDoubt })
+	held := time.Now().Before(w.holdUntil)
 	var group, rest []*ticket
 	for _, t := range w.pending {
-		if anyInDoubt && !t.inDoubt && t.op.Kind == OpClaim {
+		if held && (t.op.Kind == OpClaim || t.op.Kind == OpRelease) || anyInDoubt && !t.inDoubt && t.op.Kind == OpClaim {
 			rest = append(rest, t)
 			continue
 		}
@@ -229,6 +246,7 @@
 // commitGroup makes one attempt to commit a group.
 func (w *worker) commitGroup(ctx context.Context, group []*ticket) {
 	if len(group) == 0 {
+		sleep(ctx, heldPoll)
 		return
 	}
 	group = w.forward(ctx, group)
--- a/runner/join.go
+++ b/runner/join.go
@@ -31,6 +31,7 @@
 		Forwarder: garnetworks.Some[claimer.Forwarder](claimer.PeerForwarder{Peers: r.client}),
 		Recorder:  r.events,
 	})
+	r.objects.OnNewEra(r.claimer.HandleNewEra)
 	r.prober = prober.New(prober.Options{
 		Node:     r.self.ID,
 		Peers:    garnetworks.Some[garnetworks.ConfirmCaller](r.client),
