quarantiner: records are written again if a restored store has no object

A store restored from a copy from before the first record has no object of quarantined calls, and the nodes that know of them took them for stored, so nodes that start later let the calls through. An empty list now forgets what counts as stored.

--- a/quarantiner/keeper.go
+++ b/quarantiner/keeper.go
@@ -138,6 +138,9 @@
 		objects, next, err := q.read(ctx, listed, revision)
 		switch {
 		case err == nil:
+			if !listed && len(objects) == 0 {
+				q.forgetStored()
+			}
 			listed, revision, failures = true, next, 0
 			q.mergeObjects(objects)
 		case garnetworks.IsKind(err, garnetworks.KindCompacted) && listed:
@@ -171,6 +174,16 @@
 	}
 }
 
+// forgetStored notes that the object does not exist, so that the records are written again.
+//
+// Failure: the object API comes back from a copy from before the first record. New nodes learn of no
+// quarantine, while those that know of it take it for stored.
+func (q *Quarantiner) forgetStored() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	clear(q.stored)
+}
+
 func (q *Quarantiner) publish(value []byte, revision garnetworks.Revision) {
 	if q.options.Publish != nil {
 		q.options.Publish(value, revision)
--- a/quarantiner/site_test.go
+++ b/quarantiner/site_test.go
@@ -288,6 +288,32 @@
 			time.Sleep(time.Minute)
 			s.set(last, func(n *node) { n.partition = 0 })
 		},
+		"the object API is restored from a copy without it, then all are killed": func(s *site) {
+			old := s.objects.Copy()
+			s.crash(s.all()[0], attempts)
+			s.crash(s.all()[1], attempts)
+			time.Sleep(propagationTime)
+			s.objects.Restore(old)
+			time.Sleep(quarantiner.DefaultReadWait)
+			for _, n := range s.all() {
+				s.kill(n)
+				s.start(0)
+			}
+		},
+		"the object API is restored twice from a copy with a part of it": func(s *site) {
+			s.crash(s.all()[0], attempts)
+			time.Sleep(propagationTime)
+			old := s.objects.Copy()
+			s.crash(s.all()[1], attempts)
+			time.Sleep(propagationTime)
+			s.objects.Restore(old)
+			s.objects.Restore(old)
+			time.Sleep(quarantiner.DefaultReadWait)
+			for _, n := range s.all() {
+				s.kill(n)
+				s.start(0)
+			}
+		},
 		"the node that saw it does not reach the object API": func(s *site) {
 			first := s.all()[0]
 			s.set(first, func(n *node) { n.noObjectAPI = true })
