platform, gateway, splicer: bytes that are no answer and have no end

A server in trouble may send bytes that are no answer without end, in a head or a body, until its caller closes. The headers of an answer were read without a limit: one call allocated 1.5 GB for noise, 0.9 GB for header lines, 2.0 GB for one header line, until its deadline; an event without end was buffered and searched from its start with each piece (66 MB in a call).

An incomplete event of over 256 KiB ends the attempt.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/garnetworks/garnetworks"
@@ -58,6 +59,10 @@
 	// number ends them after their headers.
 	Unframed bool
 	EndAfter int
+	// Endless sends bytes without end in place of answers to calls, until the caller closes the
+	// connection; EndlessPause is the pause between two pieces of them.
+	Endless      EndlessKind
+	EndlessPause time.Duration
 }
 
 // Run records a call that a backend ran.
@@ -114,6 +119,8 @@
 	// startedAt is the reported start time in Unix milliseconds; 0 reports none.
 	startedAt int64
 	stopped   bool
+
+	endlessBytes atomic.Int64
 }
 
 // NewBackend starts a backend and registers it in the store, unless store is nil.
@@ -326,6 +333,10 @@
 		b.blocker.block(r)
 		return
 	}
+	if f.Endless != "" {
+		b.sendEndless(w, r, f)
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	run := Run{
 		ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), At: time.Now(),
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -20,6 +20,10 @@
 	// maxBufferedBytes limits a response that is read completely before it is sent to the
 	// client, so that an interrupted call can be repeated.
 	maxBufferedBytes = 8 << 20
+	// maxRefusalBytes and refusalReadTime limit reading the body of a refusal, which is only read
+	// so that its connection can be used again.
+	maxRefusalBytes = 4 << 10
+	refusalReadTime = 50 * time.Millisecond
 	// maxFreeAttempts limits the attempts that do not count against the route's limit.
 	maxFreeAttempts = 4
 	// attemptFraction is the fraction of the remaining time that an attempt gets if more
@@ -210,22 +214,35 @@
 		return nil, asAttemptError(err)
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	switch {
 	case answer.NotRun && answer.Status == http.StatusMisdirectedRequest:
+		readRefusal(answer)
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, Cause: errMisdirected}
 	case answer.NotRun:
+		readRefusal(answer)
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseRefused, RetryAfter: answer.RetryAfter, Cause: errors.Errorf("refused with status %d", answer.Status)}
+	case !answer.FromServer || answer.Header.Get("Content-Encoding") != "":
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseHeaders, Cause: errors.Errorf("an answer with status %d is not a server's own", answer.Status)}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	switch {
 	case err != nil:
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err}
 	case len(body) > maxBufferedBytes:
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: errors.New("the response is too large")}
-	case !answer.FromServer || answer.Header.Get("Content-Encoding") != "":
-		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseHeaders, Cause: errors.Errorf("an answer with status %d is not a server's own", answer.Status)}
 	}
 	return &bufferedResponse{answer, body}, nil
 }
 
+// readRefusal reads the body of a refusal to its end, unless it is too long or too slow.
+func readRefusal(answer *garnetworks.ProxiedResponse) {
+	if body, ok := answer.Body.(interface{ SetReadDeadline(at time.Time) error }); ok && body.SetReadDeadline(time.Now().Add(refusalReadTime)) != nil {
+		return
+	}
+	// An error only costs the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRefusalBytes))
+}
+
 func asAttemptError(err error) *garnetworks.AttemptError {
 	var a *garnetworks.AttemptError
 	if errors.As(err, &a) {
--- a/splicer/splicer.go
+++ b/splicer/splicer.go
@@ -8,6 +8,8 @@
 //	S3  An event whose number leaves a gap ends the answer as interrupted: a
 //	    client learns of a missing piece by an interrupted answer, never by an
 //	    answer that looks complete.
+//	S4  An incomplete event of more than MaxEventBytes ends the attempt: a server
+//	    in trouble may send bytes without end.
 package splicer
 
 import (
@@ -17,6 +19,12 @@
 	"github.com/pkg/errors"
 )
 
+// MaxEventBytes is the size of the largest event.
+const MaxEventBytes = 256 << 10
+
+// ErrTooLarge reports that an event is larger than MaxEventBytes.
+var ErrTooLarge = errors.New("an event of the stream has no end")
+
 // ErrGap reports that events are missing between two attempts.
 var ErrGap = errors.New("an event of the stream is missing")
 
@@ -68,6 +76,9 @@
 		}
 	}
 	s.buffer = append(s.buffer[:0], rest...)
+	if len(s.buffer) > MaxEventBytes {
+		return out, ErrTooLarge
+	}
 	return out, nil
 }
 
