former: groups of an evacuated zone do not count as serving

Cause, as suspected there: all groups of the site were counted where instances are divided between the models, although those of an evacuated zone get no calls. Counts and instances now leave out evacuated zones; what such a zone lost is still replaced by the counts of the whole site (O10).

TestGroupsOfEvacuatedZoneDoNotCountAsServing failed before (the zone that gets all calls keeps its four small groups and no large one) and passes; the package's other tests pass.

--- a/former/balance_test.go
+++ b/former/balance_test.go
@@ -181,6 +181,37 @@
 	}
 }
 
+// Guards against a model that stays without groups because those of an evacuated zone count as
+// serving.
+func TestGroupsOfEvacuatedZoneDoNotCountAsServing(t *testing.T) {
+	w := newSimulation(2, 12)
+	w.profile.Models[0].InitialShare, w.profile.Models[1].InitialShare = 0.4, 0.6
+	w.run(40 * time.Second)
+	evacuated, other := garnetworks.DomainID("d0"), garnetworks.DomainID("d1")
+	if len(w.groupsOf(other, "large")) > 0 {
+		evacuated, other = other, evacuated
+	}
+	for _, e := range w.engines {
+		e.Zone = garnetworks.ZoneID(e.Domain)
+		e.Staged = []garnetworks.ModelName{"large", "small"}
+	}
+	if large, small := len(w.groupsOf(evacuated, "large")), len(w.groupsOf(other, "small")); large == 0 || small < 2 {
+		t.Fatalf("%d large groups in one zone, %d small ones in the other", large, small)
+	}
+	kept := w.groupsOf(evacuated, "large")
+	w.evacuated = garnetworks.NewSet(garnetworks.ZoneID(evacuated))
+	w.run(60 * time.Second)
+	checkRules(t, w)
+	if len(w.groupsOf(other, "large")) == 0 {
+		t.Errorf("the zone that gets all calls has only small groups: %v", w.groupsOf(other, "small"))
+	}
+	for id := range kept {
+		if !w.groupsOf(evacuated, "large").Has(id) {
+			t.Errorf("group %s of the evacuated zone was closed", id)
+		}
+	}
+}
+
 // groupsOf returns the groups of a model that the engines of a domain are in.
 func (w *simulation) groupsOf(domain garnetworks.DomainID, model garnetworks.ModelName) garnetworks.Set[garnetworks.GroupID] {
 	ids := make(garnetworks.Set[garnetworks.GroupID])
--- a/former/formation.go
+++ b/former/formation.go
@@ -155,7 +155,7 @@
 
 // formGroups orders new groups while a domain has enough free instances.
 func (r *plan) formGroups() {
-	counts := r.groupCounts()
+	counts := r.servingCounts()
 	free := r.free()
 	for domain := range free {
 		if r.pendingLeaves.Has(domain) {
@@ -163,6 +163,19 @@
 		}
 	}
 	r.reallocateGroups(free, counts)
+	evacuated := make(map[garnetworks.DomainID][]garnetworks.RegisteredServer)
+	for domain := range r.evacuatedDomains() {
+		if servers, ok := free[domain]; ok {
+			evacuated[domain] = servers
+			delete(free, domain)
+		}
+	}
+	r.formGroupsOf(free, counts)
+	r.formGroupsOf(evacuated, r.groupCounts()) // rule O10
+}
+
+// formGroupsOf orders new groups of the free instances of some domains.
+func (r *plan) formGroupsOf(free map[garnetworks.DomainID][]garnetworks.RegisteredServer, counts map[garnetworks.ModelName]int) {
 	for {
 		domain, model := r.nextGroup(free, counts)
 		if model == nil {
@@ -198,16 +211,28 @@
 	}
 }
 
-// groupCounts returns the number of groups of each model that serve or are being formed.
-func (r *plan) groupCounts() map[garnetworks.ModelName]int {
+// groupCounts returns the number of groups of each model that are ready or being formed, those of
+// evacuated zones included.
+func (r *plan) groupCounts() map[garnetworks.ModelName]int { return r.countGroups(nil) }
+
+// servingCounts returns the number of groups of each model that serve or are being formed.
+//
+// Failure: a zone is evacuated that holds most groups of a model. While its groups count, that model
+// gets no more of the other zones' instances, and its calls wait for the few groups there.
+func (r *plan) servingCounts() map[garnetworks.ModelName]int {
+	return r.countGroups(r.evacuatedDomains())
+}
+
+// countGroups returns the number of groups of each model outside some domains.
+func (r *plan) countGroups(without garnetworks.Set[garnetworks.DomainID]) map[garnetworks.ModelName]int {
 	counts := make(map[garnetworks.ModelName]int)
 	for i := range r.groups {
-		if g := &r.groups[i]; g.Serves() && r.formations[g.ID] == nil && (g.Complete && !r.hasUnresponsive(g) || r.Progressing.Has(g.ID)) {
+		if g := &r.groups[i]; !without.Has(g.Members[0].Domain) && g.Serves() && r.formations[g.ID] == nil && (g.Complete && !r.hasUnresponsive(g) || r.Progressing.Has(g.ID)) {
 			counts[g.Model]++
 		}
 	}
 	for _, f := range r.formations {
-		if !f.prewarms {
+		if !f.prewarms && !without.Has(r.Servers[f.members[0].Instance].Domain) {
 			counts[f.model]++
 		}
 	}
--- a/former/planner.go
+++ b/former/planner.go
@@ -173,7 +173,7 @@
 	}
 	r.detectPartitions()
 	r.groups = Observe(in.Servers, in.Service, Sizes(in.Profile))
-	r.counts = r.groupCounts()
+	r.counts = r.servingCounts()
 	r.sharesChanged = r.apportioner.Update(now, apportioner.Input{
 		Profile: in.Profile, Demands: in.Demands, Groups: r.counts, Instances: r.usableCount(),
 	})
@@ -195,11 +195,11 @@
 	return s.Service == r.Service && s.State == garnetworks.ListedLive && !r.Unresponsive.Has(s.Incarnation()) && !r.now.Before(r.excluded[s.Incarnation()])
 }
 
-// usableCount returns the number of instances that may be in groups.
+// usableCount returns the number of instances that may be in groups that get calls.
 func (r *plan) usableCount() int {
 	n := 0
 	for _, s := range r.Servers {
-		if r.usable(&s) {
+		if r.usable(&s) && !r.Evacuated.Has(s.Zone) {
 			n++
 		}
 	}
