relayer: a starting node gets the newest configuration that its relay knows (Y9)

A node that starts between the return of a restored store and the operator's next write read the copy's configuration, with a key that had been revoked since, though all running nodes knew the newer one. A relay now keeps the newer of two versions of the configuration, compared by their version, under the revision of the new era, and passes that on. A node that finds no relay still reads the store alone.

TestStartingNodeGetsTheNewestKnownConfiguration failed without it (version 1, 2 wanted, after one restore and two) and passes.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -172,7 +172,7 @@
 	clocks := timekeeper.New()
 	var err error
 	prefixes := []relayer.Prefix{
-		{Key: options.Reader.RoutingKey(), ApplyTime: site.Bounds.ApplyTime},
+		{Key: options.Reader.RoutingKey(), ApplyTime: site.Bounds.ApplyTime, Supersedes: newerRouting(options.Reader)},
 		{Key: options.Reader.ServerPrefix(), ApplyTime: min(site.Bounds.ApplyTime, site.Bounds.LeavingTime)},
 		{Key: options.Reader.EvacuationPrefix(), ApplyTime: site.Bounds.EvacuationTime},
 	}
@@ -242,6 +242,15 @@
 	l.gateway.SetPeerLoad(others, known)
 }
 
+// newerRouting returns a function that compares two routings by their versions.
+func newerRouting(reader garnetworks.SiteReader) func(known, other garnetworks.Object) bool {
+	return func(known, other garnetworks.Object) bool {
+		k, knownErr := reader.ReadRouting(known.Value)
+		o, otherErr := reader.ReadRouting(other.Value)
+		return knownErr == nil && otherErr == nil && k.Version > o.Version
+	}
+}
+
 // recordApportioned exports what the models of a service need; states is empty when this node does
 // not form groups.
 func (l *Launcher) recordApportioned(states []apportioner.ModelState) {
--- a/relayer/cache.go
+++ b/relayer/cache.go
@@ -10,11 +10,12 @@
 )
 
 // cache holds the objects under a prefix and the state of the calls that read them. Relayer.mu
-// guards all fields but the first three, which don't change.
+// guards all fields but the first four, which don't change.
 type cache struct {
-	prefix    string
-	applyTime time.Duration
-	times     times
+	prefix     string
+	applyTime  time.Duration
+	supersedes func(known, other garnetworks.Object) bool
+	times      times
 
 	objects map[string]garnetworks.Object
 	// history holds the changes since historyStart, sorted by revision. tombstones maps the keys
@@ -59,9 +60,10 @@
 	if revision < c.revision {
 		return
 	}
+	known := c.objects
 	c.objects = make(map[string]garnetworks.Object, len(objects))
 	for _, o := range objects {
-		c.objects[o.Key] = o
+		c.objects[o.Key] = c.newer(known, o)
 	}
 	c.history, c.tombstones, c.historyStart = nil, make(map[string]garnetworks.Revision), revision
 	c.advance(revision, confirmed)
@@ -80,7 +82,7 @@
 			o.Revision = max(o.Revision, c.revision+1)
 			c.tombstones[o.Key] = o.Revision
 		} else {
-			c.objects[o.Key] = o
+			c.objects[o.Key] = c.newer(c.objects, o)
 			delete(c.tombstones, o.Key)
 		}
 		c.recordChange(change{o.Revision, o.Key})
@@ -89,6 +91,18 @@
 	c.advance(revision, confirmed)
 }
 
+// newer returns an object, or the known version of it, under the object's revision, if that one goes
+// before it (rule Y9).
+//
+// Failure: the object API comes back from a copy from before a key was revoked. A node that starts
+// then accepts the key until the configuration is written again, though its relay does not.
+func (c *cache) newer(known map[string]garnetworks.Object, o garnetworks.Object) garnetworks.Object {
+	if k, ok := known[o.Key]; ok && c.supersedes != nil && c.supersedes(k, o) {
+		o.Value = k.Value
+	}
+	return o
+}
+
 // recordChange adds a change to the history. Those of one response are nearly in order.
 func (c *cache) recordChange(x change) {
 	at := len(c.history)
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -29,4 +29,7 @@
 //	    often as one with followers for a while, so that its contents are fresh.
 //	Y8  The maximum age and the waits of a prefix grow with the time within which its
 //	    changes must apply, so that idle traffic does not exceed what the bound needs.
+//	Y9  A node passes on the newest version of an object that it knows, where versions
+//	    are ordered by more than revisions, although an object API that came back
+//	    from an older copy returns an older one.
 package relayer
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -112,6 +112,9 @@
 	Key string
 	// ApplyTime is the time within which the site expects changes under the prefix to apply.
 	ApplyTime time.Duration
+	// Supersedes reports whether a known version of an object goes before another one whatever their
+	// revisions; it may be nil.
+	Supersedes func(known, other garnetworks.Object) bool
 }
 
 // Relayer is an object API whose lists and watches of some prefixes go through other nodes. It
@@ -146,7 +149,7 @@
 	}
 	r := &Relayer{ObjectAPI: options.Objects, options: options, caches: make(map[string]*cache), failed: make(map[failureKey]failure), started: time.Now(), startFactor: options.Random()}
 	for _, p := range options.Prefixes {
-		r.caches[p.Key] = &cache{prefix: p.Key, applyTime: p.ApplyTime, times: timesFor(p.ApplyTime), changed: make(chan struct{})}
+		r.caches[p.Key] = &cache{prefix: p.Key, applyTime: p.ApplyTime, supersedes: p.Supersedes, times: timesFor(p.ApplyTime), changed: make(chan struct{})}
 	}
 	return r
 }
--- /dev/null
+++ b/relayer/restore_test.go
@@ -0,0 +1,68 @@
+package relayer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/faker"
+	"github.com/garnetworks/garnetworks/relayer"
+)
+
+// Guards against a node that starts after the object API came back from an older copy, and gets the
+// copy's configuration from a relay that knows a newer one.
+func TestStartingNodeGetsTheNewestKnownConfiguration(t *testing.T) {
+	for name, restores := range map[string]int{"one restore": 1, "two restores": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const key = prefix + "main"
+				s := newTestSite(t)
+				defer s.end()
+				objects := faker.NewObjects(faker.ObjectsOptions{})
+				write := func(value string) {
+					t.Helper()
+					object, err := objects.Get(t.Context(), key)
+					after := object.Revision
+					if garnetworks.IsKind(err, garnetworks.KindNotFound) {
+						after = 0
+					}
+					if _, err := objects.Put(t.Context(), key, []byte(value), after); err != nil {
+						t.Fatal(err)
+					}
+				}
+				start := func(name string, relays ...string) map[string]string {
+					contents := make(map[string]string)
+					r := relayer.New(relayer.Options{
+						Objects: objects, Peers: s.n, LastResume: neverSuspended, Relays: func(string) []string { return relays },
+						Prefixes: []relayer.Prefix{{Key: prefix, Supersedes: func(known, other garnetworks.Object) bool {
+							return string(known.Value) > string(other.Value)
+						}}},
+					})
+					s.n.add(name, r)
+					s.running.Go(func() { follow(s.ctx, r, contents, &s.mu) })
+					return contents
+				}
+				write("1")
+				old := objects.Copy()
+				reader := start("reader")
+				write("2")
+				time.Sleep(2 * time.Second)
+				for range restores {
+					objects.Restore(old)
+					time.Sleep(time.Second)
+				}
+				late := start("late", "reader")
+				time.Sleep(time.Second)
+				if v := s.value(late, key); v != "2" {
+					t.Errorf("the node that starts has version %q, want 2", v)
+				}
+				write("3")
+				time.Sleep(2 * time.Second)
+				if a, b := s.value(reader, key), s.value(late, key); a != "3" || b != "3" {
+					t.Errorf("the nodes have versions %q and %q, want 3", a, b)
+				}
+			})
+		})
+	}
+}
