follower, connector: the first era that a node sees has not just begun

The own object API's answer for an absent object named no era, so that leases and claims that a copy lacks read as older ones for good.

TestServerRemovedAfterStartIsDropped failed before (the server is known 0.5 s after its removal); all of that file's tests now begin in era 1. TestMissingObjectNamesTheEra covers both ways to the object API.

--- a/checker/contract_test.go
+++ b/checker/contract_test.go
@@ -123,6 +123,28 @@
 	return fixture
 }
 
+// Guards against a node that can't tell an object lost with a copy from one that never existed, and
+// takes a missing lease or claim for a free one.
+func TestMissingObjectNamesTheEra(t *testing.T) {
+	for name, overHTTP := range map[string]bool{"in process": false, "over HTTP": true} {
+		t.Run(name, func(t *testing.T) {
+			objects := faker.NewObjects(faker.ObjectsOptions{})
+			api := garnetworks.ObjectAPI(objects)
+			if overHTTP {
+				f := newFakes(t, overHTTP, nil)
+				api = connector.NewObjectAPI(f.servePlatform(&faker.Platform{Objects: objects}), f.options)
+			}
+			for want := range garnetworks.Era(3) {
+				object, err := api.Get(t.Context(), "absent")
+				if !garnetworks.IsKind(err, garnetworks.KindNotFound) || object.Revision != garnetworks.NewRevision(want, 0) {
+					t.Errorf("got revision %s and %v, want era %d", object.Revision, err, want)
+				}
+				objects.Restore(objects.Copy())
+			}
+		})
+	}
+}
+
 // serverFaults injects faults into a fake and stalls the connections of the server in front of
 // it.
 type serverFaults struct {
--- a/connector/platform.go
+++ b/connector/platform.go
@@ -97,7 +97,7 @@
 	if response.StatusCode == http.StatusOK {
 		return apiResponse{response.Header, body}, nil
 	}
-	return apiResponse{}, c.responseError(r, response.StatusCode, body)
+	return apiResponse{header: response.Header}, c.responseError(r, response.StatusCode, body)
 }
 
 // incompleteError returns the error of a call that got no complete response.
@@ -222,6 +222,9 @@
 func (o *ObjectAPI) Get(ctx context.Context, key string) (garnetworks.Object, error) {
 	r := apiRequest{address: o.address, method: http.MethodGet, path: PathObject, query: url.Values{"key": {key}}}
 	resp, err := o.do(ctx, r)
+	if garnetworks.IsKind(err, garnetworks.KindNotFound) {
+		return garnetworks.Object{Revision: absentRevision(resp)}, err
+	}
 	if err != nil {
 		return garnetworks.Object{}, err
 	}
@@ -232,6 +235,16 @@
 	return garnetworks.Object{Key: key, Value: resp.body, Revision: revision}, nil
 }
 
+// absentRevision returns the era that the response to a read of an absent object names, as a revision
+// without a number; 0 if it names none.
+func absentRevision(resp apiResponse) garnetworks.Revision {
+	n, err := strconv.ParseUint(resp.header.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return garnetworks.NewRevision(garnetworks.Revision(n).Era(), 0)
+}
+
 // revision returns the response's revision. Revision 0 stands for an absent object, so it
 // is invalid here.
 func (o *ObjectAPI) revision(r apiRequest, resp apiResponse) (garnetworks.Revision, error) {
--- a/faker/serve.go
+++ b/faker/serve.go
@@ -172,11 +172,11 @@
 
 func (h objectHandler) get(w http.ResponseWriter, r *http.Request) {
 	object, err := h.objects.Get(r.Context(), r.URL.Query().Get("key"))
+	w.Header().Set(connector.HeaderRevision, revisionText(object.Revision))
 	if err != nil {
 		reply(w, r, nil, err)
 		return
 	}
-	w.Header().Set(connector.HeaderRevision, revisionText(object.Revision))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(object.Value)))
 	_, _ = w.Write(object.Value)
--- a/follower/era.go
+++ b/follower/era.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// recovered returns when the store last recovered, or came back from a copy, and whether it is
+// recovered returns when the store last recovered, or its newest era was first seen, and whether it is
 // reached; f.mu must be held.
 func (f *Follower) recovered() (time.Time, bool) {
 	recovered, up := f.servers.Recovered()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -447,9 +447,10 @@
 	if _, ok := f.known[id]; !ok {
 		return
 	}
-	if recovered, up := f.recovered(); !up || time.Since(recovered) < RecoveryTime {
+	lost := era > f.eras[id] // the entry is missing in the copy
+	if recovered, up := f.servers.Recovered(); lost || !up || time.Since(recovered) < RecoveryTime {
 		f.lapsed[id] = true
-		f.record(garnetworks.Event{Kind: garnetworks.EventServerLapsed, Instance: id, Detail: "its entry disappeared during or right after an outage of the object API"})
+		f.record(garnetworks.Event{Kind: garnetworks.EventServerLapsed, Instance: id, Detail: "its entry disappeared during or right after an outage of the object API, or with its return from a copy"})
 		return
 	}
 	f.record(garnetworks.Event{Kind: garnetworks.EventServerGone, Instance: id, Detail: "its entry was removed"})
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -57,6 +57,7 @@
 		defer store.Close()
 		store.Set("config", "main", storedConfig(1))
 		store.Set("servers", "i-1", storedServer("ready"))
+		store.Restore(store.Copy()) // the node starts in a later era than the first
 		s := &restoredSite{store: store, events: &events{}}
 		s.follower = follower.New(follower.Options{
 			Objects: platform.NewStoreOver(network.Dial, store.Address()), Reader: platform.SiteReader{}, Recorder: s.events,
@@ -237,6 +238,18 @@
 	}
 }
 
+// Guards against a server whose entry is removed soon after a node's start, and that keeps getting
+// calls because the era that the node sees first is taken for one that has just begun.
+func TestServerRemovedAfterStartIsDropped(t *testing.T) {
+	inRestoredSite(t, func(s *restoredSite) {
+		s.store.Remove("servers", "i-1")
+		time.Sleep(500 * time.Millisecond)
+		if _, ok := s.follower.Server("i-1"); ok {
+			t.Error("the server is still known 0.5 s after its removal")
+		}
+	})
+}
+
 // Guards against a live server that stays withheld though it has written its entry in the new era,
 // and against one of an earlier incarnation that replaces the current one.
 func TestEntriesOfTheNewEraAreTaken(t *testing.T) {
