claimer: a node holds claims after it learns of an era, not with each shard

Found by reading: a worker took the first era that it saw for one that had just begun, so under an object API with eras the first claims of each of the 16 shards at each node were refused for 2 s, however long ago the node had started. The hold now counts from when the node learned of the era, which it does at its start.

TestClaimsAreNotHeldLongAfterTheStart failed before (three shards' first keys refused) and passes; TestClaimLostWithACopyIsNotGrantedTwice still does.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -76,6 +76,9 @@
 
 	mu    sync.Mutex
 	nodes []garnetworks.NodeInfo
+	// era is the newest era that this node has learned of, at eraSince.
+	era      garnetworks.Era
+	eraSince time.Time
 	// open holds the claims of the calls that this node runs (rule C12).
 	open map[Digest]Op
 }
--- a/claimer/era.go
+++ b/claimer/era.go
@@ -43,6 +43,7 @@
 			object, err := c.options.API.Get(call, shardKey(shard))
 			cancel()
 			if err == nil || garnetworks.IsKind(err, garnetworks.KindNotFound) {
+				c.learnEra(object.Revision.Era())
 				if known && object.Revision.Era() > era {
 					c.HandleNewEra()
 				}
@@ -53,6 +54,16 @@
 	}
 }
 
+// learnEra returns when this node learned of an era.
+func (c *Claimer) learnEra(era garnetworks.Era) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era > c.era {
+		c.era, c.eraSince = era, time.Now()
+	}
+	return c.eraSince
+}
+
 // recentShard returns the shard whose state this node read or wrote last, if that was within copyAge
 // but not just now.
 func (c *Claimer) recentShard(now time.Time) (int, bool) {
@@ -85,20 +96,16 @@
 	return ops
 }
 
-// observeEra notes the era in which the shard was read. A worker that sees its first era can't know
-// when that began.
+// observeEra notes the era in which the shard was read.
 func (w *worker) observeEra(era garnetworks.Era) {
-	begins := w.eraKnown && era > w.era || !w.eraKnown && era > 0
+	since := w.claimer.learnEra(era)
 	if w.eraKnown && era > w.era {
 		w.lost, w.highestRevision = w.latest, 0
 		clear(w.buckets)
 	}
 	w.era, w.eraKnown = max(w.era, era), true
-	if !begins {
-		return
-	}
 	w.mu.Lock()
-	w.holdUntil = time.Now().Add(EraHold)
+	w.holdUntil = since.Add(EraHold)
 	w.mu.Unlock()
 }
 
--- a/claimer/era_test.go
+++ b/claimer/era_test.go
@@ -133,6 +133,22 @@
 	}
 }
 
+// Guards against refusing the first claim of each shard at a node that started long ago.
+func TestClaimsAreNotHeldLongAfterTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &eraSite{t: t, objects: faker.NewObjects(faker.ObjectsOptions{})}
+		defer s.end()
+		s.objects.Restore(s.objects.Copy())
+		node, _ := s.start("n1")
+		time.Sleep(EraHold + time.Second)
+		for key := range 20 {
+			if _, err := node.Claim(t.Context(), request(key, key)); err != nil {
+				t.Errorf("key %d: %v", key, err)
+			}
+		}
+	})
+}
+
 // Guards against claims that wait, or are refused, for longer than the hold after a restore.
 func TestClaimsAreGrantedAfterTheHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
