--- a/checker/contract_test.go
+++ b/checker/contract_test.go
@@ -123,8 +123,7 @@
 	return fixture
 }
 
-// Guards against a node that can't tell an object lost with a copy from one that never existed, and
-// takes a missing lease or claim for a free one.
+// Guards against taking a lease or claim that was lost with a copy for one that never existed.
 func TestMissingObjectNamesTheEra(t *testing.T) {
 	for name, overHTTP := range map[string]bool{"in process": false, "over HTTP": true} {
 		t.Run(name, func(t *testing.T) {
--- a/claimer/era_test.go
+++ b/claimer/era_test.go
@@ -50,8 +50,7 @@
 	s.objects.SetFaults(faker.FaultPlan{})
 }
 
-// Guards against a key that is granted to a second call because a restored store lacks the claim of
-// the first.
+// Guards against granting a key to a second call because a restored store lacks the first claim.
 func TestClaimLostWithACopyIsNotGrantedTwice(t *testing.T) {
 	for name, c := range map[string]struct {
 		restores int
--- a/fencer/fencer_test.go
+++ b/fencer/fencer_test.go
@@ -56,8 +56,7 @@
 	}, checker.Untimed(checker.ObjectAPICases()))
 }
 
-// Guards against a write under a condition of an earlier era that replaces another version of the
-// object, which has been given the same number.
+// Guards against a conditional write that replaces another version of the object with the same number.
 func TestWritesOfAnEarlierEraAreRefused(t *testing.T) {
 	for name, write := range map[string]func(ctx context.Context, api garnetworks.ObjectAPI, after garnetworks.Revision) error{
 		"put": func(ctx context.Context, api garnetworks.ObjectAPI, after garnetworks.Revision) error {
@@ -107,8 +106,7 @@
 	}
 }
 
-// Guards against a watch that goes on in a new era and misses what changed between the copy and
-// the revision it watches from.
+// Guards against a watch that goes on in a new era and misses the changes since the copy.
 func TestWatchesOfAnEarlierEraListAgain(t *testing.T) {
 	for name, past := range map[string]bool{"revision not reached yet": false, "revision passed": true} {
 		t.Run(name, func(t *testing.T) {
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -133,8 +133,7 @@
 	}
 }
 
-// Guards against a node that forgets, with a store restored from a copy, what was acknowledged since
-// the copy: it must not go back before the operator and the servers have written again.
+// Guards against a node that forgets what was acknowledged since the copy that a store came back from.
 func TestRestoredStoreTakesNothingBack(t *testing.T) {
 	const newServer = "i-2"
 	leaving := func(f *follower.Follower) bool {
@@ -197,8 +196,7 @@
 	}
 }
 
-// Guards against a server or an evacuation of the old era that stays in effect for good because
-// what the new era holds was taken for older.
+// Guards against a server or an evacuation of the old era that stays in effect for good.
 func TestNewEraReplacesWhatTheOldOneHeld(t *testing.T) {
 	for name, c := range map[string]struct {
 		since func(s *impersonator.Store)
@@ -238,8 +236,7 @@
 	}
 }
 
-// Guards against a server whose entry is removed soon after a node's start, and that keeps getting
-// calls because the era that the node sees first is taken for one that has just begun.
+// Guards against calls to a removed server because the first era seen counts as a new one.
 func TestServerRemovedAfterStartIsDropped(t *testing.T) {
 	inRestoredSite(t, func(s *restoredSite) {
 		s.store.Remove("servers", "i-1")
@@ -250,8 +247,7 @@
 	})
 }
 
-// Guards against a live server that stays withheld though it has written its entry in the new era,
-// and against one of an earlier incarnation that replaces the current one.
+// Guards against withholding a live server, and against an earlier incarnation that replaces it.
 func TestEntriesOfTheNewEraAreTaken(t *testing.T) {
 	started := func(startMS int, state string) map[string]any {
 		x := storedServer(state)
--- a/former/balance_test.go
+++ b/former/balance_test.go
@@ -181,8 +181,7 @@
 	}
 }
 
-// Guards against a model that stays without groups because those of an evacuated zone count as
-// serving.
+// Guards against a model without groups because those of an evacuated zone count as serving.
 func TestGroupsOfEvacuatedZoneDoNotCountAsServing(t *testing.T) {
 	w := newSimulation(2, 12)
 	w.profile.Models[0].InitialShare, w.profile.Models[1].InitialShare = 0.4, 0.6
--- a/gateway/delegate_test.go
+++ b/gateway/delegate_test.go
@@ -152,8 +152,7 @@
 	}
 }
 
-// Guards against the same at the size of the whole fleet, where the shares of all nodes suffice as
-// they do at smaller sizes.
+// Guards against the same at the size of the whole fleet.
 func TestOneNodeOfTheFleetUsesTheSharesOfAll(t *testing.T) {
 	const nodes, least = 986, 0.9
 	checkOneNodeUsesShares(t, nodes, least)
--- a/launcher/endless_test.go
+++ b/launcher/endless_test.go
@@ -9,8 +9,7 @@
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
-// Guards against a server that sends bytes without end in place of answers, which cost the node its
-// memory or calls their time while another server could answer them.
+// Guards against bytes without end that cost a node its memory, or calls their time.
 func TestBytesWithoutEndCostNoCall(t *testing.T) {
 	const (
 		calls = 12
--- a/launcher/restore_test.go
+++ b/launcher/restore_test.go
@@ -24,8 +24,7 @@
 	return a.err == nil && a.status == http.StatusOK
 }
 
-// Guards against nodes that refuse all calls, or a key of the new era, after the store came back
-// from a copy, and against groups that are not repaired then.
+// Guards against nodes that refuse calls, or repair no groups, after the store came back from a copy.
 func TestNodesServeAfterTheStoreIsRestored(t *testing.T) {
 	for name, c := range map[string]struct {
 		restores int
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -72,8 +72,7 @@
 	}
 }
 
-// Guards against all calls with a first part being quarantined for two harmful parts behind it, so
-// that no harmless one is left to acquit it.
+// Guards against quarantining all calls with a first part for two harmful parts behind it.
 func TestFirstPartOfTwoHarmfulPartsIsNotQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newIdle()
--- a/relayer/model_test.go
+++ b/relayer/model_test.go
@@ -587,7 +587,7 @@
 	}
 	n.highest = held
 	if !n.undisturbed(func(f *fault, _ *schedule, _ int) bool { return f.kind == faultLagging }) {
-		return "" // the object API answers some nodes from before a change, so none can tell
+		return "" // the object API answers some nodes from before a change, and no node can detect that
 	}
 	current := reachable && n.undisturbed((*fault).affectsNode)
 	for i, at := range acknowledged {
@@ -713,8 +713,7 @@
 
 var restoreNodes = flag.Int("restore-nodes", 89, "number of nodes of the larger sites around restores; 986 take minutes")
 
-// Guards against nodes of a site that stay in the old era, or go back to it, when the era rises
-// twice while others are killed, cut off, or still read the old one.
+// Guards against nodes that stay in an old era, or go back to it, beside nodes that are cut off.
 func TestNodesFollowTheStoreThroughTwoEras(t *testing.T) {
 	const (
 		first, second = 7 * time.Second, 13 * time.Second
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -10,8 +10,7 @@
 	"github.com/garnetworks/garnetworks/relayer"
 )
 
-// Guards against a node that starts after the object API came back from an older copy, and gets the
-// copy's configuration from a relay that knows a newer one.
+// Guards against a starting node that gets a copy's configuration from a relay that knows a newer one.
 func TestStartingNodeGetsTheNewestKnownConfiguration(t *testing.T) {
 	for name, restores := range map[string]int{"one restore": 1, "two restores": 2} {
 		t.Run(name, func(t *testing.T) {
--- a/tracker/store_test.go
+++ b/tracker/store_test.go
@@ -135,8 +135,7 @@
 	return roster
 }
 
-// Guards against a node that is lost from the roster, or a version that is given to two rosters,
-// when a roster is written after the object API came back from an older copy.
+// Guards against nodes that are lost from a roster, or a version given to two, after a restore.
 func TestRosterLostWithACopyIsWrittenAgain(t *testing.T) {
 	node := func(id garnetworks.NodeID) garnetworks.NodeInfo {
 		return garnetworks.NodeInfo{ID: id, Incarnation: 5, Zone: "zone-0"}
@@ -188,8 +187,7 @@
 	}
 }
 
-// Guards against a roster that stays lost until the next change because no node lists the rosters
-// in a new era, and against a list by each node.
+// Guards against a roster that stays lost until its next change, and against a list by each node.
 func TestNewEraIsNoticedByTheWriter(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	nodes := []garnetworks.NodeInfo{{ID: "a", Incarnation: 5, Address: "a", Zone: "z"}, {ID: "b", Incarnation: 5, Address: "b", Zone: "z"}}
