launcher: the test of bytes without end sends its calls to both servers

Traced: the test held that the node sends its next call to the server that answered the last one, which is likely only, and the one node had learned to avoid the server under test. Each kind now has a site of its own, and eight calls at once, of which the sound server has slots for four. The assertions on status and on reached servers stay; memory is bound by the same bytes a call, over eight calls.

--- a/launcher/endless_test.go
+++ b/launcher/endless_test.go
@@ -1,8 +1,10 @@
 package launcher_test
 
 import (
+	"fmt"
 	"net/http"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,7 +14,10 @@
 // Guards against bytes without end that cost a node its memory, or calls their time.
 func TestBytesWithoutEndCostNoCall(t *testing.T) {
 	const (
-		calls = 12
+		rounds = 3
+		// atOnce calls go to both servers, since the sound one has slots for half of them only.
+		atOnce        = 8
+		executionTime = 50 * time.Millisecond
 		// maxAllocated bounds what the process allocates for one call; an answer may have 8 MiB,
 		// and growing buffers allocate several times that.
 		maxAllocated = 64 << 20
@@ -21,51 +26,47 @@
 		impersonator.EndlessNoise, impersonator.EndlessHead, impersonator.EndlessHeaderLine, impersonator.EndlessBody,
 		impersonator.EndlessForeign, impersonator.EndlessRefusal, impersonator.EndlessStale,
 	}
-	for name, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
-		t.Run(name, func(t *testing.T) {
-			s := newSite(t, 0)
-			for _, kind := range kinds {
-				faulty := s.preferred(safeURL)
+	for _, kind := range kinds {
+		for name, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s", kind, name), func(t *testing.T) {
+				s := newSite(t, 0) // a node that has not learned to avoid the server
+				s.awaitSuccess(safeURL)
+				faulty := s.services[0]
 				faulty.UpdateFaults(func(f *impersonator.BackendFaults) { f.Endless, f.EndlessPause = kind, pause })
-				taken := faulty.EndlessBytes()
-				for range calls {
-					a, allocated := s.measuredCall(safeURL)
-					if a.err != nil || a.status != http.StatusOK {
-						t.Errorf("%s: a call that another server can answer gets status %d, %v", kind, a.status, a.err)
+				s.services[1].UpdateFaults(func(f *impersonator.BackendFaults) { f.ExecutionTime = executionTime })
+				for range rounds {
+					answers, allocated := s.measuredCalls(safeURL, atOnce)
+					for _, a := range answers {
+						if a.err != nil || a.status != http.StatusOK {
+							t.Errorf("a call that another server can answer gets status %d, %v", a.status, a.err)
+						}
 					}
-					if allocated > maxAllocated {
-						t.Errorf("%s: the call allocated %d bytes", kind, allocated)
+					if allocated > atOnce*maxAllocated {
+						t.Errorf("%d calls allocated %d bytes", atOnce, allocated)
 					}
 				}
-				if faulty.EndlessBytes() == taken {
-					t.Errorf("%s: no call reached the faulty server", kind)
+				if faulty.EndlessBytes() == 0 {
+					t.Error("no call reached the faulty server")
 				}
-				faulty.UpdateFaults(func(f *impersonator.BackendFaults) { f.Endless = "" })
-			}
-		})
-	}
-}
-
-// preferred makes a call to the target and returns the plain server that ran it, which the node
-// prefers for the next one.
-func (s *site) preferred(target string) *impersonator.Backend {
-	s.t.Helper()
-	before := len(s.services[0].Runs())
-	s.awaitSuccess(target)
-	if len(s.services[0].Runs()) > before {
-		return s.services[0]
+			})
+		}
 	}
-	return s.services[1]
 }
 
-// measuredCall makes a call and returns the number of bytes that the process allocated meanwhile.
-func (s *site) measuredCall(target string) (answer, uint64) {
+// measuredCalls makes calls at the same time, and returns the number of bytes that the process
+// allocated meanwhile.
+func (s *site) measuredCalls(target string, n int) ([]answer, uint64) {
 	s.t.Helper()
+	answers := make([]answer, n)
 	var before, after runtime.MemStats
+	var calls sync.WaitGroup
 	runtime.ReadMemStats(&before)
-	a := s.call(http.MethodPost, target, nil)
+	for i := range answers {
+		calls.Go(func() { answers[i] = s.call(http.MethodPost, target, nil) })
+	}
+	calls.Wait()
 	runtime.ReadMemStats(&after)
-	return a, after.TotalAlloc - before.TotalAlloc
+	return answers, after.TotalAlloc - before.TotalAlloc
 }
 
 // Guards against an engine's event without end, which is buffered until the call's deadline.
@@ -85,7 +86,8 @@
 	head.UpdateFaults(func(f *impersonator.BackendFaults) { f.Endless = impersonator.EndlessEvent })
 	const calls, maxAllocated = 12, 16 << 20
 	for range calls {
-		a, allocated := s.measuredCall(streamURL)
+		answers, allocated := s.measuredCalls(streamURL, 1)
+		a := answers[0]
 		if a.err != nil || a.status != http.StatusOK {
 			t.Errorf("a call that another group can answer gets status %d, %v", a.status, a.err)
 		}
