review: show a revoked key that works again beside a restored store

The case: a key is taken away; the store comes back from a copy from before that while the node that reads it for the others starts again. That node accepts the key until the operator has written the configuration again, though two other nodes know the newer version all the while.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -20,8 +21,10 @@
 // request is a client attempt.
 type request struct {
 	method, path, body string
-	model              bool
-	deadline           time.Duration
+	// key is the client's key; empty for apiKey.
+	key      string
+	model    bool
+	deadline time.Duration
 }
 
 // answer is what a client got for an attempt.
@@ -70,8 +73,9 @@
 func (c *connection) send(q request) *answer {
 	a := &answer{id: fmt.Sprintf("%016x", sequence.Add(1)), sent: time.Now()}
 	defer func() { a.ended = time.Now() }()
+	key := cmp.Or(q.key, apiKey)
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nGarnetworks-Request-Id: %s\r\nGarnetworks-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n",
-		q.method, q.path, host, a.id, q.deadline.Milliseconds(), apiKey)
+		q.method, q.path, host, a.id, q.deadline.Milliseconds(), key)
 	if q.model {
 		text += "Garnetworks-Model: " + modelName + "\r\nGarnetworks-Token-Usage: 1460,80\r\nGarnetworks-Prompt-Prefix: 5c1e07a2:40,e4402b7d:1420\r\n"
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,7 +34,8 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(r *record, dir string, trouble bool) (broken bool, err error){
-	"spoiled": spoiledCase,
+	"restored": restoredCase,
+	"spoiled":  spoiledCase,
 }
 
 func main() {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -53,15 +53,13 @@
 
 // site is a small deployment on loopback addresses.
 type site struct {
-	record *record
-	dir    string
-	seeds  []string
-	// descriptors is how many a process may open; 0 leaves the limit as it is.
-	descriptors int
-	store       *impersonator.Store
-	engines     []*impersonator.Backend
-	services    []*impersonator.Backend
-	nodes       []*node
+	record   *record
+	dir      string
+	seeds    []string
+	store    *impersonator.Store
+	engines  []*impersonator.Backend
+	services []*impersonator.Backend
+	nodes    []*node
 }
 
 // node is an entry node that runs as a process.
@@ -74,8 +72,6 @@
 	command *exec.Cmd
 	// ended is closed when the process has ended.
 	ended chan struct{}
-	// asked says that the case itself has ended the process.
-	asked bool
 }
 
 func newSite(r *record, dir string) *site {
@@ -110,7 +106,7 @@
 }
 
 // configure writes the operator's configuration with the routes.
-func (s *site) configure(routes ...routeSpec) {
+func (s *site) configure(version int, keys []string, routes ...routeSpec) {
 	list := make([]any, 0, len(routes))
 	for _, r := range routes {
 		list = append(list, map[string]any{
@@ -120,7 +116,7 @@
 		})
 	}
 	s.store.Set("config", "main", map[string]any{
-		"version": 7, "routes": list,
+		"version": version, "routes": list,
 		"services": []any{
 			map[string]any{"name": "garnet-llm", "health-path": "/healthz", "max-connections": 394, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 26, "kv-capacity": 2470000, "stride": 6, "step_ms": 6.45, "per_seq_ms": 0.0967, "context_per_k": 0.00293,
@@ -131,7 +127,7 @@
 			map[string]any{"name": "service-ledger", "health-path": "/healthz", "max-connections": 96, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{apiKey}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": tenant, "api-keys": keys, "priority": 1}},
 	})
 }
 
@@ -145,10 +141,8 @@
 	return l.Addr().String(), nil
 }
 
-// start starts one entry node in each of the last count zones. If descriptors is above 0, each
-// process may open that many of them.
-func (s *site) start(count, descriptors int) error {
-	s.descriptors = descriptors
+// start starts one entry node in each of the last count zones.
+func (s *site) start(count int) error {
 	specs := make([]nodeSpec, 0, count)
 	for i, zone := range zones[len(zones)-count:] {
 		n := nodeSpec{name: "front-" + zone + "-1", zone: zone, ip: fmt.Sprintf("127.0.0.%d", 41+i)}
@@ -184,9 +178,6 @@
 	defer log.Close()
 	// The platform limits the descriptors of each process.
 	command := exec.Command("target/garnetd", "--platform")
-	if s.descriptors > 0 {
-		command = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/garnetd --platform", s.descriptors))
-	}
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C", "GARNETWORKS_NODE_FILE=" + path}
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -194,7 +185,7 @@
 	}
 	ended := make(chan struct{})
 	n.mu.Lock()
-	n.command, n.ended, n.asked = command, ended, false
+	n.command, n.ended = command, ended
 	n.mu.Unlock()
 	go func() {
 		n.err = command.Wait()
@@ -204,11 +195,16 @@
 	return nil
 }
 
+// kill ends a node's process with SIGKILL.
+func (s *site) kill(n *node) {
+	s.record.printf("%s is killed", n.name)
+	<-n.signal(syscall.SIGKILL)
+}
+
 // signal sends a signal that ends the process, and returns the channel that is closed when it has ended.
 func (n *node) signal(number syscall.Signal) <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.asked = true
 	_ = n.command.Process.Signal(number) // fails if the process has ended
 	return n.ended
 }
@@ -253,3 +249,9 @@
 	}
 	s.store.Close()
 }
+
+func (n *node) pid() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.command.Process.Pid
+}
--- a/review/standin/spoiled.go
+++ b/review/standin/spoiled.go
@@ -105,8 +105,8 @@
 		e.Config.Handler = &spoiler{engine: e.Config.Handler, id: e.ID, spoiling: spoiling, runs: ran}
 	}
 	s.addServices()
-	s.configure(routeSpec{name: "r-2yhvz3p", prefix: "/lohu930/", kind: "streaming", service: "garnet-llm", timeoutMS: deadlineMS, objectiveMS: 400, attempts: 2})
-	if err := s.start(1, 0); err != nil {
+	s.configure(7, []string{apiKey}, routeSpec{name: "r-2yhvz3p", prefix: "/lohu930/", kind: "streaming", service: "garnet-llm", timeoutMS: deadlineMS, objectiveMS: 400, attempts: 2})
+	if err := s.start(1); err != nil {
 		return false, err
 	}
 	q := request{method: http.MethodPost, path: "/lohu930/2f", body: `{"prompt":"pump 9"}`, model: true, deadline: deadlineMS * time.Millisecond}
