review: show an engine that is ordered into two groups

The case: joins that get no answer are sent again, and a copy that is carried out after an acknowledged leave puts the engine back into the open group. The planner still takes it for free and orders it into another one.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 [ -x target/garnetd ] && [ -x target/review-standin ] || exit 2
 trouble=true
 [ "${TROUBLE-1}" != 0 ] || trouble=false
-exec target/review-standin -case restored -trouble="$trouble" -record review/2/record.txt >/dev/null
+exec target/review-standin -case spoiled -trouble="$trouble" -record review/2/record.txt >/dev/null
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(r *record, dir string, trouble bool) (broken bool, err error){
+	"late":     lateCase,
 	"restored": restoredCase,
 	"spoiled":  spoiledCase,
 }
