review: move the stand-ins to a folder named faker

TestPlatformNamesStayInPackage failed: it reserves the platform's names to platform/ and to folders of that name, since fakes speak the protocol themselves.

--- a/review/standin/main.go
+++ b/review/faker/main.go
@@ -1,4 +1,4 @@
-// Command standin plays one case of the review: it starts stand-ins of the platform's store, of
+// Command faker plays one case of the review: it starts stand-ins of the platform's store, of
 // engines and of a plain service on loopback addresses, the entry nodes as processes with the
 // command of the deploy file, and clients. It writes what was sent, answered and run, and checks
 // one rule by what clients and engines saw.
