--- a/review/faker/late.go
+++ b/review/faker/late.go
@@ -38,14 +38,16 @@
 
 // lateOrders stands in front of the engines' orders. Once armed, it carries out late, and leaves
 // unanswered, the joins of one engine, and cuts the head of the first group that this engine is
-// ordered into from the store and from control once that group is open.
+// ordered into from the store once that group is open.
 type lateOrders struct {
 	record *record
 	store  *impersonator.Store
 
 	mu sync.Mutex
-	// until is until when orders are late; zero before the case arms it.
+	// until is until when orders are late; zero before the first late one.
 	until time.Time
+	// armed says that orders are late from the next join on.
+	armed bool
 	// late is the engine whose joins are late, head the head of its group, group that group.
 	late, head, group string
 	copies            map[string]int
@@ -66,11 +68,6 @@
 
 // ServeHTTP implements http.Handler.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	control := r.URL.Path == "/v1/order" || r.URL.Path == "/v1/report"
-	if control && f.isCut(f.engine.ID) {
-		<-r.Context().Done()
-		return
-	}
 	if r.URL.Path != "/v1/order" {
 		f.next.ServeHTTP(w, r)
 		return
@@ -91,17 +88,11 @@
 	f.execute(w, r, body, &o, "")
 }
 
-func (l *lateOrders) isCut(engine string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.cut && engine == l.head
-}
-
 // delay returns how late an order is carried out; 0 if it is not late.
 func (l *lateOrders) delay(engine string, o *order) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if time.Now().After(l.until) || o.Operation != "join" || len(o.Members) == 0 {
+	if !l.armed || o.Operation != "join" || len(o.Members) == 0 {
 		return 0
 	}
 	if l.late == "" && o.Members[0] != engine {
@@ -110,6 +101,12 @@
 	if engine != l.late {
 		return 0
 	}
+	if l.until.IsZero() {
+		l.until = time.Now().Add(lateWindow)
+	}
+	if time.Now().After(l.until) {
+		return 0
+	}
 	l.copies[o.Group]++
 	switch {
 	case o.Group != l.group:
@@ -154,7 +151,7 @@
 		l.open[o.Group] = engine
 		if o.Group == l.group && engine == l.head && !l.cut {
 			l.cut = true
-			l.record.printf("%s, the head of %s, is cut off from the store and from control", engine, o.Group)
+			l.record.printf("%s, the head of %s, is cut off from the store", engine, o.Group)
 			time.AfterFunc(lapseTime, func() {
 				l.record.printf("the entry of %s is removed", engine)
 				l.store.Remove("servers", engine)
@@ -193,6 +190,7 @@
 		orders.arm()
 	}
 	lost.Kill()
+	time.Sleep(lapseTime)
 	s.store.Remove("servers", lost.ID)
 	time.Sleep(lateTime)
 	orders.mu.Lock()
@@ -206,11 +204,11 @@
 	return true, fmt.Errorf("%w: TWO, %d joins", errRule, len(orders.broken))
 }
 
-// arm makes joins late from now on, for lateWindow.
+// arm makes joins late for lateWindow, from the next join on.
 func (l *lateOrders) arm() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.until = time.Now().Add(lateWindow)
+	l.armed = true
 }
 
 // lastMember returns an engine that is in an open group and not its head.
