gateway, platform, meter: log kept connections, unnamed answers and calls that were sent again

Why: the record of requests that ran twice could not tell its hypotheses apart. The line of a call said neither whether an attempt went over a connection that had carried another one, nor whether the server's answer named the call; and the lines of calls that may run once were folded with those of all others.

Change: attempts in the log have reused and unnamed; lines of calls with once that were sent to several servers or nodes have a quota of their own; garnet_sent_again_total counts such attempts by how the one before ended.

No decision reads the new fields.

--- a/call.go
+++ b/call.go
@@ -138,7 +138,9 @@
 	Stalled bool
 	// RetryAfter is the delay that the server asked for when it refused the call.
 	RetryAfter time.Duration
-	Cause      error
+	// Reused says that the connection had carried another attempt before.
+	Reused bool
+	Cause  error
 }
 
 // Error returns the phase and the cause.
--- a/emitter/call.go
+++ b/emitter/call.go
@@ -30,6 +30,10 @@
 	Reading int `json:"reading,omitempty"`
 	// RetryAfterMS is how long the server that refused wants no further call.
 	RetryAfterMS int64 `json:"retry-after-ms,omitempty"`
+	// Reused says that the attempt went over a connection that had carried another one, Unnamed
+	// that the server's answer did not carry the call's identifier.
+	Reused  bool `json:"reused,omitempty"`
+	Unnamed bool `json:"unnamed,omitempty"`
 	// Limit is the number of calls per second that the server named in its answer; nil if it
 	// named none.
 	Limit *float64 `json:"limit,omitempty"`
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -57,6 +57,8 @@
 	delegatedTo garnetworks.NodeID
 	// callLimit is the limit that the server named in its last answer.
 	callLimit garnetworks.Option[float64]
+	// reused and unnamed describe the connection and the answer of the last attempt.
+	reused, unnamed bool
 	// maxWrite is the longest time that writing an event took.
 	maxWrite time.Duration
 	// stallsBefore is the node's total stall time when the call was received.
@@ -77,6 +79,8 @@
 		attempt.Limit = &limit
 	}
 	a.callLimit = garnetworks.Option[float64]{}
+	attempt.Reused, attempt.Unnamed = a.reused, a.unnamed
+	a.reused, a.unnamed = false, false
 	a.attemptLog = append(a.attemptLog, attempt)
 	return &a.attemptLog[len(a.attemptLog)-1]
 }
@@ -104,7 +108,10 @@
 	}
 	x.options.Meter.ProxiedCall(route, outcome, kind)
 	bound, cause := x.failureLines, string(kind)+route
-	if err == nil {
+	switch {
+	case x.sentAgain():
+		cause = "sent-again" + route
+	case err == nil:
 		bound, cause = x.successLines, "well"
 	}
 	folded, ok := bound.Allow(time.Now(), cause)
@@ -114,6 +121,14 @@
 	x.options.Logger.Info(emitter.CallEnded, x.fields(status, outcome, err, folded)...)
 }
 
+// sentAgain reports whether a call that may run once was sent to several servers or nodes.
+func (x *exchange) sentAgain() bool {
+	if x.route == nil || x.route.Idempotent() {
+		return false
+	}
+	return len(x.attemptLog) > 1 || len(x.attemptLog) > 0 && x.delegatedTo != ""
+}
+
 // fields returns the key-value pairs of the call's line, which docs/OPERATIONS.md describes. A
 // call that was clearly on time gets a short line, to leave the log's volume to the others.
 func (x *exchange) fields(status int, outcome garnetworks.Outcome, err error, folded int) []any {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -263,6 +263,9 @@
 // recordAttempt adds an ended attempt to the call's log line and the metrics.
 func (x *exchange) recordAttempt(group garnetworks.GroupID, instance garnetworks.InstanceID, started time.Time, failure *garnetworks.AttemptError) *emitter.Attempt {
 	x.observeLinks(instance, failure)
+	if n := len(x.attemptLog); n > 0 && !x.route.Idempotent() {
+		x.options.Meter.SentAgain(x.service.Name, x.attemptLog[n-1].Phase)
+	}
 	var err error
 	if failure != nil {
 		err = failure
@@ -275,6 +278,11 @@
 // recordAnswer records what a server reports of itself in the headers of an answer to a call that
 // was sent at sent.
 func (x *exchange) recordAnswer(server garnetworks.Incarnation, sent time.Time, answer *garnetworks.ProxiedResponse, err error) {
+	if err == nil {
+		x.reused, x.unnamed = answer.Reused, answer.Unnamed
+	} else {
+		x.reused = asAttemptError(err).Reused
+	}
 	if err != nil || answer.Status == http.StatusMisdirectedRequest {
 		return
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -49,6 +49,7 @@
 	attempts       *prometheus.CounterVec
 	retries        *prometheus.CounterVec
 	delegated      *prometheus.CounterVec
+	sentAgain      *prometheus.CounterVec
 	limitedAnswers *prometheus.CounterVec
 	lateAdmissions *prometheus.CounterVec
 	rejections     *prometheus.CounterVec
@@ -106,6 +107,7 @@
 	{"garnet_attempt_seconds", "Time from the start of an attempt to its end, by service.", []string{"service"}},
 	{"garnet_retries_total", "Retries of calls that are passed on, by service and whether the site's limit of retries allowed them.", []string{"service", "result"}},
 	{"garnet_delegated_calls_total", "Calls offered to other nodes because this node reaches no server, or has no share left of the limits of all that could take them, by service and result: taken, untaken, or the phase in which sending them failed.", []string{"service", "result"}},
+	{"garnet_sent_again_total", "Attempts of calls that may run once that followed another attempt, by service and the phase in which that one ended.", []string{"service", "phase"}},
 	{"garnet_limited_servers", "Backend servers that name a limit of calls, as far as the node knows.", nil},
 	{"garnet_limited_answers_total", "Answers in which a backend server named the calls per second that it takes, by service.", []string{"service"}},
 	{"garnet_needed_groups", "Groups that a model's calls need to be on time, at the node that forms groups.", []string{"model"}},
@@ -164,6 +166,7 @@
 	m.attempts = counter("garnet_attempts_total")
 	m.retries = counter("garnet_retries_total")
 	m.delegated = counter("garnet_delegated_calls_total")
+	m.sentAgain = counter("garnet_sent_again_total")
 	m.limitedAnswers = counter("garnet_limited_answers_total")
 	m.neededGroups = gauges("garnet_needed_groups")
 	m.onTime = gauges("garnet_on_time_ratio")
@@ -265,6 +268,11 @@
 	m.delegated.WithLabelValues(string(service), result).Inc()
 }
 
+// SentAgain counts an attempt of a call that may run once after another one that ended in a phase.
+func (m *Meter) SentAgain(service garnetworks.ServiceName, phase garnetworks.CallPhase) {
+	m.sentAgain.WithLabelValues(string(service), string(phase)).Inc()
+}
+
 // LimitedAnswer counts an answer in which a server of the service named a limit of calls.
 func (m *Meter) LimitedAnswer(service garnetworks.ServiceName) {
 	m.limitedAnswers.WithLabelValues(string(service)).Inc()
--- a/passing.go
+++ b/passing.go
@@ -86,6 +86,9 @@
 	FromServer bool
 	// NotRun says that the server reported that it did not begin the call.
 	NotRun bool
+	// Reused says that the connection had carried another attempt, Unnamed that the response does
+	// not carry the call's identifier.
+	Reused, Unnamed bool
 	// FaultyInstance is the instance because of which the server refused, if it named one.
 	FaultyInstance InstanceID
 	// Leaving says that the server is leaving and wants no further call.
