--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -187,7 +187,7 @@
 	}
 	response, err := x.options.Proxy.Send(ctx, server.Address, &garnetworks.ProxiedAttempt{
 		ProxiedCall: x.call, Instance: server.ID, Workspace: x.workspace, ServerDeadline: x.deadline,
-		AtMostOnce: !x.route.Idempotent(), ConnectTime: plainConnectTime,
+		AtMostOnce: !x.route.Idempotent(), Repeated: x.reached, ConnectTime: plainConnectTime,
 	})
 	x.recordAnswer(server.Incarnation(), started, response, err)
 	answer, failure = readResponse(response, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -284,7 +284,7 @@
 	}
 	answer, err := s.options.Proxy.Send(ctx, h.address, &garnetworks.ProxiedAttempt{
 		ProxiedCall: s.call, Instance: h.incarnation.Instance, Workspace: s.workspace, ServerDeadline: s.deadline,
-		Urgency: urgency, ResumeAfter: resumeAfter, AtMostOnce: !s.route.Idempotent(), ConnectTime: streamConnectTime, AckTime: ackTime,
+		Urgency: urgency, ResumeAfter: resumeAfter, AtMostOnce: !s.route.Idempotent(), Repeated: s.reached, ConnectTime: streamConnectTime, AckTime: ackTime,
 	})
 	s.recordAnswer(h.incarnation, s.current.started, answer, err)
 	if err != nil {
