gateway: a call that was sent is refused only if its server said that it did not run

Class: "not run" was the default.

Change: the type execution counts a call as possibly run from the moment at which it is sent, to a server or to another node; only a connection that was not made, or a refusal, takes that back. refuse() asks it for every answer of the node's own, and sendAttempt() sends no call that may run once a second time unless it is proven not to have run. The flags are gone.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -58,9 +58,7 @@
 	switch {
 	case failure == nil || failure.Phase != garnetworks.PhaseConnect && failure.Phase != garnetworks.PhaseWait:
 		x.links.Answered(x.service.Name)
-		x.reached = true
 	case failure.Phase == garnetworks.PhaseWait:
-		x.reached = true // it may have been
 		if !failure.Stalled {
 			x.links.Failed(time.Now(), x.service.Name, server)
 		}
@@ -72,7 +70,7 @@
 // unreached reports whether the call reached no server because several, or all that there are,
 // accepted no connection, or because the links to all of them are down.
 func (x *exchange) unreached() bool {
-	if x.reached || x.service == nil {
+	if x.execution.sent > 0 || x.service == nil {
 		return false
 	}
 	x.mu.Lock()
@@ -90,7 +88,7 @@
 // lacksShare reports whether the call was rejected because only groups with limits could serve it,
 // some of which they named, and this node has no share left.
 func (x *exchange) lacksShare() bool {
-	if !x.decision.Limited || x.reached {
+	if !x.decision.Limited || x.execution.sent > 0 {
 		return false
 	}
 	x.mu.Lock()
@@ -124,7 +122,7 @@
 			x.avoid(node.ID)
 		}
 		if mayHaveReceived(err) { // rule T2
-			x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
+			x.refuseUnanswered(garnetworks.KindBackendLost, err)
 			return true
 		}
 	}
@@ -144,17 +142,21 @@
 
 // handOver sends the call to another node once, and returns the response of one that took it.
 func (x *exchange) handOver(node *garnetworks.NodeInfo) (*garnetworks.DelegatedResponse, error) {
+	x.execution.begin()
 	response, err := x.options.Delegator.Delegate(x.ctx, node.Address, &garnetworks.DelegatedCall{
 		Request: x.request, Body: x.call.Body, Elapsed: time.Since(x.call.Received),
 	})
 	x.options.Meter.Delegated(x.service.Name, delegationResult(response, err))
 	if err == nil && response.Untaken {
 		_ = response.Body.Close() // the call goes to another node
+		x.execution.unsent()
 		wait, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 		return nil, untakenError{time.Duration(wait * float64(time.Second))}
 	}
 	if err == nil || mayHaveReceived(err) {
 		x.delegatedTo = node.ID
+	} else {
+		x.execution.unsent()
 	}
 	return response, err
 }
@@ -177,7 +179,7 @@
 			return true
 		}
 		if mayHaveReceived(err) { // rule T2
-			x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
+			x.refuseUnanswered(garnetworks.KindBackendLost, err)
 			return true
 		}
 	}
@@ -272,7 +274,7 @@
 
 // refuseUnreachable answers a call whose service this node does not reach, and no other node either.
 func (x *exchange) refuseUnreachable() {
-	x.refuseUnanswered(false, garnetworks.KindNoBackend, errors.New("the node reaches no server of the service"))
+	x.refuseUnanswered(garnetworks.KindNoBackend, errors.New("the node reaches no server of the service"))
 }
 
 // tryLinks tries the links that are down (rule D2).
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -6,7 +6,8 @@
 //	    answer; an interrupted answer ends with a closed connection and never
 //	    looks complete.
 //	W2  "Not run" (a refusal with status 503) is said only if no backend server
-//	    began the call (rule G5). A call that may have run is answered 502 or 504.
+//	    began the call (rule G5). A call that may have run is answered 502 or 504. It may
+//	    have from the first byte that is sent, unless the server refuses it (execution).
 //	W3  A call that may not be repeated goes to another server only if the first
 //	    one proved that it did not begin it.
 //	W4  A key is accepted only while the routing is known to be newer than
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -435,8 +435,7 @@
 	// delegated says that another node handed the call to this one, elapsed before that.
 	delegated bool
 	elapsed   time.Duration
-	// reached says that an attempt reached a server or may have.
-	reached   bool
+	execution execution
 	ctx       context.Context
 	cancel    context.CancelFunc
 	call      *garnetworks.ProxiedCall
@@ -533,6 +532,10 @@
 func (g *Gateway) refuse(w http.ResponseWriter, x *exchange, err error) {
 	kind := garnetworks.KindOf(err)
 	answer := garnetworks.ErrorResponseFor(kind)
+	if x.execution.mayHaveRun() && outcomeOf(answer.Status) == garnetworks.OutcomeNotRun { // rule W2
+		kind = x.lostKind()
+		answer, err = garnetworks.ErrorResponseFor(kind), garnetworks.WrapError(kind, err, "the call got no answer")
+	}
 	retryAfter := answer.RetryAfter
 	if e, ok := asError(err); ok && e.RetryAfter > 0 {
 		retryAfter = e.RetryAfter
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -17,16 +17,6 @@
 	return garnetworks.QuarantinedError(left)
 }
 
-// endQuarantined answers a quarantined call. The answer says that the call was not run only if
-// no attempt may have run (rule W2).
-func (x *exchange) endQuarantined(mayHaveRun bool, err error) {
-	if mayHaveRun {
-		x.refuseUnanswered(true, garnetworks.KindBackendLost, err)
-		return
-	}
-	x.refuse(x.w, x, err)
-}
-
 // reportSurvival reports once that the server of the current attempt survived the beginning of the
 // answer.
 func (s *stream) reportSurvival(now time.Time) {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -89,9 +89,11 @@
 		}
 	}
 	const slots = 26
+	streamOnce := route("stream-once", garnetworks.RouteStreaming, "llm")
+	streamOnce.Resumable = false
 	return &garnetworks.Routing{
 		Version: 1,
-		Routes:  []garnetworks.Route{route("stream", garnetworks.RouteStreaming, "llm"), route("safe", garnetworks.RouteSafe, "svc"), route("once", garnetworks.RouteUnsafe, "svc")},
+		Routes:  []garnetworks.Route{route("stream", garnetworks.RouteStreaming, "llm"), route("safe", garnetworks.RouteSafe, "svc"), route("once", garnetworks.RouteUnsafe, "svc"), streamOnce},
 		Services: []garnetworks.RoutedService{
 			{Name: "llm", Engines: garnetworks.Some(garnetworks.EngineProfile{Slots: slots, Models: []garnetworks.ModelProfile{{Name: "m", GroupSize: 1}}})},
 			{Name: "svc"},
@@ -115,7 +117,7 @@
 
 func (modelReader) ReadCall(r *http.Request) (*garnetworks.ProxiedCall, error) {
 	call := &garnetworks.ProxiedCall{ID: garnetworks.CallID(r.URL.Path), Method: r.Method, Host: r.Host, Target: r.URL.Path, Received: time.Now()}
-	if strings.HasPrefix(r.URL.Path, "/stream/") {
+	if strings.HasPrefix(r.URL.Path, "/stream") {
 		call.Model = "m"
 	}
 	return call, nil
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -67,7 +67,7 @@
 	for {
 		// The check may wait, so that a server that was picked before it may refuse calls by then.
 		if err := x.checkQuarantine(); err != nil {
-			x.endQuarantined(history.MayHaveRun, err)
+			x.refuse(x.w, x, err)
 			return
 		}
 		server, retryAfter, ok := x.pick(tried)
@@ -75,7 +75,7 @@
 			return
 		}
 		if !ok {
-			x.refuseUnserved(history.MayHaveRun, retryAfter)
+			x.refuseUnserved(retryAfter)
 			return
 		}
 		tried = append(tried, server.Incarnation())
@@ -90,7 +90,6 @@
 				x.writeResponse(answer)
 				return
 			}
-			history.MayHaveRun = true
 			continue
 		}
 		if failure.Phase == garnetworks.PhaseConnect && x.linksDown() && x.delegate() {
@@ -100,14 +99,14 @@
 			freeAttempts++
 			// The server of another service got the call, so that the next one is a retry.
 			if failure.Phase != garnetworks.PhaseConnect && !granted && !x.takeRetry(x.service.Name) {
-				x.refuseUnanswered(history.MayHaveRun, garnetworks.KindBackendRefused, failure)
+				x.refuseUnanswered(garnetworks.KindBackendRefused, failure)
 				return
 			}
 			continue
 		}
 		decision := history.RecordFailure(retrier.Failure{Phase: failure.Phase})
 		if x.ctx.Err() != nil || !decision.Retry || !granted && !x.takeRetry(x.service.Name) {
-			x.refuseUnanswered(history.MayHaveRun, garnetworks.KindBackendRefused, failure)
+			x.refuseUnanswered(garnetworks.KindBackendRefused, failure)
 			return
 		}
 	}
@@ -152,10 +151,10 @@
 }
 
 // refuseUnserved answers a call for which no server is available.
-func (x *exchange) refuseUnserved(mayHaveRun bool, retryAfter time.Duration) {
+func (x *exchange) refuseUnserved(retryAfter time.Duration) {
 	cause := errors.New("no server is available")
-	if mayHaveRun || retryAfter == 0 {
-		x.refuseUnanswered(mayHaveRun, garnetworks.KindNoBackend, cause)
+	if retryAfter == 0 {
+		x.refuseUnanswered(garnetworks.KindNoBackend, cause)
 		return
 	}
 	x.refuse(x.w, x, &garnetworks.Error{
@@ -185,9 +184,8 @@
 		})
 		defer slow.Stop()
 	}
-	response, err := x.options.Proxy.Send(ctx, server.Address, &garnetworks.ProxiedAttempt{
-		ProxiedCall: x.call, Instance: server.ID, Workspace: x.workspace, ServerDeadline: x.deadline,
-		AtMostOnce: !x.route.Idempotent(), Repeated: x.reached, ConnectTime: plainConnectTime,
+	response, err := x.sendAttempt(ctx, server.Address, &garnetworks.ProxiedAttempt{
+		ProxiedCall: x.call, Instance: server.ID, Workspace: x.workspace, ServerDeadline: x.deadline, ConnectTime: plainConnectTime,
 	})
 	x.recordAnswer(server.Incarnation(), started, response, err)
 	answer, failure = readResponse(response, err)
@@ -322,12 +320,17 @@
 }
 
 // refuseUnanswered answers a call that got no response from a server (rules W2 and W6).
-func (x *exchange) refuseUnanswered(mayHaveRun bool, kind garnetworks.Kind, cause error) {
-	if mayHaveRun {
-		kind = garnetworks.KindBackendLost
-		if err := x.ctx.Err(); err != nil {
-			kind = contextErrorKind(err)
-		}
+func (x *exchange) refuseUnanswered(kind garnetworks.Kind, cause error) {
+	if x.execution.mayHaveRun() {
+		kind = x.lostKind()
 	}
 	x.refuse(x.w, x, garnetworks.WrapError(kind, cause, "the call got no answer"))
 }
+
+// lostKind returns the error kind of a call that may have run and got no answer.
+func (x *exchange) lostKind() garnetworks.Kind {
+	if err := x.ctx.Err(); err != nil {
+		return contextErrorKind(err)
+	}
+	return garnetworks.KindBackendLost
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -54,9 +54,7 @@
 	complete bool
 	// headersSent says that the response headers were sent to the client.
 	headersSent bool
-	// mayHaveRun says that an attempt ended without proof that the call did not run.
-	mayHaveRun bool
-	tried      []garnetworks.GroupID
+	tried       []garnetworks.GroupID
 	// attempts counts those that may have run, freeAttempts those that surely did not.
 	attempts, freeAttempts int
 	resuming               bool
@@ -282,9 +280,9 @@
 	if s.route.Idempotent() {
 		ackTime = streamAckTime
 	}
-	answer, err := s.options.Proxy.Send(ctx, h.address, &garnetworks.ProxiedAttempt{
+	answer, err := s.sendAttempt(ctx, h.address, &garnetworks.ProxiedAttempt{
 		ProxiedCall: s.call, Instance: h.incarnation.Instance, Workspace: s.workspace, ServerDeadline: s.deadline,
-		Urgency: urgency, ResumeAfter: resumeAfter, AtMostOnce: !s.route.Idempotent(), Repeated: s.reached, ConnectTime: streamConnectTime, AckTime: ackTime,
+		Urgency: urgency, ResumeAfter: resumeAfter, ConnectTime: streamConnectTime, AckTime: ackTime,
 	})
 	s.recordAnswer(h.incarnation, s.current.started, answer, err)
 	if err != nil {
@@ -353,7 +351,6 @@
 // handleFailure handles an attempt that failed before its response.
 func (s *stream) handleFailure(group garnetworks.GroupID, failure *garnetworks.AttemptError, cause error) (bool, error) {
 	if s.ctx.Err() != nil {
-		s.mayHaveRun = s.mayHaveRun || failure.Phase != garnetworks.PhaseConnect
 		return false, failure
 	}
 	s.reportStall(group)
@@ -361,7 +358,6 @@
 		s.freeAttempts++
 		return s.freeAttempts <= maxFreeAttempts, failure
 	}
-	s.mayHaveRun = true
 	s.attempts++
 	return s.tryResume(errors.Wrap(failure, causeText(cause)))
 }
@@ -404,7 +400,6 @@
 // handleErrorResponse sends an engine's error to the client, unless another group may try.
 func (s *stream) handleErrorResponse(group garnetworks.GroupID, answer *garnetworks.ProxiedResponse) (bool, error) {
 	s.attempts++
-	s.mayHaveRun = true
 	result, failure := readResponse(answer, nil)
 	if failure != nil {
 		return s.tryResume(failure)
@@ -485,7 +480,6 @@
 
 // handleBrokenStream handles a stream that ended before its last event.
 func (s *stream) handleBrokenStream(group garnetworks.GroupID, err, cause error) (bool, error) {
-	s.mayHaveRun = true
 	s.reportInterrupted(&garnetworks.AttemptError{Phase: garnetworks.PhaseBody, Cause: err})
 	if s.ctx.Err() != nil {
 		return false, err
@@ -535,14 +529,14 @@
 		s.recordEnd(0, garnetworks.OutcomeUnknown, garnetworks.WrapError(kind, cause, "the stream was interrupted"))
 		panic(http.ErrAbortHandler)
 	}
-	if e, ok := asError(cause); ok && !s.mayHaveRun {
+	if e, ok := asError(cause); ok && !s.execution.mayHaveRun() {
 		s.refuse(s.w, s.exchange, e)
 		return
 	}
-	if kind == garnetworks.KindCancelled && !s.mayHaveRun {
+	if kind == garnetworks.KindCancelled && !s.execution.mayHaveRun() {
 		kind = garnetworks.KindDeadlineUnreachable
 	}
-	s.refuseUnanswered(s.mayHaveRun, kind, cause)
+	s.refuseUnanswered(kind, cause)
 }
 
 // attemptErrorOf returns an attempt's error as an *AttemptError, or nil if there is none.
