gateway, carrier: a server's headers do not mark a call as untaken

By reading: the node that a call was handed to copies the headers of the server's answer, so that a server that sends the carrier's own header made the first node hand a call that ran to a third one. Nothing of the platform sends it; the way is closed all the same.

Measured: TestServerCanNotMarkACallUntaken failed before and passes.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -153,5 +153,8 @@
 	return time.Duration(elapsed) * time.Millisecond
 }
 
+// ClearMark removes the mark from the headers of a server's response.
+func ClearMark(h http.Header) { h.Del(headerUntaken) }
+
 // MarkUntaken marks a response as that of a node that could not take the call.
 func MarkUntaken(h http.Header) { h.Set(headerUntaken, "1") }
--- a/gateway/execution_test.go
+++ b/gateway/execution_test.go
@@ -136,3 +136,26 @@
 		}
 	}
 }
+
+// Guards against a server's header that makes the first node hand a call to a third one.
+func TestServerCanNotMarkACallUntaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		proxy := &endingProxy{end: func(context.Context) (*garnetworks.ProxiedResponse, error) {
+			answer := serverAnswer(http.StatusOK, strings.NewReader("x"))
+			answer.Header.Set("Garnet-Untaken", "1")
+			return answer, nil
+		}}
+		s := newLimitedSite(ctx, &siteServers{proxy: proxy}, 2, split(2, 1), false)
+		time.Sleep(time.Second)
+		r := httptest.NewRequest(http.MethodPost, "/once/x", nil)
+		r.Host = "a.example"
+		w := httptest.NewRecorder()
+		s.gateways[0].ServeDelegated(w, r)
+		if w.Code != http.StatusOK || w.Header().Get("Garnet-Untaken") != "" {
+			t.Errorf("status %d, headers %v", w.Code, w.Header())
+		}
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/carrier"
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/limiter"
 	"github.com/garnetworks/garnetworks/retrier"
@@ -315,6 +316,7 @@
 	for name, values := range from {
 		h[name] = values
 	}
+	carrier.ClearMark(h)
 	if _, ok := from["Content-Type"]; !ok {
 		h["Content-Type"] = nil // prevents content sniffing
 	}
