former, relayer: failing tests of a late copy of a join and of a starting reader

A node that reads for the others starts as the object API comes back from a copy and has the older configuration at once, though its follower knows the newer one.

--- a/former/life_test.go
+++ b/former/life_test.go
@@ -239,3 +239,32 @@
 		t.Errorf("serving %v after %d orders to leave", got, w.leaveOrders)
 	}
 }
+
+// Guards against an engine that is ordered into a second group after a late copy of a join has put it
+// back into the first one, which it had left.
+func TestLateCopyOfAJoinIsLeftAgain(t *testing.T) {
+	w := newSimulation(2, 11)
+	w.run(settled)
+	e := w.member("large", 2)
+	copied := e.Membership
+	w.member("large", 4).dead = true
+	for range 50 {
+		w.run(100 * time.Millisecond)
+		if e.Membership.Group != copied.Group {
+			break
+		}
+	}
+	if e.Membership.Group != "" && e.Membership.Group != copied.Group {
+		t.Fatalf("the engine is in %s already", e.Membership.Group)
+	}
+	if e.epoch != copied.Epoch {
+		t.Fatal("the engine has seen a later epoch, and refuses the copy")
+	}
+	copied.State = garnetworks.MemberJoining
+	e.Membership, e.readyAt = copied, w.now.Add(200*time.Millisecond)
+	w.run(10 * time.Second)
+	checkRules(t, w)
+	if got := w.serving(); got["large"] != 2 {
+		t.Errorf("serving %v ten seconds after the late copy", got)
+	}
+}
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,3 +66,54 @@
 		})
 	}
 }
+
+// Guards against a node that reads for others, starts beside a restored object API and accepts what
+// its followers know to be revoked.
+func TestStartingReaderTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const key = prefix + "main"
+		s := newTestSite(t)
+		defer s.end()
+		objects := faker.NewObjects(faker.ObjectsOptions{})
+		var revision garnetworks.Revision
+		write := func(value string) {
+			t.Helper()
+			var err error
+			if revision, err = objects.Put(t.Context(), key, []byte(value), revision); err != nil {
+				t.Fatal(err)
+			}
+		}
+		start := func(ctx context.Context, name string, relays, others []string) map[string]string {
+			contents := make(map[string]string)
+			r := relayer.New(relayer.Options{
+				Objects: objects, Peers: s.n, LastResume: neverSuspended, Relays: func(string) []string { return relays },
+				Fallbacks: func() (near, far []string) { return others, nil },
+				Prefixes: []relayer.Prefix{{Key: prefix, Supersedes: func(known, other garnetworks.Object) bool {
+					return string(known.Value) > string(other.Value)
+				}}},
+			})
+			s.n.add(name, r)
+			s.running.Go(func() { follow(ctx, r, contents, &s.mu) })
+			return contents
+		}
+		write("1")
+		old := objects.Copy()
+		first, kill := context.WithCancel(s.ctx)
+		start(first, "reader", nil, []string{"follower"})
+		start(s.ctx, "follower", []string{"reader"}, nil)
+		write("2")
+		time.Sleep(2 * time.Second)
+		kill()
+		objects.Restore(old)
+		again := start(s.ctx, "reader", nil, []string{"follower"})
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			if v := s.value(again, key); v == "1" {
+				t.Fatal("the reader that starts again has version 1, which its follower knows to be replaced")
+			}
+		}
+		if v := s.value(again, key); v != "2" {
+			t.Errorf("the reader that starts again has version %q, want 2", v)
+		}
+	})
+}
