relayer: a starting node asks others what they know before it uses a restored object API (Y10)

Cause: only a node with relays asks other nodes; what a node without them reads first is taken for the newest. Nothing that a follower knows goes up.

Change: a node without contents asks its relays and up to three nodes of each of the two groups of fallbacks what they have, whatever its age, for 150 ms at most, and uses their version of an object where that one goes before. The request is a follow request with a wait of -1, which nodes of the version before answer as one without a wait. Not at the site's first start, and only for the configuration, whose versions are ordered. Alone, the node logs that it can't judge the copy and uses it: refusing would keep a site whose nodes all start at once from serving, long after a restore.

Measured: TestStartingReaderTakesNothingBack failed before and passes, as do all tests of relayer.

--- a/follow.go
+++ b/follow.go
@@ -10,10 +10,13 @@
 	Prefix string
 	// After is the revision that the sender holds; 0 asks for all objects.
 	After Revision
-	// WaitMS is how long the receiver may wait for a change, in milliseconds.
+	// WaitMS is how long the receiver may wait for a change, in milliseconds, or FollowAnyAge.
 	WaitMS int64
 }
 
+// FollowAnyAge as FollowRequest.WaitMS asks for the objects that the receiver has, whatever their age.
+const FollowAnyAge = -1
+
 // FollowResponse holds the changes.
 type FollowResponse struct {
 	_  struct{} `cbor:",toarray"`
--- a/launcher/peers.go
+++ b/launcher/peers.go
@@ -67,7 +67,9 @@
 		Publish: p.distributor.Publish, Hold: p.distributor.Hold,
 		Piggybackers: []tracker.Piggybacker{p.distributor}, Log: log("membership"),
 	})
-	p.relayer = relayer.New(relayer.Options{Objects: objects, Peers: p.client, Relays: p.relaysFor(options.Reader.ServerPrefix()), Fallbacks: p.fallbacks, Chained: p.hasMultipleCells, LastResume: lastResume, Observe: objects.Observe, Prefixes: prefixes, FirstStart: site.FirstStart})
+	p.relayer = relayer.New(relayer.Options{Objects: objects, Peers: p.client, Relays: p.relaysFor(options.Reader.ServerPrefix()), Fallbacks: p.fallbacks, Chained: p.hasMultipleCells, LastResume: lastResume, Observe: objects.Observe, Prefixes: prefixes, FirstStart: site.FirstStart, Unjudged: func(prefix string) {
+		options.Logger.Warn("no other node could tell whether the object API's copy is older than what was acknowledged", "prefix", prefix)
+	}})
 	objects.OnNewEra(func() { p.tracker.HandleNewEra(context.Background()) })
 	var err error
 	p.server, err = messenger.NewServer(messenger.ServerOptions{Handler: &peerHandler{p}, Clock: timeline, Log: log("peer call")})
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -13,6 +13,9 @@
 	if c == nil {
 		return nil, garnetworks.Errorf(garnetworks.KindInvalidRequest, "the node does not follow the prefix %q", request.Prefix)
 	}
+	if request.WaitMS == garnetworks.FollowAnyAge {
+		return r.known(c)
+	}
 	start := time.Now()
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, c.times.follow)
 	timer := time.NewTimer(wait)
@@ -47,6 +50,18 @@
 	}
 }
 
+// known returns the contents that the node has (rule Y10).
+func (r *Relayer) known(c *cache) (*garnetworks.FollowResponse, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	response, ready := c.response(0)
+	if !ready {
+		return nil, garnetworks.Errorf(garnetworks.KindNotReady, "the node has no contents")
+	}
+	response.AgeMS = time.Since(c.confirmed).Milliseconds() + 1
+	return response, nil
+}
+
 // finish adds the ages to a response, or refuses to respond with stale contents (rule Y3). In an
 // outage, nodes poll each other often; without the refusal, each response would carry all
 // objects to a node that drops them for their age.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -103,6 +103,9 @@
 	Prefixes []Prefix
 	// Observe is called with each revision that another node returns; it may be nil.
 	Observe func(revision garnetworks.Revision)
+	// Unjudged is called when a starting node reads a prefix from an object API that has come back
+	// from a copy, and no other node tells what it knows; it may be nil.
+	Unjudged func(prefix string)
 	// Random returns values in [0, 1); nil uses math/rand/v2.
 	Random func() float64
 }
@@ -235,6 +238,7 @@
 	objects, revision, err := r.ObjectAPI.List(call, c.prefix)
 	r.recordCall(ctx, call, c, err)
 	if err == nil {
+		objects = r.withKnown(ctx, c, objects, revision)
 		r.storeSnapshot(c, objects, revision, sent)
 	}
 	return listResult{objects, revision, err}
