--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -41,6 +41,7 @@
 	m.Attempt("s", "g", garnetworks.PhaseDone, time.Second)
 	m.Retry("s", true)
 	m.Delegated("s", "taken")
+	m.SentAgain("s", garnetworks.PhaseRefused)
 	m.LimitedAnswer("s")
 	m.Apportioned("model", 5.5, 0.9)
 	m.Suspicion(garnetworks.VerdictLost)
