--- a/carrier/breaking_test.go
+++ b/carrier/breaking_test.go
@@ -11,8 +11,7 @@
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
-// Guards against a call that a node received whole and that counts as unsent, or is sent again by
-// the transport, wherever its connection breaks off.
+// Guards against a call that a node received whole and that counts as unsent or is sent again.
 func TestCallThatBreaksOffAnywhereIsNotUnsent(t *testing.T) {
 	const (
 		body = "the end of the body"
--- a/former/life_test.go
+++ b/former/life_test.go
@@ -241,8 +241,7 @@
 	}
 }
 
-// Guards against an engine that is ordered into a second group after a late copy of a join has put it
-// back into the first one, which it had left.
+// Guards against an engine that a late join puts back into a group it left and that is ordered into another.
 func TestLateCopyOfAJoinIsLeftAgain(t *testing.T) {
 	const late = 8 * time.Second
 	for name, copies := range map[string]int{"one copy late": 1, "three copies late": 3} {
--- a/former/planner.go
+++ b/former/planner.go
@@ -22,7 +22,7 @@
 	joinMargin = 4 * time.Second
 	// exclusionTime is how long an instance that did not accept a join is excluded.
 	exclusionTime = 3 * time.Second
-	// firstTerm is the first term of the lease: nobody has given orders before.
+	// firstTerm is the first term of the lease, before which no order was given.
 	firstTerm = 1
 	// maxReportLag is how long an engine's report may lag behind the engine.
 	maxReportLag = 600 * time.Millisecond
--- a/former/world_test.go
+++ b/former/world_test.go
@@ -209,7 +209,7 @@
 func (w *simulation) carryOutLate() {
 	for _, o := range w.late {
 		if e := w.engines[o.Incarnation.Instance]; !w.now.Before(o.at) && e != nil && e.Incarnation() == o.Incarnation {
-			_ = w.execute(o.GroupOrder) // nobody gets its answer
+			_ = w.execute(o.GroupOrder) // its answer is lost
 		}
 	}
 	w.late = slices.DeleteFunc(w.late, func(o lateOrder) bool { return !w.now.Before(o.at) })
--- a/gateway/execution_test.go
+++ b/gateway/execution_test.go
@@ -45,8 +45,7 @@
 	return &garnetworks.ProxiedResponse{Status: status, Header: http.Header{}, FromServer: true, Body: io.NopCloser(body)}
 }
 
-// Guards against a call that may run once and is sent again, or is said not to have run, after an
-// attempt that may have run.
+// Guards against a call that may run once and is sent again, or refused, after it may have run.
 func TestCallThatMayHaveRunIsNotRefused(t *testing.T) {
 	failing := func(phase garnetworks.CallPhase) func(context.Context) (*garnetworks.ProxiedResponse, error) {
 		return func(context.Context) (*garnetworks.ProxiedResponse, error) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -250,8 +250,8 @@
 	return &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: err}
 }
 
-// writeResponse sends a server's response to the client unchanged, unless its status would tell the
-// client that a call which may run once has not run: the client would send it again.
+// writeResponse sends a server's response to the client unchanged, unless its status promises to
+// the client that a call which may run once has not run: the client would send it again.
 func (x *exchange) writeResponse(answer *bufferedResponse) {
 	if !x.route.Idempotent() && saysNotRun(answer.Status) {
 		x.refuseUnanswered(garnetworks.KindBackendLost, errors.Errorf("the server answered with status %d, and not that it did not run the call", answer.Status))
--- a/passing.go
+++ b/passing.go
@@ -67,8 +67,8 @@
 	// connection that is known to be alive.
 	AtMostOnce bool
 	// Repeated says that an earlier attempt of the call was sent. The responses to both carry the
-	// call's identifier, so that a late one to the earlier attempt can't be told from that to
-	// this one on the same connection.
+	// call's identifier, so that a late one to the earlier attempt can't be distinguished
+	// from that to this one on the same connection.
 	Repeated bool
 	// ConnectTime limits the time to open a connection, AckTime the time for which sent
 	// bytes may stay unacknowledged; 0 means the adapter's default.
--- a/relayer/known.go
+++ b/relayer/known.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -78,7 +77,7 @@
 	rest := slices.Clone(addresses)
 	var drawn []string
 	for len(rest) > 0 && len(drawn) < n {
-		at := min(int(math.Floor(r.options.Random()*float64(len(rest)))), len(rest)-1)
+		at := int(r.options.Random() * float64(len(rest)))
 		drawn = append(drawn, rest[at])
 		rest = slices.Delete(rest, at, at+1)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,7 +104,7 @@
 	// Observe is called with each revision that another node returns; it may be nil.
 	Observe func(revision garnetworks.Revision)
 	// Unjudged is called when a starting node reads a prefix from an object API that has come back
-	// from a copy, and no other node tells what it knows; it may be nil.
+	// from a copy, and no other node reports what it knows; it may be nil.
 	Unjudged func(prefix string)
 	// Random returns values in [0, 1); nil uses math/rand/v2.
 	Random func() float64
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -67,8 +67,7 @@
 	}
 }
 
-// Guards against a node that reads for others, starts beside a restored object API and accepts what
-// its followers know to be revoked.
+// Guards against a starting reader that accepts a copy's configuration though its followers know a newer one.
 func TestStartingReaderTakesNothingBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const key = prefix + "main"
