--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -85,5 +85,6 @@
 //	    late, not only those of the calls in excess. So a node places the fraction of its calls that the
 //	    groups can give a first event on time, by their rate of prefill and the rate at which calls
 //	    arrive at all nodes. The others go only to a group that has no prompt to prefill for any
-//	    node, or are rejected, and few calls that can only be late are placed meanwhile.
+//	    node, or are rejected, and few calls that can only be late are placed meanwhile. Where no
+//	    group's rate counts, none is taken to be in excess.
 package scheduler
--- a/scheduler/reach_test.go
+++ b/scheduler/reach_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/limiter"
 	"github.com/garnetworks/garnetworks/scheduler"
 )
 
@@ -170,3 +171,32 @@
 		t.Errorf("the call was not placed: %t, %+v", decided, d)
 	}
 }
+
+// Guards against rejecting calls as in excess of what groups can prefill where no group's rate counts.
+func TestCallsWaitWhereNoRateIsKnown(t *testing.T) {
+	cases := map[string]func(s *scheduler.Scheduler, id garnetworks.GroupID){
+		"the only zone seems unreachable": func(s *scheduler.Scheduler, id garnetworks.GroupID) { s.Unreachable(start, "m", id) },
+		"all groups are limited": func(s *scheduler.Scheduler, id garnetworks.GroupID) {
+			s.SetLimit("m", id, limiter.Limit{Until: start.Add(time.Minute), Interval: 100 * time.Millisecond})
+		},
+	}
+	for name, arrange := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler.New("z", fixedRandom)
+			ids := []garnetworks.GroupID{"a", "b", "c"}
+			s.SetGroups(start, groups(1, ids...))
+			s.SetPeerLoad(start, garnetworks.LoadReport{}, true)
+			for _, id := range ids {
+				arrange(s, id)
+			}
+			for i := range ids {
+				if d, _ := s.Arrive(start, newCall(fmt.Sprint(i))); d.Group == "" {
+					t.Fatalf("call %d was not placed: %+v", i, d)
+				}
+			}
+			if d, decided := s.Arrive(start, newCall("next")); decided {
+				t.Errorf("the next call does not wait: %+v", d)
+			}
+		})
+	}
+}
--- a/scheduler/reading.go
+++ b/scheduler/reading.go
@@ -50,15 +50,23 @@
 	return max(1-g.PassTime.Seconds()/pass, minReadFraction) / prefill
 }
 
-// siteRateOnTime returns the same for all groups of a pool that serve.
+// siteRateOnTime returns the same for all groups of a pool that serve. It is infinite if none does:
+// then something else than prompts holds the calls back.
 func (s *Scheduler) siteRateOnTime(now time.Time, p *pool) float64 {
 	rate := 0.0
+	othersReachable := s.anyZoneReachable(now, p)
 	for _, g := range p.groups {
-		if g.gone || now.Before(g.cooldownUntil) || g.isLost(now) || g.Limit.Active(now) || s.zoneUnreachable(now, g.Zone) {
+		if othersReachable && s.zoneUnreachable(now, g.Zone) { // Q10
+			continue
+		}
+		if g.gone || now.Before(g.cooldownUntil) || g.isLost(now) || g.Limit.Active(now) {
 			continue
 		}
 		rate += p.prompts.rateOnTime(&g.Group)
 	}
+	if rate == 0 {
+		return math.Inf(1)
+	}
 	return rate
 }
 
