impersonator: a backend that has crashed answers nothing

TestCallThatEndsItsEnginesIsKeptFromOthers counted 4 crashed servers for 3 in 3 of 300 runs beside 12 to 14 processes of the same test.

Cause, by a trace: the stand-in closes its connections one after another, and went on answering on those still open. The node saw its call break off, probed the server within 0.5 ms over a kept connection, got an answer, and took the crash for refuted, so that the call was allowed a fourth server. A process that has ended answers nothing, so the node's reading was right.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -278,8 +278,11 @@
 
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	f := b.faults
+	f, stopped := b.faults, b.stopped
 	b.mu.Unlock()
+	if stopped {
+		panic(http.ErrAbortHandler)
+	}
 	if f.Unreachable {
 		b.blocker.block(r)
 		return
