--- a/former/sender.go
+++ b/former/sender.go
@@ -80,12 +80,15 @@
 	if err != nil {
 		return garnetworks.WrapError(garnetworks.KindUnreachable, err, "the engine gives no report; the order was not sent")
 	}
+	if !report.Accepted.Present {
+		return garnetworks.Errorf(garnetworks.KindUnreachable, "the engine does not report how many orders it has accepted; the order was not sent")
+	}
 	if in := report.Membership; in.Group != "" && (in.Group != o.Group || in.Epoch != o.Epoch) {
 		return garnetworks.WrapError(garnetworks.KindConflict, otherGroupError{in}, "the order was not sent")
 	}
 	o.Expect = report.Accepted
 	err = orders.SendOrder(ctx, o)
-	if o.Expect.Present && garnetworks.IsKind(err, garnetworks.KindConflict) {
+	if garnetworks.IsKind(err, garnetworks.KindConflict) {
 		return garnetworks.WrapError(garnetworks.KindThrottled, err, "the engine has accepted another order since its report")
 	}
 	return err
--- a/passing.go
+++ b/passing.go
@@ -219,6 +219,6 @@
 	// Probe requests the report of the engine at an address. It returns nil if that
 	// incarnation answered, and KindNotFound if a later one did.
 	Probe(ctx context.Context, address string, incarnation Incarnation) error
-	// Report does the same and returns the report, without what can't be read of it.
+	// Report does the same and returns the report. It fails if that can't be read.
 	Report(ctx context.Context, address string, incarnation Incarnation) (EngineReport, error)
 }
