acceptor: listeners outlast a shortage of descriptors (V1)

What was seen: after "too many open files" the listener for other nodes never accepted again; the node was cut off from the others until its restart.

Cause: drpcmigrate's multiplexer ends with the first error of Accept, whatever it is. Ruled out: the listeners of callers and readiness, where net/http retries; it may wait up to 1 s there, so all of them use the same wait now.

Change: a listener that logs the first of several errors, tries again after 100 ms and fails only when it is closed.

--- /dev/null
+++ b/acceptor/acceptor.go
@@ -0,0 +1,38 @@
+// Package acceptor accepts connections for a server that must outlast a shortage of descriptors.
+//
+//	V1 An error other than that the listener is closed passes: too many open files, or a client that
+//	   is gone already. Accepting continues after retryTime.
+package acceptor
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// retryTime is the time from a failed accept to the next one.
+const retryTime = 100 * time.Millisecond
+
+// Listener is a listener whose Accept fails only when it is closed.
+type Listener struct {
+	net.Listener
+	// Log receives the first of several errors in a row.
+	Log func(error)
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for failures := 0; ; failures++ {
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return c, nil
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
+		case failures == 0:
+			l.Log(err)
+		}
+		time.Sleep(retryTime)
+	}
+}
--- a/cmd/garnetd/once_test.go
+++ b/cmd/garnetd/once_test.go
@@ -78,6 +78,8 @@
 	servers []*onceServer
 	faults  standInOptions
 	started atomic.Uint64 // server processes
+	// environment is that of the nodes, besides what they need.
+	environment []string
 
 	mu      sync.Mutex
 	answers map[string]onceAnswer
@@ -154,9 +156,10 @@
 	return l.Addr().String()
 }
 
-func newOnceSite(t *testing.T, seed uint64, faults standInOptions) *onceSite {
+// newOnceSite starts a site whose nodes get the environment as well.
+func newOnceSite(t *testing.T, seed uint64, faults standInOptions, environment ...string) *onceSite {
 	t.Helper()
-	s := &onceSite{t: t, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
+	s := &onceSite{t: t, environment: environment, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
 	faults.Seed = seed
 	t.Cleanup(s.store.Close)
 	s.configure()
@@ -241,7 +244,8 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	node.start(s.t, filepath.Join(s.dir, fmt.Sprintf("node-%d.log", number)), roleVariable+"="+roleNode, "GARNETWORKS_NODE_FILE="+path)
+	environment := append([]string{roleVariable + "=" + roleNode, "GARNETWORKS_NODE_FILE=" + path}, s.environment...)
+	node.start(s.t, filepath.Join(s.dir, fmt.Sprintf("node-%d.log", number)), environment...)
 }
 
 func (s *onceSite) restartNode(number int, signal syscall.Signal) {
--- a/cmd/garnetd/standin_test.go
+++ b/cmd/garnetd/standin_test.go
@@ -15,9 +15,10 @@
 )
 
 // roleVariable makes the test binary run as one of the processes of a site: as a node, or as a
-// server of a plain service.
+// server of a plain service. A node opens no more files than filesVariable says.
 const (
 	roleVariable   = "GARNET_TEST_ROLE"
+	filesVariable  = "GARNET_TEST_FILES"
 	serverVariable = "GARNET_TEST_SERVER"
 	roleNode       = "node"
 	roleServer     = "server"
@@ -26,6 +27,10 @@
 func TestMain(m *testing.M) {
 	switch os.Getenv(roleVariable) {
 	case roleNode:
+		if err := limitFiles(os.Getenv(filesVariable)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
 		os.Exit(servePlatform(flags{Platform: true}, os.Stdout, os.Stderr))
 	case roleServer:
 		os.Exit(serveStandIn(os.Getenv(serverVariable)))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/acceptor"
 	"github.com/garnetworks/garnetworks/apportioner"
 	"github.com/garnetworks/garnetworks/emitter"
 	"github.com/garnetworks/garnetworks/exchanger"
@@ -292,6 +293,7 @@
 	if err != nil {
 		return err
 	}
+	listeners = l.accept(listeners)
 	serving, end := context.WithCancel(context.Background())
 	defer end()
 	tasks, serving := errgroup.WithContext(serving)
@@ -372,6 +374,17 @@
 	return Listeners{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics}, nil
 }
 
+// accept returns the listeners as ones that only end when they are closed.
+func (l *Launcher) accept(listeners Listeners) Listeners {
+	for name, listener := range map[string]*net.Listener{"callers": &listeners.Callers, "ready": &listeners.Ready, "peers": &listeners.Peers, "metrics": &listeners.Metrics} {
+		if *listener == nil {
+			continue
+		}
+		*listener = &acceptor.Listener{Listener: *listener, Log: func(err error) { l.options.Logger.Warn("can't accept connections", "listener", name, "error", err) }}
+	}
+	return listeners
+}
+
 // formGroups runs the lease and the former until stop ends, and then releases the lease once no
 // order is in flight (rule J2).
 func (l *Launcher) formGroups(stop context.Context) error {
