acceptor, launcher: unused connections close at the configured idle time (V2)

What was seen: idle-timeout-ms of the configuration was ignored. Unused connections were kept for 60 s whatever it said, so that they took descriptors for longer than configured, and with a longer one they would be closed while clients still used them.

Change: the listener's connections replace the deadline that net/http sets for an unused connection by the idle time in force. When it ends, they read once more without waiting, so that a request which arrived in that moment is served and not closed with its connection; net/http gives up there.

Request at the end of the idle time: over a socket whose deadline has ended, read whole.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,7 +1,10 @@
-// Package acceptor accepts connections for a server that must outlast a shortage of descriptors.
+// Package acceptor accepts connections for a server that must outlast a shortage of descriptors, and
+// closes those that clients leave unused.
 //
 //	V1 An error other than that the listener is closed passes: too many open files, or a client that
 //	   is gone already. Accepting continues after retryTime.
+//	V2 A connection is closed when it has been unused for the idle time. It is not closed if
+//	   a request has arrived by then, though the timer has ended.
 package acceptor
 
 import (
@@ -17,6 +20,9 @@
 // Listener is a listener whose Accept fails only when it is closed.
 type Listener struct {
 	net.Listener
+	// IdleTime returns how long a connection may be unused; 0 leaves it to the server. It may be nil.
+	// It applies to a server with an IdleTimeout whose ConnState is Track.
+	IdleTime func() time.Duration
 	// Log receives the first of several errors in a row.
 	Log func(error)
 }
@@ -26,8 +32,10 @@
 	for failures := 0; ; failures++ {
 		c, err := l.Listener.Accept()
 		switch {
-		case err == nil:
+		case err == nil && l.IdleTime == nil:
 			return c, nil
+		case err == nil:
+			return &conn{Conn: c, idleTime: l.IdleTime}, nil
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		case failures == 0:
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -1,7 +1,13 @@
 package acceptor
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -58,3 +64,130 @@
 		})
 	}
 }
+
+// pipeListener hands out one end of a pipe.
+type pipeListener struct {
+	conns chan net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
+// Guards against unused connections that are kept for another time than the one in force.
+func TestUnusedConnectionIsClosedAtTheIdleTime(t *testing.T) {
+	const fixed = time.Minute
+	for name, c := range map[string]struct{ first, second, want time.Duration }{
+		"shorter than the server's": {15 * time.Second, 15 * time.Second, 15 * time.Second},
+		"longer than the server's":  {5 * time.Minute, 5 * time.Minute, 5 * time.Minute},
+		"not set":                   {0, 0, fixed},
+		"changed":                   {15 * time.Second, 40 * time.Second, 40 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var idle atomic.Int64
+				idle.Store(int64(c.first))
+				pipes := &pipeListener{conns: make(chan net.Conn, 1)}
+				server := &http.Server{
+					IdleTimeout: fixed, ReadHeaderTimeout: time.Second, ConnState: Track,
+					Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { time.Sleep(2 * time.Second) }),
+				}
+				served := make(chan struct{})
+				go func() {
+					defer close(served)
+					_ = server.Serve(&Listener{Listener: pipes, IdleTime: func() time.Duration { return time.Duration(idle.Load()) }}) // ends with the test
+				}()
+				near, far := net.Pipe()
+				pipes.conns <- far
+				for range 2 {
+					request(t, near)
+					idle.Store(int64(c.second))
+				}
+				began := time.Now()
+				if _, err := near.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || time.Since(began) != c.want {
+					t.Errorf("%v after %v, want the end after %v", err, time.Since(began), c.want)
+				}
+				close(pipes.conns)
+				<-served
+			})
+		})
+	}
+}
+
+func request(t *testing.T, c net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("%v, %v", response, err)
+	}
+	_ = response.Body.Close() // it is empty
+}
+
+// lateConn is a connection whose idle time ends as a request arrives.
+type lateConn struct {
+	*net.TCPConn
+	arrive func()
+}
+
+func (c *lateConn) Read([]byte) (int, error) {
+	c.arrive()
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against closing a connection on which a request has arrived.
+func TestRequestThatArrivesAtTheIdleTimeIsRead(t *testing.T) {
+	const text = "GET / HTTP/1.1\r\n"
+	cases := map[string]struct {
+		state http.ConnState
+		text  string
+		want  string
+	}{
+		"arrives at the end": {http.StateIdle, text, text},
+		"nothing arrives":    {http.StateIdle, "", ""},
+		"not unused":         {http.StateActive, text, ""},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			client, err := net.Dial("tcp4", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer accepted.Close()
+			late := &lateConn{TCPConn: accepted.(*net.TCPConn)}
+			late.arrive = func() {
+				if _, err := io.WriteString(client, tt.text); err != nil {
+					t.Error(err)
+				}
+			}
+			c := &conn{Conn: late, idleTime: func() time.Duration { return time.Second }}
+			Track(c, tt.state)
+			var got strings.Builder
+			p := make([]byte, 64)
+			n, err := c.Read(p)
+			got.Write(p[:n])
+			if got.String() != tt.want || errors.Is(err, os.ErrDeadlineExceeded) != (tt.want == "") {
+				t.Errorf("read %q, %v", got.String(), err)
+			}
+		})
+	}
+}
--- a/cmd/garnetd/resources_test.go
+++ b/cmd/garnetd/resources_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/garnetworks/garnetworks/carrier"
 )
 
@@ -98,3 +100,30 @@
 		_ = c.Close() // it may be closed already
 	}
 }
+
+// Guards against unused connections that are kept for another time than the configured one.
+func TestUnusedConnectionIsClosedAtTheConfiguredTime(t *testing.T) {
+	const idleTime, requests = time.Second, 5
+	s := newOnceSite(t, 1, standInOptions{})
+	s.awaitServing()
+	s.configure(2, idleTime)
+	time.Sleep(serveTime / 10) // the configuration reaches the nodes
+	c := &onceClient{site: s, address: s.nodes[0].front}
+	defer c.close()
+	for i := range requests {
+		if status := c.request(fmt.Sprint("kept-", i)); status != http.StatusOK {
+			t.Fatalf("request %d got status %d", i, status)
+		}
+		if i < requests-1 {
+			time.Sleep(idleTime * 4 / 5)
+		}
+	}
+	began := time.Now()
+	if err := c.conn.SetDeadline(began.Add(serveTime)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after %v: %v", time.Since(began), err)
+	}
+	t.Logf("closed after %v", time.Since(began))
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -51,7 +51,8 @@
 	// stopMargin is the part of the grace period left when calls in flight are closed.
 	stopMargin = 300 * time.Millisecond
 	// headerTimeout bounds reading a request's headers, above what routings allow;
-	// idleTimeout bounds an unused connection of a client.
+	// idleTimeout bounds an unused connection of another node, and that of a client if the routing
+	// has no idle time.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
@@ -306,7 +307,7 @@
 	tasks.Go(func() error { return l.peers.run(serving, listeners.Peers, delegated) })
 	tasks.Go(func() error { return l.formGroups(stop) })
 	calls := l.server(l.gateway)
-	calls.IdleTimeout = idleTimeout
+	calls.IdleTimeout, calls.ConnState = idleTimeout, acceptor.Track
 	otherServers := []*http.Server{l.server(l.options.Ready(l.gateway.Ready)), l.server(l.meter.Handler())}
 	for server, listener := range map[*http.Server]net.Listener{calls: listeners.Callers, otherServers[0]: listeners.Ready, otherServers[1]: listeners.Metrics} {
 		if listener != nil {
@@ -374,17 +375,30 @@
 	return Listeners{Callers: callers, Ready: ready, Peers: peers, Metrics: metrics}, nil
 }
 
-// accept returns the listeners as ones that only end when they are closed.
+// accept returns the listeners as ones that only end when they are closed, and that of the callers with
+// the routing's idle time.
 func (l *Launcher) accept(listeners Listeners) Listeners {
 	for name, listener := range map[string]*net.Listener{"callers": &listeners.Callers, "ready": &listeners.Ready, "peers": &listeners.Peers, "metrics": &listeners.Metrics} {
 		if *listener == nil {
 			continue
 		}
-		*listener = &acceptor.Listener{Listener: *listener, Log: func(err error) { l.options.Logger.Warn("can't accept connections", "listener", name, "error", err) }}
+		accepted := &acceptor.Listener{Listener: *listener, Log: func(err error) { l.options.Logger.Warn("can't accept connections", "listener", name, "error", err) }}
+		if listener == &listeners.Callers {
+			accepted.IdleTime = l.idleTime
+		}
+		*listener = accepted
 	}
 	return listeners
 }
 
+// idleTime returns the routing's idle time of clients' connections; 0 if none is known.
+func (l *Launcher) idleTime() time.Duration {
+	if index := l.follower.Index(); index != nil {
+		return index.Limits.IdleTime
+	}
+	return 0
+}
+
 // formGroups runs the lease and the former until stop ends, and then releases the lease once no
 // order is in flight (rule J2).
 func (l *Launcher) formGroups(stop context.Context) error {
