gateway: the bodies of calls have a common bound in memory (W7)

Cause: the size of one body is bounded, their number is not; reading doubled the buffer as it grew, and platform copied each long body behind its headers.

What doesn't fit is refused before it is read, 503 with Retry-After. A body must arrive by the call's deadline, or a few clients that send nothing would hold all room.

Under the race detector the memory isn't checked, since its own counts as the process's.

Not changed: the project's own interface (server) has no such bound.

--- a/cmd/garnetd/once_test.go
+++ b/cmd/garnetd/once_test.go
@@ -162,7 +162,7 @@
 	s := &onceSite{t: t, environment: environment, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
 	faults.Seed = seed
 	t.Cleanup(s.store.Close)
-	s.configure(1, 15*time.Second)
+	s.configure(1, onceTimeout, 15*time.Second)
 	for range onceServers {
 		server := &onceServer{address: freeAddress(t, "127.0.0.1")}
 		server.link = newLink(t, server.address)
@@ -185,15 +185,15 @@
 }
 
 // configure writes a version of the configuration.
-func (s *onceSite) configure(version int, idleTime time.Duration) {
+func (s *onceSite) configure(version int, timeout, idleTime time.Duration) {
 	route := map[string]any{
 		"name": "log", "host": "a.example", "path-prefix": "/log/", "kind": "unsafe", "service": "ledger", "attempts": 1,
-		"timeout-ms": onceTimeout.Milliseconds(), "slo-ms": 150, "priority": 1, "public": false, "sticky": false, "can-resume": false,
+		"timeout-ms": timeout.Milliseconds(), "slo-ms": 150, "priority": 1, "public": false, "sticky": false, "can-resume": false,
 	}
 	s.store.Set("config", "main", map[string]any{
 		"version": version, "routes": []any{route},
 		"services": []any{map[string]any{"name": "ledger", "health-path": "/healthz", "max-connections": 400, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": idleTime.Milliseconds()},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": idleTime.Milliseconds()},
 		"tenants":  []any{map[string]any{"name": "w1", "api-keys": []string{"k1"}, "priority": 1}},
 	})
 }
--- a/cmd/garnetd/resources_test.go
+++ b/cmd/garnetd/resources_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +21,9 @@
 	"github.com/garnetworks/garnetworks/carrier"
 )
 
+// configurationTime is how long a configuration may take to reach the nodes.
+const configurationTime = 2 * time.Second
+
 // limitFiles bounds the files that this process opens, unless the number is empty.
 func limitFiles(number string) error {
 	if number == "" {
@@ -106,8 +113,8 @@
 	const idleTime, requests = time.Second, 5
 	s := newOnceSite(t, 1, standInOptions{})
 	s.awaitServing()
-	s.configure(2, idleTime)
-	time.Sleep(serveTime / 10) // the configuration reaches the nodes
+	s.configure(2, onceTimeout, idleTime)
+	time.Sleep(configurationTime)
 	c := &onceClient{site: s, address: s.nodes[0].front}
 	defer c.close()
 	for i := range requests {
@@ -127,3 +134,134 @@
 	}
 	t.Logf("closed after %v", time.Since(began))
 }
+
+// peakMemory returns the most memory that the process has used, in bytes.
+func (p *process) peakMemory(t *testing.T) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+			return kilobytes << 10
+		}
+	}
+	t.Fatal("the process has no peak memory")
+	return 0
+}
+
+// upload sends a request with a body of a known length, or in chunks, and returns its answer.
+func upload(client *http.Client, address, id string, body []byte, chunked bool) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/log/x", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if chunked {
+		request.ContentLength = -1
+	}
+	request.Host = "a.example"
+	request.Header.Set("Garnetworks-Request-Id", id)
+	request.Header.Set("Garnetworks-Deadline-Ms", fmt.Sprint(serveTime.Milliseconds()))
+	request.Header.Set("Authorization", "Token k1")
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// Guards against many long bodies at once that take more memory than the node has.
+func TestManyLongBodiesKeepWithinTheMemory(t *testing.T) {
+	const uploads, length, atOnce = 100, 4 << 20, time.Second
+	for name, chunked := range map[string]bool{"of known length": false, "in chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newOnceSite(t, 1, standInOptions{})
+			s.awaitServing()
+			s.configure(2, serveTime, serveTime)
+			time.Sleep(configurationTime)
+			node, body := s.nodes[0], make([]byte, length)
+			client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+			defer client.CloseIdleConnections()
+			var served, refused, late atomic.Int64
+			var all sync.WaitGroup
+			for i := range uploads {
+				all.Go(func() {
+					began := time.Now()
+					response, err := upload(client, node.front, fmt.Sprint("long-", i), body, chunked)
+					switch {
+					case err != nil:
+						t.Errorf("upload %d: %v", i, err)
+					case response.StatusCode == http.StatusOK:
+						served.Add(1)
+					case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
+						refused.Add(1)
+						if time.Since(began) > atOnce {
+							late.Add(1)
+						}
+					default:
+						t.Errorf("upload %d got status %d", i, response.StatusCode)
+					}
+				})
+			}
+			all.Wait()
+			memory := node.settings["limits"].(map[string]any)["memory-mb"].(int)
+			t.Logf("%d served, %d refused, %d of them after more than %v; at most %d MB", served.Load(), refused.Load(), late.Load(), atOnce, node.peakMemory(t)>>20)
+			if peak := node.peakMemory(t); peak > int64(memory)<<20 && !underRace {
+				t.Errorf("the node took %d MB of %d", peak>>20, memory)
+			}
+			if served.Load() == 0 {
+				t.Error("no upload was served")
+			}
+			for i := range uploads / 10 {
+				if response, err := upload(client, node.front, fmt.Sprint("next-", i), body, chunked); err != nil || response.StatusCode != http.StatusOK {
+					t.Errorf("a single upload afterwards: %v, %v", response, err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against clients that announce long bodies and send nothing, which leave no room for others.
+func TestBodyThatDoesNotArriveIsRefusedAtTheDeadline(t *testing.T) {
+	const slow, length, deadline = 40, 4 << 20, time.Second
+	s := newOnceSite(t, 1, standInOptions{})
+	s.awaitServing()
+	s.configure(2, serveTime, serveTime)
+	time.Sleep(configurationTime)
+	node := s.nodes[0]
+	var conns []net.Conn
+	defer func() { closeAll(conns) }()
+	for i := range slow {
+		conn, err := net.Dial("tcp4", node.front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+		if _, err := fmt.Fprintf(conn, "POST /log/x HTTP/1.1\r\nHost: a.example\r\nGarnetworks-Request-Id: slow-%d\r\nGarnetworks-Deadline-Ms: %d\r\nAuthorization: Token k1\r\nContent-Length: %d\r\n\r\n", i, deadline.Milliseconds(), length); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, conn := range conns {
+		if err := conn.SetDeadline(time.Now().Add(serveTime)); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || !response.Close {
+			t.Errorf("connection %d got %+v", i, response)
+		}
+		_ = response.Body.Close() // the connection ends
+	}
+	if response, err := upload(http.DefaultClient, node.front, "next", make([]byte, length), false); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("an upload afterwards: %v, %v", response, err)
+	}
+	if runs := s.countRuns(); runs["slow-0"] != 0 {
+		t.Error("a refused call ran")
+	}
+}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -15,6 +15,8 @@
 //	W5  When a client disconnects, its call is cancelled at the server at once.
 //	W6  A call that is given up is answered at once, with Retry-After if it did
 //	    not run.
+//	W7  The bodies of calls take a part of the node's memory at most. A call whose body does
+//	    not fit is refused at once, before it is read.
 //
 // What a node may do with the routing depends on the routing's age, the time since it was
 // last confirmed as the newest:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// nil.
 	Self  garnetworks.NodeID
 	Nodes func() []garnetworks.NodeInfo
+	// MemoryBytes is the most memory that the process may use; 0 if there is no bound.
+	MemoryBytes int64
 	// Alone says that the site is known to have no other node.
 	Alone bool
 	// Delegator hands calls to other nodes; it may be nil.
@@ -93,6 +95,7 @@
 	groups *groupIndex
 	// enqueued has a buffer of one signal that a call waits.
 	enqueued chan struct{}
+	bodies   *bodies
 	// onTimeCalls counts the calls that were on time, to sample them for detailed lines.
 	onTimeCalls atomic.Uint64
 
@@ -157,6 +160,7 @@
 		links:          delegator.NewLinks(),
 		delegates:      delegator.NewDelegates(options.Zone, random),
 		offers:         delegator.NewOffers(random),
+		bodies:         newBodies(options.MemoryBytes),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -407,8 +411,11 @@
 }
 
 func (g *Gateway) serve(x *exchange) {
+	defer x.releaseBody()
 	if err := x.read(); err != nil {
 		g.refuse(x.w, x, err)
+		x.releaseBody()
+		x.discardRest()
 		return
 	}
 	defer x.cancel()
@@ -446,6 +453,10 @@
 	service   *garnetworks.RoutedService
 	// deadline is when the call fails at the latest.
 	deadline time.Time
+	// reserved is the memory that the call's body takes, in bytes.
+	reserved int64
+	// bodyUnread says that a part of it was not read.
+	bodyUnread bool
 }
 
 // read reads a request, and finds its route, workspace and service.
@@ -472,7 +483,11 @@
 	if err := x.authorize(index); err != nil {
 		return err
 	}
-	if call.Body, err = readBody(x.w, x.request, index.Limits.BodyBytes); garnetworks.IsKind(err, garnetworks.KindTooLarge) {
+	x.deadline = call.Received.Add(x.route.Timeout)
+	if !call.Deadline.IsZero() && call.Deadline.Before(x.deadline) {
+		x.deadline = call.Deadline
+	}
+	if call.Body, err = x.readBody(index.Limits.BodyBytes); garnetworks.IsKind(err, garnetworks.KindTooLarge) {
 		return x.routingRefusal(err)
 	} else if err != nil {
 		return err
@@ -485,10 +500,6 @@
 	if !ok {
 		return garnetworks.Errorf(garnetworks.KindNoBackend, "route %s has no target service", x.route.Name)
 	}
-	x.deadline = call.Received.Add(x.route.Timeout)
-	if !call.Deadline.IsZero() && call.Deadline.Before(x.deadline) {
-		x.deadline = call.Deadline
-	}
 	x.ctx, x.cancel = context.WithDeadline(x.request.Context(), x.deadline)
 	if err := x.checkQuarantine(); err != nil {
 		x.cancel()
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -209,7 +209,7 @@
 	l.gateway = gateway.New(gateway.Options{
 		Zone: site.Zone, Bounds: site.Bounds, Follower: l.follower, Reader: options.Calls, Proxy: options.Proxy,
 		Meter: l.meter, Suspect: l.suspect, AskVerdict: l.peers.inquirer.ask, Quarantine: l.quarantine,
-		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), Delegator: l.peers.carrier, Logger: options.Logger,
+		Self: site.Node, Nodes: l.peers.tracker.Peers, Alone: knowsNoOther(site), MemoryBytes: site.MemoryBytes, Delegator: l.peers.carrier, Logger: options.Logger,
 	})
 	l.meter.RegisterRoutingAge(l.gateway.RoutingAge)
 	l.peers.exchanger = exchanger.New(exchanger.Options{
