--- a/gateway/account.go
+++ b/gateway/account.go
@@ -121,7 +121,7 @@
 	x.options.Logger.Info(emitter.CallEnded, x.fields(status, outcome, err, folded)...)
 }
 
-// sentAgain reports whether a call that may run once was sent to several servers or nodes.
+// sentAgain reports whether a call that may run once was tried at several servers or nodes.
 func (x *exchange) sentAgain() bool {
 	if x.route == nil || x.route.Idempotent() {
 		return false
