relayer: a starting node asks others only about a restored object API (Y10)

By reading, and by a test that failed before: each node that started asked up to six others what they knew before it used its first list, also where the object API never came back from a copy and nothing it says can be older. With nodes that are gone among them, each start waited 150 ms longer for its configuration.

Change: it asks only if the revision is of an era above the first one.

--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -33,6 +33,6 @@
 //	    are ordered by more than revisions, although an object API that came back
 //	    from an older copy returns an older one.
 //	Y10 A node that has no contents asks some other nodes what they know, whatever its age,
-//	    before it uses what it reads from the object API itself, where versions are
-//	    ordered by more than revisions. Alone, it uses what it reads and says so.
+//	    before it uses what it reads from an object API that came back from a copy, where
+//	    versions are ordered by more than revisions. Alone, it uses what it reads and says so.
 package relayer
--- a/relayer/known.go
+++ b/relayer/known.go
@@ -27,11 +27,11 @@
 	r.mu.Lock()
 	first := c.revision == 0
 	r.mu.Unlock()
-	if !first || c.supersedes == nil || r.options.FirstStart {
+	if !first || c.supersedes == nil || r.options.FirstStart || revision.Era() == 0 {
 		return objects
 	}
 	known := r.askKnown(ctx, c)
-	if len(known) == 0 && revision.Era() > 0 && r.options.Unjudged != nil {
+	if len(known) == 0 && r.options.Unjudged != nil {
 		r.options.Unjudged(c.prefix)
 	}
 	merged := slices.Clone(objects)
--- a/relayer/restore_test.go
+++ b/relayer/restore_test.go
@@ -116,3 +116,38 @@
 		}
 	})
 }
+
+// Guards against nodes that start later for asking others about an object API that never came back from a copy.
+func TestStartingReaderAsksOnlyAfterARestore(t *testing.T) {
+	for name, restored := range map[string]bool{"first era": false, "restored": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const key, soon = prefix + "main", 50 * time.Millisecond
+				s := newTestSite(t)
+				defer s.end()
+				objects := faker.NewObjects(faker.ObjectsOptions{})
+				if _, err := objects.Put(t.Context(), key, []byte("1"), garnetworks.Revision(0)); err != nil {
+					t.Fatal(err)
+				}
+				if restored {
+					objects.Restore(objects.Copy())
+				}
+				contents := make(map[string]string)
+				r := relayer.New(relayer.Options{
+					Objects: objects, Peers: s.n, LastResume: neverSuspended, Relays: func(string) []string { return nil },
+					Fallbacks: func() (near, far []string) { return []string{"gone"}, nil },
+					Prefixes:  []relayer.Prefix{{Key: prefix, Supersedes: func(known, other garnetworks.Object) bool { return false }}},
+				})
+				s.running.Go(func() { follow(s.ctx, r, contents, &s.mu) })
+				time.Sleep(soon)
+				if got := s.value(contents, key) == "1"; got == restored {
+					t.Errorf("the reader has the configuration after %v: %t", soon, got)
+				}
+				time.Sleep(time.Second)
+				if s.value(contents, key) != "1" {
+					t.Error("the reader has no configuration")
+				}
+			})
+		})
+	}
+}
