quarantiner: harmful parts behind a first part are told apart from it (Z11)

What callers saw: two harmful parts behind a first part that no sound call had had before: all calls with that first part were kept from servers, and none was left to acquit it.

Cause: the first part has the crashes of both, so it reaches the threshold first and explains all of them.

Change: where the crashes of a part are also crashes of parts behind it, only calls with one of those that crashed servers twice are quarantined. The part itself is, if a call with nothing behind it crashed a server, three calls with further parts did, or branches and these account for more than 7 crashes. Digests of parts for one workspace or model say so, as they are no parts behind it: without that, TestWorkspaceCannotHaveOthersPartsQuarantined failed.

--- a/content.go
+++ b/content.go
@@ -25,12 +25,23 @@
 // MaxSharedParts bounds the parts of a prompt that identify a call; further ones are ignored.
 const MaxSharedParts = 32
 
-// partDigestPrefix begins the digests of parts of prompts.
-const partDigestPrefix = "part-"
+// partDigestPrefix begins the digests of parts of prompts. Those for a workspace or a model have its
+// scope behind it.
+const (
+	partDigestPrefix = "part-"
+	workspaceScope   = "workspace"
+	modelScope       = "model"
+)
 
 // IsPart reports whether the digest is that of a part of prompts rather than of a whole call.
 func (d ContentDigest) IsPart() bool { return strings.HasPrefix(string(d), partDigestPrefix) }
 
+// IsScopedPart reports whether the digest is that of a part in the calls of one workspace, or to one
+// model.
+func (d ContentDigest) IsScopedPart() bool {
+	return strings.HasPrefix(string(d), partDigestPrefix+workspaceScope+"-") || strings.HasPrefix(string(d), partDigestPrefix+modelScope+"-")
+}
+
 // CallIdentity is what a call has in common with others that may crash the same servers.
 type CallIdentity struct {
 	// ID is the identifier of the call itself.
@@ -67,9 +78,12 @@
 func partDigests(parts []PromptPart, workspace WorkspaceName, model ModelName) []ContentDigest {
 	var digests []ContentDigest
 	for _, part := range parts {
-		for _, scope := range [...][2]string{{}, {"workspace", string(workspace)}, {"model", string(model)}} {
-			digests = append(digests, partDigestPrefix+digestOf(nil, scope[0], scope[1], string(part)))
-		}
+		digests = append(
+			digests,
+			partDigestPrefix+digestOf(nil, "", "", string(part)),
+			partDigestPrefix+workspaceScope+"-"+digestOf(nil, workspaceScope, string(workspace), string(part)),
+			partDigestPrefix+modelScope+"-"+digestOf(nil, modelScope, string(model), string(part)),
+		)
 	}
 	return digests
 }
--- a/quarantiner/blamer.go
+++ b/quarantiner/blamer.go
@@ -45,13 +45,14 @@
 // findCulprits returns the culprits (Z3, Z8). It repeatedly takes the suspect with the most crashes
 // and leaves its crashes out of the counts of the others, so that a harmless call that shared
 // servers with it is not blamed for the same crashes.
-func findCulprits(suspects []suspect) []culprit {
+// The function parts returns all parts with crashes.
+func findCulprits(suspects []suspect, parts func() []suspect) []culprit {
 	var culprits []culprit
 	attributed := make(garnetworks.Set[garnetworks.Incarnation])
 	rest := slices.Clone(suspects)
 	for {
 		rest = unattributed(rest, attributed)
-		top := topCulprits(rest)
+		top := topCulprits(rest, parts)
 		if len(top) == 0 {
 			return culprits
 		}
@@ -78,8 +79,9 @@
 }
 
 // topCulprits returns the content or part with the most crashes, or all contents that share exactly
-// these crashes. Suspects that share too few crashes to be distinguished are skipped.
-func topCulprits(suspects []suspect) []culprit {
+// these crashes, or the branches of a part (Z11). Suspects that share too few crashes to be
+// distinguished are skipped.
+func topCulprits(suspects []suspect, parts func() []suspect) []culprit {
 	slices.SortFunc(suspects, func(a, b suspect) int {
 		if d := len(b.crashes) - len(a.crashes); d != 0 {
 			return d
@@ -94,7 +96,7 @@
 		s := suspects[0]
 		if s.digest.IsPart() {
 			if c, ok := partCulprit(suspects, ambiguous); ok {
-				return []culprit{c}
+				return splitPart(&c, parts())
 			}
 			suspects = suspects[1:]
 			continue
--- a/quarantiner/blamer_test.go
+++ b/quarantiner/blamer_test.go
@@ -60,7 +60,7 @@
 			for content, names := range c.crashes {
 				suspects = append(suspects, suspect{digest: content, crashes: crashes(names)})
 			}
-			if got := digests(findCulprits(suspects)); !slices.Equal(got, c.want) {
+			if got := digests(findCulprits(suspects, func() []suspect { return nil })); !slices.Equal(got, c.want) {
 				t.Errorf("findCulprits() = %v, want %v", got, c.want)
 			}
 		})
@@ -90,7 +90,7 @@
 		for name, shared := range harmless {
 			suspects = append(suspects, suspect{digest: name, crashes: crashes(shared)})
 		}
-		quarantined := garnetworks.NewSet(digests(findCulprits(suspects))...)
+		quarantined := garnetworks.NewSet(digests(findCulprits(suspects, func() []suspect { return nil }))...)
 		for _, s := range suspects {
 			if _, isHarmless := harmless[s.digest]; quarantined.Has(s.digest) == isHarmless {
 				t.Fatalf("%s with %d crashes: quarantined = %t", s.digest, len(s.crashes), quarantined.Has(s.digest))
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -44,4 +44,9 @@
 //	Z10 After the time of a quarantine one node, which claims it in the object API, lets
 //	    one call through. If the server survives it, the quarantine ends at all nodes;
 //	    otherwise it continues for twice as long. Without the object API it continues.
+//	Z11 Harmful parts often follow a first part that sound calls have as well. If the crashes
+//	    of a part are also crashes of parts behind it, the calls that have it with one of
+//	    those that have minBranchCrashes or more are quarantined in its place. It is
+//	    quarantined itself if a call with no part behind it crashed a server, or more than
+//	    maxUnbranched calls with others, or if there would be too many branches.
 package quarantiner
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -45,6 +45,13 @@
 		"another part met all crashes but one":    {[]string{"a p", "a p", "a p", "p"}, nil, "a p", "a, p"},
 		"another part missed two crashes":         {[]string{"a p", "a p", "a p", "p", "p"}, nil, "p, a p", "a"},
 		"two parts, each with crashes of its own": {[]string{"p", "r", "p", "r", "p", "r", "p", "r"}, nil, "p, r", "a"},
+		"two parts behind a first one":            {[]string{"a p", "a r", "a p", "a r"}, nil, "a p, a r", "a, a b, p, r"},
+		"each always with another part":           {[]string{"a p x", "a r", "a p x", "a r"}, nil, "a p x, a r", "a, a p, a x"},
+		"more often behind one of the two":        {[]string{"a p", "a r", "a p", "a p", "a p", "a r"}, nil, "a p, a r", "a, a b"},
+		"one crash behind a third part":           {[]string{"a p", "a r", "a p", "a r", "a b"}, nil, "a p, a r", "a, a c, a b"},
+		"three parts behind a first one":          {[]string{"a p", "a r", "a s", "a p", "a r", "a s"}, nil, "a p, a r, a s", "a, a b, p"},
+		"a first part, mostly before one other":   {[]string{"a p", "a r", "a p", "a s", "a t"}, nil, "a, a c, a p", "p, t"},
+		"the first part alone after two others":   {[]string{"a p", "a r", "a p", "a r", "a"}, nil, "a, a c, a p", "p"},
 		"an answer acquits a part later on":       {[]string{"a p", "a p", "a p", "a p", "a p"}, []string{"a p"}, "", "a p"},
 	}
 	for name, c := range cases {
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -37,7 +37,7 @@
 		}
 	}
 	quarantined := make(map[garnetworks.ContentDigest]quarantine)
-	for _, c := range findCulprits(suspects) {
+	for _, c := range findCulprits(suspects, q.crashedParts) {
 		r := q.records[c.lead()]
 		u := quarantine{shared: c.shared, until: r.lastInterruption().Add(r.quarantineTime())}
 		quarantined[c.lead()] = u
@@ -53,6 +53,20 @@
 	q.quarantined = quarantined
 }
 
+// crashedParts returns the parts of prompts with crashes, in the calls of all workspaces and models;
+// q.mu is held.
+func (q *Quarantiner) crashedParts() (parts []suspect) {
+	for digest, r := range q.records {
+		if !r.part || digest.IsScopedPart() {
+			continue
+		}
+		if crashes := r.incarnations(garnetworks.CrashConnectionRefused); len(crashes) > 0 {
+			parts = append(parts, suspect{digest: digest, crashes: crashes})
+		}
+	}
+	return parts
+}
+
 // describe names what the calls of a quarantine have in common.
 func describe(u *quarantine) string {
 	var names []string
--- a/quarantiner/siteparts_test.go
+++ b/quarantiner/siteparts_test.go
@@ -1,6 +1,7 @@
 package quarantiner_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -20,7 +21,9 @@
 	// learnTime.
 	judgedCrashes = 5
 	learnTime     = 4 * time.Second
-	maxLateRuns   = 3
+	// partCrashes is the number of crashes after which a part is quarantined.
+	partCrashes = 4
+	maxLateRuns = 3
 	// retryTime is the time from an attempt that crashes its server to the retry.
 	retryTime = 200 * time.Millisecond
 	// harmfulInterval and soundInterval are the times between calls of both kinds to the site.
@@ -34,21 +37,36 @@
 	*site
 	guard  sync.Mutex
 	random *rand.Rand
+	// harmful returns the parts of a harmful call, and which of them is harmful.
+	harmful func() (parts []garnetworks.PromptPart, harmful garnetworks.PromptPart)
+	// interval is the time between harmful calls, harmfulInterval if it is 0.
+	interval time.Duration
+	// soundAfter is how long only harmful calls are sent.
+	soundAfter time.Duration
 	// disturbed is when a node was last partitioned, killed or started.
 	disturbed map[*node]time.Time
-	crashedAt []time.Time
+	// crashedAt are the times of the crashes under calls with each harmful part, crashes their number.
+	crashedAt map[garnetworks.PromptPart][]time.Time
+	crashes   int
 	// late counts the calls that reached servers too late, held the sound ones that were held.
 	late, held, sound, calls int
 }
 
-// identity returns the identity of the next call with a part besides the common one.
-func (f *traffic) identity(part garnetworks.PromptPart) garnetworks.CallIdentity {
+func newTraffic(s *site, seed uint64) *traffic {
+	return &traffic{
+		site: s, random: rand.New(rand.NewPCG(seed, 1)), disturbed: make(map[*node]time.Time),
+		crashedAt: make(map[garnetworks.PromptPart][]time.Time),
+	}
+}
+
+// identity returns the identity of the next call with the parts.
+func (f *traffic) identity(parts ...garnetworks.PromptPart) garnetworks.CallIdentity {
 	f.guard.Lock()
 	defer f.guard.Unlock()
 	f.calls++
 	call := garnetworks.ProxiedCall{
 		ID: garnetworks.CallID(fmt.Sprint("r", f.calls)), Body: fmt.Append(nil, f.calls), Model: "m",
-		SharedParts: []garnetworks.PromptPart{"common", part},
+		SharedParts: parts,
 	}
 	return call.Identity("w")
 }
@@ -64,6 +82,11 @@
 	return f.random.IntN(n)
 }
 
+// oneOf returns one of some parts with a name.
+func (f *traffic) oneOf(name string, parts int) garnetworks.PromptPart {
+	return garnetworks.PromptPart(fmt.Sprint(name, f.draw(parts)))
+}
+
 // disturb notes that a node was partitioned, killed or started.
 func (f *traffic) disturb(n *node) {
 	f.guard.Lock()
@@ -81,27 +104,31 @@
 	f.disturb(f.start(zone))
 }
 
-// crash notes that a call reaches a server, which crashes, and returns the server's incarnation.
-func (f *traffic) crash(n *node) garnetworks.Incarnation {
+// crash notes that a call with a harmful part reaches a server, which crashes, and returns the
+// server's incarnation.
+func (f *traffic) crash(n *node, harmful garnetworks.PromptPart) garnetworks.Incarnation {
 	f.guard.Lock()
 	defer f.guard.Unlock()
 	now := time.Now()
-	f.crashedAt = append(f.crashedAt, now)
-	if len(f.crashedAt) > judgedCrashes && now.Sub(f.crashedAt[judgedCrashes-1]) > learnTime && now.Sub(f.disturbed[n]) > learnTime {
+	crashedAt := append(f.crashedAt[harmful], now)
+	f.crashedAt[harmful] = crashedAt
+	if len(crashedAt) > judgedCrashes && now.Sub(crashedAt[judgedCrashes-1]) > learnTime && now.Sub(f.disturbed[n]) > learnTime {
 		f.late++
 	}
-	return garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprint("i", len(f.crashedAt)))}
+	f.crashes++
+	return garnetworks.Incarnation{Instance: garnetworks.InstanceID(fmt.Sprint("i", f.crashes))}
 }
 
 // sendHarmful sends a call that crashes the server of each attempt.
 func (f *traffic) sendHarmful() {
 	n := f.pick()
-	call := f.identity("bad")
+	parts, harmful := f.harmful()
+	call := f.identity(parts...)
 	for range 2 {
 		if _, held := n.Quarantined(f.t.Context(), call); held {
 			return
 		}
-		incarnation := f.crash(n)
+		incarnation := f.crash(n, harmful)
 		time.Sleep(retryTime)
 		n.ReportInterrupted(call, incarnation)
 	}
@@ -110,7 +137,7 @@
 // sendSound sends a call with one of a few parts of its own kind.
 func (f *traffic) sendSound() {
 	n := f.pick()
-	call := f.identity(garnetworks.PromptPart(fmt.Sprint("subject", f.draw(200))))
+	call := f.identity("common", f.oneOf("subject", 200))
 	_, held := n.Quarantined(f.t.Context(), call)
 	f.guard.Lock()
 	f.sound++
@@ -127,10 +154,10 @@
 
 // run sends calls for a time.
 func (f *traffic) run(span time.Duration) {
-	harmful, sound := time.NewTicker(harmfulInterval), time.NewTicker(soundInterval)
+	harmful, sound := time.NewTicker(cmp.Or(f.interval, harmfulInterval)), time.NewTicker(soundInterval)
 	defer harmful.Stop()
 	defer sound.Stop()
-	end := time.After(span)
+	began, end := time.Now(), time.After(span)
 	for {
 		select {
 		case <-end:
@@ -139,7 +166,9 @@
 		case <-harmful.C:
 			go f.sendHarmful()
 		case <-sound.C:
-			go f.sendSound()
+			if time.Since(began) > f.soundAfter {
+				go f.sendSound()
+			}
 		}
 	}
 }
@@ -189,11 +218,14 @@
 			t.Run(size+"/"+name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := newSite(t, z.zones, z.perZone)
-					f := &traffic{site: s, random: rand.New(rand.NewPCG(1, 1)), disturbed: make(map[*node]time.Time)}
+					f := newTraffic(s, 1)
+					f.harmful = func() ([]garnetworks.PromptPart, garnetworks.PromptPart) {
+						return []garnetworks.PromptPart{"common", "bad"}, "bad"
+					}
 					go disturbance(f)
 					f.run(span)
-					if len(f.crashedAt) < judgedCrashes || f.late > maxLateRuns {
-						t.Errorf("%d servers crashed, %d of them too late; want %d too late at most", len(f.crashedAt), f.late, maxLateRuns)
+					if f.crashes < judgedCrashes || f.late > maxLateRuns {
+						t.Errorf("%d servers crashed, %d of them too late; want %d too late at most", f.crashes, f.late, maxLateRuns)
 					}
 					if f.held > 0 {
 						t.Errorf("%d of %d sound calls are held", f.held, f.sound)
@@ -204,3 +236,53 @@
 		}
 	}
 }
+
+// Guards against keeping sound calls from all servers for the parts that harmful ones have behind the same
+// first part, and against taking a harmful first part for the parts behind it.
+func TestHarmfulPartsBehindAFirstOneAreToldApart(t *testing.T) {
+	const seeds = 10
+	paces := map[string]struct{ interval, soundAfter, span time.Duration }{
+		"fast": {harmfulInterval, 3 * time.Second, 15 * time.Second},
+		"slow": {2 * time.Second, 25 * time.Second, 35 * time.Second},
+	}
+	behind := func(n int) func(f *traffic) ([]garnetworks.PromptPart, garnetworks.PromptPart) {
+		return func(f *traffic) ([]garnetworks.PromptPart, garnetworks.PromptPart) {
+			bad := f.oneOf("bad", n)
+			return []garnetworks.PromptPart{"common", bad}, bad
+		}
+	}
+	before := func(n int) func(f *traffic) ([]garnetworks.PromptPart, garnetworks.PromptPart) {
+		return func(f *traffic) ([]garnetworks.PromptPart, garnetworks.PromptPart) {
+			return []garnetworks.PromptPart{"bad", f.oneOf("subject", n)}, "bad"
+		}
+	}
+	alone := func(*traffic) ([]garnetworks.PromptPart, garnetworks.PromptPart) {
+		return []garnetworks.PromptPart{"bad"}, "bad"
+	}
+	for name, harmful := range map[string]func(f *traffic) ([]garnetworks.PromptPart, garnetworks.PromptPart){
+		"one behind": behind(1), "two behind": behind(2), "three behind": behind(3), "alone": alone,
+		"first before two": before(2), "first before three": before(3), "first before five": before(5), "first before many": before(200),
+	} {
+		for pace, p := range paces {
+			for seed := range uint64(seeds) {
+				t.Run(fmt.Sprintf("%s, %s, seed %d", name, pace, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := newSite(t, 2, 1+int(seed%2)*2)
+						f := newTraffic(s, seed)
+						f.interval, f.soundAfter = p.interval, p.soundAfter
+						f.harmful = func() ([]garnetworks.PromptPart, garnetworks.PromptPart) { return harmful(f) }
+						f.run(p.span)
+						t.Logf("%d servers crashed, %d of them too late; %d of %d sound calls are held", f.crashes, f.late, f.held, f.sound)
+						if f.crashes < partCrashes || f.late > maxLateRuns {
+							t.Errorf("%d servers crashed, %d of them too late; want %d too late at most", f.crashes, f.late, maxLateRuns)
+						}
+						if f.held > 0 {
+							t.Errorf("%d of %d sound calls are held", f.held, f.sound)
+						}
+						s.close()
+					})
+				})
+			}
+		}
+	}
+}
