acceptor, gateway: a request is not sent on if its client has left (W5)

Cause: a client's end is known only when net/http's goroutine for it has read it. On a node that did not run for some time both the request and the end have arrived, and the handler goes on to the server first.

Change: before an attempt is sent, or handed to another node, the node looks at the socket for the end. It does not read, so it does not get in the way of that goroutine.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -5,6 +5,9 @@
 //	   is gone already. Accepting continues after retryTime.
 //	V2 A connection is closed when it has been unused for the idle time. It is not closed if
 //	   a request has arrived by then, though the timer has ended.
+//	V3 Whether a client has left is known as soon as the end of its connection has arrived. The
+//	   context of a request tells it only when a goroutine has read that, which may be later
+//	   than the next steps of the handler on a node that did not run for some time.
 package acceptor
 
 import (
@@ -21,7 +24,7 @@
 type Listener struct {
 	net.Listener
 	// IdleTime returns how long a connection may be unused; 0 leaves it to the server. It may be nil.
-	// It applies to a server with an IdleTimeout whose ConnState is Track.
+	// It applies to a server with an IdleTimeout whose ConnState is Track and ConnContext WithConn.
 	IdleTime func() time.Duration
 	// Log receives the first of several errors in a row.
 	Log func(error)
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -158,22 +158,8 @@
 	}
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			client, err := net.Dial("tcp4", listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer client.Close()
-			accepted, err := listener.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer accepted.Close()
-			late := &lateConn{TCPConn: accepted.(*net.TCPConn)}
+			client, accepted := connect(t)
+			late := &lateConn{TCPConn: accepted}
 			late.arrive = func() {
 				if _, err := io.WriteString(client, tt.text); err != nil {
 					t.Error(err)
@@ -191,3 +177,57 @@
 		})
 	}
 }
+
+// Guards against taking a client for one that waits after its connection has ended, and the reverse.
+func TestClientThatLeftIsGone(t *testing.T) {
+	cases := map[string]struct {
+		leave func(c *net.TCPConn) error
+		want  bool
+	}{
+		"waits":         {func(*net.TCPConn) error { return nil }, false},
+		"sends more":    {func(c *net.TCPConn) error { _, err := io.WriteString(c, "more"); return err }, false},
+		"closes":        {func(c *net.TCPConn) error { return c.Close() }, true},
+		"sends no more": {func(c *net.TCPConn) error { return c.CloseWrite() }, true},
+		"resets": {func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+			return c.Close()
+		}, true},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			near, far := connect(t)
+			ctx := WithConn(t.Context(), &conn{Conn: far})
+			if err := tt.leave(near); err != nil {
+				t.Fatal(err)
+			}
+			if got := Gone(ctx); got != tt.want {
+				t.Errorf("gone = %t", got)
+			}
+		})
+	}
+	if Gone(t.Context()) {
+		t.Error("a request without a connection has no client")
+	}
+}
+
+// connect returns both ends of a connection.
+func connect(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() }) // the test may have closed them
+	return client.(*net.TCPConn), server.(*net.TCPConn)
+}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -12,7 +12,8 @@
 //	    one proved that it did not begin it.
 //	W4  A key is accepted only while the routing is known to be newer than
 //	    RevokeTime, whether the store can be reached or not.
-//	W5  When a client disconnects, its call is cancelled at the server at once.
+//	W5  When a client disconnects, its call is cancelled at the server at once, and is not sent
+//	    if it was not yet.
 //	W6  A call that is given up is answered at once, with Retry-After if it did
 //	    not run.
 //	W7  The bodies of calls take a part of the node's memory at most. A call whose body does
--- a/gateway/execution.go
+++ b/gateway/execution.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/acceptor"
 )
 
 // execution is what is known of whether a call has run. From the moment at which it is sent to a
@@ -44,6 +45,9 @@
 	if attempt.AtMostOnce && x.execution.mayHaveRun() {
 		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseWait, Cause: errMayHaveRun}
 	}
+	if err := x.clientLeft(); err != nil {
+		return nil, &garnetworks.AttemptError{Phase: garnetworks.PhaseConnect, Cause: err}
+	}
 	attempt.Repeated = x.execution.sent > 0
 	x.execution.begin()
 	response, err := x.options.Proxy.Send(ctx, address, attempt)
@@ -55,3 +59,11 @@
 	}
 	return response, err
 }
+
+// clientLeft returns an error if the call has ended, and ends it if its client has left (rule W5).
+func (x *exchange) clientLeft() error {
+	if acceptor.Gone(x.request.Context()) {
+		x.cancel()
+	}
+	return x.ctx.Err()
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -307,7 +307,7 @@
 	tasks.Go(func() error { return l.peers.run(serving, listeners.Peers, delegated) })
 	tasks.Go(func() error { return l.formGroups(stop) })
 	calls := l.server(l.gateway)
-	calls.IdleTimeout, calls.ConnState = idleTimeout, acceptor.Track
+	calls.IdleTimeout, calls.ConnState, calls.ConnContext = idleTimeout, acceptor.Track, acceptor.WithConn
 	otherServers := []*http.Server{l.server(l.options.Ready(l.gateway.Ready)), l.server(l.meter.Handler())}
 	for server, listener := range map[*http.Server]net.Listener{calls: listeners.Callers, otherServers[0]: listeners.Ready, otherServers[1]: listeners.Metrics} {
 		if listener != nil {
