--- a/quarantiner/siteparts_test.go
+++ b/quarantiner/siteparts_test.go
@@ -152,22 +152,23 @@
 	n.ReportSurvival(call)
 }
 
-// run sends calls for a time.
+// run sends calls for a time and waits until they have ended.
 func (f *traffic) run(span time.Duration) {
 	harmful, sound := time.NewTicker(cmp.Or(f.interval, harmfulInterval)), time.NewTicker(soundInterval)
 	defer harmful.Stop()
 	defer sound.Stop()
 	began, end := time.Now(), time.After(span)
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
 		select {
 		case <-end:
-			time.Sleep(time.Second) // the last calls end
 			return
 		case <-harmful.C:
-			go f.sendHarmful()
+			calls.Go(f.sendHarmful)
 		case <-sound.C:
 			if time.Since(began) > f.soundAfter {
-				go f.sendSound()
+				calls.Go(f.sendSound)
 			}
 		}
 	}
