--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -2,11 +2,11 @@
 // closes those that clients leave unused.
 //
 //	V1 An error other than that the listener is closed passes: too many open files, or a client that
-//	   is gone already. Accepting continues after retryTime.
+//	   has left already. Accepting continues after retryTime.
 //	V2 A connection is closed when it has been unused for the idle time. It is not closed if
 //	   a request has arrived by then, though the timer has ended.
 //	V3 Whether a client has left is known as soon as the end of its connection has arrived. The
-//	   context of a request tells it only when a goroutine has read that, which may be later
+//	   context of a request shows it only when a goroutine has read that, which may be later
 //	   than the next steps of the handler on a node that did not run for some time.
 package acceptor
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -81,7 +81,7 @@
 func (l *pipeListener) Close() error   { return nil }
 func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
 
-// Guards against unused connections that are kept for another time than the one in force.
+// Guards against unused connections that are kept for another time than the configured one.
 func TestUnusedConnectionIsClosedAtTheIdleTime(t *testing.T) {
 	const fixed = time.Minute
 	for name, c := range map[string]struct{ first, second, want time.Duration }{
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -111,7 +111,7 @@
 	if !x.bodyUnread {
 		return
 	}
-	// The answer is sent and the connection closes: what fails here fails for a client that is gone.
+	// The answer is sent and the connection closes: what fails here fails for a client that has left.
 	connection := http.NewResponseController(x.w)
 	_ = connection.Flush()
 	_ = connection.SetReadDeadline(time.Now().Add(discardTime))
--- a/quarantiner/siteparts_test.go
+++ b/quarantiner/siteparts_test.go
@@ -238,8 +238,7 @@
 	}
 }
 
-// Guards against keeping sound calls from all servers for the parts that harmful ones have behind the same
-// first part, and against taking a harmful first part for the parts behind it.
+// Guards against blaming a first part for harmful parts behind it, and the reverse.
 func TestHarmfulPartsBehindAFirstOneAreToldApart(t *testing.T) {
 	const seeds = 10
 	paces := map[string]struct{ interval, soundAfter, span time.Duration }{
