Comments: what package acceptor does, which parts findCulprits gets

Cause: both comments were written before the last change to their code: the package also detects clients that have left (V3), and parts of one workspace or model are left out.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,5 +1,5 @@
-// Package acceptor accepts connections for a server that must outlast a shortage of descriptors, and
-// closes those that clients leave unused.
+// Package acceptor accepts connections for a server that must outlast a shortage of descriptors,
+// closes those that clients leave unused, and detects clients that have left.
 //
 //	V1 An error other than that the listener is closed passes: too many open files, or a client that
 //	   has left already. Accepting continues after retryTime.
--- a/quarantiner/blamer.go
+++ b/quarantiner/blamer.go
@@ -45,7 +45,7 @@
 // findCulprits returns the culprits (Z3, Z8). It repeatedly takes the suspect with the most crashes
 // and leaves its crashes out of the counts of the others, so that a harmless call that shared
 // servers with it is not blamed for the same crashes.
-// The function parts returns all parts with crashes.
+// The function parts returns the parts with crashes in the calls of all workspaces and models.
 func findCulprits(suspects []suspect, parts func() []suspect) []culprit {
 	var culprits []culprit
 	attributed := make(garnetworks.Set[garnetworks.Incarnation])
