--- a/cmd/garnetd/once_test.go
+++ b/cmd/garnetd/once_test.go
@@ -80,6 +80,9 @@
 	faults      standInOptions
 	started     atomic.Uint64 // server processes
 	environment []string
+	// key is that of the workspace, version counts the configurations.
+	key     string
+	version int
 
 	mu      sync.Mutex
 	answers map[string]onceAnswer
@@ -173,7 +176,7 @@
 func newOnceSite(t *testing.T, options onceOptions) *onceSite {
 	t.Helper()
 	seed, faults := options.Seed, options.Faults
-	s := &onceSite{t: t, environment: options.Environment, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
+	s := &onceSite{t: t, key: "k1", environment: options.Environment, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
 	faults.Seed = seed
 	t.Cleanup(s.store.Close)
 	s.configure(cmp.Or(options.Timeout, onceTimeout), cmp.Or(options.IdleTime, 15*time.Second), cmp.Or(options.HeaderTime, 3*time.Second))
@@ -203,11 +206,12 @@
 		"name": "log", "host": "a.example", "path-prefix": "/log/", "kind": "unsafe", "service": "ledger", "attempts": 1,
 		"timeout-ms": timeout.Milliseconds(), "slo-ms": 150, "priority": 1, "public": false, "sticky": false, "can-resume": false,
 	}
+	s.version++
 	s.store.Set("config", "main", map[string]any{
-		"version": 1, "routes": []any{route},
+		"version": s.version, "routes": []any{route},
 		"services": []any{map[string]any{"name": "ledger", "health-path": "/healthz", "max-connections": 400, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4 << 20, "header-timeout-ms": headerTime.Milliseconds(), "idle-timeout-ms": idleTime.Milliseconds()},
-		"tenants":  []any{map[string]any{"name": "w1", "api-keys": []string{"k1"}, "priority": 1}},
+		"tenants":  []any{map[string]any{"name": "w1", "api-keys": []string{s.key}, "priority": 1}},
 	})
 }
 
@@ -417,8 +421,10 @@
 type onceClient struct {
 	site    *onceSite
 	address string
-	conn    net.Conn
-	reader  *bufio.Reader
+	// key replaces the site's if it is set.
+	key    string
+	conn   net.Conn
+	reader *bufio.Reader
 }
 
 func (c *onceClient) close() {
@@ -452,7 +458,7 @@
 	if c.conn.SetDeadline(time.Now().Add(onceDeadline)) != nil {
 		return onceAnswer{}, false
 	}
-	text := fmt.Sprintf("POST /log/x HTTP/1.1\r\nHost: a.example\r\nGarnetworks-Request-Id: %s\r\nGarnetworks-Deadline-Ms: %d\r\nAuthorization: Token k1\r\nContent-Length: 4\r\n\r\nbody", id, onceDeadline.Milliseconds())
+	text := fmt.Sprintf("POST /log/x HTTP/1.1\r\nHost: a.example\r\nGarnetworks-Request-Id: %s\r\nGarnetworks-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 4\r\n\r\nbody", id, onceDeadline.Milliseconds(), cmp.Or(c.key, c.site.key))
 	if _, err := io.WriteString(c.conn, text); err != nil {
 		return onceAnswer{}, false
 	}
--- a/faker/impersonator/store.go
+++ b/faker/impersonator/store.go
@@ -1,7 +1,9 @@
 package impersonator
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -78,6 +80,10 @@
 	calls     map[string]int
 	wake      chan struct{}
 	blocker   *callBlocker
+
+	textsMu sync.Mutex
+	// texts are the specs of SetText, by the JSON strings that stand for them in stored objects.
+	texts map[string]string
 }
 
 // NewStore starts an empty store on the loopback address.
@@ -96,7 +102,7 @@
 }
 
 func newStore() *Store {
-	return &Store{revision: 1, kinds: make(map[string]map[string]object), calls: make(map[string]int), wake: make(chan struct{}), blocker: newCallBlocker()}
+	return &Store{revision: 1, kinds: make(map[string]map[string]object), calls: make(map[string]int), wake: make(chan struct{}), blocker: newCallBlocker(), texts: make(map[string]string)}
 }
 
 // Close stops the server and releases all blocked calls.
@@ -199,6 +205,16 @@
 	s.writeLocked(kind, o)
 }
 
+// SetText writes an object with a spec that is sent as it is, as another writer may leave one that no
+// JSON encoder accepts.
+func (s *Store) SetText(kind, name, spec string) {
+	s.textsMu.Lock()
+	placeholder := fmt.Sprintf("text-%d", len(s.texts)+1)
+	s.texts[strconv.Quote(placeholder)] = spec
+	s.textsMu.Unlock()
+	s.Set(kind, name, placeholder)
+}
+
 // Remove deletes an object regardless of its finalizers, as the platform would.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -357,6 +373,21 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
+// reply sends a value with the specs of SetText in it.
+func (s *Store) reply(w http.ResponseWriter, status int, value any) {
+	recorder := httptest.NewRecorder()
+	reply(recorder, status, value)
+	body := recorder.Body.Bytes()
+	s.textsMu.Lock()
+	for placeholder, text := range s.texts {
+		body = bytes.ReplaceAll(body, []byte(placeholder), []byte(text))
+	}
+	s.textsMu.Unlock()
+	maps.Copy(w.Header(), recorder.Header())
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // fails if the caller has disconnected
+}
+
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.kinds[kind][name]
@@ -365,7 +396,7 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	s.reply(w, http.StatusOK, o)
 }
 
 func (s *Store) list(w http.ResponseWriter, kind, after string) {
@@ -374,7 +405,7 @@
 	defer s.mu.Unlock()
 	if s.faults.StaleLists > 0 {
 		s.faults.StaleLists--
-		reply(w, http.StatusOK, map[string]any{"items": []object{}, "truncated": false, "current-rev": 1})
+		s.reply(w, http.StatusOK, map[string]any{"items": []object{}, "truncated": false, "current-rev": 1})
 		return
 	}
 	page := s.PageSize
@@ -393,7 +424,7 @@
 	for _, name := range names[:min(page, len(names))] {
 		items = append(items, s.kinds[kind][name])
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "truncated": truncated, "current-rev": s.revision})
+	s.reply(w, http.StatusOK, map[string]any{"items": items, "truncated": truncated, "current-rev": s.revision})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, query url.Values) {
@@ -421,7 +452,7 @@
 			http.Error(w, "the history is gone", http.StatusGone)
 			return
 		case len(events) > 0 || expired:
-			reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
+			s.reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
 			return
 		}
 		select {
@@ -472,11 +503,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old, exists := s.kinds[kind][o.Metadata.Name]; exists {
-		reply(w, http.StatusConflict, old)
+		s.reply(w, http.StatusConflict, old)
 		return
 	}
 	o.Metadata.CreatedRev, o.Metadata.Deleting = 0, false
-	reply(w, http.StatusOK, s.writeLocked(kind, o))
+	s.reply(w, http.StatusOK, s.writeLocked(kind, o))
 }
 
 func (s *Store) replace(w http.ResponseWriter, r *http.Request, kind, name string) {
@@ -492,21 +523,21 @@
 		return
 	}
 	if o.Metadata.Revision != 0 && o.Metadata.Revision != old.Metadata.Revision {
-		reply(w, http.StatusConflict, old)
+		s.reply(w, http.StatusConflict, old)
 		return
 	}
 	if string(old.Spec) == string(o.Spec) && slices.Equal(old.Metadata.Finalizers, o.Metadata.Finalizers) {
-		reply(w, http.StatusOK, old)
+		s.reply(w, http.StatusOK, old)
 		return
 	}
 	old.Spec = o.Spec
 	old.Metadata.Finalizers = o.Metadata.Finalizers
 	if old.Metadata.Deleting && len(old.Metadata.Finalizers) == 0 {
 		s.deleteLocked(kind, old)
-		reply(w, http.StatusOK, old)
+		s.reply(w, http.StatusOK, old)
 		return
 	}
-	reply(w, http.StatusOK, s.writeLocked(kind, old))
+	s.reply(w, http.StatusOK, s.writeLocked(kind, old))
 }
 
 func (s *Store) remove(w http.ResponseWriter, kind, name, revision string) {
@@ -518,17 +549,17 @@
 		return
 	}
 	if revision != "" && revision != strconv.FormatUint(old.Metadata.Revision, 10) {
-		reply(w, http.StatusConflict, old)
+		s.reply(w, http.StatusConflict, old)
 		return
 	}
 	if len(old.Metadata.Finalizers) > 0 {
 		// The object stays, marked as deleting, until its last finalizer is removed.
 		old.Metadata.Deleting = true
-		reply(w, http.StatusOK, s.writeLocked(kind, old))
+		s.reply(w, http.StatusOK, s.writeLocked(kind, old))
 		return
 	}
 	s.deleteLocked(kind, old)
-	reply(w, http.StatusOK, old)
+	s.reply(w, http.StatusOK, old)
 }
 
 // AddFinalizer adds a finalizer to an object.
