gateway, launcher: a stopping node refuses what it may cut off, and answers the rest

What callers saw: in a planned stop, in calm, a request whose head and half of its body came before SIGTERM, and whose rest came late in the grace, was sent on to a server and its connection closed without an answer at the end of the grace. Its caller can't tell whether it ran. Any request that a server still worked on then ended the same way.

Cause: the grace bounds the HTTP server that holds the connections. Nothing on the way to a backend server, nor in a wait for a body, a slot or another node, looked at the time that was left, and the server closes connections without giving handlers time to answer.

Ruled out: requests on kept and new connections whose work fits into the grace; all got their answers before the change as well.

Change: from the moment at which the listener closes, a request that has not run, and whose deadline is after the end of the node, is refused as not run, with Retry-After (W9): on arrival, while its body is awaited, while it waits for a slot, and before each repetition or hand-over. The contexts of all requests end 200 ms before connections are closed, with a cause of their own, so that what is in flight is answered 504 rather than cut off. A request that may have run and may be repeated goes on, since a refusal would say less than is known.

The deadline decides, and no estimate: how long a server will work is not known, and a caller that is refused at once repeats its request at another node. Before the listener closes clients are still sent to the node, so requests are begun.

Why it works: every way to a server begins with checkBegin or checkStop, and what passes it ends by its own deadline, before the node does. What began earlier is answered while the node still can.

--- a/cmd/garnetd/once_test.go
+++ b/cmd/garnetd/once_test.go
@@ -81,8 +81,9 @@
 	started     atomic.Uint64 // server processes
 	environment []string
 	// key is that of the workspace, version counts the configurations.
-	key     string
-	version int
+	key             string
+	version         int
+	grace, workTime time.Duration
 
 	mu      sync.Mutex
 	answers map[string]onceAnswer
@@ -169,6 +170,8 @@
 	HeaderTime time.Duration
 	// Nodes and MemoryMB replace the number of nodes and their memory if they are above 0.
 	Nodes, MemoryMB int
+	// Grace is that of a planned stop, 4 s if it is 0; WorkTime is how long a request takes, 20 ms if it is 0.
+	Grace, WorkTime time.Duration
 	// Environment is that of the nodes, besides what they need.
 	Environment []string
 }
@@ -176,7 +179,7 @@
 func newOnceSite(t *testing.T, options onceOptions) *onceSite {
 	t.Helper()
 	seed, faults := options.Seed, options.Faults
-	s := &onceSite{t: t, key: "k1", environment: options.Environment, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
+	s := &onceSite{t: t, key: "k1", environment: options.Environment, random: rand.New(rand.NewPCG(seed, 0)), grace: cmp.Or(options.Grace, 4*time.Second), workTime: cmp.Or(options.WorkTime, 20*time.Millisecond), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
 	faults.Seed = seed
 	t.Cleanup(s.store.Close)
 	s.configure(cmp.Or(options.Timeout, onceTimeout), cmp.Or(options.IdleTime, 15*time.Second), cmp.Or(options.HeaderTime, 3*time.Second))
@@ -219,7 +222,7 @@
 func (s *onceSite) startServer(server *onceServer) {
 	server.id = fmt.Sprintf("i-%d", s.started.Add(1))
 	options := s.faults
-	options.ID, options.Address, options.WorkTime = server.id, server.address, 20*time.Millisecond
+	options.ID, options.Address, options.WorkTime = server.id, server.address, s.workTime
 	options.RunsFile = filepath.Join(s.dir, server.id+".runs")
 	text, err := json.Marshal(options)
 	if err != nil {
@@ -246,7 +249,7 @@
 	return &onceNode{front: listen["front"], settings: map[string]any{
 		"node": fmt.Sprintf("front-%d", number), "ip": ip, "zone": "z1", "region": "r", "listen": listen, "first-start": true, "heartbeat-ms": 1200,
 		"limits":   map[string]any{"cpu-share": 0.4, "cpu-speed": 1, "memory-mb": memoryMB},
-		"bounds":   map[string]any{"grace-s": 4, "retry-budget-ratio": 0.5, "budget-slack": 1000, "budget-window-s": 10},
+		"bounds":   map[string]any{"grace-s": s.grace.Seconds(), "retry-budget-ratio": 0.5, "budget-slack": 1000, "budget-window-s": 10},
 		"platform": map[string]any{"address": s.store.Address()},
 	}}
 }
@@ -458,10 +461,19 @@
 	if c.conn.SetDeadline(time.Now().Add(onceDeadline)) != nil {
 		return onceAnswer{}, false
 	}
-	text := fmt.Sprintf("POST /log/x HTTP/1.1\r\nHost: a.example\r\nGarnetworks-Request-Id: %s\r\nGarnetworks-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 4\r\n\r\nbody", id, onceDeadline.Milliseconds(), cmp.Or(c.key, c.site.key))
-	if _, err := io.WriteString(c.conn, text); err != nil {
+	if _, err := io.WriteString(c.conn, requestText(id, cmp.Or(c.key, c.site.key), onceDeadline)); err != nil {
 		return onceAnswer{}, false
 	}
+	return c.receive()
+}
+
+// requestText returns a request with a body of 4 bytes.
+func requestText(id, key string, deadline time.Duration) string {
+	return fmt.Sprintf("POST /log/x HTTP/1.1\r\nHost: a.example\r\nGarnetworks-Request-Id: %s\r\nGarnetworks-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 4\r\n\r\nbody", id, deadline.Milliseconds(), key)
+}
+
+// receive reads an answer as send returns it.
+func (c *onceClient) receive() (answer onceAnswer, ok bool) {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return onceAnswer{}, false
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -57,7 +57,9 @@
 	connection := http.NewResponseController(x.w)
 	_ = connection.SetReadDeadline(x.deadline)
 	acceptor.BeginBody(x.request.Context())
+	release := x.endWhenClosing(func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
 	defer func() {
+		release()
 		acceptor.EndBody(x.request.Context(), err == nil)
 		_ = connection.SetReadDeadline(time.Time{})
 	}()
@@ -127,6 +129,9 @@
 func (x *exchange) incomplete(err error) error {
 	kind := garnetworks.KindInvalidRequest
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if stopped := x.checkStop(); stopped != nil {
+			return x.unread(stopped)
+		}
 		kind = garnetworks.KindDeadlineUnreachable
 	}
 	return x.unread(garnetworks.WrapError(kind, err, "the body is incomplete"))
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	for range maxDelegations {
-		if x.clientLeft() != nil {
+		if x.clientLeft() != nil || x.checkStop() != nil {
 			return false
 		}
 		x.mu.Lock()
@@ -169,7 +169,7 @@
 	}
 	for range maxOffers {
 		node, ok := x.chooseSharer(time.Now())
-		if !ok || x.clientLeft() != nil {
+		if !ok || x.clientLeft() != nil || x.checkStop() != nil {
 			return false
 		}
 		response, err := x.handOver(&node)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -20,6 +20,10 @@
 //	    not fit is refused at once, before it is read.
 //	W8  The long answers that are kept until clients have read them take a part of it at most.
 //	    One that does not fit is read when there is memory for it, before the call's deadline.
+//	W9  A node that stops refuses calls that have not run and may last longer than it does: from the
+//	    moment at which it accepts no further ones, and at once, those that wait for a slot or
+//	    whose bodies are incomplete as well. Calls in flight at its end are answered before
+//	    their connections close.
 //
 // What a node may do with the routing depends on the routing's age, the time since it was
 // last confirmed as the newest:
--- a/gateway/execution_test.go
+++ b/gateway/execution_test.go
@@ -34,11 +34,15 @@
 	if first {
 		return p.end(ctx)
 	}
-	text := "x"
-	if attempt.Model != "" {
-		text = "id: 1\ndata: x\n\n"
+	return serverAnswer(http.StatusOK, answerText(attempt.Model != "")), nil
+}
+
+// answerText returns the text of a whole answer.
+func answerText(streamed bool) io.Reader {
+	if streamed {
+		return strings.NewReader("id: 1\ndata: x\n\n")
 	}
-	return serverAnswer(http.StatusOK, strings.NewReader(text)), nil
+	return strings.NewReader("x")
 }
 
 func serverAnswer(status int, body io.Reader) *garnetworks.ProxiedResponse {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	options  Options
 	changed  <-chan struct{}
 	stopping atomic.Bool
+	stop     *stop
 	bounds   atomic.Pointer[garnetworks.SiteBounds]
 	sequence atomic.Uint64
 	// successLines and failureLines limit the log lines of calls.
@@ -161,6 +162,7 @@
 		delegates:      delegator.NewDelegates(options.Zone, random),
 		offers:         delegator.NewOffers(random),
 		bodies:         newBodies(options.MemoryBytes),
+		stop:           newStop(),
 	}
 	g.bounds.Store(&options.Bounds)
 	return g
@@ -206,9 +208,6 @@
 	}
 }
 
-// Stop makes responses close their connections, so that clients reconnect to other nodes.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
 // Ready reports whether the node should get new connections: it has a routing that is
 // recent enough to accept keys, and is not stopping.
 func (g *Gateway) Ready() bool {
@@ -522,7 +521,7 @@
 		return garnetworks.Errorf(garnetworks.KindNoBackend, "route %s has no target service", x.route.Name)
 	}
 	x.ctx, x.cancel = context.WithDeadline(x.request.Context(), x.deadline)
-	if err := x.checkQuarantine(); err != nil {
+	if err := x.checkBegin(); err != nil {
 		x.cancel()
 		return err
 	}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -72,7 +72,7 @@
 	freeAttempts := 0
 	for {
 		// The check may wait, so that a server that was picked before it may refuse calls by then.
-		if err := x.checkQuarantine(); err != nil {
+		if err := x.checkBegin(); err != nil {
 			x.refuse(x.w, x, err)
 			return
 		}
@@ -369,9 +369,10 @@
 }
 
 // contextErrorKind returns the error kind of a call whose context has ended, so that the log
-// distinguishes a client's disconnect from a server's timeout.
-func contextErrorKind(err error) garnetworks.Kind {
-	if errors.Is(err, context.Canceled) {
+// distinguishes a client's disconnect from a server's timeout. The end of a stopping node is the
+// latter for callers.
+func contextErrorKind(ctx context.Context) garnetworks.Kind {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return garnetworks.KindCancelled
 	}
 	return garnetworks.KindBackendTimeout
@@ -387,8 +388,8 @@
 
 // lostKind returns the error kind of a call that may have run and got no answer.
 func (x *exchange) lostKind() garnetworks.Kind {
-	if err := x.ctx.Err(); err != nil {
-		return contextErrorKind(err)
+	if x.ctx.Err() != nil {
+		return contextErrorKind(x.ctx)
 	}
 	return garnetworks.KindBackendLost
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -224,24 +224,38 @@
 	case s.enqueued <- struct{}{}:
 	default:
 	}
-	select {
-	case d := <-waiter:
-		return d, true
-	case <-s.ctx.Done():
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.waiters, id)
-		s.scheduler.Cancel(id, s.call.Model)
+	closing := s.stop.closing.Done()
+	for {
 		select {
 		case d := <-waiter:
-			// The decision came at the same time; its slot is freed.
-			if d.Group != "" {
-				s.scheduler.PrefillDone(s.call.Model, d.Group, s.call.PromptTokens)
-				s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, 0, false))
+			return d, true
+		case <-closing:
+			if s.checkStop() != nil {
+				s.leaveQueue(id, waiter)
+				return scheduler.Decision{Kind: garnetworks.KindShuttingDown, RetryAfter: stopRetryAfter}, true
 			}
-		default:
+			closing = nil
+		case <-s.ctx.Done():
+			s.leaveQueue(id, waiter)
+			return scheduler.Decision{}, false
 		}
-		return scheduler.Decision{}, false
+	}
+}
+
+// leaveQueue withdraws the request for a slot.
+func (s *stream) leaveQueue(id garnetworks.CallID, waiter <-chan scheduler.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, id)
+	s.scheduler.Cancel(id, s.call.Model)
+	select {
+	case d := <-waiter:
+		// The decision came at the same time; its slot is freed.
+		if d.Group != "" {
+			s.scheduler.PrefillDone(s.call.Model, d.Group, s.call.PromptTokens)
+			s.deliver(s.scheduler.Finished(time.Now(), s.call.Model, d.Group, 0, false))
+		}
+	default:
 	}
 }
 
@@ -250,7 +264,7 @@
 func (s *stream) attempt(group garnetworks.GroupID) (again bool, failure error) {
 	defer s.releaseSlot(group)
 	h, ok := s.beginAttempt(group)
-	if err := s.checkQuarantine(); err != nil {
+	if err := s.checkBegin(); err != nil {
 		return false, err
 	}
 	s.tried = append(s.tried, group)
--- a/launcher/connections.go
+++ b/launcher/connections.go
@@ -53,6 +53,9 @@
 	peers *acceptor.Listener
 	// ended counts the connections that were ended since the last log line.
 	ended atomic.Int64
+	// requests is the context that the contexts of all requests derive from, endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 func newConnections(l *Launcher) *connections {
@@ -61,7 +64,9 @@
 	if err != nil {
 		l.options.Logger.Warn("the limit of open files is not known", "error", err)
 	}
-	return &connections{launcher: l, evictor: evictor.New(connectionLimits(site.MemoryBytes, most))}
+	c := &connections{launcher: l, evictor: evictor.New(connectionLimits(site.MemoryBytes, most))}
+	c.requests, c.endRequests = context.WithCancelCause(context.Background())
+	return c
 }
 
 // connectionLimits returns the limits of a node with that much memory, 0 if it is not bounded, which may accept
@@ -135,7 +140,8 @@
 // server returns an HTTP server for a listener of accept. The listener's limits hold, which may change.
 func (c *connections) server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return c.requests },
+		Handler:     handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnState: acceptor.Track, ConnContext: acceptor.WithConn,
 		// A handler's panic shows only as a closed connection and in this log.
 		ErrorLog: c.launcher.options.Logger.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -4,7 +4,8 @@
 //
 //	J1  A node that stops first announces that it wants no new connections, then goes
 //	    on serving until the balancer has noticed, then closes its listener, and
-//	    ends when the calls in flight have their answers (rule G9).
+//	    ends when the calls in flight have their answers (rule G9). At the end of the grace
+//	    period they are answered as lost, before their connections close.
 //	J2  The lease is released before that, once no order is in flight, so that
 //	    another node can go on forming groups.
 package launcher
@@ -48,8 +49,10 @@
 	// balancerNoticeTime is how long the balancer may take to notice that a node stops:
 	// two readiness checks, a second apart, and some slack.
 	balancerNoticeTime = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period left when calls in flight are closed.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is the part of the grace period left when connections are closed, and answerMargin
+	// the time before that in which calls in flight are answered.
+	stopMargin   = 300 * time.Millisecond
+	answerMargin = 200 * time.Millisecond
 	// heapFraction is the fraction of the node's memory that the heap may fill before
 	// it is collected more often.
 	heapFraction = 0.6
@@ -383,6 +386,10 @@
 	l.gateway.Stop()
 	l.peers.leave(l.options.Logger)
 	time.Sleep(min(cmp.Or(l.options.BalancerTime, balancerNoticeTime), l.options.Site.Bounds.StopGrace/2))
+	end := deadline.Add(-answerMargin)
+	l.gateway.Close(end)
+	ending := time.AfterFunc(time.Until(end), func() { l.connections.endRequests(gateway.ErrStopped) })
+	defer ending.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	var stopping sync.WaitGroup
