acceptor: tests wait for the end of their server's goroutines

Cause: net/http keeps a connection for 0.5 s after an answer to a request whose body it did not read, and the test's bubble ended before that.

--- a/acceptor/limits_test.go
+++ b/acceptor/limits_test.go
@@ -53,7 +53,8 @@
 	s.end = func() {
 		close(s.pipes.conns)
 		<-ended
-		_ = server.Close() // the test ends
+		_ = server.Close()      // the test ends
+		time.Sleep(time.Second) // net/http keeps connections for 0.5 s whose bodies it did not read
 	}
 	return s
 }
