former: members at the epoch of a group's name are those of the group

What callers saw: another program leaves an entry among those of the engines that names a group that serves, with a very large epoch. Calls to the group are refused, 0 of 10 served, for as long as the entry stands.

Cause: the largest epoch that any entry claims was taken for the group's, and its own members were dropped as those of an earlier one. Orders of this system never do that: each new group has a name of its own that holds its epoch.

Change: members at the epoch in the group's name count, if there are any, whatever others claim. Names of another form are treated as before.

Why it works: an engine reports an epoch that an order gave to it, and all orders for a name carry the one epoch that the name was made of.

--- a/former/observe.go
+++ b/former/observe.go
@@ -71,6 +71,13 @@
 	return garnetworks.ModelName(id[:at])
 }
 
+// GroupEpoch returns the epoch in a group's name, if there is one.
+func GroupEpoch(id garnetworks.GroupID) (epoch garnetworks.FencingToken, ok bool) {
+	at := strings.LastIndex(string(id), groupSeparator)
+	n, err := strconv.ParseUint(string(id[at+1:]), 36, 64)
+	return garnetworks.FencingToken(n), err == nil
+}
+
 // Observe returns the groups that a service's servers report, sorted by name. Reports of
 // servers of other or unknown services are ignored.
 func Observe(servers follower.Servers, service garnetworks.ServiceName, sizes map[garnetworks.ModelName]int) []Group {
@@ -106,8 +113,15 @@
 	return groups
 }
 
-// finish removes members of older epochs, sorts the rest by rank and sets the group's flags.
+// finish removes members of other epochs, sorts the rest by rank and sets the group's flags.
+//
+// Failure: another program writes an entry that claims a group at a later epoch. No order has joined
+// an engine to a group at another epoch than that of its name, so the group's own members count.
 func (g *Group) finish(size int) {
+	named, ok := GroupEpoch(g.ID)
+	if ok && slices.ContainsFunc(g.Members, func(s garnetworks.RegisteredServer) bool { return s.Membership.Epoch == named }) {
+		g.Epoch = named
+	}
 	g.Members = slices.DeleteFunc(g.Members, func(s garnetworks.RegisteredServer) bool {
 		return s.Membership.Epoch != g.Epoch
 	})
