gateway: a stopping node gives handed-over calls back

Seen by reading the last change: a call that another node handed over, and that this one refuses since it stops, was answered 503 to its client by the first node, although others could take it. Change: it is marked as untaken, as those of a node that is not ready. Measured: TestStoppingNodeBeginsNoCallThatItMayCutOff wants the mark on each refusal of a handed-over call; 8 cases failed before, none after.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -82,7 +83,7 @@
 // untaken reports whether a call that was handed to this node, and is refused with the error kind,
 // may be served by another node.
 func (x *exchange) untaken(kind garnetworks.Kind) bool {
-	return x.delegated && (x.unreached() || x.lacksShare() || kind == garnetworks.KindNotReady || kind == garnetworks.KindStaleRouting)
+	return x.delegated && (x.unreached() || x.lacksShare() || slices.Contains([]garnetworks.Kind{garnetworks.KindNotReady, garnetworks.KindStaleRouting, garnetworks.KindShuttingDown}, kind))
 }
 
 // lacksShare reports whether the call was rejected because only groups with limits could serve it,
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -76,6 +76,8 @@
 						}
 						if refused := w.Code == http.StatusServiceUnavailable; refused && w.Header().Get("Retry-After") == "" {
 							t.Error("refused without Retry-After")
+						} else if untaken := w.Header().Get("Garnet-Untaken") != ""; untaken != (refused && delegated) {
+							t.Errorf("refused %t, said to be untaken %t", refused, untaken)
 						}
 						stop()
 						time.Sleep(time.Minute)
