garnetd: mixes of faults that overlap, over real processes

The tests over real processes play one kind of fault each. TestMixesOfFaults draws a site of 3 to 5 nodes from a seed, clients of five conducts (kept, fresh, half-sent, byte by byte, leaving), and 16 kinds of faults that overlap: of servers, links, nodes, the store, entries of other programs and the routing. It checks while it runs and at the end: no request runs twice, none that ran is refused, answers are whole and the request's own, a request that ran is answered unless its node was killed or paused meanwhile, no node ends, all serve again.

The logs of a failed site are kept whatever fails. This is a part of the soak that is planned, not the soak.

--- a/cmd/garnetd/once_test.go
+++ b/cmd/garnetd/once_test.go
@@ -84,6 +84,8 @@
 	key             string
 	version         int
 	grace, workTime time.Duration
+	// timeouts are the last arguments of configure.
+	timeouts [3]time.Duration
 
 	mu      sync.Mutex
 	answers map[string]onceAnswer
@@ -168,8 +170,9 @@
 	Timeout, IdleTime time.Duration
 	// HeaderTime is the time for a request's headers, 3 s if it is 0.
 	HeaderTime time.Duration
-	// Nodes and MemoryMB replace the number of nodes and their memory if they are above 0.
-	Nodes, MemoryMB int
+	// Nodes, Servers and MemoryMB replace the numbers of nodes and servers and the nodes' memory if they are
+	// above 0.
+	Nodes, Servers, MemoryMB int
 	// Grace is that of a planned stop, 4 s if it is 0; WorkTime is how long a request takes, 20 ms if it is 0.
 	Grace, WorkTime time.Duration
 	// Environment is that of the nodes, besides what they need.
@@ -182,8 +185,13 @@
 	s := &onceSite{t: t, key: "k1", environment: options.Environment, random: rand.New(rand.NewPCG(seed, 0)), grace: cmp.Or(options.Grace, 4*time.Second), workTime: cmp.Or(options.WorkTime, 20*time.Millisecond), dir: t.TempDir(), store: impersonator.NewStore(), faults: faults, answers: make(map[string]onceAnswer)}
 	faults.Seed = seed
 	t.Cleanup(s.store.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the logs of nodes and servers are in %s", s.keepLogs())
+		}
+	})
 	s.configure(cmp.Or(options.Timeout, onceTimeout), cmp.Or(options.IdleTime, 15*time.Second), cmp.Or(options.HeaderTime, 3*time.Second))
-	for range onceServers {
+	for range cmp.Or(options.Servers, onceServers) {
 		server := &onceServer{address: freeAddress(t, "127.0.0.1")}
 		server.link = newLink(t, server.address)
 		s.servers = append(s.servers, server)
@@ -209,6 +217,7 @@
 		"name": "log", "host": "a.example", "path-prefix": "/log/", "kind": "unsafe", "service": "ledger", "attempts": 1,
 		"timeout-ms": timeout.Milliseconds(), "slo-ms": 150, "priority": 1, "public": false, "sticky": false, "can-resume": false,
 	}
+	s.timeouts = [...]time.Duration{timeout, idleTime, headerTime}
 	s.version++
 	s.store.Set("config", "main", map[string]any{
 		"version": s.version, "routes": []any{route},
@@ -229,11 +238,30 @@
 		s.t.Fatal(err)
 	}
 	server.start(s.t, filepath.Join(s.dir, "servers.log"), roleVariable+"="+roleServer, serverVariable+"="+string(text))
+	s.registerServer(server)
+}
+
+func (s *onceSite) registerServer(server *onceServer) {
 	s.store.Set("servers", server.id, map[string]any{
 		"service": "ledger", "address": server.link.address, "zone": "z1", "version": "v1", "slots": 40, "state": "ready", "cold-remaining-ms": 0, "sequence": 1,
 	})
 }
 
+// register writes what the servers and the operator have written again, and removes entries of servers that have
+// ended, after the store has come back from a copy.
+func (s *onceSite) register() {
+	for n := range s.started.Load() {
+		id := fmt.Sprintf("i-%d", n+1)
+		if !slices.ContainsFunc(s.servers, func(server *onceServer) bool { return server.id == id }) {
+			s.store.Remove("servers", id)
+		}
+	}
+	for _, server := range s.servers {
+		s.registerServer(server)
+	}
+	s.configure(s.timeouts[0], s.timeouts[1], s.timeouts[2])
+}
+
 // restartServer kills a server's process; the next one at its address has another identifier, and
 // the entry of the first one remains for a while.
 func (s *onceSite) restartServer(server *onceServer) {
@@ -287,7 +315,7 @@
 				break
 			}
 			if time.Now().After(end) {
-				s.t.Fatalf("node %d does not serve", i)
+				s.t.Fatalf("node %d does not serve, but answers %d", i, status)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -363,11 +391,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var twice, refused, served int
-	defer func() {
-		if s.t.Failed() {
-			s.t.Logf("the logs of nodes and servers are in %s", s.keepLogs())
-		}
-	}()
 	for id, answer := range s.answers {
 		n := runs[id]
 		switch {
--- a/cmd/garnetd/standin_test.go
+++ b/cmd/garnetd/standin_test.go
@@ -45,13 +45,13 @@
 	// anything else happens to it.
 	RunsFile string
 	Seed     uint64
-	// WorkTime is how long a request takes.
-	WorkTime time.Duration
+	// WorkTime is how long a request takes, LongTime how long the fraction Long of them takes.
+	WorkTime, LongTime time.Duration
 	// The others are fractions of the requests. Copied and Unnamed are followed by further bytes
 	// once the next request has arrived: a copy of the answer, or a refusal without identifier.
 	// Mute ones run and get no answer, Lost ones run and their connection closes, Refused ones are
 	// answered as not run, Busy ones run and are answered with status 503.
-	Copied, Unnamed, Mute, Lost, Refused, Busy float64
+	Copied, Unnamed, Mute, Lost, Refused, Busy, Long float64
 }
 
 // standIn is the state of a server process.
@@ -144,7 +144,11 @@
 	if _, err := s.runs.WriteString(id + "\n"); err != nil {
 		return "", false
 	}
-	time.Sleep(s.WorkTime)
+	if random.Float64() < s.Long {
+		time.Sleep(s.LongTime)
+	} else {
+		time.Sleep(s.WorkTime)
+	}
 	stamped := named + "Garnetworks-Response-Stamp: " + s.ID + "\r\n"
 	switch {
 	case u < s.Lost:
