--- a/launcher/crossing_test.go
+++ b/launcher/crossing_test.go
@@ -60,7 +60,7 @@
 	}
 	var runs atomic.Int32
 	launcher := &Launcher{options: Options{Logger: hclog.NewNullLogger()}}
-	server := (&connections{launcher: launcher}).server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	server := newConnections(launcher).server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
 	stopped := make(chan struct{})
 	listener := &crossingListener{Listener: inner, stop: func() { _ = server.Shutdown(context.Background()); close(stopped) }}
 	go func() { _ = server.Serve(listener) }()
