garnetd: a mix signals no node that has not begun to listen

Traced: node 2 was killed and started again, and SIGHUP came 36 ms after the kill (its log ends there; the drawn order of faults has both). A process that has not begun to run its handlers ends by SIGHUP: sent to garnetd 0 and 5 ms after its start, 8 of 10 ended with status 129, after 20 ms 1 of 5, after 50 ms none. The platform starts it again; the mix does not. garnetd catches the signal as the first thing that it does, so nothing is left to mend there.

Change: a fault returns a node once it accepts connections.

--- a/cmd/garnetd/mix_test.go
+++ b/cmd/garnetd/mix_test.go
@@ -146,6 +146,8 @@
 	played map[string]int
 
 	mu sync.Mutex
+	// events are the begins and ends of faults.
+	events []string
 	// taken are the nodes that a fault acts on, disturbed the times in which they were killed or paused.
 	taken     map[int]bool
 	disturbed map[int][]span
@@ -193,6 +195,11 @@
 	m.site = newOnceSite(t, onceOptions{Seed: seed, Faults: faults, Nodes: nodes, Servers: *mixServers, Grace: mixGrace, WorkTime: mixWorkTime, Timeout: mixDeadline})
 	m.site.awaitServing()
 	m.backup = m.site.store.Copy()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("faults:\n%s", strings.Join(m.events, "\n"))
+		}
+	})
 	return m
 }
 
@@ -207,6 +214,7 @@
 		return 0, false
 	}
 	m.taken[node] = true
+	m.events = append(m.events, fmt.Sprintf("node %d is taken", node))
 	return node, true
 }
 
@@ -248,6 +256,7 @@
 	go func() {
 		defer close(done)
 		m.site.restartNode(node, signal)
+		m.awaitListening(node)
 		if signal == syscall.SIGKILL {
 			m.disturb(node, false)
 		}
@@ -256,6 +265,24 @@
 	return func() { <-done }
 }
 
+// awaitListening waits until a node that was started accepts connections, or for mixRecoveryTime. Before that it may
+// not catch signals yet, and the platform would start it again.
+func (m *mix) awaitListening(node int) {
+	for end := time.Now().Add(mixRecoveryTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if conn, err := net.DialTimeout("tcp4", m.site.nodes[node].front, time.Second); err == nil {
+			_ = conn.Close() // it was accepted
+			return
+		}
+	}
+}
+
+// log adds a line to the events.
+func (m *mix) log(format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.events = append(m.events, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
 func (m *mix) storeFault(set func(f *impersonator.StoreFaults, on bool)) (end func()) {
 	m.site.store.UpdateFaults(func(f *impersonator.StoreFaults) { set(f, true) })
 	return func() { m.site.store.UpdateFaults(func(f *impersonator.StoreFaults) { set(f, false) }) }
@@ -300,10 +327,12 @@
 		name := m.draw()
 		lasts := time.Duration(m.random.Int64N(int64(mixFaultTime)))
 		m.played[name]++
+		m.log("%s", name)
 		if end := mixFaults[name].begin(m); end != nil {
 			faults.Go(func() {
 				time.Sleep(lasts)
 				end()
+				m.log("%s ends", name)
 			})
 		}
 	}
