runner: the test of heads at each listener looks for counted heads while there are some

Traced with the counts after each step: the check looked once, after the last request had been answered. The map's order is random: where the long head comes first, it makes the last connection of the crowd end, the short request that follows is over, and nothing is held. Nothing is wrong with the node.

Change: the largest count while the crowd is held must not be 0. If heads were not counted, the crowd's connections would not end either, which the test still wants.

--- a/runner/listen_test.go
+++ b/runner/listen_test.go
@@ -47,6 +47,7 @@
 			defer func() { stop(); <-ended }()
 			head := "GET /livez HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\n", 4000)
 			closed := make(chan struct{}, connections)
+			counted := int64(0)
 			for range connections {
 				conn, err := net.Dial("tcp4", listener.Addr().String())
 				if err != nil {
@@ -60,14 +61,17 @@
 				if _, err := io.WriteString(conn, head); err != nil {
 					t.Fatal(err)
 				}
-				if held := r.evictor.Count().HeadBytes; held > 2*total {
+				held := r.evictor.Count().HeadBytes
+				if held > 2*total {
 					t.Fatalf("heads take %d bytes of %d", held, total)
 				}
+				counted = max(counted, held)
 			}
 			// There is memory for one of these heads. That of the others is free when their connections have ended.
 			for n := range connections - 1 {
 				select {
 				case <-closed:
+					counted = max(counted, r.evictor.Count().HeadBytes)
 				case <-time.After(patience):
 					t.Fatalf("%d of %d connections have ended", n, connections)
 				}
@@ -87,7 +91,7 @@
 					t.Errorf("a head with a field of %d bytes got status %d", fields, response.StatusCode)
 				}
 			}
-			if r.evictor.Count().HeadBytes == 0 {
+			if counted == 0 {
 				t.Error("no head was counted")
 			}
 		})
