--- a/cmd/garnetd/entries_test.go
+++ b/cmd/garnetd/entries_test.go
@@ -57,8 +57,7 @@
 	}
 }
 
-// Guards against an odd entry among those of the servers by which nodes lose all servers, in a list as in an
-// event.
+// Guards against an odd entry among those of the servers by which nodes lose all servers.
 func TestOddEntriesHideNoServer(t *testing.T) {
 	s := newOnceSite(t, onceOptions{})
 	s.awaitServing()
--- a/cmd/garnetd/stop_test.go
+++ b/cmd/garnetd/stop_test.go
@@ -12,8 +12,7 @@
 	"time"
 )
 
-// Guards against requests that are passed on in a planned stop and cut off without an answer at the end of the
-// grace, and against a request whose body is awaited in vain until then.
+// Guards against requests that are sent on late in a planned stop and never answered.
 func TestRequestsInAPlannedStopAreAnswered(t *testing.T) {
 	cases := map[string]struct{ work, deadline time.Duration }{
 		"short work":                  {time.Second, 5 * time.Second},
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -15,8 +15,7 @@
 	"github.com/garnetworks/garnetworks/scheduler"
 )
 
-// Guards against calls that a stopping node begins although they may last longer than it does, and against
-// calls that it refuses although they do not, or have run.
+// Guards against a stopping node that begins calls that may last longer than it does, or refuses others.
 func TestStoppingNodeBeginsNoCallThatItMayCutOff(t *testing.T) {
 	// The routes' timeout is 3 s.
 	const before, after = 2 * time.Second, 4 * time.Second
