pooler: the connections of calls to servers leave the platform's adapter

platform/ held what decides and remembers: the pool of idle connections, which of them a call may use, how long one is kept, whose a response is, and what is discarded as left over. None of it speaks the users' words, but for the header that names a call, which is now the caller's to read. Moved with its rules and its test; no value and no behaviour changes. The request's head is still made once the connection is open, since it holds the time that is left.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -18,13 +18,12 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcmigrate"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/pooler"
 )
 
 // Prefix is what a connection that carries calls begins with. No peer call begins so.
@@ -60,7 +59,7 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{
 		Timeout: connectTime, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: 1},
-		Control: limitAckTime,
+		Control: pooler.LimitAckTime(ackTime),
 	}
 	return &Client{&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -74,17 +73,6 @@
 	}}
 }
 
-func limitAckTime(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTime.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/platform/unacked_test.go
+++ b/pooler/unacked_test.go
@@ -1,4 +1,4 @@
-package platform
+package pooler
 
 import (
 	"context"
@@ -6,8 +6,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/garnetworks/garnetworks"
 )
 
 // Guards against a dead host that is detected too late on a reused connection: each call
@@ -18,12 +16,12 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	b := NewBackends()
+	p := New()
 	address := listener.Addr().String()
 	for _, c := range []struct{ ackTime, want time.Duration }{
-		{300 * time.Millisecond, 300 * time.Millisecond}, {0, defaultAckTime}, {0, defaultAckTime}, {200 * time.Millisecond, 200 * time.Millisecond},
+		{300 * time.Millisecond, 300 * time.Millisecond}, {0, DefaultAckTime}, {0, DefaultAckTime}, {200 * time.Millisecond, 200 * time.Millisecond},
 	} {
-		conn, err := b.connection(context.Background(), address, &garnetworks.ProxiedAttempt{AckTime: c.ackTime})
+		conn, err := p.connection(context.Background(), address, &Request{AckTime: c.ackTime})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -31,9 +29,9 @@
 			t.Errorf("requested %s, the connection has %s", c.ackTime, got)
 		}
 		conn.idleSince, conn.keepAlive = time.Now(), idleTime
-		b.put(conn)
+		p.put(conn)
 	}
-	if n := len(b.idle[address]); n != 1 {
+	if n := len(p.idle[address]); n != 1 {
 		t.Errorf("%d connections were opened, not one", n)
 	}
 }
