server: a stopping node's own interface begins no call that it may cut off

What callers saw (by reading, then shown): a call to the project's own interface whose body arrives late in the grace period was begun, and ended with an error of unknown outcome when the period was over.

Cause: only calls that arrive after the start of draining were refused; one whose head had come before went on whatever time was left.

Change: after admission, before a call is forwarded, it is refused as not run if the node drains and the call's deadline is after the end of the grace period.

Why it works: nothing is forwarded on another way, and what is forwarded later has a deadline before the end.

--- a/server/call.go
+++ b/server/call.go
@@ -221,6 +221,9 @@
 	}
 	var summary forwarder.Summary
 	defer func() { ticket.Done(promptTokens + summary.Tokens) }()
+	if err := c.checkGrace(call.Deadline); err != nil {
+		return err
+	}
 	response := newModelResponse(c, format, request, promptTokens)
 	c.forwarded = true
 	summary, err = c.options.Calls.Generate(ctx, call, response)
@@ -296,6 +299,9 @@
 		return err
 	}
 	defer ticket.Done(0)
+	if err := c.checkGrace(c.received.Add(c.options.Limits.Total)); err != nil {
+		return err
+	}
 	c.forwarded = true
 	response, err := c.options.Calls.CallService(ctx, &garnetworks.ServiceCall{
 		ID:             c.id,
--- a/server/faults_test.go
+++ b/server/faults_test.go
@@ -162,6 +162,40 @@
 	})
 }
 
+// Guards against calls that are begun late in the grace period, and cut off at its end.
+func TestLateBodyIsRefusedIfTheGraceIsTooShort(t *testing.T) {
+	// The workspace's deadline is one minute, that of calls to plain services five.
+	cases := map[string]struct {
+		action string
+		grace  time.Duration
+		want   garnetworks.Outcome
+	}{
+		"model, too short":   {"call-model", 50 * time.Second, garnetworks.OutcomeNotRun},
+		"stream, too short":  {"call-stream", 50 * time.Second, garnetworks.OutcomeNotRun},
+		"service, too short": {"call-write", 4 * time.Minute, garnetworks.OutcomeNotRun},
+		"model, enough":      {"call-model", 2 * time.Minute, garnetworks.OutcomeCompleted},
+		"stream, enough":     {"call-stream", 2 * time.Minute, garnetworks.OutcomeCompleted},
+		"service, enough":    {"call-write", 6 * time.Minute, garnetworks.OutcomeCompleted},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newEnvironment().newNode()
+				results := make(chan *callResult, 1)
+				go func() { results <- n.sendCall(step{Action: tt.action, Body: "part-a", BodyAfter: 3 * time.Second}) }()
+				time.Sleep(time.Second)
+				ctx, cancel := context.WithTimeout(context.Background(), tt.grace)
+				defer cancel()
+				go func() { _ = n.server.Drain(ctx) }()
+				if r := <-results; r.outcome != tt.want {
+					t.Errorf("%+v", r)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // The grace period ends while an engine is stuck. The stream must end with an error, and Drain
 // must report the interrupted call.
 func TestSecondSignalEndsStreamsWithError(t *testing.T) {
--- a/server/path_test.go
+++ b/server/path_test.go
@@ -27,6 +27,8 @@
 	Body string
 	// CancelAfter is 0 for calls that are not cancelled.
 	CancelAfter time.Duration
+	// BodyAfter is how long the last byte of the body takes.
+	BodyAfter time.Duration
 }
 
 type scenario struct {
@@ -125,6 +127,22 @@
 }
 
 // sendCall sends one call and reads its response.
+// slowReader returns the last byte after a time.
+type slowReader struct {
+	*strings.Reader
+	after time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.Len() > 1 {
+		return r.Reader.Read(p[:min(len(p), r.Len()-1)])
+	}
+	if r.Len() == 1 {
+		time.Sleep(r.after)
+	}
+	return r.Reader.Read(p)
+}
+
 func (n *node) sendCall(st step) *callResult {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -139,7 +157,8 @@
 	case "call-read":
 		method = "GET"
 	}
-	request := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	request := httptest.NewRequestWithContext(ctx, method, path, &slowReader{strings.NewReader(body), st.BodyAfter})
+	request.ContentLength = int64(len(body))
 	request.Header.Set("Authorization", bearer)
 	if st.Key != "" && method == "POST" {
 		request.Header.Set("Idempotency-Key", st.Key)
--- a/server/server.go
+++ b/server/server.go
@@ -15,9 +15,10 @@
 //	    backend servers could interpret differently is refused.
 //	H5  A request for a feature that is not supported is refused with the name of
 //	    the field; no field is silently ignored.
-//	H6  A stopping node first becomes unready, then refuses new calls as not run and
-//	    finishes those in flight. When its grace period ends, the remaining calls
-//	    end with an error that states their outcome (rule G9).
+//	H6  A stopping node first becomes unready, then refuses new calls as not run, and those
+//	    that have not begun and may last beyond its grace period, and finishes those in
+//	    flight. When its grace period ends, the remaining calls end with an error that
+//	    states their outcome (rule G9).
 package server
 
 import (
@@ -147,6 +148,8 @@
 	// leaving is set when Drain begins, draining once new calls are refused.
 	leaving  bool
 	draining bool
+	// graceEnd is when the grace period ends, from draining on; zero if it has no end.
+	graceEnd time.Time
 	// calls counts the calls in flight; none begins after draining is set.
 	calls forwarder.Tasks
 }
@@ -245,6 +248,7 @@
 	sleep(ctx, s.options.LameDuck)
 	s.mu.Lock()
 	s.draining = true
+	s.graceEnd, _ = ctx.Deadline()
 	s.mu.Unlock()
 	if s.calls.Wait(ctx) == nil && s.options.Calls.Wait(ctx) == nil {
 		return nil
@@ -287,6 +291,17 @@
 	return nil
 }
 
+// checkGrace returns an error for a call that has not begun, if the node stops and the call may last beyond its
+// grace period (rule H6).
+func (s *Server) checkGrace(deadline time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.graceEnd.IsZero() || !deadline.After(s.graceEnd) {
+		return nil
+	}
+	return garnetworks.Errorf(garnetworks.KindShuttingDown, "the call may last longer than this node does")
+}
+
 // closing reports whether connections should be closed after their response.
 func (s *Server) closing() bool {
 	s.mu.Lock()
