launcher: an overwritten lease is not taken again, in KNOWN-RED

The failing test lands first. A record that can't be decoded is read as a failure of the read, so that no node contends for it until a person deletes it. A mend must not give out a term a second time, and a node that starts knows the earlier ones from the record alone: the engines' epochs hold them as well, which leaser does not read.

--- a/launcher/entries_test.go
+++ b/launcher/entries_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Guards against groups that no node forms because another program has overwritten the lease.
+func TestOverwrittenLeaseIsTakenAgain(t *testing.T) {
+	s := newSite(t, 3)
+	s.awaitSuccess(streamURL)
+	s.stop()
+	<-s.done
+	s.store.SetText("leases", "groups", "[7]")
+	s.start()
+	s.eventually("the lease is taken", func() bool {
+		o, err := platform.NewStore(s.store.Address()).Get(t.Context(), "leases/groups")
+		return err == nil && string(o.Value) != "[7]"
+	})
+}
+
 // openGroup returns the name of a group that an engine reports.
 func (s *site) openGroup() garnetworks.GroupID {
 	s.t.Helper()
