--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -205,3 +205,12 @@
 		}
 	}
 }
+
+// BenchmarkBody measures what a body costs for being ended when the node stops.
+func BenchmarkBody(b *testing.B) {
+	x := &exchange{Gateway: &Gateway{stop: newStop()}}
+	b.ReportAllocs()
+	for b.Loop() {
+		x.endWhenClosing(func() {})()
+	}
+}
