--- a/review/standin2/watchcuts.go
+++ b/review/standin2/watchcuts.go
@@ -8,13 +8,14 @@
 const (
 	// drainTime is the site's drain-ms.
 	drainTime = 2 * time.Second
-	// cutInterval is the time from one cut of the waiting watches to the next, cutTime how long one lasts, and
-	// cutStep the longest time for which a watch waits meanwhile.
-	cutInterval = 2 * time.Second
-	cutTime     = 200 * time.Millisecond
-	cutStep     = 20 * time.Millisecond
+	// The waiting watches are cut off twice, cutLead before the server's entry is removed and cutLag after
+	// that, for cutTime each; no watch waits for longer than cutStep meanwhile.
+	cutLead = time.Second
+	cutLag  = time.Second
+	cutTime = 200 * time.Millisecond
+	cutStep = 20 * time.Millisecond
 	// servingTime is how long a server goes on serving after its entry was removed.
-	servingTime = 6 * time.Second
+	servingTime = 3 * time.Second
 )
 
 // playWatchCuts lets a server leave without reporting it, while the store cuts off waiting watches.
@@ -34,42 +35,35 @@
 	}
 	time.Sleep(startTime)
 	c := s.newClients()
-	go s.cutWatches()
 	var removed time.Time
 	leaving := s.servers[0]
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
-		time.Sleep(5 * time.Second)
+		time.Sleep(4 * time.Second)
+		go s.cutWatches()
+		time.Sleep(cutLead)
 		removed = leaving.leave()
+		time.AfterFunc(cutLag, s.cutWatches)
 		time.Sleep(servingTime)
 		leaving.exit()
 		s.note("server %s exits", leaving.id)
 	}()
-	c.send(14*time.Second, 12*time.Millisecond, "POST", "/puxa403/2f", 1500*time.Millisecond)
+	c.send(10*time.Second, 12*time.Millisecond, "POST", "/puxa403/2f", 1500*time.Millisecond)
 	<-left
 	return s.checkLeft(c, leaving, removed)
 }
 
-// cutWatches cuts off the waiting watches until the site closes.
+// cutWatches cuts off the watches that wait, for cutTime.
 func (s *site) cutWatches() {
 	if !s.options.trouble {
 		return
 	}
-	ticker := time.NewTicker(cutInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.closed:
-			return
-		case <-ticker.C:
-		}
-		n := 0
-		for end := time.Now().Add(cutTime); time.Now().Before(end); time.Sleep(cutStep) {
-			n += s.front.cutWatches()
-		}
-		s.note("%d waiting watches are cut off within %v", n, cutTime)
+	n := 0
+	for end := time.Now().Add(cutTime); time.Now().Before(end); time.Sleep(cutStep) {
+		n += s.front.cutWatches()
 	}
+	s.note("%d waiting watches are cut off within %v", n, cutTime)
 }
 
 // checkLeft checks that no request reached a server later than drainTime after its entry was removed.
