review: the server and the load of case 4 are those of the sheet

The stand-in worked 20 to 220 ms on each call where the sheet has a mean of 30 ms, took any number at once, got 83 calls a second, counted a call's arrival from the end of its body, and cut off watches that had just been sent. Now: the sheet's work, 6 slots and a queue, 12.7 calls a second in a burst of 1.7, arrival at the head, and only watches that have waited for 10 ms are cut off.

--- a/review/second/faker/store.go
+++ b/review/second/faker/store.go
@@ -6,10 +6,20 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
+// minWait is the time from which a watch counts as one that waits: the store answers others sooner.
+const minWait = 10 * time.Millisecond
+
+// watch is a watch that the store has not answered.
+type watch struct {
+	since time.Time
+	cut   context.CancelFunc
+}
+
 // storeFront passes calls to the store and can cut off the watches that wait.
 type storeFront struct {
 	listener net.Listener
@@ -19,8 +29,7 @@
 
 	mu sync.Mutex
 	// waiting holds the watches that wait.
-	waiting map[*http.Request]context.CancelFunc
-	cuts    int
+	waiting map[*http.Request]watch
 }
 
 func newStoreFront(store *impersonator.Store) (*storeFront, error) {
@@ -28,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &storeFront{listener: listener, store: store, waiting: make(map[*http.Request]context.CancelFunc)}
+	f := &storeFront{listener: listener, store: store, waiting: make(map[*http.Request]watch)}
 	f.client.Transport = &http.Transport{MaxIdleConnsPerHost: 64}
 	f.server = &http.Server{Handler: f}
 	go func() { _ = f.server.Serve(listener) }() // ends with close
@@ -45,7 +54,7 @@
 	defer cancel()
 	if r.URL.Query().Get("watch") != "" {
 		f.mu.Lock()
-		f.waiting[r] = cancel
+		f.waiting[r] = watch{time.Now(), cancel}
 		f.mu.Unlock()
 		defer func() {
 			f.mu.Lock()
@@ -78,9 +87,13 @@
 func (f *storeFront) cutWatches() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, cut := range f.waiting {
-		cut()
+	n := 0
+	for r, w := range f.waiting {
+		if time.Since(w.since) >= minWait {
+			w.cut()
+			delete(f.waiting, r)
+			n++
+		}
 	}
-	f.cuts += len(f.waiting)
-	return len(f.waiting)
+	return n
 }
--- a/review/second/faker/watchcuts.go
+++ b/review/second/faker/watchcuts.go
@@ -14,6 +14,8 @@
 	cutLag  = time.Second
 	cutTime = 200 * time.Millisecond
 	cutStep = 20 * time.Millisecond
+	// requestInterval is that of the sheet's 12.7 visit-logs a second in a burst of 1.7.
+	requestInterval = 46 * time.Millisecond
 	// servingTime is how long a server goes on serving after its entry was removed.
 	servingTime = 3 * time.Second
 )
@@ -22,7 +24,7 @@
 func playWatchCuts(s *site) ([]string, error) {
 	const service = "puxa403"
 	for i, zone := range zones {
-		if _, err := s.startServer(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, zone, 20*time.Millisecond, 220*time.Millisecond); err != nil {
+		if _, err := s.startServer(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), service, zone); err != nil {
 			return nil, err
 		}
 	}
@@ -49,7 +51,7 @@
 		leaving.exit()
 		s.note("server %s exits", leaving.id)
 	}()
-	c.send(10*time.Second, 12*time.Millisecond, "POST", "/puxa403/2f", 1500*time.Millisecond)
+	c.send(10*time.Second, requestInterval, "POST", "/puxa403/2f", 1500*time.Millisecond)
 	<-left
 	return s.checkLeft(c, leaving, removed)
 }
@@ -73,7 +75,7 @@
 		if x.status == 200 {
 			served++
 		}
-		at, ok := leaving.ranAt(x.id)
+		at, ok := leaving.arrivedAt(x.id)
 		if !ok || at.Sub(removed) <= drainTime {
 			continue
 		}
