pooler: a reset that the write of a request was told of does not end an answer

What callers saw: a server answers a long upload at once with a 200 without a length, sends part of the body and resets the connection. The client gets the part as a whole answer.

Cause: the kernel reports the reset of a connection once, to the first call that asks. While a request is written by one goroutine and the answer is read by another one, the write often takes the error, and the read that follows sees an ordinary end, by which a body without a length is whole.

Evidence: verifier TestEndOfAFailedConnectionIsAnError shows it on a plain connection without chance: after a write was told of the reset, reads return the bytes that had arrived and then io.EOF; also a second read after one that was told of it. An end in order before the reset differs: there the write gets EPIPE. Over a real process TestAnswersBesideUploadsAreNotCutOff plays 1,728 uploads of 8 KiB to 4 MiB, with and without a length, in chunks and cut ones, on new and kept connections, against a server that ends the connection in four ways.

Change: package verifier has a Conn that remembers the error by which a connection failed, whichever call was told of it, and returns it in place of io.EOF. At an end it waits for a write that is in progress, and ends one that still waits for the other side, so that the answer doesn't depend on which goroutine runs first. pooler uses it; plain calls, calls to models and streams all read through pooler.

--- a/cmd/garnetd/early_test.go
+++ b/cmd/garnetd/early_test.go
@@ -98,13 +98,23 @@
 }
 
 func newRawSite(t *testing.T) *rawSite {
-	s := &rawSite{newOnceSite(t, onceOptions{Seed: 1, Nodes: 1, Servers: 1}), newRawServer(t)}
+	server := newRawServer(t)
+	server.set(func(id string, _ int) (string, ending) { return rawAnswer(id, "", "Content-Length: 2\r\n", "ok"), "" })
+	s := newSiteOf(t, server.listener.Addr().String(), onceTimeout)
+	s.server = server
+	return s
+}
+
+// newSiteOf returns a site whose routes have a timeout and lead to the server at an address, which has to
+// answer "ok" at first.
+func newSiteOf(t *testing.T, server string, timeout time.Duration) *rawSite {
+	s := &rawSite{onceSite: newOnceSite(t, onceOptions{Seed: 1, Nodes: 1, Servers: 1})}
 	s.awaitServing()
 	var routes []any
 	for _, kind := range []string{rawUnsafe, rawSafe, rawStream} {
 		routes = append(routes, map[string]any{
 			"name": kind, "host": "a.example", "path-prefix": "/" + kind + "/", "kind": kind, "service": "raw", "attempts": 1,
-			"timeout-ms": onceTimeout.Milliseconds(), "slo-ms": 150, "priority": 1, "public": false, "sticky": false, "can-resume": false, "gap-aim-ms": 200,
+			"timeout-ms": timeout.Milliseconds(), "slo-ms": 150, "priority": 1, "public": false, "sticky": false, "can-resume": false, "gap-aim-ms": 200,
 		})
 	}
 	s.store.Set("config", "main", map[string]any{
@@ -114,9 +124,8 @@
 		"tenants":  []any{map[string]any{"name": "w1", "api-keys": []string{s.key}, "priority": 1}},
 	})
 	s.store.Set("servers", "i-raw", map[string]any{
-		"service": "raw", "address": s.server.listener.Addr().String(), "zone": "z1", "version": "v1", "slots": 40, "state": "ready", "cold-remaining-ms": 0, "sequence": 1,
+		"service": "raw", "address": server, "zone": "z1", "version": "v1", "slots": 40, "state": "ready", "cold-remaining-ms": 0, "sequence": 1,
 	})
-	s.server.set(func(id string, _ int) (string, ending) { return rawAnswer(id, "", "Content-Length: 2\r\n", "ok"), "" })
 	for end := time.Now().Add(serveTime); s.request(t, rawUnsafe, "first").body != "ok"; time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the node does not serve the raw server")
@@ -139,6 +148,12 @@
 
 // request sends a request on a new connection.
 func (s *rawSite) request(t *testing.T, kind, id string) rawResult {
+	t.Helper()
+	return s.exchange(t, strings.Replace(requestText(id, s.key, onceDeadline), "POST /log/x", "POST /"+kind+"/x", 1))
+}
+
+// exchange sends the text of a request on a new connection and reads the answer.
+func (s *rawSite) exchange(t *testing.T, text string) rawResult {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp4", s.nodes[0].front, time.Second)
 	if err != nil {
@@ -148,7 +163,6 @@
 	if err := conn.SetDeadline(time.Now().Add(serveTime)); err != nil {
 		t.Fatal(err)
 	}
-	text := strings.Replace(requestText(id, s.key, onceDeadline), "POST /log/x", "POST /"+kind+"/x", 1)
 	if _, err := io.WriteString(conn, text); err != nil {
 		t.Fatal(err)
 	}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -32,6 +32,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/verifier"
 )
 
 // Limits of connections to backend servers.
@@ -102,7 +103,7 @@
 
 // connection is a connection to a backend server. It carries one call at a time.
 type connection struct {
-	net.Conn
+	*verifier.Conn
 	reader  *bufio.Reader
 	address string
 	// headLeft is how many bytes may still be read for headers; it counts while inHead is set.
@@ -173,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{Conn: raw, address: address}
+	c := &connection{Conn: verifier.NewConn(raw), address: address}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	if err := c.setAckTime(ackTime); err != nil {
 		_ = raw.Close()
@@ -211,11 +212,7 @@
 	if bound == c.ackTime {
 		return nil
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return errors.New("the connection has no socket")
-	}
-	control, err := raw.SyscallConn()
+	control, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -350,11 +347,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
+	control, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -395,9 +388,7 @@
 		// The server may respond before it has read a long body, and may stop reading until
 		// its response is read, so the request is written concurrently.
 		go func() {
-			request := net.Buffers{head, r.Body}
-			_, err := request.WriteTo(x.connection.Conn)
-			sent <- err
+			sent <- x.connection.WriteBuffers(net.Buffers{head, r.Body})
 		}()
 	}
 	response, phase, err := x.readResponse()
--- a/pooler/unacked_test.go
+++ b/pooler/unacked_test.go
@@ -39,7 +39,7 @@
 // userTimeout reads the limit from the socket.
 func userTimeout(t *testing.T, c *connection) time.Duration {
 	t.Helper()
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/verifier/doc.go
@@ -0,0 +1,6 @@
+// Package verifier verifies that what a server sends over a connection is a whole, well-formed
+// response of HTTP/1.1, beyond what the standard library checks.
+//
+//	V1  The end of a connection that failed is never read as an end in order, whether
+//	    a read or a write was told of the failure: the kernel tells only one of them.
+package verifier
