carrier: a reset that the write of a call was told of does not end another node's answer

What callers saw: none was seen in the field. Played against a stand-in for the node that takes a call over: it answers a call of 4 MiB at once, without a length, and resets the connection; the calling node takes the part as the whole answer.

Cause: the same as at the connections to servers. The transport of net/http writes in one goroutine and reads in another one, and the kernel reports a reset once.

Change: the connections are of type verifier.Conn, below the one that writes the prefix. Nodes of this version frame all answers, so no sound one is refused; one that ends in order before a reset may be lost, as before, and is reported so.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -24,6 +24,7 @@
 
 	"github.com/garnetworks/garnetworks"
 	"github.com/garnetworks/garnetworks/pooler"
+	"github.com/garnetworks/garnetworks/verifier"
 )
 
 // Prefix is what a connection that carries calls begins with. No peer call begins so.
@@ -67,7 +68,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return drpcmigrate.NewHeaderConn(conn, Prefix), nil
+			return drpcmigrate.NewHeaderConn(verifier.NewConn(conn), Prefix), nil
 		},
 		IdleConnTimeout: idleTime, MaxIdleConnsPerHost: maxIdlePerNode, DisableCompression: true,
 	}}
--- /dev/null
+++ b/carrier/early_test.go
@@ -0,0 +1,33 @@
+package carrier
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/garnetworks/garnetworks/checker"
+)
+
+// Guards against another node's answer that a reset cut off and that counts as whole, as the call was still
+// being written.
+func TestAnswersBesideLongCallsAreNotCutOff(t *testing.T) {
+	const head = "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Call: 1\r\n\r\n"
+	body := strings.Repeat("b", 4<<20)
+	checker.EarlyAnswers{
+		Prefix: int64(len(Prefix)),
+		Whole:  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", Unframed: "HTTP/1.1 200 OK\r\n\r\npart", TakesUnframed: true, LosesUnframed: true,
+		NewSender: func(t *testing.T, address string) func() error {
+			c := NewClient()
+			t.Cleanup(c.Close)
+			return func() error {
+				response, err := c.Delegate(t.Context(), address, received(t, head, body))
+				if err != nil {
+					return err
+				}
+				defer response.Body.Close()
+				_, err = io.Copy(io.Discard, response.Body)
+				return err
+			}
+		},
+	}.Run(t)
+}
--- /dev/null
+++ b/checker/earlyanswers.go
@@ -0,0 +1,80 @@
+package checker
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/garnetworks/garnetworks/faker/impersonator"
+)
+
+// EarlyAnswers describes long requests whose server answers before it has read them.
+type EarlyAnswers struct {
+	// Prefix is the number of bytes before the first request of a connection.
+	Prefix int64
+	// Whole is an answer with a length, Unframed one that ends with its connection.
+	Whole, Unframed string
+	// TakesUnframed says that an answer which ends with its connection in order is taken, LosesUnframed that it
+	// may be lost if the connection is reset after its end.
+	TakesUnframed, LosesUnframed bool
+	// NewSender returns a function that sends a request to the address and reads the answer to its end. The
+	// request is longer than the buffers of a connection.
+	NewSender func(t *testing.T, address string) func() error
+}
+
+// earlyAnswerTries is how often each case is played, as the order of two goroutines decides what happens.
+const earlyAnswerTries = 10
+
+// Run plays the ends of a connection on new and on kept connections. An answer counts as whole only if the
+// connection has ended in order.
+func (c EarlyAnswers) Run(t *testing.T) {
+	t.Helper()
+	inOrder := []bool{c.TakesUnframed}
+	if c.LosesUnframed {
+		inOrder = []bool{true, false}
+	}
+	ends := map[impersonator.RawEnd][]bool{
+		impersonator.RawReset:     {false},
+		impersonator.RawReadReset: {false},
+		impersonator.RawEndReset:  inOrder,
+		impersonator.RawEndRead:   {c.TakesUnframed},
+	}
+	for end, allowed := range ends {
+		for _, kept := range []bool{false, true} {
+			for _, delay := range []time.Duration{0, 2 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %s, kept %t", end, delay, kept), func(t *testing.T) {
+					for range earlyAnswerTries {
+						c.play(t, impersonator.RawAnswer{Text: c.Unframed, End: end, Delay: delay}, kept, allowed)
+					}
+				})
+			}
+		}
+	}
+}
+
+func (c EarlyAnswers) play(t *testing.T, answer impersonator.RawAnswer, kept bool, allowed []bool) {
+	t.Helper()
+	var requests atomic.Int32
+	server := &impersonator.RawServer{Prefix: c.Prefix, Answer: func(*http.Request, int) impersonator.RawAnswer {
+		if requests.Add(1) == 1 && kept {
+			return impersonator.RawAnswer{Text: c.Whole}
+		}
+		return answer
+	}}
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	send := c.NewSender(t, server.Address())
+	if kept {
+		if err := send(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := send(); !slices.Contains(allowed, err == nil) {
+		t.Errorf("the answer counts as whole: %t, allowed %t (%v)", err == nil, allowed, err)
+	}
+}
