verifier: an answer with a blank in the name of a field is none

What callers saw, played over a real process: a server's answer in whose head the name of a field holds a blank, inside or before the colon, reaches the client as a 200 with that line in it; "Content-Length :" and "Transfer-Encoding :" are passed on as fields, and the body has surplus bytes or the chunks' own framing. In trailers such names count as sound too.

Cause: the standard library's reader takes a name with a blank as a field of that name and leaves it to its caller to reject it. Nothing looked at a head after it.

Control bytes in names and values, names without a letter and lines without a colon were refused before; they are in the same tables.

Change: verifier.Head and verifier.Trailer check that names are tokens. pooler calls them (O6); the readers over net/http's transport do so through verifier.Transport. A broken answer fails the attempt as one that may have run, so a client gets 502 or a further attempt where its kind allows one, and a written object is read back.

An engine's answer over the own interface is whole with its end marker, so its trailer isn't read.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -82,7 +82,7 @@
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 	request := newRequest(ctx, address, call)
-	response, err := c.transport.RoundTrip(request)
+	response, err := (verifier.Transport{RoundTripper: c.transport}).RoundTrip(request)
 	if err != nil {
 		phase := garnetworks.PhaseConnect
 		if sent.Load() {
--- a/carrier/early_test.go
+++ b/carrier/early_test.go
@@ -11,23 +11,34 @@
 // Guards against another node's answer that a reset cut off and that counts as whole, as the call was still
 // being written.
 func TestAnswersBesideLongCallsAreNotCutOff(t *testing.T) {
-	const head = "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Call: 1\r\n\r\n"
-	body := strings.Repeat("b", 4<<20)
 	checker.EarlyAnswers{
 		Prefix: int64(len(Prefix)),
 		Whole:  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", Unframed: "HTTP/1.1 200 OK\r\n\r\npart", TakesUnframed: true, LosesUnframed: true,
-		NewSender: func(t *testing.T, address string) func() error {
-			c := NewClient()
-			t.Cleanup(c.Close)
-			return func() error {
-				response, err := c.Delegate(t.Context(), address, received(t, head, body))
-				if err != nil {
-					return err
-				}
-				defer response.Body.Close()
-				_, err = io.Copy(io.Discard, response.Body)
+		NewSender: delegate(strings.Repeat("b", 4<<20)),
+	}.Run(t)
+}
+
+// delegate returns what sends calls with a body to a node and reads each answer to its end.
+func delegate(body string) func(t *testing.T, address string) func() error {
+	const head = "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Call: 1\r\n\r\n"
+	return func(t *testing.T, address string) func() error {
+		c := NewClient()
+		t.Cleanup(c.Close)
+		return func() error {
+			response, err := c.Delegate(t.Context(), address, received(t, head, body))
+			if err != nil {
 				return err
 			}
-		},
+			defer response.Body.Close()
+			_, err = io.Copy(io.Discard, response.Body)
+			return err
+		}
+	}
+}
+
+// Guards against another node's answer that is not well-formed being taken.
+func TestMalformedAnswersAreNotTaken(t *testing.T) {
+	checker.MalformedAnswers{
+		Prefix: int64(len(Prefix)), Body: "answer", Names: []string{headerUntaken}, Joined: true, NewSender: delegate("short"),
 	}.Run(t)
 }
--- /dev/null
+++ b/checker/malformedanswers.go
@@ -0,0 +1,131 @@
+package checker
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/garnetworks/garnetworks/faker/impersonator"
+)
+
+// MalformedAnswers describes requests whose server sends answers that are not well-formed.
+type MalformedAnswers struct {
+	// Prefix is the number of bytes before the first request of a connection.
+	Prefix int64
+	// Fields are the lines of the answer's head that the reader needs, Body its body.
+	Fields, Body string
+	// Names are names of fields that the reader looks at, beside those of the framing.
+	Names []string
+	// Joined says that the reader joins a line that continues a field to it, as the standard library does.
+	Joined bool
+	// WithoutTrailer says that the reader takes an answer as whole before its trailer.
+	WithoutTrailer bool
+	// NewSender returns a function that sends a request to the address and reads the answer to its end, over
+	// a connection that it keeps if it keeps any.
+	NewSender func(t *testing.T, address string) func() error
+}
+
+// malformedFields are lines that no head or trailer may hold.
+var malformedFields = map[string]string{
+	"a blank inside a name":           "X Name: v",
+	"a blank before the colon":        "X-Name : v",
+	"a name of two words and a blank": "X Other Name : v",
+	"a tab inside a name":             "X\tName: v",
+	"a NUL in a name":                 "X\x00Name: v",
+	"a BEL in a name":                 "X\x07Name: v",
+	"a VT in a name":                  "X\x0bName: v",
+	"an ESC in a name":                "X\x1bName: v",
+	"a DEL in a name":                 "X\x7fName: v",
+	"a high byte in a name":           "X\xe9Name: v",
+	"a bracket in a name":             "X[Name: v",
+	"a name of a slash":               "/: v",
+	"no name":                         ": v",
+	"no colon":                        "X-Name",
+	"a NUL in a value":                "X-Name: a\x00b",
+	"a BEL in a value":                "X-Name: a\x07b",
+	"a DEL in a value":                "X-Name: a\x7fb",
+	"a CR in a value":                 "X-Name: a\rb",
+}
+
+// continuedFields are lines that continue the field before them.
+var continuedFields = map[string]string{
+	"a name of one blank":       " : v",
+	"a blank before a name":     " X-Name: v",
+	"a tab before a name":       "\tX-Name: v",
+	"a line of blanks":          "  ",
+	"a blank before the length": " Content-Length: 1",
+}
+
+// Answers returns malformed answers by what is wrong with them.
+func (c MalformedAnswers) Answers() map[string]string {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	length := c.length()
+	answers := map[string]string{
+		"a blank in the length":                   ok + c.Fields + strings.Replace(length, ":", " :", 1) + "\r\n" + c.Body + "surplus",
+		"a blank in the encoding":                 ok + c.Fields + "Transfer-Encoding : chunked\r\n\r\n" + c.chunks(""),
+		"a blank in the encoding beside a length": ok + c.Fields + "Transfer-Encoding : chunked\r\n" + length + "\r\n" + c.Body,
+	}
+	for _, name := range c.Names {
+		for _, blank := range []string{name + " ", strings.Replace(name, "-", " ", 1), strings.Replace(name, "-", "- ", 1)} {
+			answers["the field "+blank] = ok + c.Fields + blank + ": 1\r\n" + length + "\r\n" + c.Body
+		}
+	}
+	lines := []map[string]string{malformedFields}
+	if !c.Joined {
+		lines = append(lines, continuedFields)
+	}
+	for _, fields := range lines {
+		for name, line := range fields {
+			answers[name] = ok + c.Fields + length + "X-Last: 1\r\n" + line + "\r\n\r\n" + c.Body
+			answers[name+", first"] = ok + line + "\r\n" + c.Fields + length + "\r\n" + c.Body
+		}
+	}
+	if c.WithoutTrailer {
+		return answers
+	}
+	for name, line := range malformedFields {
+		answers[name+", in a trailer"] = ok + c.Fields + "Transfer-Encoding: chunked\r\n\r\n" + c.chunks(line+"\r\n")
+	}
+	return answers
+}
+
+func (c MalformedAnswers) length() string { return fmt.Sprintf("Content-Length: %d\r\n", len(c.Body)) }
+
+// chunks returns the body in chunks with a trailer.
+func (c MalformedAnswers) chunks(trailer string) string {
+	return fmt.Sprintf("%x\r\n", len(c.Body)) + c.Body + "\r\n0\r\n" + trailer + "\r\n"
+}
+
+// Run sends requests to a server that answers them with each of the answers, on new and on kept connections.
+func (c MalformedAnswers) Run(t *testing.T) {
+	t.Helper()
+	sound := "HTTP/1.1 200 OK\r\n" + c.Fields + c.length() + "\r\n" + c.Body
+	for name, answer := range c.Answers() {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept %t", name, kept), func(t *testing.T) {
+				var requests atomic.Int32
+				server := &impersonator.RawServer{Prefix: c.Prefix, Answer: func(*http.Request, int) impersonator.RawAnswer {
+					if requests.Add(1) == 1 && kept {
+						return impersonator.RawAnswer{Text: sound}
+					}
+					return impersonator.RawAnswer{Text: answer, End: impersonator.RawReadEnd}
+				}}
+				if err := server.Start(); err != nil {
+					t.Fatal(err)
+				}
+				defer server.Close()
+				send := c.NewSender(t, server.Address())
+				if kept {
+					if err := send(); err != nil {
+						t.Fatalf("a sound answer: %v", err)
+					}
+				}
+				if err := send(); err == nil {
+					t.Errorf("%q is taken", answer)
+				}
+			})
+		}
+	}
+}
--- a/connector/link.go
+++ b/connector/link.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/garnetworks/garnetworks"
+	"github.com/garnetworks/garnetworks/verifier"
 )
 
 // Options configure the connections of an adapter; zero fields get the defaults.
@@ -286,6 +287,9 @@
 	request.Body = &singleUseBody{body}
 	request.ContentLength = int64(size)
 	request.GetBody = nil
-	response, err := p.transport(address).RoundTrip(request)
+	response, err := verifier.Transport{RoundTripper: p.transport(address)}.RoundTrip(request)
+	if errors.Is(err, verifier.ErrMalformed) {
+		p.closeIdle(address) // the connection may be among them, and gets sealed
+	}
 	return response, t, err
 }
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -12,6 +12,7 @@
 //	O5  On a connection that was used before, headers in which a further status line
 //	    stands are those of no response: they begin with the first part of one that
 //	    belongs to no request, and its status and headers would count for this one.
+//	O6  Headers and trailers that are not well-formed (package verifier) are those of no response.
 package pooler
 
 import (
@@ -317,10 +318,13 @@
 		}
 	}
 	response, err := http.ReadResponse(c.reader, request)
-	if err == nil && c.requests > 1 && joinsHeads(response) {
+	switch {
+	case err != nil:
+		return nil, garnetworks.PhaseHeaders, err
+	case c.requests > 1 && joinsHeads(response):
 		return nil, garnetworks.PhaseHeaders, errJoinedHeads
 	}
-	return response, garnetworks.PhaseHeaders, err
+	return response, garnetworks.PhaseHeaders, verifier.Head(response)
 }
 
 // statusLine matches the begin of one.
@@ -408,6 +412,7 @@
 	response.Body = &responseBody{
 		ReadCloser: response.Body,
 		exchange:   x,
+		response:   response,
 		// Rule O1: request bytes that are still being sent must not be taken by the server
 		// for the start of the next request.
 		reusable:  requestSent && !response.Close && !result.EndsWithConnection,
@@ -473,6 +478,7 @@
 type responseBody struct {
 	io.ReadCloser
 	exchange  *exchange
+	response  *http.Response
 	reusable  bool
 	keepAlive time.Duration
 	// atEOF is set once the body was read to its end, closed by the first Close, timed by
@@ -488,9 +494,13 @@
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.atEOF = true
+	if err != io.EOF {
+		return n, err
 	}
+	if malformed := verifier.Trailer(b.response); malformed != nil {
+		return n, malformed
+	}
+	b.atEOF = true
 	return n, err
 }
 
--- /dev/null
+++ b/verifier/response.go
@@ -0,0 +1,72 @@
+package verifier
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrMalformed is the cause of the errors of responses that are not well-formed.
+var ErrMalformed = errors.New("the response is not well-formed")
+
+// Head returns an error if the head of a response breaks a rule.
+func Head(response *http.Response) error { return fieldNames(response.Header) }
+
+// Trailer returns an error if the trailer of a response whose body has been read to its end breaks a rule.
+func Trailer(response *http.Response) error { return fieldNames(response.Trailer) }
+
+// fieldNames checks rule V2. The standard library takes a line with a blank in its name as a field
+// of that name, so that it is passed on, or is not the length that its sender meant.
+func fieldNames(fields http.Header) error {
+	for name := range fields {
+		if name == "" || strings.ContainsFunc(name, notInToken) {
+			return errors.Wrapf(ErrMalformed, "%.64q is no name of a field", name)
+		}
+	}
+	return nil
+}
+
+// notInToken reports whether a token can't contain a character (RFC 9110, section 5.6.2).
+func notInToken(r rune) bool {
+	switch {
+	case '0' <= r && r <= '9', 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
+// Transport sends requests and verifies the responses.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := Head(response); err != nil {
+		_ = response.Body.Close() // the error of the head counts
+		return nil, err
+	}
+	response.Body = &body{ReadCloser: response.Body, response: response}
+	return response, nil
+}
+
+// body is a body whose trailer is verified at its end.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := Trailer(b.response); malformed != nil {
+			return n, malformed
+		}
+	}
+	return n, err
+}
