pooler: a header line that begins with a blank makes no answer of a server

What callers saw, played over a real process: a line of a head that begins with a blank (a name of one blank, " X-Name: v", " Content-Length: 1") reaches the client within the value of the field before it.

Cause: the standard library's reader joins such a line to the one before it, as old versions of HTTP folded long fields, and its result doesn't show that. A gateway has to reject such an answer or to replace the fold (RFC 9112, section 5.2).

Change: pooler looks at the lines of each head as they are read (verifier.Lines), and fails the attempt as one that may have run. Other readers pass no fields on; where one reads a field, the joined value is no number or identifier, so they are left.

--- a/cmd/garnetd/malformed_test.go
+++ b/cmd/garnetd/malformed_test.go
@@ -18,7 +18,6 @@
 		Fields: "Content-Type: text/event-stream\r\nGarnetworks-Request-Id: " + idPlace + "\r\nGarnetworks-Response-Stamp: s\r\n",
 		Body:   "id: 1\ndata: a\n\n",
 		Names:  []string{"Garnetworks-Request-Id", "Garnetworks-Response-Stamp", "Garnetworks-Not-Run"},
-		Joined: true,
 	}
 	s, answerWith := rawSiteOf(t)
 	reused := 0
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -110,6 +110,8 @@
 	// headLeft is how many bytes may still be read for headers; it counts while inHead is set.
 	headLeft int
 	inHead   bool
+	// lines are those of the headers that are read.
+	lines verifier.Lines
 	// idleSince is when its last response was complete.
 	idleSince time.Time
 	// requests counts those that were sent on it.
@@ -297,6 +299,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.headLeft -= n
+	c.lines.Scan(p[:n])
 	return n, err
 }
 
@@ -304,7 +307,9 @@
 // not wait for the end of a line that never ends.
 func (c *connection) readHead(request *http.Request) (*http.Response, garnetworks.CallPhase, error) {
 	const protocol = "HTTP/"
-	c.headLeft, c.inHead = MaxHeadBytes, true
+	c.headLeft, c.inHead, c.lines = MaxHeadBytes, true, verifier.Lines{}
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	c.lines.Scan(buffered)
 	defer func() { c.inHead = false }()
 	for n := 1; n <= len(protocol); n++ {
 		start, err := c.reader.Peek(n)
@@ -323,6 +328,8 @@
 		return nil, garnetworks.PhaseHeaders, err
 	case c.requests > 1 && joinsHeads(response):
 		return nil, garnetworks.PhaseHeaders, errJoinedHeads
+	case c.lines.Continued:
+		return nil, garnetworks.PhaseHeaders, errors.Wrap(verifier.ErrMalformed, "a line of the headers continues the one before it")
 	}
 	return response, garnetworks.PhaseHeaders, verifier.Head(response)
 }
--- a/verifier/doc.go
+++ b/verifier/doc.go
@@ -4,4 +4,5 @@
 //	V1  The end of a connection that failed is never read as an end in order, whether
 //	    a read or a write was told of the failure: the kernel tells only one of them.
 //	V2  The name of each field, of the head and of the trailer, is a token.
+//	V3  No line of a head continues the one before it.
 package verifier
