verifier: a status below 100 or above 599 makes no answer

What callers saw, played over a real process: answers with the statuses 600 and 999 reach the client as they are. 000 does not, neither on plain nor on streaming routes: pooler takes it for an interim head and waits for the answer, which doesn't come.

The same class elsewhere, found with the same table: an order that is answered 000, 001, 099, +20 or 101 counts as begun, a removal from the store as done; reports and the store's reads, lists, watches and writes count with any of them but 101; the own interface's services pass 000 to 099, 101, 600 and 999 on, and another node's answer with them is relayed.

Cause: the standard library takes any three digits, and these readers compare with the end of a range alone (below 300 is a success).

Change: verifier.Head checks the range, verifier.Transport also that a final answer has a final status. pooler fails on 000 at once in place of waiting, as it shares the check.

--- a/checker/malformedanswers.go
+++ b/checker/malformedanswers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -58,6 +59,11 @@
 	"a blank before the length": " Content-Length: 1",
 }
 
+// statuses are no statuses of a final answer.
+var statuses = []string{
+	"000", "001", "099", "0", "20", "2000", "+20", "-20", "2x0", "", " ", "x", "100", "101", "199", "600", "999",
+}
+
 // Answers returns malformed answers by what is wrong with them.
 func (c MalformedAnswers) Answers() map[string]string {
 	const ok = "HTTP/1.1 200 OK\r\n"
@@ -82,6 +88,9 @@
 			answers[name+", first"] = ok + line + "\r\n" + c.Fields + length + "\r\n" + c.Body
 		}
 	}
+	for _, status := range statuses {
+		answers["status "+strconv.Quote(status)] = "HTTP/1.1 " + status + " X\r\n" + c.Fields + c.length() + "\r\n" + c.Body
+	}
 	if c.WithoutTrailer {
 		return answers
 	}
--- a/verifier/doc.go
+++ b/verifier/doc.go
@@ -5,4 +5,5 @@
 //	    a read or a write was told of the failure: the kernel tells only one of them.
 //	V2  The name of each field, of the head and of the trailer, is a token.
 //	V3  No line of a head continues the one before it.
+//	V4  A status is from 100 to 599, that of a final response from 200 on.
 package verifier
--- a/verifier/response.go
+++ b/verifier/response.go
@@ -11,8 +11,16 @@
 // ErrMalformed is the cause of the errors of responses that are not well-formed.
 var ErrMalformed = errors.New("the response is not well-formed")
 
-// Head returns an error if the head of a response breaks a rule.
-func Head(response *http.Response) error { return fieldNames(response.Header) }
+// maxStatus is the largest status (RFC 9110, section 15).
+const maxStatus = 599
+
+// Head returns an error if the head of a response breaks a rule. It may be an interim one.
+func Head(response *http.Response) error {
+	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+		return errors.Wrapf(ErrMalformed, "%d is no status", response.StatusCode)
+	}
+	return fieldNames(response.Header)
+}
 
 // Trailer returns an error if the trailer of a response whose body has been read to its end breaks a rule.
 func Trailer(response *http.Response) error { return fieldNames(response.Trailer) }
@@ -46,7 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := Head(response); err != nil {
+	err = Head(response)
+	if err == nil && response.StatusCode < http.StatusOK {
+		err = errors.Wrapf(ErrMalformed, "%d is no status of a final response", response.StatusCode)
+	}
+	if err != nil {
 		_ = response.Body.Close() // the error of the head counts
 		return nil, err
 	}
