verifier: a version that isn't 1.x or a control character in the reason phrase makes no answer

What callers saw, played over a real process: an answer of "HTTP/2.7" or "HTTP/0.9", and one with a NUL, BEL, ESC, DEL or bare carriage return in its reason phrase, reaches the client as a 200. The phrase isn't passed on, the answer is.

Cause: the standard library parses any version of two digits and doesn't look at the phrase; as for names, nothing looked at a head after it.

Change: verifier.Head checks both.

A second blank before the status still passes: a recipient may split the line at any blanks (RFC 9112, section 4), and nothing of it reaches the client.

--- a/checker/malformedanswers.go
+++ b/checker/malformedanswers.go
@@ -64,6 +64,12 @@
 	"000", "001", "099", "0", "20", "2000", "+20", "-20", "2x0", "", " ", "x", "100", "101", "199", "600", "999",
 }
 
+// statusLines are no first lines of an answer of HTTP/1.
+var statusLines = []string{
+	"HTTP/2.7 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.x 200 OK", "http/1.1 200 OK", "ICY 200 OK", "HTTP/1.1", "HTTP/1.1\t200 OK", "HTTP/1.1\x00200 OK",
+	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x07K", "HTTP/1.1 200 O\x1bK", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK",
+}
+
 // Answers returns malformed answers by what is wrong with them.
 func (c MalformedAnswers) Answers() map[string]string {
 	const ok = "HTTP/1.1 200 OK\r\n"
@@ -91,6 +97,9 @@
 	for _, status := range statuses {
 		answers["status "+strconv.Quote(status)] = "HTTP/1.1 " + status + " X\r\n" + c.Fields + c.length() + "\r\n" + c.Body
 	}
+	for _, line := range statusLines {
+		answers["the line "+strconv.Quote(line)] = line + "\r\n" + c.Fields + c.length() + "\r\n" + c.Body
+	}
 	if c.WithoutTrailer {
 		return answers
 	}
--- a/verifier/response.go
+++ b/verifier/response.go
@@ -16,8 +16,13 @@
 
 // Head returns an error if the head of a response breaks a rule. It may be an interim one.
 func Head(response *http.Response) error {
-	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
+	switch {
+	case response.ProtoMajor != 1:
+		return errors.Wrapf(ErrMalformed, "%q is no version of HTTP/1", response.Proto)
+	case response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus:
 		return errors.Wrapf(ErrMalformed, "%d is no status", response.StatusCode)
+	case strings.ContainsFunc(response.Status, isControl):
+		return errors.Wrapf(ErrMalformed, "the status line %.64q has a control character", response.Status)
 	}
 	return fieldNames(response.Header)
 }
@@ -25,6 +30,9 @@
 // Trailer returns an error if the trailer of a response whose body has been read to its end breaks a rule.
 func Trailer(response *http.Response) error { return fieldNames(response.Trailer) }
 
+// isControl reports whether a reason phrase can't contain a character (RFC 9112, section 4).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
+
 // fieldNames checks rule V2. The standard library takes a line with a blank in its name as a field
 // of that name, so that it is passed on, or is not the length that its sender meant.
 func fieldNames(fields http.Header) error {
