garnetd: the answers that the tests cut off are whole before they are cut

The lengths and the chunks of TestAnswersThatEndEarlyAreNotPassedOnAsWhole were one byte longer than their bodies, so that the last bytes of a sound answer were never cut.

--- a/cmd/garnetd/early_test.go
+++ b/cmd/garnetd/early_test.go
@@ -180,19 +180,24 @@
 
 // Guards against an answer that a server ended early reaching the client as a whole one.
 func TestAnswersThatEndEarlyAreNotPassedOnAsWhole(t *testing.T) {
-	const events = "id: 1\ndata: a\n\nid: 2\ndata: bc\n\n"
+	const (
+		events = "id: 1\ndata: a\n\nid: 2\ndata: bc\n\n"
+		first  = len("id: 1\ndata: a\n")
+	)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(events))
+	chunk := func(part string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(part), part) }
 	eventStream := "Content-Type: text/event-stream\r\n"
 	forms := map[string]struct {
 		framing, body string
 		// unframed says that the answer has neither a length nor chunks, so that it may end with its connection.
 		unframed bool
 	}{
-		"length":       {framing: "Content-Length: 32\r\n", body: events},
-		"chunks":       {framing: "Transfer-Encoding: chunked\r\n", body: "10\r\n" + events[:16] + "\r\n10\r\n" + events[16:] + "\r\n0\r\n\r\n"},
-		"trailers":     {framing: "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n", body: "20\r\n" + events + "\r\n0\r\nX-Sum: 1\r\n\r\n"},
+		"length":       {framing: length, body: events},
+		"chunks":       {framing: "Transfer-Encoding: chunked\r\n", body: chunk(events[:first]) + chunk(events[first:]) + "0\r\n\r\n"},
+		"trailers":     {framing: "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n", body: chunk(events) + "0\r\nX-Sum: 1\r\n\r\n"},
 		"no framing":   {body: events, unframed: true},
 		"HTTP/1.0":     {framing: "Connection: close\r\n", body: events, unframed: true},
-		"interim head": {framing: "Content-Length: 32\r\n", body: events},
+		"interim head": {framing: length, body: events},
 	}
 	s := newRawSite(t)
 	for name, form := range forms {
