launcher: broken answers of a model's engine are tested

The test plays them through the whole node against the head of a group, which sends bytes of the test's choice (a fault of the stand-in engine): cut off by a reset beside a call of 4 MiB, ended in order beside it, and malformed heads.

--- a/faker/impersonator/backend.go
+++ b/faker/impersonator/backend.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -54,6 +55,9 @@
 	// CrashPart crashes the backend when it begins to write an answer to a prompt that has this
 	// part before its last one; empty matches none.
 	CrashPart string
+	// Raw returns the answer to the call with an identifier, before its body is read; nil leaves it to the
+	// other faults.
+	Raw func(id string) RawAnswer
 	// Unframed sends streams with neither a length nor chunks, so that they end with their
 	// connection. EndAfter ends such streams after this many events; 0 never does, and a negative
 	// number ends them after their headers.
@@ -342,6 +346,10 @@
 		b.blocker.block(r)
 		return
 	}
+	if f.Raw != nil {
+		sendRaw(w, r, f.Raw(id))
+		return
+	}
 	if f.Endless != "" {
 		b.sendEndless(w, r, f)
 		return
@@ -427,6 +435,22 @@
 	}()
 }
 
+// sendRaw sends an answer and closes the connection.
+func sendRaw(w http.ResponseWriter, r *http.Request, a RawAnswer) {
+	if a.readsFirst() {
+		_, _ = io.Copy(io.Discard, r.Body) // the answer is sent in any case
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	conn, ok := c.(*net.TCPConn)
+	if ok {
+		a.send(conn, conn)
+	}
+}
+
 // streamUnframed sends events on a connection whose end is the answer's end.
 func (b *Backend) streamUnframed(w http.ResponseWriter, id string, f *BackendFaults) {
 	c, buffered, err := http.NewResponseController(w).Hijack()
--- a/faker/impersonator/rawserver.go
+++ b/faker/impersonator/rawserver.go
@@ -92,29 +92,37 @@
 			return
 		}
 		answer := s.Answer(request, number)
-		if answer.End == RawReadReset || answer.End == RawReadEnd {
+		if answer.readsFirst() {
 			_, _ = io.Copy(io.Discard, request.Body) // the answer is sent in any case
 		}
-		if _, err := io.WriteString(conn, answer.Text); err != nil {
+		if !answer.send(conn, request.Body) {
 			return
 		}
-		switch answer.End {
-		case "":
-			if _, err := io.Copy(io.Discard, request.Body); err != nil {
-				return
-			}
-			continue
-		case RawReadEnd:
-			return
-		case RawEndRead:
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, request.Body) // until the other side ends the connection
-			return
-		case RawEndReset:
-			_ = conn.CloseWrite()
-		}
-		time.Sleep(answer.Delay)
-		_ = conn.SetLinger(0)
-		return
 	}
 }
+
+// readsFirst reports whether the request's body is read before the answer is sent.
+func (a RawAnswer) readsFirst() bool { return a.End == RawReadReset || a.End == RawReadEnd }
+
+// send sends the answer and reports whether the connection is kept. body is what may be left of the request.
+func (a RawAnswer) send(conn *net.TCPConn, body io.Reader) (kept bool) {
+	if _, err := io.WriteString(conn, a.Text); err != nil {
+		return false
+	}
+	switch a.End {
+	case "":
+		_, err := io.Copy(io.Discard, body)
+		return err == nil
+	case RawReadEnd:
+		return false
+	case RawEndRead:
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, body) // until the other side ends the connection
+		return false
+	case RawEndReset:
+		_ = conn.CloseWrite()
+	}
+	time.Sleep(a.Delay)
+	_ = conn.SetLinger(0)
+	return false
+}
