--- a/carrier/early_test.go
+++ b/carrier/early_test.go
@@ -13,7 +13,7 @@
 func TestAnswersBesideLongCallsAreNotCutOff(t *testing.T) {
 	checker.EarlyAnswers{
 		Prefix: int64(len(Prefix)),
-		Whole:  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", Unframed: "HTTP/1.1 200 OK\r\n\r\npart", TakesUnframed: true, LosesUnframed: true,
+		Whole:  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", Unframed: "HTTP/1.1 200 OK\r\n\r\npart", AcceptsUnframed: true, MayLoseUnframed: true,
 		NewSender: delegate(strings.Repeat("b", 4<<20)),
 	}.Run(t)
 }
@@ -36,9 +36,9 @@
 	}
 }
 
-// Guards against another node's answer that is not well-formed being taken.
+// Guards against a malformed answer of another node that is accepted.
 func TestMalformedAnswersAreNotTaken(t *testing.T) {
 	checker.MalformedAnswers{
-		Prefix: int64(len(Prefix)), Body: "answer", Names: []string{headerUntaken}, Joined: true, NewSender: delegate("short"),
+		Prefix: int64(len(Prefix)), Body: "answer", Names: []string{headerUntaken}, Unfolds: true, NewSender: delegate("short"),
 	}.Run(t)
 }
--- a/checker/earlyanswers.go
+++ b/checker/earlyanswers.go
@@ -17,9 +17,9 @@
 	Prefix int64
 	// Whole is an answer with a length, Unframed one that ends with its connection.
 	Whole, Unframed string
-	// TakesUnframed says that an answer which ends with its connection in order is taken, LosesUnframed that it
-	// may be lost if the connection is reset after its end.
-	TakesUnframed, LosesUnframed bool
+	// AcceptsUnframed says that an answer whose end is an orderly close of its connection is accepted,
+	// MayLoseUnframed that it may be lost if a reset follows the close.
+	AcceptsUnframed, MayLoseUnframed bool
 	// NewSender returns a function that sends a request to the address and reads the answer to its end. The
 	// request is longer than the buffers of a connection.
 	NewSender func(t *testing.T, address string) func() error
@@ -28,19 +28,19 @@
 // earlyAnswerTries is how often each case is played, as the order of two goroutines decides what happens.
 const earlyAnswerTries = 10
 
-// Run plays the ends of a connection on new and on kept connections. An answer counts as whole only if the
-// connection has ended in order.
+// Run plays the ends of a connection on new and on kept connections. An answer must count as whole only after
+// an orderly close.
 func (c EarlyAnswers) Run(t *testing.T) {
 	t.Helper()
-	inOrder := []bool{c.TakesUnframed}
-	if c.LosesUnframed {
-		inOrder = []bool{true, false}
+	orderly := []bool{c.AcceptsUnframed}
+	if c.MayLoseUnframed {
+		orderly = []bool{true, false}
 	}
 	ends := map[impersonator.RawEnd][]bool{
-		impersonator.RawReset:     {false},
-		impersonator.RawReadReset: {false},
-		impersonator.RawEndReset:  inOrder,
-		impersonator.RawEndRead:   {c.TakesUnframed},
+		impersonator.RawReset:      {false},
+		impersonator.RawReadReset:  {false},
+		impersonator.RawCloseReset: orderly,
+		impersonator.RawCloseRead:  {c.AcceptsUnframed},
 	}
 	for end, allowed := range ends {
 		for _, kept := range []bool{false, true} {
--- a/checker/malformedanswers.go
+++ b/checker/malformedanswers.go
@@ -11,7 +11,7 @@
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
-// MalformedAnswers describes requests whose server sends answers that are not well-formed.
+// MalformedAnswers describes requests whose server sends malformed answers.
 type MalformedAnswers struct {
 	// Prefix is the number of bytes before the first request of a connection.
 	Prefix int64
@@ -19,20 +19,20 @@
 	Fields, Body string
 	// Names are names of fields that the reader looks at, beside those of the framing.
 	Names []string
-	// Joined says that the reader joins a line that continues a field to it, as the standard library does.
-	Joined bool
-	// WithoutTrailer says that the reader takes an answer as whole before its trailer.
-	WithoutTrailer bool
+	// Unfolds says that the reader accepts folded lines, as the standard library does.
+	Unfolds bool
+	// IgnoresTrailer says that an answer is whole before its trailer.
+	IgnoresTrailer bool
 	// NewSender returns a function that sends a request to the address and reads the answer to its end, over
-	// a connection that it keeps if it keeps any.
+	// the same connection if it keeps any.
 	NewSender func(t *testing.T, address string) func() error
 }
 
-// malformedFields are lines that no head or trailer may hold.
+// malformedFields are invalid lines of heads and trailers.
 var malformedFields = map[string]string{
-	"a blank inside a name":           "X Name: v",
-	"a blank before the colon":        "X-Name : v",
-	"a name of two words and a blank": "X Other Name : v",
+	"a space inside a name":           "X Name: v",
+	"a space before the colon":        "X-Name : v",
+	"a name of two words and a space": "X Other Name : v",
 	"a tab inside a name":             "X\tName: v",
 	"a NUL in a name":                 "X\x00Name: v",
 	"a BEL in a name":                 "X\x07Name: v",
@@ -50,21 +50,21 @@
 	"a CR in a value":                 "X-Name: a\rb",
 }
 
-// continuedFields are lines that continue the field before them.
-var continuedFields = map[string]string{
-	"a name of one blank":       " : v",
-	"a blank before a name":     " X-Name: v",
+// foldedFields are lines that continue the field before them.
+var foldedFields = map[string]string{
+	"a name of one space":       " : v",
+	"a space before a name":     " X-Name: v",
 	"a tab before a name":       "\tX-Name: v",
-	"a line of blanks":          "  ",
-	"a blank before the length": " Content-Length: 1",
+	"a line of spaces":          "  ",
+	"a space before the length": " Content-Length: 1",
 }
 
-// statuses are no statuses of a final answer.
+// statuses are invalid status codes of a final answer.
 var statuses = []string{
 	"000", "001", "099", "0", "20", "2000", "+20", "-20", "2x0", "", " ", "x", "100", "101", "199", "600", "999",
 }
 
-// statusLines are no first lines of an answer of HTTP/1.
+// statusLines are invalid status lines with a valid status code or without one.
 var statusLines = []string{
 	"HTTP/2.7 200 OK", "HTTP/0.9 200 OK", "HTTP/1 200 OK", "HTTP/1.x 200 OK", "http/1.1 200 OK", "ICY 200 OK", "HTTP/1.1", "HTTP/1.1\t200 OK", "HTTP/1.1\x00200 OK",
 	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x07K", "HTTP/1.1 200 O\x1bK", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK",
@@ -75,18 +75,18 @@
 	const ok = "HTTP/1.1 200 OK\r\n"
 	length := c.length()
 	answers := map[string]string{
-		"a blank in the length":                   ok + c.Fields + strings.Replace(length, ":", " :", 1) + "\r\n" + c.Body + "surplus",
-		"a blank in the encoding":                 ok + c.Fields + "Transfer-Encoding : chunked\r\n\r\n" + c.chunks(""),
-		"a blank in the encoding beside a length": ok + c.Fields + "Transfer-Encoding : chunked\r\n" + length + "\r\n" + c.Body,
+		"a space in the length":                   ok + c.Fields + strings.Replace(length, ":", " :", 1) + "\r\n" + c.Body + "surplus",
+		"a space in the encoding":                 ok + c.Fields + "Transfer-Encoding : chunked\r\n\r\n" + c.chunks(""),
+		"a space in the encoding beside a length": ok + c.Fields + "Transfer-Encoding : chunked\r\n" + length + "\r\n" + c.Body,
 	}
 	for _, name := range c.Names {
-		for _, blank := range []string{name + " ", strings.Replace(name, "-", " ", 1), strings.Replace(name, "-", "- ", 1)} {
-			answers["the field "+blank] = ok + c.Fields + blank + ": 1\r\n" + length + "\r\n" + c.Body
+		for _, spaced := range []string{name + " ", strings.Replace(name, "-", " ", 1), strings.Replace(name, "-", "- ", 1)} {
+			answers["the field "+spaced] = ok + c.Fields + spaced + ": 1\r\n" + length + "\r\n" + c.Body
 		}
 	}
 	lines := []map[string]string{malformedFields}
-	if !c.Joined {
-		lines = append(lines, continuedFields)
+	if !c.Unfolds {
+		lines = append(lines, foldedFields)
 	}
 	for _, fields := range lines {
 		for name, line := range fields {
@@ -100,7 +100,7 @@
 	for _, line := range statusLines {
 		answers["the line "+strconv.Quote(line)] = line + "\r\n" + c.Fields + c.length() + "\r\n" + c.Body
 	}
-	if c.WithoutTrailer {
+	if c.IgnoresTrailer {
 		return answers
 	}
 	for name, line := range malformedFields {
@@ -128,7 +128,7 @@
 					if requests.Add(1) == 1 && kept {
 						return impersonator.RawAnswer{Text: sound}
 					}
-					return impersonator.RawAnswer{Text: answer, End: impersonator.RawReadEnd}
+					return impersonator.RawAnswer{Text: answer, End: impersonator.RawReadClose}
 				}}
 				if err := server.Start(); err != nil {
 					t.Fatal(err)
--- a/cmd/garnetd/early_test.go
+++ b/cmd/garnetd/early_test.go
@@ -100,14 +100,14 @@
 func newRawSite(t *testing.T) *rawSite {
 	server := newRawServer(t)
 	server.set(func(id string, _ int) (string, ending) { return rawAnswer(id, "", "Content-Length: 2\r\n", "ok"), "" })
-	s := newSiteOf(t, server.listener.Addr().String(), onceTimeout)
+	s := newRawSiteAt(t, server.listener.Addr().String(), onceTimeout)
 	s.server = server
 	return s
 }
 
-// newSiteOf returns a site whose routes have a timeout and lead to the server at an address, which has to
+// newRawSiteAt returns a site whose routes have a timeout and lead to the server at an address, which has to
 // answer "ok" at first.
-func newSiteOf(t *testing.T, server string, timeout time.Duration) *rawSite {
+func newRawSiteAt(t *testing.T, server string, timeout time.Duration) *rawSite {
 	s := &rawSite{onceSite: newOnceSite(t, onceOptions{Seed: 1, Nodes: 1, Servers: 1})}
 	s.awaitServing()
 	var routes []any
--- a/cmd/garnetd/malformed_test.go
+++ b/cmd/garnetd/malformed_test.go
@@ -10,8 +10,7 @@
 	"github.com/garnetworks/garnetworks/faker/impersonator"
 )
 
-// Guards against an answer that is not well-formed reaching the client as one, with lines that are no fields or
-// with a body that is not the server's.
+// Guards against a malformed answer that reaches the client, with invalid fields or a body that is not the server's.
 func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
 	const idPlace = "{id}"
 	malformed := checker.MalformedAnswers{
@@ -19,7 +18,7 @@
 		Body:   "id: 1\ndata: a\n\n",
 		Names:  []string{"Garnetworks-Request-Id", "Garnetworks-Response-Stamp", "Garnetworks-Not-Run"},
 	}
-	s, answerWith := rawSiteOf(t)
+	s, answerWith := newScriptedSite(t)
 	reused := 0
 	for name, text := range malformed.Answers() {
 		t.Run(name, func(t *testing.T) {
@@ -27,7 +26,7 @@
 				if number > 1 {
 					reused++
 				}
-				return impersonator.RawAnswer{Text: strings.ReplaceAll(text, idPlace, id), End: impersonator.RawReadEnd}
+				return impersonator.RawAnswer{Text: strings.ReplaceAll(text, idPlace, id), End: impersonator.RawReadClose}
 			})
 			defer answerWith(nil)
 			for _, kind := range []string{rawUnsafe, rawSafe, rawStream} {
--- a/cmd/garnetd/upload_test.go
+++ b/cmd/garnetd/upload_test.go
@@ -14,9 +14,9 @@
 // warmUp begins the identifiers of requests that open a connection to the server and leave it open.
 const warmUp = "warm-up"
 
-// rawSiteOf returns a site whose routes lead to a raw server, and a function that sets its answers. Requests to
-// warm up are answered "ok".
-func rawSiteOf(t *testing.T) (s *rawSite, answerWith func(func(id string, number int) impersonator.RawAnswer)) {
+// newScriptedSite returns a site whose routes lead to a raw server, and a function that sets the server's answers.
+// Requests to warm up are answered "ok".
+func newScriptedSite(t *testing.T) (s *rawSite, answerWith func(func(id string, number int) impersonator.RawAnswer)) {
 	t.Helper()
 	var mu sync.Mutex
 	var answer func(id string, number int) impersonator.RawAnswer
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = server.Close() })
-	return newSiteOf(t, server.Address(), serveTime), func(next func(id string, number int) impersonator.RawAnswer) {
+	return newRawSiteAt(t, server.Address(), serveTime), func(next func(id string, number int) impersonator.RawAnswer) {
 		mu.Lock()
 		defer mu.Unlock()
 		answer = next
@@ -65,12 +65,12 @@
 		"chunks":     {"Transfer-Encoding: chunked\r\n", chunk + "0\r\n\r\n", true},
 		"cut chunks": {"Transfer-Encoding: chunked\r\n", chunk, false},
 	}
-	ends := []impersonator.RawEnd{impersonator.RawReset, impersonator.RawEndReset, impersonator.RawEndRead, impersonator.RawReadReset}
-	s, answerWith := rawSiteOf(t)
+	ends := []impersonator.RawEnd{impersonator.RawReset, impersonator.RawCloseReset, impersonator.RawCloseRead, impersonator.RawReadReset}
+	s, answerWith := newScriptedSite(t)
 	for name, framing := range framings {
 		for _, end := range ends {
 			t.Run(name+", "+string(end), func(t *testing.T) {
-				inOrder := !strings.HasPrefix(name, "cut") && (end == impersonator.RawEndReset || end == impersonator.RawEndRead)
+				orderly := !strings.HasPrefix(name, "cut") && (end == impersonator.RawCloseReset || end == impersonator.RawCloseRead)
 				played, whole, reused := 0, 0, 0
 				for _, delay := range []time.Duration{0, 2 * time.Millisecond, 30 * time.Millisecond} {
 					answerWith(func(id string, number int) impersonator.RawAnswer {
@@ -91,9 +91,9 @@
 								switch {
 								case got.status == http.StatusOK && got.body != events:
 									t.Errorf("%s, %d bytes, %s, kept %t: answered 200 with %q", kind, size, delay, kept, got.body)
-								case got.status == http.StatusOK && !framing.framed && !inOrder:
+								case got.status == http.StatusOK && !framing.framed && !orderly:
 									t.Errorf("%s, %d bytes, %s, kept %t: answered 200 though the server reset the connection", kind, size, delay, kept)
-								case got.status != http.StatusOK && inOrder:
+								case got.status != http.StatusOK && orderly:
 									t.Errorf("%s, %d bytes, %s, kept %t: status %d for a whole answer", kind, size, delay, kept, got.status)
 								case got.status == http.StatusServiceUnavailable:
 									t.Errorf("%s, %d bytes, %s, kept %t: status %d promises that the request did not run", kind, size, delay, kept, got.status)
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -90,12 +90,12 @@
 	}
 }
 
-// Guards against an answer that is not well-formed being taken.
+// Guards against a malformed answer that is accepted.
 func TestMalformedAnswersAreNotTaken(t *testing.T) {
 	answers := map[string]checker.MalformedAnswers{
-		"services":       {Fields: serviceFields, Body: "part", Names: []string{connector.HeaderOutcome}, Joined: true, NewSender: callService("")},
-		"engines":        {Fields: engineFields, Body: lastEvent, Names: []string{connector.HeaderOutcome}, Joined: true, WithoutTrailer: true, NewSender: callEngine("")},
-		"the object API": {Fields: objectFields, Body: "{}", Names: []string{connector.HeaderRevision}, Joined: true, NewSender: writeObject("v")},
+		"services":       {Fields: serviceFields, Body: "part", Names: []string{connector.HeaderOutcome}, Unfolds: true, NewSender: callService("")},
+		"engines":        {Fields: engineFields, Body: lastEvent, Names: []string{connector.HeaderOutcome}, Unfolds: true, IgnoresTrailer: true, NewSender: callEngine("")},
+		"the object API": {Fields: objectFields, Body: "{}", Names: []string{connector.HeaderRevision}, Unfolds: true, NewSender: writeObject("v")},
 	}
 	for name, c := range answers {
 		t.Run(name, c.Run)
@@ -117,7 +117,7 @@
 	defer server.Close()
 	call := callEngine("")(t, server.Address())
 	if err := call(); err == nil {
-		t.Error("an answer with a blank in the name of a field is taken")
+		t.Error("an answer with a space in the name of a field is taken")
 	}
 	if err := call(); err != nil {
 		t.Errorf("the next call: %v", err)
--- a/connector/link.go
+++ b/connector/link.go
@@ -289,7 +289,7 @@
 	request.GetBody = nil
 	response, err := verifier.Transport{RoundTripper: p.transport(address)}.RoundTrip(request)
 	if errors.Is(err, verifier.ErrMalformed) {
-		p.closeIdle(address) // the connection may be among them, and gets sealed
+		p.closeIdle(address) // without a body the connection is idle again, and failurePhase seals it
 	}
 	return response, t, err
 }
--- a/faker/impersonator/rawserver.go
+++ b/faker/impersonator/rawserver.go
@@ -15,16 +15,16 @@
 
 // The ways to end a connection. Without one the rest of the request is read and the connection is kept.
 const (
-	// RawReset resets it while the request may still be written.
+	// RawReset resets the connection while the request may still be written.
 	RawReset RawEnd = "reset"
-	// RawEndReset ends the server's side in order and then resets the connection.
-	RawEndReset RawEnd = "end, then reset"
-	// RawEndRead ends the server's side in order and reads the rest of the request.
-	RawEndRead RawEnd = "end, then read"
+	// RawCloseReset closes the server's side and then resets the connection.
+	RawCloseReset RawEnd = "close, then reset"
+	// RawCloseRead closes the server's side and reads the rest of the request.
+	RawCloseRead RawEnd = "close, then read"
 	// RawReadReset reads the whole request before the answer and the reset.
 	RawReadReset RawEnd = "read, then reset"
-	// RawReadEnd reads the whole request before the answer and ends the connection in order.
-	RawReadEnd RawEnd = "read, then end"
+	// RawReadClose reads the whole request before the answer and the close.
+	RawReadClose RawEnd = "read, then close"
 )
 
 // RawAnswer is what a RawServer does with a request.
@@ -102,7 +102,7 @@
 }
 
 // readsFirst reports whether the request's body is read before the answer is sent.
-func (a RawAnswer) readsFirst() bool { return a.End == RawReadReset || a.End == RawReadEnd }
+func (a RawAnswer) readsFirst() bool { return a.End == RawReadReset || a.End == RawReadClose }
 
 // send sends the answer and reports whether the connection is kept. body is what may be left of the request.
 func (a RawAnswer) send(conn *net.TCPConn, body io.Reader) (kept bool) {
@@ -113,13 +113,13 @@
 	case "":
 		_, err := io.Copy(io.Discard, body)
 		return err == nil
-	case RawReadEnd:
+	case RawReadClose:
 		return false
-	case RawEndRead:
+	case RawCloseRead:
 		_ = conn.CloseWrite()
 		_, _ = io.Copy(io.Discard, body) // until the other side ends the connection
 		return false
-	case RawEndReset:
+	case RawCloseReset:
 		_ = conn.CloseWrite()
 	}
 	time.Sleep(a.Delay)
--- a/launcher/unframed_test.go
+++ b/launcher/unframed_test.go
@@ -40,7 +40,7 @@
 }
 
 // Guards against broken answers of a model's engine passing as whole: cut off by a reset while the call was
-// still being written, or not well-formed.
+// still being written, or malformed.
 func TestBrokenStreamsOfEnginesAreNotPassedOnAsWhole(t *testing.T) {
 	const (
 		idPlace = "{id}"
@@ -56,16 +56,16 @@
 	}{
 		"reset beside the call":          {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawReset}, long, false},
 		"reset later":                    {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawReset, Delay: 5 * time.Millisecond}, long, false},
-		"end in order beside the call":   {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawEndRead}, long, true},
-		"end in order, then a reset":     {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawEndReset}, long, true},
-		"end in order":                   {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawReadEnd}, 0, true},
-		"status 000":                     {impersonator.RawAnswer{Text: "HTTP/1.1 000 X\r\n" + fields + "\r\n" + events, End: impersonator.RawReadEnd}, 0, false},
-		"status 999":                     {impersonator.RawAnswer{Text: "HTTP/1.1 999 X\r\n" + fields + "\r\n" + events, End: impersonator.RawReadEnd}, 0, false},
-		"a blank in a name":              {impersonator.RawAnswer{Text: head + "X Name: v\r\n\r\n" + events, End: impersonator.RawReadEnd}, 0, false},
-		"a blank before a name":          {impersonator.RawAnswer{Text: head + " X-Name: v\r\n\r\n" + events, End: impersonator.RawReadEnd}, 0, false},
-		"a control character in a name":  {impersonator.RawAnswer{Text: head + "X\x07Name: v\r\n\r\n" + events, End: impersonator.RawReadEnd}, 0, false},
-		"a blank in the length's name":   {impersonator.RawAnswer{Text: head + "Content-Length : 16\r\n\r\n" + events, End: impersonator.RawReadEnd}, 0, false},
-		"a blank in the encoding's name": {impersonator.RawAnswer{Text: head + "Transfer-Encoding : chunked\r\n\r\n1f\r\n" + events + "\r\n0\r\n\r\n", End: impersonator.RawReadEnd}, 0, false},
+		"orderly close beside the call":  {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawCloseRead}, long, true},
+		"orderly close, then a reset":    {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawCloseReset}, long, true},
+		"orderly close":                  {impersonator.RawAnswer{Text: head + "\r\n" + events, End: impersonator.RawReadClose}, 0, true},
+		"status 000":                     {impersonator.RawAnswer{Text: "HTTP/1.1 000 X\r\n" + fields + "\r\n" + events, End: impersonator.RawReadClose}, 0, false},
+		"status 999":                     {impersonator.RawAnswer{Text: "HTTP/1.1 999 X\r\n" + fields + "\r\n" + events, End: impersonator.RawReadClose}, 0, false},
+		"a space in a name":              {impersonator.RawAnswer{Text: head + "X Name: v\r\n\r\n" + events, End: impersonator.RawReadClose}, 0, false},
+		"a space before a name":          {impersonator.RawAnswer{Text: head + " X-Name: v\r\n\r\n" + events, End: impersonator.RawReadClose}, 0, false},
+		"a control character in a name":  {impersonator.RawAnswer{Text: head + "X\x07Name: v\r\n\r\n" + events, End: impersonator.RawReadClose}, 0, false},
+		"a space in the length's name":   {impersonator.RawAnswer{Text: head + "Content-Length : 16\r\n\r\n" + events, End: impersonator.RawReadClose}, 0, false},
+		"a space in the encoding's name": {impersonator.RawAnswer{Text: head + "Transfer-Encoding : chunked\r\n\r\n1f\r\n" + events + "\r\n0\r\n\r\n", End: impersonator.RawReadClose}, 0, false},
 	}
 	s := newSite(t, 9)
 	operators := config(2, key)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -12,7 +12,7 @@
 //	O5  On a connection that was used before, headers in which a further status line
 //	    stands are those of no response: they begin with the first part of one that
 //	    belongs to no request, and its status and headers would count for this one.
-//	O6  Headers and trailers that are not well-formed (package verifier) are those of no response.
+//	O6  A response with malformed headers or trailers (package verifier) fails the attempt.
 package pooler
 
 import (
@@ -110,8 +110,8 @@
 	// headLeft is how many bytes may still be read for headers; it counts while inHead is set.
 	headLeft int
 	inHead   bool
-	// lines are those of the headers that are read.
-	lines verifier.Lines
+	// scanner scans the headers that are being read.
+	scanner verifier.HeadScanner
 	// idleSince is when its last response was complete.
 	idleSince time.Time
 	// requests counts those that were sent on it.
@@ -299,7 +299,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.headLeft -= n
-	c.lines.Scan(p[:n])
+	c.scanner.Scan(p[:n])
 	return n, err
 }
 
@@ -307,9 +307,9 @@
 // not wait for the end of a line that never ends.
 func (c *connection) readHead(request *http.Request) (*http.Response, garnetworks.CallPhase, error) {
 	const protocol = "HTTP/"
-	c.headLeft, c.inHead, c.lines = MaxHeadBytes, true, verifier.Lines{}
+	c.headLeft, c.inHead, c.scanner = MaxHeadBytes, true, verifier.HeadScanner{}
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails
-	c.lines.Scan(buffered)
+	c.scanner.Scan(buffered)
 	defer func() { c.inHead = false }()
 	for n := 1; n <= len(protocol); n++ {
 		start, err := c.reader.Peek(n)
@@ -328,8 +328,8 @@
 		return nil, garnetworks.PhaseHeaders, err
 	case c.requests > 1 && joinsHeads(response):
 		return nil, garnetworks.PhaseHeaders, errJoinedHeads
-	case c.lines.Continued:
-		return nil, garnetworks.PhaseHeaders, errors.Wrap(verifier.ErrMalformed, "a line of the headers continues the one before it")
+	case c.scanner.Folded:
+		return nil, garnetworks.PhaseHeaders, errors.Wrap(verifier.ErrMalformed, "folded line in the headers")
 	}
 	return response, garnetworks.PhaseHeaders, verifier.Head(response)
 }
--- a/verifier/conn.go
+++ b/verifier/conn.go
@@ -36,10 +36,10 @@
 	return NewConn(conn), nil
 }
 
-// Read implements net.Conn. It returns io.EOF only if the other side has ended the connection in order.
+// Read implements net.Conn. It returns io.EOF only if the other side closed the connection in order.
 //
-// Failure: the server resets the connection while a request is being written. The write gets the error,
-// the next read an ordinary end, and what of the body had arrived counts as all of it.
+// Failure: the server resets the connection while a request is being written. The write gets the error and
+// the next read io.EOF, so that the part of a body that has arrived counts as all of it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
@@ -52,8 +52,8 @@
 	return n, err
 }
 
-// failureOfWrites returns the failure of the connection once no write is in progress. A write that still
-// waits for the other side is ended, as nothing more will be read.
+// failureOfWrites returns the failure of the connection once no write is in progress. A blocked write is
+// ended, as the other side sends nothing more.
 func (c *Conn) failureOfWrites() error {
 	if !c.writing.TryLock() {
 		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, where writes end as well
@@ -84,8 +84,8 @@
 	return err
 }
 
-// record keeps the error of a failed connection. EPIPE is none: a write after the other side has ended
-// the connection in order gets it, also if a reset followed.
+// record keeps the error of a failed connection. EPIPE is not one: writes get it once the other side has
+// closed the connection in order, even if a reset followed.
 func (c *Conn) record(err error) {
 	var number syscall.Errno
 	if errors.As(err, &number) && number != syscall.EPIPE {
--- a/verifier/conn_test.go
+++ b/verifier/conn_test.go
@@ -48,25 +48,25 @@
 	}
 }
 
-// Guards against a reset that is read as an ordinary end because a write was told of it.
-func TestEndOfAFailedConnectionIsAnError(t *testing.T) {
+// Guards against a reset that is read as io.EOF because it was reported to a write.
+func TestFailedConnectionIsNotReadAsClosed(t *testing.T) {
 	const part = "part"
 	tests := map[string]struct {
-		// end ends the connection from the server's side.
+		// end ends the connection at the server.
 		end func(t *testing.T, client net.Conn, server *net.TCPConn)
 		// want is the error of each read after the part; withoutVerification is what the second one returns
 		// on a plain connection.
 		want, withoutVerification error
 	}{
-		"end in order": {
+		"orderly close": {
 			func(t *testing.T, _ net.Conn, server *net.TCPConn) { _ = server.Close() },
 			io.EOF, io.EOF,
 		},
-		"reset that a read is told of": {
+		"reset reported to a read": {
 			func(t *testing.T, client net.Conn, server *net.TCPConn) { reset(t, server) },
 			syscall.ECONNRESET, io.EOF,
 		},
-		"reset that a write is told of": {
+		"reset reported to a write": {
 			func(t *testing.T, client net.Conn, server *net.TCPConn) {
 				reset(t, server)
 				if err := writeUntilFailure(client); !errors.Is(err, syscall.ECONNRESET) {
@@ -75,7 +75,7 @@
 			},
 			syscall.ECONNRESET, io.EOF,
 		},
-		"end in order, then a reset that a write is told of": {
+		"orderly close, then a reset reported to a write": {
 			func(t *testing.T, client net.Conn, server *net.TCPConn) {
 				if err := server.CloseWrite(); err != nil {
 					t.Fatal(err)
@@ -114,9 +114,8 @@
 	}
 }
 
-// Guards against an answer that ends in order and is read no further because the rest of the request is still
-// being written.
-func TestEndInOrderEndsAWriteThatWaits(t *testing.T) {
+// Guards against a reader that waits for a blocked write after an orderly close.
+func TestOrderlyCloseEndsABlockedWrite(t *testing.T) {
 	raw, server := connect(t)
 	client := NewConn(raw)
 	written := make(chan error, 1)
--- a/verifier/response.go
+++ b/verifier/response.go
@@ -11,18 +11,18 @@
 // ErrMalformed is the cause of the errors of responses that are not well-formed.
 var ErrMalformed = errors.New("the response is not well-formed")
 
-// maxStatus is the largest status (RFC 9110, section 15).
+// maxStatus is the largest status code (RFC 9110, section 15).
 const maxStatus = 599
 
-// Head returns an error if the head of a response breaks a rule. It may be an interim one.
+// Head returns an error if the head of a response, which may be an interim one, breaks a rule.
 func Head(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
-		return errors.Wrapf(ErrMalformed, "%q is no version of HTTP/1", response.Proto)
+		return errors.Wrapf(ErrMalformed, "invalid version %q", response.Proto)
 	case response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus:
-		return errors.Wrapf(ErrMalformed, "%d is no status", response.StatusCode)
+		return errors.Wrapf(ErrMalformed, "invalid status code %d", response.StatusCode)
 	case strings.ContainsFunc(response.Status, isControl):
-		return errors.Wrapf(ErrMalformed, "the status line %.64q has a control character", response.Status)
+		return errors.Wrapf(ErrMalformed, "control character in status line %.64q", response.Status)
 	}
 	return fieldNames(response.Header)
 }
@@ -30,21 +30,21 @@
 // Trailer returns an error if the trailer of a response whose body has been read to its end breaks a rule.
 func Trailer(response *http.Response) error { return fieldNames(response.Trailer) }
 
-// isControl reports whether a reason phrase can't contain a character (RFC 9112, section 4).
+// isControl reports whether r must not appear in a reason phrase (RFC 9112, section 4).
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == '\x7f' }
 
-// fieldNames checks rule V2. The standard library takes a line with a blank in its name as a field
-// of that name, so that it is passed on, or is not the length that its sender meant.
+// fieldNames checks rule V2. The standard library accepts a space in a name: the field is passed on, and
+// a "Content-Length " doesn't delimit the body.
 func fieldNames(fields http.Header) error {
 	for name := range fields {
 		if name == "" || strings.ContainsFunc(name, notInToken) {
-			return errors.Wrapf(ErrMalformed, "%.64q is no name of a field", name)
+			return errors.Wrapf(ErrMalformed, "invalid field name %.64q", name)
 		}
 	}
 	return nil
 }
 
-// notInToken reports whether a token can't contain a character (RFC 9110, section 5.6.2).
+// notInToken reports whether r must not appear in a token (RFC 9110, section 5.6.2).
 func notInToken(r rune) bool {
 	switch {
 	case '0' <= r && r <= '9', 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z':
@@ -64,7 +64,7 @@
 	}
 	err = Head(response)
 	if err == nil && response.StatusCode < http.StatusOK {
-		err = errors.Wrapf(ErrMalformed, "%d is no status of a final response", response.StatusCode)
+		err = errors.Wrapf(ErrMalformed, "status code %d in a final response", response.StatusCode)
 	}
 	if err != nil {
 		_ = response.Body.Close() // the error of the head counts
