--- a/carrier/early_test.go
+++ b/carrier/early_test.go
@@ -8,8 +8,7 @@
 	"github.com/garnetworks/garnetworks/checker"
 )
 
-// Guards against another node's answer that a reset cut off and that counts as whole, as the call was still
-// being written.
+// Guards against another node's answer that counts as whole though a reset cut it off beside the call.
 func TestAnswersBesideLongCallsAreNotCutOff(t *testing.T) {
 	checker.EarlyAnswers{
 		Prefix: int64(len(Prefix)),
--- a/checker/earlyanswers.go
+++ b/checker/earlyanswers.go
@@ -56,11 +56,24 @@
 }
 
 func (c EarlyAnswers) play(t *testing.T, answer impersonator.RawAnswer, kept bool, allowed []bool) {
+	t.Helper()
+	first := ""
+	if kept {
+		first = c.Whole
+	}
+	if err := exchangeRaw(t, c.Prefix, c.NewSender, first, answer); !slices.Contains(allowed, err == nil) {
+		t.Errorf("the answer counts as whole: %t, allowed %t (%v)", err == nil, allowed, err)
+	}
+}
+
+// exchangeRaw returns the error of a request that a server answers with the given bytes. If first isn't empty,
+// the server answers an earlier request with it and keeps that connection.
+func exchangeRaw(t *testing.T, prefix int64, newSender func(t *testing.T, address string) func() error, first string, answer impersonator.RawAnswer) error {
 	t.Helper()
 	var requests atomic.Int32
-	server := &impersonator.RawServer{Prefix: c.Prefix, Answer: func(*http.Request, int) impersonator.RawAnswer {
-		if requests.Add(1) == 1 && kept {
-			return impersonator.RawAnswer{Text: c.Whole}
+	server := &impersonator.RawServer{Prefix: prefix, Answer: func(*http.Request, int) impersonator.RawAnswer {
+		if requests.Add(1) == 1 && first != "" {
+			return impersonator.RawAnswer{Text: first}
 		}
 		return answer
 	}}
@@ -68,13 +81,11 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	send := c.NewSender(t, server.Address())
-	if kept {
+	send := newSender(t, server.Address())
+	if first != "" {
 		if err := send(); err != nil {
-			t.Fatal(err)
+			t.Fatalf("a sound answer: %v", err)
 		}
 	}
-	if err := send(); !slices.Contains(allowed, err == nil) {
-		t.Errorf("the answer counts as whole: %t, allowed %t (%v)", err == nil, allowed, err)
-	}
+	return send()
 }
--- a/checker/malformedanswers.go
+++ b/checker/malformedanswers.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/garnetworks/garnetworks/faker/impersonator"
@@ -121,27 +119,10 @@
 	t.Helper()
 	sound := "HTTP/1.1 200 OK\r\n" + c.Fields + c.length() + "\r\n" + c.Body
 	for name, answer := range c.Answers() {
-		for _, kept := range []bool{false, true} {
+		for kept, first := range map[bool]string{false: "", true: sound} {
 			t.Run(fmt.Sprintf("%s, kept %t", name, kept), func(t *testing.T) {
-				var requests atomic.Int32
-				server := &impersonator.RawServer{Prefix: c.Prefix, Answer: func(*http.Request, int) impersonator.RawAnswer {
-					if requests.Add(1) == 1 && kept {
-						return impersonator.RawAnswer{Text: sound}
-					}
-					return impersonator.RawAnswer{Text: answer, End: impersonator.RawReadClose}
-				}}
-				if err := server.Start(); err != nil {
-					t.Fatal(err)
-				}
-				defer server.Close()
-				send := c.NewSender(t, server.Address())
-				if kept {
-					if err := send(); err != nil {
-						t.Fatalf("a sound answer: %v", err)
-					}
-				}
-				if err := send(); err == nil {
-					t.Errorf("%q is taken", answer)
+				if err := exchangeRaw(t, c.Prefix, c.NewSender, first, impersonator.RawAnswer{Text: answer, End: impersonator.RawReadClose}); err == nil {
+					t.Errorf("%q is accepted", answer)
 				}
 			})
 		}
--- a/cmd/garnetd/upload_test.go
+++ b/cmd/garnetd/upload_test.go
@@ -48,11 +48,13 @@
 	return s.exchange(t, head+strings.Repeat("b", size))
 }
 
-// Guards against the first part of an answer reaching the client as a whole one because the server reset
-// the connection while the request was still being written.
+// Guards against a part of an answer passing as whole, as its connection was reset while the request was being written.
 func TestAnswersBesideUploadsAreNotCutOff(t *testing.T) {
-	const events = "id: 1\ndata: a\n\nid: 2\ndata: bc\n\n"
-	const closes = "Connection: close\r\n" // the node must not reuse a connection that the server is about to end
+	const (
+		events = "id: 1\ndata: a\n\nid: 2\ndata: bc\n\n"
+		// closes keeps the node from reusing a connection that the server is about to end.
+		closes = "Connection: close\r\n"
+	)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(events), events)
 	framings := map[string]struct {
 		framing, body string
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -65,8 +65,7 @@
 	lastEvent     = "id: a\nevent: end\ndata: {\"index\":0}\n\n"
 )
 
-// Guards against an answer without an end marker that counts as whole, as its connection ended while the
-// request was still being written.
+// Guards against an answer without an end marker that counts as whole because its connection has ended.
 func TestAnswersBesideLongRequestsAreNotCutOff(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	body := strings.Repeat("b", 4<<20)
--- a/launcher/unframed_test.go
+++ b/launcher/unframed_test.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// Guards against broken answers of a model's engine passing as whole: cut off by a reset while the call was
-// still being written, or malformed.
+// Guards against answers of a model's engine passing as whole that a reset cut off beside the call, or malformed ones.
 func TestBrokenStreamsOfEnginesAreNotPassedOnAsWhole(t *testing.T) {
 	const (
 		idPlace = "{id}"
